Serve a request end to end over separate processes

Cause: the repository was empty.

Ruled out: the pooled client of geventhttpclient for engine and service calls; it repeats a request by itself when a pooled connection closes, which could run a non-idempotent call twice. Each exchange has a connection of its own.

--- /dev/null
+++ b/amaranthbay/__init__.py
@@ -0,0 +1,5 @@
+"""Router for language models on separate prefill and decode pools."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/amaranthbay/client/client.py
@@ -0,0 +1,180 @@
+"""Client for callers."""
+
+import time
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+
+from amaranthbay.kernel.errors import AmaranthbayError
+from amaranthbay.utils.http import json_exchange, open_exchange
+
+__all__ = ["CallFailed", "Client", "Reply"]
+
+CALL_TIMEOUT_S = 600.0
+LOOKUP_TIMEOUT_S = 2.0
+
+
+class CallFailed(AmaranthbayError):
+    """Raised when a call was not answered.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        problem: Problem document, if a daemon sent one.
+    """
+
+    def __init__(self, verdict, problem=None):
+        super().__init__(f"{verdict}: {problem or 'no answer'}")
+        self.verdict = verdict
+        self.problem = problem or {}
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer to a plain call."""
+
+    status: int
+    body: bytes
+    address: str
+
+
+class _LookupReply(msgspec.Struct):
+    addresses: tuple[dict, ...]
+    ttl_s: float
+    config_version: int
+
+
+class Client:
+    """Sends requests of one workspace to the daemons."""
+
+    def __init__(self, seeds, workspace, caller="", availability_zone=""):
+        """Creates a client.
+
+        Args:
+            seeds: Addresses of daemons to ask for a lookup.
+            workspace: Name of the workspace.
+            caller: Kind of caller; empty for the service's default.
+            availability_zone: Where the caller runs; empty if unknown.
+        """
+        self._seeds = tuple(seeds)
+        self._workspace = workspace
+        self._caller = caller
+        self._availability_zone = availability_zone
+        self._cache = {}
+
+    def addresses(self, service):
+        """Returns the daemons to use for a service, best first."""
+        cached = self._cache.get(service)
+        if cached and cached[0] > time.monotonic():
+            return cached[1]
+        query = {"service": service, "workspace": self._workspace}
+        if self._availability_zone:
+            query["availability_zone"] = self._availability_zone
+        for seed in self._seeds:
+            outcome = json_exchange(
+                seed,
+                "GET",
+                "/v1/lookup?" + urlencode(query),
+                timeout_s=LOOKUP_TIMEOUT_S,
+            )
+            if outcome.is_ok() and outcome.unwrap()[0] == 200:
+                reply = msgspec.json.decode(outcome.unwrap()[1], type=_LookupReply)
+                found = tuple(each["address"] for each in reply.addresses)
+                self._cache[service] = (time.monotonic() + reply.ttl_s, found)
+                return found
+        return self._seeds
+
+    def call(self, service, method, path, body=b"", key=None):
+        """Calls a plain service and returns a `Reply`; raises CallFailed."""
+        headers = self._headers()
+        if key:
+            headers.append(("Idempotency-Key", key))
+        headers.append(("Content-Type", "application/json"))
+        target = f"/v1/services/{service}/{path.lstrip('/')}"
+
+        def attempt(address):
+            outcome = json_exchange(
+                address, method, target, body, headers, CALL_TIMEOUT_S
+            )
+            if outcome.is_err():
+                raise CallFailed(outcome.unwrap_err().verdict)
+            status, raw = outcome.unwrap()
+            _raise_problem(status, raw)
+            return Reply(status, raw, address)
+
+        return self._fail_over(service, attempt)
+
+    def complete(self, model, prompt, max_tokens=64, request_id=None):
+        """Yields the texts of a streamed completion; raises CallFailed."""
+        headers = self._headers()
+        if request_id:
+            headers.append(("X-Request-Id", request_id))
+        body = msgspec.json.encode(
+            {
+                "model": model,
+                "prompt": prompt,
+                "max_tokens": max_tokens,
+                "stream": True,
+            }
+        )
+
+        def attempt(address):
+            outcome = open_exchange(
+                address, "POST", "/v1/completions", body, headers, CALL_TIMEOUT_S
+            )
+            if outcome.is_err():
+                raise CallFailed(outcome.unwrap_err().verdict)
+            exchange = outcome.unwrap()
+            if exchange.status != 200:
+                _raise_problem(exchange.status, exchange.read())
+            return exchange
+
+        yield from _read_texts(self._fail_over(model, attempt))
+
+    def _headers(self):
+        headers = [("X-Workspace", self._workspace)]
+        if self._caller:
+            headers.append(("X-Caller", self._caller))
+        return headers
+
+    def _fail_over(self, service, attempt):
+        """Asks one daemon after another while nothing has run."""
+        failure = CallFailed("not_run")
+        for address in self.addresses(service):
+            try:
+                return attempt(address)
+            except CallFailed as exc:
+                failure = exc
+                if exc.verdict != "not_run" or exc.problem.get("status", 503) < 500:
+                    raise
+                self._cache.pop(service, None)
+        raise failure
+
+
+def _raise_problem(status, raw):
+    if status < 400:
+        return
+    try:
+        document = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        document = {}
+    if isinstance(document, dict) and "verdict" in document:
+        raise CallFailed(document["verdict"], document)
+
+
+def _read_texts(exchange):
+    """Yields texts up to the explicit end; raises CallFailed without one."""
+    try:
+        for line in exchange.lines():
+            if line == b"data: [DONE]":
+                return
+            if line.startswith(b"data: "):
+                document = msgspec.json.decode(line[6:])
+                if "verdict" in document:
+                    raise CallFailed(document["verdict"], document)
+                yield document["choices"][0]["text"]
+    except (OSError, ValueError) as exc:
+        raise CallFailed("may_have_run") from exc
+    finally:
+        exchange.close()
+    raise CallFailed("may_have_run")
--- /dev/null
+++ b/amaranthbay/daemon/process.py
@@ -0,0 +1,200 @@
+"""One daemon: assembly, start, status and graceful stop."""
+
+import signal
+import uuid
+from collections import defaultdict
+from datetime import timedelta
+
+import gevent
+import gevent.event
+import xxhash
+
+from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
+from amaranthbay.dispatch.cancels import CancelQueue
+from amaranthbay.dispatch.engine_http import HttpEngineClient
+from amaranthbay.dispatch.inflight import InFlightTable
+from amaranthbay.gateway import create_app
+from amaranthbay.kernel.clock import SystemClock
+from amaranthbay.kernel.context import DispatchContext
+from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.pipeline import Pipeline
+from amaranthbay.kernel.registry import find
+from amaranthbay.kernel.retries import RetryBudget
+from amaranthbay.membership import BackendDirectory
+from amaranthbay.observe import configure_logs, log_decision, log_event
+from amaranthbay.placement.admission import BoundedAdmission
+from amaranthbay.placement.loads import LoadReports
+from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.platform.http import (
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTableService,
+)
+from amaranthbay.state.config_store import ConfigStore
+from amaranthbay.state.idempotency import IdempotencyStore
+from amaranthbay.utils.http import Server
+from amaranthbay.utils.runtime import check_event_loop
+
+__all__ = ["Daemon", "run_daemon"]
+
+RETRY_AFTER = timedelta(seconds=1)
+
+
+class Daemon:
+    """Connects the parts of one daemon."""
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.draining = False
+        table = HttpTableService(settings.platform_address)
+        objects = HttpObjectStore(settings.platform_address)
+        instances = HttpInstanceList(settings.platform_address)
+        self.config_store = ConfigStore(table, objects, self.clock)
+        self.directory = BackendDirectory(instances, self.clock)
+        self.loads = LoadReports(self.directory, settings.availability_zone)
+        self.inflight = InFlightTable()
+        engine = HttpEngineClient(self.clock)
+        self.cancels = CancelQueue(engine, self.clock, self._is_gone)
+        self.admission = BoundedAdmission(settings.limits.queue_length)
+        budgets = defaultdict(RetryBudget)
+        ctx = DispatchContext(
+            configuration=self.configuration,
+            directory=self.directory,
+            view=self._view,
+            policy=find("placement_policy", settings.placement_policy)(),
+            allocator=IndependentAllocator(self._slots_of),
+            engine=engine,
+            inflight=self.inflight,
+            cancels=self.cancels,
+            idempotency=IdempotencyStore(table, self.clock),
+            clock=self.clock,
+            budget=budgets.__getitem__,
+            availability_zone=settings.availability_zone,
+        )
+        self.pipeline = Pipeline(ctx, self.admission, self._readiness)
+        limits = settings.limits
+        self._server = Server(
+            settings.caller_address, create_app(self), limits.connections
+        )
+        self._jobs = []
+
+    def configuration(self):
+        """Returns the configuration in force, or None."""
+        return self.config_store.current
+
+    def _view(self, service_name, call):
+        return self.loads.view(self.configuration().service(service_name))
+
+    def _slots_of(self, server):
+        pool = self.configuration().pool(server.pool)
+        return pool.slots if pool else 1
+
+    def _pools(self):
+        cfg = self.configuration()
+        return [pool.name for pool in cfg.pools] if cfg else []
+
+    def _is_gone(self, server):
+        known = self.directory.servers((server.pool,))
+        return all(each.instance != server.instance for each in known)
+
+    def _readiness(self):
+        """Returns the refusal of new work, or None."""
+        if self.draining:
+            detail = "the daemon is draining"
+            others = self.lookup("", "", None)
+            addresses = tuple(each.address for each in others)
+            return not_run(Reason.DRAINING, detail, 503, RETRY_AFTER, addresses)
+        if self.configuration() is None:
+            detail = "the daemon has no configuration yet"
+            return not_run(Reason.NOT_READY, detail, 503, RETRY_AFTER)
+        return None
+
+    def lookup(self, service, workspace, availability_zone):
+        """Returns the daemons that a workspace should use, best first."""
+        near = availability_zone or self.settings.availability_zone
+
+        def order(entry):
+            name = f"{workspace}|{entry.instance}".encode()
+            weight = xxhash.xxh3_64_intdigest(name)
+            return entry.availability_zone != near, -weight
+
+        entries = [
+            entry
+            for entry in self.directory.entries()
+            if entry.state == "live"
+            and not (self.draining and entry.instance == self.settings.instance)
+        ]
+        chosen = sorted(entries, key=order)
+        names = [each.instance for each in chosen]
+        log_decision(
+            "lookup",
+            names[:1],
+            names,
+            "availability zone, then rendezvous hash",
+            service=service,
+            workspace=workspace,
+        )
+        return chosen
+
+    def status(self):
+        """Returns what the daemon knows and does."""
+        return {
+            "instance": self.settings.instance,
+            "availability_zone": self.settings.availability_zone,
+            "incarnation": self.incarnation,
+            "draining": self.draining,
+            "config_version": self.config_store.version,
+            "active": self.admission.active,
+            "in_flight": len(self.inflight),
+            "cancels_outstanding": self.cancels.outstanding,
+            "members": [each.instance for each in self.directory.entries()],
+        }
+
+    def start(self):
+        """Starts all jobs and listens; returns the caller address."""
+        check_event_loop()
+        self._jobs = [
+            gevent.spawn(self.config_store.run),
+            gevent.spawn(self.directory.run),
+            gevent.spawn(self.loads.run, self._pools),
+        ]
+        address = self._server.start()
+        log_event("started", address=address)
+        return address
+
+    def drain(self):
+        """Refuses new work from now on."""
+        self.draining = True
+        log_event("draining", active=self.admission.active)
+
+    def wait_idle(self):
+        """Waits until every request in progress has ended, however long."""
+        while self.admission.active or self.cancels.outstanding:
+            gevent.sleep(0.05)
+
+    def stop(self):
+        """Closes the listener and ends the jobs."""
+        self._server.stop()
+        gevent.killall(self._jobs)
+        log_event("stopped")
+
+
+def run_daemon(settings):
+    """Runs a daemon until a signal has drained it."""
+    daemon = Daemon(settings)
+    configure_logs(
+        settings.log_level,
+        instance=settings.instance,
+        availability_zone=settings.availability_zone,
+        incarnation=daemon.incarnation,
+    )
+    stop = gevent.event.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signum, stop.set)
+    daemon.start()
+    stop.wait()
+    daemon.drain()
+    daemon.wait_idle()
+    daemon.stop()
--- /dev/null
+++ b/amaranthbay/dispatch/engine_http.py
@@ -0,0 +1,147 @@
+"""Engine client over HTTP and server-sent events."""
+
+import msgspec
+from result import Err, Ok
+
+from amaranthbay.dispatch.types import PrefillOutcome, TokenEvent
+from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
+from amaranthbay.kernel.interfaces import EngineClient
+from amaranthbay.kernel.registry import register
+from amaranthbay.utils.http import json_exchange, open_exchange
+
+__all__ = ["HttpEngineClient"]
+
+CANCEL_TIMEOUT_S = 2.0
+# Longest silence of a decode stream before it counts as broken and is resumed.
+STREAM_SILENCE_S = 30.0
+
+
+class _PrefillReply(msgspec.Struct):
+    kv_handle: str
+    tokens: int
+    cached_tokens: int
+    expires_s: float
+
+
+class _RefusalReply(msgspec.Struct):
+    not_run: bool = False
+    detail: str = ""
+
+
+def refusal_of_reply(address, status, body):
+    """Returns the refusal for an HTTP error of a backend server."""
+    try:
+        reply = msgspec.json.decode(body, type=_RefusalReply)
+    except msgspec.DecodeError:
+        reply = _RefusalReply()
+    detail = f"backend server {address} answered {status}"
+    if reply.not_run:
+        return not_run(Reason.BACKEND_FAILED, detail)
+    return may_have_run(Reason.BACKEND_FAILED, detail)
+
+
+def refusal_of_failure(failure):
+    """Returns the refusal for an exchange without a response."""
+    if failure.verdict is Verdict.NOT_RUN:
+        return not_run(Reason.BACKEND_FAILED, failure.detail)
+    return may_have_run(Reason.BACKEND_FAILED, failure.detail)
+
+
+@register("engine_client", "http")
+class HttpEngineClient(EngineClient):
+    """Speaks the engines' HTTP interface."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def prefill(self, server, attempt, call, priority, timeout):
+        body = msgspec.json.encode(
+            {
+                "request_id": attempt.request_id,
+                "attempt_id": attempt.attempt_id,
+                "model": call.model,
+                "prompt": call.prompt,
+                "priority": priority,
+            }
+        )
+        outcome = json_exchange(
+            server.address, "POST", "/prefill", body, timeout_s=timeout
+        )
+        if outcome.is_err():
+            return Err(refusal_of_failure(outcome.unwrap_err()))
+        status, raw = outcome.unwrap()
+        if status != 200:
+            return Err(refusal_of_reply(server.address, status, raw))
+        return self._read_prefill(server, raw)
+
+    def _read_prefill(self, server, raw):
+        try:
+            reply = msgspec.json.decode(raw, type=_PrefillReply)
+        except msgspec.DecodeError:
+            detail = f"backend server {server.address} sent an unreadable reply"
+            return Err(may_have_run(Reason.BACKEND_FAILED, detail))
+        expires = self._clock.monotonic() + reply.expires_s
+        return Ok(
+            PrefillOutcome(
+                reply.kv_handle,
+                server.address,
+                reply.tokens,
+                reply.cached_tokens,
+                expires,
+            )
+        )
+
+    def decode(self, server, attempt, call, prefill, priority):
+        body = {
+            "request_id": attempt.request_id,
+            "attempt_id": attempt.attempt_id,
+            "model": call.model,
+            "kv_handle": prefill.handle,
+            "kv_source": prefill.source,
+            "max_tokens": call.max_tokens,
+            "priority": priority,
+            "offset": call.offset,
+        }
+        return self._open_stream(server, "/decode", body)
+
+    def resume(self, server, attempt, offset):
+        body = {"attempt_id": attempt.attempt_id, "offset": offset}
+        return self._open_stream(server, "/resume", body)
+
+    def _open_stream(self, server, path, body):
+        outcome = open_exchange(
+            server.address,
+            "POST",
+            path,
+            msgspec.json.encode(body),
+            timeout_s=STREAM_SILENCE_S,
+        )
+        if outcome.is_err():
+            return Err(refusal_of_failure(outcome.unwrap_err()))
+        exchange = outcome.unwrap()
+        if exchange.status == 200:
+            return Ok(_read_events(exchange))
+        try:
+            raw = exchange.read()
+        except (OSError, ValueError):
+            raw = b""
+        finally:
+            exchange.close()
+        return Err(refusal_of_reply(server.address, exchange.status, raw))
+
+    def cancel(self, server, attempt_id):
+        body = msgspec.json.encode({"attempt_id": attempt_id})
+        outcome = json_exchange(
+            server.address, "POST", "/cancel", body, timeout_s=CANCEL_TIMEOUT_S
+        )
+        return outcome.is_ok() and outcome.unwrap()[0] == 200
+
+
+def _read_events(exchange):
+    """Yields the events of a stream; raises OSError or ValueError if it breaks."""
+    try:
+        for line in exchange.lines():
+            if line.startswith(b"data: "):
+                yield msgspec.json.decode(line[6:], type=TokenEvent)
+    finally:
+        exchange.close()
--- /dev/null
+++ b/amaranthbay/dispatch/inflight.py
@@ -0,0 +1,54 @@
+"""In-flight table: which attempts hold what on which backend servers."""
+
+from dataclasses import dataclass
+
+from amaranthbay.kernel.requests import BackendServer
+
+__all__ = ["InFlightRecord", "InFlightTable"]
+
+
+@dataclass(frozen=True)
+class InFlightRecord:
+    """One attempt in progress.
+
+    Attributes:
+        request_id: Request it belongs to.
+        attempt_id: The attempt.
+        servers: Backend servers that may hold memory for it.
+        fingerprint: Hash of the request's content.
+    """
+
+    request_id: str
+    attempt_id: str
+    servers: tuple[BackendServer, ...]
+    fingerprint: str = ""
+
+
+class InFlightTable:
+    """Attempts that this daemon has in progress."""
+
+    def __init__(self):
+        self._records = {}
+
+    def add(self, record):
+        """Enters an attempt, before its first engine call."""
+        self._records[record.attempt_id] = record
+
+    def remove(self, attempt_id):
+        """Removes an attempt that holds nothing any more."""
+        self._records.pop(attempt_id, None)
+
+    def records(self):
+        """Returns the records in order of entry."""
+        return tuple(self._records.values())
+
+    def on_server(self, instance):
+        """Returns the records that use a backend server."""
+        return tuple(
+            record
+            for record in self._records.values()
+            if any(server.instance == instance for server in record.servers)
+        )
+
+    def __len__(self):
+        return len(self._records)
--- /dev/null
+++ b/amaranthbay/gateway/replies.py
@@ -0,0 +1,52 @@
+"""Writes answers and refusals as HTTP responses."""
+
+import math
+
+import msgspec
+
+from amaranthbay.kernel.problems import problem
+from amaranthbay.observe import log_event
+
+__all__ = ["request_id_of", "write_answer", "write_json", "write_refusal"]
+
+REQUEST_ID_KEY = "amaranthbay.request_id"
+
+
+def request_id_of(req):
+    """Returns the id given to the request, or an empty text."""
+    return req.env.get(REQUEST_ID_KEY, "")
+
+
+def write_json(resp, value, status=200):
+    """Writes a JSON document."""
+    resp.status = status
+    resp.content_type = "application/json"
+    resp.data = msgspec.json.encode(value)
+
+
+def write_refusal(req, resp, refusal):
+    """Writes a problem document and logs it."""
+    request_id = request_id_of(req)
+    log_event(
+        "refused",
+        request_id=request_id,
+        reason=refusal.reason,
+        verdict=refusal.verdict,
+        status=refusal.status,
+        detail=refusal.detail,
+    )
+    write_json(resp, problem(refusal, request_id), refusal.status)
+    resp.content_type = "application/problem+json"
+    if refusal.retry_after is not None:
+        seconds = math.ceil(refusal.retry_after.total_seconds())
+        resp.set_header("Retry-After", str(seconds))
+
+
+def write_answer(req, resp, answer):
+    """Writes an answer whose body is streamed."""
+    resp.status = answer.status
+    resp.content_type = answer.content_type
+    resp.set_header("X-Request-Id", request_id_of(req))
+    for name, value in answer.headers:
+        resp.set_header(name, value)
+    resp.stream = answer.chunks
--- /dev/null
+++ b/amaranthbay/kernel/errors.py
@@ -0,0 +1,119 @@
+"""Verdict type and the errors of the project.
+
+A `Refusal` is the only way for an error about a request to leave a component.
+"""
+
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from enum import StrEnum
+
+__all__ = [
+    "AmaranthbayError",
+    "ConfigurationError",
+    "Reason",
+    "Refusal",
+    "SettingsError",
+    "UnknownPlugin",
+    "Verdict",
+    "may_have_run",
+    "not_run",
+]
+
+
+class Verdict(StrEnum):
+    """Whether a request may have run."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class Reason(StrEnum):
+    """Reason code of a refusal; operators count refusals by it."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_WORKSPACE = "unknown_workspace"
+    UNKNOWN_CALLER = "unknown_caller"
+    TOO_LARGE = "too_large"
+    KEY_REQUIRED = "key_required"
+    KEY_INVALID = "key_invalid"
+    KEY_EXPIRED = "key_expired"
+    KEY_REUSED = "key_reused"
+    KEY_IN_PROGRESS = "key_in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    CONFIGURATION_UNCONFIRMED = "configuration_unconfirmed"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    NO_BACKEND_SERVER = "no_backend_server"
+    OVERLOADED = "overloaded"
+    WOULD_MISS_TARGET = "would_miss_target"
+    QUARANTINED = "quarantined"
+    BACKEND_FAILED = "backend_failed"
+    STREAM_BROKEN = "stream_broken"
+    CALLER_GONE = "caller_gone"
+    UNAUTHENTICATED = "unauthenticated"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why a request was not answered, and whether it may have run.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        reason: Code that operators count.
+        detail: One sentence for people; holds no prompt, answer or key.
+        status: HTTP status for the caller.
+        retry_after: When to come back; None if a retry is pointless.
+        addresses: Other daemons that the caller may ask.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    status: int = 503
+    retry_after: timedelta | None = None
+    addresses: tuple[str, ...] = ()
+
+    def with_verdict(self, verdict):
+        """Returns the same refusal under another verdict."""
+        return replace(self, verdict=verdict)
+
+
+def not_run(reason, detail, status=503, retry_after=None, addresses=()):
+    """Returns a refusal of a request that did not run."""
+    return Refusal(Verdict.NOT_RUN, reason, detail, status, retry_after, addresses)
+
+
+def may_have_run(reason, detail, status=502, retry_after=None):
+    """Returns a refusal of a request that may have run."""
+    return Refusal(Verdict.MAY_HAVE_RUN, reason, detail, status, retry_after)
+
+
+class AmaranthbayError(Exception):
+    """Base class of the project's exceptions."""
+
+
+class UnknownPlugin(AmaranthbayError):
+    """Raised when a plug-in is looked up that nobody registered."""
+
+    def __init__(self, kind, name, known):
+        super().__init__(f"unknown {kind} {name!r}; known: {', '.join(known)}")
+
+
+class SettingsError(AmaranthbayError):
+    """Raised when the settings of a process can't be used.
+
+    Attributes:
+        faults: One sentence for each fault.
+    """
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = tuple(faults)
+
+
+class ConfigurationError(SettingsError):
+    """Raised when a configuration or its answers contradict themselves."""
--- /dev/null
+++ b/amaranthbay/kernel/interfaces.py
@@ -0,0 +1,174 @@
+"""Abstract base classes that plug-ins implement."""
+
+from abc import ABC, abstractmethod
+
+__all__ = [
+    "EngineClient",
+    "InstanceList",
+    "Membership",
+    "ObjectStore",
+    "PeerChannel",
+    "PlacementPolicy",
+    "ServiceKind",
+    "SlotAllocator",
+    "TableService",
+    "WeightStore",
+]
+
+
+class ServiceKind(ABC):
+    """Dispatches the calls of one kind of service (model or plain)."""
+
+    @abstractmethod
+    def dispatch(self, work):
+        """Runs one admitted request.
+
+        Args:
+            work: The classified `Work`.
+
+        Returns:
+            ``Result[Answer, Refusal]``. What the answer's iterator holds is
+            released when the iterator is closed or ends.
+        """
+
+
+class PlacementPolicy(ABC):
+    """Chooses the backend servers of one attempt."""
+
+    @abstractmethod
+    def choose(self, demand, view, now):
+        """Returns ``Result[Placement, Refusal]``; a pure function.
+
+        Args:
+            demand: `placement.types.Demand` of the attempt.
+            view: `placement.types.PoolView`, a snapshot of the pools.
+            now: Monotonic time in seconds.
+        """
+
+
+class SlotAllocator(ABC):
+    """Grants slots of backend servers, so that daemons don't overload them."""
+
+    @abstractmethod
+    def acquire(self, server, attempt, interactive, tokens):
+        """Returns ``Result[SlotGrant, Refusal]``."""
+
+    @abstractmethod
+    def release(self, grant):
+        """Gives a granted slot back; never raises and never blocks."""
+
+
+class EngineClient(ABC):
+    """Speaks to the engines of prefill and decode pools."""
+
+    @abstractmethod
+    def prefill(self, server, attempt, call, priority, timeout):
+        """Returns ``Result[PrefillOutcome, Refusal]``."""
+
+    @abstractmethod
+    def decode(self, server, attempt, call, prefill, priority):
+        """Returns ``Result[Iterator[TokenEvent], Refusal]``."""
+
+    @abstractmethod
+    def resume(self, server, attempt, offset):
+        """Returns ``Result[Iterator[TokenEvent], Refusal]``."""
+
+    @abstractmethod
+    def cancel(self, server, attempt_id):
+        """Returns whether the engine acknowledged the cancellation."""
+
+
+class TableService(ABC):
+    """Transactional table service of the platform."""
+
+    @abstractmethod
+    def commit(self, writes):
+        """Commits conditional writes atomically.
+
+        Args:
+            writes: Sequence of `platform.types.Write`.
+
+        Returns:
+            `platform.types.CommitOutcome`: done, conflict or unknown.
+        """
+
+    @abstractmethod
+    def read(self, key):
+        """Returns ``Result[Row | None, PlatformFailure]``."""
+
+    @abstractmethod
+    def scan(self, prefix, after="", limit=1000):
+        """Returns ``Result[tuple[Row, ...], PlatformFailure]`` in key order."""
+
+
+class ObjectStore(ABC):
+    """Object store of the platform."""
+
+    @abstractmethod
+    def put(self, name, body):
+        """Returns ``Result[None, PlatformFailure]``."""
+
+    @abstractmethod
+    def get(self, name):
+        """Returns ``Result[bytes | None, PlatformFailure]``."""
+
+
+class WeightStore(ABC):
+    """Rate-limited store of model weights."""
+
+    @abstractmethod
+    def describe(self, name):
+        """Returns ``Result[WeightInfo | None, PlatformFailure]``."""
+
+
+class InstanceList(ABC):
+    """The platform's lagging list of live and leaving instances."""
+
+    @abstractmethod
+    def fetch(self):
+        """Returns ``Result[tuple[Instance, ...], PlatformFailure]``."""
+
+
+class Membership(ABC):
+    """What a daemon knows about the other daemons."""
+
+    @abstractmethod
+    def own(self):
+        """Returns this daemon's own `membership.types.Member`."""
+
+    @abstractmethod
+    def live(self):
+        """Returns the daemons that may get new work, this one included.
+
+        Leaving, suspected and dead daemons are left out.
+        """
+
+    @abstractmethod
+    def member(self, instance):
+        """Returns the `Member` of an instance, or None if it is not known."""
+
+    @abstractmethod
+    def on_death(self, callback):
+        """Calls ``callback(member)`` once for each incarnation proven dead."""
+
+
+class PeerChannel(ABC):
+    """Sends typed messages to other daemons; never blocks a request."""
+
+    @abstractmethod
+    def send(self, instance, message):
+        """Queues a message; returns False if it can't be queued."""
+
+    @abstractmethod
+    def ask(self, instance, message, timeout_s):
+        """Sends a message and returns its reply, or None after the timeout."""
+
+    @abstractmethod
+    def on(self, message_type, handler):
+        """Handles a message type.
+
+        Args:
+            message_type: Frozen data class registered as ``"peer_message"``.
+            handler: Function of the sender's instance and the message; returns
+                a reply message or None.
+        """
--- /dev/null
+++ b/amaranthbay/kernel/pipeline.py
@@ -0,0 +1,161 @@
+"""The path of a request: accept, classify, admit, dispatch, settle.
+
+The service kind places the request, dispatches it and streams its answer.
+"""
+
+from datetime import timedelta
+
+from result import Err, Ok
+
+from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.registry import find
+from amaranthbay.kernel.requests import Answer, Work
+from amaranthbay.observe import log_event
+
+__all__ = ["Pipeline"]
+
+RETRY_SOON = timedelta(seconds=1)
+
+
+class Pipeline:
+    """Takes requests from the gateway to the service kinds."""
+
+    def __init__(self, ctx, admission, readiness):
+        """Creates the pipeline.
+
+        Args:
+            ctx: `DispatchContext`.
+            admission: Object with ``admit(work)`` that returns
+                ``Result[release function, Refusal]``.
+            readiness: Function that returns a `Refusal`, or None if the daemon
+                takes new work.
+        """
+        self._ctx = ctx
+        self._admission = admission
+        self._readiness = readiness
+        self._kinds = {}
+
+    def serve(self, request):
+        """Returns ``Result[Answer, Refusal]`` for a caller's request."""
+        accepted = self._accept()
+        if accepted.is_err():
+            return accepted
+        classified = self._classify(request)
+        if classified.is_err():
+            return classified
+        work = classified.unwrap()
+        admitted = self._admission.admit(work)
+        if admitted.is_err():
+            return admitted
+        release = admitted.unwrap()
+        return self._dispatch(work, release)
+
+    def _accept(self):
+        refusal = self._readiness()
+        return Ok(None) if refusal is None else Err(refusal)
+
+    def _classify(self, request):
+        """Returns ``Result[Work, Refusal]``."""
+        cfg = self._ctx.configuration()
+        service = cfg.service(request.service)
+        if service is None:
+            detail = f"service {request.service!r} is not configured"
+            return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
+        if cfg.workspaces and request.workspace not in cfg.workspaces:
+            detail = f"workspace {request.workspace!r} is not configured"
+            return Err(not_run(Reason.UNKNOWN_WORKSPACE, detail, status=403))
+        caller = cfg.caller(request.caller or service.callers[0])
+        if caller is None or caller.name not in service.callers:
+            detail = f"caller {request.caller!r} may not use {service.name}"
+            return Err(not_run(Reason.UNKNOWN_CALLER, detail, status=403))
+        idempotent = not is_non_idempotent(service, request.payload)
+        if not idempotent and request.idempotency_key is None:
+            detail = "this call needs an Idempotency-Key"
+            return Err(not_run(Reason.KEY_REQUIRED, detail, status=400))
+        now = self._ctx.clock.monotonic()
+        target = caller.first_token_s
+        deadline = None if target is None else now + target
+        return Ok(Work(request, caller.interactive, deadline, idempotent, now))
+
+    def _dispatch(self, work, release):
+        """Dispatches admitted work; releases the admission on each way out."""
+        answer = None
+        try:
+            kind = self._kind(work.request.service)
+            outcome = kind.dispatch(work)
+            if outcome.is_err():
+                return outcome
+            answer = outcome.unwrap()
+            chunks = self._settle(work, answer.chunks, release)
+            return Ok(
+                Answer(answer.status, answer.content_type, chunks, answer.headers)
+            )
+        finally:
+            if answer is None:
+                release()
+
+    def _kind(self, name):
+        service = self._ctx.configuration().service(name)
+        if service.kind not in self._kinds:
+            self._kinds[service.kind] = find("service_kind", service.kind)(self._ctx)
+        return self._kinds[service.kind]
+
+    def _settle(self, work, chunks, release):
+        return SettledChunks(work, chunks, release, self._ctx.clock)
+
+
+class SettledChunks:
+    """Passes the chunks on and settles the request when they end or are closed."""
+
+    def __init__(self, work, chunks, release, clock):
+        self._work = work
+        self._chunks = chunks
+        self._release = release
+        self._clock = clock
+        self._open = True
+        self._first_at = None
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        try:
+            chunk = next(self._chunks)
+        except BaseException as exc:
+            self._settle("answered" if isinstance(exc, StopIteration) else "broken")
+            raise
+        if self._first_at is None:
+            self._first_at = self._clock.monotonic()
+        return chunk
+
+    def close(self):
+        """Releases what the answer holds; repeatable."""
+        self._settle("closed")
+
+    def _settle(self, ending):
+        if not self._open:
+            return
+        self._open = False
+        close = getattr(self._chunks, "close", None)
+        if close:
+            close()
+        self._release()
+        arrived = self._work.arrived
+        log_event(
+            "request_settled",
+            request_id=self._work.request.request_id,
+            ending=ending,
+            first_chunk_s=self._first_at and round(self._first_at - arrived, 4),
+            total_s=round(self._clock.monotonic() - arrived, 4),
+        )
+
+
+def is_non_idempotent(service, payload):
+    """Returns whether a call must run at most once."""
+    method = getattr(payload, "method", None)
+    if method is None:
+        return False
+    return any(
+        method == pattern.method and payload.path.startswith(pattern.path_prefix)
+        for pattern in service.non_idempotent
+    )
--- /dev/null
+++ b/amaranthbay/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Membership: which daemons and backend servers are live."""
+
+from amaranthbay.membership.backends import BackendDirectory
--- /dev/null
+++ b/amaranthbay/observe/__init__.py
@@ -0,0 +1,3 @@
+"""Logs as JSON lines and metrics by OpenTelemetry."""
+
+from amaranthbay.observe.logs import configure_logs, log_decision, log_event
--- /dev/null
+++ b/amaranthbay/platform/http.py
@@ -0,0 +1,143 @@
+"""HTTP clients of the platform."""
+
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err, Ok
+
+from amaranthbay.kernel.errors import Verdict
+from amaranthbay.kernel.interfaces import InstanceList, ObjectStore, TableService
+from amaranthbay.kernel.registry import register
+from amaranthbay.platform.types import (
+    CommitOutcome,
+    CommitState,
+    Instance,
+    PlatformFailure,
+    Row,
+)
+from amaranthbay.utils.http import json_exchange
+
+__all__ = ["HttpInstanceList", "HttpObjectStore", "HttpTableService"]
+
+# Longer than a slow reply of the platform in ordinary operation; a commit that
+# takes longer is unknown and is read back.
+REQUEST_TIMEOUT_S = 2.0
+
+
+class _CommitReply(msgspec.Struct):
+    committed: bool
+    versions: dict[str, int] = {}
+    conflicts: tuple[str, ...] = ()
+
+
+class _RowsReply(msgspec.Struct):
+    rows: tuple[Row, ...] = ()
+
+
+class _InstancesReply(msgspec.Struct):
+    instances: tuple[Instance, ...] = ()
+
+
+class _PlatformConnection:
+    """Sends requests to one platform address."""
+
+    def __init__(self, address):
+        self._address = address
+
+    def call(self, method, path, body=b""):
+        """Returns ``Result[tuple[int, bytes], HttpFailure]``."""
+        return json_exchange(
+            self._address, method, path, body, timeout_s=REQUEST_TIMEOUT_S
+        )
+
+    def fetch(self, path, reply_type):
+        """Returns ``Result[reply_type, PlatformFailure]``."""
+        outcome = self.call("GET", path)
+        if outcome.is_err():
+            return Err(PlatformFailure(outcome.unwrap_err().detail))
+        status, body = outcome.unwrap()
+        if status != 200:
+            return Err(PlatformFailure(f"platform answered {status}"))
+        try:
+            return Ok(msgspec.json.decode(body, type=reply_type))
+        except msgspec.DecodeError as exc:
+            return Err(PlatformFailure(f"unreadable reply: {exc}"))
+
+
+@register("platform_client", "http_table")
+class HttpTableService(TableService):
+    """Table service over HTTP."""
+
+    def __init__(self, address):
+        self._conn = _PlatformConnection(address)
+
+    def commit(self, writes):
+        body = msgspec.json.encode({"writes": writes})
+        outcome = self._conn.call("POST", "/table/commit", body)
+        if outcome.is_err():
+            sent = outcome.unwrap_err().verdict is not Verdict.NOT_RUN
+            state = CommitState.UNKNOWN if sent else CommitState.NOT_DONE
+            return CommitOutcome(state, {})
+        status, raw = outcome.unwrap()
+        return _read_commit(status, raw)
+
+    def read(self, key):
+        path = "/table/row?" + urlencode({"key": key})
+        reply = self._conn.fetch(path, _RowsReply)
+        return reply.map(lambda found: found.rows[0] if found.rows else None)
+
+    def scan(self, prefix, after="", limit=1000):
+        query = {"prefix": prefix, "after": after, "limit": limit}
+        reply = self._conn.fetch("/table/scan?" + urlencode(query), _RowsReply)
+        return reply.map(lambda found: found.rows)
+
+
+def _read_commit(status, raw):
+    if status not in (200, 409):
+        return CommitOutcome(CommitState.UNKNOWN, {})
+    try:
+        reply = msgspec.json.decode(raw, type=_CommitReply)
+    except msgspec.DecodeError:
+        return CommitOutcome(CommitState.UNKNOWN, {})
+    state = CommitState.DONE if reply.committed else CommitState.CONFLICT
+    return CommitOutcome(state, reply.versions, reply.conflicts)
+
+
+@register("platform_client", "http_objects")
+class HttpObjectStore(ObjectStore):
+    """Object store over HTTP."""
+
+    def __init__(self, address):
+        self._conn = _PlatformConnection(address)
+
+    def put(self, name, body):
+        outcome = self._conn.call("PUT", f"/object/{name}", body)
+        if outcome.is_err():
+            return Err(PlatformFailure(outcome.unwrap_err().detail))
+        status, _ = outcome.unwrap()
+        if status != 200:
+            return Err(PlatformFailure(f"platform answered {status}"))
+        return Ok(None)
+
+    def get(self, name):
+        outcome = self._conn.call("GET", f"/object/{name}")
+        if outcome.is_err():
+            return Err(PlatformFailure(outcome.unwrap_err().detail))
+        status, body = outcome.unwrap()
+        if status == 404:
+            return Ok(None)
+        if status != 200:
+            return Err(PlatformFailure(f"platform answered {status}"))
+        return Ok(body)
+
+
+@register("platform_client", "http_instances")
+class HttpInstanceList(InstanceList):
+    """Instance list over HTTP."""
+
+    def __init__(self, address):
+        self._conn = _PlatformConnection(address)
+
+    def fetch(self):
+        reply = self._conn.fetch("/instances", _InstancesReply)
+        return reply.map(lambda found: found.instances)
--- /dev/null
+++ b/amaranthbay/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of one daemon, read from a TOML file."""
+
+from amaranthbay.settings.daemon import DaemonSettings, load_settings
--- /dev/null
+++ b/amaranthbay/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that lasts: kept in the platform's table service, never in daemons."""
--- /dev/null
+++ b/amaranthbay/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several packages share: event loop, HTTP, hashing and tests."""
--- /dev/null
+++ b/amaranthbay/utils/http.py
@@ -0,0 +1,178 @@
+"""HTTP exchanges towards engines, services and the platform, and HTTP serving.
+
+Each exchange has a connection of its own: the library's pooled client repeats a
+request on a broken connection by itself, which could run it twice.
+"""
+
+from dataclasses import dataclass
+
+import gevent.pool
+from gevent import pywsgi, socket
+from geventhttpclient.response import HTTPSocketResponse
+from result import Err, Ok, Result
+
+from amaranthbay.kernel.errors import Verdict
+
+__all__ = [
+    "Exchange",
+    "HttpFailure",
+    "Server",
+    "json_exchange",
+    "open_exchange",
+    "split_address",
+]
+
+CONNECT_TIMEOUT_S = 1.0
+CONNECTION_KEY = "amaranthbay.connection"
+
+
+@dataclass(frozen=True)
+class HttpFailure:
+    """An exchange that gave no response.
+
+    Attributes:
+        verdict: ``not_run`` if no byte of the request was sent.
+        detail: One sentence for people.
+        refused: Whether the peer's host refused the connection.
+    """
+
+    verdict: Verdict
+    detail: str
+    refused: bool = False
+
+
+class Exchange:
+    """One response, read as it arrives."""
+
+    def __init__(self, conn, response):
+        self._conn = conn
+        self._response = response
+        self.status = response.status_code
+
+    def header(self, name):
+        """Returns a response header or None."""
+        return self._response.get(name)
+
+    def read(self):
+        """Returns the rest of the body; raises OSError or ValueError."""
+        return self._response.read()
+
+    def lines(self):
+        """Yields the body's lines without their ends.
+
+        Raises:
+            OSError: If the connection breaks.
+            ValueError: If the body ends early.
+        """
+        while True:
+            line = self._response.readline(b"\n")
+            if not line:
+                return
+            yield line.rstrip(b"\r\n")
+
+    def close(self):
+        """Closes the connection."""
+        self._conn.close()
+
+
+def split_address(address):
+    """Returns host and port.
+
+    Examples:
+        >>> split_address("127.0.0.1:80")
+        ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _encode_head(address, method, path, length, headers):
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", "Connection: close"]
+    lines.append(f"Content-Length: {length}")
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def open_exchange(address, method, path, body=b"", headers=(), timeout_s=10.0):
+    """Sends one request and waits for the head of the response.
+
+    Args:
+        address: ``host:port``.
+        method: HTTP method.
+        path: Path with query.
+        body: Request body.
+        headers: Pairs of name and value.
+        timeout_s: Longest silence of the peer; None waits for ever.
+
+    Returns:
+        ``Result[Exchange, HttpFailure]``.
+    """
+    try:
+        conn = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
+    except OSError as exc:
+        refused = isinstance(exc, ConnectionRefusedError)
+        detail = f"connection to {address} failed: {exc}"
+        return Err(HttpFailure(Verdict.NOT_RUN, detail, refused))
+    try:
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn.settimeout(timeout_s)
+        conn.sendall(_encode_head(address, method, path, len(body), headers) + body)
+        return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
+    except (OSError, ValueError) as exc:
+        conn.close()
+        detail = f"exchange with {address} broke: {type(exc).__name__}"
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+    except BaseException:
+        conn.close()
+        raise
+
+
+def json_exchange(address, method, path, body=b"", headers=(), timeout_s=10.0):
+    """Returns ``Result[tuple[int, bytes], HttpFailure]``: status and body."""
+    exchange: Result = open_exchange(address, method, path, body, headers, timeout_s)
+    if exchange.is_err():
+        return exchange
+    opened = exchange.unwrap()
+    try:
+        return Ok((opened.status, opened.read()))
+    except (OSError, ValueError) as exc:
+        detail = f"response of {address} broke: {type(exc).__name__}"
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+    finally:
+        opened.close()
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Passes the connection to the application, to notice a caller that leaves."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.socket
+        return environ
+
+    def log_request(self):
+        """Writes nothing; the application logs its own lines."""
+
+
+class Server:
+    """WSGI server on one address."""
+
+    def __init__(self, address, app, connections=None):
+        pool = gevent.pool.Pool(connections) if connections else None
+        self._server = pywsgi.WSGIServer(
+            split_address(address),
+            app,
+            handler_class=_Handler,
+            log=None,
+            error_log=None,
+            spawn=pool or "default",
+        )
+
+    def start(self):
+        """Listens and returns the bound address."""
+        self._server.start()
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def stop(self):
+        """Closes the listener and ends connections."""
+        self._server.stop(timeout=1)
--- /dev/null
+++ b/amaranthbay/utils/runtime.py
@@ -0,0 +1,34 @@
+"""Selects gevent's event loop and patches the standard library."""
+
+__all__ = ["check_event_loop", "pin_event_loop"]
+
+# gevent's libuv loop may use io_uring, which the instances don't allow.
+REQUIRED_LOOP = "libev-cext"
+REQUIRED_BACKEND = "epoll"
+
+
+def pin_event_loop():
+    """Selects libev with epoll and patches blocking modules.
+
+    Must run before any module that imports ``socket`` or ``threading``.
+    """
+    import gevent
+
+    gevent.config.loop = [REQUIRED_LOOP]
+    gevent.config.libev_backend = REQUIRED_BACKEND
+    from gevent import monkey
+
+    monkey.patch_all()
+
+
+def check_event_loop():
+    """Raises RuntimeError unless the running loop is libev on epoll."""
+    import gevent
+
+    loop = gevent.get_hub().loop
+    backend = getattr(loop, "backend", None)
+    if "libev" not in type(loop).__module__ or backend != REQUIRED_BACKEND:
+        raise RuntimeError(
+            f"event loop {type(loop).__module__} with backend {backend} is not"
+            f" allowed; need {REQUIRED_LOOP} with {REQUIRED_BACKEND}"
+        )
--- /dev/null
+++ b/amaranthbay/utils/testing.py
@@ -0,0 +1,100 @@
+"""Collects test functions for unittest and holds fixtures shared by packages."""
+
+import contextlib
+import functools
+import socket
+import time
+import unittest
+from datetime import datetime, timedelta, timezone
+
+import gevent
+
+from amaranthbay.kernel.clock import Clock
+
+__all__ = ["ManualClock", "collect", "free_port", "greenlet", "wait_until"]
+
+WAIT_BOUND_S = 20.0
+POLL_S = 0.01
+
+
+class FunctionTest(unittest.FunctionTestCase):
+    """One test function; receives the test case as its only argument."""
+
+    def __init__(self, function):
+        super().__init__(functools.partial(function, self))
+        self.function = function
+
+    def id(self):
+        return f"{self.function.__module__}.{self.function.__name__}"
+
+    def __str__(self):
+        return self.id()
+
+    def shortDescription(self):
+        return None
+
+
+def collect(namespace):
+    """Returns a ``load_tests`` hook for the ``test_`` functions of a module."""
+
+    def load_tests(loader, standard_tests, pattern):
+        names = [name for name in namespace if name.startswith("test_")]
+        functions = [namespace[name] for name in names]
+        own = [
+            function
+            for function in functions
+            if getattr(function, "__module__", None) == namespace["__name__"]
+        ]
+        return unittest.TestSuite(FunctionTest(function) for function in own)
+
+    return load_tests
+
+
+class ManualClock(Clock):
+    """Clock that moves only when a test advances it."""
+
+    def __init__(self, start=datetime(2026, 1, 1, tzinfo=timezone.utc)):
+        self._start = start
+        self._elapsed_s = 0.0
+
+    def now(self):
+        return self._start + timedelta(seconds=self._elapsed_s)
+
+    def monotonic(self):
+        return self._elapsed_s
+
+    def sleep(self, seconds):
+        self.advance(seconds)
+        gevent.sleep(0)
+
+    def advance(self, seconds):
+        """Moves the clock forward."""
+        self._elapsed_s += seconds
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """Returns a loopback port that was free a moment ago."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition, bound_s=WAIT_BOUND_S):
+    """Waits for a condition and returns its value; raises TimeoutError."""
+    end = time.monotonic() + bound_s
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        gevent.sleep(POLL_S)
+    raise TimeoutError("condition did not hold within the bound")
+
+
+@contextlib.contextmanager
+def greenlet(function, *args):
+    """Runs a function in a greenlet and ends it on exit."""
+    job = gevent.spawn(function, *args)
+    try:
+        yield job
+    finally:
+        job.kill()
