--- a/amaranthbay/client/client.py
+++ b/amaranthbay/client/client.py
@@ -84,9 +84,11 @@
                 return found
         return self._seeds
 
-    def call(self, service, method, path, body=b"", key=None):
+    def call(self, service, method, path, body=b"", key=None, request_id=None):
         """Calls a plain service and returns a `Reply`; raises CallFailed."""
         headers = self._headers()
+        if request_id:
+            headers.append(("X-Request-Id", request_id))
         if key:
             headers.append(("Idempotency-Key", key))
         headers.append(("Content-Type", "application/json"))
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
+import gevent
 import msgspec
 
 from amaranthbay.config.types import (
@@ -112,9 +113,19 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    _starting: list = field(default_factory=list)
+    _started: list = field(default_factory=list)
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     def __enter__(self):
+        try:
+            return self._enter()
+        except BaseException:
+            # Without this, an interrupted start would leave processes behind.
+            self.__exit__()
+            raise
+
+    def _enter(self):
         self.program = self.program or (sys.executable, "-m", "amaranthbay")
         folder = tempfile.TemporaryDirectory(prefix="amaranthbay-")
         self.folder = Path(self._stack.enter_context(folder))
@@ -126,15 +137,17 @@
         return self
 
     def __exit__(self, *exc_info):
-        for process in self.processes():
-            if process.popen.poll() is None:
-                process.signal(signal.SIGCONT)
-                process.signal(signal.SIGTERM)
-        for process in self.processes():
+        gevent.joinall(self._starting)
+        running = [each for each in self._started if each.poll() is None]
+        for popen in running:
+            popen.send_signal(signal.SIGCONT)
+            popen.send_signal(signal.SIGTERM)
+        for popen in running:
             try:
-                process.popen.wait(STOP_BOUND_S)
+                popen.wait(STOP_BOUND_S)
             except subprocess.TimeoutExpired:
-                process.kill()
+                popen.kill()
+                popen.wait()
         self._stack.close()
 
     def processes(self):
@@ -148,9 +161,18 @@
         environ = dict(os.environ)
         root = str(Path(__file__).resolve().parents[2])
         environ["PYTHONPATH"] = root
-        popen = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
+        # The start runs in a greenlet of its own, so that an interruption can't
+        # come between the start of a process and the note of it.
+        job = gevent.spawn(self._open, command, log, environ)
+        self._starting.append(job)
+        popen = job.get()
         return Process(name, popen, entry, log_path)
 
+    def _open(self, command, log, environ):
+        popen = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
+        self._started.append(popen)
+        return popen
+
     def start_engine(self, name, role, zone=ZONES[0], *options):
         """Starts an engine stand-in of the pool named like its role."""
         address = f"127.0.0.1:{free_port()}"
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -4,10 +4,12 @@
 request on a broken connection by itself, which could run it twice.
 """
 
+import contextlib
 from dataclasses import dataclass
 
 import gevent.pool
 from gevent import pywsgi, socket
+from geventhttpclient._parser import HTTPParseError
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
 
@@ -55,7 +57,8 @@
 
     def read(self):
         """Returns the rest of the body; raises OSError or ValueError."""
-        return self._response.read()
+        with _parse_errors_as_broken():
+            return self._response.read()
 
     def lines(self):
         """Yields the body's lines without their ends.
@@ -65,7 +68,8 @@
             ValueError: If the body ends early.
         """
         while True:
-            line = self._response.readline(b"\n")
+            with _parse_errors_as_broken():
+                line = self._response.readline(b"\n")
             if not line:
                 return
             yield line.rstrip(b"\r\n")
@@ -75,6 +79,19 @@
         self._conn.close()
 
 
+@contextlib.contextmanager
+def _parse_errors_as_broken():
+    """Raises ConnectionError for the library's own error class.
+
+    A peer that dies in the middle of a response shows up as HTTPParseError, which
+    is neither an OSError nor a ValueError.
+    """
+    try:
+        yield
+    except HTTPParseError as exc:
+        raise ConnectionError(f"response broke: {exc}") from exc
+
+
 def split_address(address):
     """Returns host and port.
 
@@ -117,7 +134,8 @@
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn.settimeout(timeout_s)
         conn.sendall(_encode_head(address, method, path, len(body), headers) + body)
-        return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
+        with _parse_errors_as_broken():
+            return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
     except (OSError, ValueError) as exc:
         conn.close()
         detail = f"exchange with {address} broke: {type(exc).__name__}"
