Add the questionnaire: ask, generate, check, diff, show

Cause: a configuration could only be written by hand as JSON, and a fault in it surfaced one at a time without a line.

Decoding reports each fault with file, line, value and what is allowed, because msgspec stops at the first fault: fields are converted one by one. A TOML library that keeps line numbers is not in the lock file, so utils/toml_lines.py finds them.

Ruled out: JSON as the generated form, since it has no comments for the reasons; click's types in the dialogue, which the vendored click of typer refuses.

Conclusion: the demonstration runs with a generated configuration.

--- /dev/null
+++ b/amaranthbay/cli/tests/test_config.py
@@ -0,0 +1,108 @@
+"""Commands about the configuration, with files only."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import msgspec
+from typer.testing import CliRunner
+
+from amaranthbay.cli import app
+from amaranthbay.config.template import TEMPLATE
+from amaranthbay.utils.testing import collect
+
+DIALOGUE = """\
+shop
+goodput
+zone-a
+2
+
+counter
+y
+1300
+0
+
+tills
+plain
+zone-a
+3
+
+n
+y
+
+till
+plain
+counter
+tills
+POST /sales
+
+"""
+
+
+def run(*args, input_text=None):
+    """Runs the command line and returns its result."""
+    return CliRunner().invoke(app, [str(each) for each in args], input=input_text)
+
+
+def folder_of(case):
+    """Returns an empty folder that the test owns."""
+    return Path(case.enterContext(TemporaryDirectory()))
+
+
+def test_template_leads_to_a_configuration(case):
+    """Guards against commands whose files don't fit each other."""
+    folder = folder_of(case)
+    answers, cfg = folder / "answers.toml", folder / "config.toml"
+    written = run("config", "ask", "--template", "--output", answers)
+    case.assertEqual(written.exit_code, 0, written.output)
+    case.assertEqual(run("config", "check", answers).exit_code, 0)
+    made = run("config", "generate", answers, "--output", cfg)
+    case.assertEqual(made.exit_code, 0, made.output)
+    case.assertEqual(run("config", "check", cfg).exit_code, 0)
+    case.assertEqual(run("config", "diff", cfg, cfg).exit_code, 0)
+
+
+def test_dialogue_writes_answers(case):
+    """Guards against questions whose answers the checks refuse."""
+    path = folder_of(case) / "answers.toml"
+    asked = run("config", "ask", "--output", path, input_text=DIALOGUE)
+    case.assertEqual(asked.exit_code, 0, asked.output)
+    checked = run("config", "check", path, "--json")
+    case.assertEqual(checked.exit_code, 0, checked.output)
+    case.assertIn('non_idempotent = ["POST /sales"]', path.read_text())
+
+
+def test_dialogue_reports_contradictions(case):
+    """Guards against contradictory answers that look accepted."""
+    path = folder_of(case) / "answers.toml"
+    text = DIALOGUE.replace("\ncounter\ntills\n", "\nshop\ntills\n")
+    asked = run("config", "ask", "--output", path, input_text=text)
+    case.assertEqual(asked.exit_code, 2, asked.output)
+    case.assertIn("services[0].callers", asked.output)
+
+
+def test_faults_end_the_command_with_two(case):
+    """Guards against a configuration made from faulty answers."""
+    path = folder_of(case) / "answers.toml"
+    path.write_text(TEMPLATE.replace("zone-b = 1", "zone-b = 0"))
+    for command in ("check", "generate"):
+        with case.subTest(command):
+            result = run("config", command, path, "--json")
+            case.assertEqual(result.exit_code, 2)
+            faults = msgspec.json.decode(result.stdout)["faults"]
+            case.assertEqual(faults[0]["key"], "entry_instances")
+            case.assertGreater(faults[0]["line"], 1)
+
+
+def test_diff_ends_with_one_on_a_difference(case):
+    """Guards against a script that takes a difference for none."""
+    folder = folder_of(case)
+    for name, weigh in (("a", "both_alike"), ("b", "goodput")):
+        answers = folder / f"{name}-answers.toml"
+        answers.write_text(TEMPLATE.replace('= "both_alike"', f'= "{weigh}"'))
+        run("config", "generate", answers, "--output", folder / f"{name}.toml")
+    result = run("config", "diff", folder / "a.toml", folder / "b.toml")
+    case.assertEqual(result.exit_code, 1)
+    case.assertIn("changes from 0.5 to 0.75", result.stdout)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/config/__init__.py
+++ b/amaranthbay/config/__init__.py
@@ -1,5 +1,9 @@
 """Configuration: the answers of a team and what is generated from them."""
 
+from amaranthbay.config.answers import Answers, decode_answers
+from amaranthbay.config.diff import diff
+from amaranthbay.config.files import check_file, load_configuration
+from amaranthbay.config.generate import generate, render_configuration
 from amaranthbay.config.types import (
     CallerKind,
     Configuration,
--- /dev/null
+++ b/amaranthbay/config/rules.py
@@ -0,0 +1,108 @@
+"""Contradictions inside answers and inside a configuration."""
+
+from collections import Counter
+
+from amaranthbay.utils.checking import TreeFault
+
+__all__ = ["answer_faults", "configuration_faults"]
+
+MODEL_ROLES = ("prefill", "decode")
+
+
+def answer_faults(answers):
+    """Yields a `TreeFault` for each contradiction between answers."""
+    yield from _shared_faults(answers)
+    with_tokens = {
+        name
+        for service in answers.services
+        if service.kind == "model"
+        for name in service.callers
+    }
+    for index, caller in enumerate(answers.callers):
+        key = f"callers[{index}]"
+        targets = (caller.first_token_ms, caller.between_tokens_ms)
+        if caller.waits == "as_long_as_it_takes":
+            yield from _patient_faults(key, targets, "_ms")
+        elif caller.first_token_ms is None:
+            allowed = 'a target, since the caller waits "with_target"'
+            yield TreeFault(f"{key}.first_token_ms", None, allowed)
+        elif caller.name in with_tokens and caller.between_tokens_ms is None:
+            allowed = "a target, since the caller waits for a model's tokens"
+            yield TreeFault(f"{key}.between_tokens_ms", None, allowed)
+
+
+def configuration_faults(cfg):
+    """Yields a `TreeFault` for each contradiction inside a configuration."""
+    yield from _shared_faults(cfg)
+    for index, caller in enumerate(cfg.callers):
+        key = f"callers[{index}]"
+        targets = (caller.first_token_s, caller.between_tokens_s)
+        if not caller.interactive:
+            yield from _patient_faults(key, targets, "_s")
+        elif caller.first_token_s is None:
+            allowed = "a target, since the caller is interactive"
+            yield TreeFault(f"{key}.first_token_s", None, allowed)
+
+
+def _patient_faults(key, targets, unit):
+    names = (f"first_token{unit}", f"between_tokens{unit}")
+    for name, target in zip(names, targets, strict=True):
+        if target is not None:
+            allowed = "no target, since the caller waits as long as it takes"
+            yield TreeFault(f"{key}.{name}", target, allowed)
+
+
+def _shared_faults(tree):
+    """Yields the contradictions that both kinds of file can hold."""
+    for group in ("callers", "services", "pools"):
+        entries = getattr(tree, group)
+        if not entries:
+            yield TreeFault(group, [], "at least one entry")
+        yield from _repeated_names(group, entries)
+    callers = {each.name: each for each in tree.callers}
+    pools = {each.name: each for each in tree.pools}
+    for index, service in enumerate(tree.services):
+        key = f"services[{index}]"
+        yield from _references(f"{key}.callers", service.callers, callers)
+        yield from _references(f"{key}.pools", service.pools, pools)
+        yield from _role_faults(key, service, pools)
+        if service.kind == "model" and service.non_idempotent:
+            allowed = "an empty list for a model, whose calls may be repeated"
+            value = [str(each) for each in service.non_idempotent]
+            yield TreeFault(f"{key}.non_idempotent", value, allowed)
+    yield from _unused("callers", tree)
+    yield from _unused("pools", tree)
+
+
+def _repeated_names(group, entries):
+    counts = Counter(each.name for each in entries)
+    for index, entry in enumerate(entries):
+        if counts[entry.name] > 1:
+            allowed = "a name that no other entry has"
+            yield TreeFault(f"{group}[{index}].name", entry.name, allowed)
+
+
+def _references(key, names, known):
+    if not names:
+        yield TreeFault(key, [], "at least one name")
+    for name in names:
+        if name not in known:
+            yield TreeFault(key, name, "one of " + ", ".join(known))
+
+
+def _role_faults(key, service, pools):
+    roles = [pools[name].role for name in service.pools if name in pools]
+    if len(roles) < len(service.pools):
+        return
+    wanted = MODEL_ROLES if service.kind == "model" else ("plain",)
+    if set(roles) != set(wanted):
+        allowed = f"pools of the role {' and '.join(wanted)} for a {service.kind}"
+        yield TreeFault(f"{key}.pools", list(service.pools), allowed)
+
+
+def _unused(group, tree):
+    used = {name for service in tree.services for name in getattr(service, group)}
+    for index, entry in enumerate(getattr(tree, group)):
+        if entry.name not in used:
+            allowed = f"an entry that a service names in its {group}"
+            yield TreeFault(f"{group}[{index}].name", entry.name, allowed)
--- a/amaranthbay/config/types.py
+++ b/amaranthbay/config/types.py
@@ -1,6 +1,7 @@
 """The generated configuration that daemons enforce."""
 
 from dataclasses import dataclass
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -14,6 +15,12 @@
     "encode_configuration",
 ]
 
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+Method = Literal["GET", "POST", "PUT", "DELETE"]
+
 
 @dataclass(frozen=True)
 class CallerKind:
@@ -26,17 +33,17 @@
         between_tokens_s: Target between tokens; None if patient.
     """
 
-    name: str
+    name: Name
     interactive: bool
-    first_token_s: float | None = None
-    between_tokens_s: float | None = None
+    first_token_s: Seconds | None = None
+    between_tokens_s: Seconds | None = None
 
 
 @dataclass(frozen=True)
 class CallPattern:
     """Calls of a plain service, by method and path prefix."""
 
-    method: str
+    method: Method
     path_prefix: str = "/"
 
 
@@ -52,9 +59,9 @@
         checks_sender: Whether its servers check who gives an order.
     """
 
-    name: str
-    role: str
-    slots: int = 20
+    name: Name
+    role: Literal["prefill", "decode", "plain"]
+    slots: Count = 20
     checks_fence: bool = False
     checks_sender: bool = False
 
@@ -71,8 +78,8 @@
         non_idempotent: Calls that run at most once.
     """
 
-    name: str
-    kind: str
+    name: Name
+    kind: Literal["model", "plain"]
     pools: tuple[str, ...]
     callers: tuple[str, ...]
     non_idempotent: tuple[CallPattern, ...] = ()
@@ -95,16 +102,16 @@
         crash_limit: Backend servers that one request may take down.
     """
 
-    version: int
-    deployment: str
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    deployment: Name
     services: tuple[Service, ...]
     callers: tuple[CallerKind, ...]
     pools: tuple[Pool, ...]
     workspaces: tuple[str, ...] = ()
-    goodput_weight: float = 0.5
-    lookup_ttl_s: float = 30.0
-    key_retention_s: float = 172800.0
-    crash_limit: int = 2
+    goodput_weight: Share = 0.5
+    lookup_ttl_s: Seconds = 30.0
+    key_retention_s: Seconds = 172800.0
+    crash_limit: Count = 2
 
     def service(self, name):
         """Returns a service by name, or None."""
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -10,6 +10,7 @@
 __all__ = [
     "AmaranthbayError",
     "ConfigurationError",
+    "Fault",
     "Reason",
     "Refusal",
     "SettingsError",
@@ -103,15 +104,39 @@
         super().__init__(f"unknown {kind} {name!r}; known: {', '.join(known)}")
 
 
+@dataclass(frozen=True)
+class Fault:
+    """One value in a file that is not allowed.
+
+    Attributes:
+        file: Path as the user gave it.
+        key: Key with its tables, for example ``limits.body_bytes``.
+        line: Line of the key, or of its table if it is missing; 0 if unknown.
+        value: The value as found; empty if it is missing.
+        allowed: What is allowed instead.
+    """
+
+    file: str
+    key: str
+    line: int
+    value: str
+    allowed: str
+
+    def __str__(self):
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        found = f" = {self.value}" if self.value else ""
+        return f"{place}: {self.key}{found}: allowed is {self.allowed}"
+
+
 class SettingsError(AmaranthbayError):
     """Raised when the settings of a process can't be used.
 
     Attributes:
-        faults: One sentence for each fault.
+        faults: A `Fault` for each value that is not allowed.
     """
 
     def __init__(self, faults):
-        super().__init__("; ".join(faults))
+        super().__init__("; ".join(str(fault) for fault in faults))
         self.faults = tuple(faults)
 
 
--- a/amaranthbay/standins/demo_scenes.py
+++ b/amaranthbay/standins/demo_scenes.py
@@ -9,6 +9,8 @@
 import uuid6
 
 from amaranthbay.client import CallFailed, Client
+from amaranthbay.config import decode_answers, generate
+from amaranthbay.config.template import TEMPLATE
 from amaranthbay.standins.demo_report import Report, RequestRow, instances_used
 from amaranthbay.standins.processes import call_json, start_small
 from amaranthbay.standins.tokens import answer_text
@@ -81,7 +83,8 @@
 def run_scenes(deployment, document):
     """Runs every scene on a new deployment and returns the `Report`."""
     report = Report()
-    start_small(deployment)
+    cfg = _generated_configuration(deployment, report)
+    start_small(deployment, cfg=cfg)
     seeds = [each.address for each in deployment.daemons.values()]
     _show_lookup(deployment, seeds, report)
     name = f"long prompt, {len(document.encode()) // 1000} KB"
@@ -94,6 +97,18 @@
     return report
 
 
+def _generated_configuration(deployment, report):
+    """Generates the configuration from the template of the questionnaire."""
+    path = deployment.folder / "answers.toml"
+    path.write_text(TEMPLATE)
+    checked = decode_answers(path)
+    report.checks.append(("the answers have no fault", not checked.faults))
+    generated = generate(checked.value)
+    count = len(generated.reasons)
+    report.lines.append(f"configuration: generated, with {count} reasons")
+    return generated.configuration
+
+
 def _show_lookup(deployment, seeds, report):
     addresses = Client(seeds, WORKSPACE).addresses("summary")
     names = {each.address: name for name, each in deployment.daemons.items()}
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -272,7 +272,7 @@
         return found
 
 
-def start_small(deployment, daemons=3, scale=0.2):
+def start_small(deployment, daemons=3, scale=0.2, cfg=None):
     """Starts two engines of each role, a ledger and daemons in two zones."""
     for number, zone in enumerate(ZONES, 1):
         scaled = ("--scale", str(scale))
@@ -282,7 +282,7 @@
     for number in range(1, daemons + 1):
         deployment.start_daemon(f"entry-{number}", ZONES[number % len(ZONES)])
     deployment.publish()
-    deployment.accept()
+    deployment.accept(cfg)
     deployment.wait_ready()
     return deployment
 
