Report every fault of a settings file at once

Cause: loading stopped at the first fault and gave no line, so a roll-out cost one start for each fault; values that contradict each other were found at the first request.

Settings use the same check as the questionnaire's files, and further rules: an address is an IP number and a port, policy and allocator are registered, a key comes from exactly one source that can be read. amaranthbay settings check does the same without starting a daemon.

Conclusion: a faulty file ends the start with 2 and all of its faults.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -5,6 +5,7 @@
 import typer
 
 from amaranthbay.cli import config, requests
+from amaranthbay.cli.output import print_json, stop_on_faults
 
 __all__ = ["app"]
 
@@ -13,22 +14,41 @@
     no_args_is_help=True,
     help="Router for language models on separate prefill and decode pools.",
 )
+settings_app = typer.Typer(no_args_is_help=True, help="Checks a daemon's settings.")
 app.add_typer(config.app, name="config")
+app.add_typer(settings_app, name="settings")
 app.command("request")(requests.send_request)
 app.command("status")(requests.show_status)
 
 
 @app.command("daemon")
 def daemon_command(settings: Path = typer.Option(..., help="TOML settings file.")):
-    """Runs a daemon until SIGTERM has drained it."""
+    """Runs a daemon until SIGTERM has drained it.
+
+    Example: amaranthbay daemon --settings daemon.toml
+    """
     from amaranthbay.daemon import run_daemon
     from amaranthbay.kernel.errors import SettingsError
     from amaranthbay.settings import load_settings
 
     try:
-        loaded = load_settings(settings)
+        run_daemon(load_settings(settings))
     except SettingsError as exc:
-        for fault in exc.faults:
-            typer.echo(fault, err=True)
-        raise typer.Exit(2) from exc
-    run_daemon(loaded)
+        stop_on_faults(exc.faults, as_json=False)
+
+
+@settings_app.command("check")
+def check_command(
+    file: Path, as_json: bool = typer.Option(False, "--json", help="Print JSON.")
+):
+    """Checks a settings file and names every fault; run it on the instance.
+
+    Example: amaranthbay settings check daemon.toml
+    """
+    from amaranthbay.settings import check_settings
+
+    stop_on_faults(check_settings(file).faults, as_json)
+    if as_json:
+        print_json({"faults": []})
+    else:
+        typer.echo(f"{file}: no fault")
