Add drain, a full status, explain and the operators' authentication

Cause: an operator could only see a daemon's own counters and had no way to drain it but a signal on its instance.

Ruled out: taking the instance list as proof that another daemon serves, since it lags; a MAC on status, which changes nothing and holds no content.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from amaranthbay.cli import config, requests
+from amaranthbay.cli import config, operate, requests
 from amaranthbay.cli.output import print_json, stop_on_faults
 
 __all__ = ["app"]
@@ -18,7 +18,9 @@
 app.add_typer(config.app, name="config")
 app.add_typer(settings_app, name="settings")
 app.command("request")(requests.send_request)
-app.command("status")(requests.show_status)
+app.command("status")(operate.show_status)
+app.command("drain")(operate.drain)
+app.command("explain")(operate.explain)
 
 
 @app.command("daemon")
--- /dev/null
+++ b/amaranthbay/cli/operate.py
@@ -0,0 +1,137 @@
+"""Commands with which operators look at daemons and drain them."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+import typer
+
+from amaranthbay.cli.output import Exit, fail, print_json
+
+__all__ = ["drain", "explain", "show_status"]
+
+DRAIN_PATH = "/v1/drain"
+DRAIN_TIMEOUT_S = 30.0
+KEY_VARIABLE = "AMARANTHBAY_KEY"
+JSON_OPTION = typer.Option(False, "--json", help="Print JSON.")
+
+
+def show_status(
+    address: str = typer.Argument(..., help="Address of any daemon."),
+    as_json: bool = JSON_OPTION,
+):
+    """Shows daemons, backend servers, versions, leases and requests in progress.
+
+    Example: amaranthbay status 127.0.0.1:8001
+    """
+    from amaranthbay.cli.fleet import fetch_status
+    from amaranthbay.cli.status_text import daemon_rows, status_lines
+
+    fetched = fetch_status(address)
+    if fetched.is_err():
+        fail(fetched.unwrap_err(), as_json=as_json)
+    status = fetched.unwrap()
+    rows = daemon_rows(status, fetch_status)
+    if as_json:
+        print_json({"daemons": rows, "status": status})
+        return
+    for line in status_lines(status, rows):
+        typer.echo(line)
+
+
+def drain(
+    instance: str = typer.Argument(..., help="Name of the daemon's instance."),
+    platform: str = typer.Option(..., help="Address of the platform."),
+    operator: str = typer.Option(..., help="Who gives the order."),
+    key_file: Path = typer.Option(
+        None, exists=True, dir_okay=False, help="File that holds the key."
+    ),
+    as_json: bool = JSON_OPTION,
+):
+    """Drains a daemon: no new work, and it ends when its requests have ended.
+
+    The key comes from a file or from the environment variable AMARANTHBAY_KEY.
+    Ends with 4 if the daemon refuses, 5 if its answer was lost.
+
+    Example: amaranthbay drain entry-1 --platform 127.0.0.1:9000 --operator ana
+    --key-file operator.key
+    """
+    from amaranthbay.cli.fleet import entry_addresses
+
+    found = entry_addresses(platform)
+    if found.is_err():
+        fail(found.unwrap_err(), as_json=as_json)
+    address = found.unwrap().get(instance)
+    if address is None:
+        known = ", ".join(sorted(found.unwrap()))
+        detail = f"{instance} is no daemon of the instance list; known: {known}"
+        fail(detail, Exit.FAULTY_INPUT, as_json)
+    reply = _send_drain(address, instance, operator, _read_keys(key_file), as_json)
+    if as_json:
+        print_json(reply)
+    else:
+        active = reply["active"]
+        typer.echo(f"{instance} drains; requests in progress: {active}")
+
+
+def _read_keys(key_file):
+    from amaranthbay.kernel.errors import SettingsError
+    from amaranthbay.peering.keys import KeyRing
+    from amaranthbay.settings.daemon import KeySettings
+
+    file = str(key_file) if key_file else ""
+    variable = "" if key_file else KEY_VARIABLE
+    try:
+        return KeyRing([KeySettings("operator", file, variable)])
+    except SettingsError as exc:
+        fail(str(exc), Exit.FAULTY_INPUT)
+
+
+def _send_drain(address, instance, operator, keys, as_json):
+    from amaranthbay.gateway.operator_calls import OperatorBody, sign_call
+    from amaranthbay.kernel.clock import SystemClock
+    from amaranthbay.utils.http import json_exchange
+
+    body = msgspec.json.encode(OperatorBody(operator, instance))
+    call = sign_call(keys, "POST", DRAIN_PATH, body, SystemClock().now())
+    outcome = json_exchange(
+        address, "POST", DRAIN_PATH, body, call.headers(), DRAIN_TIMEOUT_S
+    )
+    if outcome.is_err():
+        failure = outcome.unwrap_err()
+        unsent = failure.verdict == "not_run"
+        fail(failure.detail, Exit.FAILED if unsent else Exit.UNKNOWN, as_json)
+    status, raw = outcome.unwrap()
+    if status != 202:
+        detail = msgspec.json.decode(raw).get("detail", f"status {status}")
+        fail(f"{instance} refused: {detail}", Exit.REFUSED, as_json)
+    return msgspec.json.decode(raw)
+
+
+def explain(
+    request_id: str = typer.Argument(..., help="Id of the request."),
+    logs: list[Path] = typer.Argument(
+        None, help="Log files of the daemons; standard input if none."
+    ),
+    as_json: bool = JSON_OPTION,
+):
+    """Shows every decision about one request, from JSON log files.
+
+    Ends with 1 if no line is about the request.
+
+    Example: amaranthbay explain 4f0c... entry-1.log entry-2.log
+    """
+    from amaranthbay.observe.explain import explain_lines, read_lines, sentence
+
+    try:
+        lines = read_lines(logs) if logs else read_lines(None, sys.stdin)
+        found = explain_lines(request_id, lines)
+    except OSError as exc:
+        fail(f"{exc.filename}: {exc.strerror}", Exit.FAULTY_INPUT, as_json)
+    if not found:
+        fail(f"no log line is about {request_id}", Exit.FAILED, as_json)
+    if as_json:
+        print_json(found)
+        return
+    for line in found:
+        typer.echo(sentence(line))
--- a/amaranthbay/cli/requests.py
+++ b/amaranthbay/cli/requests.py
@@ -1,44 +1,46 @@
-"""Commands that talk to daemons."""
+"""Commands that send requests as a caller does."""
 
 import sys
 from pathlib import Path
 
-import msgspec
 import typer
 
-from amaranthbay.client import CallFailed, Client
-from amaranthbay.utils.http import json_exchange
+from amaranthbay.cli.output import Exit, fail, print_json
 
-__all__ = ["send_request", "show_status"]
+__all__ = ["send_request"]
 
 
 def send_request(
     address: str = typer.Argument(..., help="Address of any daemon."),
-    model: str = typer.Option(...),
-    workspace: str = typer.Option(...),
+    model: str = typer.Option(..., help="Name of the model service."),
+    workspace: str = typer.Option(..., help="Name of the workspace."),
     prompt: str = typer.Option("", help="Prompt text."),
-    file: Path = typer.Option(None, help="File that holds the prompt."),
-    max_tokens: int = typer.Option(64),
-    caller: str = typer.Option(""),
+    file: Path = typer.Option(
+        None, exists=True, dir_okay=False, help="File that holds the prompt."
+    ),
+    max_tokens: int = typer.Option(64, min=1, help="Longest answer."),
+    caller: str = typer.Option("", help="Kind of caller; empty for the usual one."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON at the end."),
 ):
-    """Sends a completion and prints the answer as it streams."""
+    """Sends a completion and prints the answer as it streams.
+
+    Example: amaranthbay request 127.0.0.1:8001 --model summary --workspace ws-1
+    --prompt "What is due?"
+    """
+    from amaranthbay.client import CallFailed, Client
+
     text = file.read_text(errors="replace") if file else prompt
     client = Client([address], workspace, caller)
+    parts = []
     try:
         for part in client.complete(model, text, max_tokens):
-            sys.stdout.write(part)
-            sys.stdout.flush()
+            parts.append(part)
+            if not as_json:
+                sys.stdout.write(part)
+                sys.stdout.flush()
     except CallFailed as exc:
-        typer.echo(f"\n{exc}", err=True)
-        raise typer.Exit(1) from exc
-    typer.echo("")
-
-
-def show_status(address: str = typer.Argument(..., help="Address of a daemon.")):
-    """Prints what a daemon knows and does."""
-    outcome = json_exchange(address, "GET", "/v1/status", timeout_s=5.0)
-    if outcome.is_err():
-        typer.echo(outcome.unwrap_err().detail, err=True)
-        raise typer.Exit(1)
-    document = msgspec.json.decode(outcome.unwrap()[1])
-    typer.echo(msgspec.json.format(msgspec.json.encode(document)).decode())
+        fail(f"{exc}", Exit.FAILED, as_json)
+    if as_json:
+        print_json({"text": "".join(parts), "verdict": "ran"})
+    else:
+        typer.echo("")
--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -22,6 +22,7 @@
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
 from amaranthbay.observe import configure_logs, log_decision, log_event
+from amaranthbay.peering.keys import KeyRing
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
@@ -48,7 +49,9 @@
         self.clock = clock or SystemClock()
         self.incarnation = uuid.uuid4().hex[:12]
         self.draining = False
-        table = HttpTableService(settings.platform_address)
+        self.stop_requested = gevent.event.Event()
+        self.keys = KeyRing(settings.keys)
+        table = self.table = HttpTableService(settings.platform_address)
         objects = HttpObjectStore(settings.platform_address)
         instances = HttpInstanceList(settings.platform_address)
         self.config_store = ConfigStore(table, objects, self.clock)
@@ -190,11 +193,10 @@
         availability_zone=settings.availability_zone,
         incarnation=daemon.incarnation,
     )
-    stop = gevent.event.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, stop.set)
+        gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
-    stop.wait()
+    daemon.stop_requested.wait()
     daemon.drain()
     daemon.wait_idle()
     daemon.stop()
--- a/amaranthbay/gateway/app.py
+++ b/amaranthbay/gateway/app.py
@@ -4,7 +4,7 @@
 
 from amaranthbay.gateway.callers import ChatCompletions, Completions, PlainCalls
 from amaranthbay.gateway.lookup import Lookup
-from amaranthbay.gateway.operators import Status
+from amaranthbay.gateway.operators import Drain, Status
 from amaranthbay.gateway.replies import write_refusal
 from amaranthbay.kernel.errors import Reason, may_have_run, not_run
 from amaranthbay.observe import log_event
@@ -26,6 +26,7 @@
     app.add_route("/v1/chat/completions", ChatCompletions(daemon))
     app.add_route("/v1/services/{service}/{path:path}", PlainCalls(daemon))
     app.add_route("/v1/status", Status(daemon))
+    app.add_route("/v1/drain", Drain(daemon))
     return app
 
 
--- a/amaranthbay/membership/backends.py
+++ b/amaranthbay/membership/backends.py
@@ -56,6 +56,12 @@
             and not self._has_failed(each.instance)
         )
 
+    def workers(self):
+        """Returns all backend servers of the list, leaving ones included."""
+        return tuple(
+            _to_server(each) for each in self._instances if each.kind == "backend"
+        )
+
     def report_failure(self, instance):
         """Leaves a backend server out for a short time."""
         self._failed_until[instance] = self._clock.monotonic() + FAILED_S
--- a/amaranthbay/settings/daemon.py
+++ b/amaranthbay/settings/daemon.py
@@ -10,6 +10,7 @@
 from amaranthbay import placement  # noqa: F401  (registers plug-ins)
 from amaranthbay.kernel.errors import SettingsError
 from amaranthbay.kernel.registry import names
+from amaranthbay.peering.keys import KeyRing
 from amaranthbay.utils.checking import TreeFault, load_checked
 from amaranthbay.utils.http import split_address
 
@@ -136,7 +137,16 @@
         if value not in names(kind):
             allowed = "one of " + ", ".join(names(kind))
             yield TreeFault(kind, value, allowed)
-    yield from _key_faults(settings.keys)
+    faults = list(_key_faults(settings.keys))
+    yield from faults or _secret_faults(settings.keys)
+
+
+def _secret_faults(keys):
+    try:
+        KeyRing(keys)
+    except SettingsError as exc:
+        found = [each.id for each in keys]
+        yield TreeFault("keys", found, f"keys of at least 16 bytes ({exc})")
 
 
 def _key_faults(keys):
