Guard in-flight attempts, cancel until acknowledged, resume at the engine

Cause: a server left out for two seconds after a failure counted as gone, so its cancellation was dropped after one refused connection. A leaving server was treated the same way. The HTTP library's parse errors are neither OSError nor ValueError, so an engine that closed its connection in mid-stream raised a defect instead of a broken stream. A generator that was never started released nothing when a caller left before the first chunk.

Adds copies of in-flight records at two guards, the pause watch, continuation by another daemon, crash marks with isolation of suspects, and bounds for prefill and transfer. The daemon runs without peers until membership and peer channel are wired.

Checked: make check and the four whole-path tests pass; the new parts have no tests of their own in this commit.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -1,7 +1,6 @@
 """One daemon: assembly, start, status and graceful stop."""
 
 import signal
-import uuid
 from collections import defaultdict
 from datetime import timedelta
 
@@ -11,9 +10,15 @@
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
 from amaranthbay.dispatch.cancels import CancelQueue
+from amaranthbay.dispatch.deaths import DeathReporter
 from amaranthbay.dispatch.engine_http import HttpEngineClient
+from amaranthbay.dispatch.guarded import GuardedRecords
+from amaranthbay.dispatch.guards import RecordCopier
 from amaranthbay.dispatch.inflight import InFlightTable
+from amaranthbay.dispatch.pauses import PauseWatch
+from amaranthbay.dispatch.resume import Takeovers
 from amaranthbay.gateway import create_app
+from amaranthbay.kernel.alone import LoneChannel, LoneMembership
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.context import DispatchContext
 from amaranthbay.kernel.errors import Reason, not_run
@@ -21,6 +26,7 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
+from amaranthbay.membership.types import Member
 from amaranthbay.observe import configure_logs, log_decision, log_event
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
@@ -31,7 +37,9 @@
     HttpTableService,
 )
 from amaranthbay.state.config_store import ConfigStore
+from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
+from amaranthbay.state.isolation import SuspectClaims
 from amaranthbay.utils.http import Server
 from amaranthbay.utils.runtime import check_event_loop
 
@@ -46,7 +54,7 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.incarnation = uuid.uuid4().hex[:12]
+        self.incarnation = int(self.clock.now().timestamp() * 1000)
         self.draining = False
         table = HttpTableService(settings.platform_address)
         objects = HttpObjectStore(settings.platform_address)
@@ -59,6 +67,26 @@
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
         self.admission = BoundedAdmission(settings.limits.queue_length)
         budgets = defaultdict(RetryBudget)
+        own = Member(
+            settings.instance,
+            settings.availability_zone,
+            settings.region,
+            settings.caller_address,
+            settings.membership_address,
+            settings.peer_address,
+            self.incarnation,
+        )
+        self.membership = LoneMembership(own)
+        self.channel = LoneChannel()
+        self.copier = RecordCopier(self.inflight, self.membership, self.channel)
+        self.guarded = GuardedRecords(
+            self.membership, self.channel, self.cancels, self.clock
+        )
+        self.pauses = PauseWatch(self.clock)
+        self.crashes = CrashMarks(
+            table, self.membership, self.channel, self.clock, self._crash_limit
+        )
+        claims = SuspectClaims(table, self.clock)
         ctx = DispatchContext(
             configuration=self.configuration,
             directory=self.directory,
@@ -67,6 +95,12 @@
             allocator=IndependentAllocator(self._slots_of),
             engine=engine,
             inflight=self.inflight,
+            copier=self.copier,
+            takeovers=Takeovers(self.membership, self.channel, self.guarded),
+            pauses=self.pauses.pauses,
+            crashes=self.crashes,
+            claims=claims,
+            deaths=DeathReporter(self.inflight, self.crashes, claims, self.directory),
             cancels=self.cancels,
             idempotency=IdempotencyStore(table, self.clock),
             clock=self.clock,
@@ -96,8 +130,11 @@
         return [pool.name for pool in cfg.pools] if cfg else []
 
     def _is_gone(self, server):
-        known = self.directory.servers((server.pool,))
-        return all(each.instance != server.instance for each in known)
+        return not self.directory.is_listed(server.instance)
+
+    def _crash_limit(self):
+        cfg = self.configuration()
+        return cfg.crash_limit if cfg else 2
 
     def _readiness(self):
         """Returns the refusal of new work, or None."""
@@ -158,6 +195,9 @@
         self._jobs = [
             gevent.spawn(self.config_store.run),
             gevent.spawn(self.directory.run),
+            gevent.spawn(self.copier.run),
+            gevent.spawn(self.pauses.run),
+            gevent.spawn(self.crashes.run),
             gevent.spawn(self.loads.run, self._pools),
         ]
         address = self._server.start()
--- a/amaranthbay/dispatch/engine_http.py
+++ b/amaranthbay/dispatch/engine_http.py
@@ -14,6 +14,10 @@
 CANCEL_TIMEOUT_S = 2.0
 # Longest silence of a decode stream before it counts as broken and is resumed.
 STREAM_SILENCE_S = 30.0
+# Only with these does ``not_run`` in the body count as an explicit refusal.
+REFUSAL_STATUSES = (409, 503)
+# Answer to a resumption of a stream that the engine doesn't know.
+UNKNOWN_STREAM_STATUS = 404
 
 
 class _PrefillReply(msgspec.Struct):
@@ -35,8 +39,8 @@
     except msgspec.DecodeError:
         reply = _RefusalReply()
     detail = f"backend server {address} answered {status}"
-    if reply.not_run:
-        return not_run(Reason.BACKEND_FAILED, detail)
+    if reply.not_run and status in REFUSAL_STATUSES:
+        return not_run(Reason.BACKEND_REFUSED, detail)
     return may_have_run(Reason.BACKEND_FAILED, detail)
 
 
@@ -44,7 +48,8 @@
     """Returns the refusal for an exchange without a response."""
     if failure.verdict is Verdict.NOT_RUN:
         return not_run(Reason.BACKEND_FAILED, failure.detail)
-    return may_have_run(Reason.BACKEND_FAILED, failure.detail)
+    reason = Reason.BACKEND_SLOW if failure.timed_out else Reason.BACKEND_FAILED
+    return may_have_run(reason, failure.detail)
 
 
 @register("engine_client", "http")
@@ -91,7 +96,7 @@
             )
         )
 
-    def decode(self, server, attempt, call, prefill, priority):
+    def decode(self, server, attempt, call, prefill, priority, timeout):
         body = {
             "request_id": attempt.request_id,
             "attempt_id": attempt.attempt_id,
@@ -100,33 +105,33 @@
             "kv_source": prefill.source,
             "max_tokens": call.max_tokens,
             "priority": priority,
-            "offset": call.offset,
+            "offset": 0,
         }
-        return self._open_stream(server, "/decode", body)
+        return self._open_stream(server, "/decode", body, timeout)
 
     def resume(self, server, attempt, offset):
         body = {"attempt_id": attempt.attempt_id, "offset": offset}
-        return self._open_stream(server, "/resume", body)
+        return self._open_stream(server, "/resume", body, STREAM_SILENCE_S)
 
-    def _open_stream(self, server, path, body):
+    def _open_stream(self, server, path, body, timeout):
         outcome = open_exchange(
-            server.address,
-            "POST",
-            path,
-            msgspec.json.encode(body),
-            timeout_s=STREAM_SILENCE_S,
+            server.address, "POST", path, msgspec.json.encode(body), timeout_s=timeout
         )
         if outcome.is_err():
             return Err(refusal_of_failure(outcome.unwrap_err()))
         exchange = outcome.unwrap()
         if exchange.status == 200:
-            return Ok(_read_events(exchange))
+            return Ok(_EventReader(exchange))
         try:
             raw = exchange.read()
         except (OSError, ValueError):
             raw = b""
         finally:
             exchange.close()
+        if exchange.status == UNKNOWN_STREAM_STATUS:
+            detail = f"backend server {server.address} doesn't know the stream"
+            status = UNKNOWN_STREAM_STATUS
+            return Err(may_have_run(Reason.STREAM_BROKEN, detail, status))
         return Err(refusal_of_reply(server.address, exchange.status, raw))
 
     def cancel(self, server, attempt_id):
@@ -137,11 +142,34 @@
         return outcome.is_ok() and outcome.unwrap()[0] == 200
 
 
-def _read_events(exchange):
-    """Yields the events of a stream; raises OSError or ValueError if it breaks."""
-    try:
-        for line in exchange.lines():
+class _EventReader:
+    """Iterates over the events of a stream.
+
+    Raises OSError or ValueError if the stream breaks. It is a class because a
+    generator that was never started wouldn't close its connection.
+    """
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        self._lines = exchange.lines()
+        self._started = False
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        for line in self._lines:
             if line.startswith(b"data: "):
-                yield msgspec.json.decode(line[6:], type=TokenEvent)
-    finally:
-        exchange.close()
+                event = msgspec.json.decode(line[6:], type=TokenEvent)
+                self._note_start()
+                return event
+        raise StopIteration
+
+    def _note_start(self):
+        if not self._started:
+            self._started = True
+            self._exchange.limit_silence(STREAM_SILENCE_S)
+
+    def close(self):
+        """Closes the connection to the engine."""
+        self._exchange.close()
--- a/amaranthbay/dispatch/inflight.py
+++ b/amaranthbay/dispatch/inflight.py
@@ -1,6 +1,6 @@
 """In-flight table: which attempts hold what on which backend servers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from amaranthbay.kernel.requests import BackendServer
 
@@ -16,12 +16,14 @@
         attempt_id: The attempt.
         servers: Backend servers that may hold memory for it.
         fingerprint: Hash of the request's content.
+        suspect: Whether the attempt is the only suspect on its servers.
     """
 
     request_id: str
     attempt_id: str
     servers: tuple[BackendServer, ...]
     fingerprint: str = ""
+    suspect: bool = False
 
 
 class InFlightTable:
@@ -34,6 +36,12 @@
         """Enters an attempt, before its first engine call."""
         self._records[record.attempt_id] = record
 
+    def narrow(self, attempt_id, servers):
+        """Notes that an attempt no longer uses its other servers."""
+        record = self._records.get(attempt_id)
+        if record is not None:
+            self._records[attempt_id] = replace(record, servers=servers)
+
     def remove(self, attempt_id):
         """Removes an attempt that holds nothing any more."""
         self._records.pop(attempt_id, None)
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -1,28 +1,33 @@
 """Model service kind: runs a completion on a pair of prefill and decode servers."""
 
-import time
 from contextlib import ExitStack
 
-import msgspec
 from result import Err, Ok
 
-from amaranthbay.dispatch.inflight import InFlightRecord
+from amaranthbay.dispatch.answers import streamed_answer, whole_answer
+from amaranthbay.dispatch.holds import EngineHold, StartedStream
+from amaranthbay.dispatch.resume import ResumePoint, resume_attempt
 from amaranthbay.dispatch.streams import BrokenStream, MatchedStream, first_event
+from amaranthbay.kernel.errors import Reason, Verdict, may_have_run
 from amaranthbay.kernel.interfaces import ServiceKind
-from amaranthbay.kernel.problems import problem
 from amaranthbay.kernel.registry import register
-from amaranthbay.kernel.requests import Answer
 from amaranthbay.kernel.retries import Backoff, run_attempts
 from amaranthbay.observe import log_decision
 from amaranthbay.placement.types import Demand
+from amaranthbay.state.crash_marks import fingerprint_of
 from amaranthbay.utils.tokens import estimate_tokens
 
 __all__ = ["ModelService"]
 
 INTERACTIVE_PRIORITY = 10
 PATIENT_PRIORITY = 0
-# An interactive prefill that takes longer than this has missed every target.
-PREFILL_TIMEOUT_S = 600.0
+PATIENT_PREFILL_TIMEOUT_S = 600.0
+# The KV cache lives for under a second, so a transfer that hasn't brought a first
+# token after this has stalled or waits in the engine behind other daemons' work.
+PATIENT_FIRST_TOKEN_TIMEOUT_S = 10.0
+LEAST_TIMEOUT_S = 0.05
+# Failures after which a server may be dead; a slow or refusing one is alive.
+BREAKS = (Reason.BACKEND_FAILED, Reason.STREAM_BROKEN)
 
 
 @register("service_kind", "model")
@@ -33,118 +38,187 @@
         self._ctx = ctx
 
     def dispatch(self, work):
+        if work.request.payload.resume_token:
+            return self._resume(work)
         budget = self._ctx.budget(work.request.service)
+        run = _Run(self._ctx, work)
+        return run_attempts(work, run, budget, Backoff(), self._ctx.clock)
 
-        def run(attempt):
-            return self._run_attempt(work, attempt)
+    def _resume(self, work):
+        service = self._ctx.configuration().service(work.request.service)
+        resumed = resume_attempt(self._ctx, work, service.pools)
+        if resumed.is_err():
+            return resumed
+        started, token = resumed.unwrap()
+        return _to_answer(work.request, started, token)
 
-        outcome = run_attempts(work, run, budget, Backoff(), self._ctx.clock)
-        return outcome.and_then(lambda started: _to_answer(work.request, started))
 
-    def _run_attempt(self, work, attempt):
-        """Returns ``Result[_StartedStream, Refusal]``."""
-        placed = self._place(work, attempt)
+class _Run:
+    """The attempts of one request."""
+
+    def __init__(self, ctx, work):
+        self._ctx = ctx
+        self._work = work
+        self._call = work.request.payload
+        self._failed = set()
+        self._fingerprint = fingerprint_of(
+            work.request.service,
+            self._call.prompt.encode(),
+            str(self._call.max_tokens).encode(),
+        )
+
+    def __call__(self, attempt):
+        """Returns ``Result[Answer, Refusal]`` of one attempt."""
+        admitted = self._ctx.crashes.admit(self._fingerprint)
+        if admitted.is_err():
+            return admitted
+        suspect = admitted.unwrap()
+        placed = self._place(attempt)
         if placed.is_err():
             return placed
         placement = placed.unwrap()
+        servers = (placement.prefill.server, placement.decode.server)
         with ExitStack() as held:
-            granted = self._reserve(work, attempt, placement, held)
+            granted = self._reserve(attempt, servers[1], held)
             if granted.is_err():
                 return granted
-            self._enter_in_flight(attempt, placement, held)
-            started = self._start(work, attempt, placement)
+            isolated = self._isolate(suspect, attempt, servers, held)
+            if isolated.is_err():
+                return isolated
+            started = self._start(attempt, servers, suspect, held)
             if started.is_err():
                 return started
-            stream, first = started.unwrap()
-            return Ok(_StartedStream(stream, first, held.pop_all()))
+            token = ResumePoint(
+                attempt.attempt_id, servers[1].instance, self._ctx.takeovers.own
+            )
+            return _to_answer(self._work.request, started.unwrap(), token.encode())
 
-    def _place(self, work, attempt):
-        call = work.request.payload
+    def _place(self, attempt):
         now = self._ctx.clock.monotonic()
-        demand = Demand(
-            prompt_tokens=estimate_tokens(call.prompt),
-            max_tokens=call.max_tokens,
-            interactive=work.interactive,
-            remaining_s=None if work.deadline is None else work.deadline - now,
-        )
-        view = self._ctx.view(work.request.service, call)
-        placed = self._ctx.policy.choose(demand, view, now)
+        deadline = self._work.deadline
+        view = self._ctx.view(self._work.request.service, self._call)
+        for excluded in dict.fromkeys((frozenset(self._failed), frozenset())):
+            demand = Demand(
+                prompt_tokens=estimate_tokens(self._call.prompt),
+                max_tokens=self._call.max_tokens,
+                interactive=self._work.interactive,
+                remaining_s=None if deadline is None else deadline - now,
+                excluded=excluded,
+            )
+            placed = self._ctx.policy.choose(demand, view, now)
+            if placed.is_ok():
+                break
         _log_placement(attempt, placed)
         return placed
 
-    def _reserve(self, work, attempt, placement, held):
+    def _reserve(self, attempt, server, held):
         """Holds the decode slot before the prefill starts."""
-        call = work.request.payload
-        server = placement.decode.server
-        tokens = estimate_tokens(call.prompt)
+        tokens = estimate_tokens(self._call.prompt)
         allocator = self._ctx.allocator
-        granted = allocator.acquire(server, attempt, work.interactive, tokens)
+        granted = allocator.acquire(server, attempt, self._work.interactive, tokens)
         if granted.is_ok():
             held.callback(allocator.release, granted.unwrap())
         return granted
 
-    def _enter_in_flight(self, attempt, placement, held):
-        servers = (placement.prefill.server, placement.decode.server)
-        record = InFlightRecord(attempt.request_id, attempt.attempt_id, servers)
-        self._ctx.inflight.add(record)
-        held.callback(self._release, attempt, servers)
-
-    def _release(self, attempt, servers):
-        for server in servers:
-            self._ctx.cancels.cancel(server, attempt.attempt_id)
-        self._ctx.inflight.remove(attempt.attempt_id)
-
-    def _start(self, work, attempt, placement):
+    def _isolate(self, suspect, attempt, servers, held):
+        """Keeps a suspect away from the servers of other suspects."""
+        if not suspect:
+            return Ok(None)
+        names = [each.instance for each in servers]
+        claims = self._ctx.claims
+        claimed = claims.isolate(self._fingerprint, attempt.attempt_id, names)
+        if claimed.is_ok():
+            isolation = claimed.unwrap()
+
+            def release():
+                crashes = self._ctx.crashes
+                died = crashes.has_mark(self._fingerprint, attempt.attempt_id)
+                isolation.release(server_died=died)
+
+            held.callback(release)
+        else:
+            self._failed.update(names)
+        return claimed
+
+    def _start(self, attempt, servers, suspect, held):
+        """Returns ``Result[StartedStream, Refusal]``; takes over what is held."""
+        hold = EngineHold(self._ctx, attempt, servers, self._fingerprint, suspect)
+        with ExitStack() as entered:
+            entered.callback(hold.release)
+            hold.enter()
+            opened = self._open(attempt, servers)
+            if opened.is_err():
+                return opened
+            stream, first = opened.unwrap()
+            hold.started(servers[1])
+            entered.pop_all()
+        rest = held.pop_all()
+
+        def on_close(finished):
+            rest.close()
+            if finished and suspect:
+                self._ctx.crashes.clear(self._fingerprint)
+
+        def on_break():
+            self._ctx.deaths.check(servers[1])
+
+        return Ok(StartedStream(stream, first, hold, on_break, on_close))
+
+    def _open(self, attempt, servers):
         """Returns ``Result[tuple[MatchedStream, TokenEvent | None], Refusal]``."""
-        call = work.request.payload
-        priority = INTERACTIVE_PRIORITY if work.interactive else PATIENT_PRIORITY
-        engine = self._ctx.engine
-        prefill_server = placement.prefill.server
-        decode_server = placement.decode.server
-        prefilled = engine.prefill(
-            prefill_server, attempt, call, priority, PREFILL_TIMEOUT_S
+        prefill_server, decode_server = servers
+        pauses = self._ctx.pauses()
+        priority = INTERACTIVE_PRIORITY if self._work.interactive else PATIENT_PRIORITY
+        timeout = self._time_left(PATIENT_PREFILL_TIMEOUT_S)
+        prefilled = self._ctx.engine.prefill(
+            prefill_server, attempt, self._call, priority, timeout
         )
         if prefilled.is_err():
-            self._ctx.directory.report_failure(prefill_server.instance)
-            return prefilled
-        opened = engine.decode(
-            decode_server, attempt, call, prefilled.unwrap(), priority
+            return self._fail(prefilled, (prefill_server,))
+        if self._ctx.pauses() != pauses:
+            detail = "the daemon was paused; the attempt may have been cancelled"
+            return Err(may_have_run(Reason.BACKEND_SLOW, detail))
+        timeout = self._time_left(PATIENT_FIRST_TOKEN_TIMEOUT_S)
+        opened = self._ctx.engine.decode(
+            decode_server, attempt, self._call, prefilled.unwrap(), priority, timeout
         )
         if opened.is_err():
-            return opened
+            return self._fail(_ran(opened), servers)
         stream = MatchedStream(
-            engine, decode_server, attempt, opened.unwrap(), call.offset
+            self._ctx.engine,
+            decode_server,
+            attempt,
+            opened.unwrap(),
+            self._ctx.clock,
+            pauses=self._ctx.pauses,
         )
         first = first_event(stream)
         if first.is_err():
-            self._ctx.directory.report_failure(decode_server.instance)
-            return Err(first.unwrap_err())
+            return self._fail(first, (decode_server,))
         return Ok((stream, first.unwrap()))
 
+    def _time_left(self, patient_s):
+        if self._work.deadline is None:
+            return patient_s
+        left = self._work.deadline - self._ctx.clock.monotonic()
+        return max(LEAST_TIMEOUT_S, left)
 
-class _StartedStream:
-    """A stream with its first token, and what it holds."""
-
-    def __init__(self, stream, first, held):
-        self._stream = stream
-        self._first = first
-        self._held = held
+    def _fail(self, outcome, servers):
+        """Learns from a failure; the in-flight record is still there."""
+        refusal = outcome.unwrap_err()
+        self._failed.update(each.instance for each in servers)
+        for server in servers:
+            if refusal.reason in BREAKS and not self._ctx.deaths.check(server):
+                self._ctx.directory.report_failure(server.instance)
+        if refusal.reason is Reason.BACKEND_REFUSED and len(servers) > 1:
+            # The import fails too if the prefill server died after its prefill.
+            self._ctx.deaths.check(servers[0])
+        return outcome
 
-    def tokens(self):
-        """Yields the texts; releases everything at the end or when closed."""
-        with self._held:
-            try:
-                if self._first is not None:
-                    yield self._first.text
-                for event in self._stream:
-                    yield event.text
-            finally:
-                self._stream.close()
 
-    def close(self):
-        """Releases everything without reading the stream."""
-        self._stream.close()
-        self._held.close()
+def _ran(outcome):
+    """Returns a failure after a prefill: engines have worked on the request."""
+    return outcome.map_err(lambda each: each.with_verdict(Verdict.MAY_HAVE_RUN))
 
 
 def _log_placement(attempt, placed):
@@ -163,72 +237,15 @@
     )
 
 
-def _to_answer(request, started):
-    """Returns ``Result[Answer, Refusal]``; reads the whole stream if not streamed."""
+def _to_answer(request, started, token):
+    """Returns ``Result[Answer, Refusal]``; reads the whole stream if not streamed.
+
+    A whole answer that breaks is an attempt that failed: its caller has received
+    nothing, so another attempt may run.
+    """
     if request.payload.stream:
-        return Ok(Answer(200, "text/event-stream", _sse_chunks(request, started)))
+        return Ok(streamed_answer(request, started, token))
     try:
-        body = _json_body(request, list(started.tokens()))
+        return Ok(whole_answer(request, list(started.tokens())))
     except BrokenStream as exc:
         return Err(exc.refusal)
-    return Ok(Answer(200, "application/json", iter([body])))
-
-
-def _sse_chunks(request, started):
-    """Yields server-sent events in the shape of the completions interfaces."""
-    try:
-        for text in started.tokens():
-            yield _sse(_chunk(request, text, None))
-    except BrokenStream as exc:
-        yield b"event: error\n" + _sse(problem(exc.refusal, request.request_id))
-        return
-    yield _sse(_chunk(request, "", "stop"))
-    yield b"data: [DONE]\n\n"
-
-
-def _sse(value):
-    return b"data: " + msgspec.json.encode(value) + b"\n\n"
-
-
-def _chunk(request, text, finish_reason):
-    call = request.payload
-    choice = {"index": 0, "finish_reason": finish_reason}
-    if call.chat:
-        kind = "chat.completion.chunk"
-        choice["delta"] = {"content": text}
-    else:
-        kind = "text_completion"
-        choice["text"] = text
-    return {
-        "id": request.request_id,
-        "object": kind,
-        "created": int(time.time()),
-        "model": call.model,
-        "choices": [choice],
-    }
-
-
-def _json_body(request, texts):
-    """Returns the whole answer as one JSON document."""
-    call = request.payload
-    choice = {"index": 0, "finish_reason": "stop"}
-    text = "".join(texts)
-    if call.chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    prompt_tokens = estimate_tokens(call.prompt)
-    return msgspec.json.encode(
-        {
-            "id": request.request_id,
-            "object": "chat.completion" if call.chat else "text_completion",
-            "created": int(time.time()),
-            "model": call.model,
-            "choices": [choice],
-            "usage": {
-                "prompt_tokens": prompt_tokens,
-                "completion_tokens": len(texts),
-                "total_tokens": prompt_tokens + len(texts),
-            },
-        }
-    )
--- a/amaranthbay/dispatch/plain.py
+++ b/amaranthbay/dispatch/plain.py
@@ -5,19 +5,26 @@
 import gevent
 from result import Err, Ok
 
-from amaranthbay.dispatch.engine_http import refusal_of_failure, refusal_of_reply
-from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.dispatch.engine_http import (
+    REFUSAL_STATUSES,
+    refusal_of_failure,
+    refusal_of_reply,
+)
+from amaranthbay.dispatch.inflight import InFlightRecord
+from amaranthbay.kernel.errors import Reason, Verdict, not_run
 from amaranthbay.kernel.interfaces import ServiceKind
 from amaranthbay.kernel.registry import register
 from amaranthbay.kernel.requests import Answer
 from amaranthbay.kernel.retries import Backoff, new_attempt, run_attempts
 from amaranthbay.observe import log_decision
+from amaranthbay.state.crash_marks import fingerprint_of
 from amaranthbay.state.idempotency import Outcome
 from amaranthbay.utils.http import json_exchange
 
 __all__ = ["PlainService"]
 
 CALL_TIMEOUT_S = 30.0
+LEAST_TIMEOUT_S = 0.05
 
 
 @register("service_kind", "plain")
@@ -61,10 +68,52 @@
 
     def _call(self, work, attempt):
         """Returns ``Result[Outcome, Refusal]`` of one attempt."""
+        fingerprint = _fingerprint(work.request)
+        admitted = self._ctx.crashes.admit(fingerprint)
+        if admitted.is_err():
+            return admitted
         chosen = self._choose(work, attempt)
         if chosen.is_err():
             return chosen
         server = chosen.unwrap()
+        if not admitted.unwrap():
+            return self._exchange(work, attempt, server, fingerprint, False)
+        return self._isolated(work, attempt, server, fingerprint)
+
+    def _isolated(self, work, attempt, server, fingerprint):
+        """Runs a suspect on a server that runs no other suspect."""
+        claimed = self._ctx.claims.isolate(
+            fingerprint, attempt.attempt_id, (server.instance,)
+        )
+        if claimed.is_err():
+            return claimed
+        crashes = self._ctx.crashes
+        try:
+            outcome = self._exchange(work, attempt, server, fingerprint, True)
+        finally:
+            died = crashes.has_mark(fingerprint, attempt.attempt_id)
+            claimed.unwrap().release(server_died=died)
+        if outcome.is_ok():
+            crashes.clear(fingerprint)
+        return outcome
+
+    def _exchange(self, work, attempt, server, fingerprint, suspect):
+        """Sends the call, recorded as in flight on its server."""
+        record = InFlightRecord(
+            attempt.request_id, attempt.attempt_id, (server,), fingerprint, suspect
+        )
+        self._ctx.inflight.add(record)
+        try:
+            outcome = self._send(work, attempt, server)
+            failed = outcome.is_err()
+            if failed and outcome.unwrap_err().reason is Reason.BACKEND_FAILED:
+                if not self._ctx.deaths.check(server):
+                    self._ctx.directory.report_failure(server.instance)
+            return outcome
+        finally:
+            self._ctx.inflight.remove(attempt.attempt_id)
+
+    def _send(self, work, attempt, server):
         call = work.request.payload
         headers = (
             ("Content-Type", call.content_type),
@@ -72,15 +121,32 @@
             ("X-Attempt-Id", attempt.attempt_id),
         )
         outcome = json_exchange(
-            server.address, call.method, call.path, call.body, headers, CALL_TIMEOUT_S
+            server.address,
+            call.method,
+            call.path,
+            call.body,
+            headers,
+            self._timeout(work),
         )
         if outcome.is_err():
-            self._ctx.directory.report_failure(server.instance)
             return Err(refusal_of_failure(outcome.unwrap_err()))
         status, body = outcome.unwrap()
-        if status < 500:
-            return Ok(Outcome(status, body))
-        return Err(refusal_of_reply(server.address, status, body))
+        if status >= 500 or status in REFUSAL_STATUSES:
+            refusal = refusal_of_reply(server.address, status, body)
+            if status >= 500 or refusal.verdict is Verdict.NOT_RUN:
+                return Err(refusal)
+        return Ok(Outcome(status, body))
+
+    def _timeout(self, work):
+        """Returns how long the server may be silent.
+
+        A non-idempotent call is not cut at the caller's deadline, since that
+        would only turn a late answer into an unknown outcome.
+        """
+        if work.deadline is None or not work.idempotent:
+            return CALL_TIMEOUT_S
+        left = work.deadline - self._ctx.clock.monotonic()
+        return min(CALL_TIMEOUT_S, max(LEAST_TIMEOUT_S, left))
 
     def _choose(self, work, attempt):
         service = self._ctx.configuration().service(work.request.service)
@@ -105,5 +171,11 @@
         return Ok(server)
 
 
+def _fingerprint(request):
+    call = request.payload
+    head = f"{call.method} {call.path}".encode()
+    return fingerprint_of(request.service, head, call.body)
+
+
 def _to_answer(outcome):
     return Answer(outcome.status, outcome.content_type, iter([outcome.body]))
--- /dev/null
+++ b/amaranthbay/dispatch/resume.py
@@ -0,0 +1,109 @@
+"""Continues an attempt that another daemon started."""
+
+import re
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from amaranthbay.dispatch.guard_messages import AttemptTakenOver
+from amaranthbay.dispatch.guards import guards_of
+from amaranthbay.dispatch.holds import EngineHold, StartedStream
+from amaranthbay.dispatch.streams import MatchedStream, first_event
+from amaranthbay.kernel.errors import Reason, may_have_run
+from amaranthbay.kernel.requests import Attempt
+
+__all__ = ["ResumePoint", "Takeovers", "resume_attempt"]
+
+_TOKEN = re.compile(r"([0-9a-f]{32})/([^/]{1,64})/([^/]{1,64})")
+
+
+@dataclass(frozen=True)
+class ResumePoint:
+    """Where an answer can be continued; callers see it as an opaque token.
+
+    Attributes:
+        attempt_id: The attempt; nobody else can guess it.
+        server: Instance of its decode server.
+        origin: Daemon that started it.
+    """
+
+    attempt_id: str
+    server: str
+    origin: str
+
+    def encode(self):
+        """Returns the token.
+
+        Examples:
+            >>> ResumePoint("0" * 32, "decode-1", "entry-1").encode()[-17:]
+            '/decode-1/entry-1'
+        """
+        return f"{self.attempt_id}/{self.server}/{self.origin}"
+
+    @classmethod
+    def decode(cls, token):
+        """Returns the point that a token names, or None."""
+        match = _TOKEN.fullmatch(token)
+        return cls(*match.groups()) if match else None
+
+
+class Takeovers:
+    """Tells guards that an attempt goes on although its daemon died."""
+
+    def __init__(self, membership, channel, guarded):
+        self._membership = membership
+        self._channel = channel
+        self._guarded = guarded
+
+    @property
+    def own(self):
+        """Instance of this daemon."""
+        return self._membership.own().instance
+
+    def announce(self, point):
+        """Sends the news to the guards of the attempt's first daemon."""
+        message = AttemptTakenOver(point.attempt_id)
+        for instance in guards_of(point.origin, self._membership.live()):
+            if instance == self.own:
+                self._guarded.take_over(point.attempt_id)
+            else:
+                self._channel.send(instance, message)
+
+
+def resume_attempt(ctx, work, pools):
+    """Returns ``Result[tuple[StartedStream, str], Refusal]``: stream and token."""
+    call = work.request.payload
+    point = ResumePoint.decode(call.resume_token)
+    server = ctx.directory.find(point.server) if point else None
+    if server is None or server.role != "decode" or server.pool not in pools:
+        detail = "the attempt to continue is not known"
+        return Err(may_have_run(Reason.STREAM_BROKEN, detail, status=409))
+    attempt = Attempt(work.request.request_id, point.attempt_id, 1)
+    hold = EngineHold(ctx, attempt, (server,))
+    kept = False
+    try:
+        hold.enter()
+        ctx.takeovers.announce(point)
+        opened = ctx.engine.resume(server, attempt, call.offset)
+        if opened.is_err():
+            detail = opened.unwrap_err().detail
+            return Err(may_have_run(Reason.STREAM_BROKEN, detail, status=409))
+        stream = MatchedStream(
+            ctx.engine,
+            server,
+            attempt,
+            opened.unwrap(),
+            ctx.clock,
+            call.offset,
+            ctx.pauses,
+        )
+        first = first_event(stream)
+        if first.is_err():
+            return first
+        hold.started(server)
+        own = ResumePoint(point.attempt_id, point.server, ctx.takeovers.own)
+        kept = True
+        return Ok((StartedStream(stream, first.unwrap(), hold), own.encode()))
+    finally:
+        if not kept:
+            hold.release()
--- a/amaranthbay/dispatch/types.py
+++ b/amaranthbay/dispatch/types.py
@@ -16,6 +16,7 @@
         stream: Whether the caller wants server-sent events.
         chat: Whether the reply has the shape of a chat completion.
         offset: Tokens that the caller has already received.
+        resume_token: Names the attempt to continue; empty for a new request.
     """
 
     model: str
@@ -24,6 +25,7 @@
     stream: bool
     chat: bool = False
     offset: int = 0
+    resume_token: str = ""
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/gateway/hangup.py
+++ b/amaranthbay/gateway/hangup.py
@@ -5,15 +5,16 @@
 import gevent
 from gevent.socket import wait_read
 
-from amaranthbay.kernel.errors import AmaranthbayError
+from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import log_event
 from amaranthbay.utils.http import CONNECTION_KEY
 
-__all__ = ["CallerGone", "HangupWatch"]
+__all__ = ["HangupWatch"]
 
-
-class CallerGone(AmaranthbayError):
-    """Raised in the greenlet that serves a caller who has gone."""
+# Unread bytes of a next request hide the end of the connection from a read, so
+# the state of the connection is polled from then on.
+POLL_S = 0.25
+ESTABLISHED = 1
 
 
 class HangupWatch:
@@ -29,12 +30,17 @@
     def _watch(self):
         try:
             wait_read(self._conn.fileno())
-            data = self._conn.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            peeked = self._conn.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            while peeked and self._is_established():
+                gevent.sleep(POLL_S)
         except OSError:
-            data = b""
-        if data == b"":
-            log_event("caller_gone")
-            gevent.kill(self._serving, CallerGone("the caller has gone"), block=False)
+            pass
+        log_event("caller_gone")
+        gevent.kill(self._serving, CallerGone("the caller has gone"), block=False)
+
+    def _is_established(self):
+        info = self._conn.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == ESTABLISHED
 
     def stop(self):
         """Stops watching."""
@@ -42,9 +48,32 @@
             self._job.kill(block=False)
 
     def guard(self, chunks):
-        """Yields the chunks; stops watching and closes them at the end."""
+        """Returns an iterator that stops watching once it ends or is closed."""
+        return _GuardedChunks(self, chunks)
+
+
+class _GuardedChunks:
+    """Chunks of an answer whose caller is watched.
+
+    It is a class because a generator that was never started, for a caller that
+    left before the first chunk, wouldn't release anything.
+    """
+
+    def __init__(self, watch, chunks):
+        self._watch = watch
+        self._chunks = chunks
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
         try:
-            yield from chunks
-        finally:
-            self.stop()
-            chunks.close()
+            return next(self._chunks)
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self):
+        """Stops watching and releases the answer; repeatable."""
+        self._watch.stop()
+        self._chunks.close()
--- a/amaranthbay/kernel/context.py
+++ b/amaranthbay/kernel/context.py
@@ -24,6 +24,12 @@
         allocator: Slot allocator.
         engine: Engine client.
         inflight: `dispatch.inflight.InFlightTable`.
+        copier: `dispatch.guards.RecordCopier`.
+        takeovers: `dispatch.resume.Takeovers`.
+        pauses: Function that returns the number of long pauses of the daemon.
+        crashes: `state.crash_marks.CrashMarks`.
+        claims: `state.isolation.SuspectClaims`.
+        deaths: `dispatch.deaths.DeathReporter`.
         cancels: `dispatch.cancels.CancelQueue`.
         idempotency: `state.idempotency.IdempotencyStore`.
         clock: Clock.
@@ -38,6 +44,12 @@
     allocator: SlotAllocator
     engine: EngineClient
     inflight: object
+    copier: object
+    takeovers: object
+    pauses: object
+    crashes: object
+    claims: object
+    deaths: object
     cancels: object
     idempotency: object
     clock: Clock
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "AmaranthbayError",
+    "CallerGone",
     "ConfigurationError",
     "Reason",
     "Refusal",
@@ -51,6 +52,8 @@
     WOULD_MISS_TARGET = "would_miss_target"
     QUARANTINED = "quarantined"
     BACKEND_FAILED = "backend_failed"
+    BACKEND_REFUSED = "backend_refused"
+    BACKEND_SLOW = "backend_slow"
     STREAM_BROKEN = "stream_broken"
     CALLER_GONE = "caller_gone"
     UNAUTHENTICATED = "unauthenticated"
@@ -96,6 +99,10 @@
     """Base class of the project's exceptions."""
 
 
+class CallerGone(AmaranthbayError):
+    """Raised in the greenlet that serves a caller who has gone."""
+
+
 class UnknownPlugin(AmaranthbayError):
     """Raised when a plug-in is looked up that nobody registered."""
 
--- a/amaranthbay/kernel/interfaces.py
+++ b/amaranthbay/kernel/interfaces.py
@@ -66,12 +66,19 @@
         """Returns ``Result[PrefillOutcome, Refusal]``."""
 
     @abstractmethod
-    def decode(self, server, attempt, call, prefill, priority):
-        """Returns ``Result[Iterator[TokenEvent], Refusal]``."""
+    def decode(self, server, attempt, call, prefill, priority, timeout):
+        """Returns ``Result[Iterator[TokenEvent], Refusal]``.
+
+        The timeout bounds the wait for the import and the first event.
+        """
 
     @abstractmethod
     def resume(self, server, attempt, offset):
-        """Returns ``Result[Iterator[TokenEvent], Refusal]``."""
+        """Returns ``Result[Iterator[TokenEvent], Refusal]``.
+
+        A refusal with a status below 500 means that the engine answered and
+        doesn't know the stream.
+        """
 
     @abstractmethod
     def cancel(self, server, attempt_id):
--- a/amaranthbay/kernel/retries.py
+++ b/amaranthbay/kernel/retries.py
@@ -2,6 +2,8 @@
 
 import random
 import uuid
+from dataclasses import replace
+from datetime import timedelta
 
 from result import Err
 
@@ -12,6 +14,9 @@
 __all__ = ["Backoff", "RetryBudget", "new_attempt", "run_attempts"]
 
 MAX_ATTEMPTS = 4
+# As long as a backend server that failed is left out, so that the caller's next
+# request finds it gone or back.
+GIVEN_UP_RETRY_AFTER = timedelta(seconds=2)
 
 
 class RetryBudget:
@@ -71,7 +76,8 @@
     """
     budget.deposit()
     worst = Verdict.NOT_RUN
-    for number in range(1, MAX_ATTEMPTS + 1):
+    number = 1
+    while True:
         outcome = run(new_attempt(work.request.request_id, number))
         if outcome.is_ok():
             return outcome
@@ -85,10 +91,11 @@
             detail=refusal.detail,
         )
         worst = _worse(worst, refusal.verdict)
-        if not _may_retry(work, refusal, number, budget, clock):
-            return Err(refusal.with_verdict(worst))
-        clock.sleep(backoff.delay(number))
-    return Err(refusal.with_verdict(worst))
+        delay_s = backoff.delay(number)
+        if not _may_retry(work, refusal, number, delay_s, budget, clock):
+            return Err(_final(refusal, worst))
+        clock.sleep(delay_s)
+        number += 1
 
 
 def _worse(first, second):
@@ -96,11 +103,18 @@
     return max(first, second, key=order.index)
 
 
-def _may_retry(work, refusal, number, budget, clock):
+def _may_retry(work, refusal, number, delay_s, budget, clock):
     if number == MAX_ATTEMPTS or refusal.status < 500:
         return False
     if refusal.verdict is not Verdict.NOT_RUN and not work.idempotent:
         return False
-    if work.deadline is not None and clock.monotonic() >= work.deadline:
+    if work.deadline is not None and clock.monotonic() + delay_s >= work.deadline:
         return False
     return budget.withdraw()
+
+
+def _final(refusal, verdict):
+    """Returns the answer to a request that is given up on."""
+    if refusal.retry_after is None and refusal.status >= 500:
+        refusal = replace(refusal, retry_after=GIVEN_UP_RETRY_AFTER)
+    return refusal.with_verdict(verdict)
--- a/amaranthbay/membership/backends.py
+++ b/amaranthbay/membership/backends.py
@@ -44,6 +44,17 @@
         """Returns the daemons of the list."""
         return tuple(each for each in self._instances if each.kind == "entry")
 
+    def is_listed(self, instance):
+        """Returns whether the list shows an instance, leaving ones included."""
+        return any(each.instance == instance for each in self._instances)
+
+    def find(self, instance):
+        """Returns a listed `BackendServer`, leaving ones included, or None."""
+        for each in self._instances:
+            if each.instance == instance and each.kind == "backend":
+                return _to_server(each)
+        return None
+
     def servers(self, pools, role=None):
         """Returns the backend servers of some pools that may get new work."""
         return tuple(
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from http.client import HTTPException
 
 import gevent.pool
 from gevent import pywsgi, socket
@@ -34,11 +35,13 @@
         verdict: ``not_run`` if no byte of the request was sent.
         detail: One sentence for people.
         refused: Whether the peer's host refused the connection.
+        timed_out: Whether the peer was silent for too long.
     """
 
     verdict: Verdict
     detail: str
     refused: bool = False
+    timed_out: bool = False
 
 
 class Exchange:
@@ -55,7 +58,10 @@
 
     def read(self):
         """Returns the rest of the body; raises OSError or ValueError."""
-        return self._response.read()
+        try:
+            return self._response.read()
+        except HTTPException as exc:
+            raise ConnectionError(str(exc)) from exc
 
     def lines(self):
         """Yields the body's lines without their ends.
@@ -65,11 +71,18 @@
             ValueError: If the body ends early.
         """
         while True:
-            line = self._response.readline(b"\n")
+            try:
+                line = self._response.readline(b"\n")
+            except HTTPException as exc:
+                raise ConnectionError(str(exc)) from exc
             if not line:
                 return
             yield line.rstrip(b"\r\n")
 
+    def limit_silence(self, timeout_s):
+        """Sets the longest silence of the peer from now on."""
+        self._conn.settimeout(timeout_s)
+
     def close(self):
         """Closes the connection."""
         self._conn.close()
@@ -118,10 +131,11 @@
         conn.settimeout(timeout_s)
         conn.sendall(_encode_head(address, method, path, len(body), headers) + body)
         return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, HTTPException) as exc:
         conn.close()
         detail = f"exchange with {address} broke: {type(exc).__name__}"
-        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+        timed_out = isinstance(exc, TimeoutError)
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
     except BaseException:
         conn.close()
         raise
@@ -137,7 +151,8 @@
         return Ok((opened.status, opened.read()))
     except (OSError, ValueError) as exc:
         detail = f"response of {address} broke: {type(exc).__name__}"
-        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+        timed_out = isinstance(exc, TimeoutError)
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
     finally:
         opened.close()
 
