Test guards, stream matching and attempts over fakes

Property tests reorder, repeat, cut and swap events between requests, and run fault sequences over all attempts of a request. An explicit refusal is no longer cancelled three times, since no engine call can be on its way.

--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -148,6 +148,7 @@
             hold.enter()
             opened = self._open(attempt, servers)
             if opened.is_err():
+                hold.unanswered = _is_unanswered(opened.unwrap_err())
                 return opened
             stream, first = opened.unwrap()
             hold.started(servers[1])
@@ -216,6 +217,12 @@
         return outcome
 
 
+def _is_unanswered(refusal):
+    """Returns whether an engine call may still be on its way."""
+    explicit = refusal.reason is Reason.BACKEND_REFUSED
+    return refusal.verdict is not Verdict.NOT_RUN and not explicit
+
+
 def _ran(outcome):
     """Returns a failure after a prefill: engines have worked on the request."""
     return outcome.map_err(lambda each: each.with_verdict(Verdict.MAY_HAVE_RUN))
--- /dev/null
+++ b/amaranthbay/dispatch/tests/fakes.py
@@ -0,0 +1,323 @@
+"""In-memory peers, table and engine for the tests of the request path."""
+
+import gevent
+from result import Err, Ok
+
+from amaranthbay.config.types import CallerKind, Configuration, Pool, Service
+from amaranthbay.dispatch.cancels import CancelQueue
+from amaranthbay.dispatch.guarded import GuardedRecords
+from amaranthbay.dispatch.guards import RecordCopier
+from amaranthbay.dispatch.inflight import InFlightTable
+from amaranthbay.dispatch.pauses import PauseWatch
+from amaranthbay.dispatch.resume import Takeovers
+from amaranthbay.dispatch.types import ModelCall, PrefillOutcome, TokenEvent
+from amaranthbay.kernel.context import DispatchContext
+from amaranthbay.kernel.errors import Reason, may_have_run, not_run
+from amaranthbay.kernel.interfaces import (
+    EngineClient,
+    Membership,
+    PeerChannel,
+    TableService,
+)
+from amaranthbay.kernel.requests import BackendServer, CallerRequest, Work
+from amaranthbay.kernel.retries import RetryBudget
+from amaranthbay.membership.types import Member
+from amaranthbay.placement.baselines import LeastLoadedPolicy
+from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.placement.types import PoolView, ServerView
+from amaranthbay.platform.types import CommitOutcome, CommitState, Row
+from amaranthbay.state.crash_marks import CrashMarks
+from amaranthbay.state.isolation import SuspectClaims
+from amaranthbay.utils.testing import ManualClock
+
+
+def member(instance, incarnation=1):
+    """Returns a daemon's entry."""
+    return Member(instance, "zone-a", "region-1", "", "", "", incarnation)
+
+
+class FakePeers:
+    """All daemons of a test, connected in memory."""
+
+    def __init__(self, *instances):
+        self.members = {each: member(each) for each in instances}
+        self.handlers = {}
+        self.silent = set()
+        self.callbacks = []
+        self.sent = []
+
+    def die(self, instance):
+        """Reports the proven death of a daemon to everybody."""
+        dead = self.members.pop(instance)
+        for callback in self.callbacks:
+            callback(dead)
+
+
+class FakeMembership(Membership):
+    """Membership of one daemon of a `FakePeers`."""
+
+    def __init__(self, peers, instance):
+        self._peers = peers
+        self._own = instance
+
+    def own(self):
+        return self._peers.members.get(self._own) or member(self._own)
+
+    def live(self):
+        return tuple(self._peers.members.values())
+
+    def member(self, instance):
+        return self._peers.members.get(instance)
+
+    def on_death(self, callback):
+        self._peers.callbacks.append(callback)
+
+
+class FakeChannel(PeerChannel):
+    """Channel of one daemon of a `FakePeers`."""
+
+    def __init__(self, peers, instance):
+        self._peers = peers
+        self._own = instance
+
+    def send(self, instance, message):
+        gevent.spawn(self.ask, instance, message, 1.0)
+        return True
+
+    def ask(self, instance, message, timeout_s):
+        self._peers.sent.append((self._own, instance, message))
+        gevent.sleep(0)
+        handler = self._peers.handlers.get((instance, type(message)))
+        if instance in self._peers.silent or handler is None:
+            gevent.sleep(timeout_s)
+            return None
+        return handler(self._own, message)
+
+    def on(self, message_type, handler):
+        self._peers.handlers[self._own, message_type] = handler
+
+
+class MemoryTable(TableService):
+    """Table service in memory, with an outage and lost replies."""
+
+    def __init__(self):
+        self.rows = {}
+        self.down = False
+        self.lose_replies = 0
+        self._version = 0
+
+    def commit(self, writes):
+        if self.down:
+            return CommitOutcome(CommitState.NOT_DONE, {})
+        conflicts = [each.key for each in writes if not self._allows(each)]
+        if not conflicts:
+            versions = {each.key: self._apply(each) for each in writes}
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return CommitOutcome(CommitState.UNKNOWN, {})
+        if conflicts:
+            return CommitOutcome(CommitState.CONFLICT, {}, tuple(conflicts))
+        return CommitOutcome(CommitState.DONE, versions)
+
+    def _allows(self, write):
+        row = self.rows.get(write.key)
+        found = row.version if row else 0
+        return write.if_version is None or write.if_version == found
+
+    def _apply(self, write):
+        self._version += 1
+        if write.value is None:
+            self.rows.pop(write.key, None)
+        else:
+            self.rows[write.key] = Row(write.key, write.value, self._version)
+        return self._version
+
+    def read(self, key):
+        return Err("down") if self.down else Ok(self.rows.get(key))
+
+    def scan(self, prefix, after="", limit=1000):
+        if self.down:
+            return Err("down")
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return Ok(tuple(self.rows[key] for key in keys if key > after)[:limit])
+
+
+class FakeEngine(EngineClient):
+    """Engines that answer by script; each step says how one call ends.
+
+    Steps of prefill and decode: ``ok``, ``refuse`` (explicit, nothing ran),
+    ``unreachable`` (nothing was sent), ``lost`` (it ran, the reply was lost),
+    ``garbled`` (it ran, the reply was unreadable).
+
+    Attributes:
+        ran: Attempts that a back end worked on.
+        cancelled: Pairs of server and attempt, in order.
+    """
+
+    def __init__(self, steps=(), streams=()):
+        self.steps = list(steps)
+        self.streams = list(streams)
+        self.ran = set()
+        self.decoded = []
+        self.cancelled = []
+        self.prefill_timeouts = []
+        self.on_prefill = None
+
+    def _take(self, attempt):
+        step = self.steps.pop(0) if self.steps else "ok"
+        if step == "refuse":
+            return Err(not_run(Reason.BACKEND_REFUSED, "refused"))
+        if step == "unreachable":
+            return Err(not_run(Reason.BACKEND_FAILED, "connection refused"))
+        self.ran.add(attempt.attempt_id)
+        if step in ("lost", "garbled"):
+            return Err(may_have_run(Reason.BACKEND_FAILED, step))
+        return Ok(None)
+
+    def prefill(self, server, attempt, call, priority, timeout):
+        self.prefill_timeouts.append(timeout)
+        if self.on_prefill:
+            self.on_prefill(attempt)
+        outcome = PrefillOutcome("kv-1", server.address, 10, 0, 1.0)
+        return self._take(attempt).map(lambda _: outcome)
+
+    def decode(self, server, attempt, call, prefill, priority, timeout):
+        taken = self._take(attempt)
+        if taken.is_ok():
+            self.decoded.append(attempt.attempt_id)
+        return taken.map(lambda _: self.events(attempt, 0, call.max_tokens))
+
+    def resume(self, server, attempt, offset):
+        if attempt.attempt_id not in self.decoded:
+            return Err(may_have_run(Reason.STREAM_BROKEN, "unknown", status=404))
+        return Ok(self.events(attempt, offset, 8))
+
+    def events(self, attempt, offset, count):
+        """Returns the events of one connection, changed by the next script."""
+        ids = attempt.request_id, attempt.attempt_id
+        whole = [
+            TokenEvent(*ids, index=each, text=token_text(attempt, each))
+            for each in range(offset, count)
+        ]
+        whole.append(TokenEvent(*ids, done=True, count=count))
+        change = self.streams.pop(0) if self.streams else None
+        return iter(change(whole) if change else whole)
+
+    def cancel(self, server, attempt_id):
+        self.cancelled.append((server.instance, attempt_id))
+        return True
+
+
+def token_text(attempt, index):
+    """Returns a token that tells its attempt and its place."""
+    return f"{attempt.attempt_id[:6]}:{index} "
+
+
+class FakeDirectory:
+    """Backend servers of a test."""
+
+    def __init__(self, servers):
+        self._servers = {each.instance: each for each in servers}
+        self.failed = []
+
+    def find(self, instance):
+        return self._servers.get(instance)
+
+    def servers(self, pools, role=None):
+        return tuple(
+            each for each in self._servers.values() if role in (None, each.role)
+        )
+
+    def report_failure(self, instance):
+        self.failed.append(instance)
+
+
+class FakeDeaths:
+    """Death reporter for which the named servers are dead."""
+
+    def __init__(self):
+        self.checked = []
+
+    def check(self, server):
+        self.checked.append(server.instance)
+        return False
+
+
+def server(instance, role):
+    """Returns a backend server of the pool named like its role."""
+    return BackendServer(instance, role, role, f"127.0.0.1:{id(instance)}", "zone-a")
+
+
+class FakeNode:
+    """The request path of one daemon, over fakes."""
+
+    def __init__(self, engine, peers=None, name="entry-1", table=None, clock=None):
+        peers = peers or FakePeers(name)
+        self.clock = clock or ManualClock()
+        self.membership = FakeMembership(peers, name)
+        self.channel = FakeChannel(peers, name)
+        self.engine = engine
+        self.table = InFlightTable()
+        self.cancels = CancelQueue(engine, self.clock, lambda server: False)
+        self.copier = RecordCopier(self.table, self.membership, self.channel)
+        self.guarded = GuardedRecords(
+            self.membership, self.channel, self.cancels, self.clock
+        )
+        self.pauses = PauseWatch(self.clock)
+        store = table or MemoryTable()
+        self.crashes = CrashMarks(
+            store, self.membership, self.channel, self.clock, lambda: 2
+        )
+        self.prefill = server("prefill-1", "prefill")
+        self.decode = server("decode-1", "decode")
+        self.directory = FakeDirectory([self.prefill, self.decode])
+        self.deaths = FakeDeaths()
+        self.allocator = IndependentAllocator(lambda server: 20)
+        self.budget = RetryBudget()
+        cfg = configuration()
+        self.ctx = DispatchContext(
+            configuration=lambda: cfg,
+            directory=self.directory,
+            view=self._view,
+            policy=LeastLoadedPolicy(1),
+            allocator=self.allocator,
+            engine=engine,
+            inflight=self.table,
+            copier=self.copier,
+            takeovers=Takeovers(self.membership, self.channel, self.guarded),
+            pauses=self.pauses.pauses,
+            crashes=self.crashes,
+            claims=SuspectClaims(store, self.clock),
+            deaths=self.deaths,
+            cancels=self.cancels,
+            idempotency=None,
+            clock=self.clock,
+            budget=lambda name: self.budget,
+            availability_zone="zone-a",
+        )
+
+    def _view(self, service, call):
+        views = (ServerView(self.prefill),), (ServerView(self.decode),)
+        return PoolView(*views, "zone-a")
+
+    def slots_held(self):
+        """Returns the number of granted slots."""
+        return sum(self.allocator._held.values())
+
+
+def configuration():
+    """Returns a configuration with one model service."""
+    return Configuration(
+        0,
+        "test",
+        (Service("m", "model", ("prefill", "decode"), ("desk",)),),
+        (CallerKind("desk", False),),
+        (Pool("prefill", "prefill"), Pool("decode", "decode")),
+    )
+
+
+def model_work(stream=True, deadline=None, prompt="hello", **fields):
+    """Returns the work of a model call with eight tokens."""
+    call = ModelCall("m", prompt, 8, stream, **fields)
+    request = CallerRequest("request-1", "m", "ws-1", "desk", call)
+    return Work(request, deadline is not None, deadline, True, 0.0)
--- /dev/null
+++ b/amaranthbay/dispatch/tests/test_attempts.py
@@ -0,0 +1,210 @@
+"""Attempts of a model request: one winner, right verdicts, nothing kept."""
+
+import gevent
+import gevent.event
+import msgspec
+from hypothesis import given, settings, strategies as st
+from result import Err
+
+from amaranthbay.dispatch.model import ModelService
+from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode, model_work
+from amaranthbay.kernel.errors import CallerGone, Reason, Verdict, not_run
+from amaranthbay.kernel.retries import Backoff, RetryBudget, run_attempts
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
+
+STEPS = st.lists(
+    st.sampled_from(("ok", "refuse", "unreachable", "lost", "garbled")), max_size=10
+)
+CHANGES = st.lists(
+    st.sampled_from(
+        (
+            None,
+            lambda events: events[:3],
+            lambda events: events[:-1],
+            lambda events: [],
+            lambda events: events[::-1],
+            lambda events: [each for each in events for _ in range(2)],
+        )
+    ),
+    max_size=6,
+)
+
+
+def texts_of(body):
+    """Returns the texts, the error and whether the end came, of an event stream."""
+    texts, error, done = [], None, False
+    for part in body.split(b"\n\n"):
+        line = part.removeprefix(b"event: error\n").removeprefix(b"data: ")
+        if line == b"[DONE]":
+            done = True
+        elif line:
+            document = msgspec.json.decode(line)
+            if "verdict" in document:
+                error = document
+            elif document["choices"][0]["finish_reason"] is None:
+                texts.append(document["choices"][0]["text"])
+    return texts, error, done
+
+
+def assert_nothing_held(case, node):
+    """Checks that an ended request left neither slots nor records."""
+    wait_until(lambda: node.cancels.outstanding == 0)
+    case.assertEqual(node.slots_held(), 0)
+    case.assertEqual(len(node.table), 0)
+
+
+def assert_one_attempt(case, texts):
+    """Checks that all tokens come from one attempt, in order and complete."""
+    case.assertEqual(len({each.split(":")[0] for each in texts}), 1)
+    case.assertEqual([int(each.split(":")[1]) for each in texts], list(range(8)))
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(STEPS, CHANGES, st.booleans())
+def test_no_fault_sequence_gives_a_wrong_verdict_or_answer(
+    case, steps, changes, stream
+):
+    """Guards against ``not_run`` for work that ran, and against mixed answers."""
+    node = FakeNode(FakeEngine(steps, changes))
+    outcome = ModelService(node.ctx).dispatch(model_work(stream))
+    if outcome.is_err():
+        refusal = outcome.unwrap_err()
+        if node.engine.ran:
+            case.assertIsNot(refusal.verdict, Verdict.NOT_RUN)
+        case.assertIsNotNone(refusal.retry_after)
+    else:
+        body = b"".join(outcome.unwrap().chunks)
+        if stream:
+            texts, error, done = texts_of(body)
+            case.assertNotEqual(error is None, not done)
+            if done:
+                assert_one_attempt(case, texts)
+            else:
+                case.assertEqual(error["verdict"], "may_have_run")
+        else:
+            text = msgspec.json.decode(body)["choices"][0]["text"]
+            assert_one_attempt(case, text.split())
+    assert_nothing_held(case, node)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(STEPS, CHANGES)
+def test_every_attempt_but_a_finished_one_is_cancelled(case, steps, changes):
+    """Guards against engine memory that a losing attempt keeps."""
+    node = FakeNode(FakeEngine(steps, changes))
+    outcome = ModelService(node.ctx).dispatch(model_work(stream=False))
+    assert_nothing_held(case, node)
+    cancelled = {each for _, each in node.engine.cancelled}
+    kept = node.engine.ran - cancelled
+    case.assertEqual(len(kept), 1 if outcome.is_ok() else 0)
+
+
+def test_normal_end_needs_no_cancel(case):
+    """Guards against two needless engine calls for each request."""
+    node = FakeNode(FakeEngine())
+    answer = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    b"".join(answer.chunks)
+    assert_nothing_held(case, node)
+    case.assertEqual(node.engine.cancelled, [])
+
+
+def test_answer_that_is_never_read_is_released(case):
+    """Guards against memory held for a caller that left before the first chunk."""
+    node = FakeNode(FakeEngine())
+    answer = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    answer.chunks.close()
+    assert_nothing_held(case, node)
+    servers = {each for each, _ in node.engine.cancelled}
+    case.assertEqual(servers, {"prefill-1", "decode-1"})
+
+
+def test_caller_that_leaves_in_the_prefill_is_cancelled(case):
+    """Guards against a prefill that runs on for a caller who has gone."""
+    node = FakeNode(FakeEngine())
+    entered = gevent.event.Event()
+
+    def block(attempt):
+        entered.set()
+        gevent.sleep(60)
+
+    node.engine.on_prefill = block
+    job = gevent.spawn(ModelService(node.ctx).dispatch, model_work())
+    case.assertTrue(entered.wait(10))
+    job.kill(CallerGone("left"), timeout=10)
+    assert_nothing_held(case, node)
+    case.assertEqual(len(node.engine.cancelled), 6)
+
+
+def test_pause_during_the_prefill_starts_a_new_attempt(case):
+    """Guards against a decode of an attempt that guards have cancelled."""
+    node = FakeNode(FakeEngine())
+    attempts = []
+
+    def pause(attempt):
+        attempts.append(attempt.attempt_id)
+        if len(attempts) == 1:
+            node.clock.advance(25)
+
+    node.engine.on_prefill = pause
+    answer = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    texts, _, done = texts_of(b"".join(answer.chunks))
+    case.assertTrue(done)
+    case.assertEqual(node.engine.decoded, attempts[1:])
+
+
+def test_interactive_prefill_is_bounded_by_the_remaining_time(case):
+    """Guards against a prefill that runs past the caller's target."""
+    node = FakeNode(FakeEngine())
+    node.clock.advance(0.5)
+    ModelService(node.ctx).dispatch(model_work(deadline=1.3)).unwrap()
+    case.assertAlmostEqual(node.engine.prefill_timeouts[0], 0.8)
+
+
+def test_no_retry_after_the_deadline(case):
+    """Guards against a final answer that is held back until the deadline."""
+    clock = ManualClock()
+    work = model_work(deadline=1.0)
+    runs = []
+
+    def run(attempt):
+        runs.append(attempt)
+        clock.advance(0.9)
+        return not_run_outcome()
+
+    outcome = run_attempts(work, run, RetryBudget(), Backoff(base_s=10), clock)
+    case.assertLess(clock.monotonic(), 1.0)
+    case.assertEqual(len(runs), 1)
+    case.assertIsNotNone(outcome.unwrap_err().retry_after)
+
+
+def test_budget_bounds_retries_to_a_tenth(case):
+    """Guards against retries that multiply the load of a failing pool."""
+    budget = RetryBudget(initial=0.0)
+    runs = []
+
+    def run(attempt):
+        runs.append(attempt)
+        return not_run_outcome()
+
+    for _ in range(1000):
+        run_attempts(model_work(), run, budget, Backoff(), ManualClock())
+    case.assertGreater(len(runs), 1000)
+    case.assertLessEqual(len(runs), 1100)
+
+
+def test_permanent_refusal_has_no_time_to_come_back(case):
+    """Guards against callers that repeat what can never succeed."""
+
+    def run(attempt):
+        return not_run_outcome(status=422, reason=Reason.QUARANTINED)
+
+    outcome = run_attempts(model_work(), run, RetryBudget(), Backoff(), ManualClock())
+    case.assertIsNone(outcome.unwrap_err().retry_after)
+
+
+def not_run_outcome(status=503, reason=Reason.BACKEND_REFUSED):
+    """Returns an explicit refusal."""
+    return Err(not_run(reason, "refused", status=status))
+
+
+load_tests = collect(globals())
--- /dev/null
+++ b/amaranthbay/dispatch/tests/test_streams.py
@@ -0,0 +1,185 @@
+"""Stream matching: whole answers or explicit errors, whatever the events do."""
+
+from hypothesis import given, settings, strategies as st
+from result import Err, Ok
+
+from amaranthbay.dispatch.streams import BrokenStream, MatchedStream, first_event
+from amaranthbay.dispatch.tests.fakes import server, token_text
+from amaranthbay.dispatch.types import TokenEvent
+from amaranthbay.kernel.errors import Reason, Verdict, may_have_run
+from amaranthbay.kernel.requests import Attempt
+from amaranthbay.utils.testing import ManualClock, collect
+
+OWN = Attempt("request-1", "attempt-1", 1)
+OTHER = Attempt("request-2", "attempt-2", 1)
+RETRY = Attempt("request-1", "attempt-3", 2)
+SERVER = server("decode-1", "decode")
+
+# A disturbance of one connection: the events it carries, as pairs of an attempt
+# and the place in its answer, and how it ends.
+ATTEMPTS = st.sampled_from((OWN, OWN, OWN, OTHER, RETRY))
+CONNECTIONS = st.lists(
+    st.tuples(
+        st.lists(st.tuples(ATTEMPTS, st.integers(0, 9)), max_size=25),
+        st.sampled_from(("reset", "eof", "garbage", "refused", "unknown")),
+    ),
+    max_size=8,
+)
+
+
+def whole(attempt, count):
+    """Returns all events of an answer."""
+    ids = attempt.request_id, attempt.attempt_id
+    events = [
+        TokenEvent(*ids, index=each, text=token_text(attempt, each))
+        for each in range(count)
+    ]
+    return [*events, TokenEvent(*ids, done=True, count=count)]
+
+
+class ScriptedEngine:
+    """Engine whose connections are disturbed by script, then are whole."""
+
+    def __init__(self, connections, count):
+        self._connections = list(connections)
+        self._count = count
+        self.offsets = []
+
+    def open(self):
+        """Returns the first connection's events."""
+        outcome = self.resume(SERVER, OWN, 0)
+        return outcome.unwrap() if outcome.is_ok() else iter(())
+
+    def resume(self, server, attempt, offset):
+        self.offsets.append(offset)
+        if not self._connections:
+            return Ok(iter(whole(OWN, self._count)[offset:]))
+        places, ending = self._connections.pop(0)
+        if ending == "refused":
+            return Err(may_have_run(Reason.BACKEND_FAILED, "refused"))
+        if ending == "unknown":
+            return Err(may_have_run(Reason.STREAM_BROKEN, "unknown", status=404))
+        return Ok(self._events(places, ending))
+
+    def _events(self, places, ending):
+        for attempt, place in places:
+            events = whole(attempt, self._count)
+            yield events[min(place, self._count)]
+        if ending == "reset":
+            raise ConnectionResetError("reset")
+        if ending == "garbage":
+            raise ValueError("unreadable event")
+
+
+def read(engine, offset=0):
+    """Returns the texts that were read and the refusal, if any."""
+    stream = MatchedStream(engine, SERVER, OWN, engine.open(), ManualClock(), offset)
+    texts = []
+    try:
+        for event in stream:
+            texts.append(event.text)
+    except BrokenStream as exc:
+        return texts, exc.refusal
+    return texts, None
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(CONNECTIONS, st.integers(0, 9))
+def test_answer_is_whole_or_ends_with_a_refusal(case, connections, count):
+    """Guards against answers that are short, doubled, mixed or out of order."""
+    texts, refusal = read(ScriptedEngine(connections, count))
+    expected = [token_text(OWN, each) for each in range(count)]
+    if refusal is None:
+        case.assertEqual(texts, expected)
+    else:
+        case.assertEqual(texts, expected[: len(texts)])
+        case.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.permutations(range(8)), st.data())
+def test_events_in_any_order_give_the_whole_answer(case, order, data):
+    """Guards against reordered and repeated events that change the answer."""
+    repeats = data.draw(st.lists(st.sampled_from(order), max_size=8))
+    places = [(OWN, each) for each in [*order, *repeats]]
+    engine = ScriptedEngine([(places, "eof")], 8)
+    texts, refusal = read(engine)
+    case.assertIsNone(refusal)
+    case.assertEqual(texts, [token_text(OWN, each) for each in range(8)])
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.integers(0, 7), max_size=5))
+def test_resumption_asks_for_the_next_token(case, cuts):
+    """Guards against a resumption that skips or repeats tokens."""
+    connections = [([(OWN, each) for each in range(cut)], "reset") for cut in cuts]
+    engine = ScriptedEngine(connections, 8)
+    texts, refusal = read(engine)
+    case.assertEqual(len(texts), 8 if refusal is None else len(texts))
+    case.assertEqual(engine.offsets, sorted(engine.offsets))
+
+
+def test_swapped_streams_are_told_apart(case):
+    """Guards against a caller that gets the answer to another request."""
+    swapped = [(OTHER, each) for each in range(9)]
+    texts, refusal = read(ScriptedEngine([(swapped, "eof")], 8))
+    case.assertIsNone(refusal)
+    case.assertEqual(texts, [token_text(OWN, each) for each in range(8)])
+
+
+def test_engine_that_repeats_itself_is_given_up(case):
+    """Guards against a stream that holds its caller for ever."""
+
+    class Repeating(ScriptedEngine):
+        def resume(self, server, attempt, offset):
+            events = whole(OWN, 8)
+            return Ok(iter([events[0]] * 100_002))
+
+    texts, refusal = read(Repeating([], 8))
+    case.assertEqual(len(texts), 1)
+    case.assertIs(refusal.reason, Reason.STREAM_BROKEN)
+
+
+def test_progress_renews_the_right_to_resume(case):
+    """Guards against a long answer that fails for many harmless breaks."""
+    connections = [([(OWN, each)], "reset") for each in range(9)]
+    texts, refusal = read(ScriptedEngine(connections, 9))
+    case.assertIsNone(refusal)
+    case.assertEqual(len(texts), 9)
+
+
+def test_end_before_the_received_tokens_is_an_error(case):
+    """Guards against a wrong count that passes for an end."""
+    end = TokenEvent(OWN.request_id, OWN.attempt_id, done=True, count=1)
+    events = iter([*whole(OWN, 8)[:3], end])
+    stream = MatchedStream(None, SERVER, OWN, events, ManualClock())
+    with case.assertRaises(BrokenStream):
+        list(stream)
+    case.assertFalse(stream.finished)
+
+
+def test_pause_of_the_daemon_breaks_the_stream(case):
+    """Guards against events from before a pause that guards acted on."""
+    pauses = [0]
+
+    class Cancelled(ScriptedEngine):
+        def resume(self, server, attempt, offset):
+            self.offsets.append(offset)
+            return Err(may_have_run(Reason.STREAM_BROKEN, "unknown", status=404))
+
+    engine = Cancelled([], 8)
+    stream = MatchedStream(
+        engine,
+        SERVER,
+        OWN,
+        iter(whole(OWN, 8)),
+        ManualClock(),
+        pauses=lambda: pauses[0],
+    )
+    case.assertEqual(next(stream).index, 0)
+    pauses[0] = 1
+    case.assertTrue(first_event(stream).is_err())
+    case.assertEqual(engine.offsets, [1])
+
+
+load_tests = collect(globals())
