Decode callers' input in one place and end connections gracefully

An oversized head got an empty reply. A daemon that stopped closed responses that were still being written, and a non-idempotent call whose caller had gone.

The server moves to utils/serving with a limit for the head, a refusal of malformed requests as problem documents, and 'Connection: close' while draining.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -17,7 +17,7 @@
 from amaranthbay.dispatch.inflight import InFlightTable
 from amaranthbay.dispatch.pauses import PauseWatch
 from amaranthbay.dispatch.resume import Takeovers
-from amaranthbay.gateway import create_app
+from amaranthbay.gateway import create_app, describe_malformed
 from amaranthbay.kernel.alone import LoneChannel, LoneMembership
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.context import DispatchContext
@@ -40,12 +40,14 @@
 from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
 from amaranthbay.state.isolation import SuspectClaims
-from amaranthbay.utils.http import Server
 from amaranthbay.utils.runtime import check_event_loop
+from amaranthbay.utils.serving import Server
 
 __all__ = ["Daemon", "run_daemon"]
 
 RETRY_AFTER = timedelta(seconds=1)
+IDLE_POLL_S = 0.05
+CANCEL_BOUND_S = 30.0
 
 
 class Daemon:
@@ -110,7 +112,11 @@
         self.pipeline = Pipeline(ctx, self.admission, self._readiness)
         limits = settings.limits
         self._server = Server(
-            settings.caller_address, create_app(self), limits.connections
+            settings.caller_address,
+            create_app(self),
+            limits.connections,
+            limits.header_bytes,
+            describe_malformed,
         )
         self._jobs = []
 
@@ -205,14 +211,23 @@
         return address
 
     def drain(self):
-        """Refuses new work from now on."""
+        """Refuses new work from now on; repeatable."""
         self.draining = True
+        self._server.drain()
         log_event("draining", active=self.admission.active)
 
     def wait_idle(self):
-        """Waits until every request in progress has ended, however long."""
-        while self.admission.active or self.cancels.outstanding:
-            gevent.sleep(0.05)
+        """Waits until every request in progress has ended, however long.
+
+        Cancellations on servers that don't answer are waited for under a bound;
+        the guards repeat them once this daemon is gone.
+        """
+        while self.admission.active or self.inflight.working():
+            gevent.sleep(IDLE_POLL_S)
+        self._server.wait_written()
+        end = self.clock.monotonic() + CANCEL_BOUND_S
+        while self.cancels.outstanding and self.clock.monotonic() < end:
+            gevent.sleep(IDLE_POLL_S)
 
     def stop(self):
         """Closes the listener and ends the jobs."""
--- a/amaranthbay/dispatch/holds.py
+++ b/amaranthbay/dispatch/holds.py
@@ -55,6 +55,7 @@
         if finished:
             self._ctx.copier.leave(self._attempt_id)
             return
+        self._ctx.inflight.end(self._attempt_id)
         left = set(self._servers)
 
         def note_cancelled(server):
--- a/amaranthbay/dispatch/inflight.py
+++ b/amaranthbay/dispatch/inflight.py
@@ -17,6 +17,7 @@
         servers: Backend servers that may hold memory for it.
         fingerprint: Hash of the request's content.
         suspect: Whether the attempt is the only suspect on its servers.
+        ended: Whether only its cancellation is in progress.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     servers: tuple[BackendServer, ...]
     fingerprint: str = ""
     suspect: bool = False
+    ended: bool = False
 
 
 class InFlightTable:
@@ -42,6 +44,16 @@
         if record is not None:
             self._records[attempt_id] = replace(record, servers=servers)
 
+    def end(self, attempt_id):
+        """Notes that only the cancellation of an attempt is in progress."""
+        record = self._records.get(attempt_id)
+        if record is not None:
+            self._records[attempt_id] = replace(record, ended=True)
+
+    def working(self):
+        """Returns the number of attempts that are not being cancelled."""
+        return sum(not record.ended for record in self._records.values())
+
     def remove(self, attempt_id):
         """Removes an attempt that holds nothing any more."""
         self._records.pop(attempt_id, None)
@@ -55,7 +67,8 @@
         return tuple(
             record
             for record in self._records.values()
-            if any(server.instance == instance for server in record.servers)
+            if not record.ended
+            and any(server.instance == instance for server in record.servers)
         )
 
     def __len__(self):
--- a/amaranthbay/dispatch/plain.py
+++ b/amaranthbay/dispatch/plain.py
@@ -55,6 +55,16 @@
     def _run_once(self, work):
         """Runs a non-idempotent call at most once."""
         attempt = new_attempt(work.request.request_id, 1)
+        # A daemon that stops waits for this record, as the caller may have gone
+        # before the outcome is recorded.
+        name = f"{attempt.attempt_id}/record"
+        self._ctx.inflight.add(InFlightRecord(attempt.request_id, name, ()))
+        try:
+            return self._run_recorded(work, attempt)
+        finally:
+            self._ctx.inflight.remove(name)
+
+    def _run_recorded(self, work, attempt):
         store = self._ctx.idempotency
         begun = store.begin(work.request, attempt)
         if begun.is_err():
--- a/amaranthbay/gateway/app.py
+++ b/amaranthbay/gateway/app.py
@@ -1,15 +1,17 @@
 """Falcon application of a daemon."""
 
 import falcon
+import msgspec
 
 from amaranthbay.gateway.callers import ChatCompletions, Completions, PlainCalls
 from amaranthbay.gateway.lookup import Lookup
 from amaranthbay.gateway.operators import Status
-from amaranthbay.gateway.replies import write_refusal
-from amaranthbay.kernel.errors import Reason, may_have_run, not_run
+from amaranthbay.gateway.replies import PROBLEM_TYPE, write_refusal
+from amaranthbay.kernel.errors import CallerGone, Reason, may_have_run, not_run
+from amaranthbay.kernel.problems import problem
 from amaranthbay.observe import log_event
 
-__all__ = ["create_app"]
+__all__ = ["create_app", "describe_malformed"]
 
 
 def create_app(daemon):
@@ -21,6 +23,7 @@
     app = falcon.App()
     app.add_error_handler(Exception, _on_defect)
     app.add_error_handler(falcon.HTTPError, _on_http_error)
+    app.add_error_handler(CallerGone, _on_caller_gone)
     app.add_route("/v1/lookup", Lookup(daemon))
     app.add_route("/v1/completions", Completions(daemon))
     app.add_route("/v1/chat/completions", ChatCompletions(daemon))
@@ -35,6 +38,21 @@
     write_refusal(req, resp, may_have_run(Reason.INTERNAL, detail, status=500))
 
 
+def _on_caller_gone(req, resp, exc, params):
+    """Writes a reply that nobody reads, so that the request has an outcome."""
+    detail = "the caller closed its connection"
+    write_refusal(req, resp, may_have_run(Reason.CALLER_GONE, detail, status=499))
+
+
+def describe_malformed(status):
+    """Returns media type and body for a request that can't be parsed."""
+    code = int(status.split()[0])
+    reason = Reason.BAD_REQUEST if code == 400 else Reason.TOO_LARGE
+    refusal = not_run(reason, "the head of the request can't be used", status=code)
+    log_event("refused", reason=reason, verdict=refusal.verdict, status=code)
+    return PROBLEM_TYPE, msgspec.json.encode(problem(refusal, ""))
+
+
 def _on_http_error(req, resp, exc, params):
     detail = exc.description or exc.title or "bad request"
     refusal = not_run(Reason.BAD_REQUEST, detail, status=exc.status_code)
--- a/amaranthbay/gateway/hangup.py
+++ b/amaranthbay/gateway/hangup.py
@@ -7,7 +7,7 @@
 
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import log_event
-from amaranthbay.utils.http import CONNECTION_KEY
+from amaranthbay.utils.serving import CONNECTION_KEY
 
 __all__ = ["HangupWatch"]
 
--- a/amaranthbay/gateway/replies.py
+++ b/amaranthbay/gateway/replies.py
@@ -7,8 +7,15 @@
 from amaranthbay.kernel.problems import problem
 from amaranthbay.observe import log_event
 
-__all__ = ["request_id_of", "write_answer", "write_json", "write_refusal"]
-
+__all__ = [
+    "PROBLEM_TYPE",
+    "request_id_of",
+    "write_answer",
+    "write_json",
+    "write_refusal",
+]
+
+PROBLEM_TYPE = "application/problem+json"
 REQUEST_ID_KEY = "amaranthbay.request_id"
 
 
@@ -36,7 +43,7 @@
         detail=refusal.detail,
     )
     write_json(resp, problem(refusal, request_id), refusal.status)
-    resp.content_type = "application/problem+json"
+    resp.content_type = PROBLEM_TYPE
     if refusal.retry_after is not None:
         seconds = math.ceil(refusal.retry_after.total_seconds())
         resp.set_header("Retry-After", str(seconds))
--- a/amaranthbay/standins/ledger.py
+++ b/amaranthbay/standins/ledger.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from amaranthbay.standins.serving import read_json, run_server, write_json
-from amaranthbay.utils.http import CONNECTION_KEY
+from amaranthbay.utils.serving import CONNECTION_KEY
 
 __all__ = ["LedgerState", "create_app", "run"]
 
--- a/amaranthbay/standins/platform.py
+++ b/amaranthbay/standins/platform.py
@@ -16,7 +16,7 @@
 
 from amaranthbay.platform.types import Instance, Row, Write
 from amaranthbay.standins.serving import read_json, run_server, write_json
-from amaranthbay.utils.http import CONNECTION_KEY
+from amaranthbay.utils.serving import CONNECTION_KEY
 
 __all__ = ["PlatformState", "create_app", "run"]
 
--- a/amaranthbay/standins/serving.py
+++ b/amaranthbay/standins/serving.py
@@ -8,7 +8,7 @@
 import gevent.event
 import msgspec
 
-from amaranthbay.utils.http import Server
+from amaranthbay.utils.serving import Server
 
 __all__ = ["read_json", "run_server", "write_json"]
 
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges towards engines, services and the platform, and HTTP serving.
+"""HTTP exchanges towards engines, services and the platform.
 
 Each exchange has a connection of its own: the library's pooled client repeats a
 request on a broken connection by itself, which could run it twice.
@@ -7,8 +7,7 @@
 from dataclasses import dataclass
 from http.client import HTTPException
 
-import gevent.pool
-from gevent import pywsgi, socket
+from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
 
@@ -17,14 +16,12 @@
 __all__ = [
     "Exchange",
     "HttpFailure",
-    "Server",
     "json_exchange",
     "open_exchange",
     "split_address",
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTION_KEY = "amaranthbay.connection"
 
 
 @dataclass(frozen=True)
@@ -155,39 +152,3 @@
         return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
     finally:
         opened.close()
-
-
-class _Handler(pywsgi.WSGIHandler):
-    """Passes the connection to the application, to notice a caller that leaves."""
-
-    def get_environ(self):
-        environ = super().get_environ()
-        environ[CONNECTION_KEY] = self.socket
-        return environ
-
-    def log_request(self):
-        """Writes nothing; the application logs its own lines."""
-
-
-class Server:
-    """WSGI server on one address."""
-
-    def __init__(self, address, app, connections=None):
-        pool = gevent.pool.Pool(connections) if connections else None
-        self._server = pywsgi.WSGIServer(
-            split_address(address),
-            app,
-            handler_class=_Handler,
-            log=None,
-            error_log=None,
-            spawn=pool or "default",
-        )
-
-    def start(self):
-        """Listens and returns the bound address."""
-        self._server.start()
-        return f"{self._server.server_host}:{self._server.server_port}"
-
-    def stop(self):
-        """Closes the listener and ends connections."""
-        self._server.stop(timeout=1)
