Interrupt requests whose caller has gone; test bad input at the wire

Cause: the hang-up watch called gevent.kill with an argument that it doesn't have, so the watch ended with a TypeError and no waiting request was ever interrupted. A caller's leaving was only noticed by a failing write. A chunked body that reached the limit exactly made the reader wait for more, and a refused body reset the connection before the caller had read the refusal.

The caller library continues a broken stream from the same attempt, and asks another daemon only where the refusal speaks for one daemon.

--- a/amaranthbay/client/client.py
+++ b/amaranthbay/client/client.py
@@ -1,32 +1,23 @@
 """Client for callers."""
 
 import time
+import uuid
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
 
-from amaranthbay.kernel.errors import AmaranthbayError
+from amaranthbay.client.streams import CallFailed, CompletionStream
 from amaranthbay.utils.http import json_exchange, open_exchange
 
 __all__ = ["CallFailed", "Client", "Reply"]
 
 CALL_TIMEOUT_S = 600.0
 LOOKUP_TIMEOUT_S = 2.0
-
-
-class CallFailed(AmaranthbayError):
-    """Raised when a call was not answered.
-
-    Attributes:
-        verdict: Whether the request may have run.
-        problem: Problem document, if a daemon sent one.
-    """
-
-    def __init__(self, verdict, problem=None):
-        super().__init__(f"{verdict}: {problem or 'no answer'}")
-        self.verdict = verdict
-        self.problem = problem or {}
+# Refusals, and the lack of an answer, after which another daemon may serve at
+# once. All others speak for the service; asking each daemon in turn would
+# multiply the load that was just refused.
+ELSEWHERE = (None, "draining", "not_ready", "configuration_unconfirmed")
 
 
 @dataclass(frozen=True)
@@ -99,16 +90,18 @@
             if outcome.is_err():
                 raise CallFailed(outcome.unwrap_err().verdict)
             status, raw = outcome.unwrap()
-            _raise_problem(status, raw)
+            raise_problem(status, raw)
             return Reply(status, raw, address)
 
         return self._fail_over(service, attempt)
 
     def complete(self, model, prompt, max_tokens=64, request_id=None):
-        """Yields the texts of a streamed completion; raises CallFailed."""
-        headers = self._headers()
-        if request_id:
-            headers.append(("X-Request-Id", request_id))
+        """Yields the texts of a streamed completion; raises CallFailed.
+
+        If the daemon dies in mid-stream, the answer is continued from the same
+        attempt through another daemon. A new attempt could give another text, so
+        where the attempt is lost the call fails with ``may_have_run``.
+        """
         body = msgspec.json.encode(
             {
                 "model": model,
@@ -117,19 +110,32 @@
                 "stream": True,
             }
         )
+        headers = self._headers()
+        headers.append(("X-Request-Id", request_id or uuid.uuid4().hex))
 
         def attempt(address):
-            outcome = open_exchange(
-                address, "POST", "/v1/completions", body, headers, CALL_TIMEOUT_S
-            )
-            if outcome.is_err():
-                raise CallFailed(outcome.unwrap_err().verdict)
-            exchange = outcome.unwrap()
-            if exchange.status != 200:
-                _raise_problem(exchange.status, exchange.read())
-            return exchange
+            return address, _open_stream(address, body, headers)
+
+        address, exchange = self._fail_over(model, attempt)
 
-        yield from _read_texts(self._fail_over(model, attempt))
+        def reopen(token, received, failed):
+            return self._continue(model, body, headers, token, received, failed)
+
+        yield from CompletionStream(exchange, address, reopen)
+
+    def _continue(self, model, body, headers, token, received, failed):
+        """Returns address and exchange that continue an answer."""
+        extra = [("X-Resume-Token", token), ("X-Resume-Offset", str(received))]
+        self._cache.pop(model, None)
+        for address in self.addresses(model):
+            if address in failed:
+                continue
+            try:
+                return address, _open_stream(address, body, headers + extra)
+            except CallFailed as exc:
+                if exc.verdict != "not_run":
+                    raise
+        raise CallFailed("may_have_run")
 
     def _headers(self):
         headers = [("X-Workspace", self._workspace)]
@@ -148,33 +154,40 @@
                 if exc.verdict != "not_run" or exc.problem.get("status", 503) < 500:
                     raise
                 self._cache.pop(service, None)
+                if exc.problem.get("reason") not in ELSEWHERE:
+                    raise
         raise failure
 
 
-def _raise_problem(status, raw):
+def _open_stream(address, body, headers):
+    """Returns the `Exchange` of a stream; raises CallFailed."""
+    outcome = open_exchange(
+        address, "POST", "/v1/completions", body, headers, CALL_TIMEOUT_S
+    )
+    if outcome.is_err():
+        raise CallFailed(outcome.unwrap_err().verdict)
+    exchange = outcome.unwrap()
+    if exchange.status == 200:
+        return exchange
+    try:
+        raw = exchange.read()
+    except (OSError, ValueError):
+        raw = b""
+    finally:
+        exchange.close()
+    raise_problem(exchange.status, raw)
+    raise CallFailed("may_have_run")
+
+
+def raise_problem(status, raw):
+    """Raises CallFailed for a refusal of a daemon."""
     if status < 400:
         return
     try:
         document = msgspec.json.decode(raw)
     except msgspec.DecodeError:
-        document = {}
+        document = None
     if isinstance(document, dict) and "verdict" in document:
         raise CallFailed(document["verdict"], document)
-
-
-def _read_texts(exchange):
-    """Yields texts up to the explicit end; raises CallFailed without one."""
-    try:
-        for line in exchange.lines():
-            if line == b"data: [DONE]":
-                return
-            if line.startswith(b"data: "):
-                document = msgspec.json.decode(line[6:])
-                if "verdict" in document:
-                    raise CallFailed(document["verdict"], document)
-                yield document["choices"][0]["text"]
-    except (OSError, ValueError) as exc:
-        raise CallFailed("may_have_run") from exc
-    finally:
-        exchange.close()
-    raise CallFailed("may_have_run")
+    if status >= 500:
+        raise CallFailed("may_have_run")
--- a/amaranthbay/dispatch/tests/fakes.py
+++ b/amaranthbay/dispatch/tests/fakes.py
@@ -27,6 +27,7 @@
 from amaranthbay.placement.types import PoolView, ServerView
 from amaranthbay.platform.types import CommitOutcome, CommitState, Row
 from amaranthbay.state.crash_marks import CrashMarks
+from amaranthbay.state.idempotency import IdempotencyStore
 from amaranthbay.state.isolation import SuspectClaims
 from amaranthbay.utils.testing import ManualClock
 
@@ -220,6 +221,10 @@
         self._servers = {each.instance: each for each in servers}
         self.failed = []
 
+    def add(self, server):
+        """Adds a backend server."""
+        self._servers[server.instance] = server
+
     def find(self, instance):
         return self._servers.get(instance)
 
@@ -251,7 +256,9 @@
 class FakeNode:
     """The request path of one daemon, over fakes."""
 
-    def __init__(self, engine, peers=None, name="entry-1", table=None, clock=None):
+    def __init__(
+        self, engine, peers=None, name="entry-1", table=None, clock=None, cfg=None
+    ):
         peers = peers or FakePeers(name)
         self.clock = clock or ManualClock()
         self.membership = FakeMembership(peers, name)
@@ -274,7 +281,7 @@
         self.deaths = FakeDeaths()
         self.allocator = IndependentAllocator(lambda server: 20)
         self.budget = RetryBudget()
-        cfg = configuration()
+        cfg = cfg or configuration()
         self.ctx = DispatchContext(
             configuration=lambda: cfg,
             directory=self.directory,
@@ -290,7 +297,7 @@
             claims=SuspectClaims(store, self.clock),
             deaths=self.deaths,
             cancels=self.cancels,
-            idempotency=None,
+            idempotency=IdempotencyStore(store, self.clock),
             clock=self.clock,
             budget=lambda name: self.budget,
             availability_zone="zone-a",
--- a/amaranthbay/gateway/bodies.py
+++ b/amaranthbay/gateway/bodies.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 
 from amaranthbay.kernel.errors import Reason, not_run
-from amaranthbay.utils.serving import INPUT_KEY
+from amaranthbay.utils.serving import INPUT_KEY, LINGER_KEY
 
 __all__ = ["read_body"]
 
@@ -39,8 +39,10 @@
     pieces = []
     size = 0
     while True:
+        # The server's reader waits until it has all the bytes it is asked for.
+        wanted = min(PIECE_BYTES, limit + 1 - size)
         with gevent.Timeout(SILENCE_S):
-            piece = req.stream.read(PIECE_BYTES)
+            piece = req.stream.read(wanted)
         if not piece:
             return Ok(b"".join(pieces))
         pieces.append(piece)
@@ -58,6 +60,7 @@
 def _abandon(req, resp, detail, status, reason=Reason.BAD_REQUEST):
     """Refuses a request whose body stays unread, and ends its connection."""
     resp.set_header("Connection", "close")
+    req.env[LINGER_KEY] = True
     unread = req.env.get(INPUT_KEY)
     if unread is not None:
         # The server would read the rest, however large, to reach the next request.
--- a/amaranthbay/gateway/hangup.py
+++ b/amaranthbay/gateway/hangup.py
@@ -36,7 +36,7 @@
         except OSError:
             pass
         log_event("caller_gone")
-        gevent.kill(self._serving, CallerGone("the caller has gone"), block=False)
+        gevent.kill(self._serving, CallerGone("the caller has gone"))
 
     def _is_established(self):
         info = self._conn.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
--- /dev/null
+++ b/amaranthbay/gateway/tests/serving.py
@@ -0,0 +1,104 @@
+"""One daemon's gateway over fakes, served on loopback."""
+
+import contextlib
+from types import SimpleNamespace
+
+from gevent import socket
+
+from amaranthbay.config.types import CallerKind, CallPattern, Configuration, Service
+from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode
+from amaranthbay.gateway import create_app, describe_malformed
+from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.pipeline import Pipeline
+from amaranthbay.placement.admission import BoundedAdmission
+from amaranthbay.settings.daemon import LimitSettings
+from amaranthbay.utils.http import split_address
+from amaranthbay.utils.serving import Server
+
+__all__ = ["gateway", "raw_exchange"]
+
+
+class FakeDaemon:
+    """What the gateway needs of a daemon."""
+
+    def __init__(self, node, limits):
+        self.settings = SimpleNamespace(limits=limits)
+        self.refusal = None
+        self.admission = BoundedAdmission(100)
+        self.pipeline = Pipeline(node.ctx, self.admission, lambda: self.refusal)
+        self.members = [
+            SimpleNamespace(address="127.0.0.1:1", availability_zone="zone-a")
+        ]
+        self._node = node
+
+    def configuration(self):
+        """Returns the configuration."""
+        return self._node.ctx.configuration()
+
+    def lookup(self, service, workspace, zone):
+        """Returns the daemons."""
+        return self.members
+
+    def status(self):
+        """Returns a status."""
+        return {"instance": "entry-1"}
+
+    def drain(self):
+        """Refuses new work."""
+        self.refusal = not_run(
+            Reason.DRAINING, "the daemon is draining", addresses=("127.0.0.1:2",)
+        )
+
+
+def configuration():
+    """Returns a model, a ledger with a non-idempotent call, and one workspace."""
+    return Configuration(
+        7,
+        "test",
+        (
+            Service("m", "model", ("prefill", "decode"), ("desk",)),
+            Service(
+                "ledger",
+                "plain",
+                ("ledger",),
+                ("desk",),
+                (CallPattern("POST", "/postings"),),
+            ),
+        ),
+        (CallerKind("desk", False),),
+        (),
+        workspaces=("ws-1",),
+    )
+
+
+@contextlib.contextmanager
+def gateway(engine=None, limits=None):
+    """Serves a gateway; yields address, daemon, node and server."""
+    limits = limits or LimitSettings(body_bytes=65536)
+    cfg = configuration()
+    node = FakeNode(engine or FakeEngine(), cfg=cfg)
+    daemon = FakeDaemon(node, limits)
+    server = Server(
+        "127.0.0.1:0",
+        create_app(daemon),
+        100,
+        limits.header_bytes,
+        describe_malformed,
+    )
+    address = server.start()
+    try:
+        yield SimpleNamespace(address=address, daemon=daemon, node=node, server=server)
+    finally:
+        server.stop()
+
+
+def raw_exchange(address, request, bound_s=10):
+    """Sends bytes and returns all that comes back until the connection ends."""
+    with socket.create_connection(split_address(address), bound_s) as conn:
+        conn.sendall(request)
+        parts = []
+        while True:
+            part = conn.recv(65536)
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -2,17 +2,22 @@
 
 import gevent
 import gevent.pool
-from gevent import pywsgi
+from gevent import pywsgi, socket
 
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
 
-__all__ = ["CONNECTION_KEY", "INPUT_KEY", "Server"]
+__all__ = ["CONNECTION_KEY", "INPUT_KEY", "LINGER_KEY", "Server"]
 
 CONNECTION_KEY = "amaranthbay.connection"
 INPUT_KEY = "amaranthbay.input"
+LINGER_KEY = "amaranthbay.linger"
 HEADER_BYTES = 16384
 POLL_S = 0.02
+# A connection that is closed over unread input is reset, which may take the
+# response away from the caller, so some of the input is read before.
+LINGER_S = 1.0
+LINGER_BYTES = 2**20
 
 
 class _HeaderTooLarge(ValueError):
@@ -64,6 +69,26 @@
             self.server.responding.discard(token)
         if self.server.draining:
             self.close_connection = True
+        if self.environ.get(LINGER_KEY):
+            self._linger()
+
+    def _linger(self):
+        left = LINGER_BYTES
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_S, False):
+                while left > 0:
+                    data = self.socket.recv(min(left, 65536))
+                    left -= len(data) or left
+        except OSError:
+            pass
+
+    def handle(self):
+        try:
+            super().handle()
+        except CallerGone:
+            # The caller left between its response and the end of the watch.
+            pass
 
     def _handle_client_error(self, ex):
         """Answers a request that can't be parsed."""
