--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges towards engines, services and the platform, and HTTP serving.
+"""HTTP exchanges towards engines, services and the platform.
 
 Each exchange has a connection of its own: the library's pooled client repeats a
 request on a broken connection by itself, which could run it twice.
@@ -6,10 +6,9 @@
 
 import contextlib
 from dataclasses import dataclass
+from http.client import HTTPException
 
-import gevent.pool
-from gevent import pywsgi, socket
-from geventhttpclient._parser import HTTPParseError
+from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
 
@@ -18,14 +17,12 @@
 __all__ = [
     "Exchange",
     "HttpFailure",
-    "Server",
     "json_exchange",
     "open_exchange",
     "split_address",
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTION_KEY = "amaranthbay.connection"
 
 
 @dataclass(frozen=True)
@@ -36,11 +33,13 @@
         verdict: ``not_run`` if no byte of the request was sent.
         detail: One sentence for people.
         refused: Whether the peer's host refused the connection.
+        timed_out: Whether the peer was silent for too long.
     """
 
     verdict: Verdict
     detail: str
     refused: bool = False
+    timed_out: bool = False
 
 
 class Exchange:
@@ -74,6 +73,10 @@
                 return
             yield line.rstrip(b"\r\n")
 
+    def limit_silence(self, timeout_s):
+        """Sets the longest silence of the peer from now on."""
+        self._conn.settimeout(timeout_s)
+
     def close(self):
         """Closes the connection."""
         self._conn.close()
@@ -83,12 +86,12 @@
 def _parse_errors_as_broken():
     """Raises ConnectionError for the library's own error class.
 
-    A peer that dies in the middle of a response shows up as HTTPParseError, which
-    is neither an OSError nor a ValueError.
+    A peer that dies in the middle of a response shows up as a subclass of HTTPException,
+    which is neither an OSError nor a ValueError.
     """
     try:
         yield
-    except HTTPParseError as exc:
+    except HTTPException as exc:
         raise ConnectionError(f"response broke: {exc}") from exc
 
 
@@ -139,7 +142,8 @@
     except (OSError, ValueError) as exc:
         conn.close()
         detail = f"exchange with {address} broke: {type(exc).__name__}"
-        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+        timed_out = isinstance(exc, TimeoutError)
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
     except BaseException:
         conn.close()
         raise
@@ -155,42 +159,7 @@
         return Ok((opened.status, opened.read()))
     except (OSError, ValueError) as exc:
         detail = f"response of {address} broke: {type(exc).__name__}"
-        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
+        timed_out = isinstance(exc, TimeoutError)
+        return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
     finally:
         opened.close()
-
-
-class _Handler(pywsgi.WSGIHandler):
-    """Passes the connection to the application, to notice a caller that leaves."""
-
-    def get_environ(self):
-        environ = super().get_environ()
-        environ[CONNECTION_KEY] = self.socket
-        return environ
-
-    def log_request(self):
-        """Writes nothing; the application logs its own lines."""
-
-
-class Server:
-    """WSGI server on one address."""
-
-    def __init__(self, address, app, connections=None):
-        pool = gevent.pool.Pool(connections) if connections else None
-        self._server = pywsgi.WSGIServer(
-            split_address(address),
-            app,
-            handler_class=_Handler,
-            log=None,
-            error_log=None,
-            spawn=pool or "default",
-        )
-
-    def start(self):
-        """Listens and returns the bound address."""
-        self._server.start()
-        return f"{self._server.server_host}:{self._server.server_port}"
-
-    def stop(self):
-        """Closes the listener and ends connections."""
-        self._server.stop(timeout=1)
