Add the load tool and measure the simple policies

Cause: placement had no measurement. The tool plays a seeded open load from three generator processes on real daemons and stand-ins and reports goodput, wasted prefill, refusals, latencies and decision time for each policy.

Ruled out: counting wasted KV caches, since long prompts weigh more.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -5,6 +5,7 @@
 import typer
 
 from amaranthbay.cli import config, requests
+from amaranthbay.loadtool.command import bench_command
 
 __all__ = ["app"]
 
@@ -16,6 +17,7 @@
 app.add_typer(config.app, name="config")
 app.command("request")(requests.send_request)
 app.command("status")(requests.show_status)
+app.command("bench")(bench_command)
 
 
 @app.command("daemon")
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -68,8 +68,9 @@
             remaining_s=None if work.deadline is None else work.deadline - now,
         )
         view = self._ctx.view(work.request.service, call)
+        started = time.perf_counter()
         placed = self._ctx.policy.choose(demand, view, now)
-        _log_placement(attempt, placed)
+        _log_placement(attempt, placed, time.perf_counter() - started)
         return placed
 
     def _reserve(self, work, attempt, placement, held):
@@ -147,8 +148,9 @@
         self._held.close()
 
 
-def _log_placement(attempt, placed):
+def _log_placement(attempt, placed, taken_s):
     ids = {"request_id": attempt.request_id, "attempt_id": attempt.attempt_id}
+    ids["decision_us"] = round(taken_s * 1e6)
     if placed.is_err():
         refusal = placed.unwrap_err()
         log_decision("placement", None, (), refusal.reason, **ids)
--- a/amaranthbay/standins/__main__.py
+++ b/amaranthbay/standins/__main__.py
@@ -33,6 +33,8 @@
     crash_marker: str = "",
     checks_fence: bool = True,
     load_lag_s: float = 0.5,
+    kv_life_s: float = 0.9,
+    import_needs_slot: bool = False,
     seed: int = 1,
 ):
     """Serves an engine stand-in."""
@@ -43,6 +45,8 @@
         crash_marker=crash_marker,
         checks_fence=checks_fence,
         load_lag_s=load_lag_s,
+        kv_life_s=kv_life_s,
+        import_needs_slot=import_needs_slot,
         seed=seed,
     )
     engine.run(address, options)
--- a/amaranthbay/standins/engine.py
+++ b/amaranthbay/standins/engine.py
@@ -91,6 +91,25 @@
         if state.faults.refuse or body.attempt_id in state.cancelled:
             self._refuse(resp, "cancelled or refused", falcon.HTTP_503)
             return
+        if state.options.import_needs_slot:
+            self._decode_in_slot(resp, body)
+        else:
+            self._import_and_decode(resp, body)
+
+    def _decode_in_slot(self, resp, body):
+        """Imports only once a slot is free; the KV cache may expire meanwhile."""
+        gate = self._state.decode_gate
+        gate.enter(body.priority)
+        started = False
+        try:
+            started = self._import_and_decode(resp, body)
+        finally:
+            if not started:
+                gate.leave()
+
+    def _import_and_decode(self, resp, body):
+        """Returns whether a stream was started."""
+        state = self._state
         outcome = json_exchange(
             body.kv_source,
             "GET",
@@ -99,16 +118,17 @@
         )
         if outcome.is_err() or outcome.unwrap()[0] != 200:
             self._refuse(resp, "KV cache is gone")
-            return
+            return False
         if body.attempt_id in state.cancelled:
             self._refuse(resp, "cancelled during import")
-            return
+            return False
         prompt = outcome.unwrap()[1].decode()
         self._check_crash(prompt)
         stream = Stream(body.request_id, body.attempt_id, prompt, body.max_tokens)
         state.streams[body.attempt_id] = stream
         gevent.spawn(state.run_stream, stream, body.priority)
         self._send(resp, stream, body.offset)
+        return True
 
     def on_post_resume(self, req, resp):
         body = read_json(req, _Resume)
--- a/amaranthbay/standins/engine_state.py
+++ b/amaranthbay/standins/engine_state.py
@@ -35,6 +35,7 @@
     cache_blocks: int = 256
     load_lag_s: float = 0.5
     event_lag_s: float = 0.5
+    import_needs_slot: bool = False
     checks_fence: bool = True
     crash_marker: str = ""
     seed: int = 1
@@ -122,6 +123,7 @@
         self.fence = 0
         self.crashed = False
         self.counts = {"prefill_tokens": 0, "decoded_tokens": 0, "wasted_kv": 0}
+        self.counts["wasted_tokens"] = 0
         self.prefill_gate = PriorityGate(1)
         self.decode_gate = PriorityGate(options.slots)
         self.active = 0
@@ -211,14 +213,16 @@
         finally:
             self.prefills.pop(attempt_id, None)
         handle = f"kv-{next(self._handles)}"
-        self.kv[handle] = (attempt_id, prompt, tokens)
+        self.kv[handle] = (attempt_id, prompt, tokens, tokens - cached)
         gevent.spawn_later(self.options.kv_life_s, self.expire, handle)
         return handle, tokens, cached
 
     def expire(self, handle):
         """Drops a KV cache that nobody took."""
-        if self.kv.pop(handle, None):
+        entry = self.kv.pop(handle, None)
+        if entry:
             self.counts["wasted_kv"] += 1
+            self.counts["wasted_tokens"] += entry[3]
 
     def export(self, handle):
         """Sends a KV cache over the shared link; returns its prompt or None."""
@@ -236,7 +240,8 @@
 
     def run_stream(self, stream, priority):
         """Decodes a stream to its end or its cancellation."""
-        self.decode_gate.enter(priority)
+        if not self.options.import_needs_slot:
+            self.decode_gate.enter(priority)
         self.active += 1
         try:
             while len(stream.tokens) < stream.max_tokens and not stream.cancelled:
