--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.cli import config, operate, requests
 from amaranthbay.cli.output import print_json, stop_on_faults
+from amaranthbay.loadtool.command import bench_command
 
 __all__ = ["app"]
 
@@ -21,6 +22,7 @@
 app.command("status")(operate.show_status)
 app.command("drain")(operate.drain)
 app.command("explain")(operate.explain)
+app.command("bench")(bench_command)
 
 
 @app.command("daemon")
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -1,5 +1,6 @@
 """Model service kind: runs a completion on a pair of prefill and decode servers."""
 
+import time
 from contextlib import ExitStack
 
 from result import Err, Ok
@@ -97,6 +98,7 @@
         now = self._ctx.clock.monotonic()
         deadline = self._work.deadline
         view = self._ctx.view(self._work.request.service, self._call)
+        started = time.perf_counter()
         for excluded in dict.fromkeys((frozenset(self._failed), frozenset())):
             demand = Demand(
                 prompt_tokens=estimate_tokens(self._call.prompt),
@@ -108,7 +110,7 @@
             placed = self._ctx.policy.choose(demand, view, now)
             if placed.is_ok():
                 break
-        _log_placement(attempt, placed)
+        _log_placement(attempt, placed, time.perf_counter() - started)
         return placed
 
     def _reserve(self, attempt, server, held):
@@ -228,8 +230,9 @@
     return outcome.map_err(lambda each: each.with_verdict(Verdict.MAY_HAVE_RUN))
 
 
-def _log_placement(attempt, placed):
+def _log_placement(attempt, placed, taken_s):
     ids = {"request_id": attempt.request_id, "attempt_id": attempt.attempt_id}
+    ids["decision_us"] = round(taken_s * 1e6)
     if placed.is_err():
         refusal = placed.unwrap_err()
         log_decision("placement", None, (), refusal.reason, **ids)
--- a/amaranthbay/gateway/app.py
+++ b/amaranthbay/gateway/app.py
@@ -5,19 +5,10 @@
 
 from amaranthbay.gateway.callers import ChatCompletions, Completions, PlainCalls
 from amaranthbay.gateway.lookup import Lookup
-
-<<<<<<< HEAD
 from amaranthbay.gateway.operators import Drain, Status
-from amaranthbay.gateway.replies import write_refusal
-from amaranthbay.kernel.errors import Reason, may_have_run, not_run
-
-=======
-from amaranthbay.gateway.operators import Status
 from amaranthbay.gateway.replies import PROBLEM_TYPE, write_refusal
 from amaranthbay.kernel.errors import CallerGone, Reason, may_have_run, not_run
 from amaranthbay.kernel.problems import problem
-
->>>>>>> part-b
 from amaranthbay.observe import log_event
 
 __all__ = ["create_app", "describe_malformed"]
--- a/amaranthbay/gateway/tests/serving.py
+++ b/amaranthbay/gateway/tests/serving.py
@@ -10,6 +10,7 @@
 from amaranthbay.gateway import create_app, describe_malformed
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.kernel.pipeline import Pipeline
+from amaranthbay.peering.keys import KeyRing
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.settings.daemon import LimitSettings
 from amaranthbay.utils.http import split_address
@@ -22,7 +23,9 @@
     """What the gateway needs of a daemon."""
 
     def __init__(self, node, limits):
-        self.settings = SimpleNamespace(limits=limits)
+        self.settings = SimpleNamespace(limits=limits, instance="entry-1")
+        self.keys = KeyRing(())
+        self.clock = node.ctx.clock
         self.refusal = None
         self.admission = BoundedAdmission(100)
         self.pipeline = Pipeline(node.ctx, self.admission, lambda: self.refusal)
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -86,8 +86,8 @@
 def _parse_errors_as_broken():
     """Raises ConnectionError for the library's own error class.
 
-    A peer that dies in the middle of a response shows up as a subclass of HTTPException,
-    which is neither an OSError nor a ValueError.
+    A peer that dies in the middle of a response shows up as a subclass of
+    HTTPException, which is neither an OSError nor a ValueError.
     """
     try:
         yield
