--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -21,7 +21,12 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
-from amaranthbay.observe import configure_logs, log_decision, log_event
+from amaranthbay.observe import (
+    configure_logs,
+    log_decision,
+    log_event,
+    log_greenlet_failures,
+)
 from amaranthbay.peering.keys import KeyRing
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
@@ -186,13 +191,14 @@
 
 def run_daemon(settings):
     """Runs a daemon until a signal has drained it."""
+    identity = {
+        "instance": settings.instance,
+        "availability_zone": settings.availability_zone,
+    }
+    configure_logs(settings.log_level, **identity)
+    log_greenlet_failures()
     daemon = Daemon(settings)
-    configure_logs(
-        settings.log_level,
-        instance=settings.instance,
-        availability_zone=settings.availability_zone,
-        incarnation=daemon.incarnation,
-    )
+    configure_logs(settings.log_level, **identity, incarnation=daemon.incarnation)
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
--- a/amaranthbay/observe/__init__.py
+++ b/amaranthbay/observe/__init__.py
@@ -1,3 +1,8 @@
 """Logs as JSON lines and metrics by OpenTelemetry."""
 
-from amaranthbay.observe.logs import configure_logs, log_decision, log_event
+from amaranthbay.observe.logs import (
+    configure_logs,
+    log_decision,
+    log_event,
+    log_greenlet_failures,
+)
--- a/amaranthbay/observe/logs.py
+++ b/amaranthbay/observe/logs.py
@@ -7,15 +7,25 @@
 import sys
 from datetime import datetime, timezone
 
+import gevent
 import msgspec
-from absl import logging as absl_logging
+from absl import flags, logging as absl_logging
 
-__all__ = ["configure_logs", "log_decision", "log_event"]
+__all__ = [
+    "configure_logs",
+    "log_decision",
+    "log_event",
+    "log_greenlet_failures",
+]
 
 # Candidates past this number are counted, not listed, to bound a line's length.
 LISTED_CANDIDATES = 5
 
+# Level of a process that has not chosen one, such as a command of an operator.
+DEFAULT_LEVEL = "warning"
+
 _identity = {}
+_configured = []
 
 
 class _JsonFormatter(logging.Formatter):
@@ -41,9 +51,12 @@
         stream: Text stream; standard error if None.
         **identity: Fields on every line: instance, availability zone, incarnation.
     """
+    _configured.append(True)
     _identity.clear()
     _identity.update(identity)
-    # absl parses flags of its own; the settings replace them here.
+    # absl writes a plain warning and ignores the stream until its flags are parsed.
+    # The program has none of them: the settings replace them.
+    flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.use_absl_log_file = None
@@ -54,6 +67,9 @@
 
 def log_event(event, level="info", exc=None, **fields):
     """Writes one line about something that happened."""
+    if not _configured:
+        # Without its handler, absl writes plain text and a warning about flags.
+        configure_logs(DEFAULT_LEVEL)
     record_level = getattr(logging, level.upper())
     logger = absl_logging.get_absl_logger()
     if logger.isEnabledFor(record_level):
@@ -81,3 +97,15 @@
         reason=reason,
         **fields,
     )
+
+
+def log_greenlet_failures():
+    """Writes a line for an exception that ends a greenlet.
+
+    gevent would print a trace as plain text between the JSON lines.
+    """
+
+    def log_failure(context, kind, value, trace):
+        log_event("defect", level="error", exc=(kind, value, trace))
+
+    gevent.get_hub().print_exception = log_failure
