Report metrics by OpenTelemetry off the request path

Cause: nothing counted requests by verdict, goodput or wasted prefill tokens.

A Metrics object that reports nothing is the default; the OpenTelemetry one is imported only with a metrics_endpoint. The library's periodic reader runs in a greenlet. gevent's default resolver started an OS thread for IP numbers, so the resolver is the C library's, which parses them without blocking.

A prefill is wasted if its attempt is cancelled before the first event of its decode; every exit path of an attempt cancels, so a wrapper of the engine client sees them all.

Ruled out: exporting from the request path; the library's own log lines, one for each retry, in place of one line when the collector is lost and one when it is back.

Conclusion: requests, goodput, wasted prefill, first token, retries, queue, slots, cancels and configuration version are wired; control bytes have a hook only.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -22,11 +22,15 @@
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
 from amaranthbay.observe import (
+    Gauge,
     configure_logs,
+    configure_metrics,
+    current_metrics,
     log_decision,
     log_event,
     log_greenlet_failures,
 )
+from amaranthbay.observe.prefills import MeteredEngine
 from amaranthbay.peering.keys import KeyRing
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
@@ -63,7 +67,7 @@
         self.directory = BackendDirectory(instances, self.clock)
         self.loads = LoadReports(self.directory, settings.availability_zone)
         self.inflight = InFlightTable()
-        engine = HttpEngineClient(self.clock)
+        engine = MeteredEngine(HttpEngineClient(self.clock))
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
         self.admission = BoundedAdmission(settings.limits.queue_length)
         budgets = defaultdict(RetryBudget)
@@ -172,6 +176,13 @@
         log_event("started", address=address)
         return address
 
+    def watch(self, metrics):
+        """Lets metrics read what the daemon holds at each export."""
+        metrics.watch(Gauge.QUEUE, lambda: self.admission.active)
+        metrics.watch(Gauge.SLOTS, lambda: len(self.inflight))
+        metrics.watch(Gauge.CANCELS, lambda: self.cancels.outstanding)
+        metrics.watch(Gauge.CONFIGURATION, lambda: self.config_store.version)
+
     def drain(self):
         """Refuses new work from now on."""
         self.draining = True
@@ -186,6 +197,7 @@
         """Closes the listener and ends the jobs."""
         self._server.stop()
         gevent.killall(self._jobs)
+        current_metrics().close()
         log_event("stopped")
 
 
@@ -198,7 +210,9 @@
     configure_logs(settings.log_level, **identity)
     log_greenlet_failures()
     daemon = Daemon(settings)
-    configure_logs(settings.log_level, **identity, incarnation=daemon.incarnation)
+    identity["incarnation"] = daemon.incarnation
+    configure_logs(settings.log_level, **identity)
+    daemon.watch(configure_metrics(settings.metrics_endpoint, **identity))
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
--- a/amaranthbay/kernel/pipeline.py
+++ b/amaranthbay/kernel/pipeline.py
@@ -7,10 +7,10 @@
 
 from result import Err, Ok
 
-from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.errors import Reason, Verdict, not_run
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.requests import Answer, Work
-from amaranthbay.observe import log_event
+from amaranthbay.observe import current_metrics, log_event
 
 __all__ = ["Pipeline"]
 
@@ -37,6 +37,17 @@
 
     def serve(self, request):
         """Returns ``Result[Answer, Refusal]`` for a caller's request."""
+        outcome = self._serve(request)
+        if outcome.is_err():
+            refusal = outcome.unwrap_err()
+            # Callers choose the names of services that don't exist.
+            unknown = refusal.reason is Reason.UNKNOWN_SERVICE
+            service = "" if unknown else request.service
+            metrics = current_metrics()
+            metrics.request_ended(service, refusal.verdict, refusal.reason)
+        return outcome
+
+    def _serve(self, request):
         accepted = self._accept()
         if accepted.is_err():
             return accepted
@@ -101,19 +112,26 @@
         return self._kinds[service.kind]
 
     def _settle(self, work, chunks, release):
-        return SettledChunks(work, chunks, release, self._ctx.clock)
+        cfg = self._ctx.configuration()
+        name = work.request.caller or cfg.service(work.request.service).callers[0]
+        caller = cfg.caller(name)
+        between_s = caller.between_tokens_s if caller else None
+        return SettledChunks(work, chunks, release, self._ctx.clock, between_s)
 
 
 class SettledChunks:
     """Passes the chunks on and settles the request when they end or are closed."""
 
-    def __init__(self, work, chunks, release, clock):
+    def __init__(self, work, chunks, release, clock, between_s=None):
         self._work = work
         self._chunks = chunks
         self._release = release
         self._clock = clock
+        self._between_s = between_s
         self._open = True
         self._first_at = None
+        self._last_at = None
+        self._chunk_count = 0
 
     def __iter__(self):
         return self
@@ -124,8 +142,10 @@
         except BaseException as exc:
             self._settle("answered" if isinstance(exc, StopIteration) else "broken")
             raise
+        self._last_at = self._clock.monotonic()
+        self._chunk_count += 1
         if self._first_at is None:
-            self._first_at = self._clock.monotonic()
+            self._first_at = self._last_at
         return chunk
 
     def close(self):
@@ -148,6 +168,30 @@
             first_chunk_s=self._first_at and round(self._first_at - arrived, 4),
             total_s=round(self._clock.monotonic() - arrived, 4),
         )
+        self._count(ending)
+
+    def _count(self, ending):
+        service = self._work.request.service
+        metrics = current_metrics()
+        if ending == "answered":
+            metrics.request_ended(service, Verdict.RAN, "answered")
+        else:
+            metrics.request_ended(service, Verdict.MAY_HAVE_RUN, ending)
+        if self._first_at is None:
+            return
+        metrics.first_token(service, self._first_at - self._work.arrived)
+        if ending == "answered" and self._met_targets():
+            metrics.goodput(service)
+
+    def _met_targets(self):
+        """Returns whether the first chunk and the mean gap were in time."""
+        deadline = self._work.deadline
+        if deadline is not None and self._first_at > deadline:
+            return False
+        if self._between_s is None or self._chunk_count < 2:
+            return True
+        mean_s = (self._last_at - self._first_at) / (self._chunk_count - 1)
+        return mean_s <= self._between_s
 
 
 def is_non_idempotent(service, payload):
--- a/amaranthbay/kernel/retries.py
+++ b/amaranthbay/kernel/retries.py
@@ -7,7 +7,7 @@
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.kernel.requests import Attempt
-from amaranthbay.observe import log_event
+from amaranthbay.observe import current_metrics, log_event
 
 __all__ = ["Backoff", "RetryBudget", "new_attempt", "run_attempts"]
 
@@ -52,7 +52,12 @@
 
 
 def new_attempt(request_id, number):
-    """Returns an attempt with an id that no other attempt has."""
+    """Returns an attempt with an id that no other attempt has.
+
+    An attempt after the first is counted as a retry.
+    """
+    if number > 1:
+        current_metrics().retried()
     return Attempt(request_id, uuid.uuid4().hex, number)
 
 
--- /dev/null
+++ b/amaranthbay/kernel/tests/test_settle_metrics.py
@@ -0,0 +1,45 @@
+"""What the request path reports as metrics."""
+
+from amaranthbay.kernel.pipeline import SettledChunks
+from amaranthbay.kernel.requests import CallerRequest, Work
+from amaranthbay.observe.tests.test_metrics import recorded
+from amaranthbay.utils.testing import ManualClock, collect
+
+
+def settle(case, gaps, deadline=1.0, between_s=0.1, read=None):
+    """Reads chunks that come after the given gaps; returns the metrics."""
+    metrics = recorded(case)
+    clock = ManualClock()
+
+    def chunks():
+        for gap in gaps:
+            clock.advance(gap)
+            yield b"x"
+
+    request = CallerRequest("r", "summary", "ws", "counter", None)
+    work = Work(request, True, deadline, True, clock.monotonic())
+    settled = SettledChunks(work, chunks(), lambda: None, clock, between_s)
+    for _ in range(len(gaps) + 1 if read is None else read):
+        next(settled, None)
+    settled.close()
+    return metrics
+
+
+def test_answer_within_both_targets_is_goodput(case):
+    """Guards against goodput that ignores one of the targets."""
+    case.assertEqual(settle(case, [0.9, 0.05, 0.05]).good, ["summary"])
+    case.assertEqual(settle(case, [1.1, 0.05, 0.05]).good, [])
+    case.assertEqual(settle(case, [0.9, 0.05, 0.2]).good, [])
+    case.assertEqual(settle(case, [9.0, 9.0], None, None).good, ["summary"])
+
+
+def test_each_request_ends_once(case):
+    """Guards against a request that is counted twice or not at all."""
+    answered = settle(case, [0.1, 0.1])
+    case.assertEqual(answered.ended, [("summary", "ran", "answered")])
+    left = settle(case, [0.1, 0.1], read=1)
+    case.assertEqual(left.ended, [("summary", "may_have_run", "closed")])
+    case.assertEqual(left.good, [])
+
+
+load_tests = collect(globals())
--- a/amaranthbay/observe/__init__.py
+++ b/amaranthbay/observe/__init__.py
@@ -6,3 +6,10 @@
     log_event,
     log_greenlet_failures,
 )
+from amaranthbay.observe.metrics import (
+    Direction,
+    Gauge,
+    Metrics,
+    configure_metrics,
+    current_metrics,
+)
--- a/amaranthbay/utils/runtime.py
+++ b/amaranthbay/utils/runtime.py
@@ -5,6 +5,9 @@
 # gevent's libuv loop may use io_uring, which the instances don't allow.
 REQUIRED_LOOP = "libev-cext"
 REQUIRED_BACKEND = "epoll"
+# All addresses are IP numbers, which the C library parses without blocking; the
+# default resolver would start a pool of threads for them.
+RESOLVER = "block"
 
 
 def pin_event_loop():
@@ -16,6 +19,7 @@
 
     gevent.config.loop = [REQUIRED_LOOP]
     gevent.config.libev_backend = REQUIRED_BACKEND
+    gevent.config.resolver = RESOLVER
     from gevent import monkey
 
     monkey.patch_all()
