Build the one-file program and check daemons against /proc

Ruled out: the standard library's zipapp, which can't load extension modules from inside the archive. The C library's read-only mapping of gconv-modules.cache is allowed by name. The file run through a version manager's python3.11 script shows ended child processes, those of the script, so the test runs the interpreter itself.

The check finds each of four violations in a process that commits it.

--- /dev/null
+++ b/amaranthbay/daemon/tests/proc.py
@@ -0,0 +1,69 @@
+"""Reads from /proc what a process may not do on the instances."""
+
+import os
+from pathlib import Path
+
+__all__ = ["broken_rules"]
+
+ACCESS_MODE = 0o3
+READ_ONLY = os.O_RDONLY
+HARMLESS_LINKS = ("socket:", "pipe:", "anon_inode:[event", "/dev/null")
+
+
+def broken_rules(pid, log_path, program_folder="/nonexistent"):
+    """Returns a sentence for each rule that a running process breaks.
+
+    Args:
+        pid: The process.
+        log_path: The only file that it may have open for writing.
+        program_folder: Folder that holds its own code, which may be in memory.
+    """
+    folder = Path("/proc") / str(pid)
+    return [
+        *_children(folder),
+        *_mappings(folder, program_folder),
+        *_open_files(folder, str(log_path)),
+    ]
+
+
+def _children(folder):
+    for task in (folder / "task").iterdir():
+        for child in (task / "children").read_text().split():
+            yield f"child process {child}"
+    # Page faults of children that have ended and been waited for.
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    if int(fields[8]) + int(fields[10]):
+        yield "a child process has ended"
+
+
+def _mappings(folder, program_folder):
+    for line in (folder / "maps").read_text().splitlines():
+        parts = line.split(maxsplit=5)
+        path = parts[5] if len(parts) > 5 else ""
+        if "s" in parts[1] and not _is_system_cache(parts[1], path):
+            yield f"shared mapping {path}"
+        elif path.startswith(("/dev/shm", "/memfd")):
+            if not path.startswith(program_folder):
+                yield f"mapping of shared memory {path}"
+        if "io_uring" in path:
+            yield "mapping of an io_uring"
+
+
+def _is_system_cache(access, path):
+    """Returns whether the C library mapped its read-only list of encodings."""
+    return access == "r--s" and path.endswith("/gconv-modules.cache")
+
+
+def _open_files(folder, log_path):
+    for entry in (folder / "fd").iterdir():
+        try:
+            link = os.readlink(entry)
+            info = (folder / "fdinfo" / entry.name).read_text()
+        except FileNotFoundError:
+            continue
+        if "io_uring" in link:
+            yield "an io_uring"
+        flags = next(x for x in info.splitlines() if x.startswith("flags:"))
+        writable = int(flags.split()[1], 8) & ACCESS_MODE != READ_ONLY
+        if writable and link != log_path and not link.startswith(HARMLESS_LINKS):
+            yield f"open for writing: {link}"
--- /dev/null
+++ b/amaranthbay/daemon/tests/test_constraints.py
@@ -0,0 +1,120 @@
+"""What a running daemon may not do: children, shared memory, files, io_uring."""
+
+import subprocess
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import msgspec
+import uuid6
+
+from amaranthbay.client import Client
+from amaranthbay.daemon.tests.proc import broken_rules
+from amaranthbay.standins.processes import Deployment, start_small
+from amaranthbay.utils.http import json_exchange
+from amaranthbay.utils.testing import collect, wait_until
+
+ROOT = Path(__file__).resolve().parents[3]
+PROGRAM = ROOT / "dist" / "amaranthbay"
+EXTRA = 'metrics_endpoint = "http://127.0.0.1:9/v1/metrics"'
+VIOLATIONS = {
+    "child process": "child = subprocess.Popen(['sleep', '60'], stdout=-3)",
+    "a child process has ended": "subprocess.run(['true'])",
+    "shared mapping": "m = mmap.mmap(-1, 4096)",
+    "open for writing": "f = open(sys.argv[1], 'w')",
+}
+VIOLATOR = """
+import mmap, subprocess, sys
+{}
+print("ready", flush=True)
+sys.stdin.read()
+"""
+
+
+def found_in(case, statement):
+    """Returns the rules that a process breaks after a statement."""
+    folder = Path(case.enterContext(TemporaryDirectory()))
+    with open(folder / "log", "w") as log:
+        child = subprocess.Popen(
+            [sys.executable, "-c", VIOLATOR.format(statement), folder / "other"],
+            stdin=subprocess.PIPE,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+    wait_until(lambda: "ready" in (folder / "log").read_text())
+    found = broken_rules(child.pid, folder / "log")
+    for pid in _children_of(child.pid):
+        subprocess.run(["kill", pid])
+    child.communicate(b"")
+    return found
+
+
+def _children_of(pid):
+    path = Path(f"/proc/{pid}/task/{pid}/children")
+    return path.read_text().split()
+
+
+def test_check_finds_each_violation(case):
+    """Guards against a check that passes whatever a process does."""
+    case.assertEqual(found_in(case, "pass"), [])
+    for rule, statement in VIOLATIONS.items():
+        with case.subTest(rule):
+            found = found_in(case, statement)
+            case.assertTrue(any(each.startswith(rule) for each in found), found)
+
+
+def use(deployment):
+    """Lets each daemon do what it does in production."""
+    for name, daemon in deployment.daemons.items():
+        client = Client([daemon.address], "ws-1")
+        client.addresses = lambda service, only=daemon.address: (only,)
+        list(client.complete("summary", "what is due? " * 500, 20))
+        posting = {"account": "a", "amount": 5, "reference": name}
+        body = msgspec.json.encode(posting)
+        client.call("ledger", "POST", "/postings", body, str(uuid6.uuid7()))
+        json_exchange(daemon.address, "GET", "/v1/status")
+
+
+def rules_broken_by_daemons(deployment):
+    """Returns the broken rules of each daemon, by name."""
+    folder = deployment.unpack_folder or "/nonexistent"
+    return {
+        name: broken_rules(daemon.popen.pid, daemon.log_path, folder)
+        for name, daemon in deployment.daemons.items()
+    }
+
+
+def keeps_rules(case, program=()):
+    """Runs a small deployment and checks its daemons."""
+    deployment = case.enterContext(Deployment(program=program))
+    start_daemon = deployment.start_daemon
+    deployment.start_daemon = lambda name, zone: start_daemon(name, zone, EXTRA)
+    start_small(deployment, daemons=2)
+    use(deployment)
+    case.assertEqual(
+        rules_broken_by_daemons(deployment), {"entry-1": [], "entry-2": []}
+    )
+
+
+def test_daemon_keeps_the_rules(case):
+    """Guards against a library that forks, maps memory or writes files."""
+    keeps_rules(case)
+
+
+def test_one_file_daemon_keeps_the_rules(case):
+    """Guards against a loader that forks or a file that can't serve."""
+    built = subprocess.run(
+        [sys.executable, "tools/build_dist.py"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    case.assertEqual(built.returncode, 0, built.stdout + built.stderr)
+    # The interpreter itself, without the virtual environment: the one that env
+    # finds may be a version manager's script, which starts processes.
+    keeps_rules(case, (sys._base_executable, "-s", str(PROGRAM)))
+
+
+load_tests = collect(globals())
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -36,6 +36,8 @@
 REGION = "region-1"
 ZONES = ("zone-a", "zone-b")
 STOP_BOUND_S = 10
+# The one-file program unpacks itself at its first start.
+MEMORY_FOLDER = Path("/dev/shm")
 
 
 def call_json(address, method, path, value=None):
@@ -113,6 +115,7 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    unpack_folder: str = ""
     _starting: list = field(default_factory=list)
     _started: list = field(default_factory=list)
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
@@ -126,6 +129,8 @@
             raise
 
     def _enter(self):
+        if self.program:
+            self.unpack_folder = self._memory_folder()
         self.program = self.program or (sys.executable, "-m", "amaranthbay")
         folder = tempfile.TemporaryDirectory(prefix="amaranthbay-")
         self.folder = Path(self._stack.enter_context(folder))
@@ -155,12 +160,24 @@
         started = [*self.daemons.values(), *self.backends.values()]
         return [*started, self.platform] if self.platform else started
 
-    def _start(self, name, command, entry):
+    def _memory_folder(self):
+        """Returns a folder on the memory-backed file system, if there is one."""
+        parent = MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else None
+        folder = tempfile.TemporaryDirectory(prefix="amaranthbay-", dir=parent)
+        return self._stack.enter_context(folder)
+
+    def _environ(self, of_program):
+        """Returns the environment; the one-file program finds no other modules."""
+        environ = dict(os.environ)
+        if of_program and self.unpack_folder:
+            environ.pop("PYTHONPATH", None)
+            return environ | {"SHIV_ROOT": self.unpack_folder}
+        return environ | {"PYTHONPATH": str(Path(__file__).resolve().parents[2])}
+
+    def _start(self, name, command, entry, of_program=False):
         log_path = self.folder / f"{name}.log"
         log = self._stack.enter_context(open(log_path, "ab"))
-        environ = dict(os.environ)
-        root = str(Path(__file__).resolve().parents[2])
-        environ["PYTHONPATH"] = root
+        environ = self._environ(of_program)
         # The start runs in a greenlet of its own, so that an interruption can't
         # come between the start of a process and the note of it.
         job = gevent.spawn(self._open, command, log, environ)
@@ -217,7 +234,7 @@
             peer_address=peer,
         )
         command = [*self.program, "daemon", "--settings", str(path)]
-        self.daemons[name] = self._start(name, command, entry)
+        self.daemons[name] = self._start(name, command, entry, of_program=True)
         return self.daemons[name]
 
     def publish(self):
