--- /dev/null
+++ b/amaranthbay/cli/tests/test_documents.py
@@ -0,0 +1,91 @@
+"""The commands and names in the documents exist and work."""
+
+import os
+import re
+import shlex
+from pathlib import Path
+
+from amaranthbay.cli.output import Exit
+from amaranthbay.cli.tests.test_config import run
+from amaranthbay.client import Client
+from amaranthbay.standins.processes import Deployment, start_small
+from amaranthbay.utils.testing import collect
+
+ROOT = Path(__file__).resolve().parents[3]
+DOCS = ROOT / "docs"
+PAGES = [ROOT / "README.md", *sorted(DOCS.glob("*.md"))]
+
+
+def commands_of(page):
+    """Returns the arguments of each command in the page's shell blocks."""
+    blocks = re.findall(r"```sh\n(.*?)```", page.read_text(), re.DOTALL)
+    lines = [line for block in blocks for line in block.splitlines() if line]
+    return [shlex.split(line) for line in lines]
+
+
+def serving_deployment(case):
+    """Starts a deployment whose folder holds the files that the page names."""
+    deployment = case.enterContext(Deployment())
+    (deployment.folder / "operator.key").write_text("k" * 32)
+    extra = f'keys = [{{id = "a", file = "{deployment.folder}/operator.key"}}]'
+    start_daemon = deployment.start_daemon
+    deployment.start_daemon = lambda name, zone: start_daemon(name, zone, extra)
+    start_small(deployment, daemons=2)
+    address = deployment.daemons["entry-1"].address
+    Client([address], "ws-1").call("ledger", "GET", "/x", request_id="request-7")
+    return deployment
+
+
+def test_commands_of_the_operations_page_work(case):
+    """Guards against commands that were renamed and not rewritten."""
+    commands = commands_of(DOCS / "operations.md")
+    case.assertGreater(len(commands), 10)
+    deployment = serving_deployment(case)
+    real = {
+        "127.0.0.1:9000": deployment.platform.address,
+        "127.0.0.1:8001": deployment.daemons["entry-1"].address,
+    }
+    case.addCleanup(os.chdir, os.getcwd())
+    os.chdir(deployment.folder)
+    for program, *args in commands:
+        with case.subTest(" ".join(args)):
+            case.assertEqual(program, "amaranthbay")
+            result = run(*[real.get(arg, arg) for arg in args])
+            if "--in-force" in args:
+                # Daemons adopt a version within seconds.
+                deployment.wait_ready(version=2)
+                result = run(*[real.get(arg, arg) for arg in args])
+            case.assertEqual(result.exit_code, 0, result.output)
+    case.assertEqual(deployment.daemons["entry-1"].popen.wait(10), 0)
+
+
+def test_page_lists_every_exit_code(case):
+    """Guards against a code that scripts can't look up."""
+    text = (DOCS / "operations.md").read_text()
+    section = text.partition("## Exit codes")[2].partition("##")[0]
+    listed = [int(code) for code in re.findall(r"^\| (\d) \|", section, re.MULTILINE)]
+    case.assertEqual(listed, sorted({int(code) for code in Exit}))
+
+
+def test_alarms_name_events_and_metrics_that_exist(case):
+    """Guards against an alarm that can't ring."""
+    alarms = (DOCS / "operations.md").read_text().partition("## Alarms")[2]
+    events = re.findall(r"event `([a-z_]+)`", alarms)
+    known = (DOCS / "logs.md").read_text()
+    case.assertGreater(len(events), 3)
+    for event in events:
+        case.assertIn(f"| `{event}` |", known)
+    source = (ROOT / "amaranthbay" / "observe" / "otel.py").read_text()
+    for metric in re.findall(r"`(amaranthbay\.[a-z_.]+)`", alarms):
+        case.assertIn(f'"{metric}"', source)
+
+
+def test_links_between_pages_work(case):
+    """Guards against links to pages that were moved."""
+    for page in PAGES:
+        for link in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
+            if not link.startswith("http"):
+                case.assertTrue((page.parent / link).exists(), f"{page.name}: {link}")
+
+
+load_tests = collect(globals())
--- a/amaranthbay/settings/tests/test_daemon.py
+++ b/amaranthbay/settings/tests/test_daemon.py
@@ -1,5 +1,7 @@
 """Settings of a daemon: all faults with their places, keys from two sources."""
 
+import subprocess
+import sys
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import mock
@@ -11,6 +13,7 @@
 from amaranthbay.settings import check_settings, load_settings
 from amaranthbay.utils.testing import collect
 
+ROOT = Path(__file__).resolve().parents[3]
 GOOD = """\
 instance = "entry-1"
 availability_zone = "zone-a"
@@ -101,4 +104,12 @@
     case.assertIn(f"{bad}:8: colour = 1: allowed is one of", result.stderr)
 
 
+def test_check_knows_all_plug_ins_in_a_fresh_process(case):
+    """Guards against a plug-in that only the daemon's other imports register."""
+    path = settings_file(case, GOOD)
+    command = [sys.executable, "-m", "amaranthbay", "settings", "check", str(path)]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=30)
+    case.assertEqual(done.returncode, 0, done.stderr)
+
+
 load_tests = collect(globals())
