--- a/amaranthbay/cli/tests/test_documents.py
+++ b/amaranthbay/cli/tests/test_documents.py
@@ -26,11 +26,8 @@
 def serving_deployment(case):
     """Starts a deployment whose folder holds the files that the page names."""
     deployment = case.enterContext(Deployment())
-    (deployment.folder / "operator.key").write_text("k" * 32)
-    extra = f'keys = [{{id = "a", file = "{deployment.folder}/operator.key"}}]'
-    start_daemon = deployment.start_daemon
-    deployment.start_daemon = lambda name, zone: start_daemon(name, zone, extra)
     start_small(deployment, daemons=2)
+    (deployment.folder / "operator.key").write_text(deployment.key)
     address = deployment.daemons["entry-1"].address
     Client([address], "ws-1").call("ledger", "GET", "/x", request_id="request-7")
     return deployment
--- a/amaranthbay/cli/tests/test_operate.py
+++ b/amaranthbay/cli/tests/test_operate.py
@@ -12,12 +12,10 @@
 def two_daemons(case):
     """Starts two daemons with a key, a ledger and an accepted configuration."""
     deployment = case.enterContext(Deployment())
-    (deployment.folder / "key").write_text("k" * 32)
     (deployment.folder / "wrong-key").write_text("x" * 32)
-    extra = f'keys = [{{ id = "a", file = "{deployment.folder}/key" }}]'
     deployment.start_ledger()
     for name in ("entry-1", "entry-2"):
-        deployment.start_daemon(name, extra=extra)
+        deployment.start_daemon(name)
     deployment.publish()
     accept(deployment)
     deployment.wait_ready()
@@ -36,7 +34,7 @@
     )
 
 
-def drain(deployment, name, key="key"):
+def drain(deployment, name, key="peers.key"):
     """Runs the drain command."""
     platform = deployment.platform.address
     return run(
--- a/amaranthbay/observe/tests/test_logs.py
+++ b/amaranthbay/observe/tests/test_logs.py
@@ -122,12 +122,9 @@
 
 def test_decisions_have_their_lines_and_no_content(case):
     """Guards against a decision without a line, and content in a log."""
-    deployment = case.enterContext(Deployment())
     key = "key-that-no-log-may-hold-" + "k" * 16
-    (deployment.folder / "key").write_text(key)
-    extra = (
-        f'log_level = "debug"\nkeys = [{{id = "a", file = "{deployment.folder}/key"}}]'
-    )
+    deployment = case.enterContext(Deployment(key=key))
+    extra = 'log_level = "debug"'
     start_daemon = deployment.start_daemon
     deployment.start_daemon = lambda name, zone: start_daemon(name, zone, extra)
     start_small(deployment, daemons=2)
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -12,15 +12,9 @@
 import gevent
 import msgspec
 
-from amaranthbay.config.types import (
-    CallerKind,
-    CallPattern,
-    Configuration,
-    Pool,
-    Service,
-)
 from amaranthbay.platform.http import HttpObjectStore, HttpTableService
 from amaranthbay.platform.types import Instance
+from amaranthbay.standins.configurations import small_configuration
 from amaranthbay.state.config_store import accept_configuration
 from amaranthbay.utils.http import json_exchange
 from amaranthbay.utils.testing import free_port, wait_until
@@ -49,33 +43,6 @@
     return msgspec.json.decode(outcome.unwrap()[1])
 
 
-def small_configuration():
-    """Returns a configuration with one model service and one ledger."""
-    return Configuration(
-        version=0,
-        deployment="small",
-        services=(
-            Service("summary", "model", ("prefill", "decode"), ("desk", "counter")),
-            Service(
-                "ledger",
-                "plain",
-                ("ledger",),
-                ("counter",),
-                (CallPattern("POST", "/postings"),),
-            ),
-        ),
-        callers=(
-            CallerKind("counter", True, 1.3, 0.051),
-            CallerKind("desk", False),
-        ),
-        pools=(
-            Pool("prefill", "prefill"),
-            Pool("decode", "decode"),
-            Pool("ledger", "plain"),
-        ),
-    )
-
-
 @dataclass
 class Process:
     """One started process and its entry in the instance list."""
@@ -115,6 +82,7 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    key: str = "key-of-a-deployment-on-loopback"
     unpack_folder: str = ""
     _starting: list = field(default_factory=list)
     _started: list = field(default_factory=list)
@@ -155,6 +123,11 @@
                 popen.wait()
         self._stack.close()
 
+    @property
+    def key_path(self):
+        """File that holds the daemons' key."""
+        return self.folder / "peers.key"
+
     def processes(self):
         """Returns all processes that were started, daemons first."""
         started = [*self.daemons.values(), *self.backends.values()]
@@ -212,6 +185,7 @@
         """Starts a daemon; ``extra`` is TOML that comes before any table."""
         ports = [free_port(), free_port(), free_port()]
         caller, membership, peer = (f"127.0.0.1:{port}" for port in ports)
+        self.key_path.write_text(self.key)
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'instance = "{name}"\n'
@@ -222,6 +196,7 @@
             f'peer_address = "{peer}"\n'
             f'platform_address = "{self.platform.address}"\n'
             f"{extra}\n"
+            f'[[keys]]\nid = "peers"\nfile = "{self.key_path}"\n'
         )
         entry = Instance(
             instance=name,
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -4,12 +4,11 @@
 request on a broken connection by itself, which could run it twice.
 """
 
-import contextlib
 from dataclasses import dataclass
+from http.client import HTTPException
 
 import gevent.pool
 from gevent import pywsgi, socket
-from geventhttpclient._parser import HTTPParseError
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
 
@@ -57,8 +56,10 @@
 
     def read(self):
         """Returns the rest of the body; raises OSError or ValueError."""
-        with _parse_errors_as_broken():
+        try:
             return self._response.read()
+        except HTTPException as exc:
+            raise ConnectionError(str(exc)) from exc
 
     def lines(self):
         """Yields the body's lines without their ends.
@@ -68,8 +69,10 @@
             ValueError: If the body ends early.
         """
         while True:
-            with _parse_errors_as_broken():
+            try:
                 line = self._response.readline(b"\n")
+            except HTTPException as exc:
+                raise ConnectionError(str(exc)) from exc
             if not line:
                 return
             yield line.rstrip(b"\r\n")
@@ -79,19 +82,6 @@
         self._conn.close()
 
 
-@contextlib.contextmanager
-def _parse_errors_as_broken():
-    """Raises ConnectionError for the library's own error class.
-
-    A peer that dies in the middle of a response shows up as HTTPParseError, which
-    is neither an OSError nor a ValueError.
-    """
-    try:
-        yield
-    except HTTPParseError as exc:
-        raise ConnectionError(f"response broke: {exc}") from exc
-
-
 def split_address(address):
     """Returns host and port.
 
@@ -134,9 +124,8 @@
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn.settimeout(timeout_s)
         conn.sendall(_encode_head(address, method, path, len(body), headers) + body)
-        with _parse_errors_as_broken():
-            return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
-    except (OSError, ValueError) as exc:
+        return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
+    except (OSError, ValueError, HTTPException) as exc:
         conn.close()
         detail = f"exchange with {address} broke: {type(exc).__name__}"
         return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
