--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -12,15 +12,9 @@
 import gevent
 import msgspec
 
-from amaranthbay.config.types import (
-    CallerKind,
-    CallPattern,
-    Configuration,
-    Pool,
-    Service,
-)
 from amaranthbay.platform.http import HttpObjectStore, HttpTableService
 from amaranthbay.platform.types import Instance
+from amaranthbay.standins.configurations import small_configuration
 from amaranthbay.state.config_store import accept_configuration
 from amaranthbay.utils.http import json_exchange
 from amaranthbay.utils.testing import free_port, wait_until
@@ -36,6 +30,8 @@
 REGION = "region-1"
 ZONES = ("zone-a", "zone-b")
 STOP_BOUND_S = 10
+# The one-file program unpacks itself at its first start.
+MEMORY_FOLDER = Path("/dev/shm")
 
 
 def call_json(address, method, path, value=None):
@@ -47,33 +43,6 @@
     return msgspec.json.decode(outcome.unwrap()[1])
 
 
-def small_configuration():
-    """Returns a configuration with one model service and one ledger."""
-    return Configuration(
-        version=0,
-        deployment="small",
-        services=(
-            Service("summary", "model", ("prefill", "decode"), ("desk", "counter")),
-            Service(
-                "ledger",
-                "plain",
-                ("ledger",),
-                ("counter",),
-                (CallPattern("POST", "/postings"),),
-            ),
-        ),
-        callers=(
-            CallerKind("counter", True, 1.3, 0.051),
-            CallerKind("desk", False),
-        ),
-        pools=(
-            Pool("prefill", "prefill"),
-            Pool("decode", "decode"),
-            Pool("ledger", "plain"),
-        ),
-    )
-
-
 @dataclass
 class Process:
     """One started process and its entry in the instance list."""
@@ -113,6 +82,8 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    key: str = "key-of-a-deployment-on-loopback"
+    unpack_folder: str = ""
     _starting: list = field(default_factory=list)
     _started: list = field(default_factory=list)
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
@@ -126,6 +97,8 @@
             raise
 
     def _enter(self):
+        if self.program:
+            self.unpack_folder = self._memory_folder()
         self.program = self.program or (sys.executable, "-m", "amaranthbay")
         folder = tempfile.TemporaryDirectory(prefix="amaranthbay-")
         self.folder = Path(self._stack.enter_context(folder))
@@ -150,17 +123,34 @@
                 popen.wait()
         self._stack.close()
 
+    @property
+    def key_path(self):
+        """File that holds the daemons' key."""
+        return self.folder / "peers.key"
+
     def processes(self):
         """Returns all processes that were started, daemons first."""
         started = [*self.daemons.values(), *self.backends.values()]
         return [*started, self.platform] if self.platform else started
 
-    def _start(self, name, command, entry):
+    def _memory_folder(self):
+        """Returns a folder on the memory-backed file system, if there is one."""
+        parent = MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else None
+        folder = tempfile.TemporaryDirectory(prefix="amaranthbay-", dir=parent)
+        return self._stack.enter_context(folder)
+
+    def _environ(self, of_program):
+        """Returns the environment; the one-file program finds no other modules."""
+        environ = dict(os.environ)
+        if of_program and self.unpack_folder:
+            environ.pop("PYTHONPATH", None)
+            return environ | {"SHIV_ROOT": self.unpack_folder}
+        return environ | {"PYTHONPATH": str(Path(__file__).resolve().parents[2])}
+
+    def _start(self, name, command, entry, of_program=False):
         log_path = self.folder / f"{name}.log"
         log = self._stack.enter_context(open(log_path, "ab"))
-        environ = dict(os.environ)
-        root = str(Path(__file__).resolve().parents[2])
-        environ["PYTHONPATH"] = root
+        environ = self._environ(of_program)
         # The start runs in a greenlet of its own, so that an interruption can't
         # come between the start of a process and the note of it.
         job = gevent.spawn(self._open, command, log, environ)
@@ -195,6 +185,7 @@
         """Starts a daemon; ``extra`` is TOML that comes before any table."""
         ports = [free_port(), free_port(), free_port()]
         caller, membership, peer = (f"127.0.0.1:{port}" for port in ports)
+        self.key_path.write_text(self.key)
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'instance = "{name}"\n'
@@ -205,6 +196,7 @@
             f'peer_address = "{peer}"\n'
             f'platform_address = "{self.platform.address}"\n'
             f"{extra}\n"
+            f'[[keys]]\nid = "peers"\nfile = "{self.key_path}"\n'
         )
         entry = Instance(
             instance=name,
@@ -217,7 +209,7 @@
             peer_address=peer,
         )
         command = [*self.program, "daemon", "--settings", str(path)]
-        self.daemons[name] = self._start(name, command, entry)
+        self.daemons[name] = self._start(name, command, entry, of_program=True)
         return self.daemons[name]
 
     def publish(self):
