Track daemons by UDP probes and look them up by membership

Cause: the lookup followed the instance list alone, which lags, and no part could tell a slow daemon from a dead one. Ruled out: the SWIM incarnation alone. It would have made a refuted suspicion look like a new process, and so prove a live daemon dead; a revision next to the incarnation keeps the two apart.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -1,13 +1,11 @@
 """One daemon: assembly, start, status and graceful stop."""
 
 import signal
-import uuid
 from collections import defaultdict
 from datetime import timedelta
 
 import gevent
 import gevent.event
-import xxhash
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
 from amaranthbay.dispatch.cancels import CancelQueue
@@ -20,8 +18,9 @@
 from amaranthbay.kernel.pipeline import Pipeline
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
-from amaranthbay.membership import BackendDirectory
+from amaranthbay.membership import BackendDirectory, ProbedMembership, lookup_order
 from amaranthbay.observe import configure_logs, log_decision, log_event
+from amaranthbay.peering import KeyRing, ZmqPeerChannel
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
@@ -38,6 +37,8 @@
 __all__ = ["Daemon", "run_daemon"]
 
 RETRY_AFTER = timedelta(seconds=1)
+# A rotation waits for this between its steps.
+KEY_RELOAD_S = 5.0
 
 
 class Daemon:
@@ -46,13 +47,15 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.incarnation = uuid.uuid4().hex[:12]
         self.draining = False
         table = HttpTableService(settings.platform_address)
         objects = HttpObjectStore(settings.platform_address)
         instances = HttpInstanceList(settings.platform_address)
         self.config_store = ConfigStore(table, objects, self.clock)
         self.directory = BackendDirectory(instances, self.clock)
+        self._keys = KeyRing(settings.keys)
+        self.membership = self._create_membership()
+        self.channel = self._create_channel()
         self.loads = LoadReports(self.directory, settings.availability_zone)
         self.inflight = InFlightTable()
         engine = HttpEngineClient(self.clock)
@@ -80,6 +83,41 @@
         )
         self._jobs = []
 
+    def _create_membership(self):
+        membership = ProbedMembership(
+            self.settings, self._keys, self.clock, lambda: self.config_store.version
+        )
+        self.directory.on_list(membership.apply_list)
+        self.directory.use_peers(membership.peer_silence_s, membership.spread)
+        membership.on_notice(self.directory.apply_notice)
+        return membership
+
+    def _create_channel(self):
+        channel = ZmqPeerChannel(
+            self.settings.instance,
+            lambda: self.incarnation,
+            self.settings.peer_address,
+            self._peer_address,
+            self._keys,
+            self.clock,
+        )
+        channel.on_heard(self.membership.heard)
+        return channel
+
+    def _peer_address(self, instance):
+        member = self.membership.member(instance)
+        return member.peer_address if member else None
+
+    def _reload_keys(self):
+        while True:
+            gevent.sleep(KEY_RELOAD_S)
+            self._keys.reload()
+
+    @property
+    def incarnation(self):
+        """Incarnation of this process, as the other daemons know it."""
+        return self.membership.own().incarnation
+
     def configuration(self):
         """Returns the configuration in force, or None."""
         return self.config_store.current
@@ -114,19 +152,10 @@
     def lookup(self, service, workspace, availability_zone):
         """Returns the daemons that a workspace should use, best first."""
         near = availability_zone or self.settings.availability_zone
-
-        def order(entry):
-            name = f"{workspace}|{entry.instance}".encode()
-            weight = xxhash.xxh3_64_intdigest(name)
-            return entry.availability_zone != near, -weight
-
-        entries = [
-            entry
-            for entry in self.directory.entries()
-            if entry.state == "live"
-            and not (self.draining and entry.instance == self.settings.instance)
-        ]
-        chosen = sorted(entries, key=order)
+        members = self.membership.live()
+        regions = [each.region for each in members if each.availability_zone == near]
+        region = regions[0] if regions else self.settings.region
+        chosen = lookup_order(members, service, workspace, near, region)
         names = [each.instance for each in chosen]
         log_decision(
             "lookup",
@@ -149,7 +178,12 @@
             "active": self.admission.active,
             "in_flight": len(self.inflight),
             "cancels_outstanding": self.cancels.outstanding,
-            "members": [each.instance for each in self.directory.entries()],
+            "members": [each.instance for each in self.membership.live()],
+            "member_states": {
+                each.instance: {"state": each.state, "incarnation": each.incarnation}
+                for each in self.membership.members()
+            },
+            "probe_traffic": self.membership.traffic(),
         }
 
     def start(self):
@@ -159,14 +193,20 @@
             gevent.spawn(self.config_store.run),
             gevent.spawn(self.directory.run),
             gevent.spawn(self.loads.run, self._pools),
+            gevent.spawn(self._reload_keys),
         ]
         address = self._server.start()
+        self.channel.start()
+        # A member that is probed must already accept connections, or its port
+        # would prove it dead.
+        self.membership.start()
         log_event("started", address=address)
         return address
 
     def drain(self):
         """Refuses new work from now on."""
         self.draining = True
+        self.membership.leave()
         log_event("draining", active=self.admission.active)
 
     def wait_idle(self):
@@ -176,6 +216,8 @@
 
     def stop(self):
         """Closes the listener and ends the jobs."""
+        self.membership.stop()
+        self.channel.stop()
         self._server.stop()
         gevent.killall(self._jobs)
         log_event("stopped")
--- a/amaranthbay/membership/__init__.py
+++ b/amaranthbay/membership/__init__.py
@@ -1,4 +1,7 @@
 """Membership: which daemons and backend servers are live."""
 
 from amaranthbay.membership.backends import BackendDirectory
+from amaranthbay.membership.lookup import lookup_order
 from amaranthbay.membership.rendezvous import rendezvous_order
+from amaranthbay.membership.service import ProbedMembership
+from amaranthbay.membership.types import Member, MemberState
--- a/amaranthbay/membership/types.py
+++ b/amaranthbay/membership/types.py
@@ -26,7 +26,9 @@
         address: Caller address.
         membership_address: UDP address for probes.
         peer_address: Address of its peer channel.
-        incarnation: Rises with each start; orders what is said about it.
+        incarnation: Start time of the process in milliseconds; 0 if only the
+            instance list has named it. Orders what is said about the instance.
+        revision: Rises when the process itself changes or corrects its state.
         state: What is known about it.
     """
 
@@ -37,4 +39,5 @@
     membership_address: str
     peer_address: str
     incarnation: int = 0
+    revision: int = 0
     state: MemberState = MemberState.LIVE
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -112,6 +112,7 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    key: str = "key-of-a-deployment-on-loopback"
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     def __enter__(self):
@@ -137,6 +138,11 @@
                 process.kill()
         self._stack.close()
 
+    @property
+    def key_path(self):
+        """File that holds the daemons' key."""
+        return self.folder / "peers.key"
+
     def processes(self):
         """Returns all processes that were started, daemons first."""
         started = [*self.daemons.values(), *self.backends.values()]
@@ -173,6 +179,7 @@
         """Starts a daemon; ``extra`` is TOML that comes before any table."""
         ports = [free_port(), free_port(), free_port()]
         caller, membership, peer = (f"127.0.0.1:{port}" for port in ports)
+        self.key_path.write_text(self.key)
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'instance = "{name}"\n'
@@ -183,6 +190,7 @@
             f'peer_address = "{peer}"\n'
             f'platform_address = "{self.platform.address}"\n'
             f"{extra}\n"
+            f'[[keys]]\nid = "peers"\nfile = "{self.key_path}"\n'
         )
         entry = Instance(
             instance=name,
--- /dev/null
+++ b/amaranthbay/utils/tests/test_http.py
@@ -0,0 +1,29 @@
+"""HTTP exchanges with servers that break the connection."""
+
+from gevent import socket
+
+from amaranthbay.kernel.errors import Verdict
+from amaranthbay.utils.http import json_exchange
+from amaranthbay.utils.testing import collect, greenlet
+
+
+def test_server_that_closes_without_a_response(case):
+    """Guards against an exception that escapes in place of a verdict."""
+    listener = socket.socket()
+    case.addCleanup(listener.close)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+
+    def close_connections():
+        while True:
+            conn, _ = listener.accept()
+            conn.recv(1000)
+            conn.close()
+
+    case.enterContext(greenlet(close_connections))
+    address = "127.0.0.1:{}".format(listener.getsockname()[1])
+    outcome = json_exchange(address, "GET", "/")
+    case.assertIs(outcome.unwrap_err().verdict, Verdict.MAY_HAVE_RUN)
+
+
+load_tests = collect(globals())
