--- a/amaranthbay/utils/testing.py
+++ b/amaranthbay/utils/testing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import random
 import socket
 import time
 import unittest
@@ -15,6 +16,10 @@
 
 WAIT_BOUND_S = 20.0
 POLL_S = 0.01
+LISTEN_PORTS = (12_000, 32_000)
+
+# Runs beside each other must not try the same ports.
+_port_rng = random.SystemRandom()
 
 
 class FunctionTest(unittest.FunctionTestCase):
@@ -73,10 +78,19 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a loopback port that was free a moment ago.
+
+    The port is below the range from which the system takes the ports of outgoing
+    connections, so that none of them can take it before it is bound.
+    """
+    while True:
+        port = _port_rng.randrange(*LISTEN_PORTS)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(condition, bound_s=WAIT_BOUND_S):
