--- /dev/null
+++ b/amaranthbay/membership/tests/test_backends.py
@@ -0,0 +1,179 @@
+"""Backend directory: leaving servers, refusals, lag and cut-off daemons."""
+
+import gevent
+from gevent import pywsgi
+from result import Err, Ok
+
+from amaranthbay.kernel.interfaces import InstanceList
+from amaranthbay.membership import BackendDirectory
+from amaranthbay.membership.direct import DirectProbes
+from amaranthbay.membership.notices import HOLD_S, NoticeBoard
+from amaranthbay.membership.wire import BackendNotice, BackendState
+from amaranthbay.platform.types import Instance, PlatformFailure
+from amaranthbay.utils.testing import ManualClock, collect
+
+POOLS = ("decode",)
+
+
+class FixedList(InstanceList):
+    """Instance list that a test sets; None is an outage."""
+
+    def __init__(self, *entries):
+        self.entries = entries
+
+    def fetch(self):
+        if self.entries is None:
+            return Err(PlatformFailure("outage"))
+        return Ok(tuple(self.entries))
+
+
+def server(name, state="live", address="127.0.0.1:1"):
+    """Returns a backend server's entry."""
+    return Instance(name, "backend", "zone-a", state, address, "", "decode", "decode")
+
+
+def names(directory):
+    """Returns the servers that may get new work."""
+    return [each.instance for each in directory.servers(POOLS)]
+
+
+def connected(clock, *lists):
+    """Returns directories that hear each other's notices."""
+    directories = [BackendDirectory(each, clock) for each in lists]
+
+    def spread_from(sender):
+        def spread(notice):
+            for each in directories:
+                if each is not sender:
+                    each.apply_notice(notice)
+
+        return spread
+
+    for each in directories:
+        each.use_peers(lambda: 0.0, spread_from(each))
+    return directories
+
+
+def test_leaving_server_is_known_despite_a_lagging_list(case):
+    """Guards against new work on a server that only some lists show as leaving."""
+    clock = ManualClock()
+    fresh = FixedList(server("d-1", "leaving"), server("d-2"))
+    stale = FixedList(server("d-1"), server("d-2"))
+    first, second = connected(clock, fresh, stale)
+    second.refresh()
+    case.assertEqual(names(second), ["d-1", "d-2"])
+    first.refresh()
+    case.assertEqual(names(second), ["d-2"])
+    for _ in range(int(3 * HOLD_S[BackendState.LEAVING])):
+        clock.advance(1)
+        first.refresh()
+        second.refresh()
+        case.assertEqual(names(second), ["d-2"])
+
+
+def test_refusal_is_shared_for_a_short_time(case):
+    """Guards against every daemon that learns of a refusal by its own request."""
+    clock = ManualClock()
+    listed = FixedList(server("d-1"), server("d-2"))
+    first, second = connected(clock, listed, listed)
+    first.refresh()
+    second.refresh()
+    first.report_refusal("d-1")
+    case.assertEqual(names(second), ["d-2"])
+    clock.advance(HOLD_S[BackendState.REFUSING] + 0.1)
+    case.assertEqual(names(second), ["d-1", "d-2"])
+
+
+def test_failure_of_one_link_stays_private(case):
+    """Guards against a daemon with a broken link that empties everyone's pools."""
+    clock = ManualClock()
+    listed = FixedList(server("d-1"))
+    first, second = connected(clock, listed, listed)
+    first.refresh()
+    second.refresh()
+    first.report_failure("d-1")
+    case.assertEqual(names(first), [])
+    case.assertEqual(names(second), ["d-1"])
+
+
+def test_replaced_server_gets_work_again(case):
+    """Guards against a name that stays excluded after its server was replaced."""
+    clock = ManualClock()
+    listed = FixedList(server("d-1", "leaving"))
+    (directory,) = connected(clock, listed)
+    directory.refresh()
+    case.assertEqual(names(directory), [])
+    listed.entries = ()
+    directory.refresh()
+    listed.entries = (server("d-1"),)
+    directory.refresh()
+    case.assertEqual(names(directory), ["d-1"])
+
+
+def test_same_sight_by_many_daemons_is_no_news(case):
+    """Guards against updates that go round for ever."""
+    clock = ManualClock()
+    board = NoticeBoard(clock)
+    seen_ms = int(clock.now().timestamp() * 1000)
+    notices = [
+        BackendNotice("d-1", BackendState.LEAVING, seen_ms + number)
+        for number in range(300)
+    ]
+    case.assertEqual(sum(board.apply(each) for each in notices), 1)
+    old = BackendNotice("d-2", BackendState.LEAVING, seen_ms - 10**6)
+    case.assertFalse(board.apply(old))
+
+
+def test_cut_off_daemon_uses_only_confirmed_servers(case):
+    """Guards against work on a leaving server by a daemon that hears nobody."""
+    clock = ManualClock()
+
+    def answer(environ, start_response):
+        start_response("200 OK", [])
+        return [b'{"active": 0}']
+
+    web = pywsgi.WSGIServer(("127.0.0.1", 0), answer, log=None)
+    web.start()
+    case.addCleanup(web.stop)
+    live = server("d-1", address=f"127.0.0.1:{web.server_port}")
+    listed = FixedList(live, server("d-2"))
+    directory = BackendDirectory(listed, clock)
+    silence = [0.0]
+    directory.use_peers(lambda: silence[0], lambda notice: None)
+    directory.refresh()
+    listed.entries = None
+    clock.advance(10)
+    directory.refresh()
+    case.assertEqual(names(directory), ["d-1", "d-2"])
+    silence[0] = 10.0
+    case.assertEqual(names(directory), [])
+    job = gevent.spawn(directory._run_probes)
+    try:
+        while not names(directory):
+            gevent.sleep(0.01)
+        case.assertEqual(names(directory), ["d-1"])
+    finally:
+        job.kill()
+
+
+def test_direct_probe_reads_the_leaving_state(case):
+    """Guards against a leaving server that is taken for live as it still answers."""
+    replies = {"/load": b'{"leaving": true}'}
+
+    def answer(environ, start_response):
+        start_response("200 OK", [])
+        return [replies[environ["PATH_INFO"]]]
+
+    web = pywsgi.WSGIServer(("127.0.0.1", 0), answer, log=None)
+    web.start()
+    case.addCleanup(web.stop)
+    entry = server("d-1", address=f"127.0.0.1:{web.server_port}")
+    probes = DirectProbes(ManualClock())
+    probes.probe([entry])
+    case.assertFalse(probes.confirms("d-1"))
+    replies["/load"] = b"{}"
+    probes.probe([entry])
+    case.assertTrue(probes.confirms("d-1"))
+
+
+load_tests = collect(globals())
