--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -146,7 +146,7 @@
     opened = exchange.unwrap()
     try:
         return Ok((opened.status, opened.read()))
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, HTTPException) as exc:
         detail = f"response of {address} broke: {type(exc).__name__}"
         timed_out = isinstance(exc, TimeoutError)
         return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail, timed_out=timed_out))
