Test failures of engines, callers and daemons over processes

Cause found: a decode that broke marked its prefill server as failed too, which left a pool with one prefill server empty for two seconds. Only an explicit refusal of a decode, which an import that failed gives, now looks at the prefill server.

--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -175,7 +175,7 @@
             prefill_server, attempt, self._call, priority, timeout
         )
         if prefilled.is_err():
-            return self._fail(prefilled, (prefill_server,))
+            return self._fail(prefilled, prefill_server)
         if self._ctx.pauses() != pauses:
             detail = "the daemon was paused; the attempt may have been cancelled"
             return Err(may_have_run(Reason.BACKEND_SLOW, detail))
@@ -184,7 +184,7 @@
             decode_server, attempt, self._call, prefilled.unwrap(), priority, timeout
         )
         if opened.is_err():
-            return self._fail(_ran(opened), servers)
+            return self._fail_decode(_ran(opened), servers)
         stream = MatchedStream(
             self._ctx.engine,
             decode_server,
@@ -195,7 +195,7 @@
         )
         first = first_event(stream)
         if first.is_err():
-            return self._fail(first, (decode_server,))
+            return self._fail(first, decode_server)
         return Ok((stream, first.unwrap()))
 
     def _time_left(self, patient_s):
@@ -204,18 +204,22 @@
         left = self._work.deadline - self._ctx.clock.monotonic()
         return max(LEAST_TIMEOUT_S, left)
 
-    def _fail(self, outcome, servers):
+    def _fail(self, outcome, server):
         """Learns from a failure; the in-flight record is still there."""
-        refusal = outcome.unwrap_err()
-        self._failed.update(each.instance for each in servers)
-        for server in servers:
-            if refusal.reason in BREAKS and not self._ctx.deaths.check(server):
+        self._failed.add(server.instance)
+        if outcome.unwrap_err().reason in BREAKS:
+            if not self._ctx.deaths.check(server):
                 self._ctx.directory.report_failure(server.instance)
-        if refusal.reason is Reason.BACKEND_REFUSED and len(servers) > 1:
-            # The import fails too if the prefill server died after its prefill.
-            self._ctx.deaths.check(servers[0])
         return outcome
 
+    def _fail_decode(self, outcome, servers):
+        """Learns from a decode that didn't start, perhaps for its import."""
+        prefill_server, decode_server = servers
+        if outcome.unwrap_err().reason not in BREAKS:
+            self._failed.add(prefill_server.instance)
+            self._ctx.deaths.check(prefill_server)
+        return self._fail(outcome, decode_server)
+
 
 def _is_unanswered(refusal):
     """Returns whether an engine call may still be on its way."""
--- /dev/null
+++ b/amaranthbay/dispatch/tests/test_processes.py
@@ -0,0 +1,286 @@
+"""Failures of engines, daemons and callers over separate processes."""
+
+import signal
+
+import gevent
+import msgspec
+import uuid6
+
+from amaranthbay.client import CallFailed, Client
+from amaranthbay.standins.engine_state import EngineFaults
+from amaranthbay.standins.ledger import LedgerFaults
+from amaranthbay.standins.processes import ZONES, Deployment, call_json, start_small
+from amaranthbay.standins.tokens import answer_text
+from amaranthbay.utils.http import open_exchange
+from amaranthbay.utils.testing import collect, wait_until
+
+# About 100,000 tokens: some seconds of prefill at the scale of the tests.
+LONG_PROMPT = "case file " * 40_000
+MARKER = "crash-the-engine"
+
+
+def small_deployment(case, daemons=1):
+    """Starts the small deployment for one test."""
+    return start_small(case.enterContext(Deployment()), daemons=daemons)
+
+
+def client_of(deployment, name="entry-1"):
+    """Returns a client that uses one daemon first."""
+    return Client([deployment.daemons[name].address], "ws-1")
+
+
+def open_stream(deployment, prompt, max_tokens):
+    """Returns a job that opens a stream and gives its `Exchange`."""
+    address = deployment.daemons["entry-1"].address
+    body = {"model": "summary", "prompt": prompt, "max_tokens": max_tokens}
+    body = msgspec.json.encode(body | {"stream": True})
+    headers = [("X-Workspace", "ws-1")]
+
+    def run():
+        return open_exchange(
+            address, "POST", "/v1/completions", body, headers, 60
+        ).unwrap()
+
+    return gevent.spawn(run)
+
+
+def set_faults(deployment, role, **faults):
+    """Switches faults on for all engines of a role."""
+    for process in deployment.backends.values():
+        if process.entry.role == role and process.popen.poll() is None:
+            value = EngineFaults(**faults)
+            call_json(process.address, "POST", "/control/faults", value)
+
+
+def holders(deployment, role):
+    """Returns the engines of a role that hold something."""
+    found = []
+    for process in deployment.backends.values():
+        if process.entry.role == role and process.popen.poll() is None:
+            if call_json(process.address, "GET", "/control/held")["held"]:
+                found.append(process)
+    return found
+
+
+def events(deployment, name, daemon="entry-1"):
+    """Returns the log lines of an event."""
+    lines = deployment.daemons[daemon].log_lines()
+    return [each for each in lines if each.get("event") == name]
+
+
+def assert_idle(deployment, daemon="entry-1"):
+    """Waits until neither engines nor the daemon hold anything."""
+    wait_until(lambda: not deployment.held())
+    wait_until(lambda: not deployment.status(daemon)["active"])
+
+
+def test_prefill_server_that_dies_is_replaced(case):
+    """Guards against a request that is lost with its prefill server."""
+    deployment = small_deployment(case)
+    texts = client_of(deployment).complete("summary", LONG_PROMPT, 20)
+    job = gevent.spawn("".join, texts)
+    wait_until(lambda: holders(deployment, "prefill"))[0].kill()
+    case.assertEqual(job.get(timeout=60), answer_text(LONG_PROMPT, 20))
+    case.assertTrue(events(deployment, "backend_server_died"))
+    assert_idle(deployment)
+
+
+def test_decode_server_that_dies_ends_the_stream_with_an_error(case):
+    """Guards against a stream that ends short and looks complete."""
+    deployment = small_deployment(case)
+    texts = client_of(deployment).complete("summary", "x" * 400, 5000)
+    parts = [next(texts)]
+    holders(deployment, "decode")[0].kill()
+    with case.assertRaises(CallFailed) as raised:
+        parts.extend(texts)
+    case.assertEqual(raised.exception.verdict, "may_have_run")
+    case.assertEqual(raised.exception.problem["reason"], "stream_broken")
+    text = "".join(parts)
+    case.assertTrue(answer_text("x" * 400, 5000).startswith(text))
+    marks = events(deployment, "crash_mark")
+    case.assertEqual([each["death"] for each in marks], ["shared"])
+    assert_idle(deployment)
+
+
+def test_broken_connections_to_engines_are_resumed(case):
+    """Guards against answers that a broken connection shortens."""
+    deployment = small_deployment(case)
+    set_faults(deployment, "decode", break_after=5)
+    texts = client_of(deployment).complete("summary", "x" * 400, 50)
+    case.assertEqual("".join(texts), answer_text("x" * 400, 50))
+    case.assertTrue(events(deployment, "stream_resumed"))
+    assert_idle(deployment)
+
+
+def test_stalled_transfer_is_abandoned_and_retried(case):
+    """Guards against a slot that a stalled transfer holds for ever."""
+    deployment = small_deployment(case)
+    set_faults(deployment, "prefill", stall_transfers=True)
+    texts = client_of(deployment).complete("summary", "x" * 400, 20)
+    job = gevent.spawn("".join, texts)
+    wait_until(lambda: events(deployment, "attempt_failed"))
+    set_faults(deployment, "prefill")
+    case.assertEqual(job.get(timeout=60), answer_text("x" * 400, 20))
+    assert_idle(deployment)
+
+
+def test_caller_may_leave_at_each_step(case):
+    """Guards against engine memory that one way out forgets."""
+    deployment = small_deployment(case)
+
+    def prefilling():
+        return holders(deployment, "prefill")
+
+    def decoding():
+        return holders(deployment, "decode")
+
+    def resumed():
+        return events(deployment, "stream_resumed")
+
+    steps = {
+        "prefilling": (LONG_PROMPT, {}, prefilling),
+        "transferring": ("x" * 400, {"stall_transfers": True}, prefilling),
+        "decoding": ("x" * 400, {}, decoding),
+        "resumed": ("x" * 400, {"break_after": 5}, resumed),
+    }
+    for name, (prompt, faults, reached) in steps.items():
+        with case.subTest(name):
+            set_faults(deployment, "prefill", **faults)
+            set_faults(deployment, "decode", **faults)
+            job = open_stream(deployment, prompt, 5000)
+            wait_until(reached)
+            if name in ("decoding", "resumed"):
+                job.get(timeout=20).close()
+            else:
+                job.kill(timeout=20)
+            assert_idle(deployment)
+            set_faults(deployment, "prefill")
+            set_faults(deployment, "decode")
+
+
+def test_sigterm_under_load_cuts_nothing(case):
+    """Guards against a planned stop that cuts streams or loses an outcome."""
+    deployment = small_deployment(case, daemons=2)
+    daemon = deployment.daemons["entry-1"]
+    address = daemon.address
+    prompts = [f"file {number} " * 50 for number in range(16)]
+
+    def run(prompt):
+        client = Client([address], "ws-1")
+        client.addresses = lambda service: (address,)
+        return "".join(client.complete("summary", prompt, 150))
+
+    jobs = [gevent.spawn(run, prompt) for prompt in prompts]
+    faults = LedgerFaults(delay_s=1.0)
+    ledger = deployment.backends["ledger-1"].address
+    call_json(ledger, "POST", "/control/faults", faults)
+    posting = msgspec.json.encode({"account": "a", "amount": 5, "reference": "r1"})
+    key = str(uuid6.uuid7())
+    call = (Client([address], "ws-1").call, "ledger", "POST", "/postings", posting)
+    leaver = gevent.spawn(*call, key)
+    wait_until(lambda: call_json(ledger, "GET", "/control/counts")["postings"])
+    wait_until(lambda: deployment.status("entry-1")["active"] > len(prompts))
+    leaver.kill()
+    daemon.signal(signal.SIGTERM)
+    wait_until(lambda: deployment.status("entry-1")["draining"])
+    daemon.signal(signal.SIGTERM)
+    daemon.signal(signal.SIGINT)
+    late = Client([address], "ws-1")
+    late.addresses = lambda service: (address,)
+    with case.assertRaises(CallFailed) as raised:
+        list(late.complete("summary", "late", 5))
+    case.assertEqual(raised.exception.verdict, "not_run")
+    other = deployment.daemons["entry-2"].address
+    case.assertEqual(raised.exception.problem["addresses"], [other])
+    found = [job.get(timeout=60) for job in jobs]
+    case.assertEqual(found, [answer_text(prompt, 150) for prompt in prompts])
+    case.assertEqual(daemon.popen.wait(20), 0)
+    again = Client([other], "ws-1").call("ledger", "POST", "/postings", posting, key)
+    case.assertEqual(msgspec.json.decode(again.body)["balance"], 5)
+    counts = call_json(ledger, "GET", "/control/counts")
+    case.assertEqual(counts["postings"], {"r1": 1})
+
+
+def test_answer_goes_on_at_another_daemon(case):
+    """Guards against an answer that is lost, or mixed, with its daemon."""
+    deployment = small_deployment(case, daemons=2)
+    client = client_of(deployment)
+    addresses = [deployment.daemons[f"entry-{n}"].address for n in (1, 2)]
+    client.addresses = lambda service: tuple(addresses)
+    texts = client.complete("summary", "x" * 400, 300)
+    parts = [next(texts), next(texts)]
+    deployment.daemons["entry-1"].kill()
+    parts.extend(texts)
+    case.assertEqual("".join(parts), answer_text("x" * 400, 300))
+    assert_idle(deployment, "entry-2")
+
+
+def test_lost_attempt_is_reported_as_may_have_run(case):
+    """Guards against a second answer that is glued to a first one."""
+    deployment = small_deployment(case, daemons=2)
+    client = client_of(deployment)
+    addresses = [deployment.daemons[f"entry-{n}"].address for n in (1, 2)]
+    client.addresses = lambda service: tuple(addresses)
+    texts = client.complete("summary", "x" * 400, 5000)
+    next(texts)
+    for process in holders(deployment, "decode"):
+        process.kill()
+    deployment.daemons["entry-1"].kill()
+    with case.assertRaises(CallFailed) as raised:
+        list(texts)
+    case.assertEqual(raised.exception.verdict, "may_have_run")
+
+
+def start_fragile(deployment, daemons):
+    """Starts engines of which the decode servers die of a marked prompt."""
+    options = ("--scale", "0.2")
+    deployment.start_engine("prefill-1", "prefill", ZONES[0], *options)
+    for number in range(1, 6):
+        deployment.start_engine(
+            f"decode-{number}", "decode", ZONES[0], *options, "--crash-marker", MARKER
+        )
+    for number in range(1, daemons + 1):
+        deployment.start_daemon(f"entry-{number}")
+    deployment.publish()
+    deployment.accept()
+    deployment.wait_ready()
+
+
+def test_crashing_request_takes_down_two_servers_and_no_more(case):
+    """Guards against a request that its caller sends until the pool is gone."""
+    deployment = case.enterContext(Deployment())
+    start_fragile(deployment, daemons=3)
+    clients = [client_of(deployment, f"entry-{number}") for number in (1, 2, 3)]
+    innocent = clients[0].complete("summary", "innocent " * 20, 1000)
+    parts = [next(innocent)]
+    for _ in range(2):
+        for client in clients:
+            with case.assertRaises(CallFailed):
+                list(client.complete("summary", MARKER, 20))
+    reasons = []
+
+    def quarantined():
+        # Without peer messages daemons learn the marks from the table.
+        reasons.clear()
+        for client in clients:
+            with case.assertRaises(CallFailed) as raised:
+                list(client.complete("summary", MARKER, 20))
+            reasons.append(raised.exception.problem.get("reason"))
+        return set(reasons) == {"quarantined"}
+
+    wait_until(quarantined)
+    dead = [
+        name
+        for name, each in deployment.backends.items()
+        if each.popen.poll() is not None
+    ]
+    case.assertLessEqual(len(dead), 2)
+    try:
+        parts.extend(innocent)
+    except CallFailed as exc:
+        case.assertNotEqual(exc.problem.get("reason"), "quarantined")
+    again = clients[1].complete("summary", "innocent " * 20, 20)
+    case.assertEqual("".join(again), answer_text("innocent " * 20, 20))
+
+
+load_tests = collect(globals())
