Let patient suspects wait; test verdicts at the wire and continuation

After a death up to twenty requests of one server become suspects at once, and four attempts within a fifth of a second refused most of them. A patient suspect now waits up to ten minutes for servers without another suspect.

The wire tests send fourteen kinds of broken replies and random bytes to the engine client and the plain service: each is may_have_run and is sent once.

--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -26,6 +26,9 @@
 # token after this has stalled or waits in the engine behind other daemons' work.
 PATIENT_FIRST_TOKEN_TIMEOUT_S = 10.0
 LEAST_TIMEOUT_S = 0.05
+# After a death, all that ran on the server wait for servers of their own.
+SUSPECT_WAIT_S = 600.0
+SUSPECT_POLL_S = 1.0
 # Failures after which a server may be dead; a slow or refusing one is alive.
 BREAKS = (Reason.BACKEND_FAILED, Reason.STREAM_BROKEN)
 
@@ -68,7 +71,21 @@
         )
 
     def __call__(self, attempt):
-        """Returns ``Result[Answer, Refusal]`` of one attempt."""
+        """Returns ``Result[Answer, Refusal]`` of one attempt.
+
+        A patient suspect waits for servers without another suspect.
+        """
+        end = self._ctx.clock.monotonic() + SUSPECT_WAIT_S
+        while True:
+            outcome = self._run(attempt)
+            waits = outcome.is_err() and not self._work.interactive
+            if not waits or outcome.unwrap_err().reason is not Reason.SUSPECT_WAITING:
+                return outcome
+            if self._ctx.clock.monotonic() >= end:
+                return outcome
+            self._ctx.clock.sleep(SUSPECT_POLL_S)
+
+    def _run(self, attempt):
         admitted = self._ctx.crashes.admit(self._fingerprint)
         if admitted.is_err():
             return admitted
--- a/amaranthbay/dispatch/tests/fakes.py
+++ b/amaranthbay/dispatch/tests/fakes.py
@@ -1,6 +1,5 @@
-"""In-memory peers, table and engine for the tests of the request path."""
+"""Engine, servers and whole request path in memory, for tests."""
 
-import gevent
 from result import Err, Ok
 
 from amaranthbay.config.types import CallerKind, Configuration, Pool, Service
@@ -10,139 +9,27 @@
 from amaranthbay.dispatch.inflight import InFlightTable
 from amaranthbay.dispatch.pauses import PauseWatch
 from amaranthbay.dispatch.resume import Takeovers
+from amaranthbay.dispatch.tests.fake_peers import (
+    FakeChannel,
+    FakeMembership,
+    FakePeers,
+    MemoryTable,
+)
 from amaranthbay.dispatch.types import ModelCall, PrefillOutcome, TokenEvent
 from amaranthbay.kernel.context import DispatchContext
 from amaranthbay.kernel.errors import Reason, may_have_run, not_run
-from amaranthbay.kernel.interfaces import (
-    EngineClient,
-    Membership,
-    PeerChannel,
-    TableService,
-)
+from amaranthbay.kernel.interfaces import EngineClient
 from amaranthbay.kernel.requests import BackendServer, CallerRequest, Work
 from amaranthbay.kernel.retries import RetryBudget
-from amaranthbay.membership.types import Member
 from amaranthbay.placement.baselines import LeastLoadedPolicy
 from amaranthbay.placement.slots import IndependentAllocator
 from amaranthbay.placement.types import PoolView, ServerView
-from amaranthbay.platform.types import CommitOutcome, CommitState, Row
 from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
 from amaranthbay.state.isolation import SuspectClaims
 from amaranthbay.utils.testing import ManualClock
 
 
-def member(instance, incarnation=1):
-    """Returns a daemon's entry."""
-    return Member(instance, "zone-a", "region-1", "", "", "", incarnation)
-
-
-class FakePeers:
-    """All daemons of a test, connected in memory."""
-
-    def __init__(self, *instances):
-        self.members = {each: member(each) for each in instances}
-        self.handlers = {}
-        self.silent = set()
-        self.callbacks = []
-        self.sent = []
-
-    def die(self, instance):
-        """Reports the proven death of a daemon to everybody."""
-        dead = self.members.pop(instance)
-        for callback in self.callbacks:
-            callback(dead)
-
-
-class FakeMembership(Membership):
-    """Membership of one daemon of a `FakePeers`."""
-
-    def __init__(self, peers, instance):
-        self._peers = peers
-        self._own = instance
-
-    def own(self):
-        return self._peers.members.get(self._own) or member(self._own)
-
-    def live(self):
-        return tuple(self._peers.members.values())
-
-    def member(self, instance):
-        return self._peers.members.get(instance)
-
-    def on_death(self, callback):
-        self._peers.callbacks.append(callback)
-
-
-class FakeChannel(PeerChannel):
-    """Channel of one daemon of a `FakePeers`."""
-
-    def __init__(self, peers, instance):
-        self._peers = peers
-        self._own = instance
-
-    def send(self, instance, message):
-        gevent.spawn(self.ask, instance, message, 1.0)
-        return True
-
-    def ask(self, instance, message, timeout_s):
-        self._peers.sent.append((self._own, instance, message))
-        gevent.sleep(0)
-        handler = self._peers.handlers.get((instance, type(message)))
-        if instance in self._peers.silent or handler is None:
-            gevent.sleep(timeout_s)
-            return None
-        return handler(self._own, message)
-
-    def on(self, message_type, handler):
-        self._peers.handlers[self._own, message_type] = handler
-
-
-class MemoryTable(TableService):
-    """Table service in memory, with an outage and lost replies."""
-
-    def __init__(self):
-        self.rows = {}
-        self.down = False
-        self.lose_replies = 0
-        self._version = 0
-
-    def commit(self, writes):
-        if self.down:
-            return CommitOutcome(CommitState.NOT_DONE, {})
-        conflicts = [each.key for each in writes if not self._allows(each)]
-        if not conflicts:
-            versions = {each.key: self._apply(each) for each in writes}
-        if self.lose_replies:
-            self.lose_replies -= 1
-            return CommitOutcome(CommitState.UNKNOWN, {})
-        if conflicts:
-            return CommitOutcome(CommitState.CONFLICT, {}, tuple(conflicts))
-        return CommitOutcome(CommitState.DONE, versions)
-
-    def _allows(self, write):
-        row = self.rows.get(write.key)
-        found = row.version if row else 0
-        return write.if_version is None or write.if_version == found
-
-    def _apply(self, write):
-        self._version += 1
-        if write.value is None:
-            self.rows.pop(write.key, None)
-        else:
-            self.rows[write.key] = Row(write.key, write.value, self._version)
-        return self._version
-
-    def read(self, key):
-        return Err("down") if self.down else Ok(self.rows.get(key))
-
-    def scan(self, prefix, after="", limit=1000):
-        if self.down:
-            return Err("down")
-        keys = sorted(key for key in self.rows if key.startswith(prefix))
-        return Ok(tuple(self.rows[key] for key in keys if key > after)[:limit])
-
-
 class FakeEngine(EngineClient):
     """Engines that answer by script; each step says how one call ends.
 
--- a/amaranthbay/dispatch/tests/test_attempts.py
+++ b/amaranthbay/dispatch/tests/test_attempts.py
@@ -6,10 +6,11 @@
 from hypothesis import given, settings, strategies as st
 from result import Err
 
-from amaranthbay.dispatch.model import ModelService
+from amaranthbay.dispatch.model import ModelService, _Run
 from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode, model_work
 from amaranthbay.kernel.errors import CallerGone, Reason, Verdict, not_run
 from amaranthbay.kernel.retries import Backoff, RetryBudget, run_attempts
+from amaranthbay.state.crash_marks import SHARED
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 STEPS = st.lists(
@@ -192,6 +193,44 @@
     case.assertLessEqual(len(runs), 1100)
 
 
+def suspect_node():
+    """Returns a daemon whose next request is a suspect, and its claims."""
+    node = FakeNode(FakeEngine())
+    run = _Run(node.ctx, model_work())
+    node.crashes.blame([run._fingerprint], SHARED)
+    return node
+
+
+def test_patient_suspect_waits_for_servers_of_its_own(case):
+    """Guards against suspects that are refused since others run first."""
+    node = suspect_node()
+    node.ctx.claims.isolate("other", "attempt-o", ["decode-1"]).unwrap()
+    answer = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    case.assertGreaterEqual(node.clock.monotonic(), 60)
+    b"".join(answer.chunks)
+    assert_nothing_held(case, node)
+
+
+def test_interactive_suspect_is_refused_at_once(case):
+    """Guards against an interactive caller that waits for other suspects."""
+    node = suspect_node()
+    node.ctx.claims.isolate("other", "attempt-o", ["decode-1"]).unwrap()
+    outcome = ModelService(node.ctx).dispatch(model_work(deadline=1.3))
+    case.assertIs(outcome.unwrap_err().reason, Reason.SUSPECT_WAITING)
+    case.assertIsNotNone(outcome.unwrap_err().retry_after)
+    assert_nothing_held(case, node)
+
+
+def test_suspect_that_runs_to_its_end_is_cleared_and_frees_its_claim(case):
+    """Guards against claims and marks that outlive an innocent's answer."""
+    node = suspect_node()
+    answer = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    case.assertIsNotNone(node.ctx.claims.holder("decode-1"))
+    b"".join(answer.chunks)
+    wait_until(lambda: node.ctx.claims.holder("decode-1") is None)
+    wait_until(lambda: not node.ctx.crashes._suspects)
+
+
 def test_permanent_refusal_has_no_time_to_come_back(case):
     """Guards against callers that repeat what can never succeed."""
 
--- a/amaranthbay/dispatch/tests/test_guards.py
+++ b/amaranthbay/dispatch/tests/test_guards.py
@@ -8,13 +8,8 @@
 from amaranthbay.dispatch.guards import guards_of
 from amaranthbay.dispatch.inflight import InFlightRecord
 from amaranthbay.dispatch.pauses import PauseWatch
-from amaranthbay.dispatch.tests.fakes import (
-    FakeEngine,
-    FakeNode,
-    FakePeers,
-    member,
-    server,
-)
+from amaranthbay.dispatch.tests.fake_peers import FakePeers, member
+from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode, server
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 PREFILL = server("prefill-1", "prefill")
--- /dev/null
+++ b/amaranthbay/dispatch/tests/test_resume.py
@@ -0,0 +1,64 @@
+"""Continuation of an attempt by another daemon."""
+
+from amaranthbay.dispatch.model import ModelService
+from amaranthbay.dispatch.resume import ResumePoint
+from amaranthbay.dispatch.tests.fake_peers import FakePeers
+from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode, model_work
+from amaranthbay.dispatch.tests.test_attempts import assert_nothing_held, texts_of
+from amaranthbay.kernel.errors import Reason, Verdict
+from amaranthbay.utils.testing import collect, wait_until
+
+
+def test_answer_continues_from_the_same_attempt(case):
+    """Guards against an answer whose halves come from two attempts."""
+    peers, engine = FakePeers("entry-1", "entry-2"), FakeEngine()
+    first = FakeNode(engine, peers, "entry-1")
+    second = FakeNode(engine, peers, "entry-2")
+    begun = ModelService(first.ctx).dispatch(model_work()).unwrap()
+    part, _, _ = texts_of(next(begun.chunks) + next(begun.chunks))
+    token = dict(begun.headers)["X-Resume-Token"]
+    peers.die("entry-1")
+    work = model_work(resume_token=token, offset=2)
+    resumed = ModelService(second.ctx).dispatch(work).unwrap()
+    rest, error, done = texts_of(b"".join(resumed.chunks))
+    case.assertTrue(done)
+    case.assertIsNone(error)
+    texts = part + rest
+    case.assertEqual(len({each.split(":")[0] for each in texts}), 1)
+    case.assertEqual([int(each.split(":")[1]) for each in texts], list(range(8)))
+    case.assertEqual(engine.cancelled, [])
+    assert_nothing_held(case, second)
+
+
+def test_caller_that_leaves_a_continued_answer_is_cancelled(case):
+    """Guards against memory held by an attempt that changed its daemon."""
+    node = FakeNode(FakeEngine())
+    begun = ModelService(node.ctx).dispatch(model_work()).unwrap()
+    token = dict(begun.headers)["X-Resume-Token"]
+    resumed = ModelService(node.ctx).dispatch(model_work(resume_token=token))
+    resumed.unwrap().chunks.close()
+    wait_until(lambda: node.cancels.outstanding == 0)
+    attempt_id = ResumePoint.decode(token).attempt_id
+    case.assertIn(("decode-1", attempt_id), node.engine.cancelled)
+
+
+def test_lost_or_odd_attempts_may_have_run(case):
+    """Guards against ``not_run`` for an answer that was begun."""
+    known = "0" * 32
+    for token in (
+        "odd",
+        f"{known}/decode-9/entry-1",
+        f"{known}/prefill-1/entry-1",
+        f"{known}/decode-1/entry-1",
+    ):
+        with case.subTest(token):
+            node = FakeNode(FakeEngine())
+            outcome = ModelService(node.ctx).dispatch(model_work(resume_token=token))
+            refusal = outcome.unwrap_err()
+            case.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
+            case.assertIs(refusal.reason, Reason.STREAM_BROKEN)
+            case.assertEqual(refusal.status, 409)
+            assert_nothing_held(case, node)
+
+
+load_tests = collect(globals())
--- /dev/null
+++ b/amaranthbay/dispatch/tests/test_wire.py
@@ -0,0 +1,164 @@
+"""Verdicts of exchanges with back ends that break in every way."""
+
+import contextlib
+
+from gevent.server import StreamServer
+from hypothesis import given, settings, strategies as st
+
+from amaranthbay.dispatch.engine_http import HttpEngineClient
+from amaranthbay.dispatch.plain import PlainService
+from amaranthbay.dispatch.streams import BrokenStream, MatchedStream
+from amaranthbay.dispatch.tests.fakes import FakeEngine, FakeNode
+from amaranthbay.dispatch.types import ModelCall, PlainCall, PrefillOutcome
+from amaranthbay.gateway.tests.serving import configuration
+from amaranthbay.kernel.clock import SystemClock
+from amaranthbay.kernel.errors import Verdict
+from amaranthbay.kernel.requests import Attempt, BackendServer, CallerRequest, Work
+from amaranthbay.utils.testing import collect, free_port
+
+CALL = ModelCall("m", "prompt", 8, True)
+ATTEMPT = Attempt("request-1", "attempt-1", 1)
+OK = b"HTTP/1.1 200 OK\r\n"
+REFUSED = b'{"not_run": true}'
+
+
+def reply(status, body, length=None):
+    """Returns the bytes of a response; a longer length makes it short."""
+    length = len(body) if length is None else length
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, length, body)
+
+
+BROKEN = {
+    "closed at once": b"",
+    "half a head": b"HTTP/1.1 200 OK\r\nConte",
+    "no HTTP": b"\x00\xffgarbage\r\n\r\n",
+    "no JSON": reply(200, b"hello"),
+    "wrong fields": reply(200, b'{"kv_handle": 3}'),
+    "short body": reply(200, b'{"kv_handle": "a"', 500),
+    "defect": reply(500, b"oops"),
+    "defect that claims": reply(500, REFUSED),
+    "odd claim": reply(200, REFUSED),
+    "unreadable claim": reply(503, b'{"not_run": "yes"}'),
+    "no claim": reply(503, b""),
+    "redirect": reply(302, b""),
+    "interim only": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "odd chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+}
+
+
+@contextlib.contextmanager
+def backend(raw, role="prefill"):
+    """Serves fixed bytes; yields a `BackendServer` that counts its requests."""
+    seen = []
+
+    def handle(conn, address):
+        seen.append(conn.recv(65536))
+        conn.sendall(raw)
+        conn.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    try:
+        yield BackendServer("backend-1", "ledger", role, address, "zone-a"), seen
+    finally:
+        server.stop()
+
+
+def prefill(server):
+    """Returns the outcome of a prefill."""
+    return HttpEngineClient(SystemClock()).prefill(server, ATTEMPT, CALL, 0, 5.0)
+
+
+def decode(server):
+    """Returns the outcome of a decode."""
+    source = PrefillOutcome("kv-1", "127.0.0.1:1", 1, 0, 1.0)
+    engine = HttpEngineClient(SystemClock())
+    return engine.decode(server, ATTEMPT, CALL, source, 0, 5.0)
+
+
+def test_broken_prefills_may_have_run(case):
+    """Guards against ``not_run`` for a request that was sent."""
+    for name, raw in BROKEN.items():
+        with case.subTest(name), backend(raw) as (server, seen):
+            outcome = prefill(server)
+            case.assertIs(outcome.unwrap_err().verdict, Verdict.MAY_HAVE_RUN)
+            case.assertEqual(len(seen), 1, "a library must not repeat the request")
+
+
+def test_only_explicit_refusals_and_refused_connections_did_not_run(case):
+    """Guards against a retry budget that is spent on what surely didn't run."""
+    for status in (409, 503):
+        with backend(reply(status, REFUSED)) as (server, _):
+            case.assertIs(prefill(server).unwrap_err().verdict, Verdict.NOT_RUN)
+            case.assertIs(decode(server).unwrap_err().verdict, Verdict.NOT_RUN)
+    address = f"127.0.0.1:{free_port()}"
+    nobody = BackendServer("gone", "prefill", "prefill", address, "zone-a")
+    case.assertIs(prefill(nobody).unwrap_err().verdict, Verdict.NOT_RUN)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(st.binary(max_size=300), st.booleans())
+def test_garbage_on_a_stream_ends_in_a_refusal(case, garbage, framed):
+    """Guards against an unreadable event that shortens an answer silently."""
+    head = OK + b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    good = b'data: {"request_id":"request-1","attempt_id":"attempt-1","index":0}\n\n'
+    raw = head + good + (b"data: " if framed else b"") + garbage + b"\n\n"
+    with backend(raw) as (server, _):
+        engine = HttpEngineClient(SystemClock())
+        opened = decode(server)
+        stream = MatchedStream(engine, server, ATTEMPT, opened.unwrap(), FakeClock())
+        with case.assertRaises(BrokenStream) as raised:
+            list(stream)
+    case.assertIs(raised.exception.refusal.verdict, Verdict.MAY_HAVE_RUN)
+
+
+class FakeClock(SystemClock):
+    """Clock that doesn't wait between resumptions."""
+
+    def sleep(self, seconds):
+        """Returns at once."""
+
+
+def plain_work(method, path, key=None):
+    """Returns the work of a call to the ledger."""
+    call = PlainCall(method, path, b"{}")
+    request = CallerRequest("request-1", "ledger", "ws-1", "desk", call, key)
+    return Work(request, False, None, key is None, 0.0)
+
+
+def test_broken_plain_calls_may_have_run_and_run_once(case):
+    """Guards against a second posting, and ``not_run`` for a first one."""
+    key = "019b76da-a800-7000-8000-000000000000"
+    for name, raw in BROKEN.items():
+        if raw.startswith((b"HTTP/1.1 200", b"HTTP/1.1 3")) and name not in (
+            "short body",
+            "odd chunk",
+            "half a head",
+        ):
+            continue
+        with case.subTest(name), backend(raw, "plain") as (server, seen):
+            node = FakeNode(FakeEngine(), cfg=configuration())
+            node.directory = node.ctx.directory
+            node.directory.add(server)
+            node.directory.servers = lambda pools, role=None: (server,)
+            service = PlainService(node.ctx)
+            outcome = service.dispatch(plain_work("POST", "/postings", key))
+            refusal = outcome.unwrap_err()
+            case.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
+            case.assertEqual(len(seen), 1)
+            case.assertEqual(len(node.table), 0)
+
+
+def test_idempotent_plain_calls_are_retried_within_bounds(case):
+    """Guards against reads that fail for one lost reply, or never end."""
+    with backend(b"", "plain") as (server, seen):
+        node = FakeNode(FakeEngine(), cfg=configuration())
+        node.directory.servers = lambda pools, role=None: (server,)
+        outcome = PlainService(node.ctx).dispatch(plain_work("GET", "/balances/a"))
+        case.assertIs(outcome.unwrap_err().verdict, Verdict.MAY_HAVE_RUN)
+        case.assertIsNotNone(outcome.unwrap_err().retry_after)
+        case.assertEqual(len(seen), 4)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -51,6 +51,7 @@
     OVERLOADED = "overloaded"
     WOULD_MISS_TARGET = "would_miss_target"
     QUARANTINED = "quarantined"
+    SUSPECT_WAITING = "suspect_waiting"
     BACKEND_FAILED = "backend_failed"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_SLOW = "backend_slow"
--- a/amaranthbay/state/isolation.py
+++ b/amaranthbay/state/isolation.py
@@ -66,8 +66,8 @@
             if any(self._is_held(each, attempt_id) for each in read.values()):
                 break
             versions = {each: read[each][1] for each in instances}
-        detail = "each free backend server runs another suspect"
-        return Err(not_run(Reason.OVERLOADED, detail, retry_after=RETRY_AFTER))
+        detail = "the chosen backend server runs another suspected request"
+        return Err(not_run(Reason.SUSPECT_WAITING, detail, retry_after=RETRY_AFTER))
 
     def holder(self, instance):
         """Returns the `Claim` of a server, or None if there is none known."""
--- a/amaranthbay/state/tests/test_crash_marks.py
+++ b/amaranthbay/state/tests/test_crash_marks.py
@@ -8,14 +8,13 @@
 
 from amaranthbay.dispatch.deaths import DeathReporter
 from amaranthbay.dispatch.inflight import InFlightRecord, InFlightTable
-from amaranthbay.dispatch.tests.fakes import (
+from amaranthbay.dispatch.tests.fake_peers import (
     FakeChannel,
-    FakeDirectory,
     FakeMembership,
     FakePeers,
     MemoryTable,
-    server,
 )
+from amaranthbay.dispatch.tests.fakes import FakeDirectory, server
 from amaranthbay.kernel.errors import Reason, Verdict
 from amaranthbay.state.crash_marks import SHARED, CrashMarks, fingerprint_of
 from amaranthbay.state.isolation import SuspectClaims
