Bound the size of in-flight batches and send ended attempts later

Cause: a full batch of 100 records and 1,000 ended attempts took 82 KB, more than the 64 KB of a peer message, so the channel would have dropped it. Each ended attempt also woke the link for a message of its own.

A copy now carries the attempt and instance@address of its servers only, and ended attempts wait up to a second for the next batch. The choice of guards is computed only when the list of live daemons has changed.

--- a/amaranthbay/dispatch/guard_messages.py
+++ b/amaranthbay/dispatch/guard_messages.py
@@ -2,10 +2,35 @@
 
 from dataclasses import dataclass
 
-from amaranthbay.dispatch.inflight import InFlightRecord
 from amaranthbay.kernel.registry import register
+from amaranthbay.kernel.requests import BackendServer
 
-__all__ = ["AttemptTakenOver", "InFlightAck", "InFlightBatch"]
+__all__ = ["AttemptTakenOver", "CopiedRecord", "InFlightAck", "InFlightBatch"]
+
+
+@dataclass(frozen=True)
+class CopiedRecord:
+    """What a guard needs to cancel an attempt; kept short, as each request sends it.
+
+    Attributes:
+        attempt_id: The attempt.
+        servers: ``instance@address`` of the servers that may hold memory for it.
+    """
+
+    attempt_id: str
+    servers: tuple[str, ...]
+
+    @classmethod
+    def of(cls, record):
+        """Returns the copy of an `InFlightRecord`."""
+        names = [f"{each.instance}@{each.address}" for each in record.servers]
+        return cls(record.attempt_id, tuple(names))
+
+    def backend_servers(self):
+        """Yields the `BackendServer` of each name."""
+        for name in self.servers:
+            instance, _, address = name.rpartition("@")
+            yield BackendServer(instance, "", "", address, "")
 
 
 @register("peer_message", "in_flight_batch")
@@ -27,7 +52,7 @@
     incarnation: int
     sequence: int
     snapshot: bool
-    entered: tuple[InFlightRecord, ...]
+    entered: tuple[CopiedRecord, ...]
     ended: tuple[str, ...]
 
 
--- a/amaranthbay/dispatch/guarded.py
+++ b/amaranthbay/dispatch/guarded.py
@@ -112,5 +112,5 @@
         for record in records:
             if self._taken_over.pop(record.attempt_id, None) is not None:
                 continue
-            for server in record.servers:
+            for server in record.backend_servers():
                 self._cancels.cancel(server, record.attempt_id, unanswered=True)
--- a/amaranthbay/dispatch/guards.py
+++ b/amaranthbay/dispatch/guards.py
@@ -6,7 +6,11 @@
 import gevent.event
 import xxhash
 
-from amaranthbay.dispatch.guard_messages import InFlightAck, InFlightBatch
+from amaranthbay.dispatch.guard_messages import (
+    CopiedRecord,
+    InFlightAck,
+    InFlightBatch,
+)
 from amaranthbay.observe import log_event
 
 __all__ = ["RecordCopier", "guards_of"]
@@ -17,8 +21,13 @@
 # Records that arrive within this time share a message.
 GATHER_S = 0.001
 REPLY_TIMEOUT_S = 1.0
-# About 400 bytes a record; a batch stays well below the 64 KB of a message.
-BATCH_RECORDS = 100
+# Ended attempts wait for the next batch up to this long; a guard that knows one
+# for longer only repeats a cancellation.
+ENDED_DELAY_S = 1.0
+# At most about 400 bytes a record and 40 an ended attempt, so that a batch stays
+# below the 64 KB of a message.
+BATCH_RECORDS = 80
+BATCH_ENDED = 500
 # How often the choice of guards is checked while no request arrives.
 REVIEW_S = 1.0
 
@@ -55,18 +64,21 @@
 class RecordCopier:
     """Sends the changes of the in-flight table to the guards, in batches."""
 
-    def __init__(self, table, membership, channel):
+    def __init__(self, table, membership, channel, ack_bound_s=ACK_BOUND_S):
         """Creates the copier.
 
         Args:
             table: `InFlightTable` of this daemon.
             membership: `Membership`.
             channel: `PeerChannel`.
+            ack_bound_s: Longest wait of a request for a guard.
         """
         self._table = table
         self._membership = membership
         self._channel = channel
+        self._ack_bound_s = ack_bound_s
         self._process = uuid.uuid4().hex
+        self._members = ()
         self._links = {}
         self._acks = {}
 
@@ -81,7 +93,7 @@
             link.entered[record.attempt_id] = record
             link.changed.set()
         try:
-            known = acked.wait(ACK_BOUND_S)
+            known = acked.wait(self._ack_bound_s)
         finally:
             del self._acks[record.attempt_id]
         if not known:
@@ -94,7 +106,6 @@
         for link in self._links.values():
             if link.entered.pop(attempt_id, None) is None:
                 link.ended.add(attempt_id)
-                link.changed.set()
 
     def run(self):
         """Follows changes of the guards until killed."""
@@ -104,8 +115,11 @@
 
     def _review(self):
         """Opens links to new guards and closes those to former ones."""
-        own = self._membership.own().instance
-        chosen = guards_of(own, self._membership.live())
+        members = self._membership.live()
+        if members == self._members:
+            return
+        self._members = members
+        chosen = guards_of(self._membership.own().instance, members)
         for instance in set(self._links) - set(chosen):
             self._close(self._links.pop(instance))
         for instance in chosen:
@@ -125,7 +139,8 @@
     def _serve(self, link):
         """Sends batches to one guard, one at a time and in order."""
         while True:
-            link.changed.wait()
+            if not link.changed.wait(ENDED_DELAY_S) and not link.ended:
+                continue
             gevent.sleep(GATHER_S)
             link.changed.clear()
             batch = self._next_batch(link)
@@ -145,8 +160,8 @@
             link.entered = {each.attempt_id: each for each in self._table.records()}
             link.ended.clear()
         names = list(link.entered)[:BATCH_RECORDS]
-        entered = tuple(link.entered.pop(name) for name in names)
-        ended = tuple(list(link.ended)[: 10 * BATCH_RECORDS])
+        entered = tuple(CopiedRecord.of(link.entered.pop(name)) for name in names)
+        ended = tuple(list(link.ended)[:BATCH_ENDED])
         link.ended.difference_update(ended)
         if link.entered or link.ended:
             link.changed.set()
--- a/amaranthbay/dispatch/tests/test_wire.py
+++ b/amaranthbay/dispatch/tests/test_wire.py
@@ -113,6 +113,25 @@
     case.assertIs(raised.exception.refusal.verdict, Verdict.MAY_HAVE_RUN)
 
 
+def test_broken_framing_of_a_stream_ends_in_a_refusal(case):
+    """Guards against a parser's exception that ends a stream as a defect."""
+    event = b'data: {"request_id":"request-1","attempt_id":"attempt-1","index":0}\n\n'
+    head = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n%s\r\n" % (len(event), event)
+    for ending in (b"", b"zz\r\n", b"ff\r\nshort", b"0\r\n\r\n"):
+        with case.subTest(ending), backend(head + chunk + ending) as (server, _):
+            engine = HttpEngineClient(SystemClock())
+            opened = decode(server)
+            if opened.is_err():
+                # Head and broken framing arrived together.
+                case.assertIs(opened.unwrap_err().verdict, Verdict.MAY_HAVE_RUN)
+                continue
+            events = opened.unwrap()
+            stream = MatchedStream(engine, server, ATTEMPT, events, FakeClock())
+            with case.assertRaises(BrokenStream):
+                list(stream)
+
+
 class FakeClock(SystemClock):
     """Clock that doesn't wait between resumptions."""
 
