Add the cost policy, prefix index and a queue for patient work

Cause: least_loaded sent interactive requests behind patient prefills of seconds, and started prefills whose result found no decode slot.

The cost policy adds prefill wait, uncached tokens, KV bytes over the link's measured rate and the decode wait at the end of the prefill, and refuses an interactive request that can't meet its target before a prefill (429, which the retry loop leaves alone). Patient work waits in a queue that is fair between workspaces and starts when its result would be taken in time. Load reports are corrected by own placements. round_robin and prefix_affinity are added as baselines. The engines' slowdown and link rates are measured.

Ruled out: refusing patient work in choose (the retry loop would give up on it); starting patient work at once in each daemon that sees an idle server (eight daemons see the same idle server for 0.75 s).

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -23,8 +23,9 @@
 from amaranthbay.membership import BackendDirectory
 from amaranthbay.observe import configure_logs, log_decision, log_event
 from amaranthbay.placement.admission import BoundedAdmission
-from amaranthbay.placement.loads import LoadReports
+from amaranthbay.placement.demands import to_demand
 from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.placement.tracker import LoadTracker
 from amaranthbay.platform.http import (
     HttpInstanceList,
     HttpObjectStore,
@@ -53,17 +54,25 @@
         instances = HttpInstanceList(settings.platform_address)
         self.config_store = ConfigStore(table, objects, self.clock)
         self.directory = BackendDirectory(instances, self.clock)
-        self.loads = LoadReports(self.directory, settings.availability_zone)
+        self.loads = LoadTracker(
+            self.directory, settings.availability_zone, self.clock, self._slots_of
+        )
         self.inflight = InFlightTable()
         engine = HttpEngineClient(self.clock)
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
-        self.admission = BoundedAdmission(settings.limits.queue_length)
+        policy = find("placement_policy", settings.placement_policy)()
+        self.admission = BoundedAdmission(
+            settings.limits.queue_length,
+            self.clock,
+            self._patient_gate(policy) if policy.queues_patient else None,
+            lambda: max(1, len(self.directory.entries())),
+        )
         budgets = defaultdict(RetryBudget)
         ctx = DispatchContext(
             configuration=self.configuration,
             directory=self.directory,
             view=self._view,
-            policy=find("placement_policy", settings.placement_policy)(),
+            policy=policy,
             allocator=IndependentAllocator(self._slots_of),
             engine=engine,
             inflight=self.inflight,
@@ -72,6 +81,7 @@
             clock=self.clock,
             budget=budgets.__getitem__,
             availability_zone=settings.availability_zone,
+            observer=self.loads,
         )
         self.pipeline = Pipeline(ctx, self.admission, self._readiness)
         limits = settings.limits
@@ -85,7 +95,20 @@
         return self.config_store.current
 
     def _view(self, service_name, call):
-        return self.loads.view(self.configuration().service(service_name))
+        cfg = self.configuration()
+        return self.loads.view(cfg.service(service_name), call, cfg.goodput_weight)
+
+    def _patient_gate(self, policy):
+        """Returns a function that tells whether a patient request may start."""
+
+        def may_start(work, owed):
+            request = work.request
+            now = self.clock.monotonic()
+            demand = to_demand(work, now, request.request_id, owed)
+            view = self._view(request.service, request.payload)
+            return policy.may_start(demand, view, now)
+
+        return may_start
 
     def _slots_of(self, server):
         pool = self.configuration().pool(server.pool)
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -14,7 +14,7 @@
 from amaranthbay.kernel.requests import Answer
 from amaranthbay.kernel.retries import Backoff, run_attempts
 from amaranthbay.observe import log_decision
-from amaranthbay.placement.types import Demand
+from amaranthbay.placement.demands import to_demand
 from amaranthbay.utils.tokens import estimate_tokens
 
 __all__ = ["ModelService"]
@@ -43,11 +43,11 @@
 
     def _run_attempt(self, work, attempt):
         """Returns ``Result[_StartedStream, Refusal]``."""
-        placed = self._place(work, attempt)
-        if placed.is_err():
-            return placed
-        placement = placed.unwrap()
         with ExitStack() as held:
+            placed = self._place(work, attempt, held)
+            if placed.is_err():
+                return placed
+            placement = placed.unwrap()
             granted = self._reserve(work, attempt, placement, held)
             if granted.is_err():
                 return granted
@@ -58,19 +58,18 @@
             stream, first = started.unwrap()
             return Ok(_StartedStream(stream, first, held.pop_all()))
 
-    def _place(self, work, attempt):
+    def _place(self, work, attempt, held):
         call = work.request.payload
         now = self._ctx.clock.monotonic()
-        demand = Demand(
-            prompt_tokens=estimate_tokens(call.prompt),
-            max_tokens=call.max_tokens,
-            interactive=work.interactive,
-            remaining_s=None if work.deadline is None else work.deadline - now,
-        )
+        demand = to_demand(work, now, attempt.attempt_id)
         view = self._ctx.view(work.request.service, call)
         started = time.perf_counter()
         placed = self._ctx.policy.choose(demand, view, now)
         _log_placement(attempt, placed, time.perf_counter() - started)
+        if placed.is_ok():
+            observer = self._ctx.observer
+            observer.placed(attempt.attempt_id, call, placed.unwrap(), view)
+            held.callback(observer.released, attempt.attempt_id)
         return placed
 
     def _reserve(self, work, attempt, placement, held):
@@ -108,6 +107,7 @@
         if prefilled.is_err():
             self._ctx.directory.report_failure(prefill_server.instance)
             return prefilled
+        self._ctx.observer.prefilled(attempt.attempt_id, prefilled.unwrap())
         opened = engine.decode(
             decode_server, attempt, call, prefilled.unwrap(), priority
         )
@@ -120,6 +120,7 @@
         if first.is_err():
             self._ctx.directory.report_failure(decode_server.instance)
             return Err(first.unwrap_err())
+        self._ctx.observer.first_token(attempt.attempt_id)
         return Ok((stream, first.unwrap()))
 
 
--- a/amaranthbay/kernel/context.py
+++ b/amaranthbay/kernel/context.py
@@ -5,6 +5,7 @@
 from amaranthbay.kernel.clock import Clock
 from amaranthbay.kernel.interfaces import (
     EngineClient,
+    PlacementObserver,
     PlacementPolicy,
     SlotAllocator,
 )
@@ -29,6 +30,7 @@
         clock: Clock.
         budget: Function of a service name that returns its `RetryBudget`.
         availability_zone: Where the daemon runs.
+        observer: Is told what became of each placement.
     """
 
     configuration: object
@@ -43,3 +45,4 @@
     clock: Clock
     budget: object
     availability_zone: str
+    observer: PlacementObserver
--- a/amaranthbay/kernel/interfaces.py
+++ b/amaranthbay/kernel/interfaces.py
@@ -8,6 +8,7 @@
     "Membership",
     "ObjectStore",
     "PeerChannel",
+    "PlacementObserver",
     "PlacementPolicy",
     "ServiceKind",
     "SlotAllocator",
@@ -33,7 +34,13 @@
 
 
 class PlacementPolicy(ABC):
-    """Chooses the backend servers of one attempt."""
+    """Chooses the backend servers of one attempt.
+
+    Attributes:
+        queues_patient: Whether patient requests wait until `may_start` holds.
+    """
+
+    queues_patient = False
 
     @abstractmethod
     def choose(self, demand, view, now):
@@ -45,6 +52,30 @@
             now: Monotonic time in seconds.
         """
 
+    def may_start(self, demand, view, now):
+        """Returns whether a patient request should leave the queue now."""
+        return True
+
+
+class PlacementObserver(ABC):
+    """Is told what became of a placement, so that later ones can be better."""
+
+    @abstractmethod
+    def placed(self, attempt_id, call, placement, view):
+        """Notes that an attempt starts on a pair of servers."""
+
+    @abstractmethod
+    def prefilled(self, attempt_id, outcome):
+        """Notes the `PrefillOutcome` of an attempt."""
+
+    @abstractmethod
+    def first_token(self, attempt_id):
+        """Notes the first token of an attempt."""
+
+    @abstractmethod
+    def released(self, attempt_id):
+        """Notes that an attempt has ended on all ways out; repeatable."""
+
 
 class SlotAllocator(ABC):
     """Grants slots of backend servers, so that daemons don't overload them."""
--- a/amaranthbay/placement/baselines.py
+++ b/amaranthbay/placement/baselines.py
@@ -9,7 +9,13 @@
 from amaranthbay.kernel.registry import register
 from amaranthbay.placement.types import Placement
 
-__all__ = ["LeastLoadedPolicy", "RandomPolicy"]
+__all__ = [
+    "LeastLoadedPolicy",
+    "PrefixAffinityPolicy",
+    "RandomPolicy",
+    "RoundRobinPolicy",
+    "allowed",
+]
 
 
 def allowed(views, demand):
@@ -31,13 +37,17 @@
             detail = "no live backend server in the prefill or the decode pool"
             return Err(not_run(Reason.NO_BACKEND_SERVER, detail))
         names = tuple(each.server.instance for each in (*prefill, *decode))
-        chosen = self.pick(prefill), self.pick(decode)
+        chosen = self.pick_prefill(prefill), self.pick(decode)
         return Ok(Placement(*chosen, None, self.reason, names))
 
     def pick(self, views):
         """Returns one of the views."""
         raise NotImplementedError
 
+    def pick_prefill(self, views):
+        """Returns the prefill server; like any other unless overridden."""
+        return self.pick(views)
+
 
 @register("placement_policy", "random")
 class RandomPolicy(_PairPolicy):
@@ -66,3 +76,32 @@
             return view.active + view.waiting, view.queued_tokens, self._rng.random()
 
         return min(views, key=load)
+
+
+@register("placement_policy", "round_robin")
+class RoundRobinPolicy(_PairPolicy):
+    """Chooses the servers in turn."""
+
+    reason = "in turn"
+
+    def __init__(self, seed=None):
+        # Daemons that start together must not walk the pool in step.
+        self._next = random.Random(seed).randrange(1 << 16)
+
+    def pick(self, views):
+        return views[self._next % len(views)]
+
+    def choose(self, demand, view, now):
+        self._next += 1
+        return super().choose(demand, view, now)
+
+
+@register("placement_policy", "prefix_affinity")
+class PrefixAffinityPolicy(LeastLoadedPolicy):
+    """Chooses the prefill server that holds most of the prompt."""
+
+    reason = "longest prefix"
+
+    def pick_prefill(self, views):
+        longest = max(view.cached_tokens for view in views)
+        return self.pick([view for view in views if view.cached_tokens == longest])
--- /dev/null
+++ b/amaranthbay/placement/cost.py
@@ -0,0 +1,203 @@
+"""Cost policy: the pair of servers with the least expected time to first token."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from result import Err, Ok
+
+from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.interfaces import PlacementPolicy
+from amaranthbay.kernel.registry import register
+from amaranthbay.placement.types import Placement, ServerView
+
+__all__ = ["CostPolicy", "Pair"]
+
+# Servers of each pool that a decision looks at; a full scan of 1,300 workers
+# takes milliseconds.
+SAMPLE = 16
+# Delay of a transfer into another availability zone, and its price as time.
+ZONE_DELAY_S = 0.005
+ZONE_PRICE_S = 0.02
+# Share of the life of a prefill's result that a decode server may let it wait.
+KV_WAIT_SHARE = 0.5
+# Extra time that a full weight on wasted prefill asks for before an interactive
+# request is started.
+CAUTION = 0.5
+# Patient work leaves this share of a decode server's slots to interactive work.
+PATIENT_SLOT_SHARE = 0.9
+# A patient prefill starts once a prefill server has less than this in its queue.
+PATIENT_QUEUE_S = 0.15
+# One prefill server in so many takes no patient work, since a prefill that has
+# started can't be interrupted.
+RESERVED_SERVERS = 3
+MIN_RETRY_AFTER_S = 0.2
+TOO_MANY_REQUESTS = 429
+
+
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """A prefill server, a decode server and what they cost.
+
+    Attributes:
+        prefill: View of the prefill server.
+        decode: View of the decode server.
+        wait_s: Wait for the prefill server.
+        ready_s: Time until the prefill has ended.
+        hold_s: Time that the result waits for link and decode slot.
+        first_token_s: Expected time to the first token.
+        cost_s: Expected time with the price of the link.
+    """
+
+    prefill: ServerView
+    decode: ServerView
+    wait_s: float
+    ready_s: float
+    hold_s: float
+    first_token_s: float
+    cost_s: float
+
+
+def sample(views, seed, extra=()):
+    """Returns some views, spread evenly over the pool from a seeded start."""
+    size = len(views)
+    if size <= SAMPLE:
+        return list(views)
+    step = size // SAMPLE
+    positions = {(seed + step * number) % size for number in range(SAMPLE)}
+    positions.update(extra[:SAMPLE])
+    return [views[position] for position in sorted(positions)]
+
+
+def reserved(views):
+    """Returns the instances of a pool that take no patient prefills.
+
+    Every daemon reserves the same servers, without any message.
+    """
+    names = sorted(view.server.instance for view in views)
+    if len(names) < 2:
+        return frozenset()
+    return frozenset(names[: max(1, len(names) // RESERVED_SERVERS)])
+
+
+def usable(views, demand):
+    """Returns the views of servers that the demand may use."""
+    return [
+        view
+        for view in views
+        if view.server.instance not in demand.excluded and not view.server.leaving
+    ]
+
+
+def prefill_time(view, demand, times):
+    """Returns wait and end of a prefill, in seconds from now."""
+    token_s = times.prefill_token_s * view.slowdown
+    wait_s = view.queued_tokens * token_s
+    uncached = max(0, demand.prompt_tokens - view.cached_tokens)
+    return wait_s, wait_s + uncached * token_s
+
+
+def decode_wait(view, ready_s, times):
+    """Returns the wait for a decode slot at the moment the prefill ends."""
+    running = view.active + view.waiting
+    leaving = min(running, view.slots) * ready_s / times.stream_s
+    missing = running - leaving + 1 - view.slots
+    if missing <= 0:
+        return 0.0
+    return missing * times.stream_s / view.slots
+
+
+def make_pair(prefill, wait_s, ready_s, decode, demand, times):
+    """Returns the `Pair` of two servers."""
+    size = demand.prompt_tokens * times.kv_bytes_token
+    hold_s = prefill.link_queued_bytes / prefill.link_bytes_s
+    hold_s += decode_wait(decode, ready_s, times)
+    move_s = size / prefill.link_bytes_s
+    first_s = ready_s + hold_s + move_s + times.overhead_s
+    first_s += times.decode_step_s * decode.slowdown
+    price_s = 0.0
+    if prefill.server.availability_zone != decode.server.availability_zone:
+        first_s += ZONE_DELAY_S
+        price_s = ZONE_PRICE_S
+    # Spreads requests over decode servers that are all free.
+    price_s += 0.02 * (decode.active + decode.waiting) / decode.slots
+    return Pair(prefill, decode, wait_s, ready_s, hold_s, first_s, first_s + price_s)
+
+
+def best_pair(prefills, decodes, demand, times):
+    """Returns the cheapest pair and the prefill candidates, best first."""
+    timed = [(*prefill_time(view, demand, times), view) for view in prefills]
+    timed.sort(key=lambda each: each[1])
+    best = None
+    for wait_s, ready_s, prefill in timed:
+        if best is not None and ready_s >= best.cost_s:
+            break
+        for decode in decodes:
+            pair = make_pair(prefill, wait_s, ready_s, decode, demand, times)
+            if best is None or pair.cost_s < best.cost_s:
+                best = pair
+    return best, tuple(view.server.instance for _, _, view in timed)
+
+
+@register("placement_policy", "cost")
+class CostPolicy(PlacementPolicy):
+    """Chooses the pair with the least expected time to the first token."""
+
+    queues_patient = True
+
+    def choose(self, demand, view, now):
+        found = self._find(demand, view)
+        if found is None:
+            detail = "no live backend server in the prefill or the decode pool"
+            return Err(not_run(Reason.NO_BACKEND_SERVER, detail))
+        pair, names = found
+        if demand.remaining_s is not None:
+            needed_s = self._needed(pair, view)
+            late_s = max(needed_s - demand.remaining_s, self._excess_hold(pair, view))
+            if late_s > 0.0:
+                return Err(_would_miss(needed_s, demand.remaining_s, late_s))
+        reason = (
+            f"wait {pair.wait_s:.3f} s, prefill {pair.ready_s - pair.wait_s:.3f} s,"
+            f" hold {pair.hold_s:.3f} s, first token {pair.first_token_s:.3f} s"
+        )
+        return Ok(
+            Placement(pair.prefill, pair.decode, pair.first_token_s, reason, names)
+        )
+
+    def may_start(self, demand, view, now):
+        """Returns whether a patient request's result would be taken in time."""
+        found = self._find(demand, view)
+        if found is None:
+            return False
+        pair = found[0]
+        if self._excess_hold(pair, view) > 0.0:
+            return False
+        running = pair.decode.active + pair.decode.waiting
+        limit = pair.decode.slots * PATIENT_SLOT_SHARE
+        is_clear = pair.wait_s <= PATIENT_QUEUE_S and running + 1 <= limit
+        return is_clear or demand.owed
+
+    def _find(self, demand, view):
+        prefills = usable(sample(view.prefill, demand.seed, view.holders), demand)
+        decodes = usable(sample(view.decode, demand.seed), demand)
+        if not demand.interactive:
+            kept = reserved(prefills)
+            prefills = [v for v in prefills if v.server.instance not in kept]
+        if not prefills or not decodes:
+            return None
+        return best_pair(prefills, decodes, demand, view.times)
+
+    def _needed(self, pair, view):
+        caution = 1.0 + CAUTION * (1.0 - view.goodput_weight)
+        return pair.first_token_s * caution
+
+    def _excess_hold(self, pair, view):
+        return pair.hold_s - KV_WAIT_SHARE * view.times.kv_life_s
+
+
+def _would_miss(needed_s, remaining_s, late_s):
+    detail = (
+        f"the first token is expected in {needed_s:.2f} s and is due in"
+        f" {remaining_s:.2f} s"
+    )
+    retry_after = timedelta(seconds=round(max(MIN_RETRY_AFTER_S, late_s), 2))
+    return not_run(Reason.WOULD_MISS_TARGET, detail, TOO_MANY_REQUESTS, retry_after)
--- a/amaranthbay/placement/loads.py
+++ b/amaranthbay/placement/loads.py
@@ -1,17 +1,18 @@
-"""Lagging load reports of the engines, and snapshots for placement."""
+"""Estimated load of the engines: lagging reports and own placements.
 
-from dataclasses import dataclass
+A report shows an engine as it was some time ago. What this daemon had placed
+there at that time is taken off the report, which leaves the load of the other
+daemons; what it has placed there by now is added.
+"""
 
-import gevent
-import msgspec
+from bisect import bisect_right
+from dataclasses import dataclass, field
 
-from amaranthbay.placement.types import PoolView, ServerView
-from amaranthbay.utils.http import json_exchange
+__all__ = ["LoadReport", "ServerLoad"]
 
-__all__ = ["LoadReports"]
-
-POLL_S = 0.5
-REPORT_TIMEOUT_S = 1.0
+# Reports are about this old when they arrive.
+REPORT_LAG_S = 0.5
+HISTORY = 512
 
 
 @dataclass(frozen=True)
@@ -25,58 +26,53 @@
     prefilling: int = 0
 
 
-class LoadReports:
-    """Polls the engines and keeps their newest reports."""
-
-    def __init__(self, directory, availability_zone):
-        self._directory = directory
-        self._availability_zone = availability_zone
-        self._reports = {}
-
-    def view(self, service):
-        """Returns the `PoolView` of a service's pools."""
-        return PoolView(
-            self._views(service.pools, "prefill"),
-            self._views(service.pools, "decode"),
-            self._availability_zone,
-        )
-
-    def _views(self, pools, role):
-        servers = self._directory.servers(pools, role)
-        return tuple(self._to_view(server) for server in servers)
-
-    def _to_view(self, server):
-        report = self._reports.get(server.instance)
-        if report is None:
-            return ServerView(server)
-        return ServerView(
-            server,
-            active=report.active,
-            waiting=report.waiting,
-            queued_tokens=report.queued_tokens,
-            slots=report.slots,
-        )
-
-    def run(self, pools):
-        """Polls all engines of some pools until killed.
-
-        Args:
-            pools: Function that returns the names of the pools.
+@dataclass
+class ServerLoad:
+    """What a daemon knows about the load of one backend server."""
+
+    report: LoadReport | None = None
+    received_at: float = 0.0
+    own_slots: int = 0
+    own_tokens: int = 0
+    link_bytes: float = 0.0
+    _times: list = field(default_factory=list)
+    _history: list = field(default_factory=list)
+
+    def change(self, now, slots=0, tokens=0):
+        """Records that own placements began or ended."""
+        self.own_slots += slots
+        self.own_tokens += tokens
+        self._times.append(now)
+        self._history.append((self.own_slots, self.own_tokens))
+        if len(self._times) > HISTORY:
+            del self._times[: HISTORY // 2]
+            del self._history[: HISTORY // 2]
+
+    def _own_at(self, at):
+        position = bisect_right(self._times, at)
+        return self._history[position - 1] if position else (0, 0)
+
+    def receive(self, report, now):
+        """Takes over a newer report."""
+        self.report = report
+        self.received_at = now
+
+    def active(self):
+        """Returns the requests that run or wait for a slot, as estimated."""
+        if self.report is None:
+            return self.own_slots
+        own = self._own_at(self.received_at - REPORT_LAG_S)[0]
+        others = max(0, self.report.active + self.report.waiting - own)
+        return others + self.own_slots
+
+    def queued_tokens(self, now, prefill_token_s):
+        """Returns the prompt tokens that wait or run, as estimated.
+
+        The engine has worked since the report, at most on what was queued.
         """
-        while True:
-            for server in self._directory.servers(pools()):
-                if server.role != "plain":
-                    gevent.spawn(self._poll, server)
-            gevent.sleep(POLL_S)
-
-    def _poll(self, server):
-        outcome = json_exchange(
-            server.address, "GET", "/load", timeout_s=REPORT_TIMEOUT_S
-        )
-        if outcome.is_err() or outcome.unwrap()[0] != 200:
-            return
-        try:
-            report = msgspec.json.decode(outcome.unwrap()[1], type=LoadReport)
-        except msgspec.DecodeError:
-            return
-        self._reports[server.instance] = report
+        if self.report is None:
+            return self.own_tokens
+        own = self._own_at(self.received_at - REPORT_LAG_S)[1]
+        others = max(0, self.report.queued_tokens - own)
+        age = now - self.received_at + REPORT_LAG_S
+        return max(0, others - int(age / prefill_token_s)) + self.own_tokens
--- /dev/null
+++ b/amaranthbay/placement/tests/test_cost.py
@@ -0,0 +1,175 @@
+"""Decisions of the cost policy, under load and with parts that fail."""
+
+from hypothesis import given, settings, strategies as st
+
+from amaranthbay.kernel.errors import Reason, Verdict
+from amaranthbay.placement.cost import CostPolicy, best_pair, make_pair, prefill_time
+from amaranthbay.placement.tests.samples import demand, pool, view
+from amaranthbay.placement.types import PoolTimes
+from amaranthbay.utils.testing import collect
+
+POLICY = CostPolicy()
+
+
+def chosen(snapshot, wanted):
+    """Returns the names of the chosen pair."""
+    placement = POLICY.choose(wanted, snapshot, 0.0).unwrap()
+    return (
+        placement.prefill.server.instance,
+        placement.decode.server.instance,
+    )
+
+
+def test_wait_is_weighed_against_cached_tokens(case):
+    """Guards against a hot spot on the server that holds a popular preamble."""
+    decode = [view("d-1", "decode")]
+    free = view("p-2")
+    holder = view("p-1", cached_tokens=2048, queued_tokens=1000)
+    wanted = demand(4000, remaining_s=5.0)
+    case.assertEqual(chosen(pool([holder, free], decode), wanted)[0], "p-1")
+    busy = view("p-1", cached_tokens=2048, queued_tokens=4000)
+    case.assertEqual(chosen(pool([busy, free], decode), wanted)[0], "p-2")
+
+
+def test_slow_but_alive_server_is_avoided(case):
+    """Guards against work for a server whose queue is short since it is slow."""
+    decode = [view("d-1", "decode")]
+    prefill = [view("p-1", slowdown=10.0), view("p-2", queued_tokens=2000)]
+    case.assertEqual(chosen(pool(prefill, decode), demand())[0], "p-2")
+
+
+def test_degraded_link_is_avoided(case):
+    """Guards against a prefill whose result can't be moved in time."""
+    decode = [view("d-1", "decode")]
+    prefill = [view("p-1", link_bytes_s=5.0e7), view("p-2", queued_tokens=1000)]
+    case.assertEqual(chosen(pool(prefill, decode), demand())[0], "p-2")
+
+
+def test_other_zone_is_used_only_for_a_gain(case):
+    """Guards against transfers across zones that save less than they cost."""
+    prefill = [view("p-1", zone="zone-a")]
+    near = view("d-1", "decode", "zone-a")
+    far = view("d-2", "decode", "zone-b")
+    case.assertEqual(chosen(pool(prefill, [far, near]), demand())[1], "d-1")
+    half = view("d-1", "decode", "zone-a", active=10)
+    case.assertEqual(chosen(pool(prefill, [far, half]), demand())[1], "d-1")
+    full = view("d-1", "decode", "zone-a", active=25)
+    case.assertEqual(chosen(pool(prefill, [far, full]), demand())[1], "d-2")
+
+
+def test_decode_wait_counts_at_the_end_of_the_prefill(case):
+    """Guards against refusing a long prefill for slots that will be free by then."""
+    times = PoolTimes(stream_s=1.0)
+    full = view("d-1", "decode", active=20)
+    short = make_pair(view("p-1"), 0.0, 0.01, full, demand(50), times)
+    long = make_pair(view("p-1"), 0.0, 1.0, full, demand(5000), times)
+    case.assertGreater(short.hold_s, 0.0)
+    case.assertEqual(long.hold_s, 0.0)
+
+
+def test_interactive_is_refused_before_a_prefill(case):
+    """Guards against a prefill whose first token would come too late."""
+    snapshot = pool([view("p-1", queued_tokens=9000)], [view("d-1", "decode")])
+    refusal = POLICY.choose(demand(), snapshot, 0.0).unwrap_err()
+    case.assertEqual(refusal.reason, Reason.WOULD_MISS_TARGET)
+    case.assertEqual(refusal.verdict, Verdict.NOT_RUN)
+    case.assertGreater(refusal.retry_after.total_seconds(), 0.0)
+    # A status of 500 or more would be tried again inside the daemon.
+    case.assertLess(refusal.status, 500)
+
+
+def test_patient_is_never_refused_for_slowness(case):
+    """Guards against losing patient work under load."""
+    snapshot = pool([view("p-1", queued_tokens=90000)], [view("d-1", "decode")])
+    wanted = demand(interactive=False)
+    case.assertTrue(POLICY.choose(wanted, snapshot, 0.0).is_ok())
+    case.assertFalse(POLICY.may_start(wanted, snapshot, 0.0))
+
+
+def test_patient_starts_only_if_its_result_is_taken(case):
+    """Guards against a prefill whose result expires before a slot is free."""
+    wanted = demand(interactive=False)
+    free = pool([view("p-1")], [view("d-1", "decode")])
+    case.assertTrue(POLICY.may_start(wanted, free, 0.0))
+    full = pool([view("p-1")], [view("d-1", "decode", active=30)])
+    case.assertFalse(POLICY.may_start(wanted, full, 0.0))
+    owed = demand(interactive=False, owed=True)
+    case.assertFalse(POLICY.may_start(owed, full, 0.0))
+
+
+def test_owed_share_starts_behind_interactive_work(case):
+    """Guards against patient work that starves under interactive load."""
+    busy = pool([view("p-1", queued_tokens=4000)], [view("d-1", "decode")])
+    case.assertFalse(POLICY.may_start(demand(interactive=False), busy, 0.0))
+    owed = demand(interactive=False, owed=True)
+    case.assertTrue(POLICY.may_start(owed, busy, 0.0))
+
+
+def test_one_prefill_server_is_kept_for_interactive_work(case):
+    """Guards against long prefills on every server, which can't be interrupted."""
+    prefill = [view(f"p-{number}") for number in range(3)]
+    decode = [view("d-1", "decode")]
+    names = {
+        chosen(pool(prefill, decode), demand(interactive=False, seed=seed))[0]
+        for seed in range(50)
+    }
+    case.assertNotIn("p-0", names)
+
+
+def test_weight_on_wasted_prefill_makes_it_cautious(case):
+    """Guards against a configured weight without effect."""
+    prefill = [view("p-1", queued_tokens=3600)]
+    decode = [view("d-1", "decode")]
+    bold = pool(prefill, decode, goodput_weight=1.0)
+    cautious = pool(prefill, decode, goodput_weight=0.0)
+    case.assertTrue(POLICY.choose(demand(), bold, 0.0).is_ok())
+    case.assertTrue(POLICY.choose(demand(), cautious, 0.0).is_err())
+
+
+def test_zone_gone_and_leaving_servers_get_no_work(case):
+    """Guards against placement on servers that are gone or leaving."""
+    prefill = [view("p-1", leaving=True), view("p-2")]
+    decode = [view("d-1", "decode"), view("d-2", "decode")]
+    wanted = demand(excluded=frozenset({"d-1"}))
+    case.assertEqual(chosen(pool(prefill, decode), wanted), ("p-2", "d-2"))
+    gone = POLICY.choose(demand(), pool([], decode), 0.0).unwrap_err()
+    case.assertEqual(gone.reason, Reason.NO_BACKEND_SERVER)
+
+
+def test_decision_is_a_function_of_its_arguments(case):
+    """Guards against decisions that can't be repeated from a log."""
+    prefill = [view(f"p-{number}", queued_tokens=number % 7) for number in range(200)]
+    decode = [view(f"d-{number}", "decode") for number in range(300)]
+    snapshot = pool(prefill, decode)
+    wanted = demand(seed=12345)
+    case.assertEqual(
+        POLICY.choose(wanted, snapshot, 1.0), POLICY.choose(wanted, snapshot, 2.0)
+    )
+
+
+LOADS = st.lists(st.integers(0, 9000), min_size=1, max_size=6)
+
+
+@settings(derandomize=True, deadline=None)
+@given(LOADS, st.lists(st.integers(0, 40), min_size=1, max_size=6))
+def check_early_stop(case, queues, actives):
+    """Compares the early stop with a full scan."""
+    prefills = [view(f"p-{n}", queued_tokens=q) for n, q in enumerate(queues)]
+    decodes = [view(f"d-{n}", "decode", active=a) for n, a in enumerate(actives)]
+    times = PoolTimes()
+    wanted = demand()
+    best, _ = best_pair(prefills, decodes, wanted, times)
+    full = min(
+        make_pair(p, *prefill_time(p, wanted, times), d, wanted, times).cost_s
+        for p in prefills
+        for d in decodes
+    )
+    case.assertEqual(best.cost_s, full)
+
+
+def test_early_stop_finds_the_cheapest_pair(case):
+    """Guards against a bound that cuts off a better pair."""
+    check_early_stop(case)
+
+
+load_tests = collect(globals())
--- /dev/null
+++ b/amaranthbay/placement/tests/test_loads.py
@@ -0,0 +1,66 @@
+"""Load estimates and measured speeds."""
+
+from amaranthbay.placement.loads import LoadReport, ServerLoad
+from amaranthbay.placement.speeds import EngineSpeeds
+from amaranthbay.utils.testing import collect
+
+TOKEN_S = 0.0002
+
+
+def test_own_placements_count_until_the_report_covers_them(case):
+    """Guards against a second request to a server that looks idle in its report."""
+    load = ServerLoad()
+    load.receive(LoadReport(3, 0, 0, 20), 10.0)
+    case.assertEqual(load.active(), 3)
+    load.change(10.1, slots=1, tokens=500)
+    case.assertEqual(load.active(), 4)
+    load.receive(LoadReport(4, 0, 500, 20), 12.0)
+    case.assertEqual(load.active(), 4)
+    case.assertEqual(load.queued_tokens(12.0, TOKEN_S), 500)
+    load.change(12.1, slots=-1, tokens=-500)
+    case.assertEqual(load.active(), 3)
+    case.assertEqual(load.queued_tokens(12.1, TOKEN_S), 0)
+
+
+def test_reported_queue_shrinks_with_the_age_of_the_report(case):
+    """Guards against avoiding a server for work that it has done since."""
+    load = ServerLoad()
+    load.receive(LoadReport(0, 0, 10_000, 20), 0.0)
+    first = load.queued_tokens(0.0, TOKEN_S)
+    case.assertLess(load.queued_tokens(0.5, TOKEN_S), first)
+    case.assertEqual(load.queued_tokens(60.0, TOKEN_S), 0)
+
+
+def test_slow_server_is_recognised_and_forgiven(case):
+    """Guards against a slow server that stays unseen, or is avoided for ever."""
+    speeds = EngineSpeeds()
+    for number in range(10):
+        speeds.observe_prefill("p-1", 0.2, 1000, 100, 2.0, float(number))
+        speeds.observe_prefill("p-2", 0.2, 1000, 100, 0.2, float(number))
+    case.assertGreater(speeds.slowdown("p-1", 10.0), 5.0)
+    case.assertLess(speeds.slowdown("p-2", 10.0), 1.1)
+    case.assertLess(speeds.slowdown("p-1", 200.0), 1.1)
+
+
+def test_prefill_time_is_learnt_from_idle_servers(case):
+    """Guards against a prefill time that includes waits."""
+    speeds = EngineSpeeds()
+    for number in range(20):
+        speeds.observe_prefill("p-1", 0.2, 1000, 0, 0.41, float(number))
+    for number in range(40):
+        speeds.observe_prefill("p-1", 0.2, 1000, 5000, 9.0, float(number))
+    case.assertAlmostEqual(speeds.times().prefill_token_s, 0.0004)
+
+
+def test_link_that_varies_is_followed(case):
+    """Guards against transfers over a link that has become slow."""
+    speeds = EngineSpeeds()
+    for _ in range(20):
+        speeds.observe_transfer("p-1", 1.0e8, 1.0)
+    case.assertLess(speeds.link_bytes_s("p-1"), 2.0e8)
+    for _ in range(20):
+        speeds.observe_transfer("p-1", 1.0e9, 0.5)
+    case.assertGreater(speeds.link_bytes_s("p-1"), 1.0e9)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/placement/types.py
+++ b/amaranthbay/placement/types.py
@@ -1,10 +1,11 @@
 """Snapshot, demand and outcome of a placement decision."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from amaranthbay.kernel.requests import BackendServer
 
-__all__ = ["Demand", "Placement", "PoolView", "ServerView"]
+__all__ = ["Demand", "LazyViews", "Placement", "PoolTimes", "PoolView", "ServerView"]
 
 
 @dataclass(frozen=True)
@@ -19,6 +20,7 @@
         slots: Requests that it holds.
         cached_tokens: Leading tokens of the prompt that its cache should hold.
         link_bytes_s: Estimated free rate of its KV cache transfers.
+        link_queued_bytes: Bytes of own transfers that this link still has to send.
         slowdown: Measured time over expected time; 1 is as expected.
     """
 
@@ -29,16 +31,68 @@
     slots: int = 20
     cached_tokens: int = 0
     link_bytes_s: float = 2.0e9
+    link_queued_bytes: float = 0.0
     slowdown: float = 1.0
 
 
+class LazyViews(Sequence):
+    """Builds the view of a server only when a policy looks at it.
+
+    A policy that samples a large pool would spend most of its time on views that
+    it never reads.
+    """
+
+    def __init__(self, servers, to_view):
+        self._servers = servers
+        self._to_view = to_view
+
+    def __len__(self):
+        return len(self._servers)
+
+    def __getitem__(self, index):
+        return self._to_view(self._servers[index])
+
+
+@dataclass(frozen=True)
+class PoolTimes:
+    """Times of the engines as measured by the daemon.
+
+    Attributes:
+        prefill_token_s: Prefill time of one uncached token.
+        decode_step_s: Time between two tokens.
+        stream_s: Mean time that a stream holds a decode slot.
+        kv_life_s: How long a prefill's result is kept.
+        kv_bytes_token: KV cache bytes of one token.
+        overhead_s: Time of the exchanges of one request.
+    """
+
+    prefill_token_s: float = 0.0002
+    decode_step_s: float = 0.02
+    stream_s: float = 3.0
+    kv_life_s: float = 0.9
+    kv_bytes_token: float = 100_000.0
+    overhead_s: float = 0.03
+
+
 @dataclass(frozen=True)
 class PoolView:
-    """Snapshot of the pools that may serve a request."""
+    """Snapshot of the pools that may serve a request.
+
+    Attributes:
+        prefill: Views of the prefill servers.
+        decode: Views of the decode servers.
+        availability_zone: Where the daemon runs.
+        times: Times of the engines.
+        goodput_weight: Weight of goodput against wasted prefill, 0 to 1.
+        holders: Positions of prefill servers that should hold a prefix.
+    """
 
-    prefill: tuple[ServerView, ...]
-    decode: tuple[ServerView, ...]
+    prefill: Sequence[ServerView]
+    decode: Sequence[ServerView]
     availability_zone: str
+    times: PoolTimes = PoolTimes()
+    goodput_weight: float = 0.5
+    holders: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -51,6 +105,9 @@
         interactive: Whether the caller waits with a target.
         remaining_s: Time until the first token is due; None if patient.
         excluded: Instances that must not be chosen.
+        owed: Whether patient work has had less than its share, so that it starts
+            even where interactive work would have to wait for it.
+        seed: Breaks ties and selects samples, so that decisions are repeatable.
     """
 
     prompt_tokens: int
@@ -58,6 +115,8 @@
     interactive: bool
     remaining_s: float | None
     excluded: frozenset[str] = frozenset()
+    owed: bool = False
+    seed: int = 0
 
 
 @dataclass(frozen=True)
