--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -24,7 +24,7 @@
 from amaranthbay.observe import configure_logs, log_decision, log_event
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.demands import to_demand
-from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.placement.slots import AllocatorContext
 from amaranthbay.placement.tracker import LoadTracker
 from amaranthbay.platform.http import (
     HttpInstanceList,
@@ -67,13 +67,21 @@
             self._patient_gate(policy) if policy.queues_patient else None,
             lambda: max(1, len(self.directory.entries())),
         )
+        allocator = find("slot_allocator", settings.slot_allocator)(
+            AllocatorContext(
+                slots_of=self._slots_of,
+                clock=self.clock,
+                reported_active=self.loads.reported_active,
+                daemons=lambda: len(self.directory.entries()),
+            )
+        )
         budgets = defaultdict(RetryBudget)
         ctx = DispatchContext(
             configuration=self.configuration,
             directory=self.directory,
             view=self._view,
             policy=policy,
-            allocator=IndependentAllocator(self._slots_of),
+            allocator=allocator,
             engine=engine,
             inflight=self.inflight,
             cancels=self.cancels,
