Notice callers that leave before the first token

Cause: HangupWatch called gevent.kill with an argument it doesn't take, so that its greenlet ended with a TypeError and the request went on. A deployment with requests in progress took 10 s for each daemon to stop, which is how the load tool showed it.

A whole-path test fails without the change (the place was still held after 20 s) and passes with it in 1.7 s.

--- a/amaranthbay/gateway/hangup.py
+++ b/amaranthbay/gateway/hangup.py
@@ -34,7 +34,7 @@
             data = b""
         if data == b"":
             log_event("caller_gone")
-            gevent.kill(self._serving, CallerGone("the caller has gone"), block=False)
+            gevent.kill(self._serving, CallerGone("the caller has gone"))
 
     def stop(self):
         """Stops watching."""
