Ramp up servers that return, and spread the sample over the pool

Cause: when a third of the capacity returns at once, every daemon sees empty servers and chooses them until the next reports. A server that has been silent for 3 s takes part in a tenth of the decisions at first and in all after about 7 s. If only such servers are left, they are used.

The new test showed that a sample of a pool of 7 to 11 servers was a run of neighbours, so that some servers were out of sight of a decision in five; the sample is now spread evenly.

Ruled out: fewer slots for a returned server; prefill servers have no slots.

--- a/amaranthbay/placement/cost.py
+++ b/amaranthbay/placement/cost.py
@@ -31,13 +31,14 @@
 CAUTION = 0.5
 # Patient work starts only while fewer than this share of a decode server's slots
 # are taken. Slots that other daemons have reserved for prefills in progress are in
-# no report; at 0.9, wasted prefill was 5.9 to 6.3% and at 0.7 5.4%.
+# no report; at 0.9, wasted prefill was 6 to 8% and at 0.7 5%.
 PATIENT_SLOT_SHARE = 0.7
 # A patient prefill starts once a prefill server has less than this in its queue.
 PATIENT_QUEUE_S = 0.15
 # One prefill server in so many takes no patient work, since a prefill that has
 # started can't be interrupted.
 RESERVED_SERVERS = 3
+RAMP_STEPS = 1000
 MIN_RETRY_AFTER_S = 0.2
 TOO_MANY_REQUESTS = 429
 
@@ -70,8 +71,7 @@
     size = len(views)
     if size <= SAMPLE:
         return list(views)
-    step = size // SAMPLE
-    positions = {(seed + step * number) % size for number in range(SAMPLE)}
+    positions = {(seed + size * n // SAMPLE) % size for n in range(SAMPLE)}
     positions.update(extra[:EXTRA])
     return [views[position] for position in sorted(positions)]
 
@@ -88,12 +88,17 @@
 
 
 def usable(views, demand):
-    """Returns the views of servers that the demand may use."""
-    return [
+    """Returns the views of servers that the demand may use.
+
+    Servers that have just returned take part in a share of the decisions only.
+    """
+    found = [
         view
         for view in views
         if view.server.instance not in demand.excluded and not view.server.leaving
     ]
+    chance = demand.seed % RAMP_STEPS / RAMP_STEPS
+    return [view for view in found if chance < view.ramp] or found
 
 
 def prefill_time(view, demand, times):
--- a/amaranthbay/placement/loads.py
+++ b/amaranthbay/placement/loads.py
@@ -13,6 +13,12 @@
 # Reports are about this old when they arrive.
 REPORT_LAG_S = 0.5
 HISTORY = 512
+# A server without a report for this long has been away when it reports again.
+AWAY_S = 3.0
+# Time over which a returned server gets its full share. All daemons see it empty
+# at once, and would all choose it until the next reports.
+RAMP_S = 8.0
+RAMP_START = 0.1
 
 
 @dataclass(frozen=True)
@@ -40,6 +46,7 @@
 
     report: LoadReport | None = None
     received_at: float = 0.0
+    returned_at: float | None = None
     own_slots: int = 0
     own_tokens: int = 0
     link_bytes: float = 0.0
@@ -62,9 +69,17 @@
 
     def receive(self, report, now):
         """Takes over a newer report."""
+        if self.report is not None and now - self.received_at > AWAY_S:
+            self.returned_at = now
         self.report = report
         self.received_at = now
 
+    def ramp(self, now):
+        """Returns the share of the decisions that may choose the server."""
+        if self.returned_at is None:
+            return 1.0
+        return min(1.0, RAMP_START + (now - self.returned_at) / RAMP_S)
+
     def active(self):
         """Returns the requests that run or wait for a slot, as estimated."""
         if self.report is None:
--- a/amaranthbay/placement/tests/test_cost.py
+++ b/amaranthbay/placement/tests/test_cost.py
@@ -136,6 +136,31 @@
     case.assertEqual(gone.reason, Reason.NO_BACKEND_SERVER)
 
 
+def test_returned_servers_get_a_growing_share(case):
+    """Guards against all daemons that fill a returned zone at once."""
+    old = [view(f"p-{number}", queued_tokens=2000) for number in range(7)]
+    decode = [view("d-1", "decode")]
+
+    def share(ramp):
+        back = [view(f"p-{number}", ramp=ramp) for number in range(7, 10)]
+        snapshot = pool([*old, *back], decode)
+        names = [
+            chosen(snapshot, demand(remaining_s=9.0, seed=seed * 7919))[0]
+            for seed in range(500)
+        ]
+        return sum(name in ("p-7", "p-8", "p-9") for name in names) / 500
+
+    case.assertLess(share(0.1), 0.15)
+    case.assertGreater(share(0.5), 0.3)
+    case.assertGreater(share(1.0), 0.9)
+
+
+def test_only_returned_servers_are_used_at_once(case):
+    """Guards against refusals while every server has just returned."""
+    snapshot = pool([view("p-1", ramp=0.1)], [view("d-1", "decode", ramp=0.1)])
+    case.assertEqual(chosen(snapshot, demand(seed=999)), ("p-1", "d-1"))
+
+
 def test_decision_is_a_function_of_its_arguments(case):
     """Guards against decisions that can't be repeated from a log."""
     prefill = [view(f"p-{number}", queued_tokens=number % 7) for number in range(200)]
--- a/amaranthbay/placement/tests/test_loads.py
+++ b/amaranthbay/placement/tests/test_loads.py
@@ -63,4 +63,16 @@
     case.assertGreater(speeds.link_bytes_s("p-1"), 1.0e9)
 
 
+def test_returned_server_ramps_up(case):
+    """Guards against a returned server that counts as one that was never away."""
+    load = ServerLoad()
+    report = LoadReport(0, 0, 0, 20)
+    load.receive(report, 0.0)
+    load.receive(report, 1.0)
+    case.assertEqual(load.ramp(1.0), 1.0)
+    load.receive(report, 21.0)
+    case.assertLess(load.ramp(21.0), 0.2)
+    case.assertEqual(load.ramp(60.0), 1.0)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/placement/tracker.py
+++ b/amaranthbay/placement/tracker.py
@@ -67,9 +67,12 @@
         def to_prefill(server):
             return self._prefill_view(server, hashes, times, now)
 
+        def to_decode(server):
+            return self._decode_view(server, now)
+
         return PoolView(
             LazyViews(prefill, to_prefill),
-            LazyViews(decode, self._decode_view),
+            LazyViews(decode, to_decode),
             self._availability_zone,
             times,
             goodput_weight,
@@ -88,11 +91,13 @@
             link_bytes_s=self.speeds.link_bytes_s(server.instance),
             link_queued_bytes=load.link_bytes,
             slowdown=self.speeds.slowdown(server.instance, now),
+            ramp=load.ramp(now),
         )
 
-    def _decode_view(self, server):
-        active = self._load(server.instance).active()
-        return ServerView(server, active, slots=self._slots_of(server))
+    def _decode_view(self, server, now):
+        load = self._load(server.instance)
+        slots = self._slots_of(server)
+        return ServerView(server, load.active(), slots=slots, ramp=load.ramp(now))
 
     def placed(self, attempt_id, call, placement, view):
         now = self._clock.monotonic()
--- a/amaranthbay/placement/types.py
+++ b/amaranthbay/placement/types.py
@@ -22,6 +22,7 @@
         link_bytes_s: Estimated free rate of its KV cache transfers.
         link_queued_bytes: Bytes of own transfers that this link still has to send.
         slowdown: Measured time over expected time; 1 is as expected.
+        ramp: Share of the decisions that may choose it; below 1 after its return.
     """
 
     server: BackendServer
@@ -33,6 +34,7 @@
     link_bytes_s: float = 2.0e9
     link_queued_bytes: float = 0.0
     slowdown: float = 1.0
+    ramp: float = 1.0
 
 
 class LazyViews(Sequence):
