Take expensive prefill results first, and don't wait for waiting patient work

Cause: the engine takes interactive prefills before waiting patient ones, but the cost policy counted the whole queue and refused interactive work after herds of patient starts. And a patient result, thousands of tokens to compute again, waited for a decode slot behind interactive ones until it expired.

The expected wait of an interactive request is one mean prefill of the queue plus short ones. Decode requests with a patient result go first, under every policy. The prefix index's error is in the status and in the load tool's report.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -180,6 +180,9 @@
             "active": self.admission.active,
             "in_flight": len(self.inflight),
             "cancels_outstanding": self.cancels.outstanding,
+            "patient_queued": len(self.admission.queue),
+            "prefix_blocks": len(self.loads.index),
+            "prefix_error": self.loads.index.error,
             "members": [each.instance for each in self.directory.entries()],
         }
 
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -21,6 +21,9 @@
 
 INTERACTIVE_PRIORITY = 10
 PATIENT_PRIORITY = 0
+# A prefill's result expires within a second. Patient prompts are long, so that
+# their results cost most to compute again.
+PATIENT_RESULT_PRIORITY = 20
 # An interactive prefill that takes longer than this has missed every target.
 PREFILL_TIMEOUT_S = 600.0
 
@@ -108,6 +111,8 @@
             self._ctx.directory.report_failure(prefill_server.instance)
             return prefilled
         self._ctx.observer.prefilled(attempt.attempt_id, prefilled.unwrap())
+        if not work.interactive:
+            priority = PATIENT_RESULT_PRIORITY
         opened = engine.decode(
             decode_server, attempt, call, prefilled.unwrap(), priority
         )
--- a/amaranthbay/loadtool/report.py
+++ b/amaranthbay/loadtool/report.py
@@ -33,6 +33,9 @@
         wasted: Prefill tokens whose KV cache nobody took, over all.
         late: Prompt tokens of interactive requests answered or ended outside a
             target, over all prompt tokens that were not refused.
+        prefix_missing: Tokens expected in a cache and not there, over all prompt
+            tokens that were not refused.
+        prefix_surplus: Tokens in a cache and not expected there, likewise.
         refused_interactive: Refused over sent.
         refused_patient: Refused over sent.
         failed: Requests that failed after they may have run, over sent.
@@ -52,6 +55,8 @@
     goodput_patient_s: float
     wasted: float
     late: float
+    prefix_missing: float
+    prefix_surplus: float
     refused_interactive: float
     refused_patient: float
     failed: float
@@ -95,6 +100,7 @@
     done = [each for each in patient if each.status == "answered"]
     refused = [each for each in outcomes if each.status == "refused"]
     run = [each for each in outcomes if each.status != "refused"]
+    run_tokens = sum(each.prompt_tokens for each in run)
     late = sum(each.prompt_tokens for each in run if each.interactive)
     late -= sum(each.prompt_tokens for each in good)
 
@@ -111,7 +117,9 @@
         goodput_interactive_s=round(len(good) / scenario.duration_s, 2),
         goodput_patient_s=round(len(done) / scenario.duration_s, 2),
         wasted=_share(trace.wasted_tokens, trace.prefill_tokens),
-        late=_share(late, sum(each.prompt_tokens for each in run)),
+        late=_share(late, run_tokens),
+        prefix_missing=_share(trace.prefix_missing, run_tokens),
+        prefix_surplus=_share(trace.prefix_surplus, run_tokens),
         refused_interactive=count(interactive, "refused"),
         refused_patient=count(patient, "refused"),
         failed=count(outcomes, "failed"),
--- a/amaranthbay/loadtool/scenario.py
+++ b/amaranthbay/loadtool/scenario.py
@@ -80,6 +80,9 @@
         wasted_tokens: Computed tokens whose KV cache nobody took.
         decision_us: Time of each placement decision in microseconds.
         requests_s: Arrival rate.
+        prefix_missing: Tokens that the daemons' prefix indexes expected in a
+            cache and that were not there.
+        prefix_surplus: Tokens that were in a cache and not expected there.
     """
 
     outcomes: tuple[Outcome, ...]
@@ -87,6 +90,8 @@
     wasted_tokens: int
     decision_us: tuple[float, ...]
     requests_s: float
+    prefix_missing: int = 0
+    prefix_surplus: int = 0
 
 
 def _configuration(scenario):
@@ -230,6 +235,16 @@
     return tuple(times)
 
 
+def _prefix_errors(deployment):
+    """Returns missing and surplus tokens of the daemons that answer."""
+    missing, surplus = 0, 0
+    for name in deployment.daemons:
+        error = deployment.status(name)["prefix_error"]
+        missing += error["missing_tokens"]
+        surplus += error["surplus_tokens"]
+    return missing, surplus
+
+
 def run_scenario(scenario):
     """Runs a scenario and returns its `Trace`."""
     defaults = EngineOptions()
@@ -260,10 +275,13 @@
         for name, process in deployment.backends.items():
             if name.startswith("prefill") and process.popen.poll() is None:
                 counts.append(_counts(process))
+        missing, surplus = _prefix_errors(deployment)
         return Trace(
             outcomes=tuple(outcomes),
             prefill_tokens=sum(each["prefill_tokens"] for each in counts),
             wasted_tokens=sum(each["wasted_tokens"] for each in counts),
             decision_us=_decision_times(deployment),
             requests_s=rate,
+            prefix_missing=missing,
+            prefix_surplus=surplus,
         )
--- a/amaranthbay/placement/cost.py
+++ b/amaranthbay/placement/cost.py
@@ -104,7 +104,10 @@
 def prefill_time(view, demand, times):
     """Returns wait and end of a prefill, in seconds from now."""
     token_s = times.prefill_token_s * view.slowdown
-    wait_s = view.queued_tokens * token_s
+    ahead = view.queued_tokens
+    if demand.interactive and view.blocking_tokens is not None:
+        ahead = view.blocking_tokens
+    wait_s = ahead * token_s
     uncached = max(0, demand.prompt_tokens - view.cached_tokens)
     return wait_s, wait_s + uncached * token_s
 
--- a/amaranthbay/placement/loads.py
+++ b/amaranthbay/placement/loads.py
@@ -19,6 +19,8 @@
 # at once, and would all choose it until the next reports.
 RAMP_S = 8.0
 RAMP_START = 0.1
+# Mean length of an interactive prompt, for prefills whose lengths aren't known.
+SHORT_TOKENS = 400
 
 
 @dataclass(frozen=True)
@@ -99,3 +101,20 @@
         others = max(0, self.report.queued_tokens - own)
         age = now - self.received_at + REPORT_LAG_S
         return max(0, others - int(age / prefill_token_s)) + self.own_tokens
+
+    def blocking_tokens(self, queued):
+        """Returns the part of the queue that an interactive request waits for.
+
+        It waits for the prefill that runs, which can't be interrupted, and for
+        interactive ones before it, but not for patient ones that wait.
+
+        Args:
+            queued: Tokens that wait or run.
+        """
+        count = self.own_slots
+        if self.report is not None:
+            own = self._own_at(self.received_at - REPORT_LAG_S)[0]
+            count += max(0, self.report.prefilling - own)
+        if count < 2:
+            return queued
+        return min(queued, queued // count + (count - 1) * SHORT_TOKENS)
--- a/amaranthbay/placement/tests/test_cost.py
+++ b/amaranthbay/placement/tests/test_cost.py
@@ -161,6 +161,14 @@
     case.assertEqual(chosen(snapshot, demand(seed=999)), ("p-1", "d-1"))
 
 
+def test_interactive_does_not_wait_for_waiting_patient_work(case):
+    """Guards against refusing what the engine would take before patient work."""
+    busy = view("p-1", queued_tokens=20_000, blocking_tokens=2000)
+    snapshot = pool([busy], [view("d-1", "decode")])
+    case.assertTrue(POLICY.choose(demand(), snapshot, 0.0).is_ok())
+    case.assertFalse(POLICY.may_start(demand(interactive=False), snapshot, 0.0))
+
+
 def test_decision_is_a_function_of_its_arguments(case):
     """Guards against decisions that can't be repeated from a log."""
     prefill = [view(f"p-{number}", queued_tokens=number % 7) for number in range(200)]
--- a/amaranthbay/placement/tests/test_loads.py
+++ b/amaranthbay/placement/tests/test_loads.py
@@ -63,6 +63,16 @@
     case.assertGreater(speeds.link_bytes_s("p-1"), 1.0e9)
 
 
+def test_only_the_running_prefill_blocks_interactive_work(case):
+    """Guards against counting patient prefills that the engine passes over."""
+    load = ServerLoad()
+    load.receive(LoadReport(0, 3, 16_000, 20, prefilling=4), 0.0)
+    case.assertEqual(load.blocking_tokens(16_000), 4000 + 3 * 400)
+    case.assertEqual(load.blocking_tokens(0), 0)
+    load.receive(LoadReport(0, 0, 9000, 20, prefilling=1), 0.0)
+    case.assertEqual(load.blocking_tokens(9000), 9000)
+
+
 def test_returned_server_ramps_up(case):
     """Guards against a returned server that counts as one that was never away."""
     load = ServerLoad()
--- a/amaranthbay/placement/tracker.py
+++ b/amaranthbay/placement/tracker.py
@@ -86,6 +86,7 @@
             server,
             active=load.active(),
             queued_tokens=queued,
+            blocking_tokens=load.blocking_tokens(queued),
             slots=self._slots_of(server),
             cached_tokens=self.index.cached_tokens(server.instance, hashes, now),
             link_bytes_s=self.speeds.link_bytes_s(server.instance),
@@ -107,7 +108,7 @@
         own = _Own(placement, hashes, uncached, view, now)
         own.size = tokens * view.times.kv_bytes_token
         self._own[attempt_id] = own
-        self._load(own.prefill).change(now, tokens=uncached)
+        self._load(own.prefill).change(now, slots=1, tokens=uncached)
         self._load(own.decode).change(now, slots=1)
 
     def prefilled(self, attempt_id, outcome):
@@ -137,7 +138,7 @@
     def _end_prefill(self, own, now):
         if own.prefilling:
             own.prefilling = False
-            self._load(own.prefill).change(now, tokens=-own.uncached)
+            self._load(own.prefill).change(now, slots=-1, tokens=-own.uncached)
 
     def first_token(self, attempt_id):
         own = self._own.get(attempt_id)
--- a/amaranthbay/placement/types.py
+++ b/amaranthbay/placement/types.py
@@ -17,6 +17,8 @@
         active: Requests that it runs, by its last report and own placements.
         waiting: Requests that wait there.
         queued_tokens: Prompt tokens that wait or run there.
+        blocking_tokens: Part of them that an interactive request waits for; the
+            engine takes it before patient ones that wait.
         slots: Requests that it holds.
         cached_tokens: Leading tokens of the prompt that its cache should hold.
         link_bytes_s: Estimated free rate of its KV cache transfers.
@@ -29,6 +31,7 @@
     active: int = 0
     waiting: int = 0
     queued_tokens: int = 0
+    blocking_tokens: int | None = None
     slots: int = 20
     cached_tokens: int = 0
     link_bytes_s: float = 2.0e9
