Rate slow servers against the wait that was expected of them

Cause: the rating compared the measured prefill time with the whole queue, also for interactive requests that pass waiting patient ones, which hid slow servers. The placement carries the expected end of the prefill.

The new test fails if the measured time is not compared.

--- a/amaranthbay/placement/cost.py
+++ b/amaranthbay/placement/cost.py
@@ -220,7 +220,14 @@
             f" hold {pair.hold_s:.3f} s, first token {pair.first_token_s:.3f} s"
         )
         return Ok(
-            Placement(pair.prefill, pair.decode, pair.first_token_s, reason, names)
+            Placement(
+                pair.prefill,
+                pair.decode,
+                pair.first_token_s,
+                reason,
+                names,
+                pair.ready_s,
+            )
         )
 
     def may_start(self, demand, view, now):
--- a/amaranthbay/placement/tests/test_tracker.py
+++ b/amaranthbay/placement/tests/test_tracker.py
@@ -106,4 +106,19 @@
     case.assertEqual(tracker.index.error.surplus_tokens, 1024)
 
 
+def test_slow_prefill_lowers_the_rating_of_its_server(case):
+    """Guards against a slow server whose prefills are compared with nothing."""
+    for taken_s in (0.6, 6.0):
+        tracker, clock, placement = start()
+        clock.advance(taken_s)
+        tracker.prefilled("a-1", outcome(clock))
+        name = placement.prefill.server.instance
+        found = {
+            each.server.instance: each.slowdown
+            for each in tracker.view(SERVICE, CALL).prefill
+        }
+        case.assertEqual(found.pop(name) > 2.0, taken_s > 1.0)
+        case.assertEqual(set(found.values()), {1.0})
+
+
 load_tests = collect(globals())
--- a/amaranthbay/placement/tracker.py
+++ b/amaranthbay/placement/tracker.py
@@ -25,6 +25,12 @@
         self.prefill = placement.prefill.server.instance
         self.decode = placement.decode.server.instance
         self.queued = placement.prefill.queued_tokens
+        # At a slowdown of 1, since it is the slowdown that is measured.
+        self.prefill_s = placement.prefill_s
+        if self.prefill_s is None:
+            self.prefill_s = (self.queued + uncached) * view.times.prefill_token_s
+        else:
+            self.prefill_s /= placement.prefill.slowdown
         self.expected_cached = placement.prefill.cached_tokens
         self.hold_expected = placement.decode.active >= placement.decode.slots
         self.hashes = hashes
@@ -121,10 +127,10 @@
         own.sent_at = now
         times = own.times
         computed = outcome.tokens - outcome.cached_tokens
-        work_s = (own.queued + computed) * times.prefill_token_s
+        work_s = own.prefill_s + (computed - own.uncached) * times.prefill_token_s
         self.speeds.observe_prefill(
             own.prefill,
-            work_s + times.overhead_s,
+            max(0.0, work_s) + times.overhead_s,
             computed,
             own.queued,
             now - own.at,
--- a/amaranthbay/placement/types.py
+++ b/amaranthbay/placement/types.py
@@ -134,6 +134,7 @@
         first_token_s: Expected time to the first token; None if not estimated.
         reason: Why this pair.
         candidates: Names of the candidates, best first.
+        prefill_s: Expected time until the prefill has ended; None if not estimated.
     """
 
     prefill: ServerView
@@ -141,3 +142,4 @@
     first_token_s: float | None
     reason: str
     candidates: tuple[str, ...] = ()
+    prefill_s: float | None = None
