--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -36,8 +36,9 @@
 from amaranthbay.observe.prefills import MeteredEngine
 from amaranthbay.peering import KeyRing, ZmqPeerChannel
 from amaranthbay.placement.admission import BoundedAdmission
-from amaranthbay.placement.loads import LoadReports
-from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.placement.demands import to_demand
+from amaranthbay.placement.slots import AllocatorContext
+from amaranthbay.placement.tracker import LoadTracker
 from amaranthbay.platform.http import (
     HttpInstanceList,
     HttpObjectStore,
@@ -75,11 +76,29 @@
         self.directory = BackendDirectory(instances, self.clock)
         self.membership = self._create_membership()
         self.channel = self._create_channel()
-        self.loads = LoadReports(self.directory, settings.availability_zone)
+        self.loads = LoadTracker(
+            self.directory, settings.availability_zone, self.clock, self._slots_of
+        )
         self.inflight = InFlightTable()
         engine = MeteredEngine(HttpEngineClient(self.clock))
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
-        self.admission = BoundedAdmission(settings.limits.queue_length)
+        policy = find("placement_policy", settings.placement_policy)()
+        self.admission = BoundedAdmission(
+            settings.limits.queue_length,
+            self.clock,
+            self._patient_gate(policy) if policy.queues_patient else None,
+            lambda: max(1, len(self.directory.entries())),
+        )
+        allocator = find("slot_allocator", settings.slot_allocator)(
+            AllocatorContext(
+                slots_of=self._slots_of,
+                clock=self.clock,
+                reported_active=self.loads.reported_active,
+                daemons=lambda: len(self.directory.entries()),
+                membership=self.membership,
+                channel=self.channel,
+            )
+        )
         budgets = defaultdict(RetryBudget)
         self.copier = RecordCopier(self.inflight, self.membership, self.channel)
         self.guarded = GuardedRecords(
@@ -99,8 +118,8 @@
             configuration=self.configuration,
             directory=self.directory,
             view=self._view,
-            policy=find("placement_policy", settings.placement_policy)(),
-            allocator=IndependentAllocator(self._slots_of),
+            policy=policy,
+            allocator=allocator,
             engine=engine,
             inflight=self.inflight,
             copier=self.copier,
@@ -114,6 +133,7 @@
             clock=self.clock,
             budget=budgets.__getitem__,
             availability_zone=settings.availability_zone,
+            observer=self.loads,
         )
         self.pipeline = Pipeline(ctx, self.admission, self._readiness)
         limits = settings.limits
@@ -166,7 +186,20 @@
         return self.config_store.current
 
     def _view(self, service_name, call):
-        return self.loads.view(self.configuration().service(service_name))
+        cfg = self.configuration()
+        return self.loads.view(cfg.service(service_name), call, cfg.goodput_weight)
+
+    def _patient_gate(self, policy):
+        """Returns a function that tells whether a patient request may start."""
+
+        def may_start(work, owed):
+            request = work.request
+            now = self.clock.monotonic()
+            demand = to_demand(work, now, request.request_id, owed)
+            view = self._view(request.service, request.payload)
+            return policy.may_start(demand, view, now)
+
+        return may_start
 
     def _slots_of(self, server):
         pool = self.configuration().pool(server.pool)
@@ -224,6 +257,9 @@
             "active": self.admission.active,
             "in_flight": len(self.inflight),
             "cancels_outstanding": self.cancels.outstanding,
+            "patient_queued": len(self.admission.queue),
+            "prefix_blocks": len(self.loads.index),
+            "prefix_error": self.loads.index.error,
             "members": [each.instance for each in self.membership.live()],
             "member_states": {
                 each.instance: {"state": each.state, "incarnation": each.incarnation}
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -14,7 +14,7 @@
 from amaranthbay.kernel.registry import register
 from amaranthbay.kernel.retries import Backoff, run_attempts
 from amaranthbay.observe import log_decision
-from amaranthbay.placement.types import Demand
+from amaranthbay.placement.demands import to_demand
 from amaranthbay.state.crash_marks import fingerprint_of
 from amaranthbay.utils.tokens import estimate_tokens
 
@@ -22,6 +22,9 @@
 
 INTERACTIVE_PRIORITY = 10
 PATIENT_PRIORITY = 0
+# A prefill's result expires within a second. Patient prompts are long, so that
+# their results cost most to compute again.
+PATIENT_RESULT_PRIORITY = 20
 PATIENT_PREFILL_TIMEOUT_S = 600.0
 # The KV cache lives for under a second, so a transfer that hasn't brought a first
 # token after this has stalled or waits in the engine behind other daemons' work.
@@ -95,12 +98,12 @@
         if admitted.is_err():
             return admitted
         suspect = admitted.unwrap()
-        placed = self._place(attempt)
-        if placed.is_err():
-            return placed
-        placement = placed.unwrap()
-        servers = (placement.prefill.server, placement.decode.server)
         with ExitStack() as held:
+            placed = self._place(attempt, held)
+            if placed.is_err():
+                return placed
+            placement = placed.unwrap()
+            servers = (placement.prefill.server, placement.decode.server)
             granted = self._reserve(attempt, servers[1], held)
             if granted.is_err():
                 return granted
@@ -120,23 +123,20 @@
         if self._dead:
             self._ctx.crashes.wait_known(self._fingerprint)
 
-    def _place(self, attempt):
+    def _place(self, attempt, held):
         now = self._ctx.clock.monotonic()
-        deadline = self._work.deadline
         view = self._ctx.view(self._work.request.service, self._call)
         started = time.perf_counter()
         for excluded in dict.fromkeys((frozenset(self._failed), frozenset())):
-            demand = Demand(
-                prompt_tokens=estimate_tokens(self._call.prompt),
-                max_tokens=self._call.max_tokens,
-                interactive=self._work.interactive,
-                remaining_s=None if deadline is None else deadline - now,
-                excluded=excluded,
-            )
+            demand = to_demand(self._work, now, attempt.attempt_id, excluded=excluded)
             placed = self._ctx.policy.choose(demand, view, now)
             if placed.is_ok():
                 break
         _log_placement(attempt, placed, time.perf_counter() - started)
+        if placed.is_ok():
+            observer = self._ctx.observer
+            observer.placed(attempt.attempt_id, self._call, placed.unwrap(), view)
+            held.callback(observer.released, attempt.attempt_id)
         return placed
 
     def _reserve(self, attempt, server, held):
@@ -202,6 +202,9 @@
         if self._ctx.pauses() != pauses:
             detail = "the daemon was paused; the attempt may have been cancelled"
             return Err(may_have_run(Reason.BACKEND_SLOW, detail))
+        self._ctx.observer.prefilled(attempt.attempt_id, prefilled.unwrap())
+        if not self._work.interactive:
+            priority = PATIENT_RESULT_PRIORITY
         timeout = self._time_left(PATIENT_FIRST_TOKEN_TIMEOUT_S)
         opened = self._ctx.engine.decode(
             decode_server, attempt, self._call, prefilled.unwrap(), priority, timeout
@@ -219,6 +222,7 @@
         first = first_event(stream)
         if first.is_err():
             return self._fail(first, decode_server)
+        self._ctx.observer.first_token(attempt.attempt_id)
         return Ok((stream, first.unwrap()))
 
     def _time_left(self, patient_s):
--- a/amaranthbay/dispatch/tests/fakes.py
+++ b/amaranthbay/dispatch/tests/fakes.py
@@ -18,11 +18,11 @@
 from amaranthbay.dispatch.types import ModelCall, PrefillOutcome, TokenEvent
 from amaranthbay.kernel.context import DispatchContext
 from amaranthbay.kernel.errors import Reason, may_have_run, not_run
-from amaranthbay.kernel.interfaces import EngineClient
+from amaranthbay.kernel.interfaces import EngineClient, PlacementObserver
 from amaranthbay.kernel.requests import BackendServer, CallerRequest, Work
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.placement.baselines import LeastLoadedPolicy
-from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.placement.slots import AllocatorContext, IndependentAllocator
 from amaranthbay.placement.types import PoolView, ServerView
 from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
@@ -140,6 +140,22 @@
     return BackendServer(instance, role, role, f"127.0.0.1:{id(instance)}", "zone-a")
 
 
+class SilentObserver(PlacementObserver):
+    """Learns nothing from placements."""
+
+    def placed(self, attempt_id, call, placement, view):
+        pass
+
+    def prefilled(self, attempt_id, outcome):
+        pass
+
+    def first_token(self, attempt_id):
+        pass
+
+    def released(self, attempt_id):
+        pass
+
+
 class FakeNode:
     """The request path of one daemon, over fakes."""
 
@@ -166,7 +182,9 @@
         self.decode = server("decode-1", "decode")
         self.directory = FakeDirectory([self.prefill, self.decode])
         self.deaths = FakeDeaths()
-        self.allocator = IndependentAllocator(lambda server: 20)
+        self.allocator = IndependentAllocator(
+            AllocatorContext(lambda server: 20, self.clock)
+        )
         self.budget = RetryBudget()
         cfg = cfg or configuration()
         self.ctx = DispatchContext(
@@ -188,6 +206,7 @@
             clock=self.clock,
             budget=lambda name: self.budget,
             availability_zone="zone-a",
+            observer=SilentObserver(),
         )
 
     def _view(self, service, call):
--- a/amaranthbay/gateway/tests/serving.py
+++ b/amaranthbay/gateway/tests/serving.py
@@ -27,7 +27,7 @@
         self.keys = KeyRing(())
         self.clock = node.ctx.clock
         self.refusal = None
-        self.admission = BoundedAdmission(100)
+        self.admission = BoundedAdmission(100, node.ctx.clock)
         self.pipeline = Pipeline(node.ctx, self.admission, lambda: self.refusal)
         self.members = [
             SimpleNamespace(address="127.0.0.1:1", availability_zone="zone-a")
--- a/amaranthbay/settings/daemon.py
+++ b/amaranthbay/settings/daemon.py
@@ -94,8 +94,8 @@
     platform_address: Address
     keys: tuple[KeySettings, ...] = ()
     limits: LimitSettings = field(default_factory=LimitSettings)
-    placement_policy: str = "least_loaded"
-    slot_allocator: str = "independent"
+    placement_policy: str = "cost"
+    slot_allocator: str = "owner"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     metrics_endpoint: Endpoint = ""
 
