--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -90,6 +90,7 @@
         self.directory.on_list(membership.apply_list)
         self.directory.use_peers(membership.peer_silence_s, membership.spread)
         membership.on_notice(self.directory.apply_notice)
+        membership.on_version(lambda instance, version: self.config_store.refresh())
         return membership
 
     def _create_channel(self):
--- a/amaranthbay/daemon/tests/test_membership.py
+++ b/amaranthbay/daemon/tests/test_membership.py
@@ -57,6 +57,17 @@
     return [each["address"] for each in reply["addresses"]]
 
 
+def wait_for_datagrams(deployment, name, count):
+    """Waits until a daemon has sent and received some more datagrams.
+
+    Thirty take more than the 2 s after which a process notices its pause.
+    """
+    before = deployment.status(name)["probe_traffic"][1]
+    wait_until(
+        lambda: deployment.status(name)["probe_traffic"][1] >= before + count, BOUND_S
+    )
+
+
 def proofs(deployment, name, died=LOST):
     """Returns the proofs of a death that a daemon logged."""
     return [
@@ -84,6 +95,7 @@
     lost.signal(signal.SIGSTOP)
     wait_until(lambda: all_hold(deployment, "suspected"), BOUND_S)
     case.assertNotIn(lost.address, looked_up(deployment))
+    wait_for_datagrams(deployment, "entry-1", 30)
     lost.signal(signal.SIGCONT)
     wait_until(lambda: all_hold(deployment, "live"), BOUND_S)
     case.assertIn(lost.address, looked_up(deployment))
@@ -142,15 +154,8 @@
     deployment = small_deployment(case)
     call_json(deployment.platform.address, "POST", "/control/faults", {"outage": True})
     names = list(deployment.daemons)
-    rounds = 5 * len(names)
-    before = [deployment.status(name)["probe_traffic"][1] for name in names]
-    wait_until(
-        lambda: all(
-            deployment.status(name)["probe_traffic"][1] > start + rounds
-            for name, start in zip(names, before)
-        ),
-        BOUND_S,
-    )
+    for name in names:
+        wait_for_datagrams(deployment, name, 30)
     for name in names:
         case.assertEqual(set(states_of(deployment, name)), {"live"})
     deployment.daemons[LOST].kill()
