--- a/amaranthbay/peering/channel.py
+++ b/amaranthbay/peering/channel.py
@@ -161,15 +161,18 @@
             self._links[instance] = link
         return link
 
+    def close_idle(self):
+        """Closes the connections that have not been used for a while."""
+        oldest = self._clock.monotonic() - IDLE_S
+        for instance, link in list(self._links.items()):
+            if link.last_used < oldest:
+                del self._links[instance]
+                link.close()
+
     def _sweep(self):
-        """Closes connections that have not been used for a while."""
         while True:
             gevent.sleep(SWEEP_S)
-            oldest = self._clock.monotonic() - IDLE_S
-            for instance, link in list(self._links.items()):
-                if link.last_used < oldest:
-                    del self._links[instance]
-                    link.close()
+            self.close_idle()
 
     def _receive(self):
         while True:
--- a/amaranthbay/peering/tests/test_channel.py
+++ b/amaranthbay/peering/tests/test_channel.py
@@ -11,10 +11,11 @@
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.registry import register
 from amaranthbay.peering import KeyRing, ZmqPeerChannel
+from amaranthbay.peering.channel import IDLE_S
 from amaranthbay.peering.envelope import MAX_FRAME_BYTES
 from amaranthbay.peering.links import OUTBOX_LENGTH
 from amaranthbay.settings.daemon import KeySettings
-from amaranthbay.utils.testing import collect, free_port, wait_until
+from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
 
 KEY = "0123456789abcdef0123456789abcdef"
 ASK_S = 5.0
@@ -36,25 +37,27 @@
 class Pair:
     """Two channels that know each other."""
 
-    def __init__(self, rings):
+    def __init__(self, rings, clock):
+        self.clock = clock
         self.addresses = {name: f"127.0.0.1:{free_port()}" for name in "ab"}
-        self.a, self.b = (
-            ZmqPeerChannel(
-                name,
-                lambda: 1,
-                self.addresses[name],
-                self.addresses.get,
-                ring,
-                SystemClock(),
-            )
-            for name, ring in zip("ab", rings)
+        self.a, self.b = (self.channel(name, ring) for name, ring in zip("ab", rings))
+
+    def channel(self, name, ring, incarnation=1):
+        """Returns a channel that is not started."""
+        return ZmqPeerChannel(
+            name,
+            lambda: incarnation,
+            self.addresses[name],
+            self.addresses.get,
+            ring,
+            self.clock,
         )
 
 
 @contextlib.contextmanager
-def running_pair(rings=None):
+def running_pair(rings=None, clock=None):
     """Starts two channels and stops them on exit."""
-    pair = Pair(rings or (key_ring(), key_ring()))
+    pair = Pair(rings or (key_ring(), key_ring()), clock or SystemClock())
     pair.a.start()
     pair.b.start()
     try:
@@ -64,6 +67,17 @@
         pair.b.stop()
 
 
+def send_raw(pair, *frames):
+    """Sends bytes to the second channel over a connection of their own."""
+    context = zmq.Context()
+    dealer = context.socket(zmq.DEALER)
+    dealer.connect(f"tcp://{pair.addresses['b']}")
+    for frame in frames:
+        dealer.send(frame)
+    dealer.close(linger=1000)
+    context.term()
+
+
 def test_question_is_answered(case):
     """Guards against a reply that goes to nobody or to another question."""
     pair = case.enterContext(running_pair())
@@ -110,14 +124,8 @@
     got = []
     pair.b.on(Note, lambda sender, note: got.append(note))
     frame = pair.a._frame("b", Note("x"), 0, 0)
-    context = zmq.Context()
-    dealer = context.socket(zmq.DEALER)
-    dealer.connect(f"tcp://{pair.addresses['b']}")
-    dealer.send(frame)
-    dealer.send(frame)
+    send_raw(pair, frame, frame)
     wait_until(lambda: pair.b.drops.counts["replayed"] == 1)
-    dealer.close(linger=0)
-    context.term()
     wait_until(lambda: got == [Note("x")])
 
 
@@ -144,4 +152,61 @@
             case.assertEqual(pair.a.ask("b", Note(content), ASK_S), Note(content))
 
 
+def test_bad_frames_end_nothing(case):
+    """Guards against a frame that ends the receive loop."""
+    pair = case.enterContext(running_pair())
+    pair.b.on(Note, lambda sender, note: note)
+    elsewhere = pair.a._frame("c", Note("x"), 0, 0)
+    send_raw(pair, b"", b"x", bytes(MAX_FRAME_BYTES + 1), elsewhere)
+    wait_until(lambda: sum(pair.b.drops.counts.values()) == 4)
+    case.assertEqual(pair.b.drops.counts["wrong_recipient"], 1)
+    case.assertEqual(pair.b.drops.counts["oversized"], 1)
+    case.assertEqual(pair.a.ask("b", Note("y"), ASK_S), Note("y"))
+
+
+def test_replaced_peer_is_reached_again(case):
+    """Guards against a link that stays broken after its peer was restarted."""
+    pair = case.enterContext(running_pair())
+    heard = []
+    pair.a.on_heard(lambda instance, incarnation: heard.append(incarnation))
+    pair.b.on(Note, lambda sender, note: note)
+    case.assertEqual(pair.a.ask("b", Note("1"), ASK_S), Note("1"))
+    pair.b.stop()
+    pair.b = pair.channel("b", key_ring(), incarnation=2)
+    pair.b.on(Note, lambda sender, note: note)
+    pair.b.start()
+    wait_until(lambda: pair.a.ask("b", Note("2"), 1.0) == Note("2"))
+    case.assertEqual(heard[0], 1)
+    case.assertEqual(heard[-1], 2)
+
+
+def test_unused_connection_is_closed(case):
+    """Guards against a connection to every peer that was ever asked."""
+    clock = ManualClock()
+    pair = case.enterContext(running_pair(clock=clock))
+    pair.b.on(Note, lambda sender, note: note)
+    pair.a.ask("b", Note("1"), ASK_S)
+    pair.a.close_idle()
+    case.assertEqual(pair.a.connections, 1)
+    clock.advance(IDLE_S + 1)
+    pair.a.close_idle()
+    case.assertEqual(pair.a.connections, 0)
+    case.assertEqual(pair.a.ask("b", Note("2"), ASK_S), Note("2"))
+
+
+def test_failing_handler_answers_nothing(case):
+    """Guards against a defect in a handler that ends the channel."""
+    pair = case.enterContext(running_pair())
+    failures = [ValueError("defect")]
+
+    def handle(sender, note):
+        if failures:
+            raise failures.pop()
+        return note
+
+    pair.b.on(Note, handle)
+    case.assertIsNone(pair.a.ask("b", Note("1"), 0.5))
+    case.assertEqual(pair.a.ask("b", Note("2"), ASK_S), Note("2"))
+
+
 load_tests = collect(globals())
