Move logs and metrics of the daemon into a module of their own

daemon/telemetry.py starts logs and metrics; the drain resource reads the keys itself at each call, so that a rotation of key files needs no restart; the engine client that counts wasted prefills lives with the other engine clients.

Conclusion: no change in what a daemon logs or exports.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -10,9 +10,11 @@
 import xxhash
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
+from amaranthbay.daemon.telemetry import start_logs, start_metrics, stop_metrics
 from amaranthbay.dispatch.cancels import CancelQueue
 from amaranthbay.dispatch.engine_http import HttpEngineClient
 from amaranthbay.dispatch.inflight import InFlightTable
+from amaranthbay.dispatch.metering import MeteredEngine
 from amaranthbay.gateway import create_app
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.context import DispatchContext
@@ -21,17 +23,7 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
-from amaranthbay.observe import (
-    Gauge,
-    configure_logs,
-    configure_metrics,
-    current_metrics,
-    log_decision,
-    log_event,
-    log_greenlet_failures,
-)
-from amaranthbay.observe.prefills import MeteredEngine
-from amaranthbay.peering.keys import KeyRing
+from amaranthbay.observe import log_decision, log_event
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
@@ -58,9 +50,7 @@
         self.clock = clock or SystemClock()
         self.incarnation = uuid.uuid4().hex[:12]
         self.draining = False
-        self.stop_requested = gevent.event.Event()
-        self.keys = KeyRing(settings.keys)
-        table = self.table = HttpTableService(settings.platform_address)
+        table = HttpTableService(settings.platform_address)
         objects = HttpObjectStore(settings.platform_address)
         instances = HttpInstanceList(settings.platform_address)
         self.config_store = ConfigStore(table, objects, self.clock)
@@ -90,6 +80,8 @@
         self._server = Server(
             settings.caller_address, create_app(self), limits.connections
         )
+        self.table = table
+        self.stop_requested = gevent.event.Event()
         self._jobs = []
 
     def configuration(self):
@@ -176,13 +168,6 @@
         log_event("started", address=address)
         return address
 
-    def watch(self, metrics):
-        """Lets metrics read what the daemon holds at each export."""
-        metrics.watch(Gauge.QUEUE, lambda: self.admission.active)
-        metrics.watch(Gauge.SLOTS, lambda: len(self.inflight))
-        metrics.watch(Gauge.CANCELS, lambda: self.cancels.outstanding)
-        metrics.watch(Gauge.CONFIGURATION, lambda: self.config_store.version)
-
     def drain(self):
         """Refuses new work from now on."""
         self.draining = True
@@ -197,22 +182,14 @@
         """Closes the listener and ends the jobs."""
         self._server.stop()
         gevent.killall(self._jobs)
-        current_metrics().close()
         log_event("stopped")
 
 
 def run_daemon(settings):
     """Runs a daemon until a signal has drained it."""
-    identity = {
-        "instance": settings.instance,
-        "availability_zone": settings.availability_zone,
-    }
-    configure_logs(settings.log_level, **identity)
-    log_greenlet_failures()
+    start_logs(settings)
     daemon = Daemon(settings)
-    identity["incarnation"] = daemon.incarnation
-    configure_logs(settings.log_level, **identity)
-    daemon.watch(configure_metrics(settings.metrics_endpoint, **identity))
+    start_metrics(daemon)
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
@@ -220,3 +197,4 @@
     daemon.drain()
     daemon.wait_idle()
     daemon.stop()
+    stop_metrics()
--- a/amaranthbay/observe/prefills.py
+++ b/amaranthbay/dispatch/metering.py
@@ -3,7 +3,7 @@
 from result import Ok
 
 from amaranthbay.kernel.interfaces import EngineClient
-from amaranthbay.observe.metrics import current_metrics
+from amaranthbay.observe import current_metrics
 
 __all__ = ["MeteredEngine"]
 
--- a/amaranthbay/gateway/operators.py
+++ b/amaranthbay/gateway/operators.py
@@ -6,6 +6,7 @@
 from amaranthbay.gateway.replies import write_json, write_refusal
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import log_event
+from amaranthbay.peering.keys import KeyRing
 from amaranthbay.utils.http import json_exchange
 
 __all__ = ["Drain", "Status"]
@@ -49,7 +50,9 @@
 
     def __init__(self, daemon):
         self._daemon = daemon
-        self._gate = OperatorGate(daemon.keys, daemon.settings.instance, daemon.clock)
+        settings = daemon.settings
+        self._keys = KeyRing(settings.keys)
+        self._gate = OperatorGate(self._keys, settings.instance, daemon.clock)
 
     def on_post(self, req, resp):
         call = SignedCall(
@@ -58,6 +61,8 @@
             req.bounded_stream.read(),
             *(req.get_header(name, default="") for name in HEADERS),
         )
+        # A rotation replaces the key files of a running daemon.
+        self._keys.reload()
         checked = self._gate.check(call)
         if checked.is_err():
             self._refuse(req, resp, checked.unwrap_err(), "")
--- a/amaranthbay/observe/tests/test_metrics.py
+++ b/amaranthbay/observe/tests/test_metrics.py
@@ -14,6 +14,7 @@
 )
 from result import Err, Ok
 
+from amaranthbay.dispatch.metering import MeteredEngine
 from amaranthbay.kernel.errors import Reason, Verdict, not_run
 from amaranthbay.kernel.interfaces import EngineClient
 from amaranthbay.kernel.requests import Attempt
@@ -27,7 +28,6 @@
     metrics as metrics_module,
 )
 from amaranthbay.observe.otel import OtelMetrics
-from amaranthbay.observe.prefills import MeteredEngine
 from amaranthbay.utils.http import Server
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -78,14 +78,14 @@
 
     folder: Path = None
     platform: Process = None
+    unpack_folder: str = ""
+    _starting: list = field(default_factory=list)
+    _started: list = field(default_factory=list)
     backends: dict = field(default_factory=dict)
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
     key: str = "key-of-a-deployment-on-loopback"
-    unpack_folder: str = ""
-    _starting: list = field(default_factory=list)
-    _started: list = field(default_factory=list)
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     def __enter__(self):
