Export metrics over the project's own HTTP exchange

Cause: the library's exporter brings requests and urllib3 into each daemon.

The encoding still comes from the library; one exchange sends it, without repeats, and the next export makes up for a lost one.

Ruled out: leaving ssl unpatched, which geventhttpclient imports anyway.

--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -4,10 +4,10 @@
 the library's periodic reader starts no thread.
 """
 
-import logging
+from urllib.parse import urlsplit
 
 import gevent
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+from opentelemetry.exporter.otlp.proto.common.metrics_encoder import encode_metrics
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
@@ -21,8 +21,9 @@
 from amaranthbay import __version__
 from amaranthbay.observe.logs import log_event
 from amaranthbay.observe.metrics import Gauge, Metrics
+from amaranthbay.utils.http import json_exchange
 
-__all__ = ["OtelMetrics", "ReportingExporter"]
+__all__ = ["OtelMetrics", "OtlpExporter"]
 
 EXPORT_INTERVAL_S = 10.0
 EXPORT_TIMEOUT_S = 5.0
@@ -47,52 +48,57 @@
 }
 
 
-class ReportingExporter(MetricExporter):
-    """Exporter that logs when the collector is lost and when it is back."""
+class OtlpExporter(MetricExporter):
+    """Sends metrics once; logs when the collector is lost and when it is back.
 
-    def __init__(self, inner):
-        super().__init__(
-            preferred_temporality=inner._preferred_temporality,
-            preferred_aggregation=inner._preferred_aggregation,
-        )
-        self._inner = inner
+    The library's own exporter holds 4 MB more, for another HTTP client, and
+    repeats a failed export, which the next one makes up for anyway.
+    """
+
+    def __init__(self, endpoint):
+        super().__init__()
+        parts = urlsplit(endpoint)
+        self._address = parts.netloc
+        self._path = parts.path or "/"
         self._failed = False
 
     def export(self, metrics_data, timeout_millis=EXPORT_TIMEOUT_S * 1000, **kwargs):
         """Exports once; a collector that is missing costs only this report."""
-        result = MetricExportResult.FAILURE
-        detail = "the collector gave no answer"
-        try:
-            with gevent.Timeout(EXPORT_TIMEOUT_S):
-                result = self._inner.export(metrics_data, timeout_millis, **kwargs)
-        except (Exception, gevent.Timeout) as exc:
-            detail = type(exc).__name__
-        failed = result is not MetricExportResult.SUCCESS
-        if failed and not self._failed:
-            log_event("metrics_export_failed", level="warning", detail=detail)
-        if self._failed and not failed:
+        body = encode_metrics(metrics_data).SerializeToString()
+        headers = [("Content-Type", "application/x-protobuf")]
+        outcome = json_exchange(
+            self._address, "POST", self._path, body, headers, EXPORT_TIMEOUT_S
+        )
+        if outcome.is_err():
+            return self._note(outcome.unwrap_err().detail)
+        status = outcome.unwrap()[0]
+        return self._note(None if status < 300 else f"status {status}")
+
+    def _note(self, fault):
+        """Logs a change and returns the result of an export."""
+        if fault and not self._failed:
+            log_event("metrics_export_failed", level="warning", detail=fault)
+        if self._failed and not fault:
             log_event("metrics_export_resumed")
-        self._failed = failed
-        return result
+        self._failed = bool(fault)
+        if fault:
+            return MetricExportResult.FAILURE
+        return MetricExportResult.SUCCESS
 
     def force_flush(self, timeout_millis=1000):
         """Has nothing to flush: each export is sent at once."""
         return True
 
     def shutdown(self, timeout_millis=1000, **kwargs):
-        """Closes the connection to the collector."""
-        self._inner.shutdown(timeout_millis)
+        """Has nothing to close: each export has a connection of its own."""
 
 
 class OtelMetrics(Metrics):
     """Metrics that are exported to a collector."""
 
     def __init__(self, endpoint, identity, interval_s=EXPORT_INTERVAL_S):
-        # The library would log each retry; ReportingExporter logs the change.
-        logging.getLogger("opentelemetry").setLevel(logging.CRITICAL)
-        exporter = OTLPMetricExporter(endpoint=endpoint, timeout=EXPORT_TIMEOUT_S)
         reader = PeriodicExportingMetricReader(
-            ReportingExporter(exporter),
+            OtlpExporter(endpoint),
             export_interval_millis=interval_s * 1000,
             export_timeout_millis=EXPORT_TIMEOUT_S * 1000,
         )
--- a/amaranthbay/settings/daemon.py
+++ b/amaranthbay/settings/daemon.py
@@ -32,7 +32,7 @@
 Endpoint = Annotated[
     str,
     msgspec.Meta(
-        pattern=r"^(https?://[0-9.]+:[0-9]{1,5}(/\S*)?)?$",
+        pattern=r"^(http://[0-9.]+:[0-9]{1,5}(/\S*)?)?$",
         description="empty, or an HTTP address of a collector with an IP number,"
         " like http://127.0.0.1:4318/v1/metrics",
     ),
