Show quarantined requests, and check that the engines are free

Cause: status listed crash marks, but not which requests they quarantine; the demonstration did not show that a killed daemon leaves no engine memory held.

--- a/amaranthbay/cli/status_text.py
+++ b/amaranthbay/cli/status_text.py
@@ -35,9 +35,10 @@
         place = f"{each['pool']}, {each['role']}, {each['availability_zone']}"
         yield f"  {each['instance']} ({place}): {each['state']}"
     yield from _named_rows("leases", status["leases"])
-    yield from _named_rows(
-        "crash marks and quarantined requests", status["crash_marks"]
-    )
+    yield from _named_rows("crash marks", status["crash_marks"])
+    quarantined = status["quarantined"]
+    known = "unknown" if quarantined is None else ", ".join(quarantined) or "none"
+    yield f"quarantined requests: {known}"
     yield f"requests in progress at {status['instance']}: {status['in_flight']}"
     for each in status["requests"]:
         servers = ", ".join(each["backend_servers"])
--- a/amaranthbay/cli/tests/test_operate.py
+++ b/amaranthbay/cli/tests/test_operate.py
@@ -1,11 +1,13 @@
 """Operators' commands against running daemons."""
 
+from datetime import datetime, timezone
+
 import msgspec
 
 from amaranthbay.cli.tests.test_config import run
 from amaranthbay.client import Client
 from amaranthbay.config.template import TEMPLATE
-from amaranthbay.standins.processes import Deployment
+from amaranthbay.standins.processes import Deployment, call_json
 from amaranthbay.utils.testing import collect, wait_until
 
 
@@ -116,6 +118,27 @@
     case.assertEqual(run("status", address).exit_code, 1)
 
 
+def test_status_shows_quarantined_requests(case):
+    """Guards against a refused request that an operator can't find."""
+    deployment = two_daemons(case)
+    deaths = [("f-1", "shared"), ("f-1", "a-1"), ("f-2", "shared")]
+    at = datetime.now(timezone.utc).isoformat()
+    writes = [
+        {"key": f"crash/{name}/{death}", "value": mark(name, death, at)}
+        for name, death in deaths
+    ]
+    platform = deployment.platform.address
+    call_json(platform, "POST", "/table/commit", {"writes": writes})
+    shown = run("status", deployment.daemons["entry-1"].address)
+    case.assertIn("crash marks: 3", shown.stdout)
+    case.assertIn("quarantined requests: f-1\n", shown.stdout)
+
+
+def mark(fingerprint, death, at):
+    """Returns the value of a crash mark's row."""
+    return {"fingerprint": fingerprint, "death": death, "at": at, "cleared": False}
+
+
 def test_explain_shows_a_request_from_the_logs(case):
     """Guards against decisions that can't be found by their request."""
     deployment = two_daemons(case)
--- a/amaranthbay/gateway/operators.py
+++ b/amaranthbay/gateway/operators.py
@@ -1,5 +1,7 @@
 """Operator interface of a daemon: status and drain."""
 
+from collections import Counter
+
 import msgspec
 
 from amaranthbay.gateway.operator_calls import HEADERS, OperatorGate, SignedCall
@@ -13,6 +15,8 @@
 LISTED_REQUESTS = 100
 LISTED_ROWS = 100
 PROBE_TIMEOUT_S = 1.0
+# The first death may have been another request's fault.
+LEAST_DEATHS = 2
 
 
 class Status:
@@ -23,6 +27,7 @@
 
     def on_get(self, req, resp):
         daemon = self._daemon
+        marks = self._rows("crash/")
         document = daemon.status() | {
             "daemons": [_daemon_entry(each) for each in daemon.directory.entries()],
             "workers": [_worker_entry(each) for each in daemon.directory.workers()],
@@ -30,7 +35,8 @@
                 :LISTED_REQUESTS
             ],
             "leases": self._rows("lease/"),
-            "crash_marks": self._rows("crash/"),
+            "crash_marks": marks,
+            "quarantined": _quarantined(marks, daemon.configuration()),
         }
         write_json(resp, document)
 
@@ -123,6 +129,15 @@
     return not status.get("draining", True) and status.get("config_version", 0) > 0
 
 
+def _quarantined(marks, cfg):
+    """Returns the fingerprints with as many deaths as one request may cause."""
+    if marks is None or cfg is None:
+        return None
+    deaths = Counter(each.get("fingerprint", each["name"]) for each in marks)
+    limit = max(LEAST_DEATHS, cfg.crash_limit)
+    return sorted(name for name, count in deaths.items() if count >= limit)
+
+
 def _daemon_entry(entry):
     return {
         "instance": entry.instance,
--- a/amaranthbay/standins/demo_scenes.py
+++ b/amaranthbay/standins/demo_scenes.py
@@ -14,6 +14,7 @@
 from amaranthbay.standins.demo_report import Report, RequestRow, instances_used
 from amaranthbay.standins.processes import call_json, start_small
 from amaranthbay.standins.tokens import answer_text
+from amaranthbay.utils.testing import wait_until
 
 __all__ = ["run_scenes"]
 
@@ -25,6 +26,7 @@
 LONG_ANSWER_TOKENS = 120
 KILL_AFTER_TOKENS = 5
 MAX_SENDS = 6
+FREE_BOUND_S = 5.0
 RESEND_PAUSE_S = 0.2
 POSTING = {"account": "tenant-7", "amount": 250, "reference": "demo-posting"}
 
@@ -92,11 +94,22 @@
     report.rows.append(long_prompt.run())
     _post_twice(deployment, seeds, report)
     _burst_with_kill(deployment, seeds, report)
+    report.checks.append(
+        ("no engine holds memory of these requests", _engines_are_free(deployment))
+    )
     lines = [line for each in deployment.daemons.values() for line in each.log_lines()]
     report.used = instances_used(lines)
     return report
 
 
+def _engines_are_free(deployment):
+    """Returns whether every cancel arrives within a bound."""
+    try:
+        return wait_until(lambda: not deployment.held(), FREE_BOUND_S)
+    except TimeoutError:
+        return False
+
+
 def _generated_configuration(deployment, report):
     """Generates the configuration from the template of the questionnaire."""
     path = deployment.folder / "answers.toml"
