--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -8,12 +8,14 @@
 import gevent.event
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
+from amaranthbay.daemon.telemetry import start_logs, start_metrics, stop_metrics
 from amaranthbay.dispatch.cancels import CancelQueue
 from amaranthbay.dispatch.deaths import DeathReporter
 from amaranthbay.dispatch.engine_http import HttpEngineClient
 from amaranthbay.dispatch.guarded import GuardedRecords
 from amaranthbay.dispatch.guards import RecordCopier
 from amaranthbay.dispatch.inflight import InFlightTable
+from amaranthbay.dispatch.metering import MeteredEngine
 from amaranthbay.dispatch.pauses import PauseWatch
 from amaranthbay.dispatch.resume import Takeovers
 from amaranthbay.gateway import create_app, describe_malformed
@@ -24,16 +26,7 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory, ProbedMembership, lookup_order
-from amaranthbay.observe import (
-    Gauge,
-    configure_logs,
-    configure_metrics,
-    current_metrics,
-    log_decision,
-    log_event,
-    log_greenlet_failures,
-)
-from amaranthbay.observe.prefills import MeteredEngine
+from amaranthbay.observe import log_decision, log_event
 from amaranthbay.peering import KeyRing, ZmqPeerChannel
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.demands import to_demand
@@ -67,9 +60,8 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self.draining = False
-        self.stop_requested = gevent.event.Event()
         self.keys = KeyRing(settings.keys)
-        table = self.table = HttpTableService(settings.platform_address)
+        table = HttpTableService(settings.platform_address)
         objects = HttpObjectStore(settings.platform_address)
         instances = HttpInstanceList(settings.platform_address)
         self.config_store = ConfigStore(table, objects, self.clock)
@@ -144,6 +136,8 @@
             limits.header_bytes,
             describe_malformed,
         )
+        self.table = table
+        self.stop_requested = gevent.event.Event()
         self._jobs = []
 
     def _create_membership(self):
@@ -289,13 +283,6 @@
         log_event("started", address=address)
         return address
 
-    def watch(self, metrics):
-        """Lets metrics read what the daemon holds at each export."""
-        metrics.watch(Gauge.QUEUE, lambda: self.admission.active)
-        metrics.watch(Gauge.SLOTS, lambda: len(self.inflight))
-        metrics.watch(Gauge.CANCELS, lambda: self.cancels.outstanding)
-        metrics.watch(Gauge.CONFIGURATION, lambda: self.config_store.version)
-
     def drain(self):
         """Refuses new work from now on; repeatable."""
         self.draining = True
@@ -322,22 +309,14 @@
         self.channel.stop()
         self._server.stop()
         gevent.killall(self._jobs)
-        current_metrics().close()
         log_event("stopped")
 
 
 def run_daemon(settings):
     """Runs a daemon until a signal has drained it."""
-    identity = {
-        "instance": settings.instance,
-        "availability_zone": settings.availability_zone,
-    }
-    configure_logs(settings.log_level, **identity)
-    log_greenlet_failures()
+    start_logs(settings)
     daemon = Daemon(settings)
-    identity["incarnation"] = daemon.incarnation
-    configure_logs(settings.log_level, **identity)
-    daemon.watch(configure_metrics(settings.metrics_endpoint, **identity))
+    start_metrics(daemon)
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
@@ -345,3 +324,4 @@
     daemon.drain()
     daemon.wait_idle()
     daemon.stop()
+    stop_metrics()
--- a/amaranthbay/observe/tests/test_metrics.py
+++ b/amaranthbay/observe/tests/test_metrics.py
@@ -9,11 +9,13 @@
 
 import falcon
 import msgspec
+from gevent.pywsgi import WSGIServer
 from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import (
     ExportMetricsServiceRequest,
 )
 from result import Err, Ok
 
+from amaranthbay.dispatch.metering import MeteredEngine
 from amaranthbay.kernel.errors import Reason, Verdict, not_run
 from amaranthbay.kernel.interfaces import EngineClient
 from amaranthbay.kernel.requests import Attempt
@@ -27,8 +29,6 @@
     metrics as metrics_module,
 )
 from amaranthbay.observe.otel import OtelMetrics
-from amaranthbay.observe.prefills import MeteredEngine
-from amaranthbay.utils.serving import Server
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
 INTERVAL_S = 0.05
@@ -77,7 +77,7 @@
     collector = Collector()
     app = falcon.App()
     app.add_route("/v1/metrics", collector)
-    server = Server(f"127.0.0.1:{port}", app)
+    server = WSGIServer(("127.0.0.1", port), app, log=None)
     server.start()
     case.addCleanup(server.stop)
     return collector
