Run a non-idempotent call at most once over pauses and late effects

Cause: the claim of a key checked its age only before the commit, an outcome was written without a condition, a not-run call deleted its row, and a lost claim that took effect late blocked its key until it expired.

The right to run now belongs to the attempt that the row names and passes on only after that attempt has recorded not_run, under the version of the row. A claim is checked against the retention again after its commit. A lost claim is replaced by a not_run record under the claim's own condition. Clients of the platform share a rate limit and a circuit breaker; writes of concurrent calls are grouped.

Ruled out: deleting the row of a call that did not run (a late delete depends on versions that never repeat); a time limit after which another daemon takes over a started row (a paused daemon would run it later).

Proof: the state machine test fails when the claim is unconditional, when a started row may be taken over, when an unknown commit counts as done and when may_have_run is recorded as not_run. Removing the second age check or the condition of the outcome fails the two tests written for them; the machine alone does not find these two.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -25,11 +25,14 @@
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
+from amaranthbay.platform.grouping import GroupedTable
+from amaranthbay.platform.guard import PlatformGuard
 from amaranthbay.platform.http import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTableService,
 )
+from amaranthbay.state.cleaner import RecordCleaner
 from amaranthbay.state.config_store import ConfigStore
 from amaranthbay.state.idempotency import IdempotencyStore
 from amaranthbay.utils.http import Server
@@ -48,9 +51,15 @@
         self.clock = clock or SystemClock()
         self.incarnation = uuid.uuid4().hex[:12]
         self.draining = False
-        table = HttpTableService(settings.platform_address)
-        objects = HttpObjectStore(settings.platform_address)
-        instances = HttpInstanceList(settings.platform_address)
+        guard = PlatformGuard(self.clock, lambda: len(self.directory.entries()))
+        table = HttpTableService(settings.platform_address, guard)
+        objects = HttpObjectStore(settings.platform_address, guard)
+        instances = HttpInstanceList(settings.platform_address, guard)
+        grouped = GroupedTable(table)
+        self.idempotency = IdempotencyStore(grouped, self.clock)
+        self.cleaner = RecordCleaner(
+            table, self.clock, settings.instance, self._live_instances
+        )
         self.config_store = ConfigStore(table, objects, self.clock)
         self.directory = BackendDirectory(instances, self.clock)
         self.loads = LoadReports(self.directory, settings.availability_zone)
@@ -68,7 +77,7 @@
             engine=engine,
             inflight=self.inflight,
             cancels=self.cancels,
-            idempotency=IdempotencyStore(table, self.clock),
+            idempotency=self.idempotency,
             clock=self.clock,
             budget=budgets.__getitem__,
             availability_zone=settings.availability_zone,
@@ -84,6 +93,10 @@
         """Returns the configuration in force, or None."""
         return self.config_store.current
 
+    def _live_instances(self):
+        entries = self.directory.entries()
+        return [each.instance for each in entries if each.state == "live"]
+
     def _view(self, service_name, call):
         return self.loads.view(self.configuration().service(service_name))
 
@@ -158,6 +171,8 @@
         self._jobs = [
             gevent.spawn(self.config_store.run),
             gevent.spawn(self.directory.run),
+            gevent.spawn(self.idempotency.run),
+            gevent.spawn(self.cleaner.run),
             gevent.spawn(self.loads.run, self._pools),
         ]
         address = self._server.start()
@@ -171,7 +186,11 @@
 
     def wait_idle(self):
         """Waits until every request in progress has ended, however long."""
-        while self.admission.active or self.cancels.outstanding:
+        while (
+            self.admission.active
+            or self.cancels.outstanding
+            or self.idempotency.outstanding
+        ):
             gevent.sleep(0.05)
 
     def stop(self):
--- a/amaranthbay/dispatch/plain.py
+++ b/amaranthbay/dispatch/plain.py
@@ -52,11 +52,11 @@
         begun = store.begin(work.request, attempt)
         if begun.is_err():
             return begun
-        recorded = begun.unwrap()
-        if recorded is not None:
-            return Ok(recorded)
+        permit = begun.unwrap()
+        if isinstance(permit, Outcome):
+            return Ok(permit)
         outcome = self._call(work, attempt)
-        store.finish(work.request, attempt, outcome)
+        store.finish(permit, outcome)
         return outcome
 
     def _call(self, work, attempt):
--- a/amaranthbay/platform/http.py
+++ b/amaranthbay/platform/http.py
@@ -1,23 +1,36 @@
 """HTTP clients of the platform."""
 
-from urllib.parse import urlencode
+from urllib.parse import quote, urlencode
 
+import gevent
 import msgspec
 from result import Err, Ok
 
 from amaranthbay.kernel.errors import Verdict
-from amaranthbay.kernel.interfaces import InstanceList, ObjectStore, TableService
+from amaranthbay.kernel.interfaces import (
+    InstanceList,
+    ObjectStore,
+    TableService,
+    WeightStore,
+)
 from amaranthbay.kernel.registry import register
+from amaranthbay.platform.guard import PlatformGuard
 from amaranthbay.platform.types import (
     CommitOutcome,
     CommitState,
     Instance,
     PlatformFailure,
     Row,
+    WeightInfo,
 )
-from amaranthbay.utils.http import json_exchange
+from amaranthbay.utils.http import HttpFailure, json_exchange
 
-__all__ = ["HttpInstanceList", "HttpObjectStore", "HttpTableService"]
+__all__ = [
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpTableService",
+    "HttpWeightStore",
+]
 
 # Longer than a slow reply of the platform in ordinary operation; a commit that
 # takes longer is unknown and is read back.
@@ -38,17 +51,40 @@
     instances: tuple[Instance, ...] = ()
 
 
+class _WeightsReply(msgspec.Struct):
+    weights: tuple[WeightInfo, ...] = ()
+
+
 class _PlatformConnection:
-    """Sends requests to one platform address."""
+    """Sends requests to one platform address, within the limits of a guard."""
 
-    def __init__(self, address):
+    def __init__(self, address, guard=None):
         self._address = address
+        self._guard = guard or PlatformGuard()
 
     def call(self, method, path, body=b""):
         """Returns ``Result[tuple[int, bytes], HttpFailure]``."""
-        return json_exchange(
-            self._address, method, path, body, timeout_s=REQUEST_TIMEOUT_S
-        )
+        refused = self._guard.enter(is_write=method != "GET")
+        if refused is not None:
+            return Err(HttpFailure(Verdict.NOT_RUN, refused))
+        outcome = self._exchange(method, path, body)
+        answered = outcome.is_ok() and outcome.unwrap()[0] < 500
+        self._guard.breaker.record(answered)
+        return outcome
+
+    def _exchange(self, method, path, body):
+        # The timeout of a socket bounds each silence; this one bounds the whole.
+        limit = gevent.Timeout(REQUEST_TIMEOUT_S)
+        with limit:
+            try:
+                return json_exchange(
+                    self._address, method, path, body, timeout_s=REQUEST_TIMEOUT_S
+                )
+            except gevent.Timeout as exc:
+                if exc is not limit:
+                    raise
+                detail = f"platform {self._address} did not answer in time"
+                return Err(HttpFailure(Verdict.MAY_HAVE_RUN, detail))
 
     def fetch(self, path, reply_type):
         """Returns ``Result[reply_type, PlatformFailure]``."""
@@ -68,8 +104,8 @@
 class HttpTableService(TableService):
     """Table service over HTTP."""
 
-    def __init__(self, address):
-        self._conn = _PlatformConnection(address)
+    def __init__(self, address, guard=None):
+        self._conn = _PlatformConnection(address, guard)
 
     def commit(self, writes):
         body = msgspec.json.encode({"writes": writes})
@@ -107,8 +143,8 @@
 class HttpObjectStore(ObjectStore):
     """Object store over HTTP."""
 
-    def __init__(self, address):
-        self._conn = _PlatformConnection(address)
+    def __init__(self, address, guard=None):
+        self._conn = _PlatformConnection(address, guard)
 
     def put(self, name, body):
         outcome = self._conn.call("PUT", f"/object/{name}", body)
@@ -135,9 +171,21 @@
 class HttpInstanceList(InstanceList):
     """Instance list over HTTP."""
 
-    def __init__(self, address):
-        self._conn = _PlatformConnection(address)
+    def __init__(self, address, guard=None):
+        self._conn = _PlatformConnection(address, guard)
 
     def fetch(self):
         reply = self._conn.fetch("/instances", _InstancesReply)
         return reply.map(lambda found: found.instances)
+
+
+@register("platform_client", "http_weights")
+class HttpWeightStore(WeightStore):
+    """Weight store over HTTP."""
+
+    def __init__(self, address, guard=None):
+        self._conn = _PlatformConnection(address, guard)
+
+    def describe(self, name):
+        reply = self._conn.fetch(f"/weights/{quote(name)}", _WeightsReply)
+        return reply.map(lambda found: found.weights[0] if found.weights else None)
--- a/amaranthbay/standins/platform.py
+++ b/amaranthbay/standins/platform.py
@@ -1,20 +1,22 @@
 """Platform stand-in: table service, object store, weight store, instance list.
 
 Faults: ``outage`` answers 503, ``delay_s`` slows every reply, ``lose_replies``
-drops the reply of that many commits after they took effect, ``list_lag_s`` delays
-the instance list.
+drops the reply of that many commits after they took effect, ``late_commits`` drops
+the reply of that many commits and applies them ``late_s`` afterwards,
+``commit_reply_delay_s`` holds the reply of a commit that took effect,
+``route_delays`` slows paths by prefix, ``list_lag_s`` delays the instance list.
 """
 
 import time
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from socket import SHUT_RDWR
 
 import falcon
 import gevent
 import msgspec
 
-from amaranthbay.platform.types import Instance, Row, Write
+from amaranthbay.platform.types import Instance, Row, WeightInfo, Write
 from amaranthbay.standins.serving import read_json, run_server, write_json
 from amaranthbay.utils.http import CONNECTION_KEY
 
@@ -30,6 +32,10 @@
     outage: bool = False
     delay_s: float = 0.0
     lose_replies: int = 0
+    late_commits: int = 0
+    late_s: float = 0.0
+    commit_reply_delay_s: float = 0.0
+    route_delays: dict[str, float] = field(default_factory=dict)
     list_lag_s: float = 0.0
 
 
@@ -43,8 +49,10 @@
     def __init__(self):
         self.rows = {}
         self.objects = {}
+        self.weights = {}
         self.faults = PlatformFaults()
         self.counts = {"commits": 0, "rows_written": 0, "reads": 0}
+        self.counts |= {"objects_put": 0, "objects_got": 0}
         self._version = 0
         self._lists = deque([(0.0, ())], maxlen=HISTORY_LENGTH)
 
@@ -99,7 +107,10 @@
     def process_request(self, req, resp):
         if req.path.startswith("/control"):
             return
-        gevent.sleep(self._state.faults.delay_s)
+        faults = self._state.faults
+        delays = faults.route_delays.items()
+        extra_s = max((s for path, s in delays if req.path.startswith(path)), default=0)
+        gevent.sleep(faults.delay_s + extra_s)
         if self._state.faults.outage:
             raise falcon.HTTPServiceUnavailable()
 
@@ -110,7 +121,14 @@
 
     def on_post_commit(self, req, resp):
         commit = read_json(req, _Commit)
+        faults = self._state.faults
+        if faults.late_commits:
+            self._state.faults = replace(faults, late_commits=faults.late_commits - 1)
+            gevent.spawn_later(faults.late_s, self._state.commit, commit.writes)
+            req.env[CONNECTION_KEY].shutdown(SHUT_RDWR)
+            return
         conflicts, versions = self._state.commit(commit.writes)
+        gevent.sleep(faults.commit_reply_delay_s)
         faults = self._state.faults
         if faults.lose_replies:
             left = faults.lose_replies - 1
@@ -139,16 +157,28 @@
         self._state = state
 
     def on_put(self, req, resp, name):
+        self._state.counts["objects_put"] += 1
         self._state.objects[name] = req.bounded_stream.read()
         write_json(resp, {})
 
     def on_get(self, req, resp, name):
+        self._state.counts["objects_got"] += 1
         if name not in self._state.objects:
             raise falcon.HTTPNotFound()
         resp.data = self._state.objects[name]
         resp.content_type = "application/octet-stream"
 
 
+class _Weights:
+    def __init__(self, state):
+        self._state = state
+
+    def on_get(self, req, resp, name):
+        self._state.counts["reads"] += 1
+        info = self._state.weights.get(name)
+        write_json(resp, {"weights": [info] if info else []})
+
+
 class _Instances:
     def __init__(self, state):
         self._state = state
@@ -170,6 +200,11 @@
         self._state.set_instances(read_json(req, tuple[Instance, ...]))
         write_json(resp, {})
 
+    def on_post_weights(self, req, resp):
+        infos = read_json(req, tuple[WeightInfo, ...])
+        self._state.weights = {info.name: info for info in infos}
+        write_json(resp, {})
+
     def on_get_counts(self, req, resp):
         write_json(resp, self._state.counts)
 
@@ -186,6 +221,8 @@
     app.add_route("/instances", _Instances(state))
     app.add_route("/control/faults", control, suffix="faults")
     app.add_route("/control/instances", control, suffix="instances")
+    app.add_route("/weights/{name:path}", _Weights(state))
+    app.add_route("/control/weights", control, suffix="weights")
     app.add_route("/control/counts", control, suffix="counts")
     return app
 
--- a/amaranthbay/state/idempotency.py
+++ b/amaranthbay/state/idempotency.py
@@ -1,62 +1,55 @@
-"""Idempotency records: a non-idempotent call runs at most once."""
+"""Idempotency records: a non-idempotent call runs at most once.
 
-import uuid
-from dataclasses import dataclass
-from datetime import datetime, timedelta, timezone
+The right to run a call belongs to the attempt that its row names. It passes to
+another attempt only after that attempt itself has recorded that nothing ran.
+"""
+
+from dataclasses import dataclass, replace
+from datetime import timedelta
 
 import msgspec
-import xxhash
 from result import Err, Ok
 
-from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
+from amaranthbay.kernel.errors import Reason, Refusal, Verdict, may_have_run, not_run
 from amaranthbay.observe import log_event
 from amaranthbay.platform.types import CommitState, Write
+from amaranthbay.state.records import (
+    CLOCK_TOLERANCE,
+    RETENTION,
+    Outcome,
+    Record,
+    RecordState,
+    body_hash,
+    key_time,
+    row_key,
+)
+from amaranthbay.state.unsettled import UnsettledRecords
+
+__all__ = ["IdempotencyStore", "Outcome", "Permit", "key_time"]
 
-__all__ = ["IdempotencyStore", "Outcome", "key_time"]
-
-# Records are kept this long; a key that is older is refused, so that a repeat
-# can't arrive after its record is gone.
-RETENTION = timedelta(days=2)
-# A key from the future would outlive its record.
-CLOCK_TOLERANCE = timedelta(minutes=10)
 RETRY_AFTER = timedelta(seconds=2)
+UNKNOWN_RETRY_AFTER = timedelta(seconds=60)
+# Longer than the timeout of a call; until then the call may still be running.
+RUNNING_S = 45.0
 READ_BACK_TRIES = 3
+READ_BACK_PAUSE_S = 0.05
+# A row shares its transaction with 49 others, so that its size is bounded.
+KEPT_BODY_BYTES = 16 * 1024
 
 
 @dataclass(frozen=True)
-class Outcome:
-    """What a backend server answered."""
-
-    status: int
-    body: bytes
-    content_type: str = "application/json"
-
-
-@dataclass(frozen=True)
-class _Record:
-    """Value of a row: the attempt that may run the call, and its outcome."""
-
-    attempt_id: str
-    body_hash: str
-    state: str
-    status: int = 0
-    body: str = ""
-
-
-def key_time(key):
-    """Returns the time of a version 7 UUID, or None if it isn't one.
+class Permit:
+    """The right of one attempt to run a call.
 
-    Examples:
-        >>> key_time("019356e0-0000-7000-8000-000000000000").year
-        2024
+    Attributes:
+        key: Row that names the attempt.
+        record: Content of the row.
+        version: Version of the row.
     """
-    try:
-        parsed = uuid.UUID(key)
-    except ValueError:
-        return None
-    if parsed.version != 7:
-        return None
-    return datetime.fromtimestamp((parsed.int >> 80) / 1000, timezone.utc)
+
+    key: str
+    record: Record
+    version: int
 
 
 class IdempotencyStore:
@@ -65,105 +58,159 @@
     def __init__(self, table, clock):
         self._table = table
         self._clock = clock
+        self.unsettled = UnsettledRecords(table, clock)
+
+    @property
+    def outstanding(self):
+        """Number of records that wait for the platform."""
+        return len(self.unsettled)
+
+    def run(self):
+        """Writes records that the platform did not take, until killed."""
+        self.unsettled.run()
 
     def begin(self, request, attempt):
         """Records the attempt before its first byte goes out.
 
         Returns:
-            ``Ok(None)`` if the attempt may run, ``Ok(Outcome)`` if the call has
+            ``Ok(Permit)`` if the attempt may run, ``Ok(Outcome)`` if the call has
             already run, else ``Err(Refusal)``.
         """
-        checked = self._check_key(request.idempotency_key)
-        if checked.is_err():
-            return checked
-        record = _Record(attempt.attempt_id, _body_hash(request), "started")
-        write = Write(_row_key(request), msgspec.to_builtins(record), 0)
-        state = self._table.commit([write]).state
-        if state is CommitState.DONE:
-            return Ok(None)
-        if state is CommitState.NOT_DONE:
-            return Err(_platform_refusal())
-        return self._settle(request, record)
+        refusal = self._check_key(request.idempotency_key)
+        if refusal is not None:
+            return Err(refusal)
+        record = Record(
+            attempt.attempt_id, body_hash(request), RecordState.STARTED, self._now_s()
+        )
+        claimed = self._claim(row_key(request), record, 0)
+        if claimed.is_err() or not isinstance(claimed.unwrap(), Permit):
+            return claimed
+        # The daemon may have been paused since the first check for so long that
+        # the row of an earlier run was removed before this one was written.
+        refusal = self._check_key(request.idempotency_key)
+        if refusal is not None:
+            self._settle(claimed.unwrap(), RecordState.NOT_RUN)
+            return Err(refusal)
+        return claimed
+
+    def _now_s(self):
+        return self._clock.now().timestamp()
 
     def _check_key(self, key):
+        """Returns the refusal of a key, or None."""
         at = key_time(key) if key else None
         if at is None:
             detail = "Idempotency-Key must be a version 7 UUID"
-            return Err(not_run(Reason.KEY_INVALID, detail, status=400))
+            return not_run(Reason.KEY_INVALID, detail, status=400)
         age = self._clock.now() - at
         if age > RETENTION - CLOCK_TOLERANCE:
             detail = "the key is older than the records are kept"
-            return Err(may_have_run(Reason.KEY_EXPIRED, detail, status=409))
+            return may_have_run(Reason.KEY_EXPIRED, detail, status=409)
         if age < -CLOCK_TOLERANCE:
             detail = "the key's time is in the future"
-            return Err(not_run(Reason.KEY_INVALID, detail, status=400))
-        return Ok(None)
-
-    def _settle(self, request, record):
-        """Reads the row back after a conflict or a lost reply."""
-        row = None
-        for _ in range(READ_BACK_TRIES):
-            found = self._table.read(_row_key(request))
-            if found.is_ok():
-                row = found.unwrap()
-                break
-            self._clock.sleep(0.05)
-        if row is None:
-            # The write may still take effect, but this attempt sends nothing.
+            return not_run(Reason.KEY_INVALID, detail, status=400)
+        return None
+
+    def _claim(self, key, record, if_version):
+        """Takes the right to run under the condition that nobody else did."""
+        write = Write(key, msgspec.to_builtins(record), if_version)
+        outcome = self._table.commit([write])
+        if outcome.state is CommitState.DONE:
+            return Ok(Permit(key, record, outcome.versions[key]))
+        if outcome.state is CommitState.NOT_DONE:
             return Err(_platform_refusal())
-        known = msgspec.convert(row.value, _Record)
+        found = self._read_back(key)
+        row = found.unwrap_or(None)
+        if row is None or row.version == if_version:
+            if outcome.state is CommitState.UNKNOWN:
+                self._abandon(key, record, if_version)
+            return Err(_platform_refusal())
+        known = msgspec.convert(row.value, Record)
         if known.attempt_id == record.attempt_id:
-            return Ok(None)
-        return self._repeat(known, record)
-
-    def _repeat(self, known, record):
+            return Ok(Permit(key, record, row.version))
         if known.body_hash != record.body_hash:
             detail = "the key was used with another body"
             return Err(not_run(Reason.KEY_REUSED, detail, status=422))
-        if known.state == "done":
-            return Ok(Outcome(known.status, known.body.encode()))
+        if known.state is RecordState.NOT_RUN and if_version == 0:
+            return self._claim(key, record, row.version)
+        return self._repeat(known)
+
+    def _read_back(self, key):
+        """Returns ``Result[Row | None, PlatformFailure]``."""
+        for _ in range(READ_BACK_TRIES - 1):
+            found = self._table.read(key)
+            if found.is_ok():
+                return found
+            self._clock.sleep(READ_BACK_PAUSE_S)
+        return self._table.read(key)
+
+    def _abandon(self, key, record, if_version):
+        """Gives up a claim whose commit may still take effect.
+
+        Nothing was sent. Writing ``not_run`` under the claim's own condition
+        leaves the lost commit without effect, or replaces it if it came first.
+        """
+        given_up = replace(record, state=RecordState.NOT_RUN)
+        self.unsettled.add(key, given_up, if_version)
+
+    def _repeat(self, known):
+        """Answers a repeat from the record of another attempt."""
+        if known.state is RecordState.DONE and not known.dropped_bytes:
+            return Ok(Outcome(known.status, known.body, known.content_type))
+        if known.state is RecordState.DONE:
+            detail = (
+                f"the call ran and was answered with status {known.status}; the"
+                f" answer of {known.dropped_bytes} bytes was too large to keep"
+            )
+            return Err(Refusal(Verdict.RAN, Reason.TOO_LARGE, detail, 409))
+        age_s = self._now_s() - known.at
+        if known.state is not RecordState.UNKNOWN and age_s < RUNNING_S:
+            detail = "another attempt under this key is in progress"
+            reason = Reason.KEY_IN_PROGRESS
+            return Err(may_have_run(reason, detail, 409, RETRY_AFTER))
         detail = "an earlier call under this key has no recorded outcome"
-        refusal = may_have_run(Reason.OUTCOME_UNKNOWN, detail, 409, RETRY_AFTER)
-        return Err(refusal)
+        reason = Reason.OUTCOME_UNKNOWN
+        return Err(may_have_run(reason, detail, 409, UNKNOWN_RETRY_AFTER))
 
-    def finish(self, request, attempt, outcome):
-        """Records the outcome; a failure to record leaves it unknown."""
+    def finish(self, permit, outcome):
+        """Records the outcome of the attempt that holds the permit.
+
+        Args:
+            permit: `Permit` that `begin` returned.
+            outcome: ``Result[Outcome, Refusal]``. After a ``not_run`` refusal the
+                attempt must send nothing more: another one may then run.
+        """
         if outcome.is_ok():
-            done = outcome.unwrap()
-            record = _Record(
-                attempt.attempt_id,
-                _body_hash(request),
-                "done",
-                done.status,
-                done.body.decode(errors="replace"),
-            )
-            write = Write(_row_key(request), msgspec.to_builtins(record))
+            self._settle(permit, RecordState.DONE, outcome.unwrap())
         elif outcome.unwrap_err().verdict is Verdict.NOT_RUN:
-            write = Write(_row_key(request), None)
+            self._settle(permit, RecordState.NOT_RUN)
         else:
+            self._settle(permit, RecordState.UNKNOWN)
+
+    def _settle(self, permit, state, answer=None):
+        record = replace(permit.record, state=state, at=self._now_s())
+        if answer is not None:
+            record = _with_answer(record, answer)
+        write = Write(permit.key, msgspec.to_builtins(record), permit.version)
+        committed = self._table.commit([write]).state
+        if committed is CommitState.DONE:
             return
-        state = self._table.commit([write]).state
-        if state is not CommitState.DONE:
-            log_event(
-                "outcome_not_recorded",
-                level="warning",
-                request_id=request.request_id,
-                state=state,
-            )
+        self.unsettled.add(permit.key, record, permit.version)
+        log_event("record_unsettled", state=committed)
+
+
+def _with_answer(record, answer):
+    size = len(answer.body)
+    kept = size <= KEPT_BODY_BYTES
+    return replace(
+        record,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body if kept else b"",
+        dropped_bytes=0 if kept else size,
+    )
 
 
 def _platform_refusal():
     detail = "the platform's table service can't record the call"
     return not_run(Reason.PLATFORM_UNAVAILABLE, detail, retry_after=RETRY_AFTER)
-
-
-def _body_hash(request):
-    call = request.payload
-    head = f"{call.method} {call.path}\n".encode()
-    return xxhash.xxh3_128_hexdigest(head + call.body)
-
-
-def _row_key(request):
-    day = key_time(request.idempotency_key).date().isoformat()
-    owner = f"{request.service}/{request.workspace}"
-    return f"idem/{day}/{owner}/{request.idempotency_key}"
--- /dev/null
+++ b/amaranthbay/state/records.py
@@ -0,0 +1,118 @@
+"""Idempotency records: their content, and the rows that hold them."""
+
+import uuid
+from dataclasses import dataclass
+from datetime import datetime, timedelta, timezone
+from enum import StrEnum
+from urllib.parse import quote
+
+import xxhash
+
+__all__ = [
+    "CLOCK_TOLERANCE",
+    "Outcome",
+    "PREFIX",
+    "RETENTION",
+    "Record",
+    "RecordState",
+    "body_hash",
+    "key_time",
+    "row_day",
+    "row_key",
+]
+
+PREFIX = "idem/"
+# Records are kept this long; a key that is older is refused, so that a repeat
+# can't arrive after its record is gone.
+RETENTION = timedelta(days=2)
+# Largest difference between the clocks of a caller, a daemon and the platform
+# that leaves the retention safe.
+CLOCK_TOLERANCE = timedelta(minutes=10)
+
+
+class RecordState(StrEnum):
+    """What is known about the call under a key."""
+
+    STARTED = "started"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a backend server answered."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+
+
+@dataclass(frozen=True)
+class Record:
+    """Value of a row: the attempt that may run the call, and its outcome.
+
+    Attributes:
+        attempt_id: Attempt that holds the right to run the call.
+        body_hash: Hash of method, path and body.
+        state: What is known about the call.
+        at: Unix time of the last change, for the hint when to come back.
+        status: HTTP status of the answer.
+        content_type: Media type of the answer.
+        body: Answer; empty if it was too large to keep.
+        dropped_bytes: Size of an answer that was too large to keep.
+    """
+
+    attempt_id: str
+    body_hash: str
+    state: RecordState
+    at: float
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    dropped_bytes: int = 0
+
+
+def key_time(key):
+    """Returns the time of a version 7 UUID, or None if it isn't one.
+
+    Examples:
+        >>> key_time("019356e0-0000-7000-8000-000000000000").year
+        2024
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    try:
+        return datetime.fromtimestamp((parsed.int >> 80) / 1000, timezone.utc)
+    except (OverflowError, ValueError):
+        return None
+
+
+def body_hash(request):
+    """Returns a hash of all that a repeat must have in common with the first."""
+    call = request.payload
+    head = f"{call.method} {call.path}\n".encode()
+    return xxhash.xxh3_128_hexdigest(head + call.body)
+
+
+def row_key(request):
+    """Returns the row of a request's key; spellings of one UUID share a row."""
+    key = str(uuid.UUID(request.idempotency_key))
+    day = key_time(key).date().isoformat()
+    service, workspace = quote(request.service, ""), quote(request.workspace, "")
+    return f"{PREFIX}{day}/{service}/{workspace}/{key}"
+
+
+def row_day(key):
+    """Returns the first moment of the day of a row.
+
+    Examples:
+        >>> row_day("idem/2026-01-02/ledger/ws/k").day
+        2
+    """
+    day = key.split("/")[1]
+    return datetime.fromisoformat(day).replace(tzinfo=timezone.utc)
