--- a/amaranthbay/standins/engine.py
+++ b/amaranthbay/standins/engine.py
@@ -18,6 +18,12 @@
 
 IMPORT_TIMEOUT_S = 5.0
 CRASH_EXIT_CODE = 70
+SETUP_FIELDS = {
+    "load_model": "model",
+    "load_adapter": "adapter",
+    "load_version": "version",
+    "change_role": "role",
+}
 
 
 class _Prefill(msgspec.Struct):
@@ -176,10 +182,15 @@
             return
         state.fence = max(state.fence, order.fence)
         state.orders.append(order)
+        field = SETUP_FIELDS.get(order.action)
+        if field:
+            state.setup[field] = order.target
         write_json(resp, {"accepted": True})
 
     def on_get_orders(self, req, resp):
-        write_json(resp, {"orders": self._state.orders, "fence": self._state.fence})
+        state = self._state
+        reply = {"orders": state.orders, "fence": state.fence, "setup": state.setup}
+        write_json(resp, reply)
 
     def on_get_held(self, req, resp):
         write_json(resp, {"held": self._state.held(), "counts": self._state.counts})
--- a/amaranthbay/standins/engine_state.py
+++ b/amaranthbay/standins/engine_state.py
@@ -119,6 +119,7 @@
         self.prefills = {}
         self.cancelled = set()
         self.orders = []
+        self.setup = {"model": "", "adapter": "", "version": "", "role": options.role}
         self.fence = 0
         self.crashed = False
         self.counts = {"prefill_tokens": 0, "decoded_tokens": 0, "wasted_kv": 0}
