--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -1,7 +1,6 @@
 """One daemon: assembly, start, status and graceful stop."""
 
 import signal
-import uuid
 from collections import defaultdict
 from datetime import timedelta
 
@@ -11,9 +10,15 @@
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
 from amaranthbay.dispatch.cancels import CancelQueue
+from amaranthbay.dispatch.deaths import DeathReporter
 from amaranthbay.dispatch.engine_http import HttpEngineClient
+from amaranthbay.dispatch.guarded import GuardedRecords
+from amaranthbay.dispatch.guards import RecordCopier
 from amaranthbay.dispatch.inflight import InFlightTable
-from amaranthbay.gateway import create_app
+from amaranthbay.dispatch.pauses import PauseWatch
+from amaranthbay.dispatch.resume import Takeovers
+from amaranthbay.gateway import create_app, describe_malformed
+from amaranthbay.kernel.alone import LoneChannel, LoneMembership
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.context import DispatchContext
 from amaranthbay.kernel.errors import Reason, not_run
@@ -21,7 +26,18 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
 from amaranthbay.membership import BackendDirectory
-from amaranthbay.observe import configure_logs, log_decision, log_event
+from amaranthbay.membership.types import Member
+from amaranthbay.observe import (
+    Gauge,
+    configure_logs,
+    configure_metrics,
+    current_metrics,
+    log_decision,
+    log_event,
+    log_greenlet_failures,
+)
+from amaranthbay.observe.prefills import MeteredEngine
+from amaranthbay.peering.keys import KeyRing
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
@@ -34,13 +50,17 @@
 )
 from amaranthbay.state.cleaner import RecordCleaner
 from amaranthbay.state.config_store import ConfigStore
+from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
-from amaranthbay.utils.http import Server
+from amaranthbay.state.isolation import SuspectClaims
 from amaranthbay.utils.runtime import check_event_loop
+from amaranthbay.utils.serving import Server
 
 __all__ = ["Daemon", "run_daemon"]
 
 RETRY_AFTER = timedelta(seconds=1)
+IDLE_POLL_S = 0.05
+CANCEL_BOUND_S = 30.0
 
 
 class Daemon:
@@ -49,25 +69,48 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.incarnation = uuid.uuid4().hex[:12]
+        self.incarnation = int(self.clock.now().timestamp() * 1000)
         self.draining = False
+        self.stop_requested = gevent.event.Event()
+        self.keys = KeyRing(settings.keys)
         guard = PlatformGuard(self.clock, lambda: len(self.directory.entries()))
-        table = HttpTableService(settings.platform_address, guard)
+        table = self.table = HttpTableService(settings.platform_address, guard)
         objects = HttpObjectStore(settings.platform_address, guard)
         instances = HttpInstanceList(settings.platform_address, guard)
-        grouped = GroupedTable(table)
-        self.idempotency = IdempotencyStore(grouped, self.clock)
+        self.idempotency = IdempotencyStore(GroupedTable(table), self.clock)
         self.cleaner = RecordCleaner(
             table, self.clock, settings.instance, self._live_instances
         )
-        self.config_store = ConfigStore(table, objects, self.clock)
         self.directory = BackendDirectory(instances, self.clock)
         self.loads = LoadReports(self.directory, settings.availability_zone)
         self.inflight = InFlightTable()
-        engine = HttpEngineClient(self.clock)
+        engine = MeteredEngine(HttpEngineClient(self.clock))
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
         self.admission = BoundedAdmission(settings.limits.queue_length)
         budgets = defaultdict(RetryBudget)
+        own = Member(
+            settings.instance,
+            settings.availability_zone,
+            settings.region,
+            settings.caller_address,
+            settings.membership_address,
+            settings.peer_address,
+            self.incarnation,
+        )
+        self.membership = LoneMembership(own)
+        self.channel = LoneChannel()
+        self.config_store = ConfigStore(
+            table, objects, self.clock, self.membership, self.channel
+        )
+        self.copier = RecordCopier(self.inflight, self.membership, self.channel)
+        self.guarded = GuardedRecords(
+            self.membership, self.channel, self.cancels, self.clock
+        )
+        self.pauses = PauseWatch(self.clock)
+        self.crashes = CrashMarks(
+            table, self.membership, self.channel, self.clock, self._crash_limit
+        )
+        claims = SuspectClaims(table, self.clock)
         ctx = DispatchContext(
             configuration=self.configuration,
             directory=self.directory,
@@ -76,6 +119,12 @@
             allocator=IndependentAllocator(self._slots_of),
             engine=engine,
             inflight=self.inflight,
+            copier=self.copier,
+            takeovers=Takeovers(self.membership, self.channel, self.guarded),
+            pauses=self.pauses.pauses,
+            crashes=self.crashes,
+            claims=claims,
+            deaths=DeathReporter(self.inflight, self.crashes, claims, self.directory),
             cancels=self.cancels,
             idempotency=self.idempotency,
             clock=self.clock,
@@ -85,7 +134,11 @@
         self.pipeline = Pipeline(ctx, self.admission, self._readiness)
         limits = settings.limits
         self._server = Server(
-            settings.caller_address, create_app(self), limits.connections
+            settings.caller_address,
+            create_app(self),
+            limits.connections,
+            limits.header_bytes,
+            describe_malformed,
         )
         self._jobs = []
 
@@ -109,8 +162,11 @@
         return [pool.name for pool in cfg.pools] if cfg else []
 
     def _is_gone(self, server):
-        known = self.directory.servers((server.pool,))
-        return all(each.instance != server.instance for each in known)
+        return not self.directory.is_listed(server.instance)
+
+    def _crash_limit(self):
+        cfg = self.configuration()
+        return cfg.crash_limit if cfg else 2
 
     def _readiness(self):
         """Returns the refusal of new work, or None."""
@@ -177,47 +233,68 @@
             gevent.spawn(self.directory.run),
             gevent.spawn(self.idempotency.run),
             gevent.spawn(self.cleaner.run),
+            gevent.spawn(self.copier.run),
+            gevent.spawn(self.pauses.run),
+            gevent.spawn(self.crashes.run),
             gevent.spawn(self.loads.run, self._pools),
         ]
         address = self._server.start()
         log_event("started", address=address)
         return address
 
+    def watch(self, metrics):
+        """Lets metrics read what the daemon holds at each export."""
+        metrics.watch(Gauge.QUEUE, lambda: self.admission.active)
+        metrics.watch(Gauge.SLOTS, lambda: len(self.inflight))
+        metrics.watch(Gauge.CANCELS, lambda: self.cancels.outstanding)
+        metrics.watch(Gauge.CONFIGURATION, lambda: self.config_store.version)
+
     def drain(self):
-        """Refuses new work from now on."""
+        """Refuses new work from now on; repeatable."""
         self.draining = True
+        self._server.drain()
         log_event("draining", active=self.admission.active)
 
     def wait_idle(self):
-        """Waits until every request in progress has ended, however long."""
-        while (
-            self.admission.active
-            or self.cancels.outstanding
-            or self.idempotency.outstanding
-        ):
-            gevent.sleep(0.05)
+        """Waits until every request in progress has ended, however long.
+
+        Records and cancellations for which nobody answers are waited for under a
+        bound; the guards repeat the cancellations once this daemon is gone.
+        """
+        while self.admission.active or self.inflight.working():
+            gevent.sleep(IDLE_POLL_S)
+        self._server.wait_written()
+        end = self.clock.monotonic() + CANCEL_BOUND_S
+        while self._has_outstanding() and self.clock.monotonic() < end:
+            gevent.sleep(IDLE_POLL_S)
+
+    def _has_outstanding(self):
+        return self.cancels.outstanding or self.idempotency.outstanding
 
     def stop(self):
         """Closes the listener and ends the jobs."""
         self._server.stop()
         gevent.killall(self._jobs)
+        current_metrics().close()
         log_event("stopped")
 
 
 def run_daemon(settings):
     """Runs a daemon until a signal has drained it."""
+    identity = {
+        "instance": settings.instance,
+        "availability_zone": settings.availability_zone,
+    }
+    configure_logs(settings.log_level, **identity)
+    log_greenlet_failures()
     daemon = Daemon(settings)
-    configure_logs(
-        settings.log_level,
-        instance=settings.instance,
-        availability_zone=settings.availability_zone,
-        incarnation=daemon.incarnation,
-    )
-    stop = gevent.event.Event()
+    identity["incarnation"] = daemon.incarnation
+    configure_logs(settings.log_level, **identity)
+    daemon.watch(configure_metrics(settings.metrics_endpoint, **identity))
     for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, stop.set)
+        gevent.signal_handler(signum, daemon.stop_requested.set)
     daemon.start()
-    stop.wait()
+    daemon.stop_requested.wait()
     daemon.drain()
     daemon.wait_idle()
     daemon.stop()
--- a/amaranthbay/kernel/retries.py
+++ b/amaranthbay/kernel/retries.py
@@ -2,16 +2,21 @@
 
 import random
 import uuid
+from dataclasses import replace
+from datetime import timedelta
 
 from result import Err
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.kernel.requests import Attempt
-from amaranthbay.observe import log_event
+from amaranthbay.observe import current_metrics, log_event
 
 __all__ = ["Backoff", "RetryBudget", "new_attempt", "run_attempts"]
 
 MAX_ATTEMPTS = 4
+# As long as a backend server that failed is left out, so that the caller's next
+# request finds it gone or back.
+GIVEN_UP_RETRY_AFTER = timedelta(seconds=2)
 
 
 class RetryBudget:
@@ -52,7 +57,12 @@
 
 
 def new_attempt(request_id, number):
-    """Returns an attempt with an id that no other attempt has."""
+    """Returns an attempt with an id that no other attempt has.
+
+    An attempt after the first is counted as a retry.
+    """
+    if number > 1:
+        current_metrics().retried()
     return Attempt(request_id, uuid.uuid4().hex, number)
 
 
@@ -71,7 +81,8 @@
     """
     budget.deposit()
     worst = Verdict.NOT_RUN
-    for number in range(1, MAX_ATTEMPTS + 1):
+    number = 1
+    while True:
         outcome = run(new_attempt(work.request.request_id, number))
         if outcome.is_ok():
             return outcome
@@ -85,10 +96,11 @@
             detail=refusal.detail,
         )
         worst = _worse(worst, refusal.verdict)
-        if not _may_retry(work, refusal, number, budget, clock):
-            return Err(refusal.with_verdict(worst))
-        clock.sleep(backoff.delay(number))
-    return Err(refusal.with_verdict(worst))
+        delay_s = backoff.delay(number)
+        if not _may_retry(work, refusal, number, delay_s, budget, clock):
+            return Err(_final(refusal, worst))
+        clock.sleep(delay_s)
+        number += 1
 
 
 def _worse(first, second):
@@ -96,11 +108,18 @@
     return max(first, second, key=order.index)
 
 
-def _may_retry(work, refusal, number, budget, clock):
+def _may_retry(work, refusal, number, delay_s, budget, clock):
     if number == MAX_ATTEMPTS or refusal.status < 500:
         return False
     if refusal.verdict is not Verdict.NOT_RUN and not work.idempotent:
         return False
-    if work.deadline is not None and clock.monotonic() >= work.deadline:
+    if work.deadline is not None and clock.monotonic() + delay_s >= work.deadline:
         return False
     return budget.withdraw()
+
+
+def _final(refusal, verdict):
+    """Returns the answer to a request that is given up on."""
+    if refusal.retry_after is None and refusal.status >= 500:
+        refusal = replace(refusal, retry_after=GIVEN_UP_RETRY_AFTER)
+    return refusal.with_verdict(verdict)
--- a/amaranthbay/membership/backends.py
+++ b/amaranthbay/membership/backends.py
@@ -44,6 +44,17 @@
         """Returns the daemons of the list."""
         return tuple(each for each in self._instances if each.kind == "entry")
 
+    def is_listed(self, instance):
+        """Returns whether the list shows an instance, leaving ones included."""
+        return any(each.instance == instance for each in self._instances)
+
+    def find(self, instance):
+        """Returns a listed `BackendServer`, leaving ones included, or None."""
+        for each in self._instances:
+            if each.instance == instance and each.kind == "backend":
+                return _to_server(each)
+        return None
+
     def servers(self, pools, role=None):
         """Returns the backend servers of some pools that may get new work."""
         return tuple(
@@ -56,6 +67,12 @@
             and not self._has_failed(each.instance)
         )
 
+    def workers(self):
+        """Returns all backend servers of the list, leaving ones included."""
+        return tuple(
+            _to_server(each) for each in self._instances if each.kind == "backend"
+        )
+
     def report_failure(self, instance):
         """Leaves a backend server out for a short time."""
         self._failed_until[instance] = self._clock.monotonic() + FAILED_S
--- a/amaranthbay/platform/tests/test_guard.py
+++ b/amaranthbay/platform/tests/test_guard.py
@@ -11,7 +11,7 @@
 from amaranthbay.platform.types import CommitState, WeightInfo, Write
 from amaranthbay.standins.platform import PlatformFaults, PlatformState, create_app
 from amaranthbay.state.tests.fakes import MemoryTable, StepClock
-from amaranthbay.utils.http import Server
+from amaranthbay.utils.serving import Server
 from amaranthbay.utils.testing import collect
 
 EXAMPLES = settings(derandomize=True, deadline=None, max_examples=60)
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -9,17 +9,12 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
+import gevent
 import msgspec
 
-from amaranthbay.config.types import (
-    CallerKind,
-    CallPattern,
-    Configuration,
-    Pool,
-    Service,
-)
 from amaranthbay.platform.http import HttpObjectStore, HttpTableService
 from amaranthbay.platform.types import Instance
+from amaranthbay.standins.configurations import small_configuration
 from amaranthbay.state.config_store import accept_configuration
 from amaranthbay.utils.http import json_exchange
 from amaranthbay.utils.testing import free_port, wait_until
@@ -35,6 +30,8 @@
 REGION = "region-1"
 ZONES = ("zone-a", "zone-b")
 STOP_BOUND_S = 10
+# The one-file program unpacks itself at its first start.
+MEMORY_FOLDER = Path("/dev/shm")
 
 
 def call_json(address, method, path, value=None):
@@ -46,33 +43,6 @@
     return msgspec.json.decode(outcome.unwrap()[1])
 
 
-def small_configuration():
-    """Returns a configuration with one model service and one ledger."""
-    return Configuration(
-        version=0,
-        deployment="small",
-        services=(
-            Service("summary", "model", ("prefill", "decode"), ("desk", "counter")),
-            Service(
-                "ledger",
-                "plain",
-                ("ledger",),
-                ("counter",),
-                (CallPattern("POST", "/postings"),),
-            ),
-        ),
-        callers=(
-            CallerKind("counter", True, 1.3, 0.051),
-            CallerKind("desk", False),
-        ),
-        pools=(
-            Pool("prefill", "prefill"),
-            Pool("decode", "decode"),
-            Pool("ledger", "plain"),
-        ),
-    )
-
-
 @dataclass
 class Process:
     """One started process and its entry in the instance list."""
@@ -112,9 +82,23 @@
     daemons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     program: tuple = ()
+    key: str = "key-of-a-deployment-on-loopback"
+    unpack_folder: str = ""
+    _starting: list = field(default_factory=list)
+    _started: list = field(default_factory=list)
     _stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
 
     def __enter__(self):
+        try:
+            return self._enter()
+        except BaseException:
+            # Without this, an interrupted start would leave processes behind.
+            self.__exit__()
+            raise
+
+    def _enter(self):
+        if self.program:
+            self.unpack_folder = self._memory_folder()
         self.program = self.program or (sys.executable, "-m", "amaranthbay")
         folder = tempfile.TemporaryDirectory(prefix="amaranthbay-")
         self.folder = Path(self._stack.enter_context(folder))
@@ -126,31 +110,59 @@
         return self
 
     def __exit__(self, *exc_info):
-        for process in self.processes():
-            if process.popen.poll() is None:
-                process.signal(signal.SIGCONT)
-                process.signal(signal.SIGTERM)
-        for process in self.processes():
+        gevent.joinall(self._starting)
+        running = [each for each in self._started if each.poll() is None]
+        for popen in running:
+            popen.send_signal(signal.SIGCONT)
+            popen.send_signal(signal.SIGTERM)
+        for popen in running:
             try:
-                process.popen.wait(STOP_BOUND_S)
+                popen.wait(STOP_BOUND_S)
             except subprocess.TimeoutExpired:
-                process.kill()
+                popen.kill()
+                popen.wait()
         self._stack.close()
 
+    @property
+    def key_path(self):
+        """File that holds the daemons' key."""
+        return self.folder / "peers.key"
+
     def processes(self):
         """Returns all processes that were started, daemons first."""
         started = [*self.daemons.values(), *self.backends.values()]
         return [*started, self.platform] if self.platform else started
 
-    def _start(self, name, command, entry):
+    def _memory_folder(self):
+        """Returns a folder on the memory-backed file system, if there is one."""
+        parent = MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else None
+        folder = tempfile.TemporaryDirectory(prefix="amaranthbay-", dir=parent)
+        return self._stack.enter_context(folder)
+
+    def _environ(self, of_program):
+        """Returns the environment; the one-file program finds no other modules."""
+        environ = dict(os.environ)
+        if of_program and self.unpack_folder:
+            environ.pop("PYTHONPATH", None)
+            return environ | {"SHIV_ROOT": self.unpack_folder}
+        return environ | {"PYTHONPATH": str(Path(__file__).resolve().parents[2])}
+
+    def _start(self, name, command, entry, of_program=False):
         log_path = self.folder / f"{name}.log"
         log = self._stack.enter_context(open(log_path, "ab"))
-        environ = dict(os.environ)
-        root = str(Path(__file__).resolve().parents[2])
-        environ["PYTHONPATH"] = root
-        popen = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
+        environ = self._environ(of_program)
+        # The start runs in a greenlet of its own, so that an interruption can't
+        # come between the start of a process and the note of it.
+        job = gevent.spawn(self._open, command, log, environ)
+        self._starting.append(job)
+        popen = job.get()
         return Process(name, popen, entry, log_path)
 
+    def _open(self, command, log, environ):
+        popen = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
+        self._started.append(popen)
+        return popen
+
     def start_engine(self, name, role, zone=ZONES[0], *options):
         """Starts an engine stand-in of the pool named like its role."""
         address = f"127.0.0.1:{free_port()}"
@@ -173,6 +185,7 @@
         """Starts a daemon; ``extra`` is TOML that comes before any table."""
         ports = [free_port(), free_port(), free_port()]
         caller, membership, peer = (f"127.0.0.1:{port}" for port in ports)
+        self.key_path.write_text(self.key)
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'instance = "{name}"\n'
@@ -183,6 +196,7 @@
             f'peer_address = "{peer}"\n'
             f'platform_address = "{self.platform.address}"\n'
             f"{extra}\n"
+            f'[[keys]]\nid = "peers"\nfile = "{self.key_path}"\n'
         )
         entry = Instance(
             instance=name,
@@ -195,7 +209,7 @@
             peer_address=peer,
         )
         command = [*self.program, "daemon", "--settings", str(path)]
-        self.daemons[name] = self._start(name, command, entry)
+        self.daemons[name] = self._start(name, command, entry, of_program=True)
         return self.daemons[name]
 
     def publish(self):
@@ -250,7 +264,7 @@
         return found
 
 
-def start_small(deployment, daemons=3, scale=0.2):
+def start_small(deployment, daemons=3, scale=0.2, cfg=None):
     """Starts two engines of each role, a ledger and daemons in two zones."""
     for number, zone in enumerate(ZONES, 1):
         scaled = ("--scale", str(scale))
@@ -260,7 +274,7 @@
     for number in range(1, daemons + 1):
         deployment.start_daemon(f"entry-{number}", ZONES[number % len(ZONES)])
     deployment.publish()
-    deployment.accept()
+    deployment.accept(cfg)
     deployment.wait_ready()
     return deployment
 
--- a/amaranthbay/state/config_fetch.py
+++ b/amaranthbay/state/config_fetch.py
@@ -97,7 +97,10 @@
     """
     fetched = _fetch([pointer.object_name], known, sources)
     raw = fetched.get(pointer.object_name)
-    if raw is None or digest_of(raw) != pointer.digest:
+    if raw is None:
+        return None
+    if digest_of(raw) != pointer.digest:
+        log_event("configuration_unreadable", level="error", detail="wrong digest")
         return None
     try:
         manifest = decode_manifest(raw)
--- a/amaranthbay/state/config_store.py
+++ b/amaranthbay/state/config_store.py
@@ -130,10 +130,18 @@
         found = self._table.read(ROW_KEY)
         if found.is_err():
             return False
-        self._confirmed_at = asked_at
         row = found.unwrap()
-        if row is not None:
-            self._follow(msgspec.convert(row.value, ConfigPointer), self._peers())
+        if row is None:
+            self._confirmed_at = asked_at
+            return True
+        try:
+            pointer = msgspec.convert(row.value, ConfigPointer)
+        except msgspec.ValidationError as exc:
+            # The row of another release must not end the polling.
+            log_event("configuration_unreadable", level="error", detail=str(exc))
+            return False
+        self._confirmed_at = asked_at
+        self._follow(pointer, self._peers())
         return True
 
     def refresh_from_peers(self):
--- a/amaranthbay/state/measure.py
+++ b/amaranthbay/state/measure.py
@@ -27,7 +27,7 @@
 from amaranthbay.standins.platform import PlatformState, create_app  # noqa: E402
 from amaranthbay.state.idempotency import IdempotencyStore  # noqa: E402
 from amaranthbay.state.records import Outcome  # noqa: E402
-from amaranthbay.utils.http import Server  # noqa: E402
+from amaranthbay.utils.serving import Server  # noqa: E402
 
 __all__ = ["main", "measure"]
 
--- a/amaranthbay/state/tests/test_config.py
+++ b/amaranthbay/state/tests/test_config.py
@@ -2,11 +2,25 @@
 
 from dataclasses import replace
 
+import msgspec
 from hypothesis import given, settings, strategies as st
 
+from amaranthbay.peering.envelope import decode_body, message_name
+from amaranthbay.platform.types import Write
 from amaranthbay.standins.processes import small_configuration
+from amaranthbay.state.config_messages import (
+    ConfigAnswer,
+    ConfigObjects,
+    ConfigObjectsQuery,
+    ConfigQuery,
+)
 from amaranthbay.state.config_store import ConfigStore, accept_configuration
-from amaranthbay.state.sections import assemble, decode_manifest, encode_sections
+from amaranthbay.state.sections import (
+    ConfigPointer,
+    assemble,
+    decode_manifest,
+    encode_sections,
+)
 from amaranthbay.state.tests.fakes import (
     MemoryObjects,
     MemoryPeers,
@@ -133,6 +147,17 @@
     case.assertIsNotNone(second.current)
 
 
+def test_unreadable_row_is_no_confirmation(case):
+    """Guards against a polling job that ends at a row of another release."""
+    clock, peers, (first, _), table, _ = new_pair([])
+    peers.cut_off = {"entry-1"}
+    table.apply([Write("config/current", {"version": "9"})])
+    clock.advance(6)
+    first.step()
+    case.assertIsNotNone(first.unconfirmed())
+    case.assertEqual(first.version, 1)
+
+
 def test_old_messages_do_not_confirm_after_a_pause(case):
     """Guards against a resumed daemon that trusts messages from before."""
     clock, _, (first, second), _, _ = new_pair([])
@@ -155,4 +180,20 @@
     case.assertIsNotNone(second.unconfirmed())
 
 
+def test_messages_survive_the_wire(case):
+    """Guards against message types that the peer codec can't carry."""
+    pointer = ConfigPointer(1, "d", "n", "a", "o", ("a",))
+    messages = (
+        ConfigQuery(3),
+        ConfigAnswer(1, pointer),
+        ConfigAnswer(0),
+        ConfigObjectsQuery(("a", "b")),
+        ConfigObjects({"a": b"\xff"}),
+    )
+    for message in messages:
+        body = msgspec.msgpack.encode(message)
+        decoded = decode_body(message_name(type(message)), body)
+        case.assertEqual(decoded.unwrap(), message)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/state/tests/test_leases.py
+++ b/amaranthbay/state/tests/test_leases.py
@@ -134,4 +134,25 @@
         run_state_machine_as_test(UnconditionalMachine, settings=FIND_ONE)
 
 
+class SlowTable(MemoryTable):
+    """Table whose replies come long after the write took effect."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+
+    def commit(self, writes):
+        outcome = super().commit(writes)
+        self.clock.advance(DURATION_S)
+        return outcome
+
+
+def test_a_slow_reply_does_not_lengthen_a_lease(case):
+    """Guards against a holder that counts its lease from the reply."""
+    clock = StepClock()
+    store = LeaseStore(SlowTable(clock), clock, "a")
+    lease = store.acquire("orders", DURATION_S)
+    case.assertFalse(store.is_held(lease))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/utils/testing.py
+++ b/amaranthbay/utils/testing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import random
 import socket
 import time
 import unittest
@@ -15,6 +16,11 @@
 
 WAIT_BOUND_S = 20.0
 POLL_S = 0.01
+PORT_RANGE = (10_000, 32_000)
+
+# Seeded by the system, so that test runs side by side choose different ports.
+_ports = random.SystemRandom()
+_given_ports = set()
 
 
 class FunctionTest(unittest.FunctionTestCase):
@@ -73,10 +79,22 @@
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a loopback port that was free a moment ago.
+
+    The ports lie below the range from which the system takes the local ports of
+    outgoing connections, since such a connection could take the port before the
+    process that it is meant for listens.
+    """
+    while True:
+        port = _ports.randrange(*PORT_RANGE)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 def wait_until(condition, bound_s=WAIT_BOUND_S):
