--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -6,7 +6,6 @@
 
 import gevent
 import gevent.event
-import xxhash
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
 from amaranthbay.dispatch.cancels import CancelQueue
@@ -18,15 +17,13 @@
 from amaranthbay.dispatch.pauses import PauseWatch
 from amaranthbay.dispatch.resume import Takeovers
 from amaranthbay.gateway import create_app, describe_malformed
-from amaranthbay.kernel.alone import LoneChannel, LoneMembership
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.context import DispatchContext
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.kernel.pipeline import Pipeline
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.retries import RetryBudget
-from amaranthbay.membership import BackendDirectory
-from amaranthbay.membership.types import Member
+from amaranthbay.membership import BackendDirectory, ProbedMembership, lookup_order
 from amaranthbay.observe import (
     Gauge,
     configure_logs,
@@ -37,7 +34,7 @@
     log_greenlet_failures,
 )
 from amaranthbay.observe.prefills import MeteredEngine
-from amaranthbay.peering.keys import KeyRing
+from amaranthbay.peering import KeyRing, ZmqPeerChannel
 from amaranthbay.placement.admission import BoundedAdmission
 from amaranthbay.placement.loads import LoadReports
 from amaranthbay.placement.slots import IndependentAllocator
@@ -61,6 +58,8 @@
 RETRY_AFTER = timedelta(seconds=1)
 IDLE_POLL_S = 0.05
 CANCEL_BOUND_S = 30.0
+# A rotation waits for this between its steps.
+KEY_RELOAD_S = 5.0
 
 
 class Daemon:
@@ -69,7 +68,6 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.incarnation = int(self.clock.now().timestamp() * 1000)
         self.draining = False
         self.stop_requested = gevent.event.Event()
         self.keys = KeyRing(settings.keys)
@@ -82,33 +80,32 @@
             table, self.clock, settings.instance, self._live_instances
         )
         self.directory = BackendDirectory(instances, self.clock)
+        self.membership = self._create_membership()
+        self.channel = self._create_channel()
         self.loads = LoadReports(self.directory, settings.availability_zone)
         self.inflight = InFlightTable()
         engine = MeteredEngine(HttpEngineClient(self.clock))
         self.cancels = CancelQueue(engine, self.clock, self._is_gone)
         self.admission = BoundedAdmission(settings.limits.queue_length)
         budgets = defaultdict(RetryBudget)
-        own = Member(
-            settings.instance,
-            settings.availability_zone,
-            settings.region,
-            settings.caller_address,
-            settings.membership_address,
-            settings.peer_address,
-            self.incarnation,
-        )
-        self.membership = LoneMembership(own)
-        self.channel = LoneChannel()
         self.config_store = ConfigStore(
             table, objects, self.clock, self.membership, self.channel
         )
+        self.membership.on_version(
+            lambda instance, version: self.config_store.hear_version(version, instance)
+        )
         self.copier = RecordCopier(self.inflight, self.membership, self.channel)
         self.guarded = GuardedRecords(
             self.membership, self.channel, self.cancels, self.clock
         )
         self.pauses = PauseWatch(self.clock)
         self.crashes = CrashMarks(
-            table, self.membership, self.channel, self.clock, self._crash_limit
+            table,
+            self.membership,
+            self.channel,
+            self.clock,
+            self._crash_limit,
+            lambda: [each.instance for each in self.directory.entries()],
         )
         claims = SuspectClaims(table, self.clock)
         ctx = DispatchContext(
@@ -142,6 +139,41 @@
         )
         self._jobs = []
 
+    def _create_membership(self):
+        membership = ProbedMembership(
+            self.settings, self.keys, self.clock, lambda: self.config_store.version
+        )
+        self.directory.on_list(membership.apply_list)
+        self.directory.use_peers(membership.peer_silence_s, membership.spread)
+        membership.on_notice(self.directory.apply_notice)
+        return membership
+
+    def _create_channel(self):
+        channel = ZmqPeerChannel(
+            self.settings.instance,
+            lambda: self.incarnation,
+            self.settings.peer_address,
+            self._peer_address,
+            self.keys,
+            self.clock,
+        )
+        channel.on_heard(self.membership.heard)
+        return channel
+
+    def _peer_address(self, instance):
+        member = self.membership.member(instance)
+        return member.peer_address if member else None
+
+    def _reload_keys(self):
+        while True:
+            gevent.sleep(KEY_RELOAD_S)
+            self.keys.reload()
+
+    @property
+    def incarnation(self):
+        """Incarnation of this process, as the other daemons know it."""
+        return self.membership.own().incarnation
+
     def configuration(self):
         """Returns the configuration in force, or None."""
         return self.config_store.current
@@ -187,19 +219,10 @@
     def lookup(self, service, workspace, availability_zone):
         """Returns the daemons that a workspace should use, best first."""
         near = availability_zone or self.settings.availability_zone
-
-        def order(entry):
-            name = f"{workspace}|{entry.instance}".encode()
-            weight = xxhash.xxh3_64_intdigest(name)
-            return entry.availability_zone != near, -weight
-
-        entries = [
-            entry
-            for entry in self.directory.entries()
-            if entry.state == "live"
-            and not (self.draining and entry.instance == self.settings.instance)
-        ]
-        chosen = sorted(entries, key=order)
+        members = self.membership.live()
+        regions = [each.region for each in members if each.availability_zone == near]
+        region = regions[0] if regions else self.settings.region
+        chosen = lookup_order(members, service, workspace, near, region)
         names = [each.instance for each in chosen]
         log_decision(
             "lookup",
@@ -222,7 +245,12 @@
             "active": self.admission.active,
             "in_flight": len(self.inflight),
             "cancels_outstanding": self.cancels.outstanding,
-            "members": [each.instance for each in self.directory.entries()],
+            "members": [each.instance for each in self.membership.live()],
+            "member_states": {
+                each.instance: {"state": each.state, "incarnation": each.incarnation}
+                for each in self.membership.members()
+            },
+            "probe_traffic": self.membership.traffic(),
         }
 
     def start(self):
@@ -237,8 +265,13 @@
             gevent.spawn(self.pauses.run),
             gevent.spawn(self.crashes.run),
             gevent.spawn(self.loads.run, self._pools),
+            gevent.spawn(self._reload_keys),
         ]
         address = self._server.start()
+        self.channel.start()
+        # A member that is probed must already accept connections, or its port
+        # would prove it dead.
+        self.membership.start()
         log_event("started", address=address)
         return address
 
@@ -253,6 +286,7 @@
         """Refuses new work from now on; repeatable."""
         self.draining = True
         self._server.drain()
+        self.membership.leave()
         log_event("draining", active=self.admission.active)
 
     def wait_idle(self):
@@ -273,6 +307,8 @@
 
     def stop(self):
         """Closes the listener and ends the jobs."""
+        self.membership.stop()
+        self.channel.stop()
         self._server.stop()
         gevent.killall(self._jobs)
         current_metrics().close()
