--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -32,11 +32,14 @@
 from amaranthbay.placement.demands import to_demand
 from amaranthbay.placement.slots import AllocatorContext
 from amaranthbay.placement.tracker import LoadTracker
+from amaranthbay.platform.grouping import GroupedTable
+from amaranthbay.platform.guard import PlatformGuard
 from amaranthbay.platform.http import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTableService,
 )
+from amaranthbay.state.cleaner import RecordCleaner
 from amaranthbay.state.config_store import ConfigStore
 from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
@@ -60,11 +63,16 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self.draining = False
+        self.stop_requested = gevent.event.Event()
         self.keys = KeyRing(settings.keys)
-        table = HttpTableService(settings.platform_address)
-        objects = HttpObjectStore(settings.platform_address)
-        instances = HttpInstanceList(settings.platform_address)
-        self.config_store = ConfigStore(table, objects, self.clock)
+        guard = PlatformGuard(self.clock, lambda: len(self.directory.entries()))
+        table = self.table = HttpTableService(settings.platform_address, guard)
+        objects = HttpObjectStore(settings.platform_address, guard)
+        instances = HttpInstanceList(settings.platform_address, guard)
+        self.idempotency = IdempotencyStore(GroupedTable(table), self.clock)
+        self.cleaner = RecordCleaner(
+            table, self.clock, settings.instance, self._live_instances
+        )
         self.directory = BackendDirectory(instances, self.clock)
         self.membership = self._create_membership()
         self.channel = self._create_channel()
@@ -92,11 +100,18 @@
             )
         )
         budgets = defaultdict(RetryBudget)
+        self.config_store = ConfigStore(
+            table, objects, self.clock, self.membership, self.channel
+        )
+        self.membership.on_version(
+            lambda instance, version: self.config_store.hear_version(version, instance)
+        )
         self.copier = RecordCopier(self.inflight, self.membership, self.channel)
         self.guarded = GuardedRecords(
             self.membership, self.channel, self.cancels, self.clock
         )
         self.pauses = PauseWatch(self.clock)
+        self.membership.on_reincarnation(self._on_reincarnation)
         self.crashes = CrashMarks(
             table,
             self.membership,
@@ -121,7 +136,7 @@
             claims=claims,
             deaths=DeathReporter(self.inflight, self.crashes, claims, self.directory),
             cancels=self.cancels,
-            idempotency=IdempotencyStore(table, self.clock),
+            idempotency=self.idempotency,
             clock=self.clock,
             budget=budgets.__getitem__,
             availability_zone=settings.availability_zone,
@@ -136,8 +151,6 @@
             limits.header_bytes,
             describe_malformed,
         )
-        self.table = table
-        self.stop_requested = gevent.event.Event()
         self._jobs = []
 
     def _create_membership(self):
@@ -147,7 +160,6 @@
         self.directory.on_list(membership.apply_list)
         self.directory.use_peers(membership.peer_silence_s, membership.spread)
         membership.on_notice(self.directory.apply_notice)
-        membership.on_version(lambda instance, version: self.config_store.refresh())
         return membership
 
     def _create_channel(self):
@@ -162,6 +174,10 @@
         channel.on_heard(self.membership.heard)
         return channel
 
+    def _on_reincarnation(self, old, new):
+        """Breaks the streams: guards have cancelled them for the old incarnation."""
+        self.pauses.note()
+
     def _peer_address(self, instance):
         member = self.membership.member(instance)
         return member.peer_address if member else None
@@ -180,6 +196,10 @@
         """Returns the configuration in force, or None."""
         return self.config_store.current
 
+    def _live_instances(self):
+        entries = self.directory.entries()
+        return [each.instance for each in entries if each.state == "live"]
+
     def _view(self, service_name, call):
         cfg = self.configuration()
         return self.loads.view(cfg.service(service_name), call, cfg.goodput_weight)
@@ -221,6 +241,10 @@
         if self.configuration() is None:
             detail = "the daemon has no configuration yet"
             return not_run(Reason.NOT_READY, detail, 503, RETRY_AFTER)
+        detail = self.config_store.unconfirmed()
+        if detail is not None:
+            reason = Reason.CONFIGURATION_UNCONFIRMED
+            return not_run(reason, detail, 503, RETRY_AFTER)
         return None
 
     def lookup(self, service, workspace, availability_zone):
@@ -269,6 +293,8 @@
         self._jobs = [
             gevent.spawn(self.config_store.run),
             gevent.spawn(self.directory.run),
+            gevent.spawn(self.idempotency.run),
+            gevent.spawn(self.cleaner.run),
             gevent.spawn(self.copier.run),
             gevent.spawn(self.pauses.run),
             gevent.spawn(self.crashes.run),
@@ -293,16 +319,19 @@
     def wait_idle(self):
         """Waits until every request in progress has ended, however long.
 
-        Cancellations on servers that don't answer are waited for under a bound;
-        the guards repeat them once this daemon is gone.
+        Records and cancellations for which nobody answers are waited for under a
+        bound; the guards repeat the cancellations once this daemon is gone.
         """
         while self.admission.active or self.inflight.working():
             gevent.sleep(IDLE_POLL_S)
         self._server.wait_written()
         end = self.clock.monotonic() + CANCEL_BOUND_S
-        while self.cancels.outstanding and self.clock.monotonic() < end:
+        while self._has_outstanding() and self.clock.monotonic() < end:
             gevent.sleep(IDLE_POLL_S)
 
+    def _has_outstanding(self):
+        return self.cancels.outstanding or self.idempotency.outstanding
+
     def stop(self):
         """Closes the listener and ends the jobs."""
         self.membership.stop()
--- a/amaranthbay/dispatch/pauses.py
+++ b/amaranthbay/dispatch/pauses.py
@@ -35,6 +35,10 @@
             log_event("daemon_was_paused", level="warning", paused_s=round(silent_s))
         return self._pauses
 
+    def note(self):
+        """Counts a time in which guards may have acted without a pause."""
+        self._pauses += 1
+
     def run(self):
         """Ticks until killed, so that idle time doesn't count as a pause."""
         while True:
