--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -27,6 +27,9 @@
 # token after this has stalled or waits in the engine behind other daemons' work.
 PATIENT_FIRST_TOKEN_TIMEOUT_S = 10.0
 LEAST_TIMEOUT_S = 0.05
+# After a death, all that ran on the server wait for servers of their own.
+SUSPECT_WAIT_S = 600.0
+SUSPECT_POLL_S = 1.0
 # Failures after which a server may be dead; a slow or refusing one is alive.
 BREAKS = (Reason.BACKEND_FAILED, Reason.STREAM_BROKEN)
 
@@ -43,7 +46,10 @@
             return self._resume(work)
         budget = self._ctx.budget(work.request.service)
         run = _Run(self._ctx, work)
-        return run_attempts(work, run, budget, Backoff(), self._ctx.clock)
+        outcome = run_attempts(work, run, budget, Backoff(), self._ctx.clock)
+        if outcome.is_err():
+            run.wait_marks_known()
+        return outcome
 
     def _resume(self, work):
         service = self._ctx.configuration().service(work.request.service)
@@ -62,6 +68,7 @@
         self._work = work
         self._call = work.request.payload
         self._failed = set()
+        self._dead = set()
         self._fingerprint = fingerprint_of(
             work.request.service,
             self._call.prompt.encode(),
@@ -69,7 +76,21 @@
         )
 
     def __call__(self, attempt):
-        """Returns ``Result[Answer, Refusal]`` of one attempt."""
+        """Returns ``Result[Answer, Refusal]`` of one attempt.
+
+        A patient suspect waits for servers without another suspect.
+        """
+        end = self._ctx.clock.monotonic() + SUSPECT_WAIT_S
+        while True:
+            outcome = self._run(attempt)
+            waits = outcome.is_err() and not self._work.interactive
+            if not waits or outcome.unwrap_err().reason is not Reason.SUSPECT_WAITING:
+                return outcome
+            if self._ctx.clock.monotonic() >= end:
+                return outcome
+            self._ctx.clock.sleep(SUSPECT_POLL_S)
+
+    def _run(self, attempt):
         admitted = self._ctx.crashes.admit(self._fingerprint)
         if admitted.is_err():
             return admitted
@@ -94,6 +115,11 @@
             )
             return _to_answer(self._work.request, started.unwrap(), token.encode())
 
+    def wait_marks_known(self):
+        """Waits, after a death, until the caller may be answered."""
+        if self._dead:
+            self._ctx.crashes.wait_known(self._fingerprint)
+
     def _place(self, attempt):
         now = self._ctx.clock.monotonic()
         deadline = self._work.deadline
@@ -131,13 +157,7 @@
         claimed = claims.isolate(self._fingerprint, attempt.attempt_id, names)
         if claimed.is_ok():
             isolation = claimed.unwrap()
-
-            def release():
-                crashes = self._ctx.crashes
-                died = crashes.has_mark(self._fingerprint, attempt.attempt_id)
-                isolation.release(server_died=died)
-
-            held.callback(release)
+            held.callback(lambda: isolation.release(self._dead))
         else:
             self._failed.update(names)
         return claimed
@@ -163,7 +183,8 @@
                 self._ctx.crashes.clear(self._fingerprint)
 
         def on_break():
-            self._ctx.deaths.check(servers[1])
+            self._check_death(servers[1])
+            self.wait_marks_known()
 
         return Ok(StartedStream(stream, first, hold, on_break, on_close))
 
@@ -177,7 +198,7 @@
             prefill_server, attempt, self._call, priority, timeout
         )
         if prefilled.is_err():
-            return self._fail(prefilled, (prefill_server,))
+            return self._fail(prefilled, prefill_server)
         if self._ctx.pauses() != pauses:
             detail = "the daemon was paused; the attempt may have been cancelled"
             return Err(may_have_run(Reason.BACKEND_SLOW, detail))
@@ -186,7 +207,7 @@
             decode_server, attempt, self._call, prefilled.unwrap(), priority, timeout
         )
         if opened.is_err():
-            return self._fail(_ran(opened), servers)
+            return self._fail_decode(_ran(opened), servers)
         stream = MatchedStream(
             self._ctx.engine,
             decode_server,
@@ -197,7 +218,7 @@
         )
         first = first_event(stream)
         if first.is_err():
-            return self._fail(first, (decode_server,))
+            return self._fail(first, decode_server)
         return Ok((stream, first.unwrap()))
 
     def _time_left(self, patient_s):
@@ -206,18 +227,29 @@
         left = self._work.deadline - self._ctx.clock.monotonic()
         return max(LEAST_TIMEOUT_S, left)
 
-    def _fail(self, outcome, servers):
+    def _fail(self, outcome, server):
         """Learns from a failure; the in-flight record is still there."""
-        refusal = outcome.unwrap_err()
-        self._failed.update(each.instance for each in servers)
-        for server in servers:
-            if refusal.reason in BREAKS and not self._ctx.deaths.check(server):
+        self._failed.add(server.instance)
+        if outcome.unwrap_err().reason in BREAKS:
+            if not self._check_death(server):
                 self._ctx.directory.report_failure(server.instance)
-        if refusal.reason is Reason.BACKEND_REFUSED and len(servers) > 1:
-            # The import fails too if the prefill server died after its prefill.
-            self._ctx.deaths.check(servers[0])
         return outcome
 
+    def _check_death(self, server):
+        """Returns whether a server died; its marks are written by then."""
+        died = self._ctx.deaths.check(server)
+        if died:
+            self._dead.add(server.instance)
+        return died
+
+    def _fail_decode(self, outcome, servers):
+        """Learns from a decode that didn't start, perhaps for its import."""
+        prefill_server, decode_server = servers
+        if outcome.unwrap_err().reason not in BREAKS:
+            self._failed.add(prefill_server.instance)
+            self._check_death(prefill_server)
+        return self._fail(outcome, decode_server)
+
 
 def _is_unanswered(refusal):
     """Returns whether an engine call may still be on its way."""
