--- a/amaranthbay/settings/daemon.py
+++ b/amaranthbay/settings/daemon.py
@@ -63,7 +63,7 @@
     platform_address: Address
     keys: tuple[KeySettings, ...] = ()
     limits: LimitSettings = field(default_factory=LimitSettings)
-    placement_policy: str = "least_loaded"
+    placement_policy: str = "cost"
     slot_allocator: str = "independent"
     log_level: str = "info"
     metrics_endpoint: str = ""
