Give no work to backend servers that stopped reporting

The test fails without the change. Ruled out: reporting a failure to the directory; the exchange doesn't fail, it hangs.

--- a/amaranthbay/placement/loads.py
+++ b/amaranthbay/placement/loads.py
@@ -13,7 +13,8 @@
 # Reports are about this old when they arrive.
 REPORT_LAG_S = 0.5
 HISTORY = 512
-# A server without a report for this long has been away when it reports again.
+# A server without a report for this long gets no work, and has been away when it
+# reports again.
 AWAY_S = 3.0
 # Time over which a returned server gets its full share. All daemons see it empty
 # at once, and would all choose it until the next reports.
@@ -77,7 +78,12 @@
         self.received_at = now
 
     def ramp(self, now):
-        """Returns the share of the decisions that may choose the server."""
+        """Returns the share of the decisions that may choose the server.
+
+        It is 0 for a server that has stopped reporting.
+        """
+        if self.report is not None and now - self.received_at > AWAY_S:
+            return 0.0
         if self.returned_at is None:
             return 1.0
         return min(1.0, RAMP_START + (now - self.returned_at) / RAMP_S)
--- a/amaranthbay/placement/tests/test_loads.py
+++ b/amaranthbay/placement/tests/test_loads.py
@@ -73,16 +73,19 @@
     case.assertEqual(load.blocking_tokens(9000), 9000)
 
 
-def test_returned_server_ramps_up(case):
-    """Guards against a returned server that counts as one that was never away."""
+def test_silent_server_gets_no_work_and_ramps_up_on_return(case):
+    """Guards against work for a server in a zone that is cut off, and a rush after."""
     load = ServerLoad()
     report = LoadReport(0, 0, 0, 20)
     load.receive(report, 0.0)
     load.receive(report, 1.0)
     case.assertEqual(load.ramp(1.0), 1.0)
+    case.assertEqual(load.ramp(20.0), 0.0)
     load.receive(report, 21.0)
     case.assertLess(load.ramp(21.0), 0.2)
-    case.assertEqual(load.ramp(60.0), 1.0)
+    for second in range(22, 32):
+        load.receive(report, float(second))
+    case.assertEqual(load.ramp(31.0), 1.0)
 
 
 load_tests = collect(globals())
