Renew the slot grants of the owner allocator in the daemon

Cause: the owner allocator was wired, but nothing ran its renewal, so an owner dropped the grants of longer answers after 10 s of silence and granted the slots again.

Ruled out: a longer silence bound; it would keep the slots of a dead holder.

Before: no renewal in a running daemon. After: every allocator has run(), and the daemon starts it; test_whole_path passes.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -89,7 +89,7 @@
             self._patient_gate(policy) if policy.queues_patient else None,
             lambda: max(1, len(self.directory.entries())),
         )
-        allocator = find("slot_allocator", settings.slot_allocator)(
+        self.allocator = find("slot_allocator", settings.slot_allocator)(
             AllocatorContext(
                 slots_of=self._slots_of,
                 clock=self.clock,
@@ -126,7 +126,7 @@
             directory=self.directory,
             view=self._view,
             policy=policy,
-            allocator=allocator,
+            allocator=self.allocator,
             engine=engine,
             inflight=self.inflight,
             copier=self.copier,
@@ -295,6 +295,7 @@
             gevent.spawn(self.directory.run),
             gevent.spawn(self.idempotency.run),
             gevent.spawn(self.cleaner.run),
+            gevent.spawn(self.allocator.run),
             gevent.spawn(self.copier.run),
             gevent.spawn(self.pauses.run),
             gevent.spawn(self.crashes.run),
--- a/amaranthbay/kernel/interfaces.py
+++ b/amaranthbay/kernel/interfaces.py
@@ -88,6 +88,9 @@
     def release(self, grant):
         """Gives a granted slot back; never raises and never blocks."""
 
+    def run(self):
+        """Renews what is held until killed; by default there is nothing to renew."""
+
 
 class EngineClient(ABC):
     """Speaks to the engines of prefill and decode pools."""
