Test the guards over processes and choose the slot allocator by measurement

Cause: the guards were tested over fakes only, and the default allocator had been set to owner before it could be measured over real daemons.

Before: no process test of a daemon's death. After: two, which pass; with no guards chosen the first one fails after its bound of 60 s, as it should.

Conclusion: independent is the default; owner remains for deployments that weigh wasted prefill more.

--- /dev/null
+++ b/amaranthbay/daemon/tests/test_guarding.py
@@ -0,0 +1,86 @@
+"""Guards over separate processes: a dead daemon's requests are cancelled."""
+
+import signal
+
+import msgspec
+
+from amaranthbay.standins.processes import Deployment, call_json, start_small
+from amaranthbay.utils.http import open_exchange
+from amaranthbay.utils.testing import collect, wait_until
+
+BOUND_S = 60.0
+VICTIM = "entry-1"
+
+
+def stream_through(deployment, name, max_tokens=50_000):
+    """Opens a stream at a daemon and returns it after its first token."""
+    body = {"model": "summary", "prompt": "x" * 400, "stream": True}
+    body["max_tokens"] = max_tokens
+    exchange = open_exchange(
+        deployment.daemons[name].address,
+        "POST",
+        "/v1/completions",
+        msgspec.json.encode(body),
+        [("X-Workspace", "ws-1"), ("X-Caller", "desk")],
+    ).unwrap()
+    next(exchange.lines())
+    return exchange
+
+
+def cancelled_by(deployment, names):
+    """Returns the attempts that some daemons have cancelled."""
+    return {
+        line["attempt_id"]
+        for name in names
+        for line in deployment.daemons[name].log_lines()
+        if line.get("event") == "cancelled"
+    }
+
+
+def wait_known(deployment):
+    """Waits until every daemon holds all others for live."""
+    count = len(deployment.daemons)
+    for name in deployment.daemons:
+        wait_until(lambda: len(deployment.status(name)["members"]) == count)
+
+
+def test_guards_cancel_for_a_killed_daemon(case):
+    """Guards against engine memory that a dead daemon's request holds for good."""
+    deployment = start_small(case.enterContext(Deployment()))
+    wait_known(deployment)
+    stream = stream_through(deployment, VICTIM)
+    case.addCleanup(stream.close)
+    held = deployment.held()
+    case.assertEqual(len(held), 1)
+    deployment.daemons[VICTIM].kill()
+    wait_until(lambda: not deployment.held(), BOUND_S)
+    others = [name for name in deployment.daemons if name != VICTIM]
+    case.assertEqual(cancelled_by(deployment, others), set(held))
+
+
+def test_guards_leave_a_suspected_daemon_alone(case):
+    """Guards against a live request that is cancelled because its daemon was slow."""
+    deployment = start_small(case.enterContext(Deployment()))
+    wait_known(deployment)
+    stream = stream_through(deployment, VICTIM)
+    case.addCleanup(stream.close)
+    victim = deployment.daemons[VICTIM]
+    victim.signal(signal.SIGSTOP)
+    others = [name for name in deployment.daemons if name != VICTIM]
+    wait_until(
+        lambda: all(
+            deployment.status(name)["member_states"][VICTIM]["state"] == "suspected"
+            for name in others
+        ),
+        BOUND_S,
+    )
+    case.assertEqual(len(deployment.held()), 1)
+    victim.signal(signal.SIGCONT)
+    wait_known(deployment)
+    case.assertEqual(len(deployment.held()), 1)
+    case.assertEqual(cancelled_by(deployment, others), set())
+    reply = call_json(victim.address, "GET", "/v1/status")
+    case.assertEqual(reply["in_flight"], 1)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/settings/daemon.py
+++ b/amaranthbay/settings/daemon.py
@@ -95,7 +95,7 @@
     keys: tuple[KeySettings, ...] = ()
     limits: LimitSettings = field(default_factory=LimitSettings)
     placement_policy: str = "cost"
-    slot_allocator: str = "owner"
+    slot_allocator: str = "independent"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     metrics_endpoint: Endpoint = ""
 
