Format the test runner

Cause: a blank line too many after the imports failed make check. Ruled out: nothing else; the formatter named this line only. Before: make check failed. After: it passes. Conclusion: formatting only.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,7 +18,6 @@
 import time  # noqa: E402
 import unittest  # noqa: E402
 
-
 SLOWEST_SHOWN = 15
 
 
