--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -88,6 +88,7 @@
             self.clock,
             self._patient_gate(policy) if policy.queues_patient else None,
             lambda: max(1, len(self.directory.entries())),
+            servers=self._prefill_count,
         )
         self.allocator = find("slot_allocator", settings.slot_allocator)(
             AllocatorContext(
@@ -216,6 +217,9 @@
 
         return may_start
 
+    def _prefill_count(self):
+        return len(self.directory.servers(self._pools(), "prefill"))
+
     def _slots_of(self, server):
         pool = self.configuration().pool(server.pool)
         return pool.slots if pool else 1
--- a/amaranthbay/daemon/tests/test_membership.py
+++ b/amaranthbay/daemon/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Membership over real daemons: kill, freeze, restart, replace, outage."""
 
 import signal
+from collections import Counter
 
 import gevent
 import msgspec
@@ -199,33 +200,34 @@
     wait_until(lambda: len(looked_up(deployment, "new-1")) == 3, BOUND_S)
 
 
+def chosen_decode_servers(deployment, count=10):
+    """Sends requests and returns the decode server of each one's placement."""
+    address = deployment.daemons["entry-1"].address
+    body = {"model": "summary", "prompt": "x" * 400, "max_tokens": 1}
+    headers = [("X-Workspace", "ws-1")]
+    for _ in range(count):
+        raw = msgspec.json.encode(body)
+        outcome = json_exchange(address, "POST", "/v1/completions", raw, headers)
+        if outcome.unwrap()[0] != 200:
+            raise AssertionError(outcome.unwrap())
+    placements = [
+        line["chosen"][1]
+        for line in deployment.daemons["entry-1"].log_lines()
+        if line.get("event") == "decision" and line["decision"] == "placement"
+    ]
+    return placements[-count:]
+
+
 def test_leaving_backend_server_gets_no_new_work(case):
     """Guards against new work on a leaving server while the list lags."""
     deployment = small_deployment(case)
-    deployment.leaving.add("decode-1")
+    # The server that is used most leaves, so that its absence means something.
+    leaving = Counter(chosen_decode_servers(deployment)).most_common(1)[0][0]
+    deployment.leaving.add(leaving)
     deployment.publish()
-    address = deployment.daemons["entry-1"].address
-
-    def stays_out():
-        body = {"model": "summary", "prompt": "x" * 400, "max_tokens": 1}
-        raw = msgspec.json.encode(body)
-        headers = [("X-Workspace", "ws-1")]
-        for _ in range(10):
-            status, _ = json_exchange(
-                address, "POST", "/v1/completions", raw, headers
-            ).unwrap()
-            case.assertEqual(status, 200)
-        lines = deployment.daemons["entry-1"].log_lines()
-        chosen = [
-            line["chosen"]
-            for line in lines
-            if line.get("event") == "decision" and line["decision"] == "placement"
-        ]
-        return not any("decode-1" in str(each) for each in chosen[-10:])
-
-    wait_until(stays_out, BOUND_S)
+    wait_until(lambda: leaving not in chosen_decode_servers(deployment), BOUND_S)
     call_json(deployment.platform.address, "POST", "/control/faults", {"outage": True})
-    case.assertTrue(stays_out())
+    case.assertNotIn(leaving, chosen_decode_servers(deployment))
 
 
 load_tests = collect(globals())
--- a/amaranthbay/placement/admission.py
+++ b/amaranthbay/placement/admission.py
@@ -25,7 +25,7 @@
 BLIND_S = 0.75
 # Starts in that time over all daemons, if all of them have patient work waiting.
 # Without a bound each would start one on the same idle server.
-BLIND_STARTS = 3.0
+BLIND_STARTS_PER_SERVER = 1.0
 
 
 class TokenShare:
@@ -59,7 +59,15 @@
         queue: Patient requests that wait.
     """
 
-    def __init__(self, limit, clock, may_start=None, peers=lambda: 1, rng=None):
+    def __init__(
+        self,
+        limit,
+        clock,
+        may_start=None,
+        peers=lambda: 1,
+        rng=None,
+        servers=lambda: 3,
+    ):
         """Creates the admission.
 
         Args:
@@ -70,7 +78,9 @@
                 it started now. None starts patient work at once.
             peers: Function that returns the number of daemons.
             rng: Random generator.
+            servers: Function that returns the number of prefill servers.
         """
+        self._servers = servers
         self._limit = limit
         self._clock = clock
         self._may_start = may_start
@@ -130,7 +140,8 @@
         if ticket is None:
             return
         owed = self.share.is_patient_owed()
-        chance = min(1.0, BLIND_STARTS * TICK_S / BLIND_S / self._peers())
+        starts_s = BLIND_STARTS_PER_SERVER * self._servers() / BLIND_S
+        chance = min(1.0, starts_s * TICK_S / self._peers())
         if self._peers() == 1 or self._rng.random() < chance:
             if self._may_start(ticket.work, owed):
                 self._call_head(owed)
--- a/amaranthbay/placement/tests/test_admission.py
+++ b/amaranthbay/placement/tests/test_admission.py
@@ -17,6 +17,33 @@
     return BoundedAdmission(limit, clock, may_start, lambda: 1, random.Random(1))
 
 
+def starts_in(ticks, servers, daemons):
+    """Returns the patient starts of one of several daemons with work waiting."""
+    gate = BoundedAdmission(
+        1000,
+        ManualClock(),
+        lambda each, owed: True,
+        lambda: daemons,
+        random.Random(1),
+        lambda: servers,
+    )
+    for number in range(ticks):
+        gate.queue.join(work(f"patient-{number}"))
+    before = len(gate.queue)
+    for _ in range(ticks):
+        gate.tick()
+    return before - len(gate.queue)
+
+
+def test_patient_starts_grow_with_the_pool(case):
+    """Guards against a fixed rate that starves patient work of a large pool."""
+    few = starts_in(600, servers=3, daemons=9)
+    many = starts_in(600, servers=520, daemons=320)
+    # 600 ticks are 30 s: a ninth of 120 starts, and a 320th of 20,800.
+    case.assertTrue(5 <= few <= 25, few)
+    case.assertTrue(45 <= many <= 85, many)
+
+
 def test_workspaces_are_served_in_turn(case):
     """Guards against one workspace that fills the queue of all others."""
     queue = FairQueue()
