Use one rendezvous hash for guards, slot owners and the cleaner

Cause: the weight of rendezvous hashing stood in four places. Ruled out: keeping the guards' own prefix in a function of its own; it is part of the key now. Before: four copies. After: membership.rendezvous alone; 44 tests of the affected modules pass. Conclusion: no change of behaviour, other than which daemon is chosen for a key.

--- a/amaranthbay/dispatch/guards.py
+++ b/amaranthbay/dispatch/guards.py
@@ -4,13 +4,13 @@
 
 import gevent
 import gevent.event
-import xxhash
 
 from amaranthbay.dispatch.guard_messages import (
     CopiedRecord,
     InFlightAck,
     InFlightBatch,
 )
+from amaranthbay.membership.rendezvous import rendezvous_order
 from amaranthbay.observe import log_event
 
 __all__ = ["RecordCopier", "guards_of"]
@@ -40,12 +40,8 @@
         members: Candidates as `membership.types.Member`.
         count: Number of guards.
     """
-
-    def weight(name):
-        return xxhash.xxh3_64_intdigest(f"guard|{instance}|{name}".encode())
-
     names = {each.instance for each in members} - {instance}
-    return tuple(sorted(names, key=weight, reverse=True)[:count])
+    return rendezvous_order(f"guard|{instance}", names)[:count]
 
 
 class _Link:
--- a/amaranthbay/placement/owner_slots.py
+++ b/amaranthbay/placement/owner_slots.py
@@ -6,9 +6,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-import xxhash
-
 from amaranthbay.kernel.registry import register
+from amaranthbay.membership.rendezvous import rendezvous_order
 from amaranthbay.observe import log_event
 from amaranthbay.placement.slot_ledger import SlotLedger
 from amaranthbay.placement.slots import AllocatorContext, WaitingAllocator
@@ -66,12 +65,8 @@
 
 def owner_of(instance, members):
     """Returns the instance of the daemon that owns a server, or None."""
-
-    def weight(member):
-        name = f"{instance}|{member.instance}".encode()
-        return xxhash.xxh3_64_intdigest(name), member.instance
-
-    return max(members, key=weight).instance if members else None
+    order = rendezvous_order(instance, (each.instance for each in members))
+    return order[0] if order else None
 
 
 @register("slot_allocator", "owner")
--- a/amaranthbay/state/cleaner.py
+++ b/amaranthbay/state/cleaner.py
@@ -3,8 +3,8 @@
 from datetime import timedelta
 
 import gevent
-import xxhash
 
+from amaranthbay.membership.rendezvous import rendezvous_order
 from amaranthbay.observe import log_event
 from amaranthbay.platform.types import CommitState, Write
 from amaranthbay.state.records import CLOCK_TOLERANCE, PREFIX, RETENTION, row_day
@@ -51,12 +51,8 @@
     def is_chosen(self):
         """Returns whether this daemon cleans in the current hour."""
         hour = self._clock.now().strftime("%Y-%m-%dT%H")
-
-        def weight(instance):
-            return xxhash.xxh3_64_intdigest(f"{hour}|{instance}".encode()), instance
-
-        names = {*self._live(), self._instance}
-        return max(names, key=weight) == self._instance
+        names = (*self._live(), self._instance)
+        return rendezvous_order(hour, names)[0] == self._instance
 
     def clean(self):
         """Removes all old rows; returns how many."""
