Point the test log at standard error before any test captures it

Cause: the log handler was made lazily inside a test that captures standard error, and wrote to the closed capture in later tests: 540 stack traces in one run. Ruled out: the tests of the logs; they restore the stream. Before: traces of a closed file in the output. Conclusion: tests print warnings and errors only.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,8 @@
 import time  # noqa: E402
 import unittest  # noqa: E402
 
+from amaranthbay.observe import configure_logs  # noqa: E402
+
 SLOWEST_SHOWN = 15
 
 
@@ -66,6 +68,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("names", nargs="*", help="test modules; all if none")
     args = parser.parse_args()
+    # The log handler would otherwise be made inside a test that captures standard
+    # error, and write to the closed capture from then on.
+    configure_logs("warning")
     runner = unittest.TextTestRunner(verbosity=2, resultclass=TimedResult)
     result = runner.run(load(args.names))
     for seconds, name in sorted(result.durations, reverse=True)[:SLOWEST_SHOWN]:
