Start background jobs again after a defect; split the daemon's assembly

Cause: an unexpected exception in a polling loop ended it for good: the daemon would have kept an old configuration or instance list without a sign but one log line.

Ruled out: ending the process on such a defect; it would cut the streams.

Before: one defect ended a job.

--- /dev/null
+++ b/amaranthbay/daemon/facts.py
@@ -0,0 +1,51 @@
+"""What the parts of a daemon ask about the pools of the configuration in force."""
+
+__all__ = ["PoolFacts"]
+
+DEFAULT_CRASH_LIMIT = 2
+
+
+class PoolFacts:
+    """Answers from the configuration in force and the live backend servers."""
+
+    def __init__(self, configuration, directory):
+        """Creates the facts.
+
+        Args:
+            configuration: Function that returns the configuration in force, or None.
+            directory: `membership.BackendDirectory`.
+        """
+        self._configuration = configuration
+        self._directory = directory
+
+    def pools(self):
+        """Returns the names of all pools."""
+        cfg = self._configuration()
+        return [pool.name for pool in cfg.pools] if cfg else []
+
+    def slots_of(self, server):
+        """Returns how many requests a backend server holds."""
+        pool = self._configuration().pool(server.pool)
+        return pool.slots if pool else 1
+
+    def prefill_count(self):
+        """Returns the number of prefill servers that may get new work."""
+        return len(self._directory.servers(self.pools(), "prefill"))
+
+    def daemon_count(self):
+        """Returns the number of daemons in the instance list, at least 1."""
+        return max(1, len(self._directory.entries()))
+
+    def listed_daemons(self):
+        """Returns the instances of all daemons in the instance list."""
+        return [each.instance for each in self._directory.entries()]
+
+    def live_daemons(self):
+        """Returns the instances of the daemons that the list shows as live."""
+        entries = self._directory.entries()
+        return [each.instance for each in entries if each.state == "live"]
+
+    def crash_limit(self):
+        """Returns how many backend servers one request may take down."""
+        cfg = self._configuration()
+        return cfg.crash_limit if cfg else DEFAULT_CRASH_LIMIT
--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -8,6 +8,9 @@
 import gevent.event
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
+from amaranthbay.daemon.facts import PoolFacts
+from amaranthbay.daemon.jobs import JobGroup
+from amaranthbay.daemon.status import describe
 from amaranthbay.daemon.telemetry import start_logs, start_metrics, stop_metrics
 from amaranthbay.dispatch.cancels import CancelQueue
 from amaranthbay.dispatch.deaths import DeathReporter
@@ -65,19 +68,20 @@
         self.draining = False
         self.stop_requested = gevent.event.Event()
         self.keys = KeyRing(settings.keys)
-        guard = PlatformGuard(self.clock, lambda: len(self.directory.entries()))
+        guard = PlatformGuard(self.clock, lambda: self.facts.daemon_count())
         table = self.table = HttpTableService(settings.platform_address, guard)
         objects = HttpObjectStore(settings.platform_address, guard)
         instances = HttpInstanceList(settings.platform_address, guard)
         self.idempotency = IdempotencyStore(GroupedTable(table), self.clock)
+        self.directory = BackendDirectory(instances, self.clock)
+        self.facts = facts = PoolFacts(self.configuration, self.directory)
         self.cleaner = RecordCleaner(
-            table, self.clock, settings.instance, self._live_instances
+            table, self.clock, settings.instance, facts.live_daemons
         )
-        self.directory = BackendDirectory(instances, self.clock)
         self.membership = self._create_membership()
         self.channel = self._create_channel()
         self.loads = LoadTracker(
-            self.directory, settings.availability_zone, self.clock, self._slots_of
+            self.directory, settings.availability_zone, self.clock, facts.slots_of
         )
         self.inflight = InFlightTable()
         engine = MeteredEngine(HttpEngineClient(self.clock))
@@ -87,15 +91,15 @@
             settings.limits.queue_length,
             self.clock,
             self._patient_gate(policy) if policy.queues_patient else None,
-            lambda: max(1, len(self.directory.entries())),
-            servers=self._prefill_count,
+            facts.daemon_count,
+            servers=facts.prefill_count,
         )
         self.allocator = find("slot_allocator", settings.slot_allocator)(
             AllocatorContext(
-                slots_of=self._slots_of,
+                slots_of=facts.slots_of,
                 clock=self.clock,
                 reported_active=self.loads.reported_active,
-                daemons=lambda: len(self.directory.entries()),
+                daemons=facts.daemon_count,
                 membership=self.membership,
                 channel=self.channel,
             )
@@ -118,8 +122,8 @@
             self.membership,
             self.channel,
             self.clock,
-            self._crash_limit,
-            lambda: [each.instance for each in self.directory.entries()],
+            facts.crash_limit,
+            facts.listed_daemons,
         )
         claims = SuspectClaims(table, self.clock)
         ctx = DispatchContext(
@@ -152,7 +156,7 @@
             limits.header_bytes,
             describe_malformed,
         )
-        self._jobs = []
+        self._jobs = JobGroup(self.clock)
 
     def _create_membership(self):
         membership = ProbedMembership(
@@ -197,10 +201,6 @@
         """Returns the configuration in force, or None."""
         return self.config_store.current
 
-    def _live_instances(self):
-        entries = self.directory.entries()
-        return [each.instance for each in entries if each.state == "live"]
-
     def _view(self, service_name, call):
         cfg = self.configuration()
         return self.loads.view(cfg.service(service_name), call, cfg.goodput_weight)
@@ -217,24 +217,9 @@
 
         return may_start
 
-    def _prefill_count(self):
-        return len(self.directory.servers(self._pools(), "prefill"))
-
-    def _slots_of(self, server):
-        pool = self.configuration().pool(server.pool)
-        return pool.slots if pool else 1
-
-    def _pools(self):
-        cfg = self.configuration()
-        return [pool.name for pool in cfg.pools] if cfg else []
-
     def _is_gone(self, server):
         return not self.directory.is_listed(server.instance)
 
-    def _crash_limit(self):
-        cfg = self.configuration()
-        return cfg.crash_limit if cfg else 2
-
     def _readiness(self):
         """Returns the refusal of new work, or None."""
         if self.draining:
@@ -271,41 +256,12 @@
 
     def status(self):
         """Returns what the daemon knows and does."""
-        return {
-            "instance": self.settings.instance,
-            "availability_zone": self.settings.availability_zone,
-            "incarnation": self.incarnation,
-            "draining": self.draining,
-            "config_version": self.config_store.version,
-            "active": self.admission.active,
-            "in_flight": len(self.inflight),
-            "cancels_outstanding": self.cancels.outstanding,
-            "patient_queued": len(self.admission.queue),
-            "prefix_blocks": len(self.loads.index),
-            "prefix_error": self.loads.index.error,
-            "members": [each.instance for each in self.membership.live()],
-            "member_states": {
-                each.instance: {"state": each.state, "incarnation": each.incarnation}
-                for each in self.membership.members()
-            },
-            "probe_traffic": self.membership.traffic(),
-        }
+        return describe(self)
 
     def start(self):
         """Starts all jobs and listens; returns the caller address."""
         check_event_loop()
-        self._jobs = [
-            gevent.spawn(self.config_store.run),
-            gevent.spawn(self.directory.run),
-            gevent.spawn(self.idempotency.run),
-            gevent.spawn(self.cleaner.run),
-            gevent.spawn(self.allocator.run),
-            gevent.spawn(self.copier.run),
-            gevent.spawn(self.pauses.run),
-            gevent.spawn(self.crashes.run),
-            gevent.spawn(self.loads.run, self._pools),
-            gevent.spawn(self._reload_keys),
-        ]
+        self._start_jobs()
         address = self._server.start()
         self.channel.start()
         # A member that is probed must already accept connections, or its port
@@ -314,6 +270,19 @@
         log_event("started", address=address)
         return address
 
+    def _start_jobs(self):
+        jobs = self._jobs
+        jobs.start("configuration", self.config_store.run)
+        jobs.start("directory", self.directory.run)
+        jobs.start("idempotency", self.idempotency.run)
+        jobs.start("cleaner", self.cleaner.run)
+        jobs.start("allocator", self.allocator.run)
+        jobs.start("guard_copies", self.copier.run)
+        jobs.start("pauses", self.pauses.run)
+        jobs.start("crash_marks", self.crashes.run)
+        jobs.start("loads", self.loads.run, self.facts.pools)
+        jobs.start("keys", self._reload_keys)
+
     def drain(self):
         """Refuses new work from now on; repeatable."""
         self.draining = True
@@ -342,7 +311,7 @@
         self.membership.stop()
         self.channel.stop()
         self._server.stop()
-        gevent.killall(self._jobs)
+        self._jobs.stop()
         log_event("stopped")
 
 
--- /dev/null
+++ b/amaranthbay/daemon/status.py
@@ -0,0 +1,29 @@
+"""Status document of a daemon."""
+
+__all__ = ["describe"]
+
+
+def describe(daemon):
+    """Returns what a daemon knows and does, as a mapping for operators."""
+    settings = daemon.settings
+    membership = daemon.membership
+    index = daemon.loads.index
+    return {
+        "instance": settings.instance,
+        "availability_zone": settings.availability_zone,
+        "incarnation": daemon.incarnation,
+        "draining": daemon.draining,
+        "config_version": daemon.config_store.version,
+        "active": daemon.admission.active,
+        "in_flight": len(daemon.inflight),
+        "cancels_outstanding": daemon.cancels.outstanding,
+        "patient_queued": len(daemon.admission.queue),
+        "prefix_blocks": len(index),
+        "prefix_error": index.error,
+        "members": [each.instance for each in membership.live()],
+        "member_states": {
+            each.instance: {"state": each.state, "incarnation": each.incarnation}
+            for each in membership.members()
+        },
+        "probe_traffic": membership.traffic(),
+    }
