Leave the retention of idempotency records out of the configuration

Cause: the generated configuration named key_retention_s, and no daemon read it. A value in the configuration has to be in force.

Ruled out: reading it; for the time of a change daemons would differ, and one with a shorter retention would remove rows that another still needs.

Before: an unused value with a reason and a line in each golden file. The check that every derived value has a reason names the values that exist.

--- a/amaranthbay/config/diff.py
+++ b/amaranthbay/config/diff.py
@@ -13,7 +13,6 @@
     "deployment": "the name of the deployment",
     "goodput_weight": "the weight of goodput against wasted prefill",
     "lookup_ttl_s": "the time in seconds that callers keep a lookup's answer",
-    "key_retention_s": "the time in seconds that idempotency records are kept",
     "crash_limit": "the number of backend servers that one request may take down",
     "interactive": "whether it waits with a target",
     "first_token_s": "the target for the first token in seconds",
--- a/amaranthbay/config/generate.py
+++ b/amaranthbay/config/generate.py
@@ -16,7 +16,6 @@
 GOODPUT_WEIGHTS = {"goodput": 0.75, "both_alike": 0.5, "wasted_prefill": 0.25}
 INTERACTIVE_LOOKUP_TTL_S = 10.0
 PATIENT_LOOKUP_TTL_S = 30.0
-KEY_RETENTION_S = 172800.0
 CRASH_LIMIT = 2
 # A decode engine holds about 20 requests; so many are assumed of other servers.
 ASSUMED_SLOTS = 20
@@ -47,7 +46,6 @@
         workspaces=answers.workspaces,
         goodput_weight=_goodput_weight(answers, reasons),
         lookup_ttl_s=_lookup_ttl(answers, reasons),
-        key_retention_s=_key_retention(reasons),
         crash_limit=_crash_limit(answers, reasons),
     )
     reasons["version"] = "0 until it is accepted; the platform gives the version"
@@ -89,13 +87,6 @@
     return INTERACTIVE_LOOKUP_TTL_S
 
 
-def _key_retention(reasons):
-    reasons["key_retention_s"] = (
-        "idempotency records are kept for two days; an older key is refused"
-    )
-    return KEY_RETENTION_S
-
-
 def _crash_limit(answers, reasons):
     smallest = min(answers.pools, key=lambda pool: sum(pool.instances.values()))
     count = sum(smallest.instances.values())
--- a/amaranthbay/config/types.py
+++ b/amaranthbay/config/types.py
@@ -99,7 +99,6 @@
         workspaces: Names of the workspaces; empty admits any name.
         goodput_weight: Weight of goodput against wasted prefill, 0 to 1.
         lookup_ttl_s: How long callers keep a lookup's answer.
-        key_retention_s: How long idempotency records are kept.
         crash_limit: Backend servers that one request may take down.
     """
 
@@ -111,7 +110,6 @@
     workspaces: tuple[str, ...] = ()
     goodput_weight: Share = 0.5
     lookup_ttl_s: Seconds = 30.0
-    key_retention_s: Seconds = 172800.0
     crash_limit: Count = 2
 
     @cached_property
