Choose test ports that are free for UDP too

Ruled out: a fault of the daemon; it has to end when its address is taken.

Before: only TCP was tried.

Conclusion: two runs side by side can still meet in the moment between the check and the start; a run by itself can't.

--- a/amaranthbay/utils/testing.py
+++ b/amaranthbay/utils/testing.py
@@ -78,8 +78,8 @@
         self._elapsed_s += seconds
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago.
+def free_port():
+    """Returns a loopback port that was free for TCP and UDP a moment ago.
 
     The ports lie below the range from which the system takes the local ports of
     outgoing connections, since such a connection could take the port before the
@@ -87,16 +87,21 @@
     """
     while True:
         port = _ports.randrange(*PORT_RANGE)
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _given_ports:
+        kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        if port not in _given_ports and all(_is_free(port, each) for each in kinds):
             _given_ports.add(port)
             return port
 
 
+def _is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def wait_until(condition, bound_s=WAIT_BOUND_S):
     """Waits for a condition and returns its value; raises TimeoutError."""
     end = time.monotonic() + bound_s
