Ask for test ports without a kind everywhere

Cause: one caller still named the kind of port, an argument that is gone. Ruled out: keeping the argument; every port is tried for both kinds. Before: the module of the membership service could not run. After: it passes.

--- a/amaranthbay/membership/tests/test_service.py
+++ b/amaranthbay/membership/tests/test_service.py
@@ -34,7 +34,7 @@
 def settings_of(number):
     """Returns the settings of one member."""
     addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
-    udp = f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"
+    udp = f"127.0.0.1:{free_port()}"
     return DaemonSettings(
         f"entry-{number}", "zone-a", "north", addresses[0], udp, addresses[1], ""
     )
