Run the state machines of the tests through one module

Cause: settings and the two ways to run a state machine stood in four test modules. Ruled out: a common base class of tests; functions are enough. Before: four copies. Conclusion: same checks, written once.

--- a/amaranthbay/state/tests/test_config_machine.py
+++ b/amaranthbay/state/tests/test_config_machine.py
@@ -5,13 +5,12 @@
 
 import greenlet
 import msgspec
-from hypothesis import Phase, settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from amaranthbay.platform.types import CommitState
@@ -25,20 +24,13 @@
     MemoryTable,
     StepClock,
     pause,
-    quiet_logs,
     start,
 )
+from amaranthbay.state.tests.machines import finds_a_failure, holds
 from amaranthbay.utils.testing import collect
 
 DAEMONS = 3
 FAULT = st.sampled_from((*FAULTS, "ok", "ok"))
-MACHINE = settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
-)
-# A failure that is expected needs no smallest example, whose search is slow.
-FIND_ONE = settings(
-    MACHINE, phases=[Phase.generate], report_multiple_bugs=False, print_blob=False
-)
 
 
 class RecordingTable(MemoryTable):
@@ -195,15 +187,12 @@
 
 def test_accepted_configurations_come_into_force_and_stay(case):
     """Guards against a reverted version and a wrong outcome for an operator."""
-    case.enterContext(quiet_logs())
-    run_state_machine_as_test(ConfigMachine, settings=MACHINE)
+    holds(case, ConfigMachine)
 
 
 def test_the_machine_finds_a_missing_condition(case):
     """Guards against a machine that proves nothing."""
-    case.enterContext(quiet_logs())
-    with case.assertRaises(AssertionError):
-        run_state_machine_as_test(UnconditionalMachine, settings=FIND_ONE)
+    finds_a_failure(case, UnconditionalMachine)
 
 
 load_tests = collect(globals())
--- a/amaranthbay/state/tests/test_idempotency.py
+++ b/amaranthbay/state/tests/test_idempotency.py
@@ -4,13 +4,12 @@
 from collections import Counter
 from datetime import timedelta
 
-from hypothesis import Phase, settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 from result import Err, Ok
 
@@ -25,19 +24,12 @@
     MemoryTable,
     StepClock,
     pause,
-    quiet_logs,
     start,
 )
+from amaranthbay.state.tests.machines import finds_a_failure, holds
 from amaranthbay.utils.testing import collect
 
 DAEMONS = 3
-MACHINE = settings(
-    derandomize=True, deadline=None, max_examples=300, stateful_step_count=40
-)
-# A failure that is expected needs no smallest example, whose search is slow.
-FIND_ONE = settings(
-    MACHINE, phases=[Phase.generate], report_multiple_bugs=False, print_blob=False
-)
 FAULT = st.sampled_from((*FAULTS, "refused", "ok", "ok"))
 
 
@@ -165,15 +157,12 @@
 
 def test_a_key_runs_at_most_once(case):
     """Guards against a second run over faults, pauses, kills and cleaning."""
-    case.enterContext(quiet_logs())
-    run_state_machine_as_test(CallsMachine, settings=MACHINE)
+    holds(case, CallsMachine, 300)
 
 
 def test_the_machine_finds_a_missing_condition(case):
     """Guards against a machine that proves nothing."""
-    case.enterContext(quiet_logs())
-    with case.assertRaises(AssertionError):
-        run_state_machine_as_test(UnconditionalMachine, settings=FIND_ONE)
+    finds_a_failure(case, UnconditionalMachine, 300)
 
 
 def new_world(fault=lambda operation: "ok"):
--- a/amaranthbay/state/tests/test_leases.py
+++ b/amaranthbay/state/tests/test_leases.py
@@ -1,12 +1,11 @@
 """Leases: one holder at a time, over pauses, late effects and lost replies."""
 
-from hypothesis import Phase, settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from amaranthbay.state.leases import LeaseStore
@@ -15,21 +14,14 @@
     MemoryTable,
     StepClock,
     pause,
-    quiet_logs,
     start,
 )
+from amaranthbay.state.tests.machines import finds_a_failure, holds
 from amaranthbay.utils.testing import collect
 
 DAEMONS = 3
 DURATION_S = 10.0
 FAULT = st.sampled_from((*FAULTS, "ok", "ok", "ok"))
-MACHINE = settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
-)
-# A failure that is expected needs no smallest example, whose search is slow.
-FIND_ONE = settings(
-    MACHINE, phases=[Phase.generate], report_multiple_bugs=False, print_blob=False
-)
 
 
 class LeaseMachine(RuleBasedStateMachine):
@@ -123,15 +115,12 @@
 
 def test_one_daemon_holds_a_lease(case):
     """Guards against two holders, and against a fencing number used twice."""
-    case.enterContext(quiet_logs())
-    run_state_machine_as_test(LeaseMachine, settings=MACHINE)
+    holds(case, LeaseMachine)
 
 
 def test_the_machine_finds_a_missing_condition(case):
     """Guards against a machine that proves nothing."""
-    case.enterContext(quiet_logs())
-    with case.assertRaises(AssertionError):
-        run_state_machine_as_test(UnconditionalMachine, settings=FIND_ONE)
+    finds_a_failure(case, UnconditionalMachine)
 
 
 class SlowTable(MemoryTable):
--- a/amaranthbay/state/tests/test_orders.py
+++ b/amaranthbay/state/tests/test_orders.py
@@ -2,13 +2,12 @@
 
 from dataclasses import replace
 
-from hypothesis import settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from amaranthbay.kernel.requests import BackendServer
@@ -26,18 +25,15 @@
     MemoryTable,
     StepClock,
     pause,
-    quiet_logs,
     start,
 )
+from amaranthbay.state.tests.machines import holds
 from amaranthbay.utils.testing import collect, wait_until
 
 FENCED = BackendServer("fenced", "p", "prefill", "127.0.0.1:1", "zone-a")
 UNFENCED = replace(FENCED, instance="unfenced")
 SERVERS = (FENCED, UNFENCED)
 DAEMONS = 3
-MACHINE = settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
-)
 
 
 def checks_fence(server):
@@ -148,8 +144,7 @@
 
 def test_no_order_of_an_earlier_holder_is_applied(case):
     """Guards against orders that arrive after the lease has changed hands."""
-    case.enterContext(quiet_logs())
-    run_state_machine_as_test(OrdersMachine, settings=MACHINE)
+    holds(case, OrdersMachine)
 
 
 def new_giver(table, clock, engines, name):
