Test over processes that a daemon restarted in an outage takes its peers' version

Cause: the start from peers while the platform is down was tested in memory only.

Before: no process test.

Conclusion: the path works through the real membership and peer channel.

--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -208,6 +208,16 @@
             membership_address=membership,
             peer_address=peer,
         )
+        return self._run_daemon(entry)
+
+    def restart_daemon(self, name):
+        """Kills a daemon and starts it again with the same addresses."""
+        self.daemons[name].kill()
+        return self._run_daemon(self.daemons[name].entry)
+
+    def _run_daemon(self, entry):
+        name = entry.instance
+        path = self.folder / f"{name}.toml"
         command = [*self.program, "daemon", "--settings", str(path)]
         self.daemons[name] = self._start(name, command, entry, of_program=True)
         return self.daemons[name]
--- a/amaranthbay/state/tests/test_config_processes.py
+++ b/amaranthbay/state/tests/test_config_processes.py
@@ -10,6 +10,8 @@
 
 DAEMONS = 9
 FULL_SIZE = 320
+# Others probe a daemon that they hold for dead every 10 s.
+RESTART_BOUND_S = 60.0
 
 
 def start_daemons(case):
@@ -88,6 +90,23 @@
     case.assertEqual(versions(deployment, names), {2})
 
 
+def test_daemon_restarted_in_an_outage_takes_the_version_of_its_peers(case):
+    """Guards against daemons that can't be replaced while the platform is down."""
+    deployment = case.enterContext(Deployment())
+    for number in range(1, 4):
+        deployment.start_daemon(f"entry-{number}")
+    deployment.publish()
+    deployment.accept()
+    case.assertEqual(deployment.accept().version, 2)
+    deployment.wait_ready(version=2)
+    fault(deployment, outage=True)
+    deployment.restart_daemon("entry-2")
+    wait_until(lambda: has_version(deployment, "entry-2", 2), RESTART_BOUND_S)
+    wait_until(
+        lambda: refusal(deployment, "entry-2") == "unknown_service", RESTART_BOUND_S
+    )
+
+
 def test_daemon_that_reaches_nobody_refuses_until_the_platform_answers(case):
     """Guards against work under a configuration that may be replaced."""
     deployment = case.enterContext(Deployment())
