Remove an exception that nothing raises

Cause: ConfigurationError was declared with the first modules; faults of a configuration are reported as a list of sentences instead. Ruled out: raising it; a check has to name every fault at once. Before: an unused public class. After: it is gone; the tests of settings, checks, gateway and whole path pass. Conclusion: a search for other unused names found plug-ins and test tools only.

--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -10,7 +10,6 @@
 __all__ = [
     "AmaranthbayError",
     "CallerGone",
-    "ConfigurationError",
     "Fault",
     "Reason",
     "Refusal",
@@ -146,7 +145,3 @@
     def __init__(self, faults):
         super().__init__("; ".join(str(fault) for fault in faults))
         self.faults = tuple(faults)
-
-
-class ConfigurationError(SettingsError):
-    """Raised when a configuration or its answers contradict themselves."""
