Check idle connections without waiting for input

Cause: gevent waits for input even when a read asks not to, unless the socket's own timeout is zero; every reuse of a connection hung. The watch on a caller also left its event watcher behind the socket, whose number the next socket takes over. Ruled out: slow prefill servers; each first use of a connection was fast.

--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -47,12 +47,16 @@
 
         Bytes that no request is waiting for belong to an earlier answer.
         """
+        # gevent waits for input unless the socket's own timeout is zero.
+        self.sock.settimeout(0.0)
         try:
-            self.sock.recv(1, std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT)
+            self.sock.recv(1, std_socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
             return False
+        finally:
+            self.sock.settimeout(None)
         return False
 
 
--- a/amaranthbay/utils/hangup.py
+++ b/amaranthbay/utils/hangup.py
@@ -3,7 +3,6 @@
 import socket
 
 import gevent
-from gevent.socket import wait_read
 
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import log_event
@@ -14,6 +13,8 @@
 # the state of the connection is polled from then on.
 POLL_S = 0.25
 ESTABLISHED = 1
+# Event mask of the event loop.
+READ = 1
 
 
 class HangupWatch:
@@ -30,13 +31,20 @@
         self._request_id = request_id
         self._serving = gevent.getcurrent()
         self._job = None
-        if self._conn is not None:
-            self._job = gevent.spawn(self._watch)
+        self._readable = None
+        if conn is not None:
+            loop = gevent.get_hub().loop
+            self._readable = loop.io(conn.fileno(), READ)
+            self._readable.start(self._on_readable)
+
+    def _on_readable(self):
+        """Runs in the event loop, where nothing may block."""
+        self._readable.stop()
+        self._job = gevent.spawn(self._watch)
 
     def _watch(self):
         try:
-            wait_read(self._conn.fileno())
-            peeked = self._conn.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            peeked = self._conn.recv(1, socket.MSG_PEEK)
             while peeked and self._is_established():
                 gevent.sleep(POLL_S)
         except OSError:
@@ -49,7 +57,15 @@
         return info[0] == ESTABLISHED
 
     def stop(self):
-        """Stops watching."""
+        """Stops watching.
+
+        The event loop must let go of the socket before it is closed: a watcher that
+        is left would hide the events of the next socket with the same number.
+        """
+        if self._readable is not None:
+            self._readable.stop()
+            self._readable.close()
+            self._readable = None
         if self._job is not None:
             self._job.kill(block=False)
 
