--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -10,7 +10,7 @@
 
 from amaranthbay.daemon.lookup import choose_addresses
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
-from amaranthbay.fleet.tables import TableFollower
+from amaranthbay.fleet.tables import StoreHealth, TableFollower
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import configure_logs, log_event, log_greenlet_failures
@@ -66,7 +66,8 @@
         self.configuration = ConfigurationView(
             adapter.decode_configuration, adapter.configuration_key
         )
-        self.backends = BackendPool(adapter.decode_server, self.clock)
+        self.health = StoreHealth(self.clock)
+        self.backends = BackendPool(adapter.decode_server, self.clock, self.health)
         self.ledger = WorkLedger()
         process = random.SystemRandom().getrandbits(PROCESS_BITS)
         self.peers = Peers(
@@ -102,7 +103,6 @@
         )
         self.stop_requested = gevent.event.Event()
         self.draining = False
-        self._followers = ()
         self._jobs = []
         self._servers = []
 
@@ -145,13 +145,10 @@
         """Begins to serve."""
         settings = self.settings
         self._jobs += self.peers.start()
-        self._followers = (
-            self._follow(self._adapter.configuration_table, self.configuration),
-            self._follow(self._adapter.servers_table, self.backends),
-            self._follow(MEMBERS_TABLE, self.peers),
-        )
-        self.backends.store = self._followers[1]
-        self._jobs += [gevent.spawn(each.run) for each in self._followers]
+        adapter = self._adapter
+        self._follow(adapter.configuration_table, self.configuration, watches=True)
+        self._follow(adapter.servers_table, self.backends)
+        self._follow(MEMBERS_TABLE, self.peers)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._serve_app(
@@ -176,8 +173,10 @@
         server.start()
         self._servers.append(server)
 
-    def _follow(self, table, view):
-        return TableFollower(self.store, table, view, self.clock, self.rng)
+    def _follow(self, table, view, watches=False):
+        TableFollower(
+            self.store, table, view, self.health, self.clock, self.rng, watches
+        ).start()
 
     def _register(self):
         """Writes this instance's row, so that the others find it."""
--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -24,19 +24,20 @@
 class BackendPool:
     """View of the table of backend servers; see `TableFollower`."""
 
-    def __init__(self, decode, clock):
+    def __init__(self, decode, clock, health):
         """Creates an empty pool.
 
         Args:
             decode: Function of name and bytes that returns
                 ``Result[BackendServer, str]``.
             clock: `Clock`.
+            health: `StoreHealth`.
         """
         self._decode = decode
         self._clock = clock
         self._known = {}
         self._changed = []
-        self.store = None
+        self._health = health
 
     def on_change(self, callback):
         """Calls ``callback()`` after each change."""
@@ -97,12 +98,12 @@
 
     def _may_lapse(self):
         """Whether entries may be missing only since the store was away."""
-        store = self.store
-        if store is None or store.lost_at is not None:
-            return store is not None
-        if store.regained_at is None:
+        health = self._health
+        if health.lost_at is not None:
+            return True
+        if health.regained_at is None:
             return False
-        return self._clock.monotonic() - store.regained_at < LAPSED_GRACE_S
+        return self._clock.monotonic() - health.regained_at < LAPSED_GRACE_S
 
     def usable(self, service, stage=None):
         """Returns the servers that may get new work, in order of name.
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -3,6 +3,9 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+import gevent
+import gevent.event
+
 from amaranthbay.observe import log_event
 
 __all__ = [
@@ -10,11 +13,16 @@
     "Changes",
     "HistoryGone",
     "Snapshot",
+    "StoreHealth",
     "TableFollower",
     "TableSource",
 ]
 
-# Bounds what an unnoticed loss of the feed costs; keep-alive probes find most.
+# A store that falls silent loses the questions that wait at it. One table is asked
+# this often, so that the loss is known in less than the 3 s after which the platform
+# expects an instance to be up to date again.
+WATCH_WAIT_S = 1.9
+# The other tables wait for longer; a call costs more than an open question.
 FEED_WAIT_S = 15.0
 # Longest pause between tries, so that a change is in force in time after an outage.
 RETRY_LIMIT_S = 0.8
@@ -83,50 +91,113 @@
         """Writes a row without a condition and returns the `CommitState`."""
 
 
+class StoreHealth:
+    """Whether the store answers this process; shared by all followers.
+
+    Attributes:
+        lost_at: Monotonic time since which it gives no answer, or None.
+        regained_at: Monotonic time of the end of the last loss, or None.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._callbacks = []
+        self._available = gevent.event.Event()
+        self._available.set()
+        self.lost_at = None
+        self.regained_at = None
+
+    def on_regained(self, callback):
+        """Calls ``callback()`` when the store answers again."""
+        self._callbacks.append(callback)
+
+    def wait(self, timeout_s):
+        """Waits until the store answers, or until the time is over."""
+        self._available.wait(timeout_s)
+
+    def answered(self, sent_at):
+        """Notes an answer to a call that was sent at a monotonic time."""
+        if self.lost_at is None or sent_at < self.lost_at:
+            return
+        self.regained_at = self._clock.monotonic()
+        seconds = round(self.regained_at - self.lost_at, 3)
+        self.lost_at = None
+        self._available.set()
+        log_event("store_regained", seconds=seconds)
+        for callback in self._callbacks:
+            callback()
+
+    def failed(self, detail):
+        """Notes a call without a usable answer."""
+        if self.lost_at is not None:
+            return
+        self.lost_at = self._clock.monotonic()
+        self._available.clear()
+        log_event("store_lost", level="warning", detail=detail)
+
+
 class TableFollower:
     """Keeps a view of one table up to date.
 
     Attributes:
         version: Version of the store up to which the view is complete; None
             before the first snapshot.
-        lost_at: Monotonic time since which the store gives no answer, or None.
-        regained_at: Monotonic time of the last end of such a loss, or None.
     """
 
-    def __init__(self, source, table, view, clock, rng):
+    def __init__(self, source, table, view, health, clock, rng, watches=False):
         """Creates the follower.
 
         Args:
             source: `TableSource`.
             table: Name of the table.
             view: Object with ``replace(rows)`` and ``apply(rows)``.
+            health: `StoreHealth`.
             clock: `Clock`.
             rng: `random.Random`.
+            watches: Whether this follower finds out if the store is lost and back;
+                the others wait for it meanwhile.
         """
         self._source = source
         self._table = table
         self._view = view
+        self._health = health
         self._clock = clock
         self._rng = rng
+        self._watches = watches
         self._failures = 0
+        self._job = None
         self.version = None
-        self.lost_at = None
-        self.regained_at = None
+        if not watches:
+            health.on_regained(self._restart)
 
-    def run(self):
-        """Follows the table until killed."""
+    def start(self):
+        """Follows the table in a greenlet."""
+        self._job = gevent.spawn(self._run)
+
+    def _restart(self):
+        """Asks again: a question from before the loss may never be answered."""
+        if self._job is not None:
+            self._job.kill(block=False)
+            self.start()
+
+    def _run(self):
         while True:
             pause_s = self.step()
-            if pause_s:
+            if pause_s and self._watches:
                 self._clock.sleep(pause_s)
+            elif pause_s:
+                self._health.wait(FEED_WAIT_S)
+                self._clock.sleep(RETRY_BASE_S)
 
     def step(self):
         """Makes one call and returns the seconds to wait before the next one."""
         if self.version is None:
             return self._read_all()
-        found = self._source.changes(self._table, self.version, FEED_WAIT_S)
+        sent_at = self._clock.monotonic()
+        wait_s = WATCH_WAIT_S if self._watches else FEED_WAIT_S
+        found = self._source.changes(self._table, self.version, wait_s)
         if found.is_ok():
-            self._note_answer()
+            self._note_answer(sent_at)
             changes = found.unwrap()
             if changes.rows:
                 self._view.apply(changes.rows)
@@ -134,14 +205,16 @@
             return 0.0
         if isinstance(found.unwrap_err(), HistoryGone):
             log_event("history_gone", table=self._table, version=self.version)
+            self._note_answer(sent_at)
             return self._read_all()
         return self._note_failure(found.unwrap_err())
 
     def _read_all(self):
+        sent_at = self._clock.monotonic()
         found = self._source.snapshot(self._table)
         if found.is_err():
             return self._note_failure(found.unwrap_err())
-        self._note_answer()
+        self._note_answer(sent_at)
         snapshot = found.unwrap()
         if self.version is not None and snapshot.version < self.version:
             log_event(
@@ -156,26 +229,12 @@
         self.version = snapshot.version
         return 0.0
 
-    def _note_answer(self):
+    def _note_answer(self, sent_at):
         self._failures = 0
-        if self.lost_at is not None:
-            self.regained_at = self._clock.monotonic()
-            log_event(
-                "store_regained",
-                table=self._table,
-                seconds=round(self.regained_at - self.lost_at, 3),
-            )
-            self.lost_at = None
+        self._health.answered(sent_at)
 
     def _note_failure(self, failure):
-        if self.lost_at is None:
-            self.lost_at = self._clock.monotonic()
-            log_event(
-                "store_lost",
-                level="warning",
-                table=self._table,
-                detail=failure.detail,
-            )
+        self._health.failed(f"{self._table}: {failure.detail}")
         bound = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self._failures)
         self._failures += 1
         return bound * self._rng.uniform(0.5, 1.0)
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -18,9 +18,9 @@
 
 __all__ = ["RowStore"]
 
-# Well above the store's usual answer of 4 ms; a store that is slower than this
-# is treated as lost.
-CALL_TIMEOUT_S = 2.0
+# Sixty times the store's usual answer of 4 ms, and some more; a store that is slower
+# than this is treated as lost.
+CALL_TIMEOUT_S = 0.9
 PAGE_ROWS = 500
 
 
