Reserve room on a decode server that is nearly full before the prefill

Cause: decode servers refused prompts that had been computed for them; nine daemons decide at once on reports that are up to 0.2 s old.

--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -18,10 +18,12 @@
 MODEL = b"x-model-name"
 TOKENS = b"x-token-count"
 PROMPT = b"x-prompt-prefix"
+LENGTH_HINT = b"x-length-hint"
 LAST_EVENT = b"last-event-id"
 EXPECT_SERVER = b"x-expect-instance"
 STAGE = b"x-serving-stage"
 KV_SOURCE = b"x-kv-source"
+HOLD = b"x-kv-hold"
 STAMP = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
 SERVER_ID = b"x-instance-id"
@@ -36,7 +38,7 @@
         b"x-expect-version",
         b"x-request-urgency",
         b"x-pin-ms",
-        b"x-kv-hold",
+        HOLD,
         b"x-kv-backup",
         b"kv-fetch",
     )
@@ -60,6 +62,10 @@
 MS_PER_S = 1000.0
 
 
+class _Hold(msgspec.Struct):
+    Hold: str
+
+
 class _Handle(msgspec.Struct):
     KvHandle: str
     Tokens: int
@@ -79,6 +85,7 @@
             model=values.get(MODEL, b"").decode("latin-1"),
             prompt_tokens=prompt,
             output_tokens=output,
+            expected_tokens=_whole(values.get(LENGTH_HINT)),
             session=_last_part(values.get(PROMPT, b"")),
         )
 
@@ -91,6 +98,8 @@
             kept.append((STAGE, b"prefill"))
         if directions.kv_source:
             kept.append((KV_SOURCE, directions.kv_source.encode()))
+        if directions.hold:
+            kept.append((HOLD, directions.hold.encode()))
         if directions.last_event_id is not None:
             kept = [each for each in kept if each[0].lower() != LAST_EVENT]
             kept.append((LAST_EVENT, str(directions.last_event_id).encode()))
@@ -122,6 +131,19 @@
     def release_request(self, handle):
         return "DELETE", f"/kv-handle/{handle}"
 
+    def hold_request(self, tokens, life_s):
+        body = {"Tokens": tokens, "TtlMs": int(life_s * MS_PER_S)}
+        return "POST", "/hold-take", msgspec.json.encode(body)
+
+    def read_hold(self, body):
+        try:
+            return Ok(msgspec.json.decode(body, type=_Hold).Hold)
+        except msgspec.DecodeError as exc:
+            return Err(str(exc))
+
+    def drop_hold_request(self, hold):
+        return "DELETE", f"/hold-drop/{hold}"
+
     def kv_source(self, address, handle):
         return f"{address}/{handle}"
 
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -61,6 +61,8 @@
     # Seconds for which a prefill's handle is valid.
     KvHoldS: float = 0.5
     RoleSwitchS: float = 0.0
+    # Longest life of a reservation.
+    HoldMs: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -141,6 +143,7 @@
             link_mbps=engine.LinkMbps,
             handle_life_s=engine.KvHoldS,
             stage_switch_s=engine.RoleSwitchS,
+            hold_life_s=engine.HoldMs / MS_PER_S,
         ),
     )
 
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -31,6 +31,7 @@
         failure: Share of failures, from 0 to 1.
         latency_s: Mean time to an answer; 0 if unknown.
         avoided: Whether it could not be reached a moment ago.
+        full: Whether it had no room a moment ago.
     """
 
     server: object
@@ -41,6 +42,7 @@
     failure: float = 0.0
     latency_s: float = 0.0
     avoided: bool = False
+    full: bool = False
 
 
 def choose_plain(candidates, draw):
@@ -85,6 +87,7 @@
         for each in candidates
         if each.memory_tokens + need_tokens <= limit
         and each.running < each.server.slots
+        and not each.full
     ]
     return _lowest(fitting, _decode_cost, draw)
 
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -27,6 +27,8 @@
         model: Name of the model; empty for a plain call.
         prompt_tokens: Length of the prompt.
         output_tokens: Most tokens of the answer.
+        expected_tokens: Caller's estimate of the answer's tokens; None if not
+            stated. It is often far off.
         session: Id of the prompt's last part.
     """
 
@@ -36,6 +38,7 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_tokens: int | None = None
     session: str = ""
 
 
@@ -48,6 +51,7 @@
         left_s: Time that is left until the deadline.
         prefill_only: Whether only the KV cache is computed.
         kv_source: Where a decode server fetches the KV cache; empty for none.
+        hold: Slot and memory that were reserved for the request; empty for none.
         last_event_id: Event after which the stream continues; None to leave the
             caller's own value.
     """
@@ -56,6 +60,7 @@
     left_s: float
     prefill_only: bool = False
     kv_source: str = ""
+    hold: str = ""
     last_event_id: int | None = None
 
 
@@ -115,6 +120,18 @@
     def release_request(self, handle):
         """Returns method and path that free the KV cache of a handle."""
 
+    @abstractmethod
+    def hold_request(self, tokens, life_s):
+        """Returns method, path and body that reserve a slot and memory."""
+
+    @abstractmethod
+    def read_hold(self, body):
+        """Returns ``Result[str, str]``: the id of what was reserved."""
+
+    @abstractmethod
+    def drop_hold_request(self, hold):
+        """Returns method and path that give back what was reserved."""
+
     @abstractmethod
     def kv_source(self, address, handle):
         """Returns the text that names a KV cache to a decode server."""
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -57,4 +57,5 @@
             failure=self.outcomes.failure(server.name),
             latency_s=self.outcomes.latency_s(server.name),
             avoided=self.outcomes.is_avoided(server.name),
+            full=self.outcomes.is_full(server.name),
         )
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -4,12 +4,19 @@
 
 import gevent
 import h11
+from result import Err, Ok
 
 from amaranthbay.kernel.errors import AmaranthbayError, Verdict
 from amaranthbay.relay.codec import AnswerTraits
 from amaranthbay.relay.connections import READ_BYTES, answer_parser
 
-__all__ = ["AnswerHead", "ExchangeBroken", "Exchange", "open_exchange"]
+__all__ = [
+    "AnswerHead",
+    "Exchange",
+    "ExchangeBroken",
+    "control_exchange",
+    "open_exchange",
+]
 
 # Late answers of earlier requests that are skipped on one connection.
 LATE_ANSWERS = 4
@@ -173,16 +180,57 @@
     Raises:
         ExchangeBroken: With the verdict ``not_run`` if nothing was sent.
     """
+    frame = _encode(codec, call, directions)
+    conn = _take(pool, server, call.route.repeatable, connect_timeout_s)
+    # The server may answer before it has read a long body.
+    sender = gevent.spawn(_send, conn.sock, frame)
+    return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
+
+
+def control_exchange(pool, codec, server, method, path, body, timeout_s):
+    """Makes a call of our own to a backend server, which may be repeated.
+
+    Args:
+        pool: `ConnectionPool`.
+        codec: `CallCodec`.
+        server: `BackendServer`.
+        method: HTTP method.
+        path: Path of the call.
+        body: Bytes of the body.
+        timeout_s: Longest time for the whole call.
+
+    Returns:
+        ``Result[tuple[int, bytes], str]``: status and body.
+    """
+    late = ExchangeBroken(Verdict.MAY_HAVE_RUN, "slow")
+    exchange = None
+    try:
+        with gevent.Timeout(timeout_s, late):
+            conn = _take(pool, server, True, timeout_s)
+            lines = [f"{method} {path} HTTP/1.1", f"Host: {server.address}"]
+            if body:
+                lines.append("Content-Type: application/json")
+                lines.append(f"Content-Length: {len(body)}")
+            frame = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+            sender = gevent.spawn(_send, conn.sock, frame)
+            exchange = Exchange(conn, pool, codec, "", method, sender)
+            head = exchange.read_head()
+            return Ok((head.status, b"".join(exchange.chunks())))
+    except ExchangeBroken as exc:
+        return Err(exc.reason)
+    finally:
+        if exchange is not None:
+            exchange.close()
+
+
+def _take(pool, server, repeatable, timeout_s):
     try:
-        conn = pool.take(server, call.route.repeatable, connect_timeout_s)
+        conn = pool.take(server, repeatable, timeout_s)
     except OSError as exc:
         raise ExchangeBroken(Verdict.NOT_RUN, "connect_failed") from exc
     conn.uses += 1
     conn.sock.settimeout(None)
-    frame = _encode(codec, call, directions)
-    # The server may answer before it has read a long body.
-    sender = gevent.spawn(_send, conn.sock, frame)
-    return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
+    return conn
 
 
 def _encode(codec, call, directions):
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -13,6 +13,8 @@
 # after each further failure in a row.
 UNREACHABLE_BASE_S = 0.5
 UNREACHABLE_LIMIT_S = 4.0
+# Time in which a full server frees the memory of about one request.
+FULL_S = 0.15
 
 
 @dataclass
@@ -24,6 +26,7 @@
     latency_s: float = 0.0
     unreachable: int = 0
     avoid_until: float = 0.0
+    full_until: float = 0.0
 
 
 class ServerOutcomes:
@@ -79,3 +82,12 @@
         """Returns whether the server could not be reached a moment ago."""
         record = self._records.get(server)
         return record is not None and self._clock.monotonic() < record.avoid_until
+
+    def refused_as_full(self, server):
+        """Notes that the server had no room."""
+        self._record(server).full_until = self._clock.monotonic() + FULL_S
+
+    def is_full(self, server):
+        """Returns whether the server had no room a moment ago."""
+        record = self._records.get(server)
+        return record is not None and self._clock.monotonic() < record.full_until
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -23,6 +23,11 @@
 # prompt that is read at once.
 FIRST_EVENT_S = 0.25
 MIN_RETRY_S = 0.5
+# Part of an answer's expected length that its run holds on average.
+ANSWER_SHARE = 0.6
+# Part of a decode server's memory from which the reports of other daemons are too
+# old to rely on.
+PRESSED_SHARE = 0.6
 # A caller gives up a stream without an event after about four targets.
 HOLD_TARGETS = 2.5
 
@@ -36,10 +41,14 @@
         decode: Decode server.
         end_prefill: Function that takes the prompt off the prefill server's load.
         release: Function that takes the attempt off both servers' loads.
+        need_tokens: Memory that the attempt takes on the decode server.
+        pressed: Whether the decode server may turn out to be full.
     """
 
     prefill: object
     decode: object
+    need_tokens: int
+    pressed: bool
     end_prefill: object
     release: object
 
@@ -126,7 +135,7 @@
     def _try(self, waiting):
         ctx, call = self._ctx, waiting.call
         engine = call.service.engine
-        need = call.head.prompt_tokens + call.head.output_tokens
+        need = memory_need(call.head)
         decodes = ctx.candidates(call.service.name, Stage.DECODE, waiting.without)
         decode = choose_decode(
             decodes, need, engine.memory_tokens, ctx.rng.random()
@@ -145,17 +154,23 @@
             prefill_tokens=prefill and prefill.prefill_tokens,
             memory_tokens=decode.memory_tokens,
             need_tokens=need,
+            prompt_tokens=call.head.prompt_tokens,
+            output_tokens=call.head.output_tokens,
+            expected_tokens=call.head.expected_tokens,
             waiting=len(self._waiting),
         )
-        return self._reserve(call, prefill, decode, need)
+        pressed = decode.memory_tokens + need > PRESSED_SHARE * engine.memory_tokens
+        return self._reserve(call, prefill, decode, need, pressed)
 
-    def _reserve(self, call, prefill, decode, need):
+    def _reserve(self, call, prefill, decode, need, pressed):
         ledger = self._ctx.ledger
         end_decode = ledger.add(
             decode.server.name, ServerLoad(running=1, memory_tokens=need)
         )
         if prefill is None:
-            return Placement(None, decode.server, _nothing, end_decode)
+            return Placement(
+                None, decode.server, need, pressed, _nothing, end_decode
+            )
         tokens = call.head.prompt_tokens
         end_prefill = ledger.add(
             prefill.server.name, ServerLoad(running=1, prefill_tokens=tokens)
@@ -165,7 +180,21 @@
             end_prefill()
             end_decode()
 
-        return Placement(prefill.server, decode.server, end_prefill, release)
+        return Placement(
+            prefill.server, decode.server, need, pressed, end_prefill, release
+        )
+
+
+def memory_need(head):
+    """Returns the tokens of KV cache that a stream takes on average over its run.
+
+    Reserving the longest answer would leave much of a server's memory unused: the
+    answers in progress are at different points and most stay below their limit.
+    """
+    expected = head.output_tokens
+    if head.expected_tokens is not None:
+        expected = min(expected, head.expected_tokens)
+    return head.prompt_tokens + int(ANSWER_SHARE * expected)
 
 
 def _order(waiting, now):
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -7,7 +7,7 @@
 from amaranthbay.observe import log_event
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.events import EventSplitter
-from amaranthbay.relay.exchange import ExchangeBroken, open_exchange
+from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
 from amaranthbay.relay.plain import REFUSING_STATUSES
 from amaranthbay.relay.refusals import RETRY_SOON, give_up
 
@@ -19,8 +19,6 @@
 # Silence of a decode server after which a resumable stream continues elsewhere.
 # Callers leave after two seconds without an event.
 STALL_S = 1.0
-# Part of a handle's life in which a second decode server may still fetch it.
-HANDLE_SHARE = 0.6
 PREFILL_BYTES = 65536
 OK = 200
 
@@ -80,7 +78,10 @@
                 return self._end(placed.unwrap_err())
             placement = placed.unwrap()
             try:
-                outcome = self._attempt(placement)
+                held = self._hold(placement)
+                if held.is_err():
+                    continue
+                outcome = self._attempt(placement, held.unwrap())
             finally:
                 placement.release()
             if outcome.is_ok():
@@ -116,27 +117,67 @@
             return False
         return self._ctx.budget(self._call.service.name).withdraw()
 
-    def _attempt(self, placement):
+    def _hold(self, placement):
+        """Reserves room on a decode server that may be full.
+
+        A prompt that is computed for a server without room is computed in vain.
+
+        Returns:
+            ``Result[str, str]``: the reservation, or an empty text without one.
+        """
+        engine = self._call.service.engine
+        if not (placement.pressed and engine.hold_life_s):
+            return Ok("")
+        server = placement.decode
+        method, path, body = self._ctx.codec.hold_request(
+            placement.need_tokens, engine.hold_life_s
+        )
+        answer = control_exchange(
+            self._ctx.connections,
+            self._ctx.codec,
+            server,
+            method,
+            path,
+            body,
+            CONNECT_TIMEOUT_S,
+        )
+        if answer.is_err():
+            self._without.add(server.name)
+            self._ctx.outcomes.unreachable(server.name)
+            return answer
+        status, found = answer.unwrap()
+        if status == OK:
+            return self._ctx.codec.read_hold(found)
+        self._ctx.outcomes.refused_as_full(server.name)
+        log_event(
+            "hold_refused",
+            request_id=self._call.request_id,
+            backend_server=server.name,
+            status=status,
+        )
+        return Err(f"the server answered {status}")
+
+    def _attempt(self, placement, hold):
         """Returns ``Result[None, Refusal]``; Ok once the stream is complete."""
-        source, handle_at = "", 0.0
+        source = ""
         if placement.prefill is not None:
             found = self._prefill(placement.prefill)
             placement.end_prefill()
             if found.is_err():
+                self._drop_hold(placement.decode, hold)
                 return found
             handle = found.unwrap()
-            handle_at = self._ctx.clock.monotonic()
             source = self._ctx.codec.kv_source(placement.prefill.address, handle)
         taken = False
         try:
-            outcome = self._decode(placement.decode, source)
+            outcome = self._decode(placement.decode, source, hold)
             taken = outcome.is_ok() or outcome.unwrap_err().verdict is not (
                 Verdict.NOT_RUN
             )
             return outcome
         finally:
             if source and not taken:
-                self._release(placement.prefill, handle, handle_at)
+                self._release(placement.prefill, handle)
 
     def _prefill(self, server):
         """Returns ``Result[str, Refusal]`` with the handle of the KV cache."""
@@ -227,13 +268,17 @@
             not_run=head.traits.not_run,
         )
 
-    def _decode(self, server, source):
+    def _decode(self, server, source, hold):
         """Returns ``Result[None, Refusal]``; relays events as they arrive."""
         ctx, call = self._ctx, self._call
         now = ctx.clock.monotonic()
         last_id = self._events.last_id if self._started else None
         directions = Directions(
-            server.name, call.left_s(now), kv_source=source, last_event_id=last_id
+            server.name,
+            call.left_s(now),
+            kv_source=source,
+            hold=hold,
+            last_event_id=last_id,
         )
         exchange = None
         try:
@@ -334,19 +379,26 @@
         self._conn.answer(head.status, headers, body)
         return Ok(None)
 
-    def _release(self, server, handle, handle_at):
+    def _release(self, server, handle):
         """Frees the KV cache of a prefill that no decode server has taken."""
-        gevent.spawn(_release_handle, self._ctx, server, handle, self._call.request_id)
+        self._give_back(server, *self._ctx.codec.release_request(handle))
 
+    def _drop_hold(self, server, hold):
+        """Gives back what was reserved for a request that doesn't come."""
+        if hold:
+            self._give_back(server, *self._ctx.codec.drop_hold_request(hold))
 
-def _release_handle(ctx, server, handle, request_id):
-    from amaranthbay.utils.http import json_exchange
+    def _give_back(self, server, method, path):
+        gevent.spawn(_give_back, self._ctx, server, method, path)
 
-    method, path = ctx.codec.release_request(handle)
-    outcome = json_exchange(server.address, method, path, timeout_s=CONNECT_TIMEOUT_S)
+
+def _give_back(ctx, server, method, path):
+    answer = control_exchange(
+        ctx.connections, ctx.codec, server, method, path, b"", CONNECT_TIMEOUT_S
+    )
     log_event(
-        "handle_released",
-        request_id=request_id,
+        "given_back",
         backend_server=server.name,
-        done=outcome.is_ok(),
+        path=path,
+        outcome=answer.unwrap()[0] if answer.is_ok() else answer.unwrap_err(),
     )
--- a/amaranthbay/routing/types.py
+++ b/amaranthbay/routing/types.py
@@ -87,6 +87,7 @@
         link_mbps: Rate of transfers of KV cache.
         handle_life_s: Time for which a prefill's KV cache is kept.
         stage_switch_s: Time that a change of the stage takes.
+        hold_life_s: Longest life of a reservation; 0 if servers take none.
     """
 
     slots: int
@@ -95,6 +96,7 @@
     link_mbps: float = 0.0
     handle_life_s: float = 0.5
     stage_switch_s: float = 0.0
+    hold_life_s: float = 0.0
 
 
 @dataclass(frozen=True)
