--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -9,6 +9,7 @@
 import gevent.event
 
 from amaranthbay.daemon.lookup import choose_addresses
+from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.tables import StoreHealth, TableFollower
 from amaranthbay.kernel.clock import SystemClock
@@ -19,6 +20,7 @@
 from amaranthbay.relay.budget import RepeatBudget
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.context import RelayContext
+from amaranthbay.relay.demand import DemandMeter
 from amaranthbay.relay.ledger import WorkLedger
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.placing import StreamQueue
@@ -26,12 +28,14 @@
 from amaranthbay.relay.refusals import RETRY_SOON
 from amaranthbay.relay.streams import StreamRelay
 from amaranthbay.routing import ClientLimits
+from amaranthbay.state.leases import LeaseStore
 from amaranthbay.utils.runtime import check_event_loop
 from amaranthbay.utils.serving import Server
 
 __all__ = ["EntryDaemon", "run_entry"]
 
 MEMBERS_TABLE = "members"
+LEASES_TABLE = "leases"
 SWEEP_S = 1.0
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
@@ -84,6 +88,7 @@
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
             budget=self._budget,
+            demand=DemandMeter(),
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
@@ -101,9 +106,21 @@
             self._client_limits,
             max(64, min(MOST_CONNECTIONS, connections)),
         )
+        leases = LeaseStore(
+            adapter.open_table(self.store, LEASES_TABLE), self.clock, settings.instance
+        )
+        self.balancer = StageBalancer(
+            self.ctx,
+            self.configuration,
+            leases,
+            self.ctx.demand,
+            settings.instance,
+            settings.order_turn_s,
+        )
         self.stop_requested = gevent.event.Event()
         self.draining = False
         self._jobs = []
+        self._orders = []
         self._servers = []
 
     def _registration(self):
@@ -151,6 +168,7 @@
         self._follow(MEMBERS_TABLE, self.peers)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
+        self._orders = [gevent.spawn(self.balancer.run)]
         self._serve_app(
             settings.ready_address, self._adapter.create_ready_app(self.is_ready)
         )
@@ -211,6 +229,7 @@
         self.draining = True
         self.peers.serving = False
         self.peers.announce()
+        gevent.killall(self._orders)
         self.listener.draining = True
         log_event("draining", requests=len(self.listener.busy))
         grace_s = self.settings.stop_s
--- /dev/null
+++ b/amaranthbay/daemon/staging.py
@@ -0,0 +1,166 @@
+"""Moves model servers between the prefill and the decode pool as the load asks."""
+
+from result import Err, Ok
+
+from amaranthbay.observe import log_decision, log_event
+from amaranthbay.relay.codec import StageOrder
+from amaranthbay.relay.demand import plan_prefill_servers
+from amaranthbay.relay.exchange import control_exchange
+from amaranthbay.routing import Stage
+
+__all__ = ["StageBalancer"]
+
+LEASE_NAME = "stages"
+STEP_S = 1.0
+CALL_TIMEOUT_S = 0.5
+# Orders are sent in the first part of a lease only, so that those of two holders lie
+# further apart than the bound of the platform.
+ORDER_WINDOW_S = 2.0
+# A pool must be out of balance for this long: servers that crash are often back
+# sooner. Each further instance in order of name waits longer, as the first one may
+# not reach the store.
+UNBALANCED_S = 2.0
+RANK_S = 3.0
+# Time beyond a switch in which the list of servers shows its result.
+LIST_LAG_S = 3.0
+
+
+class StageBalancer:
+    """Gives stage orders while it holds a lease with a fencing number."""
+
+    def __init__(self, ctx, configuration, leases, meter, instance, turn_s):
+        """Creates the balancer.
+
+        Args:
+            ctx: `RelayContext`.
+            configuration: `ConfigurationView`.
+            leases: `LeaseStore`.
+            meter: `DemandMeter`.
+            instance: Name of this instance.
+            turn_s: Least time between the orders of two holders.
+        """
+        self._ctx = ctx
+        self._configuration = configuration
+        self._leases = leases
+        self._meter = meter
+        self._instance = instance
+        self._turn_s = turn_s
+        self._unbalanced_at = {}
+        self._ordered_at = {}
+
+    def run(self):
+        """Balances all services until killed."""
+        while True:
+            self._ctx.clock.sleep(STEP_S)
+            self.step()
+
+    def step(self):
+        """Looks at each service with model servers once."""
+        table = self._configuration.table
+        for service in table.services.values() if table else ():
+            if service.engine is not None and service.engine.stage_switch_s > 0:
+                self._balance(service)
+
+    def _balance(self, service):
+        now = self._ctx.clock.monotonic()
+        pause_s = service.engine.stage_switch_s + LIST_LAG_S
+        if now - self._ordered_at.get(service.name, -pause_s) < pause_s:
+            return
+        move = self._wanted_move(service)
+        if move is None:
+            self._unbalanced_at.pop(service.name, None)
+            return
+        since = self._unbalanced_at.setdefault(service.name, now)
+        if now - since < UNBALANCED_S + RANK_S * self._rank():
+            return
+        self._order(service, *move)
+
+    def _rank(self):
+        """Returns the place of this instance among the live ones."""
+        names = sorted(each.instance for each in self._ctx.peers.live())
+        if self._instance not in names:
+            return len(names)
+        return names.index(self._instance)
+
+    def _wanted_move(self, service):
+        """Returns the stage to move servers to and their number, or None."""
+        demand = self._meter.demand(service.name)
+        if demand is None:
+            return None
+        prefill = len(self._ctx.candidates(service.name, Stage.PREFILL))
+        decode = len(self._ctx.candidates(service.name, Stage.DECODE))
+        wanted = plan_prefill_servers(prefill + decode, demand)
+        if prefill > wanted:
+            return Stage.DECODE, prefill - wanted
+        if prefill < wanted:
+            return Stage.PREFILL, wanted - prefill
+        return None
+
+    def _order(self, service, stage, count):
+        lease = self._leases.acquire(LEASE_NAME, self._turn_s + ORDER_WINDOW_S)
+        if lease is None:
+            return
+        self._ordered_at[service.name] = self._ctx.clock.monotonic()
+        self._unbalanced_at.pop(service.name, None)
+        source = Stage.PREFILL if stage is Stage.DECODE else Stage.DECODE
+        candidates = sorted(
+            self._ctx.candidates(service.name, source),
+            key=lambda each: (each.memory_tokens + each.prefill_tokens),
+        )
+        # Half of the way at a time: a server that switches serves neither pool.
+        moved = candidates[: max(1, count // 2)]
+        log_decision(
+            "stage",
+            ",".join(each.server.name for each in moved),
+            (each.server.name for each in candidates),
+            "the pools do not fit the load",
+            service=service.name,
+            stage=stage,
+            fence=lease.fence,
+        )
+        for each in moved:
+            if not self._leases.is_held(lease, self._turn_s):
+                return
+            self._send(each.server, stage, lease.fence)
+
+    def _send(self, server, stage, fence):
+        codec = self._ctx.codec
+        found = self._call(server, *codec.report_request(), b"")
+        report = found.and_then(codec.read_report)
+        if report.is_err() or report.unwrap().switching:
+            log_event(
+                "order_not_sent",
+                level="warning",
+                backend_server=server.name,
+                detail=report.err() or "an order is being carried out",
+            )
+            return
+        order = StageOrder(stage, self._instance, fence, report.unwrap().orders)
+        answer = self._call(server, *codec.order_request(order))
+        log_event(
+            "order_sent",
+            backend_server=server.name,
+            stage=stage,
+            fence=fence,
+            accepted=answer.is_ok(),
+            detail=answer.err(),
+        )
+
+    def _call(self, server, method, path, body):
+        """Returns ``Result[bytes, str]``; a status of 300 or more is an error."""
+        answer = control_exchange(
+            self._ctx.connections,
+            self._ctx.codec,
+            server,
+            method,
+            path,
+            body,
+            CALL_TIMEOUT_S,
+            (self._ctx.codec.expect_server(server.name),),
+        )
+        return answer.and_then(_expect_success)
+
+
+def _expect_success(answer):
+    status, body = answer
+    return Ok(body) if status < 300 else Err(f"status {status}")
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -46,6 +46,7 @@
         retry_ratio: Repeats allowed for each request of a service.
         retry_window_s: Span over which repeats are counted.
         retry_allowance: Repeats of all daemons allowed beside the ratio.
+        order_turn_s: Least time between orders of two instances to a server.
         lookup_ttl_s: Longest time for which callers keep a lookup's answer.
     """
 
@@ -66,4 +67,5 @@
     retry_ratio: float
     retry_window_s: float
     retry_allowance: float
+    order_turn_s: float
     lookup_ttl_s: float
--- a/amaranthbay/platform/adapter.py
+++ b/amaranthbay/platform/adapter.py
@@ -4,7 +4,7 @@
 from amaranthbay.platform.boot import load_boot_settings
 from amaranthbay.platform.documents import decode_configuration, decode_server
 from amaranthbay.platform.lookup import create_lookup_app, create_ready_app
-from amaranthbay.platform.rows import RowStore
+from amaranthbay.platform.rows import RowStore, RowTable
 
 __all__ = ["PlatformAdapter"]
 
@@ -33,3 +33,7 @@
     def open_store(self, limits):
         """Returns the `TableSource` at the address of `StoreLimits`."""
         return RowStore(limits.address)
+
+    def open_table(self, store, name):
+        """Returns the `TableService` of one table of our own."""
+        return RowTable(store, name)
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -41,6 +41,7 @@
     RetryBudgetRatio: float = 0.2
     BudgetWindowS: float = 10.0
     BudgetSlack: float = 0.0
+    LeaseMs: float = 3000.0
     # The most seconds of a lookup's answer that callers count.
     ttl_max_s: float = 5.0
 
@@ -100,5 +101,6 @@
         retry_ratio=bounds.RetryBudgetRatio,
         retry_window_s=bounds.BudgetWindowS,
         retry_allowance=bounds.BudgetSlack,
+        order_turn_s=bounds.LeaseMs / MS_PER_S,
         lookup_ttl_s=bounds.ttl_max_s,
     )
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -8,8 +8,10 @@
     CallCodec,
     CallHead,
     PrefillResult,
+    StageReport,
     register_codec,
 )
+from amaranthbay.routing import Stage
 
 __all__ = ["PlatformCallCodec"]
 
@@ -59,6 +61,7 @@
     )
 )
 MISDIRECTED = 421
+STAGES = {each.value: each for each in Stage}
 MS_PER_S = 1000.0
 
 
@@ -66,6 +69,13 @@
     Hold: str
 
 
+class _Report(msgspec.Struct):
+    Stage: str | None = None
+    Busy: bool = False
+    # Orders accepted since the server's start.
+    Sequence: int = 0
+
+
 class _Handle(msgspec.Struct):
     KvHandle: str
     Tokens: int
@@ -144,6 +154,29 @@
     def drop_hold_request(self, hold):
         return "DELETE", f"/hold-drop/{hold}"
 
+    def report_request(self):
+        return "GET", "/report"
+
+    def read_report(self, body):
+        try:
+            found = msgspec.json.decode(body, type=_Report)
+        except msgspec.DecodeError as exc:
+            return Err(str(exc))
+        return Ok(StageReport(STAGES.get(found.Stage), found.Busy, found.Sequence))
+
+    def order_request(self, order):
+        body = {
+            "Op": "Stage",
+            "Stage": order.stage.value,
+            "Holder": order.holder,
+            "Fence": order.fence,
+            "Expected": order.orders,
+        }
+        return "POST", "/order", msgspec.json.encode(body)
+
+    def expect_server(self, name):
+        return EXPECT_SERVER.decode(), name
+
     def kv_source(self, address, handle):
         return f"{address}/{handle}"
 
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -13,15 +13,28 @@
     Snapshot,
     TableSource,
 )
-from amaranthbay.platform.types import CommitState, PlatformFailure
+from amaranthbay.kernel.errors import Verdict
+from amaranthbay.kernel.interfaces import TableService
+from amaranthbay.platform.types import (
+    CommitOutcome,
+    CommitState,
+    PlatformFailure,
+    Row,
+)
 from amaranthbay.utils.http import json_exchange
 
-__all__ = ["RowStore"]
+__all__ = ["RowStore", "RowTable"]
 
 # Sixty times the store's usual answer of 4 ms, and some more; a store that is slower
 # than this is treated as lost.
 CALL_TIMEOUT_S = 0.9
 PAGE_ROWS = 500
+# A refusal of a transaction; after any other status it may have taken effect.
+TRANSACTION_STATES = {
+    412: CommitState.CONFLICT,
+    429: CommitState.NOT_DONE,
+    503: CommitState.NOT_DONE,
+}
 
 
 class _Row(msgspec.Struct):
@@ -77,21 +90,30 @@
     def put(self, table, key, value):
         row = {"Table": table, "part": "", "Key": key}
         row["Value"] = base64.b64encode(value).decode()
-        body = msgspec.json.encode({"Expected": [], "Put": [row], "Remove": []})
+        return self.transact([], [row])[0]
+
+    def transact(self, expected, put):
+        """Writes rows under conditions.
+
+        Args:
+            expected: Rows with the version that each must have.
+            put: Rows to write.
+
+        Returns:
+            `CommitState` and the new version of the rows; 0 if not done.
+        """
+        body = msgspec.json.encode({"Expected": expected, "Put": put, "Remove": []})
+        headers = (("Content-Type", "application/json"),)
         outcome = json_exchange(
-            self._address,
-            "POST",
-            "/rows-tx",
-            body,
-            (("Content-Type", "application/json"),),
-            CALL_TIMEOUT_S,
+            self._address, "POST", "/rows-tx", body, headers, CALL_TIMEOUT_S
         )
         if outcome.is_err():
-            return CommitState.UNKNOWN
-        status = outcome.unwrap()[0]
+            sent = outcome.unwrap_err().verdict is not Verdict.NOT_RUN
+            return (CommitState.UNKNOWN if sent else CommitState.NOT_DONE), 0
+        status, answer = outcome.unwrap()
         if status == 200:
-            return CommitState.DONE
-        return CommitState.NOT_DONE if status in (429, 503) else CommitState.UNKNOWN
+            return CommitState.DONE, msgspec.json.decode(answer, type=_Rows).Ver
+        return TRANSACTION_STATES.get(status, CommitState.UNKNOWN), 0
 
     def _get(self, path, query, timeout_s):
         target = f"{path}?{urlencode(query)}"
@@ -109,6 +131,53 @@
             return Err(PlatformFailure(f"unreadable answer: {exc}"))
 
 
+class RowTable(TableService):
+    """One table of the store, with JSON values, as a `TableService`."""
+
+    def __init__(self, store, table):
+        self._store = store
+        self._table = table
+
+    def commit(self, writes):
+        expected, put = [], []
+        for each in writes:
+            row = {"Table": self._table, "part": "", "Key": each.key}
+            if each.if_version is not None:
+                expected.append(row | {"Ver": each.if_version})
+            value = base64.b64encode(msgspec.json.encode(each.value)).decode()
+            put.append(row | {"Value": value})
+        state, version = self._store.transact(expected, put)
+        if state is not CommitState.DONE:
+            return CommitOutcome(state, {})
+        return CommitOutcome(state, {each.key: version for each in writes})
+
+    def read(self, key):
+        found = self._store.snapshot(self._table)
+        return found.map(lambda snapshot: _find(snapshot.rows, key))
+
+    def scan(self, prefix, after="", limit=1000):
+        found = self._store.snapshot(self._table)
+        return found.map(
+            lambda snapshot: tuple(
+                _json_row(each)
+                for each in snapshot.rows
+                if each.key.startswith(prefix) and each.key > after
+            )[:limit]
+        )
+
+
+def _find(rows, key):
+    """Returns the `Row` with a key, or None."""
+    for each in rows:
+        if each.key == key and each.value is not None:
+            return _json_row(each)
+    return None
+
+
+def _json_row(row):
+    return Row(row.key, msgspec.json.decode(row.value), row.version)
+
+
 def _row(found):
     if found.Removed or found.Value is None:
         return ChangedRow(found.Key, found.Ver, None)
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from amaranthbay.kernel.registry import find, register
+from amaranthbay.routing import Stage
 
 __all__ = [
     "AnswerTraits",
@@ -11,6 +12,8 @@
     "CallHead",
     "Directions",
     "PrefillResult",
+    "StageOrder",
+    "StageReport",
     "find_codec",
     "register_codec",
 ]
@@ -89,6 +92,38 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class StageReport:
+    """What a model server says of itself.
+
+    Attributes:
+        stage: Its `Stage`; None if it names none that is known.
+        switching: Whether an order is being carried out.
+        orders: Number of orders that it has accepted since its start.
+    """
+
+    stage: Stage | None
+    switching: bool
+    orders: int
+
+
+@dataclass(frozen=True)
+class StageOrder:
+    """Orders a model server into another pool.
+
+    Attributes:
+        stage: Pool that it shall serve.
+        holder: Instance that gives the order.
+        fence: Fencing number of its lease.
+        orders: Number of orders that the server must have accepted before.
+    """
+
+    stage: Stage
+    holder: str
+    fence: int
+    orders: int
+
+
 class CallCodec(ABC):
     """Reads and writes the headers of calls; decides nothing."""
 
@@ -132,6 +167,22 @@
     def drop_hold_request(self, hold):
         """Returns method and path that give back what was reserved."""
 
+    @abstractmethod
+    def report_request(self):
+        """Returns method and path that ask a model server for its state."""
+
+    @abstractmethod
+    def read_report(self, body):
+        """Returns ``Result[StageReport, str]``."""
+
+    @abstractmethod
+    def order_request(self, order):
+        """Returns method, path and body of a `StageOrder`."""
+
+    @abstractmethod
+    def expect_server(self, name):
+        """Returns the header that makes any other server refuse a call."""
+
     @abstractmethod
     def kv_source(self, address, handle):
         """Returns the text that names a KV cache to a decode server."""
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -22,6 +22,7 @@
         ledger: `WorkLedger`.
         outcomes: `ServerOutcomes`.
         budget: Function of a service's name that returns its `RepeatBudget`.
+        demand: `DemandMeter`.
         availability_zone: Where the process runs.
     """
 
@@ -34,6 +35,7 @@
     ledger: object
     outcomes: object
     budget: object
+    demand: object
     availability_zone: str
 
     def candidates(self, service, stage=None, without=frozenset()):
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -187,7 +187,9 @@
     return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
 
 
-def control_exchange(pool, codec, server, method, path, body, timeout_s):
+def control_exchange(
+    pool, codec, server, method, path, body, timeout_s, headers=()
+):
     """Makes a call of our own to a backend server, which may be repeated.
 
     Args:
@@ -198,6 +200,7 @@
         path: Path of the call.
         body: Bytes of the body.
         timeout_s: Longest time for the whole call.
+        headers: Further pairs of name and value.
 
     Returns:
         ``Result[tuple[int, bytes], str]``: status and body.
@@ -211,6 +214,7 @@
             if body:
                 lines.append("Content-Type: application/json")
                 lines.append(f"Content-Length: {len(body)}")
+            lines += [f"{name}: {value}" for name, value in headers]
             frame = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
             sender = gevent.spawn(_send, conn.sock, frame)
             exchange = Exchange(conn, pool, codec, "", method, sender)
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -12,7 +12,7 @@
 from amaranthbay.relay.choice import choose_decode, choose_prefill
 from amaranthbay.routing import Stage
 
-__all__ = ["Placement", "StreamQueue"]
+__all__ = ["Placement", "StreamQueue", "memory_need"]
 
 # Memory is freed on servers of other daemons too, so that the queue is looked at
 # again after this time.
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -8,6 +8,7 @@
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.events import EventSplitter
 from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
+from amaranthbay.relay.placing import memory_need
 from amaranthbay.relay.plain import REFUSING_STATUSES
 from amaranthbay.relay.refusals import RETRY_SOON, give_up
 
@@ -217,12 +218,14 @@
         self._prefilled = True
         seconds = ctx.clock.monotonic() - started_at
         ctx.outcomes.answered(server.name, seconds)
+        tokens = decoded.unwrap().tokens
+        ctx.demand.note_prefill(call.service.name, tokens, seconds)
         log_event(
             "prefilled",
             request_id=call.request_id,
             backend_server=server.name,
             seconds=round(seconds, 4),
-            tokens=decoded.unwrap().tokens,
+            tokens=tokens,
         )
         return Ok(decoded.unwrap().handle)
 
@@ -331,6 +334,7 @@
         if head.status != OK:
             return self._pass_on(exchange, head)
         self._events.restart()
+        started_at = self._ctx.clock.monotonic()
         log_event(
             "stream_opened",
             request_id=self._call.request_id,
@@ -351,8 +355,14 @@
             self._send(head, rest)
         self._conn.finish_stream()
         self._ctx.outcomes.answered(server.name, 0.0)
+        self._note_demand(self._ctx.clock.monotonic() - started_at)
         return Ok(None)
 
+    def _note_demand(self, seconds):
+        service = self._call.service
+        share = memory_need(self._call.head) / service.engine.memory_tokens
+        self._ctx.demand.note_decode(service.name, share, seconds)
+
     def _next_chunk(self, chunks):
         """Returns the next bytes, or None at the end of the stream."""
         if not self._call.route.resumable:
