Share measured demand and switching servers between daemons

Cause: a server that was switching stayed in the list under its old stage and refused 42 requests; one daemon alone needs long to measure the demand; streams were preempted for want of memory and their prompts computed twice. Ruled out: reserving by the longest answer again.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -74,9 +74,7 @@
         self.backends = BackendPool(adapter.decode_server, self.clock, self.health)
         self.ledger = WorkLedger()
         process = random.SystemRandom().getrandbits(PROCESS_BITS)
-        self.peers = Peers(
-            self._registration(), self.clock, self.ledger.loads, process
-        )
+        self.peers = Peers(self._registration(), self.clock, self._report, process)
         self._budgets = {}
         self.ctx = RelayContext(
             clock=self.clock,
@@ -89,6 +87,7 @@
             outcomes=ServerOutcomes(self.clock),
             budget=self._budget,
             demand=DemandMeter(),
+            switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
@@ -133,6 +132,11 @@
             f"{settings.ip}:{settings.peer_port}",
         )
 
+    def _report(self):
+        """Returns what this process tells its peers."""
+        loads = dict(self.ledger.loads())
+        return loads, self.ctx.demand.own(), self.balancer.switching()
+
     def _client_limits(self):
         table = self.configuration.table
         return table.limits if table is not None else ClientLimits()
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -47,6 +47,7 @@
         self._turn_s = turn_s
         self._unbalanced_at = {}
         self._ordered_at = {}
+        self._switching = {}
 
     def run(self):
         """Balances all services until killed."""
@@ -84,7 +85,8 @@
 
     def _wanted_move(self, service):
         """Returns the stage to move servers to and their number, or None."""
-        demand = self._meter.demand(service.name)
+        of_peers = self._ctx.peers.demands(service.name)
+        demand = self._meter.demand(service.name, of_peers)
         if demand is None:
             return None
         prefill = len(self._ctx.candidates(service.name, Stage.PREFILL))
@@ -121,9 +123,14 @@
         for each in moved:
             if not self._leases.is_held(lease, self._turn_s):
                 return
-            self._send(each.server, stage, lease.fence)
+            self._send(each.server, stage, lease.fence, service.engine.stage_switch_s)
 
-    def _send(self, server, stage, fence):
+    def switching(self):
+        """Returns the servers that are on their way into another pool."""
+        now = self._ctx.clock.monotonic()
+        return tuple(name for name, until in self._switching.items() if now < until)
+
+    def _send(self, server, stage, fence, switch_s):
         codec = self._ctx.codec
         found = self._call(server, *codec.report_request(), b"")
         report = found.and_then(codec.read_report)
@@ -145,6 +152,8 @@
             accepted=answer.is_ok(),
             detail=answer.err(),
         )
+        if answer.is_ok():
+            self._switching[server.name] = self._ctx.clock.monotonic() + switch_s
 
     def _call(self, server, method, path, body):
         """Returns ``Result[bytes, str]``; a status of 300 or more is an error."""
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -12,7 +12,7 @@
 
 from amaranthbay.observe import log_event
 
-__all__ = ["Peers", "PeerStatus", "Registration", "ServerLoad"]
+__all__ = ["MeasuredDemand", "PeerStatus", "Peers", "Registration", "ServerLoad"]
 
 # A fleet of this size reports at the shortest interval; larger ones report less
 # often, so that the datagrams of an instance do not grow with the fleet.
@@ -46,6 +46,20 @@
         )
 
 
+class MeasuredDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon's latest streams of one service took; see `relay.demand`.
+
+    Attributes:
+        prefill_s: Mean seconds of a prefill server.
+        decode_s: Mean seconds of a decode server.
+        streams: Number of streams in the means.
+    """
+
+    prefill_s: float
+    decode_s: float
+    streams: int
+
+
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
     """One datagram: what an instance says of itself.
 
@@ -55,6 +69,8 @@
         sequence: Rises with each report of the process.
         serving: Whether callers may be sent to it.
         loads: `ServerLoad` by backend server, without those that are zero.
+        demands: `MeasuredDemand` by service.
+        switching: Model servers that it has just ordered into another pool.
     """
 
     instance: str
@@ -62,6 +78,8 @@
     sequence: int
     serving: bool
     loads: dict[str, ServerLoad]
+    demands: dict[str, MeasuredDemand] = {}
+    switching: tuple[str, ...] = ()
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -86,20 +104,21 @@
     A status that arrives after a newer one is dropped.
     """
 
-    def __init__(self, own, clock, own_loads, process):
+    def __init__(self, own, clock, report, process):
         """Creates the view.
 
         Args:
             own: `Registration` of this process.
             clock: `Clock`.
-            own_loads: Function that returns this process's loads.
+            report: Function that returns the loads, the demands and the switching
+                servers of this process, as in `PeerStatus`.
             process: Random number of this process. The time of its start would
                 not do, since clocks step back.
         """
         self.own = own
         self.serving = False
         self._clock = clock
-        self._own_loads = own_loads
+        self._report_own = report
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -153,18 +172,31 @@
                 found.append(self._registered[name])
         return found
 
-    def loads(self):
-        """Returns the sum of `ServerLoad` that live peers report, by server."""
+    def statuses(self):
+        """Returns the newest `PeerStatus` of each peer that was heard lately."""
         now = self._clock.monotonic()
         limit_s = MISSED_REPORTS * self.interval_s()
+        return [
+            each.status for each in self._heard.values() if now - each.at <= limit_s
+        ]
+
+    def loads(self):
+        """Returns the sum of `ServerLoad` that peers report, by server."""
         total = {}
-        for heard in self._heard.values():
-            if now - heard.at > limit_s:
-                continue
-            for server, load in heard.status.loads.items():
+        for status in self.statuses():
+            for server, load in status.loads.items():
                 total[server] = total.get(server, ServerLoad()) + load
         return total
 
+    def switching(self):
+        """Returns the model servers that peers have just ordered to switch."""
+        return {name for status in self.statuses() for name in status.switching}
+
+    def demands(self, service):
+        """Returns the `MeasuredDemand` of each peer that has one."""
+        found = [status.demands.get(service) for status in self.statuses()]
+        return [each for each in found if each is not None]
+
     def hear(self, status):
         """Takes a peer's status."""
         if status.instance == self.own.instance:
@@ -173,9 +205,7 @@
         if known is not None and _is_late(status, known.status):
             return
         if known is None or known.status.serving != status.serving:
-            log_event(
-                "member_heard", member=status.instance, serving=status.serving
-            )
+            log_event("member_heard", member=status.instance, serving=status.serving)
         self._heard[status.instance] = _Heard(status, self._clock.monotonic())
 
     def status(self):
@@ -186,7 +216,7 @@
             self._process,
             self._sequence,
             self.serving,
-            dict(self._own_loads()),
+            *self._report_own(),
         )
 
     def start(self):
@@ -235,7 +265,7 @@
 
 def replace_loads(status):
     """Returns a status without its loads, so that it fits into a datagram."""
-    return msgspec.structs.replace(status, loads={})
+    return msgspec.structs.replace(status, loads={}, demands={})
 
 
 def _is_late(status, known):
--- /dev/null
+++ b/amaranthbay/relay/admission.py
@@ -0,0 +1,76 @@
+"""Decides which waiting stream starts next; pure functions.
+
+They answer the load of a burst: more streams arrive than the model servers can begin
+in time. Each stream that begins late takes the place of one that could still begin in
+time, so that late ones start only from spare room.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+__all__ = ["Pressure", "Urgency", "first_event_s", "may_start", "urgency"]
+
+# Transfer of the KV cache and first step of the decode server.
+FIRST_EVENT_S = 0.08
+# Error of the estimate that still counts as in time.
+MARGIN_S = 0.05
+# Part of a decode server's memory up to which late streams may fill it, and the
+# longest prefill queue that they may join.
+LATE_MEMORY_SHARE = 0.75
+LATE_PREFILL_WAIT_S = 0.25
+# Callers that come back after a refusal have less time left than their route gives.
+RETURNED_SHARE = 0.8
+
+
+class Urgency(IntEnum):
+    """Order in which waiting streams start; lower values first."""
+
+    IN_TIME = 0
+    RETURNED = 1
+    LATE = 2
+
+
+@dataclass(frozen=True)
+class Pressure:
+    """How full the servers are that a stream would use.
+
+    Attributes:
+        prefill_wait_s: Time until the prefill server begins with its prompt.
+        prefill_speed: Prompt tokens that it computes in a second.
+        memory_share: Part of the decode server's memory that is taken with it.
+    """
+
+    prefill_wait_s: float
+    prefill_speed: float
+    memory_share: float
+
+
+def first_event_s(prompt_tokens, pressure):
+    """Returns the time from a start to the first event."""
+    compute_s = prompt_tokens / pressure.prefill_speed
+    return pressure.prefill_wait_s + compute_s + FIRST_EVENT_S
+
+
+def urgency(call, wait_s, now):
+    """Returns the `Urgency` of a waiting call.
+
+    Args:
+        call: `Call`.
+        wait_s: Time from a start to its first event.
+        now: Monotonic time.
+    """
+    if now + wait_s <= call.target_at + MARGIN_S:
+        return Urgency.IN_TIME
+    left_s = call.head.deadline_s
+    if left_s is not None and left_s < RETURNED_SHARE * call.route.timeout_s:
+        return Urgency.RETURNED
+    return Urgency.LATE
+
+
+def may_start(rank, pressure):
+    """Returns whether a stream of an `Urgency` may start under a `Pressure`."""
+    if rank is Urgency.IN_TIME:
+        return True
+    if pressure.prefill_wait_s > LATE_PREFILL_WAIT_S:
+        return False
+    return pressure.memory_share <= LATE_MEMORY_SHARE
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -15,7 +15,7 @@
 BUSY_FACTOR = 0.5
 # Part of a decode server's memory that is given away, since blocks and the
 # reports of other daemons leave some of it unknown.
-MEMORY_SHARE = 0.97
+MEMORY_SHARE = 0.94
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -23,6 +23,8 @@
         outcomes: `ServerOutcomes`.
         budget: Function of a service's name that returns its `RepeatBudget`.
         demand: `DemandMeter`.
+        switching: Function that returns the servers that this daemon has ordered
+            into another pool.
         availability_zone: Where the process runs.
     """
 
@@ -36,14 +38,16 @@
     outcomes: object
     budget: object
     demand: object
+    switching: object
     availability_zone: str
 
     def candidates(self, service, stage=None, without=frozenset()):
         """Returns a `Candidate` for each usable server of a service."""
         others = self.peers.loads()
+        unusable = without | self.peers.switching() | set(self.switching())
         found = []
         for server in self.backends.usable(service, stage):
-            if server.name not in without:
+            if server.name not in unusable:
                 found.append(self._candidate(server, others))
         return found
 
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -3,13 +3,17 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from amaranthbay.fleet.peers import MeasuredDemand
+
 __all__ = ["DemandMeter", "StageDemand", "plan_prefill_servers"]
 
 # Streams over which the means are taken, and from which on they are trusted.
 SAMPLES = 60
-LEAST_SAMPLES = 6
+LEAST_SAMPLES = 10
 # Share of the fastest prefills whose speed counts: the others waited in a queue.
 FAST_SHARE = 0.2
+# Prompt tokens a second until a prompt has been computed.
+ASSUMED_SPEED = 30_000.0
 # A queue of prompts delays all first events, while a full decode server only
 # delays the next stream, so that prefill gets a little more than its part.
 PREFILL_BIAS = 0.1
@@ -54,16 +58,44 @@
         """Notes a whole stream and the share of a server's memory that it held."""
         self._of(service).decodes.append(memory_share * seconds)
 
-    def demand(self, service):
-        """Returns the `StageDemand` of a service, or None before enough streams."""
-        samples = self._of(service)
-        if min(len(samples.prompts), len(samples.decodes)) < LEAST_SAMPLES:
+    def prefill_speed(self, service):
+        """Returns the prompt tokens that a prefill server computes in a second."""
+        speeds = self._of(service).speeds
+        if not speeds:
+            return ASSUMED_SPEED
+        fastest = sorted(speeds, reverse=True)
+        return fastest[int(FAST_SHARE * len(fastest))]
+
+    def own(self):
+        """Returns the `MeasuredDemand` of this daemon by service."""
+        found = {}
+        for service, samples in self._samples.items():
+            streams = min(len(samples.prompts), len(samples.decodes))
+            if streams:
+                speed = self.prefill_speed(service)
+                found[service] = MeasuredDemand(
+                    sum(samples.prompts) / len(samples.prompts) / speed,
+                    sum(samples.decodes) / len(samples.decodes),
+                    streams,
+                )
+        return found
+
+    def demand(self, service, of_peers):
+        """Returns the `StageDemand` of a service, or None before enough streams.
+
+        Args:
+            service: Name of the service.
+            of_peers: `MeasuredDemand` of other daemons.
+        """
+        measured = [*of_peers]
+        if service in self.own():
+            measured.append(self.own()[service])
+        streams = sum(each.streams for each in measured)
+        if streams < LEAST_SAMPLES:
             return None
-        fastest = sorted(samples.speeds, reverse=True)
-        speed = fastest[int(FAST_SHARE * len(fastest))]
         return StageDemand(
-            sum(samples.prompts) / len(samples.prompts) / speed,
-            sum(samples.decodes) / len(samples.decodes),
+            sum(each.prefill_s * each.streams for each in measured) / streams,
+            sum(each.decode_s * each.streams for each in measured) / streams,
         )
 
 
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -187,9 +187,7 @@
     return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
 
 
-def control_exchange(
-    pool, codec, server, method, path, body, timeout_s, headers=()
-):
+def control_exchange(pool, codec, server, method, path, body, timeout_s, headers=()):
     """Makes a call of our own to a backend server, which may be repeated.
 
     Args:
--- a/amaranthbay/relay/ledger.py
+++ b/amaranthbay/relay/ledger.py
@@ -28,9 +28,7 @@
         return release
 
     def _subtract(self, server, load):
-        negative = ServerLoad(
-            -load.running, -load.memory_tokens, -load.prefill_tokens
-        )
+        negative = ServerLoad(-load.running, -load.memory_tokens, -load.prefill_tokens)
         left = self._loads[server] + negative
         if left == ServerLoad():
             del self._loads[server]
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -9,6 +9,13 @@
 from amaranthbay.fleet.peers import ServerLoad
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import log_decision
+from amaranthbay.relay.admission import (
+    Pressure,
+    Urgency,
+    first_event_s,
+    may_start,
+    urgency,
+)
 from amaranthbay.relay.choice import choose_decode, choose_prefill
 from amaranthbay.routing import Stage
 
@@ -19,17 +26,16 @@
 POLL_S = 0.03
 # Requests that wait at a daemon; each holds its body and a connection.
 QUEUE_LENGTH = 200
-# Time between the first event and the client's first token that is expected for a
-# prompt that is read at once.
-FIRST_EVENT_S = 0.25
 MIN_RETRY_S = 0.5
+# Prefill queue from which a decode server computes a prompt itself.
+OVERFLOW_S = 0.4
 # Part of an answer's expected length that its run holds on average.
-ANSWER_SHARE = 0.6
+ANSWER_SHARE = 0.75
 # Part of a decode server's memory from which the reports of other daemons are too
 # old to rely on.
 PRESSED_SHARE = 0.6
 # A caller gives up a stream without an event after about four targets.
-HOLD_TARGETS = 2.5
+HOLD_TARGETS = 3.0
 
 
 @dataclass(frozen=True)
@@ -58,13 +64,13 @@
     call: object
     without: frozenset
     ready: AsyncResult
+    taken: bool = False
 
 
 class StreamQueue:
     """Requests that wait for memory of a decode server.
 
-    Under overload, those that can still meet their target go first: their value is
-    lost soonest. The others follow in order of arrival.
+    `relay.admission` says in which order they start.
     """
 
     def __init__(self, ctx):
@@ -103,7 +109,6 @@
         call = waiting.call
         hold_s = HOLD_TARGETS * call.route.target_s
         until = min(call.ends_at, call.arrived_at + hold_s)
-        waiting.taken = False
         while True:
             if waiting.ready.ready():
                 waiting.taken = True
@@ -116,75 +121,108 @@
                 self.advance()
 
     def _overloaded(self, detail):
-        seconds = MIN_RETRY_S + self._ctx.rng.uniform(0.0, 1.0)
+        seconds = MIN_RETRY_S + self._ctx.rng.uniform(0.0, 3.0)
         retry = timedelta(seconds=seconds)
         return not_run(Reason.OVERLOADED, detail, 503, retry)
 
     def advance(self):
-        """Gives servers to the waiting requests that fit, in order."""
+        """Gives servers to the waiting requests that fit, the most urgent first."""
         now = self._ctx.clock.monotonic()
-        for waiting in sorted(self._waiting, key=lambda each: _order(each, now)):
-            placement = self._try(waiting)
-            if placement is None:
+        for rank, _, waiting in self._ranked(now):
+            placement = self._try(waiting, rank)
+            if placement is not None:
+                self._waiting.remove(waiting)
+                waiting.ready.set(placement)
+            elif rank is Urgency.IN_TIME:
                 # A smaller request must not overtake for ever.
                 return
-            self._waiting.remove(waiting)
-            waiting.taken = False
-            waiting.ready.set(placement)
 
-    def _try(self, waiting):
+    def _ranked(self, now):
+        """Returns rank, order in the rank and entry of the waiting, sorted."""
+        ranked = []
+        for index, waiting in enumerate(self._waiting):
+            call = waiting.call
+            prefill = self._best_prefill(call, waiting.without)
+            wait_s = self._prefill_wait_s(call, prefill)
+            pressure = Pressure(wait_s, self._speed(call), 0.0)
+            first_s = first_event_s(call.head.prompt_tokens, pressure)
+            ranked.append((urgency(call, first_s, now), index, waiting))
+        return sorted(ranked, key=lambda each: each[:2])
+
+    def _speed(self, call):
+        return self._ctx.demand.prefill_speed(call.service.name)
+
+    def _best_prefill(self, call, without):
+        prefills = self._ctx.candidates(call.service.name, Stage.PREFILL, without)
+        return choose_prefill(prefills, self._ctx.rng.random())
+
+    def _prefill_wait_s(self, call, prefill):
+        return prefill.prefill_tokens / self._speed(call) if prefill else 0.0
+
+    def _try(self, waiting, rank):
         ctx, call = self._ctx, waiting.call
         engine = call.service.engine
         need = memory_need(call.head)
         decodes = ctx.candidates(call.service.name, Stage.DECODE, waiting.without)
-        decode = choose_decode(
-            decodes, need, engine.memory_tokens, ctx.rng.random()
-        )
+        decode = choose_decode(decodes, need, engine.memory_tokens, ctx.rng.random())
         if decode is None:
             return None
-        prefills = ctx.candidates(call.service.name, Stage.PREFILL, waiting.without)
-        prefill = choose_prefill(prefills, ctx.rng.random())
+        prefill = self._best_prefill(call, waiting.without)
+        wait_s = self._prefill_wait_s(call, prefill)
+        share = (decode.memory_tokens + need) / engine.memory_tokens
+        if not may_start(rank, Pressure(wait_s, self._speed(call), share)):
+            return None
+        if reads_prompt_itself(prefill, decode, wait_s):
+            prefill = None
         log_decision(
             "stream_servers",
             decode.server.name,
             (each.server.name for each in decodes),
             "most free memory",
             request_id=call.request_id,
+            urgency=rank.name.lower(),
             prefill=prefill and prefill.server.name,
-            prefill_tokens=prefill and prefill.prefill_tokens,
+            prefill_wait_s=round(wait_s, 3),
             memory_tokens=decode.memory_tokens,
             need_tokens=need,
-            prompt_tokens=call.head.prompt_tokens,
-            output_tokens=call.head.output_tokens,
-            expected_tokens=call.head.expected_tokens,
             waiting=len(self._waiting),
         )
-        pressed = decode.memory_tokens + need > PRESSED_SHARE * engine.memory_tokens
-        return self._reserve(call, prefill, decode, need, pressed)
+        return self._reserve(call, prefill, decode, need, share > PRESSED_SHARE)
 
     def _reserve(self, call, prefill, decode, need, pressed):
         ledger = self._ctx.ledger
+        tokens = call.head.prompt_tokens
+        reader = (prefill or decode).server
         end_decode = ledger.add(
             decode.server.name, ServerLoad(running=1, memory_tokens=need)
         )
-        if prefill is None:
-            return Placement(
-                None, decode.server, need, pressed, _nothing, end_decode
-            )
-        tokens = call.head.prompt_tokens
-        end_prefill = ledger.add(
-            prefill.server.name, ServerLoad(running=1, prefill_tokens=tokens)
-        )
+        end_prefill = ledger.add(reader.name, ServerLoad(prefill_tokens=tokens))
 
         def release():
             end_prefill()
             end_decode()
 
         return Placement(
-            prefill.server, decode.server, need, pressed, end_prefill, release
+            prefill and prefill.server,
+            decode.server,
+            need,
+            pressed,
+            end_prefill,
+            release,
         )
 
 
+def reads_prompt_itself(prefill, decode, wait_s):
+    """Returns whether the decode server should compute the prompt.
+
+    It does so at half the speed and delays the streams that it runs, which is
+    better than a first event that is late for want of a prefill server.
+    """
+    if prefill is None:
+        return True
+    return wait_s > OVERFLOW_S and decode.prefill_tokens == 0
+
+
 def memory_need(head):
     """Returns the tokens of KV cache that a stream takes on average over its run.
 
@@ -195,12 +233,3 @@
     if head.expected_tokens is not None:
         expected = min(expected, head.expected_tokens)
     return head.prompt_tokens + int(ANSWER_SHARE * expected)
-
-
-def _order(waiting, now):
-    in_time = now + FIRST_EVENT_S <= waiting.call.target_at
-    return not in_time, waiting.call.arrived_at
-
-
-def _nothing():
-    """Has nothing to take back."""
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -163,14 +163,16 @@
             now = ctx.clock.monotonic()
             if chosen is None or now >= call.ends_at:
                 detail = "no backend server can be reached"
-                return Err(
-                    not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON)
-                )
+                return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
             server = chosen.server
             directions = Directions(server.name, call.left_s(now))
             try:
                 exchange = open_exchange(
-                    ctx.connections, ctx.codec, server, call, directions,
+                    ctx.connections,
+                    ctx.codec,
+                    server,
+                    call,
+                    directions,
                     CONNECT_TIMEOUT_S,
                 )
             except ExchangeBroken as exc:
@@ -185,9 +187,7 @@
                 unreachable.add(server.name)
                 continue
             self._tried.add(server.name)
-            self._running.append(
-                gevent.spawn(self._attempt, server, exchange, now)
-            )
+            self._running.append(gevent.spawn(self._attempt, server, exchange, now))
             return Ok(None)
 
     def _attempt(self, server, exchange, started_at):
@@ -268,5 +268,3 @@
     if outcome.is_ok():
         return str(outcome.unwrap().head.status)
     return outcome.unwrap_err().detail
-
-
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -147,9 +147,7 @@
             reason=refusal.reason,
             detail=refusal.detail,
         )
-        conn.answer(
-            refusal.status, headers_of(refusal), body_of(refusal, request_id)
-        )
+        conn.answer(refusal.status, headers_of(refusal), body_of(refusal, request_id))
 
     def _log_end(self, request_id, outcome, arrived_at, **fields):
         seconds = round(self._ctx.clock.monotonic() - arrived_at, MS_DIGITS)
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -171,7 +171,7 @@
             source = self._ctx.codec.kv_source(placement.prefill.address, handle)
         taken = False
         try:
-            outcome = self._decode(placement.decode, source, hold)
+            outcome = self._decode(placement, source, hold)
             taken = outcome.is_ok() or outcome.unwrap_err().verdict is not (
                 Verdict.NOT_RUN
             )
@@ -184,14 +184,12 @@
         """Returns ``Result[str, Refusal]`` with the handle of the KV cache."""
         ctx, call = self._ctx, self._call
         started_at = ctx.clock.monotonic()
-        directions = Directions(
-            server.name, call.left_s(started_at), prefill_only=True
-        )
+        directions = Directions(server.name, call.left_s(started_at), prefill_only=True)
         exchange = None
         try:
-            with gevent.Timeout(PREFILL_TIMEOUT_S, ExchangeBroken(
-                Verdict.NOT_RUN, "prefill_slow"
-            )):
+            with gevent.Timeout(
+                PREFILL_TIMEOUT_S, ExchangeBroken(Verdict.NOT_RUN, "prefill_slow")
+            ):
                 exchange = self._open(server, directions)
                 head = exchange.read_head()
                 body = b"".join(exchange.chunks())
@@ -271,9 +269,10 @@
             not_run=head.traits.not_run,
         )
 
-    def _decode(self, server, source, hold):
+    def _decode(self, placement, source, hold):
         """Returns ``Result[None, Refusal]``; relays events as they arrive."""
         ctx, call = self._ctx, self._call
+        server = placement.decode
         now = ctx.clock.monotonic()
         last_id = self._events.last_id if self._started else None
         directions = Directions(
@@ -291,7 +290,7 @@
             refusal = self._refusal_of(server, head)
             if refusal is not None:
                 return Err(refusal)
-            return self._relay(server, exchange, head)
+            return self._relay(placement, exchange, head)
         except ExchangeBroken as exc:
             self._note_failure(server, exc.reason, exchange)
             if exc.verdict is Verdict.NOT_RUN:
@@ -330,7 +329,7 @@
         may_repeat = self._attempts < self._call.route.max_attempts
         return self._started or (self._call.route.repeatable and may_repeat)
 
-    def _relay(self, server, exchange, head):
+    def _relay(self, placement, exchange, head):
         if head.status != OK:
             return self._pass_on(exchange, head)
         self._events.restart()
@@ -338,7 +337,7 @@
         log_event(
             "stream_opened",
             request_id=self._call.request_id,
-            backend_server=server.name,
+            backend_server=placement.decode.name,
             seconds=round(self._ctx.clock.monotonic() - self._call.arrived_at, 4),
             continued=self._started,
         )
@@ -348,13 +347,14 @@
             if data is None:
                 break
             events = self._events.feed(data)
+            placement.end_prefill()
             if events:
                 self._send(head, events)
         rest = self._events.rest()
         if not self._started or rest:
             self._send(head, rest)
         self._conn.finish_stream()
-        self._ctx.outcomes.answered(server.name, 0.0)
+        self._ctx.outcomes.answered(placement.decode.name, 0.0)
         self._note_demand(self._ctx.clock.monotonic() - started_at)
         return Ok(None)
 
