Plan the pools by the fastest prefills, with hysteresis

Cause: a daemon that had seen few prompts took their time in the queue for the time of the prefill, and ordered a decode server away. Ruled out: more samples alone; the time in the queue stays in the mean.

--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -47,6 +47,7 @@
         self._turn_s = turn_s
         self._unbalanced_at = {}
         self._ordered_at = {}
+        self._plans = {}
         self._switching = {}
 
     def run(self):
@@ -91,7 +92,19 @@
             return None
         prefill = len(self._ctx.candidates(service.name, Stage.PREFILL))
         decode = len(self._ctx.candidates(service.name, Stage.DECODE))
-        wanted = plan_prefill_servers(prefill + decode, demand)
+        wanted = plan_prefill_servers(prefill, decode, demand)
+        plan = (prefill, decode, wanted)
+        if plan != self._plans.get(service.name):
+            self._plans[service.name] = plan
+            log_event(
+                "stage_plan",
+                service=service.name,
+                prefill=prefill,
+                decode=decode,
+                wanted_prefill=wanted,
+                prefill_s=round(demand.prefill_s, 3),
+                decode_s=round(demand.decode_s, 3),
+            )
         if prefill > wanted:
             return Stage.DECODE, prefill - wanted
         if prefill < wanted:
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -50,12 +50,14 @@
     """What a daemon's latest streams of one service took; see `relay.demand`.
 
     Attributes:
-        prefill_s: Mean seconds of a prefill server.
+        prompt_tokens: Mean length of a prompt.
+        prefill_speed: Prompt tokens that a prefill server computes in a second.
         decode_s: Mean seconds of a decode server.
         streams: Number of streams in the means.
     """
 
-    prefill_s: float
+    prompt_tokens: float
+    prefill_speed: float
     decode_s: float
     streams: int
 
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -9,7 +9,7 @@
 
 # Streams over which the means are taken, and from which on they are trusted.
 SAMPLES = 60
-LEAST_SAMPLES = 10
+LEAST_SAMPLES = 30
 # Share of the fastest prefills whose speed counts: the others waited in a queue.
 FAST_SHARE = 0.2
 # Prompt tokens a second until a prompt has been computed.
@@ -17,6 +17,9 @@
 # A queue of prompts delays all first events, while a full decode server only
 # delays the next stream, so that prefill gets a little more than its part.
 PREFILL_BIAS = 0.1
+# Servers by which a pool may miss its ideal size: a switch takes seconds in which the
+# server serves neither pool.
+HYSTERESIS = 0.6
 
 
 @dataclass(frozen=True)
@@ -72,9 +75,9 @@
         for service, samples in self._samples.items():
             streams = min(len(samples.prompts), len(samples.decodes))
             if streams:
-                speed = self.prefill_speed(service)
                 found[service] = MeasuredDemand(
-                    sum(samples.prompts) / len(samples.prompts) / speed,
+                    sum(samples.prompts) / len(samples.prompts),
+                    self.prefill_speed(service),
                     sum(samples.decodes) / len(samples.decodes),
                     streams,
                 )
@@ -93,28 +96,36 @@
         streams = sum(each.streams for each in measured)
         if streams < LEAST_SAMPLES:
             return None
+        prompt = sum(each.prompt_tokens * each.streams for each in measured) / streams
+        # A daemon with few prompts may have seen only those that waited in a queue.
+        speed = max(each.prefill_speed for each in measured)
         return StageDemand(
-            sum(each.prefill_s * each.streams for each in measured) / streams,
+            prompt / speed,
             sum(each.decode_s * each.streams for each in measured) / streams,
         )
 
 
-def plan_prefill_servers(servers, demand):
+def plan_prefill_servers(prefill, decode, demand):
     """Returns how many of a service's servers should serve prefill.
 
     Both stages then reach their limit at the same load.
 
     Args:
-        servers: Number of servers of both stages.
+        prefill: Servers that serve prefill now.
+        decode: Servers that serve decode now.
         demand: `StageDemand`.
 
     Examples:
-        >>> plan_prefill_servers(5, StageDemand(0.1, 0.4))
+        >>> plan_prefill_servers(2, 3, StageDemand(0.1, 0.4))
         1
-        >>> plan_prefill_servers(30, StageDemand(0.1, 0.5))
+        >>> plan_prefill_servers(11, 19, StageDemand(0.1, 0.5))
         5
     """
+    servers = prefill + decode
     if servers < 2:
-        return 0
+        return prefill
     share = demand.prefill_s / (demand.prefill_s + demand.decode_s)
-    return max(1, min(servers - 1, round(servers * share + PREFILL_BIAS)))
+    ideal = servers * share + PREFILL_BIAS
+    if prefill and decode and abs(ideal - prefill) <= HYSTERESIS:
+        return prefill
+    return max(1, min(servers - 1, round(ideal)))
