Test the entry process before stand-ins of the platform

Ruled out: fakes below the sockets; most faults found so far lay in reads and closes. Before: a complete head over the limit was served, and a server without a measured answer was never tried beside fast ones; both were found by these tests. After: 32 tests of plain calls and streams pass.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -120,6 +120,7 @@
         self.draining = False
         self._jobs = []
         self._orders = []
+        self._followers = []
         self._servers = []
 
     def _registration(self):
@@ -196,9 +197,11 @@
         self._servers.append(server)
 
     def _follow(self, table, view, watches=False):
-        TableFollower(
+        follower = TableFollower(
             self.store, table, view, self.health, self.clock, self.rng, watches
-        ).start()
+        )
+        follower.start()
+        self._followers.append(follower)
 
     def _register(self):
         """Writes this instance's row, so that the others find it."""
@@ -221,6 +224,16 @@
             self.ctx.connections.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
+    def close(self):
+        """Ends all jobs at once, as in tests."""
+        gevent.killall(self._jobs + self._orders)
+        self.listener.close()
+        for follower in self._followers:
+            follower.stop()
+        for server in self._servers:
+            server.stop()
+        self.peers.close()
+
     def run(self):
         """Serves until a stop is requested, then drains."""
         self.start()
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -229,6 +229,12 @@
         self._socket.bind((host, int(port)))
         return (gevent.spawn(self._receive), gevent.spawn(self._report))
 
+    def close(self):
+        """Closes the socket."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
     def announce(self):
         """Reports at once, as after a change of `serving`."""
         if self._socket is None:
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -174,6 +174,12 @@
         """Follows the table in a greenlet."""
         self._job = gevent.spawn(self._run)
 
+    def stop(self):
+        """Ends the greenlet."""
+        if self._job is not None:
+            self._job.kill()
+            self._job = None
+
     def _restart(self):
         """Asks again: a question from before the loss may never be answered."""
         if self._job is not None:
--- /dev/null
+++ b/amaranthbay/platform/tests/fleet.py
@@ -0,0 +1,255 @@
+"""Fixtures: an entry daemon in this process before stand-ins of the platform."""
+
+import contextlib
+import random
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+
+from amaranthbay.daemon.entry import EntryDaemon
+from amaranthbay.fleet.settings import EntrySettings, Limits, StoreLimits
+from amaranthbay.platform.adapter import PlatformAdapter
+from amaranthbay.platform.tests.standins import (
+    StoreStandin,
+    WorkerStandin,
+    serve_http,
+)
+from amaranthbay.utils.testing import free_port, wait_until
+
+__all__ = ["Answer", "Fleet", "call", "call_raw", "read_answer", "small_fleet"]
+
+HOST = "shop.example"
+READ_BYTES = 65536
+ANSWER_BOUND_S = 10.0
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer as a caller sees it.
+
+    Attributes:
+        status: HTTP status; None if the connection ended without an answer.
+        headers: Values by lower-case name.
+        body: Bytes of the body as far as they came.
+        complete: Whether the body's end was marked.
+    """
+
+    status: int | None
+    headers: dict
+    body: bytes
+    complete: bool
+
+
+def route(name, prefix, kind, service, **fields):
+    """Returns a route of the operator's configuration."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 200,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+    } | fields
+
+
+def configuration(version=1, **route_fields):
+    """Returns an operator's configuration with a route of each kind."""
+    stream = {"Sticky": True, "GapAimMs": 300, "TargetLatencyMs": 1000}
+    return {
+        "Version": version,
+        "Routes": [
+            route("look", "/look/", "safe", "desk", **route_fields),
+            route("book", "/book/", "unsafe", "desk", MaxAttempts=1),
+            route("sum", "/sum/", "streaming", "lm", MaxAttempts=1, **stream),
+            route("resume", "/resume/", "streaming", "lm", Resumable=True, **stream),
+        ],
+        "Services": [
+            {"Name": "desk", "HealthPath": "/health", "MaxConnections": 50},
+            {
+                "Name": "lm",
+                "MaxConnections": 50,
+                "Engine": {
+                    "Slots": 8,
+                    "KvCapacity": 10000,
+                    "KvTokenBytes": 100,
+                    "LinkMbps": 1000.0,
+                    "KvHoldS": 0.5,
+                    "RoleSwitchS": 6.0,
+                    "HoldMs": 2000.0,
+                },
+            },
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 4096,
+            "MaxBodyBytes": 20000,
+            "HeaderTimeoutMs": 500,
+            "IdleTimeoutMs": 2000,
+        },
+    }
+
+
+@dataclass
+class Fleet:
+    """A daemon with its store and servers."""
+
+    store: StoreStandin
+    daemon: EntryDaemon = None
+    workers: dict = field(default_factory=dict)
+    addresses: dict = field(default_factory=dict)
+
+    @property
+    def address(self):
+        return self.daemon.settings.caller_address
+
+    def entry(self, name, service, stage=None, state="ready", address=None):
+        """Writes a server's entry."""
+        self.store.put(
+            "servers",
+            name,
+            {
+                "Service": service,
+                "Address": address or self.addresses[name],
+                "Zone": "zone-a",
+                "Version": "v1",
+                "Slots": 8,
+                "State": state,
+                "ColdRemainingMs": 0,
+                "Sequence": 1,
+            }
+            | ({"Stage": stage} if stage else {}),
+        )
+
+    def knows(self, service, count, stage=None):
+        """Waits until the daemon uses that many servers."""
+        wait_until(
+            lambda: len(self.daemon.backends.usable(service, stage)) == count
+        )
+
+
+def settings_of(store_address, instance="entry-1", lookup=True):
+    """Returns settings of a daemon on loopback."""
+    return EntrySettings(
+        instance=instance,
+        ip="127.0.0.1",
+        availability_zone="zone-a",
+        region="region-1",
+        regions={"zone-a": "region-1"},
+        caller_address=f"127.0.0.1:{free_port()}",
+        ready_address=f"127.0.0.1:{free_port()}",
+        lookup_address=f"127.0.0.1:{free_port()}" if lookup else "",
+        peer_port=free_port(),
+        metrics_port=free_port(),
+        store=StoreLimits(store_address, 400.0, 2000.0),
+        limits=Limits(),
+        drain_s=2.0,
+        stop_s=4.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        retry_allowance=10.0,
+        order_turn_s=3.0,
+        lookup_ttl_s=5.0,
+    )
+
+
+@contextlib.contextmanager
+def small_fleet(plain=("desk-1",), prefill=("pre-1",), decode=("dec-1",), **fields):
+    """Runs a daemon before stand-ins; yields the `Fleet`.
+
+    Args:
+        plain: Names of plain servers.
+        prefill: Names of prefill servers.
+        decode: Names of decode servers.
+        **fields: Fields of the route of repeatable plain calls.
+    """
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(StoreStandin())
+        store_address = stack.enter_context(serve_http(fleet.store.answer))
+        fleet.store.put("op", "config", configuration(**fields))
+        stages = [(plain, "desk", None), (prefill, "lm", "prefill")]
+        for names, service, stage in [*stages, (decode, "lm", "decode")]:
+            for name in names:
+                worker = WorkerStandin(name, stage=stage)
+                fleet.workers[name] = worker
+                address = stack.enter_context(serve_http(worker.answer))
+                fleet.addresses[name] = address
+                fleet.entry(name, service, stage)
+        fleet.daemon = EntryDaemon(
+            settings_of(store_address), PlatformAdapter(), rng=random.Random(1)
+        )
+        fleet.daemon.start()
+        stack.callback(fleet.daemon.close)
+        fleet.knows("desk", len(plain))
+        fleet.knows("lm", len(prefill) + len(decode))
+        wait_until(fleet.daemon.is_ready)
+        yield fleet
+
+
+def request(path, method="GET", body=b"", headers=(), host=HOST, attempt="a1"):
+    """Returns the bytes of a caller's request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    lines.append(f"X-Attempt-Id: {attempt}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_request(path, attempt="a1", headers=()):
+    """Returns the bytes of a request for a stream."""
+    tokens = (("X-Token-Count", "100,40"), ("X-Prompt-Prefix", "1f:100"))
+    return request(path, "POST", b"prompt", (*tokens, *headers), attempt=attempt)
+
+
+def call(fleet, path, method="GET", body=b"", headers=(), **fields):
+    """Sends a plain request on a new connection and returns the `Answer`."""
+    return call_raw(fleet.address, request(path, method, body, headers, **fields))
+
+
+def call_raw(address, frame):
+    """Sends bytes on a new connection and returns the `Answer`."""
+    with connect(address) as sock:
+        sock.sendall(frame)
+        return read_answer(sock)
+
+
+def connect(address):
+    """Returns a connection of a caller."""
+    host, port = address.split(":")
+    sock = socket.create_connection((host, int(port)), ANSWER_BOUND_S)
+    sock.settimeout(ANSWER_BOUND_S)
+    return sock
+
+
+def read_answer(sock):
+    """Reads one answer from a connection."""
+    import h11
+
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    status, headers, body = None, {}, b""
+    while True:
+        try:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(sock.recv(READ_BYTES))
+                continue
+        except (OSError, h11.RemoteProtocolError):
+            return Answer(status, headers, body, False)
+        if type(event) is h11.Response:
+            status = event.status_code
+            headers = {n.decode(): v.decode() for n, v in event.headers}
+        elif type(event) is h11.Data:
+            body += bytes(event.data)
+        else:
+            complete = type(event) is h11.EndOfMessage
+            return Answer(status, headers, body, complete)
+
+
+def spawn_call(fleet, *args, **kwargs):
+    """Starts a call; its value is the `Answer`."""
+    return gevent.spawn(call, fleet, *args, **kwargs)
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -0,0 +1,293 @@
+"""Plain calls through an entry daemon: byte-exact, at most once, told truly."""
+
+import gevent
+
+from amaranthbay.platform.tests.fleet import (
+    call,
+    call_raw,
+    connect,
+    read_answer,
+    request,
+    small_fleet,
+)
+from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.utils.testing import collect, wait_until
+
+
+def test_request_and_answer_pass_unchanged(case):
+    """Guards against decoded paths, lost queries and changed bodies or headers."""
+    fleet = case.enterContext(small_fleet())
+    path = "/look/a%2Fb/..%20/x?q=1&q=%31"
+    answer = call(fleet, path, "PUT", b"\x00body", (("X-Other", "kept"),))
+    received = fleet.workers["desk-1"].received[0]
+    case.assertEqual(received.target, path)
+    case.assertEqual((received.method, received.body), ("PUT", b"\x00body"))
+    case.assertEqual(received.headers["x-other"], "kept")
+    case.assertEqual(received.headers["x-attempt-id"], "a1")
+    case.assertEqual(received.headers["x-expect-instance"], "desk-1")
+    case.assertEqual(answer.body, b"body of desk-1")
+    case.assertEqual(answer.headers["x-response-stamp"], "stamp-desk-1")
+
+
+def test_router_headers_of_a_caller_are_dropped(case):
+    """Guards against callers who steer the engines, or name another server."""
+    fleet = case.enterContext(small_fleet())
+    own = {
+        "X-Serving-Stage": "prefill",
+        "X-Kv-Source": "10.0.0.1:1/h",
+        "X-Kv-Hold": "k",
+        "X-Kv-Backup": "10.0.0.1:1",
+        "X-Pin-Ms": "500",
+        "X-Request-Urgency": "0",
+        "Kv-Fetch": "10.0.0.1:1",
+        "X-Expect-Instance": "other",
+    }
+    call(fleet, "/look/x", headers=tuple(own.items()))
+    sent = fleet.workers["desk-1"].received[0].headers
+    case.assertEqual(sent["x-expect-instance"], "desk-1")
+    kept = {name for name in own if name.lower() in sent}
+    case.assertEqual(kept, {"X-Expect-Instance"})
+
+
+def test_deadline_that_is_passed_on_is_what_is_left(case):
+    """Guards against servers that work longer than the caller waits."""
+    fleet = case.enterContext(small_fleet())
+    call(fleet, "/look/x", headers=(("X-Deadline-Ms", "900"),))
+    call(fleet, "/look/y")
+    first, second = fleet.workers["desk-1"].received
+    case.assertLessEqual(int(first.headers["x-deadline-ms"]), 900)
+    case.assertGreater(int(first.headers["x-deadline-ms"]), 300)
+    case.assertLessEqual(int(second.headers["x-deadline-ms"]), 3000)
+
+
+def test_connection_is_used_again_without_waiting_for_input(case):
+    """Guards against a check of an idle connection that waits for bytes."""
+    fleet = case.enterContext(small_fleet())
+    for number in range(3):
+        answer = call(fleet, "/look/x", attempt=f"a{number}")
+        case.assertEqual(answer.status, 200)
+    pool = fleet.daemon.ctx.connections
+    case.assertEqual([conn.uses for conn in pool._idle["desk-1"]], [3])
+
+
+def test_many_requests_on_one_connection(case):
+    """Guards against an event watcher that hides the events of a later socket."""
+    fleet = case.enterContext(small_fleet())
+    with connect(fleet.address) as sock:
+        for number in range(5):
+            sock.sendall(request("/look/x", attempt=f"a{number}"))
+            case.assertEqual(read_answer(sock).status, 200)
+            call(fleet, "/look/y", attempt=f"b{number}")
+
+
+def test_refused_call_is_repeated_elsewhere_or_refused(case):
+    """Guards against losing what a full server has refused, and against more
+    servers than the route allows."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    shed = Reply(503, (("X-Not-Executed", "1"),))
+    for worker in ("desk-1", "desk-2"):
+        fleet.workers[worker].replies.append(shed)
+    answer = call(fleet, "/book/x", "POST", b"1")
+    case.assertEqual(answer.status, 503)
+    case.assertGreater(float(answer.headers["retry-after"]), 0)
+    asked = [len(fleet.workers[name].received) for name in ("desk-1", "desk-2")]
+    case.assertEqual(sum(asked), 1)
+    answer = call(fleet, "/look/x")
+    case.assertEqual(answer.status, 200)
+
+
+def test_lost_answer_of_a_non_idempotent_call_promises_nothing(case):
+    """Guards against running an order twice, or calling it not run."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    for name in ("desk-1", "desk-2"):
+        fleet.workers[name].replies.append(None)
+    answer = call(fleet, "/book/x", "POST", b"1")
+    case.assertEqual(answer.status, 502)
+    case.assertNotIn("retry-after", answer.headers)
+    asked = [len(fleet.workers[name].received) for name in ("desk-1", "desk-2")]
+    case.assertEqual(sum(asked), 1)
+
+
+def test_lost_answer_of_an_idempotent_call_is_asked_elsewhere(case):
+    """Guards against failing a lookup that another server can answer."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    fleet.workers["desk-1"].replies.append(None)
+    fleet.workers["desk-2"].replies.append(None)
+    case.assertEqual(call(fleet, "/look/x").status, 502)
+    fleet.workers["desk-1"].replies.append(None)
+    case.assertEqual(call(fleet, "/look/x", attempt="a2").status, 200)
+
+
+def test_server_failure_is_passed_on_only_if_no_other_succeeds(case):
+    """Guards against a failure that one more attempt would have mended."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    workers = [fleet.workers[name] for name in ("desk-1", "desk-2")]
+
+    def fail(worker):
+        return lambda req: worker.reply(req, 500, b"broken")
+
+    for worker in workers:
+        worker.replies.append(fail(worker))
+    answer = call(fleet, "/look/x")
+    case.assertEqual((answer.status, answer.body), (500, b"broken"))
+    case.assertIn("x-response-stamp", answer.headers)
+
+
+def test_refusing_status_without_a_promise_becomes_a_failure(case):
+    """Guards against passing on a 503 of a server that may have run the call."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    for status in (503, 429, 408):
+        worker.replies.append(lambda req, status=status: worker.reply(req, status))
+        case.assertEqual(call(fleet, "/book/x", "POST", b"1").status, 502)
+
+
+def test_success_without_signature_is_no_success(case):
+    """Guards against passing on an answer that no server has made."""
+    fleet = case.enterContext(small_fleet())
+    fleet.workers["desk-1"].replies.append(Reply(200, body=b"forged"))
+    case.assertEqual(call(fleet, "/book/x", "POST", b"1").status, 502)
+
+
+def test_broken_answers_are_never_passed_on_as_whole(case):
+    """Guards against cut, unframed and garbled answers that look complete."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n"
+    cut = (
+        Reply(raw=head + b"Content-Length: 10\r\n\r\nhalf", cut=True),
+        Reply(raw=b"\x00\x01 garbage\r\n\r\n", cut=True),
+        Reply(raw=head + b"Transfer-Encoding: chunked\r\n\r\n4\r\nha", cut=True),
+    )
+    for reply in cut:
+        worker.replies.append(reply)
+        case.assertEqual(call(fleet, "/book/x", "POST", b"1").status, 502)
+
+
+def test_answer_that_ends_with_its_connection_is_whole(case):
+    """Guards against rejecting an answer without a length."""
+    fleet = case.enterContext(small_fleet())
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n\r\n"
+    fleet.workers["desk-1"].replies.append(Reply(raw=head + b"to the end", cut=True))
+    answer = call(fleet, "/book/x", "POST", b"1")
+    case.assertEqual((answer.status, answer.body), (200, b"to the end"))
+
+
+def test_second_answer_is_not_given_to_the_next_caller(case):
+    """Guards against an extra answer that waits on a kept connection."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    extra = (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n"
+        b"Content-Length: 5\r\n\r\nextra"
+    )
+    worker.replies.append(lambda req: worker.reply(req, body=b"one", extra=extra))
+    case.assertEqual(call(fleet, "/look/x").body, b"one")
+    answer = call(fleet, "/look/x", attempt="a2")
+    case.assertEqual(answer.body, b"body of desk-1")
+
+
+def test_late_answer_of_an_earlier_call_is_skipped(case):
+    """Guards against mixing up answers that arrive just before the right one."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    late = (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Response-Stamp: s\r\n"
+        b"Content-Length: 3\r\n\r\nold"
+    )
+    right = late.replace(b"old", b"a1").replace(b"h: 3", b"h: 2")
+    worker.replies.append(Reply(raw=late + right))
+    answer = call(fleet, "/book/x", "POST", b"1")
+    case.assertEqual((answer.status, answer.body), (200, b"a1"))
+
+
+def test_address_of_another_server_is_not_used(case):
+    """Guards against work for a server that took over an address."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1",)))
+    fleet.entry("desk-0", "desk", address=fleet.addresses["desk-1"])
+    fleet.knows("desk", 2)
+    for number in range(6):
+        answer = call(fleet, "/look/x", attempt=f"a{number}")
+        case.assertEqual(answer.status, 200)
+    fleet.knows("desk", 1)
+
+
+def test_unreachable_server_costs_no_attempt(case):
+    """Guards against refusing a call that was sent to nobody yet."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1",)))
+    fleet.entry("desk-0", "desk", address="127.0.0.1:9")
+    fleet.knows("desk", 2)
+    for number in range(4):
+        answer = call(fleet, "/book/x", "POST", b"1", attempt=f"a{number}")
+        case.assertEqual(answer.status, 200)
+
+
+def test_caller_that_leaves_ends_the_call_at_the_server(case):
+    """Guards against servers that work for nobody."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    ended = []
+
+    def hang(req):
+        try:
+            gevent.sleep(5)
+        finally:
+            ended.append(req.target)
+        return worker.reply(req)
+
+    worker.replies.append(hang)
+    with connect(fleet.address) as sock:
+        sock.sendall(request("/book/x", "POST", b"1"))
+        wait_until(lambda: fleet.daemon.ledger.loads())
+    wait_until(lambda: not fleet.daemon.ledger.loads())
+    wait_until(lambda: not fleet.daemon.listener.busy)
+
+
+def test_answer_comes_when_the_time_is_over(case):
+    """Guards against holding a request past its route's timeout."""
+    fleet = case.enterContext(small_fleet(TimeoutMs=300, MaxAttempts=1))
+    worker = fleet.workers["desk-1"]
+    worker.replies.append(lambda req: gevent.sleep(3) or worker.reply(req))
+    answer = call(fleet, "/look/x")
+    case.assertEqual(answer.status, 504)
+
+
+def test_bad_requests_get_a_clear_answer(case):
+    """Guards against smuggling, endless heads and bodies beyond the limits."""
+    fleet = case.enterContext(small_fleet())
+    long_head = request("/look/x", headers=(("X-Long", "x" * 5000),))
+    two_lengths = request(
+        "/look/x", "POST", headers=(("Content-Length", "3"), ("Content-Length", "4"))
+    )
+    both_framings = request(
+        "/look/x",
+        "POST",
+        headers=(("Content-Length", "3"), ("Transfer-Encoding", "chunked")),
+    )
+    frames = {
+        "long head": (long_head, 431),
+        "two lengths": (two_lengths + b"abcd", 400),
+        "large body": (request("/look/x", "POST", b"x" * 20001), 413),
+        "no HTTP": (b"hello\r\n\r\n", 400),
+        "no route": (request("/nowhere/x"), 404),
+        "no host": (request("/look/x", host="other.example"), 404),
+    }
+    for name, (frame, status) in frames.items():
+        with case.subTest(name):
+            case.assertEqual(call_raw(fleet.address, frame).status, status)
+    # The chunked framing wins, so the length and what follows name no request.
+    smuggled = both_framings + b"0\r\n\r\nGET /book/smuggled HTTP/1.1\r\n\r\n"
+    call_raw(fleet.address, smuggled)
+    targets = [each.target for each in fleet.workers["desk-1"].received]
+    case.assertNotIn("/book/smuggled", targets)
+
+
+def test_slow_head_is_ended(case):
+    """Guards against connections that are held by a head without an end."""
+    fleet = case.enterContext(small_fleet())
+    with connect(fleet.address) as sock:
+        sock.sendall(b"GET /look/x HTTP/1.1\r\n")
+        case.assertEqual(read_answer(sock).status, 408)
+
+
+load_tests = collect(globals())
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -0,0 +1,162 @@
+"""Streams through an entry daemon: prefill, decode, order and continuation."""
+
+import gevent
+
+from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.platform.tests.fleet import (
+    call_raw,
+    connect,
+    small_fleet,
+    stream_request,
+)
+from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.utils.testing import collect, wait_until
+
+
+def events(first, last):
+    """Returns the bytes of events by their ids."""
+    return b"".join(
+        f"id: {number}\ndata: piece {number}\n\n".encode()
+        for number in range(first, last + 1)
+    )
+
+
+def test_prompt_is_computed_at_prefill_and_streamed_by_decode(case):
+    """Guards against prompts that the decode servers have to compute."""
+    fleet = case.enterContext(small_fleet())
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(answer.body, events(1, 3))
+    prefill = fleet.workers["pre-1"].received[0].headers
+    decode = fleet.workers["dec-1"].received[0].headers
+    case.assertEqual(prefill["x-serving-stage"], "prefill")
+    case.assertEqual(decode["x-kv-source"], f"{fleet.addresses['pre-1']}/h0")
+    case.assertNotIn("x-serving-stage", decode)
+    wait_until(lambda: not fleet.daemon.ledger.loads())
+
+
+def test_events_are_passed_on_as_they_arrive(case):
+    """Guards against a stream that is collected before it is sent."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.append(lambda req: worker.stream(req, pause_s=0.5))
+    with connect(fleet.address) as sock:
+        sock.sendall(stream_request("/sum/x"))
+        first = b""
+        while b"piece 1" not in first:
+            first += sock.recv(4096)
+        case.assertNotIn(b"piece 3", first)
+
+
+def test_broken_stream_never_looks_complete(case):
+    """Guards against the end of a stream that its server has not sent."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.append(lambda req: worker.stream(req, last=2, cut=True))
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual((answer.status, answer.complete), (200, False))
+    case.assertEqual(answer.body, events(1, 2))
+    case.assertEqual(len(worker.received), 1)
+
+
+def test_resumable_stream_continues_at_another_server(case):
+    """Guards against lost, repeated and torn events at the seam."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+        worker.events = 4
+        worker.replies.append(_break_off_unless_resumed(worker))
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(answer.body, events(1, 4))
+
+
+def _break_off_unless_resumed(worker):
+    """Returns a reply that breaks off in the middle of an event."""
+
+    def reply(req):
+        if "last-event-id" in req.headers:
+            return worker.stream(req)
+        torn = (events(1, 1), b"id: 2\ndata: pie")
+        return worker.reply(req, chunks=torn, cut=True)
+
+    return reply
+
+
+def test_stream_that_may_not_run_twice_is_sent_to_one_decode_server(case):
+    """Guards against a second run after a broken answer."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    for name in ("dec-1", "dec-2"):
+        fleet.workers[name].replies.append(None)
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual(answer.status, 502)
+    asked = [len(fleet.workers[name].received) for name in ("dec-1", "dec-2")]
+    case.assertEqual(sum(asked), 1)
+
+
+def test_prefill_that_nobody_takes_is_freed(case):
+    """Guards against KV cache that stays held after a refusal."""
+    fleet = case.enterContext(small_fleet())
+    full = Reply(503, (("X-Not-Executed", "1"),))
+    fleet.workers["dec-1"].replies.append(full)
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual(answer.status, 503)
+    case.assertIn("retry-after", answer.headers)
+    wait_until(lambda: "DELETE /kv-handle/h0" in fleet.workers["pre-1"].control)
+
+
+def test_caller_that_leaves_during_prefill_frees_everything(case):
+    """Guards against engine memory that is held for a caller who has gone."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.append(lambda req: gevent.sleep(5) or worker.stream(req))
+    with connect(fleet.address) as sock:
+        sock.sendall(stream_request("/sum/x"))
+        wait_until(lambda: worker.received)
+    wait_until(lambda: not fleet.daemon.ledger.loads())
+    wait_until(lambda: "DELETE /kv-handle/h0" in fleet.workers["pre-1"].control)
+
+
+def test_decode_server_computes_the_prompt_without_prefill_servers(case):
+    """Guards against refusing streams while the prefill pool is empty."""
+    fleet = case.enterContext(small_fleet(prefill=()))
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual((answer.status, answer.body), (200, events(1, 3)))
+    sent = fleet.workers["dec-1"].received[0].headers
+    case.assertNotIn("x-kv-source", sent)
+
+
+def test_room_is_reserved_before_the_prefill_under_pressure(case):
+    """Guards against prompts computed for a decode server without room."""
+    fleet = case.enterContext(small_fleet())
+    release = fleet.daemon.ledger.add("dec-1", ServerLoad(1, 8000, 0))
+    case.addCleanup(release)
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual(answer.status, 200)
+    case.assertIn("POST /hold-take", fleet.workers["dec-1"].control)
+    sent = fleet.workers["dec-1"].received[0].headers
+    case.assertEqual(sent["x-kv-hold"], "k1")
+
+
+def test_refused_reservation_computes_no_prompt(case):
+    """Guards against a prefill whose result no server can take."""
+    fleet = case.enterContext(small_fleet())
+    release = fleet.daemon.ledger.add("dec-1", ServerLoad(1, 8000, 0))
+    case.addCleanup(release)
+    fleet.workers["dec-1"].hold_status = 503
+    frame = stream_request("/sum/x", headers=(("X-Deadline-Ms", "800"),))
+    answer = call_raw(fleet.address, frame)
+    case.assertEqual(answer.status, 503)
+    case.assertEqual(fleet.workers["pre-1"].received, [])
+
+
+def test_stream_is_refused_at_once_without_decode_servers(case):
+    """Guards against holding what can't be served until its deadline."""
+    fleet = case.enterContext(small_fleet(decode=()))
+    answer = call_raw(fleet.address, stream_request("/sum/x"))
+    case.assertEqual(answer.status, 503)
+    case.assertGreater(float(answer.headers["retry-after"]), 0)
+    case.assertEqual(fleet.workers["pre-1"].received, [])
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -6,7 +6,8 @@
 
 # A failing server counts as this many times slower at a failure share of one.
 FAILURE_FACTOR = 30.0
-# Time that a server without a measured answer is assumed to take.
+# Time that servers are assumed to take before any of them was measured. Later, one
+# that was not measured yet counts like the fastest, so that it is tried.
 UNKNOWN_LATENCY_S = 0.025
 # Delay and price of another availability zone, as time.
 ZONE_PENALTY_S = 0.012
@@ -52,11 +53,13 @@
         candidates: `Candidate` of each server that may be used.
         draw: Number from 0 to 1 that settles ties.
     """
-    return _lowest(candidates, _plain_cost, draw)
+    known = [each.latency_s for each in candidates if each.latency_s]
+    assumed_s = min(known, default=UNKNOWN_LATENCY_S)
+    return _lowest(candidates, lambda each: _plain_cost(each, assumed_s), draw)
 
 
-def _plain_cost(each):
-    latency_s = each.latency_s or UNKNOWN_LATENCY_S
+def _plain_cost(each, assumed_s):
+    latency_s = each.latency_s or assumed_s
     wait = 1 + BUSY_FACTOR * each.running
     cost_s = latency_s * wait * (1 + FAILURE_FACTOR * each.failure**2)
     return cost_s + (0.0 if each.near else ZONE_PENALTY_S)
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -142,7 +142,11 @@
             self._http.receive_data(data)
         with gevent.Timeout(limits.header_timeout_s, _Rejected(408)):
             event = self._next_event()
-        return event if type(event) is h11.Request else None
+        if type(event) is not h11.Request:
+            return None
+        if _head_bytes(event) > limits.header_bytes:
+            raise _Rejected(431)
+        return event
 
     def _receive_first(self, idle_s):
         self.sock.settimeout(idle_s)
@@ -248,6 +252,12 @@
         self.sock.close()
 
 
+def _head_bytes(head):
+    """Returns the size of a head, which the parser bounds only while it is cut."""
+    sizes = [len(name) + len(value) for name, value in head.headers]
+    return len(head.target) + sum(sizes)
+
+
 def _may_have_body(status):
     return status >= 200 and status not in (204, 304)
 
