Connect to the decode server before the prefill

Cause: prompts were computed for decode servers that could not be reached any more or whose address another server had taken. Ruled out: shorter connect timeouts alone; the first stream of each daemon still lost its prompt.

--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -10,6 +10,7 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.routing import Stage
 from amaranthbay.utils.testing import collect, wait_until
 
 
@@ -105,6 +106,17 @@
     wait_until(lambda: "DELETE /kv-handle/h0" in fleet.workers["pre-1"].control)
 
 
+def test_computed_prompt_goes_to_another_decode_server(case):
+    """Guards against computing a prompt again since its decode server is gone."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1",)))
+    fleet.entry("dec-0", "lm", "decode", address="127.0.0.1:9")
+    fleet.knows("lm", 2, Stage.DECODE)
+    for number in range(4):
+        frame = stream_request("/sum/x", attempt=f"a{number}")
+        case.assertEqual(call_raw(fleet.address, frame).status, 200)
+    case.assertEqual(len(fleet.workers["pre-1"].received), 4)
+
+
 def test_caller_that_leaves_during_prefill_frees_everything(case):
     """Guards against engine memory that is held for a caller who has gone."""
     fleet = case.enterContext(small_fleet())
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -14,6 +14,9 @@
 # Requests that a plain server runs and queues before others are preferred at any
 # distance.
 BUSY_FACTOR = 0.5
+# Load that a decode server of the own availability zone may have more than another
+# one. Events that cross a zone are lost more often and then come late.
+FAR_TOKENS = 4000
 # Part of a decode server's memory that is given away, since blocks and the
 # reports of other daemons leave some of it unknown.
 MEMORY_SHARE = 0.94
@@ -97,7 +100,9 @@
 
 def _decode_cost(each):
     cost = 2000 + each.memory_tokens
-    return cost * (1 + FAILURE_FACTOR * each.failure**2) + (0 if each.near else 500)
+    return cost * (1 + FAILURE_FACTOR * each.failure**2) + (
+        0 if each.near else FAR_TOKENS
+    )
 
 
 def _lowest(candidates, cost, draw):
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from statistics import median
 
 from amaranthbay.fleet.peers import MeasuredDemand
 
@@ -10,8 +11,9 @@
 # Streams over which the means are taken, and from which on they are trusted.
 SAMPLES = 60
 LEAST_SAMPLES = 30
-# Share of the fastest prefills whose speed counts: the others waited in a queue.
-FAST_SHARE = 0.2
+# Quantile of the speeds that counts: slower prefills waited in a queue, and single
+# faster ones found their prompt in the cache.
+SPEED_QUANTILE = 0.75
 # Prompt tokens a second until a prompt has been computed.
 ASSUMED_SPEED = 30_000.0
 # A queue of prompts delays all first events, while a full decode server only
@@ -66,8 +68,7 @@
         speeds = self._of(service).speeds
         if not speeds:
             return ASSUMED_SPEED
-        fastest = sorted(speeds, reverse=True)
-        return fastest[int(FAST_SHARE * len(fastest))]
+        return sorted(speeds)[int(SPEED_QUANTILE * len(speeds))]
 
     def own(self):
         """Returns the `MeasuredDemand` of this daemon by service."""
@@ -97,8 +98,8 @@
         if streams < LEAST_SAMPLES:
             return None
         prompt = sum(each.prompt_tokens * each.streams for each in measured) / streams
-        # A daemon with few prompts may have seen only those that waited in a queue.
-        speed = max(each.prefill_speed for each in measured)
+        # A daemon with few prompts may have seen only queued or cached ones.
+        speed = median(each.prefill_speed for each in measured)
         return StageDemand(
             prompt / speed,
             sum(each.decode_s * each.streams for each in measured) / streams,
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -16,6 +16,7 @@
     "ExchangeBroken",
     "control_exchange",
     "open_exchange",
+    "take_connection",
 ]
 
 # Late answers of earlier requests that are skipped on one connection.
@@ -66,6 +67,15 @@
         self._parser = answer_parser(method)
         self._complete = False
         self._raw_headers = ()
+        self._on_silence = None
+
+    def watch_silence(self, seconds, callback):
+        """Calls ``callback()`` each time the server was silent for so long.
+
+        What it raises ends the read.
+        """
+        self._conn.sock.settimeout(seconds)
+        self._on_silence = callback
 
     def read_head(self):
         """Returns the `AnswerHead`; skips late answers to earlier requests.
@@ -126,6 +136,11 @@
                 return event
             try:
                 data = self._conn.sock.recv(READ_BYTES)
+            except TimeoutError as exc:
+                if self._on_silence is None:
+                    raise self._broken("connection_reset") from exc
+                self._on_silence()
+                continue
             except OSError as exc:
                 raise self._broken("connection_reset") from exc
             try:
@@ -143,6 +158,7 @@
         if not (self._complete and sent and self._may_reuse()):
             self._conn.close()
             return
+        self._conn.sock.settimeout(None)
         self._pool.give_back(self._conn, self._keep_alive_s())
 
     def _may_reuse(self):
@@ -163,7 +179,7 @@
         return b",".join(v for n, v in self._raw_headers if n == name)
 
 
-def open_exchange(pool, codec, server, call, directions, connect_timeout_s):
+def open_exchange(pool, codec, server, call, directions, connect_timeout_s, conn=None):
     """Sends a call to a backend server.
 
     Args:
@@ -173,6 +189,7 @@
         call: `relay.calls.Call`.
         directions: `Directions`.
         connect_timeout_s: Longest wait for a connection.
+        conn: `ServerConnection` from `take_connection`, to use if it is still open.
 
     Returns:
         `Exchange`, whose head is not read yet.
@@ -181,7 +198,8 @@
         ExchangeBroken: With the verdict ``not_run`` if nothing was sent.
     """
     frame = _encode(codec, call, directions)
-    conn = _take(pool, server, call.route.repeatable, connect_timeout_s)
+    if conn is None or not conn.is_quiet():
+        conn = take_connection(pool, server, call.route.repeatable, connect_timeout_s)
     # The server may answer before it has read a long body.
     sender = gevent.spawn(_send, conn.sock, frame)
     return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
@@ -207,7 +225,7 @@
     exchange = None
     try:
         with gevent.Timeout(timeout_s, late):
-            conn = _take(pool, server, True, timeout_s)
+            conn = take_connection(pool, server, True, timeout_s)
             lines = [f"{method} {path} HTTP/1.1", f"Host: {server.address}"]
             if body:
                 lines.append("Content-Type: application/json")
@@ -225,7 +243,18 @@
             exchange.close()
 
 
-def _take(pool, server, repeatable, timeout_s):
+def take_connection(pool, server, repeatable, timeout_s):
+    """Returns a `ServerConnection` for one request.
+
+    Args:
+        pool: `ConnectionPool`.
+        server: `BackendServer`.
+        repeatable: Whether the request may be sent again if it breaks.
+        timeout_s: Longest wait for a connection.
+
+    Raises:
+        ExchangeBroken: With the verdict ``not_run`` if none could be made.
+    """
     try:
         conn = pool.take(server, repeatable, timeout_s)
     except OSError as exc:
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -13,6 +13,8 @@
 # after each further failure in a row.
 UNREACHABLE_BASE_S = 0.5
 UNREACHABLE_LIMIT_S = 4.0
+# A silent server is looked at again after this time.
+SILENT_AVOIDED_S = 0.8
 # Time in which a full server frees the memory of about one request.
 FULL_S = 0.15
 
@@ -65,6 +67,11 @@
         record.avoid_until = self._clock.monotonic() + pause_s
         self.failed(server)
 
+    def silent(self, server):
+        """Notes that a server sends nothing although it has work."""
+        record = self._record(server)
+        record.avoid_until = self._clock.monotonic() + SILENT_AVOIDED_S
+
     def failure(self, server):
         """Returns the share of failures, from 0 to 1, fading with time."""
         record = self._records.get(server)
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -63,6 +63,7 @@
 class _Waiting:
     call: object
     without: frozenset
+    decode_only: bool
     ready: AsyncResult
     taken: bool = False
 
@@ -77,12 +78,13 @@
         self._ctx = ctx
         self._waiting = []
 
-    def place(self, call, without=frozenset()):
+    def place(self, call, without=frozenset(), decode_only=False):
         """Waits for servers.
 
         Args:
             call: `Call`.
             without: Names of servers that must not be used.
+            decode_only: Whether the decode server must compute the prompt.
 
         Returns:
             ``Result[Placement, Refusal]``; a refusal comes as soon as it is known
@@ -94,7 +96,7 @@
             return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry))
         if len(self._waiting) >= QUEUE_LENGTH:
             return Err(self._overloaded("the queue is full"))
-        waiting = _Waiting(call, without, AsyncResult())
+        waiting = _Waiting(call, without, decode_only, AsyncResult())
         self._waiting.append(waiting)
         self.advance()
         try:
@@ -172,7 +174,7 @@
         share = (decode.memory_tokens + need) / engine.memory_tokens
         if not may_start(rank, Pressure(wait_s, self._speed(call), share)):
             return None
-        if reads_prompt_itself(prefill, decode, wait_s):
+        if waiting.decode_only or reads_prompt_itself(prefill, decode, wait_s):
             prefill = None
         log_decision(
             "stream_servers",
@@ -189,6 +191,27 @@
         )
         return self._reserve(call, prefill, decode, need, share > PRESSED_SHARE)
 
+    def another_decode(self, call, without):
+        """Returns a `Placement` for a prompt that is computed, or None.
+
+        The KV cache is kept for a moment only, so that there is no time to wait.
+        """
+        need = memory_need(call.head)
+        decodes = self._ctx.candidates(call.service.name, Stage.DECODE, without)
+        decode = choose_decode(
+            decodes, need, call.service.engine.memory_tokens, self._ctx.rng.random()
+        )
+        if decode is None:
+            return None
+        log_decision(
+            "another_decode",
+            decode.server.name,
+            (each.server.name for each in decodes),
+            "the first one did not take the request",
+            request_id=call.request_id,
+        )
+        return self._reserve(call, None, decode, need, False)
+
     def _reserve(self, call, prefill, decode, need, pressed):
         ledger = self._ctx.ledger
         tokens = call.head.prompt_tokens
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -7,20 +7,28 @@
 from amaranthbay.observe import log_event
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.events import EventSplitter
-from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
+from amaranthbay.relay.exchange import (
+    ExchangeBroken,
+    control_exchange,
+    open_exchange,
+    take_connection,
+)
 from amaranthbay.relay.placing import memory_need
 from amaranthbay.relay.plain import REFUSING_STATUSES
 from amaranthbay.relay.refusals import RETRY_SOON, give_up
 
 __all__ = ["StreamRelay"]
 
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.15
 # A prefill that takes this much longer than its target won't give a useful handle.
 PREFILL_TIMEOUT_S = 2.0
 # Silence of a decode server after which a resumable stream continues elsewhere.
 # Callers leave after two seconds without an event.
 STALL_S = 1.0
-PREFILL_BYTES = 65536
+# Silence after which a server gets no new streams; events come every 50 ms.
+SILENT_S = 0.5
+# Part of a handle's life in which another decode server may still fetch it.
+HANDLE_SHARE = 0.6
 OK = 200
 
 
@@ -58,7 +66,6 @@
         self._conn = conn
         self._attempts = 0
         self._prefilled = False
-        self._sent = 0
         self._verdict = Verdict.NOT_RUN
         self._without = set()
         self._started = False
@@ -76,7 +83,9 @@
 
     def _run_attempts(self):
         while True:
-            placed = self._queue.place(self._call, frozenset(self._without))
+            placed = self._queue.place(
+                self._call, frozenset(self._without), self._only_decode_is_left()
+            )
             if placed.is_err():
                 return self._end(placed.unwrap_err())
             placement = placed.unwrap()
@@ -110,15 +119,25 @@
     def _ran(self):
         return self._verdict is not Verdict.NOT_RUN
 
-    def _may_repeat(self, refusal):
+    def _may_repeat(self, refusal, prefill_again=True):
+        """Returns whether another attempt is allowed, and counts it as a repeat.
+
+        Args:
+            refusal: Why the last attempt ended.
+            prefill_again: Whether the prompt would be computed once more.
+        """
         ran = refusal.verdict is not Verdict.NOT_RUN
         if ran and not self._call.route.repeatable:
             return False
-        if self._sent == 0:
-            return True
         if self._attempts >= self._call.route.max_attempts:
             return False
-        return self._ctx.budget(self._call.service.name).withdraw()
+        counted = self._attempts > 0 or (prefill_again and self._prefilled)
+        return not counted or self._ctx.budget(self._call.service.name).withdraw()
+
+    def _only_decode_is_left(self):
+        """Returns whether a second prefill would use up the last attempt."""
+        left = self._call.route.max_attempts - self._attempts
+        return self._prefilled and left < 2
 
     def _hold(self, placement):
         """Reserves room on a decode server that may be full.
@@ -162,26 +181,74 @@
 
     def _attempt(self, placement, hold):
         """Returns ``Result[None, Refusal]``; Ok once the stream is complete."""
-        source = ""
-        if placement.prefill is not None:
+        if placement.prefill is None:
+            return self._decode(placement, "", hold)
+        conn = None
+        try:
+            # A decode server that can't be reached is found before the prompt is
+            # computed for it.
+            conn = self._take_connection(placement.decode)
             found = self._prefill(placement.prefill)
             placement.end_prefill()
-            if found.is_err():
-                self._drop_hold(placement.decode, hold)
-                return found
-            handle = found.unwrap()
-            source = self._ctx.codec.kv_source(placement.prefill.address, handle)
+            if found.is_ok():
+                used, conn = conn, None
+                return self._decode_computed(placement, found.unwrap(), hold, used)
+            self._drop_hold(placement.decode, hold)
+            return found
+        except ExchangeBroken as exc:
+            self._note_failure(placement.decode, exc.reason, None)
+            detail = f"decode failed: {exc.reason}"
+            return Err(not_run(Reason.BACKEND_FAILED, detail, 503, RETRY_SOON))
+        finally:
+            if conn is not None:
+                self._ctx.connections.give_back(conn, None)
+
+    def _take_connection(self, server):
+        pool, route = self._ctx.connections, self._call.route
+        return take_connection(pool, server, route.repeatable, CONNECT_TIMEOUT_S)
+
+    def _decode_computed(self, placement, handle, hold, conn):
+        """Streams a prompt whose KV cache a prefill server keeps for a moment."""
+        handle_at = self._ctx.clock.monotonic()
+        source = self._ctx.codec.kv_source(placement.prefill.address, handle)
         taken = False
         try:
-            outcome = self._decode(placement, source, hold)
-            taken = outcome.is_ok() or outcome.unwrap_err().verdict is not (
-                Verdict.NOT_RUN
-            )
+            outcome = self._decode(placement, source, hold, conn)
+            if _is_not_run(outcome):
+                refusal = outcome.unwrap_err()
+                other = self._decode_elsewhere(refusal, source, handle_at)
+                outcome = other or outcome
+            taken = not _is_not_run(outcome)
             return outcome
         finally:
-            if source and not taken:
+            if not taken:
                 self._release(placement.prefill, handle)
 
+    def _decode_elsewhere(self, refusal, source, handle_at):
+        """Offers a computed prompt to another decode server.
+
+        Args:
+            refusal: Why the first one did not run it.
+            source: Where the KV cache is.
+            handle_at: Monotonic time at which it was computed.
+
+        Returns:
+            ``Result[None, Refusal]``, or None if there is no server or no time.
+        """
+        age_s = self._ctx.clock.monotonic() - handle_at
+        if age_s > HANDLE_SHARE * self._call.service.engine.handle_life_s:
+            return None
+        other = self._queue.another_decode(self._call, frozenset(self._without))
+        if other is None:
+            return None
+        if not self._may_repeat(refusal, prefill_again=False):
+            other.release()
+            return None
+        try:
+            return self._decode(other, source, "")
+        finally:
+            other.release()
+
     def _prefill(self, server):
         """Returns ``Result[str, Refusal]`` with the handle of the KV cache."""
         ctx, call = self._ctx, self._call
@@ -229,17 +296,16 @@
         )
         return Ok(decoded.unwrap().handle)
 
-    def _open(self, server, directions):
-        exchange = open_exchange(
+    def _open(self, server, directions, conn=None):
+        return open_exchange(
             self._ctx.connections,
             self._ctx.codec,
             server,
             self._call,
             directions,
             CONNECT_TIMEOUT_S,
+            conn,
         )
-        self._sent += 1
-        return exchange
 
     def _note_failure(self, server, reason, exchange):
         self._without.add(server.name)
@@ -259,6 +325,8 @@
     def _note_refusal(self, server, head):
         self._without.add(server.name)
         if head.traits.misdirected:
+            # The server that was meant is gone and was sent nothing.
+            self._attempts -= 1
             self._ctx.backends.forget(server.name)
             self._ctx.connections.drop_server(server.name)
         self._ctx.outcomes.failed(server.name)
@@ -271,7 +339,7 @@
             not_run=head.traits.not_run,
         )
 
-    def _decode(self, placement, source, hold):
+    def _decode(self, placement, source, hold, conn=None):
         """Returns ``Result[None, Refusal]``; relays events as they arrive."""
         ctx, call = self._ctx, self._call
         server = placement.decode
@@ -286,7 +354,7 @@
         )
         exchange = None
         try:
-            exchange = self._open(server, directions)
+            exchange = self._open(server, directions, conn)
             self._attempts += 1
             head = self._read_head(exchange)
             refusal = self._refusal_of(server, head)
@@ -343,11 +411,9 @@
             seconds=round(self._ctx.clock.monotonic() - self._call.arrived_at, 4),
             continued=self._started,
         )
-        chunks = exchange.chunks()
-        while True:
-            data = self._next_chunk(chunks)
-            if data is None:
-                break
+        pauses = self._watch_silence(exchange, placement.decode)
+        for data in exchange.chunks():
+            pauses.clear()
             events = self._events.feed(data)
             placement.end_prefill()
             if events:
@@ -374,13 +440,21 @@
         share = memory_need(self._call.head) / service.engine.memory_tokens
         self._ctx.demand.note_decode(service.name, share, seconds)
 
-    def _next_chunk(self, chunks):
-        """Returns the next bytes, or None at the end of the stream."""
-        if not self._call.route.resumable:
-            return next(chunks, None)
-        stalled = ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
-        with gevent.Timeout(STALL_S, stalled):
-            return next(chunks, None)
+    def _watch_silence(self, exchange, server):
+        """Keeps new work from a server that falls silent.
+
+        A resumable stream continues elsewhere after some time; any other waits on.
+        """
+        pauses = []
+
+        def note_silence():
+            pauses.append(SILENT_S)
+            self._ctx.outcomes.silent(server.name)
+            if self._call.route.resumable and len(pauses) * SILENT_S >= STALL_S:
+                raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
+
+        exchange.watch_silence(SILENT_S, note_silence)
+        return pauses
 
     def _note_gap(self):
         now = self._ctx.clock.monotonic()
@@ -421,6 +495,10 @@
         gevent.spawn(_give_back, self._ctx, server, method, path)
 
 
+def _is_not_run(outcome):
+    return outcome.is_err() and outcome.unwrap_err().verdict is Verdict.NOT_RUN
+
+
 def _give_back(ctx, server, method, path):
     answer = control_exchange(
         ctx.connections, ctx.codec, server, method, path, b"", CONNECT_TIMEOUT_S
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -178,14 +178,16 @@
     case.assertEqual(plan_prefill_servers(2, 3, StageDemand(0.12, 0.25)), 2)
 
 
-def test_queued_prefills_do_not_count_as_slow_ones(case):
-    """Guards against ordering a decode server away since prompts have waited."""
+def test_queued_and_cached_prefills_do_not_count(case):
+    """Guards against ordering servers into the wrong pool since prompts have waited,
+    or were found in a cache."""
     meter = DemandMeter()
     for _ in range(4):
         meter.note_prefill("lm", 3000, 0.6)
         meter.note_decode("lm", 0.1, 3.0)
-    other = MeasuredDemand(3000.0, 30000.0, 0.3, 40)
-    demand = meter.demand("lm", [other])
+    usual = MeasuredDemand(3000.0, 30000.0, 0.3, 20)
+    cached = MeasuredDemand(3000.0, 300000.0, 0.3, 5)
+    demand = meter.demand("lm", [usual, usual, cached])
     case.assertAlmostEqual(demand.prefill_s, 0.1)
     case.assertIsNone(meter.demand("lm", []))
 
