Answer after a defect, and let a continued stream wait for its next server

Cause: a stream that broke more than three targets after its arrival was given up at once, as its wait was counted from its arrival. Before: both tests fail. After: they pass.

--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -50,6 +50,7 @@
         body: Whole body, sent with its length.
         chunks: Parts that are sent one by one instead, in chunks.
         pause_s: Time before each part.
+        pauses: Times before the parts, where they differ.
         cut: Whether the connection is closed before the end.
         raw: Bytes that are sent in place of everything else; the connection ends.
         extra: Bytes that follow a whole answer.
@@ -60,6 +61,7 @@
     body: bytes = b""
     chunks: tuple | None = None
     pause_s: float = 0.0
+    pauses: tuple = ()
     cut: bool = False
     raw: bytes | None = None
     extra: bytes = b""
@@ -117,8 +119,10 @@
             headers.append(("Content-Length", str(len(reply.body))))
         head = h11.Response(status_code=reply.status, headers=headers)
         self._sock.sendall(self._http.send(head))
-        for part in reply.chunks if reply.chunks is not None else (reply.body,):
-            gevent.sleep(reply.pause_s)
+        parts = reply.chunks if reply.chunks is not None else (reply.body,)
+        pauses = reply.pauses or (reply.pause_s,) * len(parts)
+        for part, pause_s in zip(parts, pauses):
+            gevent.sleep(pause_s)
             if part:
                 self._sock.sendall(self._http.send(h11.Data(data=part)))
         if reply.cut:
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -282,6 +282,19 @@
     case.assertNotIn("/book/smuggled", targets)
 
 
+def test_defect_of_the_daemon_still_gets_an_answer(case):
+    """Guards against a connection that is closed without an answer."""
+    fleet = case.enterContext(small_fleet())
+
+    def fail(*args):
+        raise ZeroDivisionError
+
+    fleet.daemon.service._plain.serve = fail
+    answer = call(fleet, "/look/x")
+    case.assertEqual(answer.status, 500)
+    case.assertIn(b"may_have_run", answer.body)
+
+
 def test_slow_head_is_ended(case):
     """Guards against connections that are held by a head without an end."""
     fleet = case.enterContext(small_fleet())
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -72,6 +72,29 @@
     case.assertEqual(answer.body, events(1, 4))
 
 
+def test_silent_server_loses_a_resumable_stream(case):
+    """Guards against waiting for a server that has gone dark, and against giving a
+    stream up since its first wait for a server was long ago."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+        worker.replies.append(_fall_silent_unless_resumed(worker))
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(answer.body, events(1, 3))
+
+
+def _fall_silent_unless_resumed(worker):
+    """Returns a reply that sends one event and then nothing more."""
+
+    def reply(req):
+        if "last-event-id" in req.headers:
+            return worker.stream(req)
+        return worker.reply(req, chunks=(events(1, 1), b""), pauses=(0, 30))
+
+    return reply
+
+
 def _break_off_unless_resumed(worker):
     """Returns a reply that breaks off in the middle of an event."""
 
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -205,6 +205,11 @@
         self._streaming = True
         self._write(self._head(status, headers, False))
 
+    @property
+    def started(self):
+        """Whether the caller has got a part of the current answer."""
+        return self.answered or self._streaming
+
     def send(self, data):
         """Sends a part of a stream."""
         self._write(self._http.send(h11.Data(data=data)))
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -64,6 +64,8 @@
     call: object
     without: frozenset
     decode_only: bool
+    continued: bool
+    until: float
     ready: AsyncResult
     taken: bool = False
 
@@ -78,13 +80,14 @@
         self._ctx = ctx
         self._waiting = []
 
-    def place(self, call, without=frozenset(), decode_only=False):
+    def place(self, call, without=frozenset(), decode_only=False, continued=False):
         """Waits for servers.
 
         Args:
             call: `Call`.
             without: Names of servers that must not be used.
             decode_only: Whether the decode server must compute the prompt.
+            continued: Whether the caller has events of the stream already.
 
         Returns:
             ``Result[Placement, Refusal]``; a refusal comes as soon as it is known
@@ -96,7 +99,9 @@
             return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry))
         if len(self._waiting) >= QUEUE_LENGTH:
             return Err(self._overloaded("the queue is full"))
-        waiting = _Waiting(call, without, decode_only, AsyncResult())
+        since = self._ctx.clock.monotonic() if continued else call.arrived_at
+        until = min(call.ends_at, since + HOLD_TARGETS * call.route.target_s)
+        waiting = _Waiting(call, without, decode_only, continued, until, AsyncResult())
         self._waiting.append(waiting)
         self.advance()
         try:
@@ -108,17 +113,14 @@
                 waiting.ready.get().release()
 
     def _wait(self, waiting):
-        call = waiting.call
-        hold_s = HOLD_TARGETS * call.route.target_s
-        until = min(call.ends_at, call.arrived_at + hold_s)
         while True:
             if waiting.ready.ready():
                 waiting.taken = True
                 return Ok(waiting.ready.get())
             now = self._ctx.clock.monotonic()
-            if now >= until:
+            if now >= waiting.until:
                 return Err(self._overloaded("no decode server had room in time"))
-            waiting.ready.wait(min(POLL_S, until - now))
+            waiting.ready.wait(min(POLL_S, waiting.until - now))
             if not waiting.ready.ready():
                 self.advance()
 
@@ -148,7 +150,12 @@
             wait_s = self._prefill_wait_s(call, prefill)
             pressure = Pressure(wait_s, self._speed(call), 0.0)
             first_s = first_event_s(call.head.prompt_tokens, pressure)
-            ranked.append((urgency(call, first_s, now), index, waiting))
+            rank = urgency(call, first_s, now)
+            if waiting.continued:
+                # Each moment of its pause counts, and its events so far are lost
+                # with it.
+                rank = Urgency.IN_TIME
+            ranked.append((rank, index, waiting))
         return sorted(ranked, key=lambda each: each[:2])
 
     def _speed(self, call):
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -1,5 +1,6 @@
 """Serves one request of a caller: route, relay, answer."""
 
+import sys
 import uuid
 from datetime import timedelta
 
@@ -54,11 +55,25 @@
         watch = HangupWatch(conn.sock, call.request_id)
         try:
             refusal = self._relay(conn, call)
+        except CallerGone:
+            raise
+        except Exception as exc:
+            refusal = self._note_defect(conn, call, exc)
         finally:
             watch.stop()
         if refusal is not None:
             self._refuse(conn, call.request_id, refusal, arrived_at)
 
+    def _note_defect(self, conn, call, exc):
+        """Returns the `Refusal` of a request at which our own code has failed."""
+        log_event(
+            "defect", level="error", exc=sys.exc_info(), request_id=call.request_id
+        )
+        if conn.started:
+            # The connection ends, so that the answer does not look complete.
+            raise ConnectionAbortedError from exc
+        return may_have_run(Reason.INTERNAL, "the daemon has failed", 500)
+
     def _accept(self, req, arrived_at):
         """Returns the `Call` of a request, or a `Refusal`."""
         table = self._configuration.table
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -84,7 +84,10 @@
     def _run_attempts(self):
         while True:
             placed = self._queue.place(
-                self._call, frozenset(self._without), self._only_decode_is_left()
+                self._call,
+                frozenset(self._without),
+                self._only_decode_is_left(),
+                self._started,
             )
             if placed.is_err():
                 return self._end(placed.unwrap_err())
