--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -14,7 +14,16 @@
 from amaranthbay.fleet.tables import StoreHealth, TableFollower
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
-from amaranthbay.observe import configure_logs, log_event, log_greenlet_failures
+from amaranthbay.observe import (
+    Gauge,
+    configure_logs,
+    current_metrics,
+    log_event,
+    log_greenlet_failures,
+    serve_metrics,
+)
+from amaranthbay.observe.bounds import LineLimiter, standard_output
+from amaranthbay.observe.logs import limit_lines
 from amaranthbay.platform.types import CommitState
 from amaranthbay.relay import Listener, RelayService, find_codec
 from amaranthbay.relay.budget import RepeatBudget
@@ -37,6 +46,7 @@
 MEMBERS_TABLE = "members"
 LEASES_TABLE = "leases"
 SWEEP_S = 1.0
+LOST_LINES_S = 5.0
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
 RESERVED_DESCRIPTORS = 700
@@ -82,7 +92,7 @@
             codec=find_codec(adapter.codec),
             backends=self.backends,
             peers=self.peers,
-            connections=ConnectionPool(self.clock),
+            connections=ConnectionPool(self.clock, _count_connection),
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
             budget=self._budget,
@@ -146,6 +156,7 @@
         if service not in self._budgets:
             settings = self.settings
             self._budgets[service] = RepeatBudget(
+                service,
                 settings.retry_ratio,
                 settings.retry_allowance,
                 settings.retry_window_s,
@@ -224,6 +235,39 @@
             self.ctx.connections.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
+    def observe(self, output, metrics):
+        """Bounds the logs and serves the metrics; called before `start`.
+
+        Args:
+            output: `BufferedWriter` that takes the log lines.
+            metrics: `PrometheusMetrics`.
+        """
+        limiter = LineLimiter(self.clock)
+        limit_lines(limiter)
+        self._jobs.append(gevent.spawn(self._report_lost_lines, limiter, output))
+        metrics.watch(Gauge.QUEUE, self.queue.length)
+        metrics.watch(Gauge.STORE_SILENCE, self.health.silence_s)
+        metrics.watch(Gauge.CONFIGURATION, self._configuration_version)
+        address = f"{self.settings.ip}:{self.settings.metrics_port}"
+        self._serve_app(address, metrics.create_app())
+
+    def _configuration_version(self):
+        table = self.configuration.table
+        return table.version if table is not None else 0
+
+    def _report_lost_lines(self, limiter, output):
+        while True:
+            self.clock.sleep(LOST_LINES_S)
+            suppressed = limiter.take_suppressed()
+            dropped, output.dropped = output.dropped, 0
+            if suppressed or dropped:
+                log_event(
+                    "lines_lost",
+                    level="warning",
+                    suppressed=suppressed,
+                    dropped=dropped,
+                )
+
     def close(self):
         """Ends all jobs at once, as in tests."""
         gevent.killall(self._jobs + self._orders)
@@ -262,6 +306,10 @@
         log_event("stopped", requests=len(self.listener.busy))
 
 
+def _count_connection(server):
+    current_metrics().connection_opened(server.service)
+
+
 def run_entry(adapter):
     """Runs an entry process until SIGTERM has drained it; returns the exit code.
 
@@ -275,17 +323,18 @@
         log_event("settings_unusable", level="error", detail=loaded.unwrap_err())
         return 2
     settings = loaded.unwrap()
-    configure_logs(
-        "info",
-        sys.stdout,
-        instance=settings.instance,
-        availability_zone=settings.availability_zone,
-        process=os.getpid(),
-    )
+    identity = {
+        "instance": settings.instance,
+        "availability_zone": settings.availability_zone,
+    }
+    output = standard_output()
+    configure_logs("info", output, process=os.getpid(), **identity)
     log_greenlet_failures()
     daemon = EntryDaemon(settings, adapter)
+    daemon.observe(output, serve_metrics(**identity))
     gevent.signal_handler(signal.SIGTERM, daemon.stop_requested.set)
     gevent.signal_handler(signal.SIGINT, daemon.stop_requested.set)
     gevent.signal_handler(signal.SIGHUP, lambda: log_event("reload_requested"))
     daemon.run()
+    output.close()
     return 0
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -6,7 +6,7 @@
 import gevent
 import gevent.event
 
-from amaranthbay.observe import log_event
+from amaranthbay.observe import current_metrics, log_event
 
 __all__ = [
     "ChangedRow",
@@ -22,6 +22,10 @@
 # this often, so that the loss is known in less than the 3 s after which the platform
 # expects an instance to be up to date again.
 WATCH_WAIT_S = 1.9
+# Connections that were made as the store came back are often lost once more, so that
+# for some time after a loss the table is asked more often.
+RECOVERY_WAIT_S = 0.5
+RECOVERY_S = 8.0
 # The other tables wait for longer; a call costs more than an open question.
 FEED_WAIT_S = 15.0
 # Longest pause between tries, so that a change is in force in time after an outage.
@@ -104,6 +108,7 @@
         self._clock = clock
         self.lost_s = 0.0
         self._callbacks = []
+        self._answered_at = clock.monotonic()
         self._available = gevent.event.Event()
         self._available.set()
         self.lost_at = None
@@ -119,6 +124,7 @@
 
     def answered(self, sent_at):
         """Notes an answer to a call that was sent at a monotonic time."""
+        self._answered_at = self._clock.monotonic()
         if self.lost_at is None or sent_at < self.lost_at:
             return
         self.regained_at = self._clock.monotonic()
@@ -129,6 +135,10 @@
         for callback in self._callbacks:
             callback()
 
+    def silence_s(self):
+        """Returns the seconds since the last answer."""
+        return self._clock.monotonic() - self._answered_at
+
     def failed(self, detail):
         """Notes a call without a usable answer."""
         if self.lost_at is not None:
@@ -202,8 +212,9 @@
         if self.version is None:
             return self._read_all()
         sent_at = self._clock.monotonic()
-        wait_s = WATCH_WAIT_S if self._watches else FEED_WAIT_S
+        wait_s = self._wait_s()
         found = self._source.changes(self._table, self.version, wait_s)
+        current_metrics().store_called("changes", _outcome(found))
         if found.is_ok():
             self._note_answer(sent_at)
             changes = found.unwrap()
@@ -217,9 +228,19 @@
             return self._read_all()
         return self._note_failure(found.unwrap_err())
 
+    def _wait_s(self):
+        if not self._watches:
+            return FEED_WAIT_S
+        regained_at = self._health.regained_at
+        if regained_at is None:
+            return WATCH_WAIT_S
+        since_s = self._clock.monotonic() - regained_at
+        return RECOVERY_WAIT_S if since_s < RECOVERY_S else WATCH_WAIT_S
+
     def _read_all(self):
         sent_at = self._clock.monotonic()
         found = self._source.snapshot(self._table)
+        current_metrics().store_called("snapshot", _outcome(found))
         if found.is_err():
             return self._note_failure(found.unwrap_err())
         self._note_answer(sent_at)
@@ -246,3 +267,10 @@
         bound = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self._failures)
         self._failures += 1
         return bound * self._rng.uniform(0.5, 1.0)
+
+
+def _outcome(found):
+    """Returns the outcome of a call in one word."""
+    if found.is_ok():
+        return "ok"
+    return "history_gone" if isinstance(found.unwrap_err(), HistoryGone) else "failed"
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -23,6 +23,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.asked = []
+        self.waits = []
 
     def snapshot(self, table):
         self.asked.append("snapshot")
@@ -30,6 +31,7 @@
 
     def changes(self, table, after, wait_s):
         self.asked.append(after)
+        self.waits.append(wait_s)
         return self.answers.pop(0)
 
     def put(self, table, key, value):
@@ -125,6 +127,23 @@
     case.assertEqual(health.regained_at, 6.0)
 
 
+def test_store_that_came_back_is_asked_more_often(case):
+    """Guards against a question that is lost just after the store has returned."""
+    calm = Ok(Changes((), 1))
+    made, _, source, health, clock = follower(Ok(Snapshot((), 1)), *[calm] * 3)
+    made.step()
+    made.step()
+    health.failed("silent")
+    clock.advance(4)
+    health.answered(clock.monotonic())
+    made.step()
+    clock.advance(9)
+    made.step()
+    usual, after, later = source.waits
+    case.assertLess(after, usual / 2)
+    case.assertEqual(later, usual)
+
+
 def test_followers_ask_again_when_the_store_is_back(case):
     """Guards against a question that waits at the store since before its silence."""
     made, _, _, health, clock = follower(
--- a/amaranthbay/observe/__init__.py
+++ b/amaranthbay/observe/__init__.py
@@ -10,6 +10,7 @@
     Direction,
     Gauge,
     Metrics,
-    configure_metrics,
+    Step,
     current_metrics,
 )
+from amaranthbay.observe.setup import configure_metrics, serve_metrics
--- a/amaranthbay/observe/logs.py
+++ b/amaranthbay/observe/logs.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "configure_logs",
+    "limit_lines",
     "log_decision",
     "log_event",
     "log_greenlet_failures",
@@ -26,6 +27,7 @@
 
 _identity = {}
 _configured = []
+_limiter = []
 
 
 class _JsonFormatter(logging.Formatter):
@@ -43,6 +45,11 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
+def limit_lines(limiter):
+    """Bounds the lines of each event with a `LineLimiter`; None ends the bound."""
+    _limiter[:] = [limiter] if limiter is not None else []
+
+
 def configure_logs(level="info", stream=None, **identity):
     """Sends log lines to a stream (standard error) with the process's identity.
 
@@ -72,7 +79,9 @@
         configure_logs(DEFAULT_LEVEL)
     record_level = getattr(logging, level.upper())
     logger = absl_logging.get_absl_logger()
-    if logger.isEnabledFor(record_level):
+    if not logger.isEnabledFor(record_level):
+        return
+    if not _limiter or _limiter[0].allows(event):
         extra = {"fields": {"event": event} | fields}
         logger.log(record_level, event, extra=extra, exc_info=exc)
 
--- a/amaranthbay/observe/metrics.py
+++ b/amaranthbay/observe/metrics.py
@@ -10,8 +10,9 @@
     "Direction",
     "Gauge",
     "Metrics",
-    "configure_metrics",
+    "Step",
     "current_metrics",
+    "use_metrics",
 ]
 
 
@@ -22,6 +23,16 @@
     SLOTS = "slots"
     CANCELS = "cancels"
     CONFIGURATION = "configuration"
+    STORE_SILENCE = "store_silence"
+
+
+class Step(StrEnum):
+    """Steps of a request whose time is recorded."""
+
+    QUEUE = "queue"
+    PREFILL = "prefill"
+    FIRST_EVENT = "first_event"
+    ATTEMPT = "attempt"
 
 
 class Direction(StrEnum):
@@ -52,6 +63,18 @@
     def retried(self):
         """Counts an attempt after the first one of its request."""
 
+    def connection_opened(self, service):
+        """Counts a new connection to a backend server of a service."""
+
+    def store_called(self, call, outcome):
+        """Counts a call to the platform's store by its outcome."""
+
+    def repeat_asked(self, service, granted):
+        """Counts a repeat that the budget has granted or denied."""
+
+    def step_ended(self, service, step, seconds):
+        """Records the time that a request spent in a `Step`."""
+
     def control_bytes(self, direction, count):
         """Counts bytes between daemons; direction is a `Direction`."""
 
@@ -70,21 +93,8 @@
     return _current[0]
 
 
-def configure_metrics(endpoint, **identity):
-    """Starts the export to a collector; without an endpoint nothing is reported.
-
-    Args:
-        endpoint: HTTP address of the collector, or an empty text.
-        **identity: ``instance``, ``availability_zone`` and ``incarnation``.
-
-    Returns:
-        The `Metrics` of this process.
-    """
+def use_metrics(metrics):
+    """Makes an implementation that of this process and returns it."""
     current_metrics().close()
-    _current[0] = Metrics()
-    if endpoint:
-        # Imported only if used: the library takes several MB of memory.
-        from amaranthbay.observe.otel import OtelMetrics
-
-        _current[0] = OtelMetrics(endpoint, identity)
-    return _current[0]
+    _current[0] = metrics
+    return metrics
--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -23,7 +23,7 @@
 from amaranthbay.observe.metrics import Gauge, Metrics
 from amaranthbay.utils.http import json_exchange
 
-__all__ = ["OtelMetrics", "OtlpExporter"]
+__all__ = ["OtelMetrics", "OtlpExporter", "push_metrics"]
 
 EXPORT_INTERVAL_S = 10.0
 EXPORT_TIMEOUT_S = 5.0
@@ -32,7 +32,15 @@
 FIRST_TOKEN = "amaranthbay.request.time_to_first_token"
 FIRST_TOKEN_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.3, 2.0, 5.0, 20.0, 60.0)
 
+STEP = "amaranthbay.request.step"
+STEP_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0)
+
 GAUGES = {
+    Gauge.STORE_SILENCE: (
+        "amaranthbay.store.silence",
+        "s",
+        "Time since the store has answered",
+    ),
     Gauge.QUEUE: ("amaranthbay.queue.length", "{request}", "Requests admitted"),
     Gauge.SLOTS: ("amaranthbay.slots.used", "{slot}", "Slots held on servers"),
     Gauge.CANCELS: (
@@ -94,20 +102,25 @@
 
 
 class OtelMetrics(Metrics):
-    """Metrics that are exported to a collector."""
+    """Metrics that a reader of OpenTelemetry exports."""
 
-    def __init__(self, endpoint, identity, interval_s=EXPORT_INTERVAL_S):
-        reader = PeriodicExportingMetricReader(
-            OtlpExporter(endpoint),
-            export_interval_millis=interval_s * 1000,
-            export_timeout_millis=EXPORT_TIMEOUT_S * 1000,
-        )
+    def __init__(self, reader, identity):
+        """Creates the instruments.
+
+        Args:
+            reader: Metric reader that exports them.
+            identity: ``instance``, ``availability_zone`` and ``incarnation``.
+        """
         buckets = ExplicitBucketHistogramAggregation(FIRST_TOKEN_BOUNDS_S)
+        steps = ExplicitBucketHistogramAggregation(STEP_BOUNDS_S)
         self._provider = MeterProvider(
             metric_readers=[reader],
             resource=Resource(_resource(identity)),
             shutdown_on_exit=False,
-            views=[View(instrument_name=FIRST_TOKEN, aggregation=buckets)],
+            views=[
+                View(instrument_name=FIRST_TOKEN, aggregation=buckets),
+                View(instrument_name=STEP, aggregation=steps),
+            ],
         )
         self._meter = self._provider.get_meter("amaranthbay", __version__)
         count = self._meter.create_counter
@@ -124,6 +137,18 @@
             "amaranthbay.retries", "{attempt}", "Attempts after a request's first"
         )
         self._control = count("amaranthbay.control.io", "By", "Bytes between daemons")
+        self._connections = count(
+            "amaranthbay.backend.connections", "{connection}", "Connections opened"
+        )
+        self._store_calls = count(
+            "amaranthbay.store.calls", "{call}", "Calls to the platform's store"
+        )
+        self._repeats = count(
+            "amaranthbay.repeats", "{attempt}", "Repeats asked of the budget"
+        )
+        self._step = self._meter.create_histogram(
+            STEP, "s", "Time that a request spent in a step"
+        )
         self._first_token = self._meter.create_histogram(
             FIRST_TOKEN, "s", "Time from arrival to the first token"
         )
@@ -148,6 +173,21 @@
     def retried(self):
         self._retries.add(1)
 
+    def connection_opened(self, service):
+        self._connections.add(1, {"amaranthbay.service": service})
+
+    def store_called(self, call, outcome):
+        attributes = {"amaranthbay.call": call, "amaranthbay.outcome": outcome}
+        self._store_calls.add(1, attributes)
+
+    def repeat_asked(self, service, granted):
+        attributes = {"amaranthbay.service": service, "amaranthbay.granted": granted}
+        self._repeats.add(1, attributes)
+
+    def step_ended(self, service, step, seconds):
+        attributes = {"amaranthbay.service": service, "amaranthbay.step": str(step)}
+        self._step.record(seconds, attributes)
+
     def control_bytes(self, direction, count):
         self._control.add(count, {"network.io.direction": str(direction)})
 
@@ -164,6 +204,22 @@
             self._provider.shutdown(timeout_millis=CLOSE_TIMEOUT_S * 1000)
 
 
+def push_metrics(endpoint, identity, interval_s=EXPORT_INTERVAL_S):
+    """Returns `OtelMetrics` that are sent to a collector.
+
+    Args:
+        endpoint: HTTP address of the collector.
+        identity: ``instance``, ``availability_zone`` and ``incarnation``.
+        interval_s: Seconds between two exports.
+    """
+    reader = PeriodicExportingMetricReader(
+        OtlpExporter(endpoint),
+        export_interval_millis=interval_s * 1000,
+        export_timeout_millis=EXPORT_TIMEOUT_S * 1000,
+    )
+    return OtelMetrics(reader, identity)
+
+
 def _resource(identity):
     return {
         "service.name": "amaranthbay",
--- /dev/null
+++ b/amaranthbay/observe/tests/test_bounds.py
@@ -0,0 +1,90 @@
+"""Bounds on logs and the metrics page."""
+
+import os
+
+import gevent
+import msgspec
+from falcon.testing import TestClient
+
+from amaranthbay.observe import Step, configure_logs, log_event, serve_metrics
+from amaranthbay.observe.bounds import (
+    BUFFERED_LINES,
+    BURST_LINES,
+    BufferedWriter,
+    LineLimiter,
+)
+from amaranthbay.observe.logs import limit_lines
+from amaranthbay.observe.metrics import Metrics, use_metrics
+from amaranthbay.utils.testing import ManualClock, collect
+
+
+def pipe(case):
+    """Returns the ends of a pipe that are closed after the test."""
+    ends = os.pipe()
+    for end in ends:
+        case.addCleanup(os.close, end)
+    return ends
+
+
+def test_frequent_event_hides_no_other(case):
+    """Guards against refusals that drown in lines of ordinary requests."""
+    limiter = LineLimiter(ManualClock())
+    written = sum(limiter.allows("decision") for _ in range(3 * int(BURST_LINES)))
+    case.assertEqual(written, BURST_LINES)
+    case.assertTrue(limiter.allows("request_ended"))
+    lost = limiter.take_suppressed()
+    case.assertEqual(lost, {"decision": 2 * BURST_LINES})
+    case.assertEqual(limiter.take_suppressed(), {})
+
+
+def test_stalled_reader_costs_lines_not_time(case):
+    """Guards against a request that waits for whoever reads the logs."""
+    _, sink = pipe(case)
+    writer = BufferedWriter(sink)
+    with gevent.Timeout(5.0):
+        for number in range(2 * BUFFERED_LINES):
+            writer.write('{"level":"info"}' + "x" * 100 + "\n")
+            if number % 500 == 0:
+                gevent.sleep(0)
+        writer.write('{"level":"error"}\n')
+        writer.close(timeout_s=0.05)
+    case.assertGreater(writer.dropped, 0)
+    case.assertIn(b'{"level":"error"}\n', writer._lines)
+
+
+def test_lines_arrive_in_order(case):
+    """Guards against lines that are cut or swapped on their way."""
+    source, sink = pipe(case)
+    configure_logs("info", BufferedWriter(sink))
+    limit_lines(LineLimiter(ManualClock()))
+    case.addCleanup(configure_logs, "warning")
+    case.addCleanup(limit_lines, None)
+    for number in range(20):
+        log_event("counted", number=number)
+    gevent.sleep(0.05)
+    lines = os.read(source, 65536).splitlines()
+    numbers = [msgspec.json.decode(line)["number"] for line in lines]
+    case.assertEqual(numbers, list(range(20)))
+
+
+def test_metrics_page_names_what_was_counted(case):
+    """Guards against instruments that are missing from the page."""
+    metrics = serve_metrics(instance="entry-1", availability_zone="zone-a")
+    case.addCleanup(use_metrics, Metrics())
+    metrics.request_ended("desk", "not_run", "overloaded")
+    metrics.connection_opened("desk")
+    metrics.store_called("changes", "failed")
+    metrics.repeat_asked("desk", False)
+    metrics.step_ended("lm", Step.PREFILL, 0.1)
+    page = TestClient(metrics.create_app()).simulate_get("/metrics").text
+    for name in (
+        'amaranthbay_requests_total{amaranthbay_reason="overloaded"',
+        "amaranthbay_backend_connections_total",
+        'amaranthbay_store_calls_total{amaranthbay_call="changes"',
+        "amaranthbay_repeats_total",
+        "amaranthbay_request_step_seconds_bucket",
+    ):
+        case.assertIn(name, page)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/observe/tests/test_metrics.py
+++ b/amaranthbay/observe/tests/test_metrics.py
@@ -28,7 +28,7 @@
     current_metrics,
     metrics as metrics_module,
 )
-from amaranthbay.observe.otel import OtelMetrics
+from amaranthbay.observe.otel import push_metrics
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
 INTERVAL_S = 0.05
@@ -38,8 +38,8 @@
 pin_event_loop()
 import os, sys
 from gevent.fileobject import FileObjectPosix
-from amaranthbay.observe.otel import OtelMetrics
-metrics = OtelMetrics(sys.argv[1], {}, 0.05)
+from amaranthbay.observe.otel import push_metrics
+metrics = push_metrics(sys.argv[1], {}, 0.05)
 metrics.retried()
 FileObjectPosix(sys.stdin.fileno()).readline()
 print(len(os.listdir("/proc/self/task")))
@@ -86,7 +86,7 @@
 def exporting(case, port):
     """Returns metrics that are exported often."""
     endpoint = f"http://127.0.0.1:{port}/v1/metrics"
-    metrics = OtelMetrics(endpoint, {"instance": "entry-1"}, INTERVAL_S)
+    metrics = push_metrics(endpoint, {"instance": "entry-1"}, INTERVAL_S)
     case.addCleanup(metrics.close)
     return metrics
 
--- a/amaranthbay/relay/budget.py
+++ b/amaranthbay/relay/budget.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from amaranthbay.observe import current_metrics
+
 __all__ = ["RepeatBudget"]
 
 # Kept back for repeats that several daemons count at the same time and for
@@ -16,16 +18,18 @@
     bound holds while they can't reach each other.
     """
 
-    def __init__(self, ratio, allowance, window_s, daemons, clock):
+    def __init__(self, service, ratio, allowance, window_s, daemons, clock):
         """Creates the budget.
 
         Args:
+            service: Name of the service, for the metrics.
             ratio: Repeats allowed for each request of this daemon.
             allowance: Repeats of all daemons allowed beside the ratio.
             window_s: Length of the window.
             daemons: Function that returns the number of daemons.
             clock: `Clock`.
         """
+        self._service = service
         self._ratio = ratio
         self._allowance = allowance
         self._window_s = window_s
@@ -40,6 +44,11 @@
 
     def withdraw(self):
         """Returns whether a repeat may be sent, and counts it."""
+        granted = self._take()
+        current_metrics().repeat_asked(self._service, granted)
+        return granted
+
+    def _take(self):
         now = self._clock.monotonic()
         for times in (self._requests, self._repeats):
             while times and now - times[0] > self._window_s:
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -8,7 +8,7 @@
 
 from amaranthbay.fleet.peers import ServerLoad
 from amaranthbay.kernel.errors import Reason, not_run
-from amaranthbay.observe import log_decision
+from amaranthbay.observe import Step, current_metrics, log_decision
 from amaranthbay.relay.admission import (
     Pressure,
     Urgency,
@@ -65,6 +65,7 @@
     without: frozenset
     decode_only: bool
     continued: bool
+    since: float
     until: float
     ready: AsyncResult
     taken: bool = False
@@ -80,6 +81,10 @@
         self._ctx = ctx
         self._waiting = []
 
+    def length(self):
+        """Returns the number of requests that wait."""
+        return len(self._waiting)
+
     def place(self, call, without=frozenset(), decode_only=False, continued=False):
         """Waits for servers.
 
@@ -99,9 +104,12 @@
             return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry))
         if len(self._waiting) >= QUEUE_LENGTH:
             return Err(self._overloaded("the queue is full"))
-        since = self._ctx.clock.monotonic() if continued else call.arrived_at
+        now = self._ctx.clock.monotonic()
+        since = now if continued else call.arrived_at
         until = min(call.ends_at, since + HOLD_TARGETS * call.route.target_s)
-        waiting = _Waiting(call, without, decode_only, continued, until, AsyncResult())
+        waiting = _Waiting(
+            call, without, decode_only, continued, now, until, AsyncResult()
+        )
         self._waiting.append(waiting)
         self.advance()
         try:
@@ -116,6 +124,10 @@
         while True:
             if waiting.ready.ready():
                 waiting.taken = True
+                now = self._ctx.clock.monotonic()
+                current_metrics().step_ended(
+                    waiting.call.service.name, Step.QUEUE, now - waiting.since
+                )
                 return Ok(waiting.ready.get())
             now = self._ctx.clock.monotonic()
             if now >= waiting.until:
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -8,7 +8,7 @@
 
 from amaranthbay.fleet.peers import ServerLoad
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
-from amaranthbay.observe import log_decision, log_event
+from amaranthbay.observe import Step, current_metrics, log_decision, log_event
 from amaranthbay.relay.choice import choose_plain
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.exchange import AnswerHead, ExchangeBroken, open_exchange
@@ -211,6 +211,8 @@
 
     def _note(self, server, outcome, started_at):
         seconds = self._ctx.clock.monotonic() - started_at
+        service = self._call.service.name
+        current_metrics().step_ended(service, Step.ATTEMPT, seconds)
         good = outcome.is_ok() and outcome.unwrap().succeeded
         if good:
             self._ctx.outcomes.answered(server.name, seconds)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -12,7 +12,7 @@
     may_have_run,
     not_run,
 )
-from amaranthbay.observe import log_event
+from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.relay.calls import Call
 from amaranthbay.relay.refusals import body_of, headers_of
 from amaranthbay.routing import CallKind
@@ -62,7 +62,8 @@
         finally:
             watch.stop()
         if refusal is not None:
-            self._refuse(conn, call.request_id, refusal, arrived_at)
+            name = call.service.name
+            self._refuse(conn, call.request_id, refusal, arrived_at, name)
 
     def _note_defect(self, conn, call, exc):
         """Returns the `Refusal` of a request at which our own code has failed."""
@@ -134,6 +135,8 @@
             log_event("request_ended", request_id=call.request_id, outcome="gone")
             raise
         if refusal is None:
+            service = call.service.name
+            current_metrics().request_ended(service, Verdict.RAN, "answered")
             self._log_end(call.request_id, "answered", call.arrived_at)
         return refusal
 
@@ -149,10 +152,12 @@
             conn.answer(answer.head.status, headers, answer.body)
         return None
 
-    def _refuse(self, conn, request_id, refusal, arrived_at):
+    def _refuse(self, conn, request_id, refusal, arrived_at, service=""):
         if refusal.verdict is not Verdict.NOT_RUN and refusal.status == 503:
             # The status would promise that the request did not run.
             refusal = may_have_run(refusal.reason, refusal.detail)
+        verdict, reason = refusal.verdict, refusal.reason
+        current_metrics().request_ended(service, verdict, reason)
         self._log_end(
             request_id,
             "refused",
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
-from amaranthbay.observe import log_event
+from amaranthbay.observe import Step, current_metrics, log_event
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.events import EventSplitter
 from amaranthbay.relay.exchange import (
@@ -290,6 +290,7 @@
         ctx.outcomes.answered(server.name, seconds)
         tokens = decoded.unwrap().tokens
         ctx.demand.note_prefill(call.service.name, tokens, seconds)
+        current_metrics().step_ended(call.service.name, Step.PREFILL, seconds)
         log_event(
             "prefilled",
             request_id=call.request_id,
@@ -407,11 +408,14 @@
             return self._pass_on(exchange, head)
         self._events.restart()
         started_at = self._ctx.clock.monotonic()
+        waited_s = started_at - self._call.arrived_at
+        service = self._call.service.name
+        current_metrics().step_ended(service, Step.FIRST_EVENT, waited_s)
         log_event(
             "stream_opened",
             request_id=self._call.request_id,
             backend_server=placement.decode.name,
-            seconds=round(self._ctx.clock.monotonic() - self._call.arrived_at, 4),
+            seconds=round(waited_s, 4),
             continued=self._started,
         )
         pauses = self._watch_silence(exchange, placement.decode)
