Show the fleet from the platform's store, and check the settings of an entry process

Cause: operators of the platform had no command for what its store holds. Ruled out: asking a daemon; operators call none there.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -5,7 +5,8 @@
 import typer
 
 from amaranthbay.cli import config, operate, requests
-from amaranthbay.cli.output import print_json, stop_on_faults
+from amaranthbay.cli.output import Exit, fail, print_json, stop_on_faults
+from amaranthbay.cli.store import show_fleet
 from amaranthbay.loadtool.command import bench_command
 
 __all__ = ["app"]
@@ -42,15 +43,29 @@
 
 
 @app.command("entry")
-def entry_command():
+def entry_command(
+    check: bool = typer.Option(False, "--check", help="Only check the settings.")
+):
     """Runs an entry process on the users' platform until SIGTERM has drained it.
 
-    The platform names the settings file in the environment.
+    The platform names the settings file in the environment. Ends with 2 if it can't
+    be used.
+
+    Example: amaranthbay entry --check
     """
     from amaranthbay.daemon.entry import run_entry
     from amaranthbay.platform.adapter import PlatformAdapter
 
-    raise typer.Exit(run_entry(PlatformAdapter()))
+    adapter = PlatformAdapter()
+    if not check:
+        raise typer.Exit(run_entry(adapter))
+    loaded = adapter.load_settings()
+    if loaded.is_err():
+        fail(loaded.unwrap_err(), Exit.FAULTY_INPUT)
+    typer.echo(f"{loaded.unwrap().instance}: no fault")
+
+
+app.command("fleet")(show_fleet)
 
 
 @settings_app.command("check")
--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -43,8 +43,6 @@
 
 __all__ = ["EntryDaemon", "run_entry"]
 
-MEMBERS_TABLE = "members"
-LEASES_TABLE = "leases"
 SWEEP_S = 1.0
 LOST_LINES_S = 5.0
 REGISTER_RETRY_S = 0.5
@@ -76,7 +74,7 @@
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
         self._adapter = adapter
-        self.store = adapter.open_store(settings.store)
+        self.store = adapter.open_store(settings.store.address)
         self.configuration = ConfigurationView(
             adapter.decode_configuration, adapter.configuration_key
         )
@@ -116,7 +114,9 @@
             max(64, min(MOST_CONNECTIONS, connections)),
         )
         leases = LeaseStore(
-            adapter.open_table(self.store, LEASES_TABLE), self.clock, settings.instance
+            adapter.open_table(self.store, adapter.leases_table),
+            self.clock,
+            settings.instance,
         )
         self.balancer = StageBalancer(
             self.ctx,
@@ -181,7 +181,7 @@
         adapter = self._adapter
         self._follow(adapter.configuration_table, self.configuration, watches=True)
         self._follow(adapter.servers_table, self.backends)
-        self._follow(MEMBERS_TABLE, self.peers)
+        self._follow(self._adapter.members_table, self.peers)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._orders = [gevent.spawn(self.balancer.run)]
@@ -221,7 +221,9 @@
         row = msgspec.json.encode(self.peers.own)
         state = CommitState.UNKNOWN
         while state is not CommitState.DONE:
-            state = self.store.put(MEMBERS_TABLE, self.settings.instance, row)
+            state = self.store.put(
+                self._adapter.members_table, self.settings.instance, row
+            )
             log_event("member_row_written", state=state)
             if state is not CommitState.DONE:
                 self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
--- a/amaranthbay/observe/explain.py
+++ b/amaranthbay/observe/explain.py
@@ -32,10 +32,12 @@
 
 def _decoded(texts):
     for text in texts:
-        if not text.startswith("{"):
+        # Collectors of logs put the time and the instance before each line.
+        start = text.find("{")
+        if start < 0:
             continue
         try:
-            line = msgspec.json.decode(text, type=dict)
+            line = msgspec.json.decode(text[start:], type=dict)
         except msgspec.DecodeError:
             continue
         if "time" in line:
--- a/amaranthbay/platform/adapter.py
+++ b/amaranthbay/platform/adapter.py
@@ -17,12 +17,16 @@
         configuration_table: Table of the operator's configuration.
         configuration_key: Row of the newest configuration.
         servers_table: Table in which backend servers register themselves.
+        members_table: Table in which the entry instances register themselves.
+        leases_table: Table of the leases with fencing numbers.
     """
 
     codec = "platform"
     configuration_table = "op"
     configuration_key = "config"
     servers_table = "servers"
+    members_table = "members"
+    leases_table = "leases"
 
     load_settings = staticmethod(load_boot_settings)
     decode_configuration = staticmethod(decode_configuration)
@@ -30,9 +34,9 @@
     create_ready_app = staticmethod(create_ready_app)
     create_lookup_app = staticmethod(create_lookup_app)
 
-    def open_store(self, limits):
-        """Returns the `TableSource` at the address of `StoreLimits`."""
-        return RowStore(limits.address)
+    def open_store(self, address):
+        """Returns the `TableSource` at an address."""
+        return RowStore(address)
 
     def open_table(self, store, name):
         """Returns the `TableService` of one table of our own."""
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -9,7 +9,9 @@
 
 import gevent
 import msgspec
+from typer.testing import CliRunner
 
+from amaranthbay.cli import app
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fleet import (
     call,
@@ -161,6 +163,20 @@
     case.assertEqual(len({row.key for row in found.rows}), 1203)
 
 
+def test_fleet_command_shows_what_the_store_holds(case):
+    """Guards against a command that fails on another writer's entry."""
+    fleet = case.enterContext(small_fleet())
+    fleet.store.put("servers", "odd", b"?")
+    wait_until(lambda: ("members", "entry-1") in fleet.store.rows)
+    store = fleet.daemon.settings.store.address
+    result = CliRunner().invoke(app, ["fleet", "--store", store])
+    case.assertEqual(result.exit_code, 0, result.output)
+    for text in ("version 1", "entry-1", "name dec-1", "stage decode", "unreadable"):
+        case.assertIn(text, result.output)
+    result = CliRunner().invoke(app, ["fleet", "--store", "127.0.0.1:9"])
+    case.assertNotEqual(result.exit_code, 0)
+
+
 SETTINGS = """
 NodeName = "n-1"
 Ip = "127.0.0.1"
