Let three instances of each zone serve callers in a large fleet

Cause: with 87 instances the loads that they report to each other were 1.5 s old; decode servers refused 2,863 of 3,778 arrivals and 2.4 million prompt tokens were computed in vain. Each registration and each change of a server cost a call of every instance. Ruled out: faster reports of all to all (37,000 datagrams a second).

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -8,7 +8,7 @@
 import gevent
 import gevent.event
 
-from amaranthbay.daemon.lookup import choose_addresses
+from amaranthbay.daemon.lookup import choose_addresses, serving_instances
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.tables import StoreHealth, TableFollower
@@ -44,6 +44,10 @@
 __all__ = ["EntryDaemon", "run_entry"]
 
 SWEEP_S = 1.0
+# Pauses after a change, in which further ones gather: each costs a call of each
+# instance. A leaving server must be known within its drain bound of 2 s.
+SERVERS_PAUSE_S = 0.3
+MEMBERS_PAUSE_S = 1.5
 LOST_LINES_S = 5.0
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
@@ -82,7 +86,9 @@
         self.backends = BackendPool(adapter.decode_server, self.clock, self.health)
         self.ledger = WorkLedger()
         process = random.SystemRandom().getrandbits(PROCESS_BITS)
-        self.peers = Peers(self._registration(), self.clock, self._report, process)
+        self.peers = Peers(
+            self._registration(), self.clock, self._report, process, serving_instances
+        )
         self._budgets = {}
         self.ctx = RelayContext(
             clock=self.clock,
@@ -141,6 +147,8 @@
             settings.region,
             settings.caller_address,
             f"{settings.ip}:{settings.peer_port}",
+            settings.limits.cores,
+            settings.limits.link_mbps,
         )
 
     def _report(self):
@@ -180,8 +188,8 @@
         self._jobs += self.peers.start()
         adapter = self._adapter
         self._follow(adapter.configuration_table, self.configuration, watches=True)
-        self._follow(adapter.servers_table, self.backends)
-        self._follow(self._adapter.members_table, self.peers)
+        self._follow(adapter.servers_table, self.backends, SERVERS_PAUSE_S)
+        self._follow(adapter.members_table, self.peers, MEMBERS_PAUSE_S)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._orders = [gevent.spawn(self.balancer.run)]
@@ -207,9 +215,16 @@
         server.start()
         self._servers.append(server)
 
-    def _follow(self, table, view, watches=False):
+    def _follow(self, table, view, pause_s=0.0, watches=False):
         follower = TableFollower(
-            self.store, table, view, self.health, self.clock, self.rng, watches
+            self.store,
+            table,
+            view,
+            self.health,
+            self.clock,
+            self.rng,
+            watches=watches,
+            pause_s=pause_s,
         )
         follower.start()
         self._followers.append(follower)
--- a/amaranthbay/daemon/lookup.py
+++ b/amaranthbay/daemon/lookup.py
@@ -1,6 +1,45 @@
-"""Chooses the entry instances that a caller is told of."""
+"""Chooses the entry instances that callers are told of."""
 
-__all__ = ["choose_addresses"]
+from itertools import groupby
+
+from amaranthbay.membership.rendezvous import rendezvous_order
+
+__all__ = ["choose_addresses", "serving_instances"]
+
+# Instances of an availability zone that share its callers. Few of them know each
+# other's work at once, which keeps model servers from being filled twice; the others
+# stand by.
+SERVING_PER_ZONE = 3
+# Key of the order that all instances share.
+KEY = "callers"
+# An instance with less than this is chosen only if the zone has no other.
+LEAST_CORES = 0.9
+LEAST_LINK_MBPS = 20.0
+
+
+def serving_instances(live):
+    """Returns the instances that serve callers, some in each availability zone.
+
+    Every instance chooses the same ones, as far as they know the same live ones.
+
+    Args:
+        live: `Registration` of each instance that may be used.
+    """
+    names = rendezvous_order(KEY, [each.instance for each in live])
+    places = {name: place for place, name in enumerate(names)}
+
+    def rank(each):
+        return each.availability_zone, _is_weak(each), places[each.instance]
+
+    ordered = sorted(live, key=rank)
+    chosen = []
+    for _, zone in groupby(ordered, key=lambda each: each.availability_zone):
+        chosen += list(zone)[:SERVING_PER_ZONE]
+    return chosen
+
+
+def _is_weak(each):
+    return each.cores < LEAST_CORES or 0 < each.link_mbps < LEAST_LINK_MBPS
 
 
 def choose_addresses(live, availability_zone, region):
@@ -11,7 +50,8 @@
         availability_zone: Where the caller is.
         region: Region of the caller.
     """
-    near = [each for each in live if each.availability_zone == availability_zone]
+    serving = serving_instances(live)
+    near = [each for each in serving if each.availability_zone == availability_zone]
     if not near:
-        near = [each for each in live if each.region == region] or live
+        near = [each for each in serving if each.region == region] or serving
     return sorted(each.caller_address for each in near)
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -122,8 +122,10 @@
             self._ctx.candidates(service.name, source),
             key=lambda each: (each.memory_tokens + each.prefill_tokens),
         )
-        # Half of the way at a time: a server that switches serves neither pool.
-        moved = candidates[: max(1, count // 2)]
+        # A pool that is too large can spare all; the one that binds gives half at a
+        # time, since a server that switches serves neither pool.
+        spared = count if stage is Stage.DECODE else max(1, count // 2)
+        moved = candidates[:spared]
         log_decision(
             "stage",
             ",".join(each.server.name for each in moved),
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -19,8 +19,13 @@
 SMALL_FLEET = 12
 REPORT_INTERVAL_S = 0.2
 REPORT_LIMIT_S = 2.0
+# Instances that serve callers report to everybody at least this often.
+SERVING_INTERVAL_S = 0.6
 # Reports that may be lost in a row before an instance is left out of lookups.
-MISSED_REPORTS = 5
+MISSED_REPORTS = 4
+# Instances with work report it to each other at the shortest interval; what one has
+# reported counts for this long.
+LOAD_LIFE_S = 1.0
 MAX_DATAGRAM_BYTES = 1400
 RECEIVE_BYTES = 2048
 
@@ -73,6 +78,7 @@
         loads: `ServerLoad` by backend server, without those that are zero.
         demands: `MeasuredDemand` by service.
         switching: Model servers that it has just ordered into another pool.
+        interval_s: Seconds until its next report to everybody.
     """
 
     instance: str
@@ -82,16 +88,29 @@
     loads: dict[str, ServerLoad]
     demands: dict[str, MeasuredDemand] = {}
     switching: tuple[str, ...] = ()
+    interval_s: float = 0.2
 
 
 class Registration(msgspec.Struct, frozen=True):
-    """Row of one instance in the store."""
+    """Row of one instance in the store.
+
+    Attributes:
+        instance: Name of the instance.
+        availability_zone: Where it runs.
+        region: Region of the availability zone.
+        caller_address: Where callers connect.
+        peer_address: Where it takes the reports of other instances.
+        cores: Processor cores that it has.
+        link_mbps: Rate of its link.
+    """
 
     instance: str
     availability_zone: str
     region: str
     caller_address: str
     peer_address: str
+    cores: float = 1.0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -106,7 +125,7 @@
     A status that arrives after a newer one is dropped.
     """
 
-    def __init__(self, own, clock, report, process):
+    def __init__(self, own, clock, report, process, chosen=lambda live: live):
         """Creates the view.
 
         Args:
@@ -116,11 +135,14 @@
                 servers of this process, as in `PeerStatus`.
             process: Random number of this process. The time of its start would
                 not do, since clocks step back.
+            chosen: Function of the live instances that returns those which lookups
+                name.
         """
         self.own = own
         self.serving = False
         self._clock = clock
         self._report_own = report
+        self._chosen = chosen
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -158,29 +180,40 @@
         return len(self._registered)
 
     def interval_s(self):
-        """Returns the seconds between two reports to a peer."""
+        """Returns the seconds between two reports to everybody."""
         share = max(1.0, len(self._registered) / SMALL_FLEET)
-        return min(REPORT_LIMIT_S, REPORT_INTERVAL_S * share)
+        interval_s = min(REPORT_LIMIT_S, REPORT_INTERVAL_S * share)
+        return min(interval_s, SERVING_INTERVAL_S) if self._is_busy() else interval_s
+
+    def _is_busy(self):
+        """Returns whether callers are sent here, or work is left."""
+        return bool(self._report_own()[0]) or self.own.instance in self._busy_names()
+
+    def _busy_names(self):
+        """Returns the instances that callers are sent to, or that have work."""
+        names = {each.instance for each in self._chosen(self.live())}
+        names |= {each.instance for each in self.statuses() if each.loads}
+        return names
 
     def live(self):
         """Returns the `Registration` of each instance that callers may use."""
         now = self._clock.monotonic()
-        limit_s = MISSED_REPORTS * self.interval_s()
         found = [self.own] if self.serving else []
         for name, heard in self._heard.items():
             if name not in self._registered or not heard.status.serving:
                 continue
-            if now - heard.at <= limit_s:
+            if now - heard.at <= MISSED_REPORTS * heard.status.interval_s:
                 found.append(self._registered[name])
         return found
 
     def statuses(self):
-        """Returns the newest `PeerStatus` of each peer that was heard lately."""
+        """Returns the newest `PeerStatus` of each peer with a load that counts."""
         now = self._clock.monotonic()
-        limit_s = MISSED_REPORTS * self.interval_s()
-        return [
-            each.status for each in self._heard.values() if now - each.at <= limit_s
-        ]
+        found = []
+        for heard in self._heard.values():
+            if now - heard.at <= LOAD_LIFE_S:
+                found.append(heard.status)
+        return found
 
     def loads(self):
         """Returns the sum of `ServerLoad` that peers report, by server."""
@@ -219,6 +252,7 @@
             self._sequence,
             self.serving,
             *self._report_own(),
+            self.interval_s(),
         )
 
     def start(self):
@@ -235,16 +269,20 @@
             self._socket.close()
             self._socket = None
 
-    def announce(self):
-        """Reports at once, as after a change of `serving`."""
+    def announce(self, names=None):
+        """Reports at once, as after a change of `serving`.
+
+        Args:
+            names: Instances to report to; all if None.
+        """
         if self._socket is None:
             return
         frame = msgspec.msgpack.encode(self.status())
         if len(frame) > MAX_DATAGRAM_BYTES:
             log_event("status_too_large", level="warning", size=len(frame))
-            frame = msgspec.msgpack.encode(replace_loads(self.status()))
+            frame = msgspec.msgpack.encode(without_details(self.status()))
         for name, each in tuple(self._registered.items()):
-            if name != self.own.instance:
+            if name != self.own.instance and (names is None or name in names):
                 self._send(frame, each.peer_address)
 
     def _send(self, frame, address):
@@ -255,9 +293,15 @@
             log_event("status_not_sent", level="debug", address=address, code=exc.errno)
 
     def _report(self):
+        since_s = 0.0
         while True:
-            self.announce()
-            self._clock.sleep(self.interval_s())
+            if since_s >= self.interval_s():
+                self.announce()
+                since_s = 0.0
+            elif self._report_own()[0]:
+                self.announce(self._busy_names())
+            self._clock.sleep(REPORT_INTERVAL_S)
+            since_s += REPORT_INTERVAL_S
 
     def _receive(self):
         while True:
@@ -271,8 +315,8 @@
                 log_event("status_unreadable", level="warning", detail=str(exc))
 
 
-def replace_loads(status):
-    """Returns a status without its loads, so that it fits into a datagram."""
+def without_details(status):
+    """Returns a status without loads and demands, so that it fits into a datagram."""
     return msgspec.structs.replace(status, loads={}, demands={})
 
 
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -156,7 +156,9 @@
             before the first snapshot.
     """
 
-    def __init__(self, source, table, view, health, clock, rng, watches=False):
+    def __init__(
+        self, source, table, view, health, clock, rng, watches=False, pause_s=0.0
+    ):
         """Creates the follower.
 
         Args:
@@ -168,7 +170,9 @@
             rng: `random.Random`.
             watches: Whether this follower finds out if the store is lost and back;
                 the others wait for it meanwhile.
+            pause_s: Time after a change in which further ones gather.
         """
+        self._pause_s = pause_s
         self._source = source
         self._table = table
         self._view = view
@@ -201,11 +205,10 @@
     def _run(self):
         while True:
             pause_s = self.step()
-            if pause_s and self._watches:
-                self._clock.sleep(pause_s)
-            elif pause_s:
+            if pause_s and not self._watches:
                 self._health.wait(FEED_WAIT_S)
-                self._clock.sleep(RETRY_BASE_S)
+            if pause_s:
+                self._clock.sleep(pause_s)
 
     def step(self):
         """Makes one call and returns the seconds to wait before the next one."""
@@ -221,7 +224,7 @@
             if changes.rows:
                 self._view.apply(changes.rows)
             self.version = max(self.version, changes.version)
-            return 0.0
+            return self._pause_s if changes.rows else 0.0
         if isinstance(found.unwrap_err(), HistoryGone):
             log_event("history_gone", table=self._table, version=self.version)
             self._note_answer(sent_at)
