--- a/amaranthbay/cli/tests/test_documents.py
+++ b/amaranthbay/cli/tests/test_documents.py
@@ -35,7 +35,7 @@
 
 def test_commands_of_the_operations_page_work(case):
     """Guards against commands that were renamed and not rewritten."""
-    commands = commands_of(DOCS / "operations.md")
+    commands = commands_of(DOCS / "OPERATIONS.md")
     case.assertGreater(len(commands), 10)
     deployment = serving_deployment(case)
     real = {
@@ -58,7 +58,7 @@
 
 def test_page_lists_every_exit_code(case):
     """Guards against a code that scripts can't look up."""
-    text = (DOCS / "operations.md").read_text()
+    text = (DOCS / "OPERATIONS.md").read_text()
     section = text.partition("## Exit codes")[2].partition("##")[0]
     listed = [int(code) for code in re.findall(r"^\| (\d) \|", section, re.MULTILINE)]
     case.assertEqual(listed, sorted({int(code) for code in Exit}))
@@ -66,7 +66,7 @@
 
 def test_alarms_name_events_and_metrics_that_exist(case):
     """Guards against an alarm that can't ring."""
-    alarms = (DOCS / "operations.md").read_text().partition("## Alarms")[2]
+    alarms = (DOCS / "OPERATIONS.md").read_text().partition("## Alarms")[2]
     events = re.findall(r"event `([a-z_]+)`", alarms)
     known = (DOCS / "logs.md").read_text()
     case.assertGreater(len(events), 3)
--- /dev/null
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -0,0 +1,119 @@
+"""Orders that move model servers between the pools."""
+
+from amaranthbay.daemon.staging import RANK_S, UNBALANCED_S, StageBalancer
+from amaranthbay.fleet.peers import MeasuredDemand
+from amaranthbay.platform.tests.fleet import small_fleet
+from amaranthbay.relay.demand import StageDemand
+from amaranthbay.state.leases import LeaseStore
+from amaranthbay.utils.testing import ManualClock, collect
+
+PREFILL = ("pre-1", "pre-2", "pre-3")
+
+
+class Demand:
+    """Stands for the meter: a stream takes much more of decode than of prefill."""
+
+    def __init__(self, prefill_s, decode_s):
+        self._measured = MeasuredDemand(3000.0, 3000.0 / prefill_s, decode_s, 100)
+
+    def demand(self, service, of_peers):
+        return StageDemand(
+            self._measured.prompt_tokens / self._measured.prefill_speed,
+            self._measured.decode_s,
+        )
+
+
+def balancer(case, prefill_s=0.1, decode_s=0.5):
+    """Returns a balancer over a fleet of three prefill and one decode servers."""
+    fleet = case.enterContext(small_fleet(prefill=PREFILL))
+    daemon, clock = fleet.daemon, ManualClock()
+    for job in daemon._orders:
+        job.kill()
+    table = daemon._adapter.open_table(daemon.store, "leases")
+    made = StageBalancer(
+        daemon.ctx,
+        daemon.configuration,
+        LeaseStore(table, clock, "entry-1"),
+        Demand(prefill_s, decode_s),
+        "entry-1",
+        3.0,
+    )
+    # The balancer's own time; the fleet runs on the system's clock.
+    made._ctx = _WithClock(daemon.ctx, clock)
+    return made, fleet, clock
+
+
+class _WithClock:
+    def __init__(self, ctx, clock):
+        self._inner = ctx
+        self.clock = clock
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+
+def orders(fleet):
+    """Returns the orders that the servers were given."""
+    found = []
+    for worker in fleet.workers.values():
+        found += [each for each in worker.control if isinstance(each, dict)]
+    return found
+
+
+def test_large_pool_gives_servers_to_the_one_that_binds(case):
+    """Guards against idle prefill servers beside a full decode server, and against
+    orders without a fencing number or the server's count."""
+    made, fleet, clock = balancer(case)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    given = orders(fleet)
+    case.assertEqual(len(given), 2)
+    for order in given:
+        case.assertEqual((order["Op"], order["Stage"]), ("Stage", "decode"))
+        case.assertEqual((order["Fence"], order["Expected"]), (1, 4))
+    case.assertEqual(len(made.switching()), 2)
+
+
+def test_order_waits_until_the_switch_is_over(case):
+    """Guards against orders to servers that are still on their way."""
+    made, fleet, clock = balancer(case)
+    made.step()
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    clock.advance(5.0)
+    made.step()
+    case.assertEqual(len(orders(fleet)), 2)
+
+
+def test_only_the_first_instance_orders_at_once(case):
+    """Guards against all instances that ask for the lease at the same time."""
+    made, fleet, clock = balancer(case)
+    made._rank = lambda: 2
+    made.step()
+    clock.advance(UNBALANCED_S + RANK_S)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+    clock.advance(RANK_S + 0.1)
+    made.step()
+    case.assertEqual(len(orders(fleet)), 2)
+
+
+def test_no_order_without_the_lease(case):
+    """Guards against two holders: another instance holds the lease."""
+    made, fleet, clock = balancer(case)
+    table = fleet.daemon._adapter.open_table(fleet.daemon.store, "leases")
+    other = LeaseStore(table, clock, "entry-9")
+    case.assertIsNotNone(other.acquire("stages", 5.0))
+    made.step()
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+    fleet.store.down = 503
+    clock.advance(20.0)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+
+
+load_tests = collect(globals())
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -243,6 +243,18 @@
     wait_until(lambda: not fleet.daemon.listener.busy)
 
 
+def test_request_of_a_caller_who_has_left_is_not_sent_on(case):
+    """Guards against work for callers who gave up while the process was busy."""
+    fleet = case.enterContext(small_fleet())
+    with connect(fleet.address) as sock:
+        sock.sendall(request("/book/x", "POST", b"1"))
+        sock.close()
+        # The process doesn't run between the request and the close.
+    case.assertEqual(call(fleet, "/look/x", attempt="a2").status, 200)
+    targets = [each.target for each in fleet.workers["desk-1"].received]
+    case.assertEqual(targets, ["/look/x"])
+
+
 def test_answer_comes_when_the_time_is_over(case):
     """Guards against holding a request past its route's timeout."""
     fleet = case.enterContext(small_fleet(TimeoutMs=300, MaxAttempts=1))
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -173,6 +173,19 @@
         self.answer(status, [(b"Content-Length", b"0")], b"", close=True)
         self._linger()
 
+    def has_left(self):
+        """Returns whether the caller has closed the connection already."""
+        # gevent waits for input unless the socket's own timeout is zero.
+        self.sock.settimeout(0.0)
+        try:
+            return not self.sock.recv(1, std_socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.sock.settimeout(None)
+
     def answer(self, status, headers, body, close=False):
         """Sends a whole answer.
 
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -24,6 +24,9 @@
 # Memory is freed on servers of other daemons too, so that the queue is looked at
 # again after this time.
 POLL_S = 0.03
+# A look at the queue costs time for each request and server, so that looks keep this
+# distance under load.
+ADVANCE_S = 0.01
 # Requests that wait at a daemon; each holds its body and a connection.
 QUEUE_LENGTH = 200
 MIN_RETRY_S = 0.5
@@ -71,6 +74,22 @@
     taken: bool = False
 
 
+class _Views:
+    """Candidates by service and stage, built once for a look at the queue."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._found = {}
+
+    def of(self, waiting, stage):
+        """Returns the candidates that a waiting request may use."""
+        key = waiting.call.service.name, stage
+        if key not in self._found:
+            self._found[key] = self._ctx.candidates(*key)
+        without = waiting.without
+        return [each for each in self._found[key] if each.server.name not in without]
+
+
 class StreamQueue:
     """Requests that wait for memory of a decode server.
 
@@ -80,6 +99,7 @@
     def __init__(self, ctx):
         self._ctx = ctx
         self._waiting = []
+        self._next_at = 0.0
 
     def length(self):
         """Returns the number of requests that wait."""
@@ -111,7 +131,7 @@
             call, without, decode_only, continued, now, until, AsyncResult()
         )
         self._waiting.append(waiting)
-        self.advance()
+        self.advance(at_once=len(self._waiting) == 1)
         try:
             return self._wait(waiting)
         finally:
@@ -131,35 +151,60 @@
                 return Ok(waiting.ready.get())
             now = self._ctx.clock.monotonic()
             if now >= waiting.until:
+                self._log_no_room(waiting)
                 return Err(self._overloaded("no decode server had room in time"))
             waiting.ready.wait(min(POLL_S, waiting.until - now))
             if not waiting.ready.ready():
                 self.advance()
 
+    def _log_no_room(self, waiting):
+        """Says how full the decode servers are that a request has waited for."""
+        call = waiting.call
+        decodes = self._ctx.candidates(call.service.name, Stage.DECODE, waiting.without)
+        log_decision(
+            "stream_servers",
+            None,
+            (each.server.name for each in decodes),
+            "no decode server had room",
+            request_id=call.request_id,
+            need_tokens=memory_need(call.head),
+            limit_tokens=call.service.engine.memory_tokens,
+            memory_tokens=[each.memory_tokens for each in decodes],
+            waiting=len(self._waiting),
+        )
+
     def _overloaded(self, detail):
         seconds = MIN_RETRY_S + self._ctx.rng.uniform(0.0, 3.0)
         retry = timedelta(seconds=seconds)
         return not_run(Reason.OVERLOADED, detail, 503, retry)
 
-    def advance(self):
-        """Gives servers to the waiting requests that fit, the most urgent first."""
+    def advance(self, at_once=False):
+        """Gives servers to the waiting requests that fit, the most urgent first.
+
+        Args:
+            at_once: Whether to look again although that was done a moment ago.
+        """
         now = self._ctx.clock.monotonic()
-        for rank, _, waiting in self._ranked(now):
-            placement = self._try(waiting, rank)
+        if not self._waiting or (now < self._next_at and not at_once):
+            return
+        self._next_at = now + ADVANCE_S
+        views = _Views(self._ctx)
+        for rank, _, waiting in self._ranked(now, views):
+            placement = self._try(waiting, rank, views)
             if placement is not None:
                 self._waiting.remove(waiting)
                 waiting.ready.set(placement)
+                views = _Views(self._ctx)
             elif rank is Urgency.IN_TIME:
                 # A smaller request must not overtake for ever.
                 return
 
-    def _ranked(self, now):
+    def _ranked(self, now, views):
         """Returns rank, order in the rank and entry of the waiting, sorted."""
         ranked = []
         for index, waiting in enumerate(self._waiting):
             call = waiting.call
-            prefill = self._best_prefill(call, waiting.without)
-            wait_s = self._prefill_wait_s(call, prefill)
+            wait_s = self._prefill_wait_s(call, self._best_prefill(waiting, views))
             pressure = Pressure(wait_s, self._speed(call), 0.0)
             first_s = first_event_s(call.head.prompt_tokens, pressure)
             rank = urgency(call, first_s, now)
@@ -173,22 +218,22 @@
     def _speed(self, call):
         return self._ctx.demand.prefill_speed(call.service.name)
 
-    def _best_prefill(self, call, without):
-        prefills = self._ctx.candidates(call.service.name, Stage.PREFILL, without)
+    def _best_prefill(self, waiting, views):
+        prefills = views.of(waiting, Stage.PREFILL)
         return choose_prefill(prefills, self._ctx.rng.random())
 
     def _prefill_wait_s(self, call, prefill):
         return prefill.prefill_tokens / self._speed(call) if prefill else 0.0
 
-    def _try(self, waiting, rank):
+    def _try(self, waiting, rank, views):
         ctx, call = self._ctx, waiting.call
         engine = call.service.engine
         need = memory_need(call.head)
-        decodes = ctx.candidates(call.service.name, Stage.DECODE, waiting.without)
+        decodes = views.of(waiting, Stage.DECODE)
         decode = choose_decode(decodes, need, engine.memory_tokens, ctx.rng.random())
         if decode is None:
             return None
-        prefill = self._best_prefill(call, waiting.without)
+        prefill = self._best_prefill(waiting, views)
         wait_s = self._prefill_wait_s(call, prefill)
         share = (decode.memory_tokens + need) / engine.memory_tokens
         if not may_start(rank, Pressure(wait_s, self._speed(call), share)):
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -52,6 +52,10 @@
             request_id = self._ctx.codec.read_call(req.headers).attempt_id
             self._refuse(conn, request_id, call, arrived_at)
             return
+        if conn.has_left():
+            # The request waited for this process until its caller gave up.
+            self._log_end(call.request_id, "gone_before", arrived_at)
+            return
         watch = HangupWatch(conn.sock, call.request_id)
         try:
             refusal = self._relay(conn, call)
