Take changed settings, and split the program from its assembly

Cause: a settings file that changes, with SIGHUP or without, was only logged. The module of the entry daemon also held logs, metrics and signals; the start of a plain attempt was one long function. Ruled out: restarting on a change, which would cut requests. Before: changed limits were not in force until a restart.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -53,7 +53,7 @@
 
     Example: amaranthbay entry --check
     """
-    from amaranthbay.daemon.entry import run_entry
+    from amaranthbay.daemon.entry_process import run_entry
     from amaranthbay.platform.adapter import PlatformAdapter
 
     adapter = PlatformAdapter()
--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -1,9 +1,6 @@
 """An entry process on the users' platform: assembly, start and graceful stop."""
 
-import os
 import random
-import signal
-import sys
 
 import gevent
 import gevent.event
@@ -11,22 +8,14 @@
 from amaranthbay.daemon.lookup import choose_addresses, serving_instances
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
+from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import StoreHealth, TableFollower
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
-from amaranthbay.observe import (
-    Gauge,
-    configure_logs,
-    current_metrics,
-    log_event,
-    log_greenlet_failures,
-    serve_metrics,
-)
-from amaranthbay.observe.bounds import LineLimiter, standard_output
-from amaranthbay.observe.logs import limit_lines
+from amaranthbay.observe import Gauge, current_metrics, log_event
 from amaranthbay.platform.types import CommitState
 from amaranthbay.relay import Listener, RelayService, find_codec
-from amaranthbay.relay.budget import RepeatBudget
+from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.context import RelayContext
 from amaranthbay.relay.demand import DemandMeter
@@ -38,17 +27,17 @@
 from amaranthbay.relay.streams import StreamRelay
 from amaranthbay.routing import ClientLimits
 from amaranthbay.state.leases import LeaseStore
-from amaranthbay.utils.runtime import check_event_loop
 from amaranthbay.utils.serving import Server
 
-__all__ = ["EntryDaemon", "run_entry"]
+__all__ = ["EntryDaemon"]
 
 SWEEP_S = 1.0
 # Pauses after a change, in which further ones gather: each costs a call of each
 # instance. A leaving server must be known within its drain bound of 2 s.
 SERVERS_PAUSE_S = 0.3
 MEMBERS_PAUSE_S = 1.5
-LOST_LINES_S = 5.0
+# Shorter than any bound that a changed setting has to be in force by.
+RELOAD_S = 2.0
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
 RESERVED_DESCRIPTORS = 700
@@ -89,7 +78,9 @@
         self.peers = Peers(
             self._registration(), self.clock, self._report, process, serving_instances
         )
-        self._budgets = {}
+        self._budgets = RepeatBudgets(
+            _budget_limits(settings), self.peers.registered, self.clock
+        )
         self.ctx = RelayContext(
             clock=self.clock,
             rng=self.rng,
@@ -99,7 +90,7 @@
             connections=ConnectionPool(self.clock, _count_connection),
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
-            budget=self._budget,
+            budget=self._budgets.of,
             demand=DemandMeter(),
             switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
@@ -160,19 +151,6 @@
         table = self.configuration.table
         return table.limits if table is not None else ClientLimits()
 
-    def _budget(self, service):
-        if service not in self._budgets:
-            settings = self.settings
-            self._budgets[service] = RepeatBudget(
-                service,
-                settings.retry_ratio,
-                settings.retry_allowance,
-                settings.retry_window_s,
-                self.peers.registered,
-                self.clock,
-            )
-        return self._budgets[service]
-
     def is_ready(self):
         """Returns whether callers may be sent here."""
         return self.configuration.table is not None and not self.draining
@@ -192,6 +170,7 @@
         self._follow(adapter.members_table, self.peers, MEMBERS_PAUSE_S)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
+        self._jobs.append(gevent.spawn(self._watch_settings))
         self._orders = [gevent.spawn(self.balancer.run)]
         self._serve_app(
             settings.ready_address, self._adapter.create_ready_app(self.is_ready)
@@ -252,38 +231,42 @@
             self.ctx.connections.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
-    def observe(self, output, metrics):
-        """Bounds the logs and serves the metrics; called before `start`.
-
-        Args:
-            output: `BufferedWriter` that takes the log lines.
-            metrics: `PrometheusMetrics`.
-        """
-        limiter = LineLimiter(self.clock)
-        limit_lines(limiter)
-        self._jobs.append(gevent.spawn(self._report_lost_lines, limiter, output))
+    def watch(self, metrics):
+        """Lets metrics read what this process knows."""
         metrics.watch(Gauge.QUEUE, self.queue.length)
         metrics.watch(Gauge.STORE_SILENCE, self.health.silence_s)
         metrics.watch(Gauge.CONFIGURATION, self._configuration_version)
-        address = f"{self.settings.ip}:{self.settings.metrics_port}"
-        self._serve_app(address, metrics.create_app())
 
     def _configuration_version(self):
         table = self.configuration.table
         return table.version if table is not None else 0
 
-    def _report_lost_lines(self, limiter, output):
+    def reload(self):
+        """Reads the settings again and takes what has changed.
+
+        Addresses and names stay as they were until the process starts again.
+        """
+        loaded = self._adapter.load_settings()
+        if loaded.is_err():
+            log_event("settings_unusable", level="error", detail=loaded.unwrap_err())
+            return
+        found = loaded.unwrap()
+        changed = changed_fields(self.settings, found)
+        if not changed:
+            return
+        log_event(
+            "settings_reloaded",
+            changed=changed,
+            after_restart=[name for name in changed if name in FIXED_FIELDS],
+        )
+        self.settings = merge(self.settings, found)
+        self._budgets.configure(_budget_limits(self.settings))
+
+    def _watch_settings(self):
+        """Notices a settings file that changes without a signal."""
         while True:
-            self.clock.sleep(LOST_LINES_S)
-            suppressed = limiter.take_suppressed()
-            dropped, output.dropped = output.dropped, 0
-            if suppressed or dropped:
-                log_event(
-                    "lines_lost",
-                    level="warning",
-                    suppressed=suppressed,
-                    dropped=dropped,
-                )
+            self.clock.sleep(RELOAD_S)
+            self.reload()
 
     def close(self):
         """Ends all jobs at once, as in tests."""
@@ -323,35 +306,11 @@
         log_event("stopped", requests=len(self.listener.busy))
 
 
-def _count_connection(server):
-    current_metrics().connection_opened(server.service)
+def _budget_limits(settings):
+    return BudgetLimits(
+        settings.retry_ratio, settings.retry_allowance, settings.retry_window_s
+    )
 
 
-def run_entry(adapter):
-    """Runs an entry process until SIGTERM has drained it; returns the exit code.
-
-    Args:
-        adapter: Platform adapter.
-    """
-    check_event_loop()
-    loaded = adapter.load_settings()
-    if loaded.is_err():
-        configure_logs("info", sys.stdout)
-        log_event("settings_unusable", level="error", detail=loaded.unwrap_err())
-        return 2
-    settings = loaded.unwrap()
-    identity = {
-        "instance": settings.instance,
-        "availability_zone": settings.availability_zone,
-    }
-    output = standard_output()
-    configure_logs("info", output, process=os.getpid(), **identity)
-    log_greenlet_failures()
-    daemon = EntryDaemon(settings, adapter)
-    daemon.observe(output, serve_metrics(**identity))
-    gevent.signal_handler(signal.SIGTERM, daemon.stop_requested.set)
-    gevent.signal_handler(signal.SIGINT, daemon.stop_requested.set)
-    gevent.signal_handler(signal.SIGHUP, lambda: log_event("reload_requested"))
-    daemon.run()
-    output.close()
-    return 0
+def _count_connection(server):
+    current_metrics().connection_opened(server.service)
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -1,8 +1,22 @@
 """Settings of an entry instance on the users' platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
-__all__ = ["EntrySettings", "Limits", "StoreLimits"]
+__all__ = ["EntrySettings", "Limits", "StoreLimits", "changed_fields", "merge"]
+
+# Taken when a process starts: sockets are open and names are known to others.
+FIXED_FIELDS = (
+    "instance",
+    "ip",
+    "availability_zone",
+    "region",
+    "caller_address",
+    "ready_address",
+    "lookup_address",
+    "peer_port",
+    "metrics_port",
+    "store",
+)
 
 
 @dataclass(frozen=True)
@@ -69,3 +83,14 @@
     retry_allowance: float
     order_turn_s: float
     lookup_ttl_s: float
+
+
+def changed_fields(current, found):
+    """Returns the names of the fields in which two `EntrySettings` differ."""
+    names = [each.name for each in fields(found)]
+    return [name for name in names if getattr(found, name) != getattr(current, name)]
+
+
+def merge(current, found):
+    """Returns new settings with the fixed fields of those that a process runs on."""
+    return replace(found, **{name: getattr(current, name) for name in FIXED_FIELDS})
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -4,11 +4,13 @@
 import signal
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 import gevent
 import msgspec
+from result import Err, Ok
 from typer.testing import CliRunner
 
 from amaranthbay.cli import app
@@ -118,6 +120,25 @@
     case.assertFalse(fleet.daemon.listener.busy)
 
 
+def test_changed_settings_are_taken_and_addresses_kept(case):
+    """Guards against settings that change with or without a signal and are not in
+    force, and against an unreadable file that takes a process down."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    changed = replace(
+        daemon.settings, retry_ratio=0.0, retry_allowance=0.0, caller_address="x:1"
+    )
+    budget = daemon.ctx.budget("desk")
+    case.assertTrue(budget.withdraw())
+    daemon._adapter.load_settings = lambda: Ok(changed)
+    daemon.reload()
+    case.assertFalse(budget.withdraw())
+    case.assertEqual(daemon.settings.caller_address, fleet.address)
+    daemon._adapter.load_settings = lambda: Err("unreadable")
+    daemon.reload()
+    case.assertEqual(daemon.settings.retry_ratio, 0.0)
+
+
 def test_lease_over_the_store_settles_a_lost_answer(case):
     """Guards against two holders after the answer to a write is lost."""
     store = StoreStandin()
--- a/amaranthbay/relay/budget.py
+++ b/amaranthbay/relay/budget.py
@@ -1,16 +1,32 @@
 """Repeats that a daemon may send, as its part of what all daemons may."""
 
 from collections import deque
+from dataclasses import dataclass
 
 from amaranthbay.observe import current_metrics
 
-__all__ = ["RepeatBudget"]
+__all__ = ["BudgetLimits", "RepeatBudget", "RepeatBudgets"]
 
 # Kept back for repeats that several daemons count at the same time and for
 # requests that moved to another daemon within the window.
 SAFE_SHARE = 0.8
 
 
+@dataclass(frozen=True)
+class BudgetLimits:
+    """Repeats that a service may get.
+
+    Attributes:
+        ratio: Repeats allowed for each request of this daemon.
+        allowance: Repeats of all daemons allowed beside the ratio.
+        window_s: Length of the window in seconds.
+    """
+
+    ratio: float
+    allowance: float
+    window_s: float
+
+
 class RepeatBudget:
     """Counts requests and repeats of one service in a sliding window.
 
@@ -18,21 +34,17 @@
     bound holds while they can't reach each other.
     """
 
-    def __init__(self, service, ratio, allowance, window_s, daemons, clock):
+    def __init__(self, service, limits, daemons, clock):
         """Creates the budget.
 
         Args:
             service: Name of the service, for the metrics.
-            ratio: Repeats allowed for each request of this daemon.
-            allowance: Repeats of all daemons allowed beside the ratio.
-            window_s: Length of the window.
+            limits: `BudgetLimits`; another one may be set later.
             daemons: Function that returns the number of daemons.
             clock: `Clock`.
         """
+        self.limits = limits
         self._service = service
-        self._ratio = ratio
-        self._allowance = allowance
-        self._window_s = window_s
         self._daemons = daemons
         self._clock = clock
         self._requests = deque()
@@ -51,11 +63,36 @@
     def _take(self):
         now = self._clock.monotonic()
         for times in (self._requests, self._repeats):
-            while times and now - times[0] > self._window_s:
+            while times and now - times[0] > self.limits.window_s:
                 times.popleft()
-        own = self._allowance / max(1, self._daemons())
-        allowed = SAFE_SHARE * (self._ratio * len(self._requests) + own)
+        own = self.limits.allowance / max(1, self._daemons())
+        allowed = SAFE_SHARE * (self.limits.ratio * len(self._requests) + own)
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
         return True
+
+
+class RepeatBudgets:
+    """The `RepeatBudget` of each service, all with the same limits."""
+
+    def __init__(self, limits, daemons, clock):
+        """Creates no budget yet; see `RepeatBudget`."""
+        self._limits = limits
+        self._daemons = daemons
+        self._clock = clock
+        self._budgets = {}
+
+    def of(self, service):
+        """Returns the budget of a service."""
+        if service not in self._budgets:
+            self._budgets[service] = RepeatBudget(
+                service, self._limits, self._daemons, self._clock
+            )
+        return self._budgets[service]
+
+    def configure(self, limits):
+        """Takes other limits; what was counted goes on to count."""
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.limits = limits
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -145,51 +145,56 @@
         Servers that can't be reached are passed over without counting, as nothing
         was sent to them.
         """
-        ctx, call = self._ctx, self._call
         unreachable = set()
         while True:
-            without = self._tried | unreachable
-            candidates = ctx.candidates(call.service.name, without=without)
-            chosen = choose_plain(candidates, ctx.rng.random())
-            log_decision(
-                "plain_server",
-                chosen and chosen.server.name,
-                (each.server.name for each in candidates),
-                "shortest expected time",
-                request_id=call.request_id,
-                failure=chosen and round(chosen.failure, 2),
-                running=chosen and chosen.running,
-            )
-            now = ctx.clock.monotonic()
-            if chosen is None or now >= call.ends_at:
+            server = self._choose(self._tried | unreachable)
+            now = self._ctx.clock.monotonic()
+            if server is None or now >= self._call.ends_at:
                 detail = "no backend server can be reached"
                 return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
-            server = chosen.server
-            directions = Directions(server.name, call.left_s(now))
-            try:
-                exchange = open_exchange(
-                    ctx.connections,
-                    ctx.codec,
-                    server,
-                    call,
-                    directions,
-                    CONNECT_TIMEOUT_S,
-                )
-            except ExchangeBroken as exc:
-                ctx.outcomes.unreachable(server.name)
-                log_event(
-                    "server_unreachable",
-                    level="warning",
-                    request_id=call.request_id,
-                    backend_server=server.name,
-                    reason=exc.reason,
-                )
+            exchange = self._connect(server, now)
+            if exchange is None:
                 unreachable.add(server.name)
                 continue
             self._tried.add(server.name)
             self._running.append(gevent.spawn(self._attempt, server, exchange, now))
             return Ok(None)
 
+    def _choose(self, without):
+        """Returns the `BackendServer` to ask next, or None."""
+        ctx, call = self._ctx, self._call
+        candidates = ctx.candidates(call.service.name, without=without)
+        chosen = choose_plain(candidates, ctx.rng.random())
+        log_decision(
+            "plain_server",
+            chosen and chosen.server.name,
+            (each.server.name for each in candidates),
+            "shortest expected time",
+            request_id=call.request_id,
+            failure=chosen and round(chosen.failure, 2),
+            running=chosen and chosen.running,
+        )
+        return chosen and chosen.server
+
+    def _connect(self, server, now):
+        """Returns the `Exchange` of a request that is on its way, or None."""
+        ctx, call = self._ctx, self._call
+        directions = Directions(server.name, call.left_s(now))
+        try:
+            return open_exchange(
+                ctx.connections, ctx.codec, server, call, directions, CONNECT_TIMEOUT_S
+            )
+        except ExchangeBroken as exc:
+            ctx.outcomes.unreachable(server.name)
+            log_event(
+                "server_unreachable",
+                level="warning",
+                request_id=call.request_id,
+                backend_server=server.name,
+                reason=exc.reason,
+            )
+            return None
+
     def _attempt(self, server, exchange, started_at):
         release = self._ctx.ledger.add(server.name, ServerLoad(running=1))
         try:
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -13,7 +13,7 @@
     may_start,
     urgency,
 )
-from amaranthbay.relay.budget import RepeatBudget
+from amaranthbay.relay.budget import BudgetLimits, RepeatBudget
 from amaranthbay.relay.choice import (
     MEMORY_SHARE,
     Candidate,
@@ -158,7 +158,8 @@
 def test_budget_is_shared_by_the_daemons(case):
     """Guards against repeats beyond the allowance, summed over all daemons."""
     clock = ManualClock()
-    budgets = [RepeatBudget("lm", 0.2, 58, 10.0, lambda: 9, clock) for _ in range(9)]
+    limits = BudgetLimits(0.2, 58, 10.0)
+    budgets = [RepeatBudget("lm", limits, lambda: 9, clock) for _ in range(9)]
     granted = sum(each.withdraw() for each in budgets for _ in range(100))
     case.assertLessEqual(granted, 58)
     case.assertGreater(granted, 20)
