Test that a call without an answer is cancelled again

Cause: inverting _is_unanswered left all tests of dispatch green. Ruled out: removing it; a lost call may reach its engine after the cancellation. Before: inverted, 13 tests pass. After: inverted, the new test fails; as it is, 14 pass. Conclusion: kept.

--- a/amaranthbay/dispatch/tests/test_attempts.py
+++ b/amaranthbay/dispatch/tests/test_attempts.py
@@ -136,6 +136,22 @@
     case.assertEqual(len(node.engine.cancelled), 6)
 
 
+def cancels_of_first_attempt(case, step):
+    """Returns how often an attempt is cancelled whose decode ends with a step."""
+    node = FakeNode(FakeEngine(["ok", step]))
+    ModelService(node.ctx).dispatch(model_work(stream=False))
+    assert_nothing_held(case, node)
+    first = node.engine.cancelled[0][1]
+    return sum(attempt == first for _, attempt in node.engine.cancelled)
+
+
+def test_call_without_an_answer_is_cancelled_again(case):
+    """Guards against a lost call that reaches its engine after the cancellation,
+    and against needless repeats after an explicit refusal."""
+    case.assertEqual(cancels_of_first_attempt(case, "lost"), 6)
+    case.assertEqual(cancels_of_first_attempt(case, "refuse"), 2)
+
+
 def test_pause_during_the_prefill_starts_a_new_attempt(case):
     """Guards against a decode of an attempt that guards have cancelled."""
     node = FakeNode(FakeEngine())
