Close gaps that removed mechanisms showed in the tests of the platform

Cause: 21 mechanisms were removed one at a time (trials). Five removals left their test green: all routes repeatable (the routes of the tests allowed one attempt anyway), entries that never lapse, the wait of a continued stream, another decode server for a computed prompt, and the look at unread bytes (the ids of answers still hold). Ruled out: relying on the attempts of a route for TWICE. Before: five unnoticed. After: four of them fail their new or stricter tests.

--- a/amaranthbay/fleet/tests/test_backends.py
+++ b/amaranthbay/fleet/tests/test_backends.py
@@ -64,6 +64,9 @@
     health.answered(clock.monotonic())
     made.replace([])
     case.assertEqual(names(made), ["a", "b"])
+    # Longer than a server is used that has left without a word.
+    clock.advance(1.5)
+    case.assertEqual(names(made), ["a", "b"])
     made.apply([ChangedRow("a", 9, b"desk")])
     clock.advance(2.1)
     case.assertEqual(names(made), ["a"])
--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -64,6 +64,8 @@
         "Routes": [
             route("look", "/look/", "safe", "desk", **route_fields),
             route("book", "/book/", "unsafe", "desk", MaxAttempts=1),
+            route("pay", "/pay/", "unsafe", "desk"),
+            route("once", "/once/", "streaming", "lm", **stream),
             route("sum", "/sum/", "streaming", "lm", MaxAttempts=1, **stream),
             route("resume", "/resume/", "streaming", "lm", Resumable=True, **stream),
         ],
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -108,6 +108,17 @@
     case.assertEqual(sum(asked), 1)
 
 
+def test_attempts_that_are_left_do_not_repeat_a_non_idempotent_call(case):
+    """Guards against a second run where the route would allow two attempts."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    workers = [fleet.workers[name] for name in ("desk-1", "desk-2")]
+    for worker in workers:
+        worker.replies.append(None)
+    answer = call(fleet, "/pay/x", "POST", b"1")
+    case.assertEqual(answer.status, 502)
+    case.assertEqual(sum(len(worker.received) for worker in workers), 1)
+
+
 def test_lost_answer_of_an_idempotent_call_is_asked_elsewhere(case):
     """Guards against failing a lookup that another server can answer."""
     fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -10,6 +10,8 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.calls import Call
+from amaranthbay.relay.codec import CallHead
 from amaranthbay.routing import Stage
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -118,6 +120,65 @@
     case.assertEqual(sum(asked), 1)
 
 
+def test_attempts_that_are_left_do_not_repeat_a_stream(case):
+    """Guards against a second run where the route would allow two attempts."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    workers = [fleet.workers[name] for name in ("dec-1", "dec-2")]
+    for worker in workers:
+        worker.replies.append(None)
+    answer = call_raw(fleet.address, stream_request("/once/x"))
+    case.assertEqual(answer.status, 502)
+    case.assertEqual(sum(len(worker.received) for worker in workers), 1)
+
+
+def test_prompt_that_a_server_refuses_goes_to_another_one(case):
+    """Guards against computing a prompt again since its decode server was full."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    full = Reply(503, (("X-Not-Executed", "1"),))
+    first = []
+
+    def refuse_first(worker):
+        return lambda req: worker.stream(req) if first else first.append(1) or full
+
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+        worker.replies.append(refuse_first(worker))
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.body), (200, events(1, 3)))
+    case.assertEqual(len(fleet.workers["pre-1"].received), 1)
+    sent = [fleet.workers[name].received[0] for name in ("dec-1", "dec-2")]
+    sources = {each.headers.get("x-kv-source") for each in sent}
+    case.assertEqual(sources, {f"{fleet.addresses['pre-1']}/h0"})
+
+
+def test_continued_stream_waits_for_room_however_old_it_is(case):
+    """Guards against giving up a stream whose server was lost after some time."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    table = daemon.configuration.table
+    now = daemon.clock.monotonic()
+    old = Call(
+        "a1",
+        b"POST",
+        b"/resume/x",
+        (),
+        b"",
+        True,
+        CallHead("a1", prompt_tokens=100),
+        table.find("shop.example", "/resume/x"),
+        table.services["lm"],
+        now - 100.0,
+        now + 100.0,
+    )
+    release = daemon.ledger.add("dec-1", ServerLoad(1, 10000, 0))
+    waiting = gevent.spawn(daemon.queue.place, old, frozenset(), False, True)
+    wait_until(lambda: daemon.queue.length() == 1 or waiting.ready())
+    release()
+    placed = waiting.get()
+    case.assertTrue(placed.is_ok())
+    placed.unwrap().release()
+
+
 def test_prefill_that_nobody_takes_is_freed(case):
     """Guards against KV cache that stays held after a refusal."""
     fleet = case.enterContext(small_fleet())
