--- a/amaranthbay/__main__.py
+++ b/amaranthbay/__main__.py
@@ -1,7 +1,10 @@
 """Entry point of the program."""
 
-from amaranthbay.utils.runtime import pin_event_loop
+import sys
 
+from amaranthbay.utils.runtime import ignore_early_reload, pin_event_loop
+
+ignore_early_reload(sys.argv)
 pin_event_loop()
 
 from amaranthbay.cli import app  # noqa: E402
--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -94,6 +94,21 @@
     }
 
 
+def server_entry(service, address, stage=None, state="ready"):
+    """Returns the row of a backend server."""
+    entry = {
+        "Service": service,
+        "Address": address,
+        "Zone": "zone-a",
+        "Version": "v1",
+        "Slots": 8,
+        "State": state,
+        "ColdRemainingMs": 0,
+        "Sequence": 1,
+    }
+    return entry | ({"Stage": stage} if stage else {})
+
+
 @dataclass
 class Fleet:
     """A daemon with its store and servers."""
@@ -109,21 +124,8 @@
 
     def entry(self, name, service, stage=None, state="ready", address=None):
         """Writes a server's entry."""
-        self.store.put(
-            "servers",
-            name,
-            {
-                "Service": service,
-                "Address": address or self.addresses[name],
-                "Zone": "zone-a",
-                "Version": "v1",
-                "Slots": 8,
-                "State": state,
-                "ColdRemainingMs": 0,
-                "Sequence": 1,
-            }
-            | ({"Stage": stage} if stage else {}),
-        )
+        address = address or self.addresses[name]
+        self.store.put("servers", name, server_entry(service, address, stage, state))
 
     def knows(self, service, count, stage=None):
         """Waits until the daemon uses that many servers."""
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -3,6 +3,7 @@
 import base64
 import contextlib
 import itertools
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -167,6 +168,8 @@
         silent: Whether questions get no answer.
         forgotten: Version up to which the history is gone.
         behind: Whether snapshots show the state at `forgotten`.
+        lose_answers: Number of writes to come whose answers are lost.
+        late_s: Time after which a write with a lost answer is carried out.
     """
 
     rows: dict = field(default_factory=dict)
@@ -176,6 +179,7 @@
     forgotten: int = 0
     behind: bool = False
     lose_answers: int = 0
+    late_s: float = 0.0
     calls: list = field(default_factory=list)
     _history: deque = field(default_factory=deque)
     _changed: gevent.event.Event = field(default_factory=gevent.event.Event)
@@ -240,7 +244,7 @@
         after, table = int(req.query["after"]), req.query["Table"]
         if after < self.forgotten:
             return Reply(410)
-        end = gevent.time.monotonic() + int(req.query["WaitMs"]) / 1000
+        end = time.monotonic() + int(req.query["WaitMs"]) / 1000
         while True:
             changed = self._changed
             found = [
@@ -248,7 +252,7 @@
                 for row in self._history
                 if row["Table"] == table and row["Ver"] > after
             ]
-            left = end - gevent.time.monotonic()
+            left = end - time.monotonic()
             if found or left <= 0:
                 return _json({"Rows": found, "Ver": self.version, "NowMs": 1})
             changed.wait(left)
@@ -257,16 +261,24 @@
 
     def _transact(self, req):
         call = msgspec.json.decode(req.body)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            gevent.spawn_later(self.late_s, self._carry_out, call)
+            gevent.sleep(0)
+            return None
+        if not self._carry_out(call):
+            return Reply(412, body=b'{"Ver":0,"NowMs":1}')
+        return _json({"Ver": self.version, "NowMs": 1})
+
+    def _carry_out(self, call):
+        """Returns whether the call's condition held."""
         for each in call["Expected"]:
             known = self.rows.get((each["Table"], each["Key"]), {"Ver": 0})
             if known["Ver"] != each["Ver"]:
-                return Reply(412, body=b'{"Ver":0,"NowMs":1}')
+                return False
         for each in call["Put"]:
             self.put(each["Table"], each["Key"], base64.b64decode(each["Value"]))
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return None
-        return _json({"Ver": self.version, "NowMs": 1})
+        return True
 
 
 def _json(value):
--- a/amaranthbay/utils/runtime.py
+++ b/amaranthbay/utils/runtime.py
@@ -1,6 +1,11 @@
-"""Selects gevent's event loop and patches the standard library."""
+"""Selects gevent's event loop, patches the standard library, guards the start."""
 
-__all__ = ["check_event_loop", "pin_event_loop"]
+import signal
+
+__all__ = ["check_event_loop", "ignore_early_reload", "pin_event_loop"]
+
+# Commands that take SIGHUP as a request to reload.
+RELOADING = frozenset(("daemon", "entry"))
 
 # gevent's libuv loop may use io_uring, which the instances don't allow.
 REQUIRED_LOOP = "libev-cext"
@@ -25,6 +30,18 @@
     monkey.patch_all()
 
 
+def ignore_early_reload(arguments):
+    """Keeps a SIGHUP from ending a process that is not ready to handle it.
+
+    Settings that change during the start are read by the start itself.
+
+    Args:
+        arguments: Arguments of the program, its name first.
+    """
+    if RELOADING.intersection(arguments[1:2]):
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def check_event_loop():
     """Raises RuntimeError unless the running loop is libev on epoll."""
     import gevent
--- /dev/null
+++ b/amaranthbay/utils/tests/test_runtime.py
@@ -0,0 +1,36 @@
+"""The start of a process, before its handlers are in place."""
+
+import signal
+import subprocess
+import sys
+
+from amaranthbay.utils.testing import collect
+
+PROGRAM = """
+import os, signal
+from amaranthbay.utils.runtime import ignore_early_reload
+ignore_early_reload(["amaranthbay", "{command}"])
+os.kill(os.getpid(), signal.SIGHUP)
+print("goes on")
+"""
+
+
+def started(command):
+    """Returns the exit code of a program that gets SIGHUP while it starts."""
+    program = PROGRAM.format(command=command)
+    return subprocess.run([sys.executable, "-c", program], capture_output=True)
+
+
+def test_reload_during_the_start_does_not_end_the_process(case):
+    """Guards against a SIGHUP that ends a process which has no handler yet (seed 302
+    of the soak)."""
+    found = started("entry")
+    case.assertEqual((found.returncode, found.stdout), (0, b"goes on\n"))
+
+
+def test_other_commands_end_with_their_terminal(case):
+    """Guards against commands that outlive the terminal that they were typed in."""
+    case.assertEqual(started("status").returncode, -signal.SIGHUP)
+
+
+load_tests = collect(globals())
