Recognise requests that crash their servers in an entry process

A broken attempt whose server then refuses connections now counts as a crash of the request; after three within a minute it is refused with 503 and a time to come back. Instances share crashes in their reports, named by server, so that a repeated report counts once. Ruled out: marks in the store, as for the product's own interface, since each process would follow one more table and each call is priced; a report that is lost is sent again.

The end of a connection before an answer was logged as not_http; it is connection_closed now. Failing first: request_that_crashes_its_servers saw 20 attempts without the record.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -1,6 +1,7 @@
 """An entry process on the users' platform: assembly, start and graceful stop."""
 
 import random
+from functools import partial
 
 import gevent
 import gevent.event
@@ -18,6 +19,7 @@
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.context import RelayContext
+from amaranthbay.relay.crashes import CrashRecord, answers_connections
 from amaranthbay.relay.demand import DemandMeter
 from amaranthbay.relay.ledger import WorkLedger
 from amaranthbay.relay.outcomes import ServerOutcomes
@@ -41,7 +43,7 @@
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
 RESERVED_DESCRIPTORS = 700
-MOST_CONNECTIONS = 2000
+LEAST_CONNECTIONS, MOST_CONNECTIONS = 64, 2000
 # After SIGTERM callers come for a while with addresses that they have kept; requests
 # that arrive in this part of the grace period are still served.
 SERVE_SHARE = 0.38
@@ -74,9 +76,16 @@
         self.health = StoreHealth(self.clock)
         self.backends = BackendPool(adapter.decode_server, self.clock, self.health)
         self.ledger = WorkLedger()
+        connections = ConnectionPool(self.clock, _count_connection)
+        crashes = CrashRecord(self.clock, partial(answers_connections, connections))
         process = random.SystemRandom().getrandbits(PROCESS_BITS)
         self.peers = Peers(
-            self._registration(), self.clock, self._report, process, serving_instances
+            self._registration(),
+            self.clock,
+            self._report,
+            process,
+            serving_instances,
+            crashes.learn,
         )
         self._budgets = RepeatBudgets(
             _budget_limits(settings), self.peers.registered, self.clock
@@ -87,11 +96,12 @@
             codec=find_codec(adapter.codec),
             backends=self.backends,
             peers=self.peers,
-            connections=ConnectionPool(self.clock, _count_connection),
+            connections=connections,
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
             budget=self._budgets.of,
             demand=DemandMeter(),
+            crashes=crashes,
             switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
         )
@@ -103,12 +113,12 @@
             PlainRelay(self.ctx),
             StreamRelay(self.ctx, self.queue),
         )
-        connections = settings.limits.descriptors - RESERVED_DESCRIPTORS
+        most_callers = settings.limits.descriptors - RESERVED_DESCRIPTORS
         self.listener = Listener(
             settings.caller_address,
             self.service.handle,
             self._client_limits,
-            max(64, min(MOST_CONNECTIONS, connections)),
+            max(LEAST_CONNECTIONS, min(MOST_CONNECTIONS, most_callers)),
         )
         leases = LeaseStore(
             adapter.open_table(self.store, adapter.leases_table),
@@ -144,8 +154,12 @@
 
     def _report(self):
         """Returns what this process tells its peers."""
-        loads = dict(self.ledger.loads())
-        return loads, self.ctx.demand.own(), self.balancer.switching()
+        return (
+            dict(self.ledger.loads()),
+            self.ctx.demand.own(),
+            self.balancer.switching(),
+            self.ctx.crashes.report(),
+        )
 
     def _client_limits(self):
         table = self.configuration.table
@@ -229,6 +243,7 @@
                 self.peers.serving = serving
                 self.peers.announce()
             self.ctx.connections.sweep()
+            self.ctx.crashes.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
     def watch(self, metrics):
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -79,6 +79,8 @@
         demands: `MeasuredDemand` by service.
         switching: Model servers that it has just ordered into another pool.
         interval_s: Seconds until its next report to everybody.
+        crashes: Names of crashed servers by fingerprint of the request that they
+            ran; see `relay.crashes`.
     """
 
     instance: str
@@ -89,6 +91,7 @@
     demands: dict[str, MeasuredDemand] = {}
     switching: tuple[str, ...] = ()
     interval_s: float = 0.2
+    crashes: dict[str, tuple[str, ...]] = {}
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -125,24 +128,34 @@
     A status that arrives after a newer one is dropped.
     """
 
-    def __init__(self, own, clock, report, process, chosen=lambda live: live):
+    def __init__(
+        self,
+        own,
+        clock,
+        report,
+        process,
+        chosen=lambda live: live,
+        learn=lambda crashes: None,
+    ):
         """Creates the view.
 
         Args:
             own: `Registration` of this process.
             clock: `Clock`.
-            report: Function that returns the loads, the demands and the switching
-                servers of this process, as in `PeerStatus`.
+            report: Function that returns the loads, the demands, the switching
+                servers and the crashes of this process, as in `PeerStatus`.
             process: Random number of this process. The time of its start would
                 not do, since clocks step back.
             chosen: Function of the live instances that returns those which lookups
                 name.
+            learn: Function that takes the crashes of another instance.
         """
         self.own = own
         self.serving = False
         self._clock = clock
         self._report_own = report
         self._chosen = chosen
+        self._learn_crashes = learn
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -242,17 +255,23 @@
         if known is None or known.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._heard[status.instance] = _Heard(status, self._clock.monotonic())
+        if status.crashes:
+            self._learn_crashes(status.crashes)
 
     def status(self):
         """Returns the next status of this process."""
         self._sequence += 1
+        loads, demands, switching, crashes = self._report_own()
         return PeerStatus(
-            self.own.instance,
-            self._process,
-            self._sequence,
-            self.serving,
-            *self._report_own(),
-            self.interval_s(),
+            instance=self.own.instance,
+            process=self._process,
+            sequence=self._sequence,
+            serving=self.serving,
+            loads=loads,
+            demands=demands,
+            switching=switching,
+            interval_s=self.interval_s(),
+            crashes=crashes,
         )
 
     def start(self):
@@ -316,8 +335,8 @@
 
 
 def without_details(status):
-    """Returns a status without loads and demands, so that it fits into a datagram."""
-    return msgspec.structs.replace(status, loads={}, demands={})
+    """Returns a status that fits into a datagram, without loads and the like."""
+    return msgspec.structs.replace(status, loads={}, demands={}, crashes={})
 
 
 def _is_late(status, known):
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -20,7 +20,7 @@
 def peers(count=2):
     """Returns the view of ``entry-1`` that knows that many instances by row."""
     clock = ManualClock()
-    made = Peers(registration("entry-1"), clock, lambda: ({}, {}, ()), 1)
+    made = Peers(registration("entry-1"), clock, lambda: ({}, {}, (), {}), 1)
     made.serving = True
     rows = [registration(f"entry-{number}") for number in range(1, count + 1)]
     made.apply([ChangedRow(r.instance, 1, msgspec.json.encode(r)) for r in rows])
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -326,4 +326,26 @@
         case.assertEqual(read_answer(sock).status, 408)
 
 
+def test_request_that_crashes_its_servers_is_refused(case):
+    """Guards against a request that takes down one server after the other."""
+    names = ("desk-1", "desk-2", "desk-3")
+    fleet = case.enterContext(small_fleet(plain=names))
+    fleet.daemon.ctx.crashes._answers = lambda server: False
+    for name in names:
+        fleet.workers[name].replies.extend([lambda req: None] * 20)
+    answer = call(fleet, "/book/x", "POST", b"b")
+    for _ in range(20):
+        if answer.status == 503:
+            break
+        case.assertEqual(answer.status, 502)
+        gevent.sleep(0.1)
+        answer = call(fleet, "/book/x", "POST", b"b")
+    case.assertIn(b"quarantined", answer.body)
+    case.assertIn("retry-after", answer.headers)
+    arrived = sum(len(fleet.workers[name].received) for name in names)
+    call(fleet, "/book/x", "POST", b"b")
+    case.assertEqual(sum(len(fleet.workers[n].received) for n in names), arrived)
+    case.assertEqual(call(fleet, "/book/x", "POST", b"other").status, 502)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -52,6 +52,8 @@
         ran = refusal.verdict is not Verdict.NOT_RUN
         if (ran and not self._call.route.repeatable) or not self.is_left():
             return False
+        if self._ctx.crashes.is_dangerous(self._call):
+            return False
         counted = self._count > 0 or (prefill_again and self.prefilled)
         return not counted or self._ctx.budget(self._call.service.name).withdraw()
 
@@ -66,6 +68,7 @@
         self.without.add(server.name)
         if sent:
             self._ctx.outcomes.failed(server.name)
+            self._ctx.crashes.note_broken(self._call, server, exc)
         else:
             self._ctx.outcomes.unreachable(server.name)
         log_event(
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -23,6 +23,7 @@
         outcomes: `ServerOutcomes`.
         budget: Function of a service's name that returns its `RepeatBudget`.
         demand: `DemandMeter`.
+        crashes: `CrashRecord`.
         switching: Function that returns the servers that this daemon has ordered
             into another pool.
         availability_zone: Where the process runs.
@@ -38,6 +39,7 @@
     outcomes: object
     budget: object
     demand: object
+    crashes: object
     switching: object
     availability_zone: str
 
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -66,6 +66,7 @@
         self._sender = sender
         self._parser = answer_parser(method)
         self._complete = False
+        self._ended = False
         self._raw_headers = ()
         self._on_silence = None
 
@@ -131,7 +132,8 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
-                raise self._broken("not_http") from exc
+                reason = "connection_closed" if self._ended else "not_http"
+                raise self._broken(reason) from exc
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -143,6 +145,7 @@
                 continue
             except OSError as exc:
                 raise self._broken("connection_reset") from exc
+            self._ended = not data
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as exc:
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -132,6 +132,8 @@
         """Starts another attempt if that is allowed; returns how many it started."""
         if len(self._tried) >= self._call.route.max_attempts:
             return 0
+        if self._ctx.crashes.is_dangerous(self._call):
+            return 0
         if not self._ctx.candidates(self._call.service.name, without=self._tried):
             return 0
         if not self._ctx.budget(self._call.service.name).withdraw():
@@ -238,6 +240,7 @@
             refusal = self._refusal_of(server, head)
             body = self._read_body(exchange)
         except ExchangeBroken as exc:
+            self._ctx.crashes.note_broken(self._call, server, exc)
             return Err(may_have_run(Reason.BACKEND_FAILED, exc.reason))
         if refusal is not None:
             return Err(refusal)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -23,6 +23,8 @@
 
 # A daemon that has just started reads its configuration within this time.
 NOT_READY_RETRY = timedelta(seconds=0.5)
+# Crashes of a request count for this long.
+QUARANTINE_RETRY = timedelta(seconds=60)
 MS_DIGITS = 4
 
 
@@ -98,7 +100,11 @@
         if service is None:
             detail = "the route's service is not configured"
             return not_run(Reason.UNKNOWN_SERVICE, detail, 503, NOT_READY_RETRY)
-        return self._call(req, route, service, arrived_at)
+        call = self._call(req, route, service, arrived_at)
+        if self._ctx.crashes.is_dangerous(call):
+            detail = "the request has crashed the backend servers that ran it"
+            return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
+        return call
 
     def _call(self, req, route, service, arrived_at):
         head = self._ctx.codec.read_call(req.headers)
