Promise nothing for a stream whose decode server has not answered

When a stream's time ended while a decode server had the request, the answer was 503, which says that it has not run: the verdict of the run was only raised once an exchange had broken. Ruled out: plain calls, which count their pending attempts. The answer is 504 now. The new test fails without the change.

--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -10,8 +10,9 @@
 from gevent import socket
 
 from amaranthbay.platform.tests.fleet import HOST, call_raw, request
+from amaranthbay.platform.tests.soak.world import ZONES
 
-__all__ = ["Caller", "Exchange", "KINDS", "send"]
+__all__ = ["KINDS", "Caller", "Exchange", "look_up", "send"]
 
 READ_BYTES = 65536
 TIMEOUT_S = 4.0
@@ -141,12 +142,8 @@
         asked = self._world.processes[self._rng.choice(names)]
         if self._rng.random() < LOOKUP_SHARE:
             return asked.name
-        path = "/resolve?Name=shop.example&Region=region-1&Zone=zone-a"
-        try:
-            answer = call_raw(asked.lookup_address, request(path, host="daemon"))
-            found = msgspec.json.decode(answer.body)["Addresses"]
-        except (OSError, msgspec.DecodeError, KeyError):
-            # The process is down, or knows of no instance.
+        found = look_up(asked.lookup_address, self._rng.choice(sorted(ZONES)))
+        if not found:
             return self._rng.choice(names)
         by_address = {
             each.callers.target: each.name for each in self._world.processes.values()
@@ -159,6 +156,22 @@
         self._sock, self._served = None, 0
 
 
+def look_up(address, zone):
+    """Returns the addresses that a process names to callers; none if it is down.
+
+    Args:
+        address: Where the process answers lookups.
+        zone: Availability zone of the caller.
+    """
+    path = f"/resolve?Name={HOST}&Region={ZONES[zone]}&Zone={zone}"
+    try:
+        answer = call_raw(address, request(path, host="daemon"))
+        return msgspec.json.decode(answer.body)["Addresses"]
+    except (OSError, msgspec.DecodeError, KeyError):
+        # The process is down, or knows of no instance.
+        return []
+
+
 def send(sock, process, kind, attempt, left=False):
     """Sends one request on a connection and returns the `Exchange`.
 
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -8,8 +8,7 @@
 import gevent
 from gevent import socket
 
-from amaranthbay.platform.tests.fleet import call_raw, request
-from amaranthbay.platform.tests.soak.callers import KINDS, Caller, send
+from amaranthbay.platform.tests.soak.callers import KINDS, Caller, look_up, send
 from amaranthbay.platform.tests.soak.faults import draw_steps, play
 from amaranthbay.platform.tests.soak.promises import broken_promises
 from amaranthbay.platform.tests.soak.world import EXIT_BOUND_S, World
@@ -22,6 +21,7 @@
 # A deployment serves everything again within this time (RecoveryS).
 RECOVERY_S = 12.0
 CALM_S = 1.5
+ANY_ZONE = "zone-a"
 PROBE_PAUSE_S = 0.1
 
 
@@ -82,13 +82,7 @@
 
 
 def _serves_lookups(process):
-    path = "/resolve?Name=shop.example&Region=region-1&Zone=zone-a"
-    try:
-        answer = call_raw(process.lookup_address, request(path, host="daemon"))
-    except OSError:
-        # It does not listen yet.
-        return False
-    return answer.status == 200
+    return bool(look_up(process.lookup_address, ANY_ZONE))
 
 
 def _recovery(world, exchanges):
--- a/amaranthbay/platform/tests/soak/world.py
+++ b/amaranthbay/platform/tests/soak/world.py
@@ -26,7 +26,7 @@
 from amaranthbay.platform.tests.standins import StoreStandin, serve_http
 from amaranthbay.utils.testing import free_port
 
-__all__ = ["Disturbance", "Version", "World"]
+__all__ = ["SERVERS", "ZONES", "Disturbance", "Version", "World"]
 
 ROOT = Path(__file__).resolve().parents[4]
 ZONES = {"zone-a": "region-1", "zone-b": "region-1"}
@@ -301,12 +301,13 @@
         """Kills a process and starts it again."""
         process = self.processes[name]
         process.controlled = True
-        self._kill(name)
+        self.kill(name)
         gevent.sleep(RESTART_S)
         self.start(name)
         process.controlled = False
 
-    def _kill(self, name):
+    def kill(self, name):
+        """Kills a process and waits for its end."""
         self.signal(name, signal.SIGKILL)
         self.wait_exit(name, EXIT_BOUND_S)
 
@@ -324,7 +325,7 @@
         if started:
             process.exits.append(code)
         if code is None:
-            self._kill(name)
+            self.kill(name)
         gevent.sleep(RESTART_S)
         self.start(name)
         process.controlled = False
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -109,6 +109,19 @@
     return reply
 
 
+def test_stream_whose_time_ends_at_a_silent_server_may_have_run(case):
+    """Guards against a promise that a request has not run while its decode server
+    still has it (seeds 1007 and 1010 of the soak)."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    for path in ("/sum/x", "/resume/x"):
+        worker.replies.append(lambda req: gevent.sleep(2.0))
+        deadline = (("X-Deadline-Ms", "400"),)
+        answer = call_raw(fleet.address, stream_request(path, headers=deadline))
+        case.assertEqual(answer.status, 504)
+        case.assertEqual(worker.received[-1].path, path)
+
+
 def test_stream_that_may_not_run_twice_is_sent_to_one_decode_server(case):
     """Guards against a second run after a broken answer."""
     fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -64,6 +64,8 @@
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
         self._verdict = Verdict.NOT_RUN
+        # Whether a decode server has the request and has not answered yet.
+        self._unsettled = False
 
     def run(self):
         """Returns None once the answer has ended, else a `Refusal`."""
@@ -71,7 +73,10 @@
         with gevent.Timeout(limit_s, False):
             return self._run_attempts()
         # The time is over; a stream that has begun ends without its end.
-        return None if self._output.started else give_up(self._verdict)
+        if self._output.started:
+            return None
+        verdict = Verdict.MAY_HAVE_RUN if self._unsettled else self._verdict
+        return give_up(verdict)
 
     def _run_attempts(self):
         while True:
@@ -89,6 +94,7 @@
                 if held.is_err():
                     continue
                 outcome = self._attempt(placement, held.unwrap())
+                self._unsettled = False
             finally:
                 placement.release()
             if outcome.is_ok():
@@ -202,6 +208,7 @@
                 conn,
             )
             self._attempts.sent()
+            self._unsettled = True
             head = self._read_head(exchange)
             refusal = self._refusal_of(server, head)
             if refusal is not None:
