Ask the store less often where that costs nothing

Instances that callers are not sent to gather changes of servers for 40% of the drain bound and of members for 3 s. Ruled out: standing by without following, since these instances still answer requests of callers that have kept their address.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -35,9 +35,16 @@
 
 SWEEP_S = 1.0
 # Pauses after a change, in which further ones gather: each costs a call of each
-# instance. A leaving server must be known within its drain bound of 2 s.
+# instance. One that callers are not sent to pauses for longer, but for less than half
+# of the time within which a leaving server must be known.
 SERVERS_PAUSE_S = 0.3
+IDLE_PAUSE_SHARE = 0.4
 MEMBERS_PAUSE_S = 1.5
+IDLE_MEMBERS_PAUSE_S = 3.0
+# Part of the time within which a configuration must be in force after which a question
+# is asked anew. The answer's own time limit must fit in, before the platform takes the
+# instance to be up to date again.
+WATCH_SHARE = 0.95
 # Shorter than any bound that a changed setting has to be in force by.
 RELOAD_S = 2.0
 REGISTER_RETRY_S = 0.5
@@ -180,9 +187,15 @@
         settings = self.settings
         self._jobs += self.peers.start()
         adapter = self._adapter
-        self._follow(adapter.configuration_table, self.configuration, watches=True)
-        self._follow(adapter.servers_table, self.backends, SERVERS_PAUSE_S)
-        self._follow(adapter.members_table, self.peers, MEMBERS_PAUSE_S)
+        self._follow(
+            adapter.configuration_table,
+            self.configuration,
+            watch_s=WATCH_SHARE * settings.configuration_s,
+        )
+        self._follow(
+            adapter.servers_table, self.backends, pause_s=self._servers_pause_s
+        )
+        self._follow(adapter.members_table, self.peers, pause_s=self._members_pause_s)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._jobs.append(gevent.spawn(self._watch_settings))
@@ -209,16 +222,17 @@
         server.start()
         self._servers.append(server)
 
-    def _follow(self, table, view, pause_s=0.0, watches=False):
+    def _servers_pause_s(self):
+        if self.peers.is_busy():
+            return SERVERS_PAUSE_S
+        return max(SERVERS_PAUSE_S, IDLE_PAUSE_SHARE * self.settings.drain_s)
+
+    def _members_pause_s(self):
+        return MEMBERS_PAUSE_S if self.peers.is_busy() else IDLE_MEMBERS_PAUSE_S
+
+    def _follow(self, table, view, **options):
         follower = TableFollower(
-            self.store,
-            table,
-            view,
-            self.health,
-            self.clock,
-            self.rng,
-            watches=watches,
-            pause_s=pause_s,
+            self.store, table, view, self.health, self.clock, self.rng, **options
         )
         follower.start()
         self._followers.append(follower)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -208,9 +208,9 @@
         """Returns the seconds between two reports to everybody."""
         share = max(1.0, len(self._registered) / SMALL_FLEET)
         interval_s = min(REPORT_LIMIT_S, REPORT_INTERVAL_S * share)
-        return min(interval_s, SERVING_INTERVAL_S) if self._is_busy() else interval_s
+        return min(interval_s, SERVING_INTERVAL_S) if self.is_busy() else interval_s
 
-    def _is_busy(self):
+    def is_busy(self):
         """Returns whether callers are sent here, or work is left."""
         return bool(self._report_own()[0]) or self.own.instance in self._busy_names()
 
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -55,6 +55,7 @@
         metrics_port: TCP port of the metrics.
         store: The platform's store.
         limits: What the instance gives.
+        configuration_s: Time within which a changed configuration is in force.
         drain_s: Time within which a leaving backend server gets no more work.
         stop_s: Time from SIGTERM until the platform kills the process.
         retry_ratio: Repeats allowed for each request of a service.
@@ -76,6 +77,7 @@
     metrics_port: int
     store: StoreLimits
     limits: Limits
+    configuration_s: float
     drain_s: float
     stop_s: float
     retry_ratio: float
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -18,10 +18,6 @@
     "TableSource",
 ]
 
-# A store that falls silent loses the questions that wait at it. One table is asked
-# this often, so that the loss is known in less than the 3 s after which the platform
-# expects an instance to be up to date again.
-WATCH_WAIT_S = 1.9
 # Connections that were made as the store came back are often lost once more, so that
 # for some time after a loss the table is asked more often.
 RECOVERY_WAIT_S = 0.5
@@ -157,7 +153,15 @@
     """
 
     def __init__(
-        self, source, table, view, health, clock, rng, watches=False, pause_s=0.0
+        self,
+        source,
+        table,
+        view,
+        health,
+        clock,
+        rng,
+        watch_s=None,
+        pause_s=lambda: 0.0,
     ):
         """Creates the follower.
 
@@ -168,9 +172,12 @@
             health: `StoreHealth`.
             clock: `Clock`.
             rng: `random.Random`.
-            watches: Whether this follower finds out if the store is lost and back;
-                the others wait for it meanwhile.
-            pause_s: Time after a change in which further ones gather.
+            watch_s: Longest wait of a question, for the follower that finds out
+                whether the store is lost and back. A store that falls silent loses
+                the questions that wait at it. None for the others, which wait for
+                this one meanwhile.
+            pause_s: Function that returns the time after a change in which further
+                ones gather.
         """
         self._pause_s = pause_s
         self._source = source
@@ -179,11 +186,11 @@
         self._health = health
         self._clock = clock
         self._rng = rng
-        self._watches = watches
+        self._watch_s = watch_s
         self._failures = 0
         self._job = None
         self.version = None
-        if not watches:
+        if watch_s is None:
             health.on_regained(self._restart)
 
     def start(self):
@@ -205,7 +212,7 @@
     def _run(self):
         while True:
             pause_s = self.step()
-            if pause_s and not self._watches:
+            if pause_s and self._watch_s is None:
                 self._health.wait(FEED_WAIT_S)
             if pause_s:
                 self._clock.sleep(pause_s)
@@ -224,7 +231,7 @@
             if changes.rows:
                 self._view.apply(changes.rows)
             self.version = max(self.version, changes.version)
-            return self._pause_s if changes.rows else 0.0
+            return self._pause_s() if changes.rows else 0.0
         if isinstance(found.unwrap_err(), HistoryGone):
             log_event("history_gone", table=self._table, version=self.version)
             self._note_answer(sent_at)
@@ -232,13 +239,13 @@
         return self._note_failure(found.unwrap_err())
 
     def _wait_s(self):
-        if not self._watches:
+        if self._watch_s is None:
             return FEED_WAIT_S
         regained_at = self._health.regained_at
         if regained_at is None:
-            return WATCH_WAIT_S
-        since_s = self._clock.monotonic() - regained_at
-        return RECOVERY_WAIT_S if since_s < RECOVERY_S else WATCH_WAIT_S
+            return self._watch_s
+        recovering = self._clock.monotonic() - regained_at < RECOVERY_S
+        return min(RECOVERY_WAIT_S, self._watch_s) if recovering else self._watch_s
 
     def _read_all(self):
         sent_at = self._clock.monotonic()
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -53,12 +53,12 @@
             self.rows[row.key] = row.value
 
 
-def follower(*answers, watches=True):
+def follower(*answers, watch_s=1.9, **options):
     """Returns a follower, its view, its source and its health."""
     clock = ManualClock()
     source, view, health = ScriptedSource(*answers), SeenRows(), StoreHealth(clock)
     made = TableFollower(
-        source, "t", view, health, clock, random.Random(1), watches=watches
+        source, "t", view, health, clock, random.Random(1), watch_s=watch_s, **options
     )
     return made, view, source, health, clock
 
@@ -147,7 +147,7 @@
 def test_followers_ask_again_when_the_store_is_back(case):
     """Guards against a question that waits at the store since before its silence."""
     made, _, _, health, clock = follower(
-        Ok(Snapshot((), 1)), Ok(Changes((), 1)), watches=False
+        Ok(Snapshot((), 1)), Ok(Changes((), 1)), watch_s=None
     )
     restarted = []
     made._restart = lambda: restarted.append(True)
@@ -158,4 +158,19 @@
     case.assertEqual(restarted, [True])
 
 
+def test_pause_after_a_change_is_asked_for_each_time(case):
+    """Guards against an instance that serves and still gathers changes for as long as
+    one that stands by."""
+    pauses = [1.0, 0.3]
+    rows = (ChangedRow("a", 2, b"1"),)
+    made, *_ = follower(
+        Ok(Snapshot((), 1)),
+        Ok(Changes(rows, 2)),
+        Ok(Changes(rows, 3)),
+        Ok(Changes((), 3)),
+        pause_s=lambda: pauses.pop(0),
+    )
+    case.assertEqual([made.step() for _ in range(4)], [0.0, 1.0, 0.3, 0.0])
+
+
 load_tests = collect(globals())
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -36,6 +36,7 @@
 
 
 class _Bounds(msgspec.Struct):
+    ConfigApplyMs: float = 2000.0
     DrainMs: float = 2000.0
     GraceS: float = 8.0
     RetryBudgetRatio: float = 0.2
@@ -96,6 +97,7 @@
             cores=machine.CpuShare * machine.Cores,
             link_mbps=machine.LinkMbps,
         ),
+        configuration_s=bounds.ConfigApplyMs / MS_PER_S,
         drain_s=bounds.DrainMs / MS_PER_S,
         stop_s=bounds.GraceS,
         retry_ratio=bounds.RetryBudgetRatio,
--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -147,6 +147,7 @@
         metrics_port=free_port(),
         store=StoreLimits(store_address, 400.0, 2000.0),
         limits=Limits(),
+        configuration_s=2.0,
         drain_s=2.0,
         stop_s=4.0,
         retry_ratio=0.2,
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -14,6 +14,7 @@
 from typer.testing import CliRunner
 
 from amaranthbay.cli import app
+from amaranthbay.daemon.entry import SERVERS_PAUSE_S
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fleet import (
     call,
@@ -92,6 +93,19 @@
     wait_until(lambda: fleet.daemon.configuration.table.version == 9)
 
 
+def test_idle_instance_knows_of_changes_within_their_bounds(case):
+    """Guards against an instance that stands by, saves calls and is then behind."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    wait_until(lambda: daemon.peers.serving)
+    daemon.peers._chosen = lambda live: []
+    settings = daemon.settings
+    case.assertGreater(daemon._servers_pause_s(), SERVERS_PAUSE_S)
+    case.assertLess(daemon._servers_pause_s(), settings.drain_s / 2)
+    daemon.peers._chosen = lambda live: live
+    case.assertEqual(daemon._servers_pause_s(), SERVERS_PAUSE_S)
+
+
 def test_refusal_without_a_configuration_promises_not_run(case):
     """Guards against a 404 from an instance that knows no route yet."""
     fleet = case.enterContext(small_fleet())
