Measure the work of the pools without queues and without bias

Two causes: the speed of prefill servers was taken from times that include the way there and queues (20 tokens a ms at the chosen quantile; the shortest times by length give 31 to 33 and 20 ms besides), and the time of decode servers from the streams that had ended, of which the short ones end first (0.21 s after 4 s, 0.45 s after 20). The speed now leaves out the way and takes a higher quantile; the decode time is the time that all streams have taken, over the mean of those that have begun and ended, and allows for memory that is too small for the next stream. Servers on their way count in their new pool, so that the next order needs not wait for the last one to show in the list.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -107,7 +107,7 @@
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
             budget=self._budgets.of,
-            demand=DemandMeter(),
+            demand=DemandMeter(self.clock),
             crashes=crashes,
             switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -1,5 +1,7 @@
 """Moves model servers between the prefill and the decode pool as the load asks."""
 
+from dataclasses import dataclass
+
 from result import Err, Ok
 
 from amaranthbay.observe import log_decision, log_event
@@ -25,6 +27,13 @@
 LIST_LAG_S = 3.0
 
 
+@dataclass(frozen=True)
+class _Switch:
+    service: str
+    stage: Stage
+    ends_at: float
+
+
 class StageBalancer:
     """Gives stage orders while it holds a lease with a fencing number."""
 
@@ -65,7 +74,7 @@
 
     def _balance(self, service):
         now = self._ctx.clock.monotonic()
-        pause_s = service.engine.stage_switch_s + LIST_LAG_S
+        pause_s = self._turn_s + ORDER_WINDOW_S
         if now - self._ordered_at.get(service.name, -pause_s) < pause_s:
             return
         move = self._wanted_move(service)
@@ -90,8 +99,11 @@
         demand = self._meter.demand(service.name, of_peers)
         if demand is None:
             return None
+        # Servers on their way count where they will be.
         prefill = len(self._ctx.candidates(service.name, Stage.PREFILL))
+        prefill += self._count_switching(service, Stage.PREFILL)
         decode = len(self._ctx.candidates(service.name, Stage.DECODE))
+        decode += self._count_switching(service, Stage.DECODE)
         wanted = plan_prefill_servers(prefill, decode, demand)
         plan = (prefill, decode, wanted)
         if plan != self._plans.get(service.name):
@@ -138,14 +150,29 @@
         for each in moved:
             if not self._leases.is_held(lease, self._turn_s):
                 return
-            self._send(each.server, stage, lease.fence, service.engine.stage_switch_s)
+            self._send(each.server, stage, lease.fence, service)
 
     def switching(self):
-        """Returns the servers that are on their way into another pool."""
+        """Returns the servers that are on their way into another pool.
+
+        One whose switch should be over counts for some time more, until it is listed
+        in its new pool.
+        """
         now = self._ctx.clock.monotonic()
-        return tuple(name for name, until in self._switching.items() if now < until)
+        for name, switch in tuple(self._switching.items()):
+            listed = self._ctx.backends.stage_of(name) is switch.stage
+            if now >= switch.ends_at + (0.0 if listed else LIST_LAG_S):
+                del self._switching[name]
+        return tuple(self._switching)
+
+    def _count_switching(self, service, stage):
+        names = self.switching()
+        found = [self._switching[name] for name in names]
+        return sum(
+            each.service == service.name and each.stage is stage for each in found
+        )
 
-    def _send(self, server, stage, fence, switch_s):
+    def _send(self, server, stage, fence, service):
         codec = self._ctx.codec
         found = self._call(server, *codec.report_request(), b"")
         report = found.and_then(codec.read_report)
@@ -168,7 +195,8 @@
             detail=answer.err(),
         )
         if answer.is_ok():
-            self._switching[server.name] = self._ctx.clock.monotonic() + switch_s
+            ends_at = self._ctx.clock.monotonic() + service.engine.stage_switch_s
+            self._switching[server.name] = _Switch(service.name, stage, ends_at)
 
     def _call(self, server, method, path, body):
         """Returns ``Result[bytes, str]``; a status of 300 or more is an error."""
--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -109,6 +109,11 @@
             return False
         return now - health.regained_at < LAPSED_GRACE_S
 
+    def stage_of(self, name):
+        """Returns the `Stage` in which a server is listed; None if it is not."""
+        known = self._known.get(name)
+        return known.server.stage if known is not None else None
+
     def usable(self, service, stage=None):
         """Returns the servers that may get new work, in order of name.
 
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -1,19 +1,29 @@
 """Measures how much work of each stage the streams of a service bring."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from statistics import median
 
 from amaranthbay.fleet.peers import MeasuredDemand
 
 __all__ = ["DemandMeter", "StageDemand", "plan_prefill_servers"]
 
-# Streams over which the means are taken, and from which on they are trusted.
+# Prompts over which the means are taken, and streams from which on they are trusted.
 SAMPLES = 60
 LEAST_SAMPLES = 30
+# Span over which the time of decode servers is taken, several times that of a stream,
+# and the distance of the marks in it.
+SPAN_S = 20.0
+MARK_S = 1.0
 # Quantile of the speeds that counts: slower prefills waited in a queue, and single
 # faster ones found their prompt in the cache.
-SPEED_QUANTILE = 0.75
+SPEED_QUANTILE = 0.9
+# Part of a prefill's time in which the server is free for others: the way there and
+# back, and the first step.
+OVERHEAD_S = 0.02
+# Part of a decode server's memory that streams fill on average; the rest is too small
+# for the next one.
+FILL_SHARE = 0.85
 # Prompt tokens a second until a prompt has been computed.
 ASSUMED_SPEED = 30_000.0
 # A queue of prompts delays all first events, while a full decode server only
@@ -37,31 +47,109 @@
     decode_s: float
 
 
-@dataclass
+class _Decodes:
+    """Time of decode servers that streams have taken, over a moving span."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._runs = set()
+        self._taken_s = 0.0
+        self._begun = 0
+        self._ended = 0
+        # Time, server seconds, and the numbers of streams that had begun and ended.
+        self._marks = deque([(clock.monotonic(), 0.0, 0, 0)])
+
+    def add(self, run):
+        """Notes a `DecodeRun` that begins."""
+        self._runs.add(run)
+        self._begun += 1
+
+    def remove(self, run, whole):
+        """Notes a `DecodeRun` that is over; a second time changes nothing."""
+        if run in self._runs:
+            self._runs.remove(run)
+            self._taken_s += run.taken_s()
+            self._ended += whole
+
+    def measure(self):
+        """Returns the mean seconds of a whole server, and the number of streams.
+
+        Short streams end first, so that the mean of those that have ended is too low
+        at first. The time that all have taken lies between that of the ended and that
+        of the begun ones.
+        """
+        now = self._clock.monotonic()
+        taken_s = self._taken_s + sum(each.taken_s() for each in self._runs)
+        if now - self._marks[-1][0] >= MARK_S:
+            self._marks.append((now, taken_s, self._begun, self._ended))
+        while len(self._marks) > 2 and now - self._marks[1][0] >= SPAN_S:
+            self._marks.popleft()
+        _, taken_before_s, begun_before, ended_before = self._marks[0]
+        ended = self._ended - ended_before
+        streams = (self._begun - begun_before + ended) / 2
+        if not ended:
+            return 0.0, 0
+        return (taken_s - taken_before_s) / streams, ended
+
+
+class DecodeRun:
+    """A stream that a decode server runs; ends once, by `end` or `drop`."""
+
+    def __init__(self, decodes, clock, memory_share):
+        self._decodes = decodes
+        self._clock = clock
+        self._memory_share = memory_share
+        self._started_at = clock.monotonic()
+        decodes.add(self)
+
+    def taken_s(self):
+        """Returns the seconds of a whole server that it has taken so far."""
+        return self._memory_share * (self._clock.monotonic() - self._started_at)
+
+    def end(self):
+        """Notes that the stream is whole."""
+        self._decodes.remove(self, True)
+
+    def drop(self):
+        """Notes that the stream has broken off, unless it has ended."""
+        self._decodes.remove(self, False)
+
+
 class _Samples:
-    speeds: deque = field(default_factory=lambda: deque(maxlen=SAMPLES))
-    prompts: deque = field(default_factory=lambda: deque(maxlen=SAMPLES))
-    decodes: deque = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    """What the latest streams of one service took."""
+
+    def __init__(self, clock):
+        self.speeds = deque(maxlen=SAMPLES)
+        self.prompts = deque(maxlen=SAMPLES)
+        self.decodes = _Decodes(clock)
 
 
 class DemandMeter:
     """Latest streams by service."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self._clock = clock
         self._samples = {}
 
     def _of(self, service):
-        return self._samples.setdefault(service, _Samples())
+        if service not in self._samples:
+            self._samples[service] = _Samples(self._clock)
+        return self._samples[service]
 
     def note_prefill(self, service, tokens, seconds):
         """Notes a prompt that a prefill server has computed."""
-        if tokens > 0 and seconds > 0:
-            self._of(service).speeds.append(tokens / seconds)
+        if tokens > 0 and seconds > OVERHEAD_S:
+            self._of(service).speeds.append(tokens / (seconds - OVERHEAD_S))
             self._of(service).prompts.append(tokens)
 
-    def note_decode(self, service, memory_share, seconds):
-        """Notes a whole stream and the share of a server's memory that it held."""
-        self._of(service).decodes.append(memory_share * seconds)
+    def begin_decode(self, service, memory_share):
+        """Returns the `DecodeRun` of a stream that begins.
+
+        Args:
+            service: Name of the service.
+            memory_share: Part of a server's memory that the stream holds.
+        """
+        return DecodeRun(self._of(service).decodes, self._clock, memory_share)
 
     def prefill_speed(self, service):
         """Returns the prompt tokens that a prefill server computes in a second."""
@@ -74,12 +162,13 @@
         """Returns the `MeasuredDemand` of this daemon by service."""
         found = {}
         for service, samples in self._samples.items():
-            streams = min(len(samples.prompts), len(samples.decodes))
+            decode_s, ended = samples.decodes.measure()
+            streams = min(len(samples.prompts), ended)
             if streams:
                 found[service] = MeasuredDemand(
                     sum(samples.prompts) / len(samples.prompts),
                     self.prefill_speed(service),
-                    sum(samples.decodes) / len(samples.decodes),
+                    decode_s / FILL_SHARE,
                     streams,
                 )
         return found
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -257,11 +257,18 @@
         started_at = self._ctx.clock.monotonic()
         self._note_opened(placement.decode, started_at)
         pauses = self._watch_silence(exchange, placement.decode)
-        for data in exchange.chunks():
-            pauses.clear()
-            placement.end_prefill()
-            self._output.feed(head, data)
-        self._output.finish(head)
+        service = self._call.service
+        share = memory_need(self._call.head) / service.engine.memory_tokens
+        run = self._ctx.demand.begin_decode(service.name, share)
+        try:
+            for data in exchange.chunks():
+                pauses.clear()
+                placement.end_prefill()
+                self._output.feed(head, data)
+            self._output.finish(head)
+            run.end()
+        finally:
+            run.drop()
         self._note_ended(placement.decode, self._ctx.clock.monotonic() - started_at)
         return Ok(None)
 
@@ -294,9 +301,6 @@
         )
 
     def _note_ended(self, server, seconds):
-        service = self._call.service
-        share = memory_need(self._call.head) / service.engine.memory_tokens
-        self._ctx.demand.note_decode(service.name, share, seconds)
         self._ctx.outcomes.answered(server.name, seconds)
         log_event(
             "stream_ended",
