--- a/Makefile
+++ b/Makefile
@@ -4,16 +4,24 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format bench bench-full dist clean
+.PHONY: demo demo-daemon soak test check format bench bench-full dist clean
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
 	touch $(STAMP)
 
+# The path on stand-ins that speak the users' protocol.
 demo: $(STAMP)
+	$(BIN)/python -m amaranthbay.platform.tests.demo
+
+# The path on stand-ins of the product's own interface.
+demo-daemon: $(STAMP)
 	$(BIN)/python -m amaranthbay.standins.demo $(DEMO_ARGS)
 
+soak: $(STAMP)
+	$(BIN)/python -m amaranthbay.platform.tests.soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1)
+
 test: $(STAMP)
 	$(BIN)/python tools/run_tests.py
 
