Ask the store at once when one connection to it has failed

Its log shows one connection for the table of servers that timed out at second 15.1, and store_regained only at 20.5: the followers wait for the one that watches the store, whose question from before the failure doesn't count and whose next one may take seconds. Ruled out: an outage (no other instance of the zone lost the store then), compaction. The watching follower now asks again as soon as another one has failed, with a short wait, and a loss of less than a second is not followed by the 8 s of frequent questions that outages need. The new test fails without the change.

--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -22,6 +22,8 @@
 # for some time after a loss the table is asked more often.
 RECOVERY_WAIT_S = 0.5
 RECOVERY_S = 8.0
+# A shorter loss is that of a single connection.
+OUTAGE_S = 1.0
 # The other tables wait for longer; a call costs more than an open question.
 FEED_WAIT_S = 15.0
 # Longest pause between tries, so that a change is in force in time after an outage.
@@ -104,6 +106,7 @@
         self._clock = clock
         self.lost_s = 0.0
         self._callbacks = []
+        self._loss_callbacks = []
         self._answered_at = clock.monotonic()
         self._available = gevent.event.Event()
         self._available.set()
@@ -114,6 +117,10 @@
         """Calls ``callback()`` when the store answers again."""
         self._callbacks.append(callback)
 
+    def on_lost(self, callback):
+        """Calls ``callback()`` when a call has failed and none before it."""
+        self._loss_callbacks.append(callback)
+
     def wait(self, timeout_s):
         """Waits until the store answers, or until the time is over."""
         self._available.wait(timeout_s)
@@ -131,6 +138,14 @@
         for callback in self._callbacks:
             callback()
 
+    def is_recovering(self):
+        """Returns whether the store is lost, or was until a moment ago."""
+        if self.lost_at is not None:
+            return True
+        if self.regained_at is None or self.lost_s < OUTAGE_S:
+            return False
+        return self._clock.monotonic() - self.regained_at < RECOVERY_S
+
     def silence_s(self):
         """Returns the seconds since the last answer."""
         return self._clock.monotonic() - self._answered_at
@@ -142,6 +157,8 @@
         self.lost_at = self._clock.monotonic()
         self._available.clear()
         log_event("store_lost", level="warning", detail=detail)
+        for callback in self._loss_callbacks:
+            callback()
 
 
 class TableFollower:
@@ -192,6 +209,8 @@
         self.version = None
         if watch_s is None:
             health.on_regained(self._restart)
+        else:
+            health.on_lost(self._verify)
 
     def start(self):
         """Follows the table in a greenlet."""
@@ -209,6 +228,14 @@
             self._job.kill(block=False)
             self.start()
 
+    def _verify(self):
+        """Asks at once whether the store is lost, as another follower has noted.
+
+        The others wait for the answer, and the question that is open may take seconds.
+        """
+        if self._job is not None and self._job is not gevent.getcurrent():
+            self._restart()
+
     def _run(self):
         while True:
             pause_s = self.step()
@@ -241,11 +268,9 @@
     def _wait_s(self):
         if self._watch_s is None:
             return FEED_WAIT_S
-        regained_at = self._health.regained_at
-        if regained_at is None:
-            return self._watch_s
-        recovering = self._clock.monotonic() - regained_at < RECOVERY_S
-        return min(RECOVERY_WAIT_S, self._watch_s) if recovering else self._watch_s
+        if self._health.is_recovering():
+            return min(RECOVERY_WAIT_S, self._watch_s)
+        return self._watch_s
 
     def _read_all(self):
         sent_at = self._clock.monotonic()
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -2,9 +2,11 @@
 
 import random
 
+import gevent
 from result import Err, Ok
 
 from amaranthbay.fleet.tables import (
+    RECOVERY_WAIT_S,
     ChangedRow,
     Changes,
     HistoryGone,
@@ -13,8 +15,9 @@
     TableFollower,
     TableSource,
 )
+from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.platform.types import PlatformFailure
-from amaranthbay.utils.testing import ManualClock, collect
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 
 class ScriptedSource(TableSource):
@@ -158,6 +161,45 @@
     case.assertEqual(restarted, [True])
 
 
+class WaitingSource(TableSource):
+    """Lets questions for ``op`` wait; the first one for ``servers`` fails."""
+
+    def __init__(self):
+        self.failures = 1
+
+    def snapshot(self, table):
+        return Ok(Snapshot((), 1))
+
+    def changes(self, table, after, wait_s):
+        if table == "op":
+            gevent.sleep(wait_s)
+            return Ok(Changes((), after))
+        if self.failures:
+            self.failures -= 1
+            return Err(PlatformFailure("timed out"))
+        return Ok(Changes((ChangedRow("a", after + 1, b"1"),), after + 1))
+
+    def put(self, table, key, value):
+        raise NotImplementedError
+
+
+def test_lost_connection_delays_no_table_for_long(case):
+    """Guards against a single connection to the store that times out and leaves a table
+    unread until the long question for another one has ended (day fresh-8fa4 of
+    ekdal-ruta-grown, rule DRAIN)."""
+    clock, source, view = SystemClock(), WaitingSource(), SeenRows()
+    health, rng = StoreHealth(clock), random.Random(1)
+    watch = TableFollower(source, "op", SeenRows(), health, clock, rng, watch_s=10.0)
+    other = TableFollower(
+        source, "servers", view, health, clock, rng, pause_s=lambda: 5.0
+    )
+    for each in (watch, other):
+        each.start()
+        case.addCleanup(each.stop)
+    wait_until(lambda: view.rows, bound_s=3 * RECOVERY_WAIT_S + 1.0)
+    case.assertIsNone(health.lost_at)
+
+
 def test_pause_after_a_change_is_asked_for_each_time(case):
     """Guards against an instance that serves and still gathers changes for as long as
     one that stands by."""
