Let instances that stand by ask the store rarely, and send lost orders again

Instances now tell each other the version of the last change that they have seen in each table; one that is behind for half a second asks anew. This also finds a question that a silent connection has lost, on every instance. Ruled out: following fewer tables while standing by, as requests of callers with old addresses still come.

Orders that move servers between the pools are sent side by side, and once more if the answer is lost: both name the number of orders that the server has accepted, so that one of them at most is carried out.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -9,8 +9,9 @@
 from amaranthbay.daemon.lookup import choose_addresses, serving_instances
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
+from amaranthbay.fleet.peers import OwnReport
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
-from amaranthbay.fleet.tables import StoreHealth, TableFollower
+from amaranthbay.fleet.tables import FEED_WAIT_S, StoreHealth, TableFollower
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
@@ -35,15 +36,15 @@
 
 SWEEP_S = 1.0
 # Pauses after a change, in which further ones gather: each costs a call of each
-# instance. One that callers are not sent to pauses for longer, but for less than half
-# of the time within which a leaving server must be known.
+# instance. One that callers are not sent to pauses for longer, but leaves time for the
+# call of the time within which a leaving server must be known.
 SERVERS_PAUSE_S = 0.3
-IDLE_PAUSE_SHARE = 0.4
+IDLE_PAUSE_SHARE = 0.6
 MEMBERS_PAUSE_S = 1.5
 IDLE_MEMBERS_PAUSE_S = 3.0
 # Part of the time within which a configuration must be in force after which a question
-# is asked anew. The answer's own time limit must fit in, before the platform takes the
-# instance to be up to date again.
+# is asked anew by an instance that serves. The answer's own time limit must fit in,
+# before the platform takes the instance to be up to date again.
 WATCH_SHARE = 0.95
 # Shorter than any bound that a changed setting has to be in force by.
 RELOAD_S = 2.0
@@ -92,8 +93,9 @@
             self._report,
             process,
             serving_instances,
-            crashes.learn,
+            self._take_status,
         )
+        self._followers = {}
         self._budgets = RepeatBudgets(
             _budget_limits(settings), self.peers.registered, self.clock
         )
@@ -145,7 +147,6 @@
         self.draining = False
         self._jobs = []
         self._orders = []
-        self._followers = []
         self._servers = []
 
     def _registration(self):
@@ -162,13 +163,22 @@
 
     def _report(self):
         """Returns what this process tells its peers."""
-        return (
+        return OwnReport(
             dict(self.ledger.loads()),
             self.ctx.demand.own(),
             self.balancer.switching(),
             self.ctx.crashes.report(),
+            {name: each.changed for name, each in self._followers.items()},
         )
 
+    def _take_status(self, status):
+        """Takes what another instance knows and this one may not."""
+        if status.crashes:
+            self.ctx.crashes.learn(status.crashes)
+        for name, changed in status.versions.items():
+            if name in self._followers:
+                self._followers[name].note_newer(changed)
+
     def _client_limits(self):
         table = self.configuration.table
         return table.limits if table is not None else ClientLimits()
@@ -190,7 +200,7 @@
         self._follow(
             adapter.configuration_table,
             self.configuration,
-            watch_s=WATCH_SHARE * settings.configuration_s,
+            watch_s=self._watch_s,
         )
         self._follow(
             adapter.servers_table, self.backends, pause_s=self._servers_pause_s
@@ -222,6 +232,15 @@
         server.start()
         self._servers.append(server)
 
+    def _watch_s(self):
+        """Returns the longest wait of the question that watches the store.
+
+        An instance that stands by learns of a silent store from the others' reports.
+        """
+        if self.peers.is_busy():
+            return WATCH_SHARE * self.settings.configuration_s
+        return FEED_WAIT_S
+
     def _servers_pause_s(self):
         if self.peers.is_busy():
             return SERVERS_PAUSE_S
@@ -235,7 +254,7 @@
             self.store, table, view, self.health, self.clock, self.rng, **options
         )
         follower.start()
-        self._followers.append(follower)
+        self._followers[table] = follower
 
     def _register(self):
         """Writes this instance's row, so that the others find it."""
@@ -252,7 +271,11 @@
                 self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
 
     def _sweep(self):
+        busy = False
         while True:
+            if self.peers.is_busy() != busy:
+                busy = not busy
+                self._followers[self._adapter.configuration_table].ask_again()
             serving = self.is_ready()
             if serving != self.peers.serving:
                 self.peers.serving = serving
@@ -302,7 +325,7 @@
         """Ends all jobs at once, as in tests."""
         gevent.killall(self._jobs + self._orders)
         self.listener.close()
-        for follower in self._followers:
+        for follower in self._followers.values():
             follower.stop()
         for server in self._servers:
             server.stop()
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from result import Err, Ok
+import gevent
 
 from amaranthbay.observe import log_decision, log_event
 from amaranthbay.relay.codec import StageOrder
@@ -15,6 +15,8 @@
 LEASE_NAME = "stages"
 STEP_S = 1.0
 CALL_TIMEOUT_S = 0.5
+ORDER_TRIES = 2
+REFUSED_STATUS = 300
 # Orders are sent in the first part of a lease only, so that those of two holders lie
 # further apart than the bound of the platform.
 ORDER_WINDOW_S = 2.0
@@ -147,10 +149,11 @@
             stage=stage,
             fence=lease.fence,
         )
-        for each in moved:
-            if not self._leases.is_held(lease, self._turn_s):
-                return
-            self._send(each.server, stage, lease.fence, service)
+        jobs = [
+            gevent.spawn(self._move, each.server, stage, lease, service)
+            for each in moved
+        ]
+        gevent.joinall(jobs)
 
     def switching(self):
         """Returns the servers that are on their way into another pool.
@@ -172,10 +175,14 @@
             each.service == service.name and each.stage is stage for each in found
         )
 
-    def _send(self, server, stage, fence, service):
-        codec = self._ctx.codec
-        found = self._call(server, *codec.report_request(), b"")
-        report = found.and_then(codec.read_report)
+    def _move(self, server, stage, lease, service):
+        """Orders one server into a pool, again if the first answer is lost.
+
+        Both orders name the number of orders that the server has accepted, so that it
+        carries out one of them at most, however late they arrive.
+        """
+        found = self._call(server, *self._ctx.codec.report_request(), b"")
+        report = found.and_then(lambda answer: self._ctx.codec.read_report(answer[1]))
         if report.is_err() or report.unwrap().switching:
             log_event(
                 "order_not_sent",
@@ -184,23 +191,34 @@
                 detail=report.err() or "an order is being carried out",
             )
             return
-        order = StageOrder(stage, self._instance, fence, report.unwrap().orders)
-        answer = self._call(server, *codec.order_request(order))
+        order = StageOrder(stage, self._instance, lease.fence, report.unwrap().orders)
+        for _ in range(ORDER_TRIES):
+            if not self._leases.is_held(lease, self._turn_s):
+                return
+            answer = self._call(server, *self._ctx.codec.order_request(order))
+            self._note_order(server, order, answer)
+            if answer.is_ok():
+                if answer.unwrap()[0] < REFUSED_STATUS:
+                    self._note_switch(server, stage, service)
+                return
+
+    def _note_order(self, server, order, answer):
         log_event(
             "order_sent",
             backend_server=server.name,
-            stage=stage,
-            fence=fence,
-            accepted=answer.is_ok(),
+            stage=order.stage,
+            fence=order.fence,
+            status=answer.unwrap()[0] if answer.is_ok() else None,
             detail=answer.err(),
         )
-        if answer.is_ok():
-            ends_at = self._ctx.clock.monotonic() + service.engine.stage_switch_s
-            self._switching[server.name] = _Switch(service.name, stage, ends_at)
+
+    def _note_switch(self, server, stage, service):
+        ends_at = self._ctx.clock.monotonic() + service.engine.stage_switch_s
+        self._switching[server.name] = _Switch(service.name, stage, ends_at)
 
     def _call(self, server, method, path, body):
-        """Returns ``Result[bytes, str]``; a status of 300 or more is an error."""
-        answer = control_exchange(
+        """Returns ``Result[tuple[int, bytes], str]``: status and body."""
+        return control_exchange(
             self._ctx.connections,
             self._ctx.codec,
             server,
@@ -210,9 +228,3 @@
             CALL_TIMEOUT_S,
             (self._ctx.codec.expect_server(server.name),),
         )
-        return answer.and_then(_expect_success)
-
-
-def _expect_success(answer):
-    status, body = answer
-    return Ok(body) if status < 300 else Err(f"status {status}")
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -95,6 +95,21 @@
     case.assertEqual(len(orders(fleet)), 2)
 
 
+def test_order_with_a_lost_answer_is_sent_again(case):
+    """Guards against pools that stay out of balance while answers to orders are lost,
+    and against a second order that the server would carry out besides the first."""
+    made, fleet, clock = balancer(case)
+    for name in PREFILL:
+        fleet.workers[name].lost_orders = 1
+    made.step()
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    given = orders(fleet)
+    case.assertEqual(len(given), 4)
+    case.assertEqual({(each["Fence"], each["Expected"]) for each in given}, {(1, 4)})
+    case.assertEqual(len(made.switching()), 2)
+
+
 def test_switch_that_never_shows_is_given_up(case):
     """Guards against a server that is left out for ever after a lost order."""
     made, fleet, clock = balancer(case)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -4,7 +4,7 @@
 work that it has placed on model servers, is learnt from its datagrams.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 import gevent.event
@@ -16,6 +16,7 @@
 __all__ = [
     "HASTY_INTERVAL_S",
     "MeasuredDemand",
+    "OwnReport",
     "PeerStatus",
     "Peers",
     "Registration",
@@ -92,6 +93,7 @@
         interval_s: Seconds until its next report to everybody.
         crashes: Names of crashed servers by fingerprint of the request that they
             ran; see `relay.crashes`.
+        versions: Version of the last change that it has seen in a table.
     """
 
     instance: str
@@ -103,6 +105,7 @@
     switching: tuple[str, ...] = ()
     interval_s: float = 0.2
     crashes: dict[str, tuple[str, ...]] = {}
+    versions: dict[str, int] = {}
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -127,6 +130,17 @@
     link_mbps: float = 0.0
 
 
+@dataclass(frozen=True)
+class OwnReport:
+    """What a process tells of itself; the fields are those of `PeerStatus`."""
+
+    loads: dict = field(default_factory=dict)
+    demands: dict = field(default_factory=dict)
+    switching: tuple = ()
+    crashes: dict = field(default_factory=dict)
+    versions: dict = field(default_factory=dict)
+
+
 @dataclass(frozen=True)
 class _Heard:
     status: PeerStatus
@@ -146,27 +160,26 @@
         report,
         process,
         chosen=lambda live: live,
-        learn=lambda crashes: None,
+        on_status=lambda status: None,
     ):
         """Creates the view.
 
         Args:
             own: `Registration` of this process.
             clock: `Clock`.
-            report: Function that returns the loads, the demands, the switching
-                servers and the crashes of this process, as in `PeerStatus`.
+            report: Function that returns the `OwnReport` of this process.
             process: Random number of this process. The time of its start would
                 not do, since clocks step back.
             chosen: Function of the live instances that returns those which lookups
                 name.
-            learn: Function that takes the crashes of another instance.
+            on_status: Function that takes each new `PeerStatus` of another instance.
         """
         self.own = own
         self.serving = False
         self._clock = clock
         self._report_own = report
         self._chosen = chosen
-        self._learn_crashes = learn
+        self._on_status = on_status
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -212,7 +225,7 @@
 
     def is_busy(self):
         """Returns whether callers are sent here, or work is left."""
-        return bool(self._report_own()[0]) or self.own.instance in self._busy_names()
+        return bool(self._report_own().loads) or self.own.instance in self._busy_names()
 
     def _busy_names(self):
         """Returns the instances that callers are sent to, or that have work."""
@@ -267,23 +280,23 @@
         if known is None or known.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._heard[status.instance] = _Heard(status, self._clock.monotonic())
-        if status.crashes:
-            self._learn_crashes(status.crashes)
+        self._on_status(status)
 
     def status(self):
         """Returns the next status of this process."""
         self._sequence += 1
-        loads, demands, switching, crashes = self._report_own()
+        own = self._report_own()
         return PeerStatus(
             instance=self.own.instance,
             process=self._process,
             sequence=self._sequence,
             serving=self.serving,
-            loads=loads,
-            demands=demands,
-            switching=switching,
+            loads=own.loads,
+            demands=own.demands,
+            switching=own.switching,
             interval_s=self.interval_s(),
-            crashes=crashes,
+            crashes=own.crashes,
+            versions=own.versions,
         )
 
     def start(self):
@@ -337,7 +350,7 @@
             if now - reported_at >= self.interval_s():
                 self.announce()
                 reported_at = now
-            elif changed or self._report_own()[0]:
+            elif changed or self._report_own().loads:
                 self.announce(self._busy_names())
             self._clock.sleep(HASTY_INTERVAL_S)
 
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -26,6 +26,9 @@
 OUTAGE_S = 1.0
 # The other tables wait for longer; a call costs more than an open question.
 FEED_WAIT_S = 15.0
+# A question that is open for this long although another instance has seen a newer
+# change is lost.
+BEHIND_S = 0.5
 # Longest pause between tries, so that a change is in force in time after an outage.
 RETRY_LIMIT_S = 0.8
 RETRY_BASE_S = 0.2
@@ -167,6 +170,7 @@
     Attributes:
         version: Version of the store up to which the view is complete; None
             before the first snapshot.
+        changed: Version of the last change in the view.
     """
 
     def __init__(
@@ -189,10 +193,10 @@
             health: `StoreHealth`.
             clock: `Clock`.
             rng: `random.Random`.
-            watch_s: Longest wait of a question, for the follower that finds out
-                whether the store is lost and back. A store that falls silent loses
-                the questions that wait at it. None for the others, which wait for
-                this one meanwhile.
+            watch_s: Function that returns the longest wait of a question, for the
+                follower that finds out whether the store is lost and back. A store
+                that falls silent loses the questions that wait at it. None for the
+                others, which wait for this one meanwhile.
             pause_s: Function that returns the time after a change in which further
                 ones gather.
         """
@@ -206,7 +210,10 @@
         self._watch_s = watch_s
         self._failures = 0
         self._job = None
+        self._asking = False
+        self._behind_since = None
         self.version = None
+        self.changed = 0
         if watch_s is None:
             health.on_regained(self._restart)
         else:
@@ -228,6 +235,30 @@
             self._job.kill(block=False)
             self.start()
 
+    def ask_again(self):
+        """Replaces an open question, as its longest wait has changed."""
+        if self._asking:
+            self._restart()
+
+    def note_newer(self, changed):
+        """Notes the last change that another instance has seen."""
+        if changed <= self.changed or not self._asking:
+            self._behind_since = None
+            return
+        now = self._clock.monotonic()
+        if self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > BEHIND_S:
+            log_event(
+                "table_behind",
+                level="warning",
+                table=self._table,
+                version=self.changed,
+                known_version=changed,
+            )
+            self._behind_since = None
+            self._restart()
+
     def _verify(self):
         """Asks at once whether the store is lost, as another follower has noted.
 
@@ -250,13 +281,18 @@
             return self._read_all()
         sent_at = self._clock.monotonic()
         wait_s = self._wait_s()
-        found = self._source.changes(self._table, self.version, wait_s)
+        self._asking = True
+        try:
+            found = self._source.changes(self._table, self.version, wait_s)
+        finally:
+            self._asking = False
         current_metrics().store_called("changes", _outcome(found))
         if found.is_ok():
             self._note_answer(sent_at)
             changes = found.unwrap()
             if changes.rows:
                 self._view.apply(changes.rows)
+                self._note_changed(changes.rows)
             self.version = max(self.version, changes.version)
             return self._pause_s() if changes.rows else 0.0
         if isinstance(found.unwrap_err(), HistoryGone):
@@ -269,8 +305,8 @@
         if self._watch_s is None:
             return FEED_WAIT_S
         if self._health.is_recovering():
-            return min(RECOVERY_WAIT_S, self._watch_s)
-        return self._watch_s
+            return RECOVERY_WAIT_S
+        return self._watch_s()
 
     def _read_all(self):
         sent_at = self._clock.monotonic()
@@ -290,9 +326,13 @@
             )
             return STALE_RETRY_S
         self._view.replace(snapshot.rows)
+        self._note_changed(snapshot.rows)
         self.version = snapshot.version
         return 0.0
 
+    def _note_changed(self, rows):
+        self.changed = max([self.changed, *(row.version for row in rows)])
+
     def _note_answer(self, sent_at):
         self._failures = 0
         self._health.answered(sent_at)
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -295,6 +295,7 @@
         replies: Replies to give before the usual ones; a function is called.
         received: Requests that it ran or refused, control calls left out.
         control: Control calls.
+        lost_orders: Orders to come that are accepted without an answer.
     """
 
     name: str
@@ -303,6 +304,7 @@
     received: list = field(default_factory=list)
     control: list = field(default_factory=list)
     hold_status: int = 200
+    lost_orders: int = 0
     stage: str | None = None
     _numbers: object = field(default_factory=itertools.count)
 
@@ -337,6 +339,9 @@
             return _json({"Stage": self.stage, "Busy": False, "Sequence": 4})
         if req.path == "/order":
             self.control.append(msgspec.json.decode(req.body))
+            if self.lost_orders:
+                self.lost_orders -= 1
+                return None
             return Reply(202)
         return Reply(200)
 
