Start streams that take little somewhat earlier while others wait

While several wait, a stream is now ordered by its arrival plus up to 0.3 of its target, by the memory and time that it is expected to take; one that was placed in vain keeps its time of arrival (it went to the end of the queue).

--- a/amaranthbay/relay/admission.py
+++ b/amaranthbay/relay/admission.py
@@ -8,7 +8,14 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-__all__ = ["Pressure", "Urgency", "first_event_s", "may_start", "urgency"]
+__all__ = [
+    "Pressure",
+    "Urgency",
+    "first_event_s",
+    "may_start",
+    "start_order",
+    "urgency",
+]
 
 # Transfer of the KV cache and first step of the decode server.
 FIRST_EVENT_S = 0.08
@@ -18,6 +25,11 @@
 # longest prefill queue that they may join.
 LATE_MEMORY_SHARE = 0.75
 LATE_PREFILL_WAIT_S = 0.25
+# Part of its target by which a stream of mean cost starts later than it came. Streams
+# that take little let more callers start in time; the bound on the cost keeps large
+# ones from waiting until they are late.
+HEAD_START_SHARE = 0.1
+MOST_COST = 3.0
 # Callers that come back after a refusal have less time left than their route gives.
 RETURNED_SHARE = 0.8
 
@@ -67,6 +79,29 @@
     return Urgency.LATE
 
 
+def start_order(calls):
+    """Returns for each waiting call the time by which it is ordered.
+
+    A stream costs the memory that it holds for as long as it is expected to run.
+
+    Args:
+        calls: Pairs of a `Call` and the memory in tokens that it needs.
+    """
+    costs = [need * max(1, _expected_tokens(call.head)) for call, need in calls]
+    mean = sum(costs) / len(costs)
+    return [
+        call.arrived_at
+        + HEAD_START_SHARE * call.route.target_s * min(MOST_COST, cost / mean)
+        for (call, _), cost in zip(calls, costs)
+    ]
+
+
+def _expected_tokens(head):
+    if head.expected_tokens is None:
+        return head.output_tokens
+    return min(head.output_tokens, head.expected_tokens)
+
+
 def may_start(rank, pressure):
     """Returns whether a stream of an `Urgency` may start under a `Pressure`."""
     if rank is Urgency.IN_TIME:
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -14,6 +14,7 @@
     Urgency,
     first_event_s,
     may_start,
+    start_order,
     urgency,
 )
 from amaranthbay.relay.choice import choose_decode, choose_prefill
@@ -202,7 +203,10 @@
     def _ranked(self, now, views):
         """Returns rank, order in the rank and entry of the waiting, sorted."""
         ranked = []
-        for index, waiting in enumerate(self._waiting):
+        times = start_order(
+            [(each.call, memory_need(each.call.head)) for each in self._waiting]
+        )
+        for at, waiting in zip(times, self._waiting):
             call = waiting.call
             wait_s = self._prefill_wait_s(call, self._best_prefill(waiting, views))
             pressure = Pressure(wait_s, self._speed(call), 0.0)
@@ -212,7 +216,7 @@
                 # Each moment of its pause counts, and its events so far are lost
                 # with it.
                 rank = Urgency.IN_TIME
-            ranked.append((rank, index, waiting))
+            ranked.append((rank, at, waiting))
         return sorted(ranked, key=lambda each: each[:2])
 
     def _speed(self, call):
