--- a/amaranthbay/platform/tests/soak/links.py
+++ b/amaranthbay/platform/tests/soak/links.py
@@ -94,11 +94,15 @@
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
-                sink.sendall(data)
+                sink.sendall(self.pass_on(data, cut is Mode.CUT_REQUESTS))
         except OSError:
             # A reset is passed on.
             _reset(sink)
 
+    def pass_on(self, data, towards_target):
+        """Returns the bytes to send on; subclasses may look at them."""
+        return data
+
     def _hold(self, cut):
         """Waits for as long as the mode holds back what goes one way."""
         if self.mode is Mode.DELAY:
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -10,7 +10,6 @@
 
 __all__ = ["Arrival", "SoakServer", "expected_body", "expected_events"]
 
-NOT_RUN = ("X-Not-Executed", "1")
 # Longer than any route's time, so that only the router ends the wait.
 HANG_S = 6.0
 LONGEST_WORK_S = 0.08
@@ -84,7 +83,7 @@
         form = self._draw()
         self._note(req, form != "refuse" and not prefill, prefill)
         if form == "refuse":
-            return self.reply(req, 503, headers_of_refusal=True)
+            return self.refuse()
         if form == "hang":
             gevent.sleep(HANG_S)
             return None
@@ -121,12 +120,6 @@
             )
         )
 
-    def reply(self, req, status=200, body=b"", headers_of_refusal=False, **fields):
-        """Returns a signed reply, or one that states that nothing ran."""
-        if headers_of_refusal:
-            return Reply(status, (NOT_RUN,), body, **fields)
-        return super().reply(req, status, body, **fields)
-
     def _plain(self, req, form):
         attempt = req.headers.get("x-attempt-id", "")
         body = expected_body(self.name, attempt)
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -345,6 +345,10 @@
             return Reply(202)
         return Reply(200)
 
+    def refuse(self, status=503):
+        """Returns a reply that states that nothing ran."""
+        return Reply(status, (("X-Not-Executed", "1"),))
+
     def reply(self, req, status=200, body=b"", **fields):
         """Returns a signed reply to a request."""
         headers = (
