Keep all instances informed of servers that switch pools

The order had come from an instance that stood by: it reports every 1.5 s, and what a report says counted for one second. Instances that serve callers now order first, and what a report says of switching servers holds until several are missing. Reports name the new stage, so that the plans of all instances count such servers where they will be; the second orders of one need came from plans that saw only that servers were missing.

--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -31,7 +31,6 @@
 
 @dataclass(frozen=True)
 class _Switch:
-    service: str
     stage: Stage
     ends_at: float
 
@@ -89,8 +88,11 @@
         self._order(service, *move)
 
     def _rank(self):
-        """Returns the place of this instance among the live ones."""
-        names = sorted(each.instance for each in self._ctx.peers.live())
+        """Returns the place of this instance among those that serve callers.
+
+        They report most often, and so which servers they have ordered to switch.
+        """
+        names = sorted(self._ctx.peers.serving_names())
         if self._instance not in names:
             return len(names)
         return names.index(self._instance)
@@ -101,11 +103,8 @@
         demand = self._meter.demand(service.name, of_peers)
         if demand is None:
             return None
-        # Servers on their way count where they will be.
-        prefill = len(self._ctx.candidates(service.name, Stage.PREFILL))
-        prefill += self._count_switching(service, Stage.PREFILL)
-        decode = len(self._ctx.candidates(service.name, Stage.DECODE))
-        decode += self._count_switching(service, Stage.DECODE)
+        prefill = self._count(service, Stage.PREFILL)
+        decode = self._count(service, Stage.DECODE)
         wanted = plan_prefill_servers(prefill, decode, demand)
         plan = (prefill, decode, wanted)
         if plan != self._plans.get(service.name):
@@ -156,7 +155,7 @@
         gevent.joinall(jobs)
 
     def switching(self):
-        """Returns the servers that are on their way into another pool.
+        """Returns the stage of each server that is on its way into another pool.
 
         One whose switch should be over counts for some time more, until it is listed
         in its new pool.
@@ -166,14 +165,18 @@
             listed = self._ctx.backends.stage_of(name) is switch.stage
             if now >= switch.ends_at + (0.0 if listed else LIST_LAG_S):
                 del self._switching[name]
-        return tuple(self._switching)
-
-    def _count_switching(self, service, stage):
-        names = self.switching()
-        found = [self._switching[name] for name in names]
-        return sum(
-            each.service == service.name and each.stage is stage for each in found
-        )
+        return {name: each.stage.value for name, each in self._switching.items()}
+
+    def _count(self, service, stage):
+        """Returns the servers of a pool; those that switch count where they will be."""
+        switching = self._ctx.peers.switching() | self.switching()
+        known = {each.name for each in self._ctx.backends.usable(service.name)}
+        arriving = [
+            name
+            for name, target in switching.items()
+            if target == stage.value and name in known
+        ]
+        return len(self._ctx.candidates(service.name, stage)) + len(arriving)
 
     def _move(self, server, stage, lease, service):
         """Orders one server into a pool, again if the first answer is lost.
@@ -214,7 +217,7 @@
 
     def _note_switch(self, server, stage, service):
         ends_at = self._ctx.clock.monotonic() + service.engine.stage_switch_s
-        self._switching[server.name] = _Switch(service.name, stage, ends_at)
+        self._switching[server.name] = _Switch(stage, ends_at)
 
     def _call(self, server, method, path, body):
         """Returns ``Result[tuple[int, bytes], str]``: status and body."""
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -1,7 +1,7 @@
 """Orders that move model servers between the pools."""
 
 from amaranthbay.daemon.staging import LIST_LAG_S, RANK_S, UNBALANCED_S, StageBalancer
-from amaranthbay.fleet.peers import MeasuredDemand
+from amaranthbay.fleet.peers import MeasuredDemand, PeerStatus
 from amaranthbay.platform.tests.fleet import small_fleet
 from amaranthbay.relay.demand import StageDemand
 from amaranthbay.state.leases import LeaseStore
@@ -110,6 +110,23 @@
     case.assertEqual(len(made.switching()), 2)
 
 
+def test_orders_of_other_instances_count(case):
+    """Guards against two instances that move servers for the same need, one after the
+    other, as the second one saw only that some were missing."""
+    made, fleet, clock = balancer(case)
+    daemon = fleet.daemon
+    status = PeerStatus(
+        "entry-2", 1, 1, True, {}, switching={"pre-1": "decode", "pre-2": "decode"}
+    )
+    daemon.peers.hear(status)
+    made.step()
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+    usable = {each.server.name for each in daemon.ctx.candidates("lm")}
+    case.assertEqual(usable, {"pre-3", "dec-1"})
+
+
 def test_switch_that_never_shows_is_given_up(case):
     """Guards against a server that is left out for ever after a lost order."""
     made, fleet, clock = balancer(case)
@@ -117,7 +134,7 @@
     clock.advance(UNBALANCED_S + 0.1)
     made.step()
     clock.advance(6.0 + LIST_LAG_S + 0.1)
-    case.assertEqual(made.switching(), ())
+    case.assertEqual(made.switching(), {})
 
 
 def test_only_the_first_instance_orders_at_once(case):
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -89,7 +89,8 @@
         serving: Whether callers may be sent to it.
         loads: `ServerLoad` by backend server, without those that are zero.
         demands: `MeasuredDemand` by service.
-        switching: Model servers that it has just ordered into another pool.
+        switching: Stage of each model server that it has ordered into another pool
+            and that is not listed there yet.
         interval_s: Seconds until its next report to everybody.
         crashes: Names of crashed servers by fingerprint of the request that they
             ran; see `relay.crashes`.
@@ -102,7 +103,7 @@
     serving: bool
     loads: dict[str, ServerLoad]
     demands: dict[str, MeasuredDemand] = {}
-    switching: tuple[str, ...] = ()
+    switching: dict[str, str] = {}
     interval_s: float = 0.2
     crashes: dict[str, tuple[str, ...]] = {}
     versions: dict[str, int] = {}
@@ -136,7 +137,7 @@
 
     loads: dict = field(default_factory=dict)
     demands: dict = field(default_factory=dict)
-    switching: tuple = ()
+    switching: dict = field(default_factory=dict)
     crashes: dict = field(default_factory=dict)
     versions: dict = field(default_factory=dict)
 
@@ -227,11 +228,14 @@
         """Returns whether callers are sent here, or work is left."""
         return bool(self._report_own().loads) or self.own.instance in self._busy_names()
 
+    def serving_names(self):
+        """Returns the instances that callers are sent to."""
+        return {each.instance for each in self._chosen(self.live())}
+
     def _busy_names(self):
         """Returns the instances that callers are sent to, or that have work."""
-        names = {each.instance for each in self._chosen(self.live())}
-        names |= {each.instance for each in self.statuses() if each.loads}
-        return names
+        working = {each.instance for each in self.statuses() if each.loads}
+        return self.serving_names() | working
 
     def live(self):
         """Returns the `Registration` of each instance that callers may use."""
@@ -262,8 +266,17 @@
         return total
 
     def switching(self):
-        """Returns the model servers that peers have just ordered to switch."""
-        return {name for status in self.statuses() for name in status.switching}
+        """Returns the stage of each model server that peers have ordered to switch.
+
+        A switch takes longer than loads count, so that each peer's last report holds
+        until it should have sent several.
+        """
+        now = self._clock.monotonic()
+        found = {}
+        for heard in self._heard.values():
+            if now - heard.at <= MISSED_REPORTS * heard.status.interval_s:
+                found |= heard.status.switching
+        return found
 
     def demands(self, service):
         """Returns the `MeasuredDemand` of each peer that has one."""
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -88,6 +88,18 @@
     case.assertEqual(made.loads(), {})
 
 
+def test_switching_servers_are_known_between_rare_reports(case):
+    """Guards against work for a server that switches, since the instance that ordered
+    it reports less often than loads count."""
+    made, clock = peers()
+    rare = PeerStatus("entry-2", 5, 1, True, {}, {}, {"dec-1": "prefill"}, 2.0)
+    made.hear(rare)
+    clock.advance(1.9)
+    case.assertEqual(made.switching(), {"dec-1": "prefill"})
+    clock.advance(10.0)
+    case.assertEqual(made.switching(), {})
+
+
 def test_reports_do_not_grow_with_the_fleet(case):
     """Guards against datagrams of each to each in a large fleet."""
     small, _ = peers(9)
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -24,8 +24,8 @@
         budget: Function of a service's name that returns its `RepeatBudget`.
         demand: `DemandMeter`.
         crashes: `CrashRecord`.
-        switching: Function that returns the servers that this daemon has ordered
-            into another pool.
+        switching: Function that returns the stage of each server that this daemon
+            has ordered into another pool.
         availability_zone: Where the process runs.
     """
 
@@ -46,7 +46,7 @@
     def candidates(self, service, stage=None, without=frozenset()):
         """Returns a `Candidate` for each usable server of a service."""
         others = self.peers.loads()
-        unusable = without | self.peers.switching() | set(self.switching())
+        unusable = without | set(self.peers.switching()) | set(self.switching())
         found = []
         for server in self.backends.usable(service, stage):
             if server.name not in unusable:
