Ask anew although some other instances are behind as well

The log of front-santiago-1-27 shows no table_behind line although its peers had the version: a report of any peer that was behind too started the half second anew, and several of 87 were. Only the own question starts it now. The test of the missed change plays such a peer and fails without the change.

--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -242,8 +242,8 @@
 
     def note_newer(self, changed):
         """Notes the last change that another instance has seen."""
+        # An instance that is behind itself says nothing about this one.
         if changed <= self.changed or not self._asking:
-            self._behind_since = None
             return
         now = self._clock.monotonic()
         if self._behind_since is None:
@@ -282,6 +282,7 @@
         sent_at = self._clock.monotonic()
         wait_s = self._wait_s()
         self._asking = True
+        self._behind_since = None
         try:
             found = self._source.changes(self._table, self.version, wait_s)
         finally:
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -128,9 +128,12 @@
     newest = fleet.store.version
     gevent.sleep(BEHIND_S)
     case.assertEqual(daemon.configuration.table.version, 1)
+    # An instance that is behind as well must not hide what another one knows.
     for sequence in (1, 2):
-        status = PeerStatus("entry-2", 1, sequence, True, {}, versions={"op": newest})
-        daemon.peers.hear(status)
+        for name, version in (("entry-2", newest), ("entry-3", 0)):
+            daemon.peers.hear(
+                PeerStatus(name, 1, sequence, True, {}, versions={"op": version})
+            )
         gevent.sleep(BEHIND_S + 0.1)
     wait_until(lambda: daemon.configuration.table.version == 9, bound_s=1.0)
 
