Let single requests change nothing about how an instance asks the store

A stray request at an instance that stands by made it ask the store as one that serves, and back again when it had ended: two calls each. Only whether lookups name the instance counts now.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -237,7 +237,7 @@
 
         An instance that stands by learns of a silent store from the others' reports.
         """
-        if self.peers.is_busy():
+        if self.peers.is_chosen():
             return WATCH_SHARE * self.settings.configuration_s
         return FEED_WAIT_S
 
@@ -271,10 +271,11 @@
                 self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
 
     def _sweep(self):
-        busy = False
+        chosen = False
         while True:
-            if self.peers.is_busy() != busy:
-                busy = not busy
+            if self.peers.is_chosen() != chosen:
+                # The longest wait of the question differs.
+                chosen = not chosen
                 self._followers[self._adapter.configuration_table].ask_again()
             serving = self.is_ready()
             if serving != self.peers.serving:
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -228,6 +228,10 @@
         """Returns whether callers are sent here, or work is left."""
         return bool(self._report_own().loads) or self.own.instance in self._busy_names()
 
+    def is_chosen(self):
+        """Returns whether callers are sent here."""
+        return self.own.instance in self.serving_names()
+
     def serving_names(self):
         """Returns the instances that callers are sent to."""
         return {each.instance for each in self._chosen(self.live())}
