Drop decoded fields that nothing uses, and look at sockets in one place

The adapter decoded memory and rates of the platform, regions, sizes and rates of KV cache, and the last part of a prompt, which no code read; the pool of servers had callbacks that nobody registered. The look at a socket's waiting bytes stood in the caller's and in the server's connection.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -77,7 +77,7 @@
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
         self._adapter = adapter
-        self.store = adapter.open_store(settings.store.address)
+        self.store = adapter.open_store(settings.store_address)
         self.configuration = ConfigurationView(
             adapter.decode_configuration, adapter.configuration_key
         )
@@ -221,7 +221,7 @@
             "started",
             address=settings.caller_address,
             lookup_address=settings.lookup_address,
-            store=settings.store.address,
+            store=settings.store_address,
         )
 
     def _lookup_ttl_s(self):
--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -39,13 +39,8 @@
         self._decode = decode
         self._clock = clock
         self._known = {}
-        self._changed = []
         self._health = health
 
-    def on_change(self, callback):
-        """Calls ``callback()`` after each change."""
-        self._changed.append(callback)
-
     def replace(self, rows):
         """Takes the whole table; servers without a row count as removed."""
         present = {row.key for row in rows}
@@ -60,8 +55,6 @@
                 self._remove(row.key)
             else:
                 self._put(row.key, row.value)
-        for callback in self._changed:
-            callback()
 
     def _put(self, name, value):
         decoded = self._decode(name, value)
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, fields, replace
 
-__all__ = ["EntrySettings", "Limits", "StoreLimits", "changed_fields", "merge"]
+__all__ = ["EntrySettings", "Limits", "changed_fields", "merge"]
 
 # Taken when a process starts: sockets are open and names are known to others.
 FIXED_FIELDS = (
@@ -15,24 +15,14 @@
     "lookup_address",
     "peer_port",
     "metrics_port",
-    "store",
+    "store_address",
 )
 
 
-@dataclass(frozen=True)
-class StoreLimits:
-    """Address of the platform's store and the calls that all daemons may make."""
-
-    address: str
-    writes_per_s: float
-    reads_per_s: float
-
-
 @dataclass(frozen=True)
 class Limits:
     """What the instance gives to the process; zero if not stated."""
 
-    memory_mb: float = 0.0
     descriptors: int = 1024
     cores: float = 1.0
     link_mbps: float = 0.0
@@ -47,13 +37,12 @@
         ip: Address of the instance.
         availability_zone: Where it runs.
         region: Region of the availability zone.
-        regions: Region of each availability zone.
         caller_address: Where callers connect.
         ready_address: Where the platform asks whether the process is ready.
         lookup_address: Where callers ask for addresses; empty for none.
         peer_port: UDP port for reports between daemons, the same on all instances.
         metrics_port: TCP port of the metrics.
-        store: The platform's store.
+        store_address: The platform's store.
         limits: What the instance gives.
         configuration_s: Time within which a changed configuration is in force.
         drain_s: Time within which a leaving backend server gets no more work.
@@ -69,13 +58,12 @@
     ip: str
     availability_zone: str
     region: str
-    regions: dict[str, str]
     caller_address: str
     ready_address: str
     lookup_address: str
     peer_port: int
     metrics_port: int
-    store: StoreLimits
+    store_address: str
     limits: Limits
     configuration_s: float
     drain_s: float
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok
 
-from amaranthbay.fleet.settings import EntrySettings, Limits, StoreLimits
+from amaranthbay.fleet.settings import EntrySettings, Limits
 
 __all__ = ["load_boot_settings"]
 
@@ -22,12 +22,9 @@
 
 class _Platform(msgspec.Struct):
     Address: str
-    WritesPerS: float = 400.0
-    ReadsPerS: float = 2000.0
 
 
 class _Machine(msgspec.Struct):
-    MemoryMb: float = 0.0
     # Descriptors of the process, files and sockets together.
     MaxFds: int = 1024
     CpuShare: float = 1.0
@@ -57,7 +54,6 @@
     Platform: _Platform
     Limits: _Machine = msgspec.field(default_factory=_Machine)
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    Zones: dict[str, str] = {}
 
 
 def load_boot_settings(path=None):
@@ -82,17 +78,13 @@
         ip=boot.Ip,
         availability_zone=boot.Zone,
         region=boot.Region,
-        regions=dict(boot.Zones),
         caller_address=boot.Listen.Front,
         ready_address=boot.Listen.Ready,
         lookup_address=boot.Listen.Directory,
         peer_port=boot.InternalPorts[0],
         metrics_port=boot.InternalPorts[0] + 1,
-        store=StoreLimits(
-            boot.Platform.Address, boot.Platform.WritesPerS, boot.Platform.ReadsPerS
-        ),
+        store_address=boot.Platform.Address,
         limits=Limits(
-            memory_mb=machine.MemoryMb,
             descriptors=machine.MaxFds,
             cores=machine.CpuShare * machine.Cores,
             link_mbps=machine.LinkMbps,
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -19,7 +19,6 @@
 DEADLINE = b"x-deadline-ms"
 MODEL = b"x-model-name"
 TOKENS = b"x-token-count"
-PROMPT = b"x-prompt-prefix"
 LENGTH_HINT = b"x-length-hint"
 LAST_EVENT = b"last-event-id"
 EXPECT_SERVER = b"x-expect-instance"
@@ -96,7 +95,6 @@
             prompt_tokens=prompt,
             output_tokens=output,
             expected_tokens=_whole(values.get(LENGTH_HINT)),
-            session=_last_part(values.get(PROMPT, b"")),
         )
 
     def forward_headers(self, headers, directions):
@@ -199,8 +197,3 @@
     """Returns prompt tokens and the most output tokens; zeros if unreadable."""
     prompt, _, output = value.partition(b",")
     return max(0, _whole(prompt) or 0), max(0, _whole(output) or 0)
-
-
-def _last_part(value):
-    """Returns the id of the prompt's last part, which belongs to its session."""
-    return value.rsplit(b",", 1)[-1].partition(b":")[0].strip().decode("latin-1")
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -56,8 +56,6 @@
     Slots: int
     # Tokens of KV cache, not bytes.
     KvCapacity: int
-    KvTokenBytes: int = 0
-    LinkMbps: float = 0.0
     # Seconds for which a prefill's handle is valid.
     KvHoldS: float = 0.5
     RoleSwitchS: float = 0.0
@@ -139,8 +137,6 @@
         Engine(
             slots=engine.Slots,
             memory_tokens=engine.KvCapacity,
-            token_bytes=engine.KvTokenBytes,
-            link_mbps=engine.LinkMbps,
             handle_life_s=engine.KvHoldS,
             stage_switch_s=engine.RoleSwitchS,
             hold_life_s=engine.HoldMs / MS_PER_S,
--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from amaranthbay.daemon.entry import EntryDaemon
-from amaranthbay.fleet.settings import EntrySettings, Limits, StoreLimits
+from amaranthbay.fleet.settings import EntrySettings, Limits
 from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.tests.standins import (
     StoreStandin,
@@ -139,13 +139,12 @@
         ip="127.0.0.1",
         availability_zone="zone-a",
         region="region-1",
-        regions={"zone-a": "region-1"},
         caller_address=f"127.0.0.1:{free_port()}",
         ready_address=f"127.0.0.1:{free_port()}",
         lookup_address=f"127.0.0.1:{free_port()}" if lookup else "",
         peer_port=free_port(),
         metrics_port=free_port(),
-        store=StoreLimits(store_address, 400.0, 2000.0),
+        store_address=store_address,
         limits=Limits(),
         configuration_s=2.0,
         drain_s=2.0,
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -235,7 +235,7 @@
     fleet = case.enterContext(small_fleet())
     fleet.store.put("servers", "odd", b"?")
     wait_until(lambda: ("members", "entry-1") in fleet.store.rows)
-    store = fleet.daemon.settings.store.address
+    store = fleet.daemon.settings.store_address
     result = CliRunner().invoke(app, ["fleet", "--store", store])
     case.assertEqual(result.exit_code, 0, result.output)
     for text in ("version 1", "entry-1", "name dec-1", "stage decode", "unreadable"):
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -32,7 +32,6 @@
         output_tokens: Most tokens of the answer.
         expected_tokens: Caller's estimate of the answer's tokens; None if not
             stated. It is often far off.
-        session: Id of the prompt's last part.
     """
 
     attempt_id: str
@@ -42,7 +41,6 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     expected_tokens: int | None = None
-    session: str = ""
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -1,12 +1,12 @@
 """Connections to backend servers, kept for reuse."""
 
-import socket as std_socket
 from collections import defaultdict
 from dataclasses import dataclass
 
 import h11
 
 from amaranthbay.utils.http import connect
+from amaranthbay.utils.sockets import peek
 
 __all__ = ["ConnectionPool", "ServerConnection"]
 
@@ -47,17 +47,7 @@
 
         Bytes that no request is waiting for belong to an earlier answer.
         """
-        # gevent waits for input unless the socket's own timeout is zero.
-        self.sock.settimeout(0.0)
-        try:
-            self.sock.recv(1, std_socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        finally:
-            self.sock.settimeout(None)
-        return False
+        return peek(self.sock) is None
 
 
 class ConnectionPool:
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -12,6 +12,7 @@
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import log_event
 from amaranthbay.utils.http import split_address
+from amaranthbay.utils.sockets import peek
 
 __all__ = ["CallerConnection", "IncomingRequest", "Listener"]
 
@@ -175,16 +176,7 @@
 
     def has_left(self):
         """Returns whether the caller has closed the connection already."""
-        # gevent waits for input unless the socket's own timeout is zero.
-        self.sock.settimeout(0.0)
-        try:
-            return not self.sock.recv(1, std_socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        finally:
-            self.sock.settimeout(None)
+        return peek(self.sock) == b""
 
     def answer(self, status, headers, body, close=False):
         """Sends a whole answer.
--- a/amaranthbay/routing/types.py
+++ b/amaranthbay/routing/types.py
@@ -83,8 +83,6 @@
     Attributes:
         slots: Requests that a server runs at once.
         memory_tokens: Tokens of KV cache that a server holds.
-        token_bytes: Size of the KV cache of one token.
-        link_mbps: Rate of transfers of KV cache.
         handle_life_s: Time for which a prefill's KV cache is kept.
         stage_switch_s: Time that a change of the stage takes.
         hold_life_s: Longest life of a reservation; 0 if servers take none.
@@ -92,8 +90,6 @@
 
     slots: int
     memory_tokens: int
-    token_bytes: int = 0
-    link_mbps: float = 0.0
     handle_life_s: float = 0.5
     stage_switch_s: float = 0.0
     hold_life_s: float = 0.0
