Let callers look up again before a stopping instance closes

The instances leave lookups at once and serve for 3 s more, but callers keep an answer for 5 s, some for 15. The answer now says a third of the serving time. Ruled out: serving for longer, as the rest of the grace period is needed for what is in progress.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -55,6 +55,8 @@
 # After SIGTERM callers come for a while with addresses that they have kept; requests
 # that arrive in this part of the grace period are still served.
 SERVE_SHARE = 0.38
+# Times that some callers keep a lookup's answer beyond what it says.
+LONGEST_KEPT = 3.0
 # Part of the grace period after which the process ends whatever is in progress.
 STOP_SHARE = 0.92
 IDLE_POLL_S = 0.05
@@ -225,7 +227,13 @@
         )
 
     def _lookup_ttl_s(self):
-        return self.settings.lookup_ttl_s
+        """Returns how long callers may keep a lookup's answer.
+
+        Those that keep it for longer still have left this instance before it closes
+        its listener in a planned stop.
+        """
+        serve_s = SERVE_SHARE * self.settings.stop_s
+        return min(self.settings.lookup_ttl_s, serve_s / LONGEST_KEPT)
 
     def _serve_app(self, address, app):
         server = Server(address, app)
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -14,7 +14,7 @@
 from typer.testing import CliRunner
 
 from amaranthbay.cli import app
-from amaranthbay.daemon.entry import SERVERS_PAUSE_S
+from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S
 from amaranthbay.fleet.peers import PeerStatus
 from amaranthbay.fleet.tables import BEHIND_S
 from amaranthbay.platform.rows import RowStore, RowTable
@@ -41,7 +41,8 @@
 
 
 def test_lookup_names_live_instances(case):
-    """Guards against addresses of instances that do not answer."""
+    """Guards against addresses of instances that do not answer, or that callers keep
+    beyond a planned stop."""
     fleet = case.enterContext(small_fleet())
     other = msgspec.json.encode(
         {
@@ -61,6 +62,10 @@
     found = msgspec.json.decode(answer.body)
     case.assertEqual(found["Addresses"], [fleet.address])
     case.assertLessEqual(found["TtlS"], 5)
+    # Callers that keep the answer three times as long come before the listener of a
+    # stopping instance closes.
+    serves_s = SERVE_SHARE * fleet.daemon.settings.stop_s
+    case.assertLessEqual(3 * found["TtlS"], serves_s)
 
 
 def test_readiness_follows_the_configuration_and_the_drain(case):
