Close five gaps that removed mechanisms showed in the tests

Ten mechanisms of this week were removed one at a time (trials); five removals went unnoticed: waiting for requests that outlast the serving time of a stop, the budget of plain repeats and of streams, reports of changed loads, and crashes that other instances report. Each has a test now that was seen to fail without it.

--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -15,7 +15,7 @@
 
 from amaranthbay.cli import app
 from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S
-from amaranthbay.fleet.peers import PeerStatus
+from amaranthbay.fleet.peers import PeerStatus, ServerLoad
 from amaranthbay.fleet.tables import BEHIND_S
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fleet import (
@@ -171,6 +171,35 @@
     case.assertFalse(fleet.daemon.listener.busy)
 
 
+def test_drain_waits_for_what_lasts_beyond_its_serving_time(case):
+    """Guards against a process that ends while a request of its own is in progress."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    lasts_s = SERVE_SHARE * fleet.daemon.settings.stop_s + 0.5
+    worker.replies.append(lambda req: gevent.sleep(lasts_s) or worker.reply(req))
+    slow = spawn_call(fleet, "/book/slow")
+    wait_until(lambda: worker.received)
+    fleet.daemon._drain()
+    case.assertTrue(slow.ready())
+    case.assertEqual(slow.get().status, 200)
+
+
+def test_what_other_instances_report_is_taken(case):
+    """Guards against reports that are heard and left unused: crashes of requests, and
+    own placements that are told late."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    crashes = {"f" * 16: ("a", "b", "c")}
+    daemon.peers.hear(PeerStatus("entry-2", 1, 1, True, {}, crashes=crashes))
+    case.assertIn("f" * 16, daemon.ctx.crashes._crashes)
+    daemon.peers._changed.clear()
+    release = daemon.ledger.add("dec-1", ServerLoad(1, 500, 0))
+    case.assertTrue(daemon.peers._changed.is_set())
+    daemon.peers._changed.clear()
+    release()
+    case.assertTrue(daemon.peers._changed.is_set())
+
+
 def test_changed_settings_are_taken_and_addresses_kept(case):
     """Guards against settings that change with or without a signal and are not in
     force, and against an unreadable file that takes a process down."""
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -11,6 +11,7 @@
     small_fleet,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.utils.testing import collect, wait_until
 
 
@@ -326,6 +327,17 @@
         case.assertEqual(read_answer(sock).status, 408)
 
 
+def test_call_is_not_repeated_beyond_the_budget(case):
+    """Guards against repeats that multiply the load of a service that fails."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    fleet.daemon._budgets.configure(BudgetLimits(0.0, 0.0, 10.0))
+    for worker in (fleet.workers["desk-1"], fleet.workers["desk-2"]):
+        worker.replies.append(lambda req, worker=worker: worker.reply(req, 500))
+    case.assertEqual(call(fleet, "/look/x").status, 500)
+    received = [len(fleet.workers[name].received) for name in ("desk-1", "desk-2")]
+    case.assertEqual(sum(received), 1)
+
+
 def test_request_that_crashes_its_servers_is_refused(case):
     """Guards against a request that takes down one server after the other."""
     names = ("desk-1", "desk-2", "desk-3")
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -10,6 +10,7 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.relay.calls import Call
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.routing import Stage
@@ -74,6 +75,19 @@
     case.assertEqual(answer.body, events(1, 4))
 
 
+def test_stream_is_not_continued_beyond_the_budget(case):
+    """Guards against repeats of streams that the budget of the service forbids."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    fleet.daemon._budgets.configure(BudgetLimits(0.0, 0.0, 10.0))
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+        worker.replies.append(lambda req, w=worker: w.stream(req, last=2, cut=True))
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual((answer.body, answer.complete), (events(1, 2), False))
+    received = [len(fleet.workers[name].received) for name in ("dec-1", "dec-2")]
+    case.assertEqual(sum(received), 1)
+
+
 def test_silent_server_loses_a_resumable_stream(case):
     """Guards against waiting for a server that has gone dark, and against giving a
     stream up since its first wait for a server was long ago."""
