--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -51,6 +51,7 @@
 REGISTER_RETRY_S = 0.5
 # Descriptors kept back for files, the store, the platform and backend servers.
 RESERVED_DESCRIPTORS = 700
+# Caller connections: a small instance serves some at least, and each costs memory.
 LEAST_CONNECTIONS, MOST_CONNECTIONS = 64, 2000
 # After SIGTERM callers come for a while with addresses that they have kept; requests
 # that arrive in this part of the grace period are still served.
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -15,7 +15,9 @@
 LEASE_NAME = "stages"
 STEP_S = 1.0
 CALL_TIMEOUT_S = 0.5
+# A second order fits into the window after one whose answer took the whole time.
 ORDER_TRIES = 2
+# Statuses from here on say that the order is not carried out.
 REFUSED_STATUS = 300
 # Orders are sent in the first part of a lease only, so that those of two holders lie
 # further apart than the bound of the platform.
