--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -17,6 +17,9 @@
 SETTLE_S = 1.5
 # A process that was killed starts, asks the store and is ready again.
 START_S = 4.0
+# A silent store is noticed after its open questions have timed out.
+STORE_SETTLE_S = 4.0
+LOST_ANSWERS, LATE_S = 3, 1.0
 FEWEST, MOST = 6, 14
 SHORTEST_S, LONGEST_S = 0.3, 3.0
 
@@ -40,6 +43,11 @@
     strength: float
 
 
+def _pick(forms, strength):
+    """Returns one of some forms by a number from 0 to 1."""
+    return forms[min(len(forms) - 1, int(strength * len(forms)))]
+
+
 class Fault(ABC):
     """A kind of fault."""
 
@@ -112,14 +120,21 @@
 class _LinkFault(Fault):
     """A link is disturbed for some time."""
 
+    MODES = (
+        Mode.DELAY,
+        Mode.SILENT,
+        Mode.CUT_REQUESTS,
+        Mode.CUT_ANSWERS,
+        Mode.REFUSE,
+    )
+
     def links(self, world, target):
         """Returns the links of a target."""
         return [world.processes[target].callers]
 
     def strike(self, world, step):
         links = self.links(world, step.target)
-        modes = (Mode.DELAY, Mode.SILENT, Mode.CUT_REQUESTS, Mode.CUT_ANSWERS)
-        mode = (*modes, Mode.REFUSE)[int(step.strength * 4.999)]
+        mode = _pick(self.MODES, step.strength)
         for link in links:
             link.delay_s = step.strength
             link.mode = mode
@@ -138,7 +153,7 @@
 class StoreLink(_LinkFault):
     """The path of a process to the store."""
 
-    settle_s = 4.0
+    settle_s = STORE_SETTLE_S
 
     def links(self, world, target):
         return [world.processes[target].store]
@@ -171,25 +186,27 @@
 class Store(Fault):
     """The store is down, silent, loses answers or its history."""
 
-    settle_s = 4.0
+    FORMS = ("down", "silent", "forgetful", "lost", "late")
+    settle_s = STORE_SETTLE_S
 
     def targets(self, world):
         return ["store"]
 
     def strike(self, world, step):
         store = world.store
-        form = int(step.strength * 4.999)
-        if form == 0:
+        form = _pick(self.FORMS, step.strength)
+        if form == "down":
             store.down = 503
-        elif form == 1:
+        elif form == "silent":
             store.silent = True
             store.put("other", "wakes", b"questions that wait")
-        elif form == 2:
+        elif form == "forgetful":
             store.forgotten = store.version
-            world.processes["entry-1"].store.reset()
+            # Its next question starts from a version that is gone.
+            next(iter(world.processes.values())).store.reset()
         else:
-            store.lose_answers = 3
-            store.late_s = 1.0 if form == 4 else 0.0
+            store.lose_answers = LOST_ANSWERS
+            store.late_s = LATE_S if form == "late" else 0.0
         gevent.sleep(step.for_s)
         store.down, store.silent, store.lose_answers = 0, False, 0
 
@@ -204,7 +221,7 @@
 
     def strike(self, world, step):
         server = world.servers[step.target]
-        form = self.FORMS[int(step.strength * 5.999)]
+        form = _pick(self.FORMS, step.strength)
         server.faults = {form: 0.5}
         gevent.sleep(step.for_s)
         server.faults = {}
