--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -1,6 +1,7 @@
 """An entry daemon through changes of the fleet: store, lookups, stop."""
 
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -14,9 +15,10 @@
 from typer.testing import CliRunner
 
 from amaranthbay.cli import app
-from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S
+from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S, EntryDaemon
 from amaranthbay.fleet.peers import PeerStatus, ServerLoad
 from amaranthbay.fleet.tables import BEHIND_S
+from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fleet import (
     call,
@@ -25,6 +27,7 @@
     connect,
     read_answer,
     request,
+    settings_of,
     small_fleet,
     spawn_call,
 )
@@ -34,6 +37,8 @@
 from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
 
 ROOT = Path(__file__).resolve().parents[3]
+# Time after which entries of the store count as up to date after an outage.
+RECOVERED_S = 2.0
 
 
 def get(address, path):
@@ -152,6 +157,29 @@
     case.assertIn("retry-after", answer.headers)
 
 
+def test_instance_that_starts_during_an_outage_serves_soon_after_it(case):
+    """Guards against a process that needs more than one answer of the store to serve,
+    or asks for it too rarely after an outage."""
+    fleet = case.enterContext(small_fleet())
+    fleet.store.down = 503
+    daemon = EntryDaemon(
+        settings_of(fleet.daemon.settings.store_address, "entry-2"),
+        PlatformAdapter(),
+        rng=random.Random(2),
+    )
+    daemon.start()
+    case.addCleanup(daemon.close)
+    wait_until(lambda: daemon.health.lost_at is not None)
+    gevent.sleep(1.0)
+    answer = call_raw(daemon.settings.caller_address, request("/look/x"))
+    case.assertEqual(answer.status, 503)
+    fleet.store.down = 0
+    wait_until(daemon.is_ready, bound_s=RECOVERED_S)
+    wait_until(lambda: daemon.backends.usable("desk"), bound_s=RECOVERED_S)
+    answer = call_raw(daemon.settings.caller_address, request("/look/x"))
+    case.assertEqual(answer.status, 200)
+
+
 def test_drain_answers_what_is_in_progress_and_ends(case):
     """Guards against requests that are cut by a planned stop."""
     fleet = case.enterContext(small_fleet())
