--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -42,8 +42,8 @@
 IDLE_PAUSE_SHARE = 0.6
 MEMBERS_PAUSE_S = 1.5
 IDLE_MEMBERS_PAUSE_S = 3.0
-# Part of the time within which a configuration must be in force after which a question
-# is asked anew by an instance that serves. The answer's own time limit must fit in,
+# Part of the time within which a configuration must be in force after which a poll is
+# repeated by an instance that serves. The answer's own time limit must fit in,
 # before the platform takes the instance to be up to date again.
 WATCH_SHARE = 0.95
 # Shorter than any bound that a changed setting has to be in force by.
@@ -242,7 +242,7 @@
         self._servers.append(server)
 
     def _watch_s(self):
-        """Returns the longest wait of the question that watches the store.
+        """Returns the longest wait of the poll that watches the store.
 
         An instance that stands by learns of a silent store from the others' reports.
         """
@@ -283,9 +283,9 @@
         chosen = False
         while True:
             if self.peers.is_chosen() != chosen:
-                # The longest wait of the question differs.
+                # The longest wait of the poll differs.
                 chosen = not chosen
-                self._followers[self._adapter.configuration_table].ask_again()
+                self._followers[self._adapter.configuration_table].poll_again()
             serving = self.is_ready()
             if serving != self.peers.serving:
                 self.peers.serving = serving
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -24,9 +24,9 @@
 RECOVERY_S = 8.0
 # A shorter loss is that of a single connection.
 OUTAGE_S = 1.0
-# The other tables wait for longer; a call costs more than an open question.
+# The other tables wait for longer; a call costs more than an open poll.
 FEED_WAIT_S = 15.0
-# A question that is open for this long although another instance has seen a newer
+# A poll that is open for this long although another instance has seen a newer
 # change is lost.
 BEHIND_S = 0.5
 # Longest pause between tries, so that a change is in force in time after an outage.
@@ -193,9 +193,9 @@
             health: `StoreHealth`.
             clock: `Clock`.
             rng: `random.Random`.
-            watch_s: Function that returns the longest wait of a question, for the
+            watch_s: Function that returns the longest wait of a poll, for the
                 follower that finds out whether the store is lost and back. A store
-                that falls silent loses the questions that wait at it. None for the
+                that falls silent loses the polls that wait at it. None for the
                 others, which wait for this one meanwhile.
             pause_s: Function that returns the time after a change in which further
                 ones gather.
@@ -210,7 +210,7 @@
         self._watch_s = watch_s
         self._failures = 0
         self._job = None
-        self._asking = False
+        self._polling = False
         self._behind_since = None
         self.version = None
         self.changed = 0
@@ -230,20 +230,20 @@
             self._job = None
 
     def _restart(self):
-        """Asks again: a question from before the loss may never be answered."""
+        """Asks again: a poll from before the loss may never be answered."""
         if self._job is not None:
             self._job.kill(block=False)
             self.start()
 
-    def ask_again(self):
-        """Replaces an open question, as its longest wait has changed."""
-        if self._asking:
+    def poll_again(self):
+        """Replaces an open poll, as its longest wait has changed."""
+        if self._polling:
             self._restart()
 
     def note_newer(self, changed):
         """Notes the last change that another instance has seen."""
         # An instance that is behind itself says nothing about this one.
-        if changed <= self.changed or not self._asking:
+        if changed <= self.changed or not self._polling:
             return
         now = self._clock.monotonic()
         if self._behind_since is None:
@@ -262,7 +262,7 @@
     def _verify(self):
         """Asks at once whether the store is lost, as another follower has noted.
 
-        The others wait for the answer, and the question that is open may take seconds.
+        The others wait for the answer, and the poll that is open may take seconds.
         """
         if self._job is not None and self._job is not gevent.getcurrent():
             self._restart()
@@ -281,12 +281,12 @@
             return self._read_all()
         sent_at = self._clock.monotonic()
         wait_s = self._wait_s()
-        self._asking = True
+        self._polling = True
         self._behind_since = None
         try:
             found = self._source.changes(self._table, self.version, wait_s)
         finally:
-            self._asking = False
+            self._polling = False
         current_metrics().store_called("changes", _outcome(found))
         if found.is_ok():
             self._note_answer(sent_at)
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -71,7 +71,7 @@
 
 
 def test_changes_follow_the_snapshot(case):
-    """Guards against a gap between the snapshot and the first question."""
+    """Guards against a gap between the snapshot and the first poll."""
     made, view, source, _, _ = follower(
         Ok(Snapshot((row("a", b"1"),), 5)),
         Ok(Changes((row("a", b"2", 7), row("b", b"3", 8)), 8)),
@@ -131,7 +131,7 @@
 
 
 def test_store_that_came_back_is_asked_more_often(case):
-    """Guards against a question that is lost just after the store has returned."""
+    """Guards against a poll that is lost just after the store has returned."""
     calm = Ok(Changes((), 1))
     made, _, source, health, clock = follower(Ok(Snapshot((), 1)), *[calm] * 3)
     made.step()
@@ -148,7 +148,7 @@
 
 
 def test_followers_ask_again_when_the_store_is_back(case):
-    """Guards against a question that waits at the store since before its silence."""
+    """Guards against a poll that waits at the store since before its silence."""
     made, _, _, health, clock = follower(
         Ok(Snapshot((), 1)), Ok(Changes((), 1)), watch_s=None
     )
@@ -162,7 +162,7 @@
 
 
 class WaitingSource(TableSource):
-    """Lets questions for ``op`` wait; the first one for ``servers`` fails."""
+    """Lets polls for ``op`` wait; the first one for ``servers`` fails."""
 
     def __init__(self):
         self.failures = 1
@@ -185,7 +185,7 @@
 
 def test_lost_connection_delays_no_table_for_long(case):
     """Guards against a single connection to the store that times out and leaves a table
-    unread until the long question for another one has ended (day fresh-8fa4 of
+    unread until the long poll for another one has ended (day fresh-8fa4 of
     ekdal-ruta-grown, rule DRAIN)."""
     clock, source, view = SystemClock(), WaitingSource(), SeenRows()
     health, rng = StoreHealth(clock), random.Random(1)
--- a/amaranthbay/platform/lookup.py
+++ b/amaranthbay/platform/lookup.py
@@ -1,4 +1,4 @@
-"""The platform's questions to a daemon: readiness and addresses for callers."""
+"""The platform's and the callers' calls to a daemon: readiness and lookups."""
 
 import falcon
 import msgspec
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -17,7 +17,7 @@
 SETTLE_S = 1.5
 # A process that was killed starts, asks the store and is ready again.
 START_S = 4.0
-# A silent store is noticed after its open questions have timed out.
+# A silent store is noticed after its open polls have timed out.
 STORE_SETTLE_S = 4.0
 LOST_ANSWERS, LATE_S = 3, 1.0
 FEWEST, MOST = 6, 14
@@ -199,10 +199,10 @@
             store.down = 503
         elif form == "silent":
             store.silent = True
-            store.put("other", "wakes", b"questions that wait")
+            store.put("other", "wakes", b"polls that wait")
         elif form == "forgetful":
             store.forgotten = store.version
-            # Its next question starts from a version that is gone.
+            # Its next poll starts from a version that is gone.
             next(iter(world.processes.values())).store.reset()
         else:
             store.lose_answers = LOST_ANSWERS
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -165,7 +165,7 @@
 
     Attributes:
         down: Status of every answer; 0 while the store serves.
-        silent: Whether questions get no answer.
+        silent: Whether polls get no answer.
         forgotten: Version up to which the history is gone.
         behind: Whether snapshots show the state at `forgotten`.
         lose_answers: Number of writes to come whose answers are lost.
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -94,10 +94,10 @@
 
 def test_servers_stay_in_use_while_the_store_is_silent(case):
     """Guards against an outage of the store that becomes one of the product, and
-    against a question that waits for ever at a store that was silent."""
+    against a poll that waits for ever at a store that was silent."""
     fleet = case.enterContext(small_fleet())
     fleet.store.silent = True
-    fleet.store.put("other", "wakes", b"questions that wait")
+    fleet.store.put("other", "wakes", b"polls that wait")
     wait_until(lambda: fleet.daemon.health.lost_at is not None)
     case.assertEqual(call(fleet, "/look/x").status, 200)
     fleet.store.silent = False
@@ -121,17 +121,17 @@
 
 
 def test_instance_that_stands_by_hears_of_changes_that_it_has_missed(case):
-    """Guards against a long question that a silent store has lost: an instance that
+    """Guards against a long poll that a silent store has lost: an instance that
     stands by would be behind until it ends."""
     fleet = case.enterContext(small_fleet())
     daemon = fleet.daemon
     wait_until(lambda: daemon.peers.serving)
     daemon.peers._chosen = lambda live: []
     follower = daemon._followers["op"]
-    follower.ask_again()
+    follower.poll_again()
     wait_until(lambda: "WaitMs=15000" in fleet.store.calls[-1])
     fleet.store.silent = True
-    fleet.store.put("other", "wakes", b"questions that wait")
+    fleet.store.put("other", "wakes", b"polls that wait")
     gevent.sleep(0.1)
     fleet.store.silent = False
     fleet.store.put("op", "config", configuration(9))
