Give a large answer of the store more time with each poll that replaces another

An instance that hears of a newer version replaces its poll after half a second, and did so again and again while the answer was still arriving. The time now doubles with each replacement until an answer has come. The new test, a source that takes two seconds, fails without the change.

--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -26,9 +26,11 @@
 OUTAGE_S = 1.0
 # The other tables wait for longer; a call costs more than an open poll.
 FEED_WAIT_S = 15.0
-# A poll that is open for this long although another instance has seen a newer
-# change is lost.
+# A poll that is open for this long although another instance has seen a newer change
+# is lost, or its answer is on its way over a slow link. Each poll that replaces another
+# one gets twice the time, so that a large answer arrives.
 BEHIND_S = 0.5
+BEHIND_LIMIT_S = 8.0
 # Longest pause between tries, so that a change is in force in time after an outage.
 RETRY_LIMIT_S = 0.8
 RETRY_BASE_S = 0.2
@@ -212,6 +214,7 @@
         self._job = None
         self._polling = False
         self._behind_since = None
+        self._behind_s = BEHIND_S
         self.version = None
         self.changed = 0
         if watch_s is None:
@@ -248,7 +251,7 @@
         now = self._clock.monotonic()
         if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since > BEHIND_S:
+        elif now - self._behind_since > self._behind_s:
             log_event(
                 "table_behind",
                 level="warning",
@@ -256,7 +259,7 @@
                 version=self.changed,
                 known_version=changed,
             )
-            self._behind_since = None
+            self._behind_s = min(BEHIND_LIMIT_S, 2 * self._behind_s)
             self._restart()
 
     def _verify(self):
@@ -336,6 +339,7 @@
 
     def _note_answer(self, sent_at):
         self._failures = 0
+        self._behind_s = BEHIND_S
         self._health.answered(sent_at)
 
     def _note_failure(self, failure):
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from amaranthbay.fleet.tables import (
+    BEHIND_S,
     RECOVERY_WAIT_S,
     ChangedRow,
     Changes,
@@ -17,7 +18,7 @@
 )
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.platform.types import PlatformFailure
-from amaranthbay.utils.testing import ManualClock, collect, wait_until
+from amaranthbay.utils.testing import ManualClock, collect, greenlet, wait_until
 
 
 class ScriptedSource(TableSource):
@@ -202,6 +203,49 @@
     case.assertIsNone(health.lost_at)
 
 
+class SlowSource(TableSource):
+    """Answers each poll after some time, as over a slow link."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    def snapshot(self, table):
+        return Ok(Snapshot((), 1))
+
+    def changes(self, table, after, wait_s):
+        gevent.sleep(self._seconds)
+        return Ok(Changes((ChangedRow("a", after + 1, b"1"),), after + 1))
+
+    def put(self, table, key, value):
+        raise NotImplementedError
+
+
+def test_slow_answer_is_not_given_up_for_ever(case):
+    """Guards against an instance that replaces its poll again and again while a large
+    answer is on its way, since others have it already."""
+    clock, view = SystemClock(), SeenRows()
+    made = TableFollower(
+        SlowSource(4 * BEHIND_S),
+        "op",
+        view,
+        StoreHealth(clock),
+        clock,
+        random.Random(1),
+        watch_s=lambda: 10.0,
+    )
+    made.start()
+    case.addCleanup(made.stop)
+    report = greenlet(_report_newer, made)
+    case.enterContext(report)
+    wait_until(lambda: view.rows, bound_s=20 * BEHIND_S)
+
+
+def _report_newer(follower):
+    while True:
+        gevent.sleep(BEHIND_S / 5)
+        follower.note_newer(100)
+
+
 def test_pause_after_a_change_is_asked_for_each_time(case):
     """Guards against an instance that serves and still gathers changes for as long as
     one that stands by."""
