Work out expected answers and ages of reports once

The expected length of an answer was worked out in placing and again in admission; it is a property of the call's head now. Three loops compared the age of a peer's last report with its interval; two of them share one function. Each report, up to fifty a second, built the whole own report, demand of all services included, only to see whether it has loads; a cheap function says so. No decision changes.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -94,6 +94,7 @@
             self._registration(),
             self.clock,
             self._report,
+            lambda: bool(self.ledger.loads()),
             process,
             serving_instances,
             self._take_status,
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -159,6 +159,7 @@
         own,
         clock,
         report,
+        has_work,
         process,
         chosen=lambda live: live,
         on_status=lambda status: None,
@@ -169,6 +170,8 @@
             own: `Registration` of this process.
             clock: `Clock`.
             report: Function that returns the `OwnReport` of this process.
+            has_work: Function that returns whether the report has loads. It is asked
+                for each report, and the whole report costs more.
             process: Random number of this process. The time of its start would
                 not do, since clocks step back.
             chosen: Function of the live instances that returns those which lookups
@@ -179,6 +182,7 @@
         self.serving = False
         self._clock = clock
         self._report_own = report
+        self._has_work = has_work
         self._chosen = chosen
         self._on_status = on_status
         self._registered = {own.instance: own}
@@ -226,7 +230,7 @@
 
     def is_busy(self):
         """Returns whether callers are sent here, or work is left."""
-        return bool(self._report_own().loads) or self.own.instance in self._busy_names()
+        return self._has_work() or self.own.instance in self._busy_names()
 
     def is_chosen(self):
         """Returns whether callers are sent here."""
@@ -243,23 +247,29 @@
 
     def live(self):
         """Returns the `Registration` of each instance that callers may use."""
-        now = self._clock.monotonic()
         found = [self.own] if self.serving else []
-        for name, heard in self._heard.items():
-            if name not in self._registered or not heard.status.serving:
-                continue
-            if now - heard.at <= MISSED_REPORTS * heard.status.interval_s:
-                found.append(self._registered[name])
+        for status in self._reporting():
+            if status.instance in self._registered and status.serving:
+                found.append(self._registered[status.instance])
         return found
 
+    def _reporting(self):
+        """Returns the newest `PeerStatus` of each peer that still reports."""
+        now = self._clock.monotonic()
+        return [
+            heard.status
+            for heard in self._heard.values()
+            if now - heard.at <= MISSED_REPORTS * heard.status.interval_s
+        ]
+
     def statuses(self):
         """Returns the newest `PeerStatus` of each peer with a load that counts."""
         now = self._clock.monotonic()
-        found = []
-        for heard in self._heard.values():
-            if now - heard.at <= LOAD_LIFE_S:
-                found.append(heard.status)
-        return found
+        return [
+            heard.status
+            for heard in self._heard.values()
+            if now - heard.at <= LOAD_LIFE_S
+        ]
 
     def loads(self):
         """Returns the sum of `ServerLoad` that peers report, by server."""
@@ -275,11 +285,9 @@
         A switch takes longer than loads count, so that each peer's last report holds
         until it should have sent several.
         """
-        now = self._clock.monotonic()
         found = {}
-        for heard in self._heard.values():
-            if now - heard.at <= MISSED_REPORTS * heard.status.interval_s:
-                found |= heard.status.switching
+        for status in self._reporting():
+            found |= status.switching
         return found
 
     def demands(self, service):
@@ -367,7 +375,7 @@
             if now - reported_at >= self.interval_s():
                 self.announce()
                 reported_at = now
-            elif changed or self._report_own().loads:
+            elif changed or self._has_work():
                 self.announce(self._busy_names())
             self._clock.sleep(HASTY_INTERVAL_S)
 
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -24,7 +24,7 @@
 def peers(count=2):
     """Returns the view of ``entry-1`` that knows that many instances by row."""
     clock = ManualClock()
-    made = Peers(registration("entry-1"), clock, OwnReport, 1)
+    made = Peers(registration("entry-1"), clock, OwnReport, bool, 1)
     made.serving = True
     rows = [registration(f"entry-{number}") for number in range(1, count + 1)]
     made.apply([ChangedRow(r.instance, 1, msgspec.json.encode(r)) for r in rows])
@@ -125,7 +125,9 @@
     made = {}
     for name in names:
         own = msgspec.structs.replace(registration(name), peer_address=addresses[name])
-        made[name] = Peers(own, SystemClock(), lambda: OwnReport(load), 1)
+        made[name] = Peers(
+            own, SystemClock(), lambda: OwnReport(load), lambda: bool(load), 1
+        )
         made[name].serving = True
     rows = [
         ChangedRow(name, 1, msgspec.json.encode(each.own))
--- a/amaranthbay/relay/admission.py
+++ b/amaranthbay/relay/admission.py
@@ -87,7 +87,7 @@
     Args:
         calls: Pairs of a `Call` and the memory in tokens that it needs.
     """
-    costs = [need * max(1, _expected_tokens(call.head)) for call, need in calls]
+    costs = [need * max(1, call.head.likely_tokens) for call, need in calls]
     mean = sum(costs) / len(costs)
     return [
         call.arrived_at
@@ -96,12 +96,6 @@
     ]
 
 
-def _expected_tokens(head):
-    if head.expected_tokens is None:
-        return head.output_tokens
-    return min(head.output_tokens, head.expected_tokens)
-
-
 def may_start(rank, pressure):
     """Returns whether a stream of an `Urgency` may start under a `Pressure`."""
     if rank is Urgency.IN_TIME:
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -42,6 +42,13 @@
     output_tokens: int = 0
     expected_tokens: int | None = None
 
+    @property
+    def likely_tokens(self):
+        """Tokens of the answer, as far as they can be known before it."""
+        if self.expected_tokens is None:
+            return self.output_tokens
+        return min(self.output_tokens, self.expected_tokens)
+
 
 @dataclass(frozen=True)
 class Directions:
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -113,7 +113,7 @@
 
 
 def answers_connections(connections, server):
-    """Returns whether a server takes a new connection.
+    """Returns whether a server is there: a kept connection is open, or a new one made.
 
     Args:
         connections: `ConnectionPool`.
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -320,7 +320,4 @@
     Reserving the longest answer would leave much of a server's memory unused: the
     answers in progress are at different points and most stay below their limit.
     """
-    expected = head.output_tokens
-    if head.expected_tokens is not None:
-        expected = min(expected, head.expected_tokens)
-    return head.prompt_tokens + int(ANSWER_SHARE * expected)
+    return head.prompt_tokens + int(ANSWER_SHARE * head.likely_tokens)
