--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -184,6 +184,7 @@
         self._report_own = report
         self._has_work = has_work
         self._chosen = chosen
+        self._choice = None
         self._on_status = on_status
         self._registered = {own.instance: own}
         self._heard = {}
@@ -237,8 +238,16 @@
         return self.own.instance in self.serving_names()
 
     def serving_names(self):
-        """Returns the instances that callers are sent to."""
-        return {each.instance for each in self._chosen(self.live())}
+        """Returns the instances that callers are sent to.
+
+        The choice is kept while the live instances stay the same: it costs more than
+        a report in a large fleet, and each report asks for it.
+        """
+        live = self.live()
+        if self._choice is None or self._choice[:2] != (self._chosen, live):
+            names = frozenset(each.instance for each in self._chosen(live))
+            self._choice = (self._chosen, live, names)
+        return self._choice[2]
 
     def _busy_names(self):
         """Returns the instances that callers are sent to, or that have work."""
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -88,6 +88,24 @@
     case.assertEqual(made.loads(), {})
 
 
+def test_choice_of_serving_instances_follows_the_live_ones(case):
+    """Guards against a choice that is kept although an instance has left or come, and
+    against working it out for each report."""
+    made, clock = peers(3)
+    calls = []
+    made._chosen = lambda live: calls.append(live) or live
+    made.hear(status(1))
+    case.assertEqual(made.serving_names(), {"entry-1", "entry-2"})
+    case.assertEqual(made.serving_names(), {"entry-1", "entry-2"})
+    case.assertEqual(len(calls), 1)
+    made.hear(status(2, serving=False))
+    case.assertEqual(made.serving_names(), {"entry-1"})
+    made.hear(status(3))
+    case.assertEqual(made.serving_names(), {"entry-1", "entry-2"})
+    clock.advance(10.0)
+    case.assertEqual(made.serving_names(), {"entry-1"})
+
+
 def test_switching_servers_are_known_between_rare_reports(case):
     """Guards against work for a server that switches, since the instance that ordered
     it reports less often than loads count."""
