--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+import h11
 from gevent import socket
 
 from amaranthbay.daemon.entry import EntryDaemon
@@ -33,12 +34,14 @@
         headers: Values by lower-case name.
         body: Bytes of the body as far as they came.
         complete: Whether the body's end was marked.
+        trailing: Bytes that followed a complete answer.
     """
 
     status: int | None
     headers: dict
     body: bytes
     complete: bool
+    trailing: bytes = b""
 
 
 def route(name, prefix, kind, service, **fields):
@@ -228,8 +231,6 @@
 
 def read_answer(sock):
     """Reads one answer from a connection."""
-    import h11
-
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
     parser.send(h11.EndOfMessage())
@@ -248,8 +249,9 @@
         elif type(event) is h11.Data:
             body += bytes(event.data)
         else:
-            complete = type(event) is h11.EndOfMessage
-            return Answer(status, headers, body, complete)
+            if type(event) is not h11.EndOfMessage:
+                return Answer(status, headers, body, False)
+            return Answer(status, headers, body, True, parser.trailing_data[0])
 
 
 def spawn_call(fleet, *args, **kwargs):
--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -5,16 +5,19 @@
 from dataclasses import dataclass
 
 import gevent
-import h11
 import msgspec
 from gevent import socket
 
-from amaranthbay.platform.tests.fleet import HOST, call_raw, request
+from amaranthbay.platform.tests.fleet import (
+    HOST,
+    call_raw,
+    read_answer,
+    request,
+)
 from amaranthbay.platform.tests.soak.world import ZONES
 
 __all__ = ["KINDS", "Caller", "Exchange", "look_up", "send"]
 
-READ_BYTES = 65536
 TIMEOUT_S = 4.0
 # Time that the requests state, and the routes allow.
 DEADLINE_MS = 2000
@@ -196,34 +199,8 @@
         if left:
             gevent.sleep(0.02)
             return Exchange(*made, time.monotonic(), left=True)
-        return _read(sock, made)
+        found = read_answer(sock)
+        return Exchange(*made, time.monotonic(), **vars(found))
     except OSError:
         # The connection ended without an answer.
         return Exchange(*made, time.monotonic())
-
-
-def _read(sock, made):
-    parser = h11.Connection(h11.CLIENT)
-    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
-    parser.send(h11.EndOfMessage())
-    status, headers, body, complete = None, {}, b"", False
-    while not complete:
-        try:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                parser.receive_data(sock.recv(READ_BYTES))
-                continue
-        except (OSError, h11.RemoteProtocolError):
-            # The answer ended early.
-            break
-        if type(event) is h11.Response:
-            status = event.status_code
-            headers = {n.decode(): v.decode() for n, v in event.headers}
-        elif type(event) is h11.Data:
-            body += bytes(event.data)
-        else:
-            complete = type(event) is h11.EndOfMessage
-            break
-    trailing = parser.trailing_data[0] if complete else b""
-    ended_at = time.monotonic()
-    return Exchange(*made, ended_at, status, headers, body, complete, trailing)
--- a/amaranthbay/platform/tests/soak/promises.py
+++ b/amaranthbay/platform/tests/soak/promises.py
@@ -245,6 +245,5 @@
         defects = [line for line in lines if line.get("event") == "defect"]
         if defects:
             yield f"{name} logged {len(defects)} defects: {defects[0]}"
-        peak_mb = world.peak_memory_mb(name)
-        if peak_mb > MEMORY_MB:
-            yield f"{name} took {peak_mb:.0f} MB"
+        if world.peaks_mb[name] > MEMORY_MB:
+            yield f"{name} took {world.peaks_mb[name]:.0f} MB"
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -71,6 +71,7 @@
             caller.stopping = True
         gevent.joinall(jobs, raise_error=True)
         supervisor.kill()
+        world.note_memory()
         broken += _stop(world)
         broken += broken_promises(world, exchanges)
     answered = sum(each.status == 200 and each.complete for each in exchanges)
--- a/amaranthbay/platform/tests/soak/world.py
+++ b/amaranthbay/platform/tests/soak/world.py
@@ -129,6 +129,7 @@
         disturbances: `Disturbance` of all faults.
         versions: `Version` of all configurations.
         leaving: Monotonic time at which the store acknowledged that a server leaves.
+        peaks_mb: Peak memory of each process at the end of its run.
     """
 
     def __init__(self, seed, processes=3, folder=None):
@@ -140,6 +141,7 @@
         self.disturbances = []
         self.versions = []
         self.leaving = {}
+        self.peaks_mb = {}
         self.retired = []
         self._count = processes
         self._folder = folder
@@ -373,12 +375,8 @@
                 other.append(line)
         return found, other
 
-    def peak_memory_mb(self, name):
-        """Returns the peak memory of a running process; 0 if it has ended."""
-        path = Path(f"/proc/{self.processes[name].popen.pid}/status")
-        try:
-            lines = path.read_text().splitlines()
-        except FileNotFoundError:
-            return 0.0
-        peaks = [line.split()[1] for line in lines if line.startswith("VmHWM:")]
-        return int(peaks[0]) / 1024 if peaks else 0.0
+    def note_memory(self):
+        """Notes the peak memory of the processes, which must run."""
+        for name, process in self.processes.items():
+            text = Path(f"/proc/{process.popen.pid}/status").read_text()
+            self.peaks_mb[name] = int(text.split("VmHWM:")[1].split()[0]) / 1024
