--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -82,9 +82,9 @@
     sizes = {}
     for test in flatten(suite):
         name = test.id().rsplit(".", 1)[0]
-        if name.endswith("_FailedTest"):
+        if type(test).__name__ == "_FailedTest":
             # The loader's stand-in for a module that can't be imported.
-            name = test.id().rsplit(".", 1)[1]
+            name = test._testMethodName
         path = ROOT / (name.replace(".", "/") + ".py")
         sizes[name] = path.stat().st_size if path.exists() else 0
     return sorted(sizes, key=sizes.get, reverse=True)
