Leave prefill servers whose handles lapse, and call the store less in large fleets

Each stream whose prompt it read was refused by two decode servers and then by us: 45,000 prompt tokens in vain, 11 refusals, and the decode servers were counted as failing. In fleets with more than nine serving instances one in each availability zone watches; the others learn from its reports. Polls wait 30 s; the table of instances is read when an unknown one reports. - Allowed repeats were divided by all registered instances, so that the 15 of 195 that serve could use 26 of 430; a quarter of the allowance is theirs now, and the sum holds even if all of them are replaced within the window. - Reports left out all loads beyond 1,400 bytes, at about 50 busy servers; they take several datagrams now. Prompts whose pause would be longer than the route allows wait for a prefill server.

Ruled out: loss of packets as a cause of the refusals (they follow the one prefill server); more datagrams as the cause of calls.

Tests: the stream test gave 503 five times before.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -6,22 +6,33 @@
 import gevent
 import gevent.event
 
-from amaranthbay.daemon.lookup import choose_addresses, serving_instances
+from amaranthbay.daemon.lookup import (
+    choose_addresses,
+    serving_instances,
+    serving_places,
+    watching,
+)
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.peers import OwnReport
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
-from amaranthbay.fleet.tables import FEED_WAIT_S, StoreHealth, TableFollower
+from amaranthbay.fleet.tables import (
+    FEED_WAIT_S,
+    OnDemandFollower,
+    StoreHealth,
+    TableFollower,
+)
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
 from amaranthbay.platform.types import CommitState
 from amaranthbay.relay import Listener, RelayService, find_codec
-from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets
+from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets, allowance_part
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.context import RelayContext
 from amaranthbay.relay.crashes import CrashRecord, answers_connections
 from amaranthbay.relay.demand import DemandMeter
+from amaranthbay.relay.handles import HandleRecord
 from amaranthbay.relay.ledger import WorkLedger
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.placing import StreamQueue
@@ -44,8 +55,10 @@
 IDLE_MEMBERS_PAUSE_S = 3.0
 # Part of the time within which a configuration must be in force after which a poll is
 # repeated by an instance that serves. The answer's own time limit must fit in,
-# before the platform takes the instance to be up to date again.
+# before the platform takes the instance to be up to date again. Where others learn
+# from one that watches, their reports and a poll must fit in, too.
 WATCH_SHARE = 0.95
+LONE_WATCH_SHARE = 0.7
 # Shorter than any bound that a changed setting has to be in force by.
 RELOAD_S = 2.0
 REGISTER_RETRY_S = 0.5
@@ -98,10 +111,11 @@
             process,
             serving_instances,
             self._take_status,
+            self._read_members,
         )
         self._followers = {}
         self._budgets = RepeatBudgets(
-            _budget_limits(settings), self.peers.registered, self.clock
+            _budget_limits(settings), self._allowance_part, self.clock
         )
         self.ctx = RelayContext(
             clock=self.clock,
@@ -115,6 +129,7 @@
             budget=self._budgets.of,
             demand=DemandMeter(self.clock),
             crashes=crashes,
+            handles=HandleRecord(self.clock, self.peers.lost_handles),
             switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
         )
@@ -172,9 +187,16 @@
             self.ctx.demand.own(),
             self.balancer.switching(),
             self.ctx.crashes.report(),
-            {name: each.changed for name, each in self._followers.items()},
+            self._versions(),
+            tuple(self.ctx.handles.own()),
         )
 
+    def _versions(self):
+        """Returns the last change that is known in each table that is followed."""
+        followers = self._followers.items()
+        members = self._adapter.members_table
+        return {name: each.changed for name, each in followers if name != members}
+
     def _take_status(self, status):
         """Takes what another instance knows and this one may not."""
         if status.crashes:
@@ -183,6 +205,18 @@
             if name in self._followers:
                 self._followers[name].note_newer(changed)
 
+    def _read_members(self):
+        """Reads the table of instances, as one reports that it does not name."""
+        follower = self._followers.get(self._adapter.members_table)
+        if follower is not None:
+            follower.ask()
+
+    def _allowance_part(self):
+        """Returns this instance's part of the repeats that all may send."""
+        registered = self.peers.registrations()
+        places = serving_places(registered)
+        return allowance_part(len(registered), places, self.peers.is_chosen())
+
     def _client_limits(self):
         table = self.configuration.table
         return table.limits if table is not None else ClientLimits()
@@ -209,7 +243,6 @@
         self._follow(
             adapter.servers_table, self.backends, pause_s=self._servers_pause_s
         )
-        self._follow(adapter.members_table, self.peers, pause_s=self._members_pause_s)
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._jobs.append(gevent.spawn(self._watch_settings))
@@ -245,11 +278,16 @@
     def _watch_s(self):
         """Returns the longest wait of the poll that watches the store.
 
-        An instance that stands by learns of a silent store from the others' reports.
+        An instance that does not watch learns of a silent store from the others'
+        reports.
         """
-        if self.peers.is_chosen():
-            return WATCH_SHARE * self.settings.configuration_s
-        return FEED_WAIT_S
+        serving = self.peers.serving_instances()
+        watchers = watching(serving)
+        if self.settings.instance not in watchers:
+            return FEED_WAIT_S
+        lone = len(watchers) < len(serving)
+        share = LONE_WATCH_SHARE if lone else WATCH_SHARE
+        return share * self.settings.configuration_s
 
     def _servers_pause_s(self):
         if self.peers.is_busy():
@@ -259,15 +297,19 @@
     def _members_pause_s(self):
         return MEMBERS_PAUSE_S if self.peers.is_busy() else IDLE_MEMBERS_PAUSE_S
 
-    def _follow(self, table, view, **options):
-        follower = TableFollower(
+    def _follow(self, table, view, follower_class=TableFollower, **options):
+        follower = follower_class(
             self.store, table, view, self.health, self.clock, self.rng, **options
         )
         follower.start()
         self._followers[table] = follower
 
     def _register(self):
-        """Writes this instance's row, so that the others find it."""
+        """Writes this instance's row, so that the others find it.
+
+        The table is read afterwards: of two instances that start together, at least
+        one finds the other and reports to it.
+        """
         import msgspec
 
         row = msgspec.json.encode(self.peers.own)
@@ -279,13 +321,18 @@
             log_event("member_row_written", state=state)
             if state is not CommitState.DONE:
                 self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
+        self._follow(
+            self._adapter.members_table,
+            self.peers,
+            OnDemandFollower,
+            pause_s=self._members_pause_s,
+        )
 
     def _sweep(self):
-        chosen = False
+        watch_s = self._watch_s()
         while True:
-            if self.peers.is_chosen() != chosen:
-                # The longest wait of the poll differs.
-                chosen = not chosen
+            if self._watch_s() != watch_s:
+                watch_s = self._watch_s()
                 self._followers[self._adapter.configuration_table].poll_again()
             serving = self.is_ready()
             if serving != self.peers.serving:
@@ -293,6 +340,7 @@
                 self.peers.announce()
             self.ctx.connections.sweep()
             self.ctx.crashes.sweep()
+            self.ctx.handles.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
     def watch(self, metrics):
--- a/amaranthbay/daemon/lookup.py
+++ b/amaranthbay/daemon/lookup.py
@@ -1,15 +1,20 @@
 """Chooses the entry instances that callers are told of."""
 
+from collections import Counter
 from itertools import groupby
 
 from amaranthbay.membership.rendezvous import rendezvous_order
 
-__all__ = ["choose_addresses", "serving_instances"]
+__all__ = ["choose_addresses", "serving_instances", "serving_places", "watching"]
 
 # Instances of an availability zone that share its callers. Few of them know each
 # other's work at once, which keeps model servers from being filled twice; the others
 # stand by.
 SERVING_PER_ZONE = 3
+# Up to this number all instances that serve watch the store themselves. Beyond it, one
+# in each availability zone does and the others learn of changes from its reports, a
+# moment later.
+FEW_SERVING = 9
 # Key of the order that all instances share.
 KEY = "callers"
 # An instance with less than this is chosen only if the zone has no other.
@@ -38,6 +43,30 @@
     return chosen
 
 
+def serving_places(registered):
+    """Returns how many instances serve callers while all live.
+
+    Args:
+        registered: `Registration` of each instance.
+    """
+    zones = Counter(each.availability_zone for each in registered)
+    return sum(min(SERVING_PER_ZONE, count) for count in zones.values())
+
+
+def watching(serving):
+    """Returns the names of the instances that watch the store for the others.
+
+    Args:
+        serving: `Registration` of each instance that serves callers, in order.
+    """
+    if len(serving) <= FEW_SERVING:
+        return frozenset(each.instance for each in serving)
+    first = {}
+    for each in serving:
+        first.setdefault(each.availability_zone, each.instance)
+    return frozenset(first.values())
+
+
 def _is_weak(each):
     return each.cores < LEAST_CORES or 0 < each.link_mbps < LEAST_LINK_MBPS
 
--- a/amaranthbay/daemon/tests/test_lookup_choice.py
+++ b/amaranthbay/daemon/tests/test_lookup_choice.py
@@ -1,6 +1,11 @@
 """The instances that callers are told of."""
 
-from amaranthbay.daemon.lookup import choose_addresses, serving_instances
+from amaranthbay.daemon.lookup import (
+    choose_addresses,
+    serving_instances,
+    serving_places,
+    watching,
+)
 from amaranthbay.fleet import Registration
 from amaranthbay.utils.testing import collect
 
@@ -55,4 +60,22 @@
     case.assertEqual(choose_addresses([], "zone-1", "region-1"), [])
 
 
+def test_places_are_counted_without_the_dead(case):
+    """Guards against an allowance that grows as instances are lost."""
+    case.assertEqual(serving_places(fleet(zones=5, each=39)), 15)
+    case.assertEqual(serving_places(fleet(zones=2, each=2)), 4)
+    case.assertEqual(serving_places([]), 0)
+
+
+def test_one_instance_of_each_zone_watches_the_store_for_many(case):
+    """Guards against calls to the store that grow with the instances that serve, and
+    against an availability zone whose instances watch nothing."""
+    many = serving_instances(fleet(zones=5))
+    watchers = watching(many)
+    zones = {each.availability_zone for each in many if each.instance in watchers}
+    case.assertEqual((len(watchers), len(zones)), (5, 5))
+    few = serving_instances(fleet(zones=3))
+    case.assertEqual(watching(few), {each.instance for each in few})
+
+
 load_tests = collect(globals())
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -38,7 +38,13 @@
 # Instances with work report it to each other at the shortest interval; what one has
 # reported counts for this long.
 LOAD_LIFE_S = 1.0
+# The table of instances is read at most this often for one that it does not name.
+STRANGER_S = 10.0
+MOST_STRANGERS = 1000
 MAX_DATAGRAM_BYTES = 1400
+# Loads that fit into a datagram beside the rest: a name and three numbers take up to 30
+# bytes.
+LOADS_PER_DATAGRAM = 24
 RECEIVE_BYTES = 2048
 
 
@@ -80,7 +86,9 @@
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram: what an instance says of itself.
+    """What an instance says of itself, in one datagram or several.
+
+    Each datagram has some of the loads; the first one has all else, too.
 
     Attributes:
         instance: Name of the sender.
@@ -95,6 +103,10 @@
         crashes: Names of crashed servers by fingerprint of the request that they
             ran; see `relay.crashes`.
         versions: Version of the last change that it has seen in a table.
+        lost_handles: Prefill servers whose KV cache can't be fetched; see
+            `relay.handles`.
+        part: Number of the datagram in the report.
+        parts: Number of datagrams of the report.
     """
 
     instance: str
@@ -107,6 +119,9 @@
     interval_s: float = 0.2
     crashes: dict[str, tuple[str, ...]] = {}
     versions: dict[str, int] = {}
+    lost_handles: tuple[str, ...] = ()
+    part: int = 0
+    parts: int = 1
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -140,11 +155,21 @@
     switching: dict = field(default_factory=dict)
     crashes: dict = field(default_factory=dict)
     versions: dict = field(default_factory=dict)
+    lost_handles: tuple = ()
 
 
 @dataclass(frozen=True)
 class _Heard:
+    """The newest report of a peer.
+
+    Attributes:
+        status: What it says, with the loads of all its datagrams.
+        datagrams: `PeerStatus` of each of them by its part.
+        at: Monotonic time of the latest one.
+    """
+
     status: PeerStatus
+    datagrams: dict
     at: float
 
 
@@ -163,6 +188,7 @@
         process,
         chosen=lambda live: live,
         on_status=lambda status: None,
+        on_stranger=lambda: None,
     ):
         """Creates the view.
 
@@ -177,6 +203,8 @@
             chosen: Function of the live instances that returns those which lookups
                 name.
             on_status: Function that takes each new `PeerStatus` of another instance.
+            on_stranger: Function that is called when an instance reports that is not
+                known, or not at this address.
         """
         self.own = own
         self.serving = False
@@ -186,6 +214,8 @@
         self._chosen = chosen
         self._choice = None
         self._on_status = on_status
+        self._on_stranger = on_stranger
+        self._strangers = {}
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -219,9 +249,9 @@
             self._registered[row.key] = found
             log_event("member_registered", member=row.key, address=found.caller_address)
 
-    def registered(self):
-        """Returns the number of instances that the store names, own included."""
-        return len(self._registered)
+    def registrations(self):
+        """Returns the `Registration` of each instance that the store names."""
+        return self._registered.values()
 
     def interval_s(self):
         """Returns the seconds between two reports to everybody."""
@@ -238,15 +268,24 @@
         return self.own.instance in self.serving_names()
 
     def serving_names(self):
-        """Returns the instances that callers are sent to.
+        """Returns the names of the instances that callers are sent to."""
+        return self._serving_choice()[1]
+
+    def serving_instances(self):
+        """Returns the `Registration` of each instance that callers are sent to."""
+        return self._serving_choice()[0]
+
+    def _serving_choice(self):
+        """Returns the chosen instances and their names.
 
         The choice is kept while the live instances stay the same: it costs more than
         a report in a large fleet, and each report asks for it.
         """
         live = self.live()
         if self._choice is None or self._choice[:2] != (self._chosen, live):
-            names = frozenset(each.instance for each in self._chosen(live))
-            self._choice = (self._chosen, live, names)
+            chosen = tuple(self._chosen(live))
+            names = frozenset(each.instance for each in chosen)
+            self._choice = (self._chosen, live, (chosen, names))
         return self._choice[2]
 
     def _busy_names(self):
@@ -299,23 +338,55 @@
             found |= status.switching
         return found
 
+    def lost_handles(self):
+        """Returns the prefill servers whose KV cache peers could not fetch."""
+        found = set()
+        for status in self.statuses():
+            found.update(status.lost_handles)
+        return frozenset(found)
+
     def demands(self, service):
         """Returns the `MeasuredDemand` of each peer that has one."""
         found = [status.demands.get(service) for status in self.statuses()]
         return [each for each in found if each is not None]
 
-    def hear(self, status):
-        """Takes a peer's status."""
+    def hear(self, status, sender=None):
+        """Takes a peer's status.
+
+        Args:
+            status: `PeerStatus`.
+            sender: Address that it came from, if known.
+        """
         if status.instance == self.own.instance:
             return
+        self._note_stranger(status.instance, sender)
         known = self._heard.get(status.instance)
-        if known is not None and _is_late(status, known.status):
+        if known is not None and known.status.process != status.process:
+            known = None
+        datagrams = _add_datagram(known, status)
+        if datagrams is None:
             return
         if known is None or known.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
-        self._heard[status.instance] = _Heard(status, self._clock.monotonic())
+        merged = _merge(datagrams)
+        self._heard[status.instance] = _Heard(
+            merged, datagrams, self._clock.monotonic()
+        )
         self._on_status(status)
 
+    def _note_stranger(self, name, sender):
+        known = self._registered.get(name)
+        if known is not None and sender in (None, known.peer_address):
+            return
+        now = self._clock.monotonic()
+        if now - self._strangers.get(name, -STRANGER_S) < STRANGER_S:
+            return
+        if len(self._strangers) >= MOST_STRANGERS:
+            self._strangers.clear()
+        self._strangers[name] = now
+        log_event("stranger_heard", member=name, address=sender)
+        self._on_stranger()
+
     def status(self):
         """Returns the next status of this process."""
         self._sequence += 1
@@ -331,6 +402,7 @@
             interval_s=self.interval_s(),
             crashes=own.crashes,
             versions=own.versions,
+            lost_handles=own.lost_handles,
         )
 
     def start(self):
@@ -355,13 +427,11 @@
         """
         if self._socket is None:
             return
-        frame = msgspec.msgpack.encode(self.status())
-        if len(frame) > MAX_DATAGRAM_BYTES:
-            log_event("status_too_large", level="warning", size=len(frame))
-            frame = msgspec.msgpack.encode(without_details(self.status()))
+        frames = [_encode(each) for each in split_report(self.status())]
         for name, each in tuple(self._registered.items()):
             if name != self.own.instance and (names is None or name in names):
-                self._send(frame, each.peer_address)
+                for frame in frames:
+                    self._send(frame, each.peer_address)
 
     def _send(self, frame, address):
         host, port = address.rsplit(":", 1)
@@ -370,6 +440,22 @@
         except OSError as exc:
             log_event("status_not_sent", level="debug", address=address, code=exc.errno)
 
+    def _audience(self):
+        """Returns the names of those that get a regular report; None for all.
+
+        An instance that stands by matters to its own availability zone, where lookups
+        may name it next, and to those that serve.
+        """
+        if self.is_busy():
+            return None
+        zone = self.own.availability_zone
+        near = {
+            name
+            for name, each in self._registered.items()
+            if each.availability_zone == zone
+        }
+        return near | self._busy_names()
+
     def hasten(self):
         """Lets the next report follow soon, as after a change of the loads."""
         self._changed.set()
@@ -382,7 +468,7 @@
             self._changed.clear()
             now = self._clock.monotonic()
             if now - reported_at >= self.interval_s():
-                self.announce()
+                self.announce(self._audience())
                 reported_at = now
             elif changed or self._has_work():
                 self.announce(self._busy_names())
@@ -391,8 +477,9 @@
     def _receive(self):
         while True:
             try:
-                frame, _ = self._socket.recvfrom(RECEIVE_BYTES)
-                self.hear(msgspec.msgpack.decode(frame, type=PeerStatus))
+                frame, (host, port) = self._socket.recvfrom(RECEIVE_BYTES)
+                status = msgspec.msgpack.decode(frame, type=PeerStatus)
+                self.hear(status, f"{host}:{port}")
             except OSError as exc:
                 log_event("status_receive_failed", level="warning", code=exc.errno)
                 self._clock.sleep(self.interval_s())
@@ -400,10 +487,66 @@
                 log_event("status_unreadable", level="warning", detail=str(exc))
 
 
-def without_details(status):
-    """Returns a status that fits into a datagram, without loads and the like."""
-    return msgspec.structs.replace(status, loads={}, demands={}, crashes={})
-
+def split_report(status):
+    """Returns the `PeerStatus` of each datagram of a report.
 
-def _is_late(status, known):
-    return status.process == known.process and status.sequence <= known.sequence
+    Args:
+        status: `PeerStatus` with all loads.
+    """
+    loads = sorted(status.loads.items())
+    parts = max(1, -(-len(loads) // LOADS_PER_DATAGRAM))
+    found = []
+    for part in range(parts):
+        first = part * LOADS_PER_DATAGRAM
+        some = dict(loads[first : first + LOADS_PER_DATAGRAM])
+        each = msgspec.structs.replace(status, loads=some, part=part, parts=parts)
+        found.append(each if part == 0 else _without_details(each))
+    return found
+
+
+def _without_details(status):
+    return msgspec.structs.replace(
+        status, demands={}, switching={}, crashes={}, versions={}, lost_handles=()
+    )
+
+
+def _encode(status):
+    frame = msgspec.msgpack.encode(status)
+    if len(frame) <= MAX_DATAGRAM_BYTES:
+        return frame
+    # The loads matter most, and everything else is in one of the next reports.
+    log_event("status_too_large", level="warning", size=len(frame))
+    return msgspec.msgpack.encode(_without_details(status))
+
+
+def _add_datagram(known, status):
+    """Returns the datagrams of a report with a new one, or None if it is too late.
+
+    Args:
+        known: `_Heard` of the same process, or None.
+        status: `PeerStatus` of the new datagram.
+    """
+    if known is None:
+        return {status.part: status}
+    if known.status.parts != status.parts:
+        is_late = status.sequence < known.status.sequence
+        return None if is_late else {status.part: status}
+    before = known.datagrams.get(status.part)
+    if before is not None and status.sequence <= before.sequence:
+        return None
+    return known.datagrams | {status.part: status}
+
+
+def _merge(datagrams):
+    """Returns the `PeerStatus` that datagrams amount to."""
+    newest = max(datagrams.values(), key=lambda each: each.sequence)
+    loads = {}
+    for each in datagrams.values():
+        loads |= each.loads
+    return msgspec.structs.replace(
+        datagrams.get(0, newest),
+        sequence=newest.sequence,
+        serving=newest.serving,
+        interval_s=newest.interval_s,
+        loads=loads,
+    )
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -12,6 +12,7 @@
     "ChangedRow",
     "Changes",
     "HistoryGone",
+    "OnDemandFollower",
     "Snapshot",
     "StoreHealth",
     "TableFollower",
@@ -22,10 +23,16 @@
 # for some time after a loss the table is asked more often.
 RECOVERY_WAIT_S = 0.5
 RECOVERY_S = 8.0
+# The same for instances that do not watch the store: each call is one of hundreds, and
+# the reports of those that watch tell them of changes.
+IDLE_RECOVERY_WAIT_S = 4.0
 # A shorter loss is that of a single connection.
 OUTAGE_S = 1.0
-# The other tables wait for longer; a call costs more than an open poll.
-FEED_WAIT_S = 15.0
+# The other tables wait as long as the store allows; a call costs more than an open
+# poll, and peers that know a newer change tell of a lost one.
+FEED_WAIT_S = 30.0
+# Time after which a table that is read on demand is read without one.
+REFRESH_S = 60.0
 # A poll that is open for this long although another instance has seen a newer change
 # is lost, or its answer is on its way over a slow link. Each poll that replaces another
 # one gets twice the time, so that a large answer arrives.
@@ -34,6 +41,9 @@
 # Longest pause between tries, so that a change is in force in time after an outage.
 RETRY_LIMIT_S = 0.8
 RETRY_BASE_S = 0.2
+# The same for instances that do not watch the store and know its tables. Shorter than
+# the time for which the platform takes no instance to be up to date after an outage.
+IDLE_RETRY_LIMIT_S = 2.0
 # A snapshot older than what is known is asked for again after this time.
 STALE_RETRY_S = 0.5
 
@@ -309,9 +319,13 @@
         if self._watch_s is None:
             return FEED_WAIT_S
         if self._health.is_recovering():
-            return RECOVERY_WAIT_S
+            return RECOVERY_WAIT_S if self._is_watching() else IDLE_RECOVERY_WAIT_S
         return self._watch_s()
 
+    def _is_watching(self):
+        """Returns whether others learn from this follower how the store is."""
+        return self._watch_s is not None and self._watch_s() < FEED_WAIT_S
+
     def _read_all(self):
         sent_at = self._clock.monotonic()
         found = self._source.snapshot(self._table)
@@ -344,11 +358,44 @@
 
     def _note_failure(self, failure):
         self._health.failed(f"{self._table}: {failure.detail}")
-        bound = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self._failures)
+        hurry = self.version is None or self._is_watching()
+        limit_s = RETRY_LIMIT_S if hurry else IDLE_RETRY_LIMIT_S
+        bound = min(limit_s, RETRY_BASE_S * 2**self._failures)
         self._failures += 1
         return bound * self._rng.uniform(0.5, 1.0)
 
 
+class OnDemandFollower(TableFollower):
+    """Reads a table's changes when asked to, and now and then.
+
+    It suits a table whose changes are noticed elsewhere, too.
+    """
+
+    def __init__(self, *args, **options):
+        """Creates the follower; see `TableFollower`."""
+        super().__init__(*args, **options)
+        self._asked = gevent.event.Event()
+
+    def ask(self):
+        """Lets the changes be read soon."""
+        self._asked.set()
+
+    def _run(self):
+        while True:
+            pause_s = self.step()
+            if self._failures:
+                self._health.wait(FEED_WAIT_S)
+                self._clock.sleep(pause_s)
+                continue
+            # Further demands gather.
+            self._clock.sleep(self._pause_s())
+            self._asked.wait(REFRESH_S)
+            self._asked.clear()
+
+    def _wait_s(self):
+        return 0.0
+
+
 def _outcome(found):
     """Returns the outcome of a call in one word."""
     if found.is_ok():
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -6,11 +6,13 @@
 from amaranthbay.fleet.peers import (
     HASTY_INTERVAL_S,
     MAX_DATAGRAM_BYTES,
+    MeasuredDemand,
     OwnReport,
     Peers,
     PeerStatus,
     Registration,
     ServerLoad,
+    split_report,
 )
 from amaranthbay.fleet.tables import ChangedRow
 from amaranthbay.kernel.clock import SystemClock
@@ -128,6 +130,30 @@
     case.assertLess(rate_large, 2 * rate_small)
 
 
+def test_instance_that_stands_by_reports_to_its_zone_and_to_those_that_serve(case):
+    """Guards against datagrams of each to each in a fleet of hundreds."""
+    made, _ = peers()
+    rows = [
+        msgspec.structs.replace(
+            registration(f"entry-{zone}-{number}"), availability_zone=zone
+        )
+        for zone in ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
+        for number in range(39)
+    ]
+    made.apply([ChangedRow(r.instance, 1, msgspec.json.encode(r)) for r in rows])
+    serving = {"entry-zone-b-1", "entry-zone-c-1"}
+    for name in serving:
+        made.hear(PeerStatus(name, 5, 1, True, {}))
+    made._chosen = lambda live: [each for each in live if each.instance in serving]
+    audience = made._audience()
+    case.assertTrue(serving < audience)
+    near = audience - serving - {"entry-1", "entry-2"}
+    case.assertTrue(all("zone-a" in name for name in near))
+    case.assertLess(len(audience), 50)
+    made._chosen = lambda live: live
+    case.assertIsNone(made._audience())
+
+
 def test_instances_that_serve_report_more_often(case):
     """Guards against lookups that name a dead instance for seconds."""
     large, _ = peers(120)
@@ -164,11 +190,76 @@
     case.assertEqual(made["entry-2"].loads(), load)
 
 
-def test_status_fits_into_a_datagram(case):
-    """Guards against fragments with thirty busy servers."""
-    loads = {f"i-{n:010x}": ServerLoad(20, 20000, 9000) for n in range(30)}
-    frame = msgspec.msgpack.encode(status(10**6, loads=loads))
-    case.assertLess(len(frame), MAX_DATAGRAM_BYTES)
+def busy_status(sequence, servers=78):
+    """Returns a report of an instance that knows something of everything."""
+    loads = {f"i-{n:010x}": ServerLoad(20, 20000, 9000) for n in range(servers)}
+    return PeerStatus(
+        "front-santiago-1-39",
+        2**63 - 1,
+        sequence,
+        True,
+        loads,
+        {"svc-0001": MeasuredDemand(3200.5, 33333.3, 1.25, 60)},
+        {f"i-{n:010x}": "prefill" for n in range(4)},
+        0.6,
+        {f"{n:016x}": (f"i-{n:010x}",) for n in range(8)},
+        {"op": 10**6, "servers": 10**6},
+        tuple(f"i-{n:010x}" for n in range(4)),
+    )
+
+
+def test_report_of_many_servers_fits_into_datagrams(case):
+    """Guards against fragments, and against loads that are left out when many servers
+    are busy: placement would be blind."""
+    found = split_report(busy_status(10**6))
+    for each in found:
+        case.assertLess(len(msgspec.msgpack.encode(each)), MAX_DATAGRAM_BYTES)
+    made, _ = peers()
+    for each in found:
+        made.hear(msgspec.structs.replace(each, instance="entry-2"))
+    case.assertEqual(made.loads(), busy_status(1).loads)
+    case.assertEqual(made.switching(), busy_status(1).switching)
+    case.assertEqual(made.lost_handles(), set(busy_status(1).lost_handles))
+
+
+def test_lost_datagram_leaves_the_rest_of_a_report(case):
+    """Guards against loads that are counted twice, or forgotten, as datagrams of one
+    report are lost, late or of another number than those before."""
+    made, _ = peers()
+    first, second, *_ = split_report(
+        msgspec.structs.replace(busy_status(1, 48), instance="entry-2")
+    )
+    made.hear(second)
+    case.assertEqual(made.loads(), second.loads)
+    made.hear(first)
+    case.assertEqual(len(made.loads()), 48)
+    newer = {name: ServerLoad(1, 1, 1) for name in first.loads}
+    made.hear(msgspec.structs.replace(first, sequence=2, loads=newer))
+    made.hear(first)
+    case.assertEqual(made.loads(), second.loads | newer)
+    made.hear(status(3, process=2**63 - 1, loads={"dec-1": ServerLoad(1, 2, 3)}))
+    made.hear(msgspec.structs.replace(second, sequence=2))
+    case.assertEqual(made.loads(), {"dec-1": ServerLoad(1, 2, 3)})
+
+
+def test_instance_that_the_table_does_not_name_is_looked_up_once(case):
+    """Guards against an instance that stays unknown, and against a call to the store
+    for each of its reports."""
+    made, clock = peers()
+    asked = []
+    made._on_stranger = lambda: asked.append(1)
+    made.hear(status(1), "127.0.0.1:9")
+    case.assertEqual(len(asked), 0)
+    moved = "127.0.0.1:10"
+    made.hear(status(2), moved)
+    made.hear(status(3), moved)
+    case.assertEqual(len(asked), 1)
+    stranger = PeerStatus("entry-7", 5, 1, True, {})
+    made.hear(stranger, "127.0.0.1:11")
+    case.assertEqual(len(asked), 2)
+    clock.advance(11)
+    made.hear(msgspec.structs.replace(stranger, sequence=2), "127.0.0.1:11")
+    case.assertEqual(len(asked), 3)
 
 
 load_tests = collect(globals())
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -7,10 +7,12 @@
 
 from amaranthbay.fleet.tables import (
     BEHIND_S,
+    FEED_WAIT_S,
     RECOVERY_WAIT_S,
     ChangedRow,
     Changes,
     HistoryGone,
+    OnDemandFollower,
     Snapshot,
     StoreHealth,
     TableFollower,
@@ -107,6 +109,35 @@
     case.assertEqual((view.rows, made.version), ({"a": b"new"}, 9))
 
 
+def test_table_on_demand_is_read_when_asked_and_after_an_outage(case):
+    """Guards against calls for a table that nobody misses, against a demand that is
+    lost, and against a gap after the store was away."""
+    source = ScriptedSource(
+        Ok(Snapshot((), 5)),
+        Ok(Changes((row("a", b"1", 6),), 6)),
+        Err(PlatformFailure("down")),
+        Ok(Changes((row("b", b"2", 8),), 8)),
+        Ok(Changes((row("c", b"3", 9),), 9)),
+    )
+    clock = SystemClock()
+    view, health = SeenRows(), StoreHealth(clock)
+    made = OnDemandFollower(source, "t", view, health, clock, random.Random(1))
+    made.start()
+    case.addCleanup(made.stop)
+    gevent.sleep(0.1)
+    case.assertEqual(source.asked, ["snapshot"])
+    made.ask()
+    wait_until(lambda: "a" in view.rows)
+    case.assertEqual((source.asked, source.waits), (["snapshot", 5], [0.0]))
+    made.ask()
+    wait_until(lambda: health.lost_at is not None)
+    health.answered(clock.monotonic())
+    wait_until(lambda: "b" in view.rows)
+    case.assertEqual(len(source.asked), 4)
+    made.ask()
+    wait_until(lambda: "c" in view.rows)
+
+
 def test_lost_store_is_asked_with_growing_pauses(case):
     """Guards against a storm of calls on a store that is down."""
     down = Err(PlatformFailure("down"))
@@ -117,6 +148,24 @@
     case.assertIsNotNone(health.lost_at)
 
 
+def test_instances_that_do_not_watch_spare_a_store_in_trouble(case):
+    """Guards against hundreds of calls a second to a store that is down or has just
+    come back, and against an instance that starts and then waits for too long."""
+    down = Err(PlatformFailure("down"))
+    answers = [Ok(Snapshot((), 5)), *[down] * 6, Ok(Changes((), 5)), Ok(Changes((), 5))]
+    made, _, source, _, clock = follower(*answers, watch_s=lambda: FEED_WAIT_S)
+    made.step()
+    pauses = [made.step() for _ in range(6)]
+    case.assertGreater(max(pauses), 1.0)
+    case.assertLessEqual(max(pauses), 2.0)
+    clock.advance(3.0)
+    made.step()
+    made.step()
+    case.assertGreaterEqual(source.waits[-1], 4.0)
+    starting, *_ = follower(*[down] * 6, watch_s=lambda: FEED_WAIT_S)
+    case.assertLessEqual(max(starting.step() for _ in range(6)), 0.8)
+
+
 def test_answer_to_a_call_from_before_the_loss_proves_nothing(case):
     """Guards against taking a late answer for the return of the store."""
     clock = ManualClock()
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -17,7 +17,7 @@
 from amaranthbay.cli import app
 from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S, EntryDaemon
 from amaranthbay.fleet.peers import PeerStatus, ServerLoad
-from amaranthbay.fleet.tables import BEHIND_S
+from amaranthbay.fleet.tables import BEHIND_S, FEED_WAIT_S
 from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fleet import (
@@ -59,7 +59,8 @@
         }
     )
     fleet.store.put("members", "entry-2", other)
-    wait_until(lambda: fleet.daemon.peers.registered() == 2)
+    fleet.daemon._read_members()
+    wait_until(lambda: len(fleet.daemon.peers.registrations()) == 2)
     wait_until(lambda: fleet.daemon.peers.serving)
     address = fleet.daemon.settings.lookup_address
     path = "/resolve?Name=shop.example&Region=region-1&Zone=zone-a"
@@ -129,7 +130,7 @@
     daemon.peers._chosen = lambda live: []
     follower = daemon._followers["op"]
     follower.poll_again()
-    wait_until(lambda: "WaitMs=15000" in fleet.store.calls[-1])
+    wait_until(lambda: f"WaitMs={FEED_WAIT_S * 1000:.0f}" in fleet.store.calls[-1])
     fleet.store.silent = True
     fleet.store.put("other", "wakes", b"polls that wait")
     gevent.sleep(0.1)
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -178,6 +178,50 @@
     case.assertEqual(sources, {f"{fleet.addresses['pre-1']}/h0"})
 
 
+def test_prefill_server_whose_handles_lapse_gets_no_more_prompts(case):
+    """Guards against prompts that are read in vain, and streams that are refused, for
+    as long as the KV cache of one prefill server can't be fetched."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+
+        def answer(req, worker=worker):
+            fetched = "x-kv-source" in req.headers
+            return worker.refuse() if fetched else worker.stream(req)
+
+        worker.replies.extend([answer] * 9)
+    statuses = [
+        call_raw(fleet.address, stream_request("/resume/x", attempt=f"a{n}")).status
+        for n in range(5)
+    ]
+    case.assertEqual(statuses, [503, 200, 200, 200, 200])
+    case.assertEqual(len(fleet.workers["pre-1"].received), 1)
+    # A decode server is not to blame for what it could not fetch.
+    case.assertEqual(fleet.daemon.ctx.outcomes.failure("dec-1"), 0.0)
+
+
+def test_suspect_handle_is_not_offered_to_another_server(case):
+    """Guards against using up a stream's attempts on KV cache that is gone."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    fleet.daemon.ctx.handles.missed("pre-1")
+    for name in ("dec-1", "dec-2"):
+        worker = fleet.workers[name]
+
+        def answer(req, worker=worker):
+            fetched = "x-kv-source" in req.headers
+            return worker.refuse() if fetched else worker.stream(req)
+
+        worker.replies.extend([answer] * 2)
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.body), (200, events(1, 3)))
+    sent = [
+        req.headers.get("x-kv-source")
+        for name in ("dec-1", "dec-2")
+        for req in fleet.workers[name].received
+    ]
+    case.assertEqual(sorted(sent, key=bool), [None, sent[0] or sent[1]])
+
+
 def test_continued_stream_waits_for_room_however_old_it_is(case):
     """Guards against giving up a stream whose server was lost after some time."""
     fleet = case.enterContext(small_fleet())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -79,6 +79,22 @@
             reason=exc.reason,
         )
 
+    def handle_refused(self, server, prefill):
+        """Notes a decode server with room that did not fetch a computed prompt.
+
+        Args:
+            server: `BackendServer` that refused.
+            prefill: `BackendServer` that has computed the prompt.
+        """
+        self._ctx.handles.missed(prefill.name)
+        log_event(
+            "handle_refused",
+            level="warning",
+            request_id=self._call.request_id,
+            backend_server=server.name,
+            prefill=prefill.name,
+        )
+
     def refused(self, server, head):
         """Notes a server's refusal or failure by the `AnswerHead`."""
         self.without.add(server.name)
--- a/amaranthbay/relay/budget.py
+++ b/amaranthbay/relay/budget.py
@@ -5,11 +5,34 @@
 
 from amaranthbay.observe import current_metrics
 
-__all__ = ["BudgetLimits", "RepeatBudget", "RepeatBudgets"]
+__all__ = ["BudgetLimits", "RepeatBudget", "RepeatBudgets", "allowance_part"]
 
 # Kept back for repeats that several daemons count at the same time and for
 # requests that moved to another daemon within the window.
 SAFE_SHARE = 0.8
+# Part of the allowance for the daemons that callers are sent to. The rest is for all:
+# callers come to others with addresses that they have kept. If all of the former are
+# replaced within a window, both sets and everybody else stay within the allowance:
+# 0.8 x (2 x 0.25 + 0.75) = 1.
+SERVING_SHARE = 0.25
+
+
+def allowance_part(daemons, places, serving):
+    """Returns the part of the allowance that one daemon may use.
+
+    Args:
+        daemons: Number of all daemons.
+        places: Number of daemons that callers are sent to while all live.
+        serving: Whether callers are sent to this one.
+
+    Examples:
+        >>> allowance_part(9, 9, True) * 9
+        1.0
+        >>> round(allowance_part(195, 15, True) * 15, 2)
+        0.31
+    """
+    part = (1 - SERVING_SHARE) / max(1, daemons)
+    return part + SERVING_SHARE / max(1, places) if serving else part
 
 
 @dataclass(frozen=True)
@@ -30,22 +53,23 @@
 class RepeatBudget:
     """Counts requests and repeats of one service in a sliding window.
 
-    The daemons share the allowance by number, so that no message is needed and the
+    Each daemon knows its part of the allowance, so that no message is needed and the
     bound holds while they can't reach each other.
     """
 
-    def __init__(self, service, limits, daemons, clock):
+    def __init__(self, service, limits, part, clock):
         """Creates the budget.
 
         Args:
             service: Name of the service, for the metrics.
             limits: `BudgetLimits`; another one may be set later.
-            daemons: Function that returns the number of daemons.
+            part: Function that returns this daemon's part of the allowance, see
+                `allowance_part`.
             clock: `Clock`.
         """
         self.limits = limits
         self._service = service
-        self._daemons = daemons
+        self._part = part
         self._clock = clock
         self._requests = deque()
         self._repeats = deque()
@@ -65,7 +89,7 @@
         for times in (self._requests, self._repeats):
             while times and now - times[0] > self.limits.window_s:
                 times.popleft()
-        own = self.limits.allowance / max(1, self._daemons())
+        own = self.limits.allowance * self._part()
         allowed = SAFE_SHARE * (self.limits.ratio * len(self._requests) + own)
         if len(self._repeats) + 1 > allowed:
             return False
@@ -76,10 +100,10 @@
 class RepeatBudgets:
     """The `RepeatBudget` of each service, all with the same limits."""
 
-    def __init__(self, limits, daemons, clock):
+    def __init__(self, limits, part, clock):
         """Creates no budget yet; see `RepeatBudget`."""
         self._limits = limits
-        self._daemons = daemons
+        self._part = part
         self._clock = clock
         self._budgets = {}
 
@@ -87,7 +111,7 @@
         """Returns the budget of a service."""
         if service not in self._budgets:
             self._budgets[service] = RepeatBudget(
-                service, self._limits, self._daemons, self._clock
+                service, self._limits, self._part, self._clock
             )
         return self._budgets[service]
 
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -24,6 +24,7 @@
         budget: Function of a service's name that returns its `RepeatBudget`.
         demand: `DemandMeter`.
         crashes: `CrashRecord`.
+        handles: `HandleRecord`.
         switching: Function that returns the stage of each server that this daemon
             has ordered into another pool.
         availability_zone: Where the process runs.
@@ -40,6 +41,7 @@
     budget: object
     demand: object
     crashes: object
+    handles: object
     switching: object
     availability_zone: str
 
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -33,6 +33,10 @@
 MIN_RETRY_S = 0.5
 # Prefill queue from which a decode server computes a prompt itself.
 OVERFLOW_S = 0.4
+# Part of a prefill server's speed at which a decode server reads a prompt, and the time
+# from one event of its streams to the next, on which the pause comes on top.
+DECODE_READ_SHARE = 0.5
+STEP_S = 0.05
 # Part of an answer's expected length that its run holds on average.
 ANSWER_SHARE = 0.75
 # Part of a decode server's memory from which the reports of other daemons are too
@@ -88,6 +92,8 @@
         if key not in self._found:
             self._found[key] = self._ctx.candidates(*key)
         without = waiting.without
+        if stage is Stage.PREFILL:
+            without = without | self._ctx.handles.distrusted()
         return [each for each in self._found[key] if each.server.name not in without]
 
 
@@ -242,7 +248,10 @@
         share = (decode.memory_tokens + need) / engine.memory_tokens
         if not may_start(rank, Pressure(wait_s, self._speed(call), share)):
             return None
-        if waiting.decode_only or reads_prompt_itself(prefill, decode, wait_s):
+        pause_s = reading_pause_s(call.head.prompt_tokens, self._speed(call))
+        if waiting.decode_only or reads_prompt_itself(
+            prefill, decode, wait_s, pause_s, call.route.max_gap_s
+        ):
             prefill = None
         log_decision(
             "stream_servers",
@@ -303,14 +312,34 @@
         )
 
 
-def reads_prompt_itself(prefill, decode, wait_s):
+def reading_pause_s(prompt_tokens, prefill_speed):
+    """Returns the pause of a decode server's streams while it reads a prompt.
+
+    Args:
+        prompt_tokens: Length of the prompt.
+        prefill_speed: Prompt tokens that a prefill server computes in a second.
+    """
+    return prompt_tokens / (DECODE_READ_SHARE * prefill_speed) + STEP_S
+
+
+def reads_prompt_itself(prefill, decode, wait_s, pause_s, max_gap_s):
     """Returns whether the decode server should compute the prompt.
 
-    It does so at half the speed and delays the streams that it runs, which is
-    better than a first event that is late for want of a prefill server.
+    It does so at half the speed and holds up the streams that it runs, which is
+    better than a first event that is late for want of a prefill server, but not if
+    all of these streams become late.
+
+    Args:
+        prefill: `Candidate` of the best prefill server, or None.
+        decode: `Candidate` of the decode server.
+        wait_s: Time until the prefill server would begin.
+        pause_s: Pause of the decode server's streams.
+        max_gap_s: Longest pause between events that is still on time, or None.
     """
     if prefill is None:
         return True
+    if decode.running and max_gap_s is not None and pause_s > max_gap_s:
+        return False
     return wait_s > OVERFLOW_S and decode.prefill_tokens == 0
 
 
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -1,5 +1,7 @@
 """Relays streams of model servers: prefill, decode, and continuation."""
 
+from dataclasses import dataclass
+
 import gevent
 from result import Err, Ok
 
@@ -34,6 +36,23 @@
 OK = 200
 
 
+@dataclass(frozen=True)
+class _Computed:
+    """A prompt whose KV cache a prefill server keeps for a moment.
+
+    Attributes:
+        server: `BackendServer` that keeps it.
+        handle: Its name there.
+        source: Where a decode server fetches it.
+        at: Monotonic time at which it was computed.
+    """
+
+    server: object
+    handle: str
+    source: str
+    at: float
+
+
 class StreamRelay:
     """Runs streams on pairs of a prefill and a decode server."""
 
@@ -122,7 +141,7 @@
     def _attempt(self, placement, hold):
         """Returns ``Result[None, Refusal]``; Ok once the stream is complete."""
         if placement.prefill is None:
-            return self._decode(placement, "", hold)
+            return self._decode(placement, None, hold)
         ctx, server, conn = self._ctx, placement.decode, None
         try:
             # A decode server that can't be reached is found before the prompt is
@@ -146,53 +165,70 @@
 
     def _decode_computed(self, placement, handle, hold, conn):
         """Streams a prompt whose KV cache a prefill server keeps for a moment."""
-        handle_at = self._ctx.clock.monotonic()
-        source = self._ctx.codec.kv_source(placement.prefill.address, handle)
+        server = placement.prefill
+        computed = _Computed(
+            server,
+            handle,
+            self._ctx.codec.kv_source(server.address, handle),
+            self._ctx.clock.monotonic(),
+        )
+        was_suspect = self._ctx.handles.is_suspect(server.name)
         taken = False
         try:
-            outcome = self._decode(placement, source, hold, conn)
-            if _is_not_run(outcome):
-                refusal = outcome.unwrap_err()
-                other = self._decode_elsewhere(refusal, source, handle_at)
+            outcome = self._decode(placement, computed, hold, conn)
+            if _is_not_run(outcome) and not was_suspect:
+                other = self._decode_elsewhere(
+                    outcome.unwrap_err(), placement.decode, computed
+                )
                 outcome = other or outcome
             taken = not _is_not_run(outcome)
             return outcome
         finally:
             if not taken:
-                release_handle(self._ctx, placement.prefill, handle)
+                release_handle(self._ctx, server, handle)
 
-    def _decode_elsewhere(self, refusal, source, handle_at):
+    def _decode_elsewhere(self, refusal, first, computed):
         """Offers a computed prompt to another decode server.
 
         Args:
             refusal: Why the first one did not run it.
-            source: Where the KV cache is.
-            handle_at: Monotonic time at which it was computed.
+            first: `BackendServer` that was the first one.
+            computed: `_Computed`.
 
         Returns:
             ``Result[None, Refusal]``, or None if there is no server or no time.
         """
-        age_s = self._ctx.clock.monotonic() - handle_at
+        age_s = self._ctx.clock.monotonic() - computed.at
         if age_s > HANDLE_SHARE * self._call.service.engine.handle_life_s:
             return None
-        without = frozenset(self._attempts.without)
+        without = frozenset(self._attempts.without) | {first.name}
         other = self._queue.another_decode(self._call, without)
         if other is None:
             return None
         try:
             if not self._attempts.may_repeat(refusal, prefill_again=False):
                 return None
-            return self._decode(other, source, "")
+            return self._decode(other, computed, "")
         finally:
             other.release()
 
-    def _decode(self, placement, source, hold, conn=None):
-        """Returns ``Result[None, Refusal]``; relays events as they arrive."""
+    def _decode(self, placement, computed, hold, conn=None):
+        """Relays events as they arrive.
+
+        Args:
+            placement: `Placement`.
+            computed: `_Computed`; None if the decode server reads the prompt.
+            hold: Reservation at the decode server, or an empty text.
+            conn: `ServerConnection` to use if it is still open.
+
+        Returns:
+            ``Result[None, Refusal]``.
+        """
         ctx, call, server = self._ctx, self._call, placement.decode
         directions = Directions(
             server.name,
             call.left_s(ctx.clock.monotonic()),
-            kv_source=source,
+            kv_source=computed.source if computed is not None else "",
             hold=hold,
             last_event_id=self._output.last_id if self._output.started else None,
         )
@@ -210,9 +246,16 @@
             self._attempts.sent()
             self._unsettled = True
             head = self._read_head(exchange)
+            if computed is not None and _has_room(placement, hold):
+                missed = head.traits.not_run and not head.traits.misdirected
+                if missed:
+                    self._attempts.handle_refused(server, computed.server)
+                    return Err(_decode_refused(head))
             refusal = self._refusal_of(server, head)
             if refusal is not None:
                 return Err(refusal)
+            if computed is not None and head.status == OK:
+                self._ctx.handles.fetched(computed.server.name)
             if head.status != OK:
                 return self._pass_on(exchange, head)
             return self._relay(placement, exchange, head)
@@ -234,8 +277,7 @@
         """Returns the `Refusal` that a decode server's head amounts to, or None."""
         if head.traits.not_run:
             self._attempts.refused(server, head)
-            detail = f"the decode server refused with {head.status}"
-            return not_run(Reason.BACKEND_REFUSED, detail, 503, RETRY_SOON)
+            return _decode_refused(head)
         unsigned = head.status < 300 and not head.traits.stamped
         failed = head.status >= 500 and head.status not in REFUSING_STATUSES
         if failed and not self._repeats_failures():
@@ -320,6 +362,17 @@
         return Ok(None)
 
 
+def _has_room(placement, hold):
+    """Returns whether a decode server that refuses can't be out of memory."""
+    return bool(hold) or not placement.pressed
+
+
+def _decode_refused(head):
+    """Returns the `Refusal` of a decode server that did not run the request."""
+    detail = f"the decode server refused with {head.status}"
+    return not_run(Reason.BACKEND_REFUSED, detail, 503, RETRY_SOON)
+
+
 def _decode_failed(exc):
     """Returns the refusal of an attempt whose decode server was lost."""
     if exc.verdict is Verdict.NOT_RUN:
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -13,7 +13,7 @@
     may_start,
     urgency,
 )
-from amaranthbay.relay.budget import BudgetLimits, RepeatBudget
+from amaranthbay.relay.budget import BudgetLimits, RepeatBudget, allowance_part
 from amaranthbay.relay.choice import (
     MEMORY_SHARE,
     Candidate,
@@ -31,6 +31,7 @@
 )
 from amaranthbay.relay.events import EventSplitter
 from amaranthbay.relay.outcomes import ServerOutcomes
+from amaranthbay.relay.placing import reading_pause_s, reads_prompt_itself
 from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
 from amaranthbay.utils.testing import ManualClock, collect
 
@@ -165,7 +166,7 @@
     """Guards against repeats beyond the allowance, summed over all daemons."""
     clock = ManualClock()
     limits = BudgetLimits(0.2, 58, 10.0)
-    budgets = [RepeatBudget("lm", limits, lambda: 9, clock) for _ in range(9)]
+    budgets = [RepeatBudget("lm", limits, lambda: 1 / 9, clock) for _ in range(9)]
     granted = sum(each.withdraw() for each in budgets for _ in range(100))
     case.assertLessEqual(granted, 58)
     case.assertGreater(granted, 20)
@@ -176,6 +177,38 @@
     case.assertLessEqual(more, 0.2 * 50 + 58 / 9)
 
 
+def test_allowance_goes_to_those_that_serve(case):
+    """Guards against repeats that most instances keep but never use, and against more
+    than the allowance after all instances that serve were replaced at once."""
+    clock = ManualClock()
+    limits = BudgetLimits(0.2, 430, 10.0)
+
+    def granted(serving):
+        part = allowance_part(195, 15, serving)
+        budget = RepeatBudget("lm", limits, lambda: part, clock)
+        return sum(budget.withdraw() for _ in range(500))
+
+    serving, idle = granted(True), granted(False)
+    case.assertGreater(15 * serving, 100)
+    case.assertGreater(idle, 0)
+    case.assertLessEqual(15 * serving + 15 * serving + 165 * idle, 430)
+
+
+def test_prompt_that_would_make_many_streams_late_is_not_read_beside_them(case):
+    """Guards against a pause of all streams of a decode server that is longer than
+    their callers allow, for the sake of one first event."""
+    prefill = candidate("pre", prefill_tokens=20000)
+    busy, idle = candidate("dec", running=9), candidate("dec")
+    short = reading_pause_s(2500, 33_333)
+    long = reading_pause_s(5100, 33_333)
+    case.assertTrue(reads_prompt_itself(prefill, busy, 0.6, short, 0.3))
+    case.assertFalse(reads_prompt_itself(prefill, busy, 0.6, long, 0.3))
+    case.assertTrue(reads_prompt_itself(prefill, idle, 0.6, long, 0.3))
+    case.assertTrue(reads_prompt_itself(prefill, busy, 0.6, long, None))
+    case.assertTrue(reads_prompt_itself(None, busy, 0.0, long, 0.3))
+    case.assertFalse(reads_prompt_itself(prefill, idle, 0.1, short, 0.3))
+
+
 def test_pools_are_planned_by_the_work_of_each_stage(case):
     """Guards against a split that leaves one stage idle while the other is full."""
     demand = StageDemand(0.1, 0.5)
