Report changed loads only, keep a lost prefill's attempt, find others before registering

Between whole reports, at most every 0.2 s, only changed loads are sent now. A lost prefill is the first one that a server accepts, if any, and is no run, so that the decode server may still read the prompt. The table is read first, and again afterwards. - Second copies of slow calls went to full servers in a burst, in the place of other callers' calls; they need a free slot now.

The reports moved to fleet.reports, as fleet.peers had grown.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -207,9 +207,7 @@
 
     def _read_members(self):
         """Reads the table of instances, as one reports that it does not name."""
-        follower = self._followers.get(self._adapter.members_table)
-        if follower is not None:
-            follower.ask()
+        self._followers[self._adapter.members_table].ask()
 
     def _allowance_part(self):
         """Returns this instance's part of the repeats that all may send."""
@@ -243,6 +241,12 @@
         self._follow(
             adapter.servers_table, self.backends, pause_s=self._servers_pause_s
         )
+        self._follow(
+            adapter.members_table,
+            self.peers,
+            OnDemandFollower,
+            pause_s=self._members_pause_s,
+        )
         self._jobs.append(gevent.spawn(self._register))
         self._jobs.append(gevent.spawn(self._sweep))
         self._jobs.append(gevent.spawn(self._watch_settings))
@@ -307,8 +311,8 @@
     def _register(self):
         """Writes this instance's row, so that the others find it.
 
-        The table is read afterwards: of two instances that start together, at least
-        one finds the other and reports to it.
+        The table is read once more afterwards: of two instances that start together,
+        at least one finds the other and reports to it.
         """
         import msgspec
 
@@ -321,12 +325,7 @@
             log_event("member_row_written", state=state)
             if state is not CommitState.DONE:
                 self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
-        self._follow(
-            self._adapter.members_table,
-            self.peers,
-            OnDemandFollower,
-            pause_s=self._members_pause_s,
-        )
+        self._read_members()
 
     def _sweep(self):
         watch_s = self._watch_s()
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -1,7 +1,7 @@
 """Orders that move model servers between the pools."""
 
 from amaranthbay.daemon.staging import LIST_LAG_S, RANK_S, UNBALANCED_S, StageBalancer
-from amaranthbay.fleet.peers import MeasuredDemand, PeerStatus
+from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus
 from amaranthbay.platform.tests.fleet import small_fleet
 from amaranthbay.relay.demand import StageDemand
 from amaranthbay.state.leases import LeaseStore
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -11,16 +11,20 @@
 import msgspec
 from gevent import socket
 
+from amaranthbay.fleet.reports import (
+    PeerStatus,
+    ServerLoad,
+    add_datagram,
+    encode_datagram,
+    split_report,
+)
 from amaranthbay.observe import log_event
 
 __all__ = [
     "HASTY_INTERVAL_S",
-    "MeasuredDemand",
     "OwnReport",
-    "PeerStatus",
     "Peers",
     "Registration",
-    "ServerLoad",
 ]
 
 # A fleet of this size reports at the shortest interval; larger ones report less
@@ -41,89 +45,9 @@
 # The table of instances is read at most this often for one that it does not name.
 STRANGER_S = 10.0
 MOST_STRANGERS = 1000
-MAX_DATAGRAM_BYTES = 1400
-# Loads that fit into a datagram beside the rest: a name and three numbers take up to 30
-# bytes.
-LOADS_PER_DATAGRAM = 24
 RECEIVE_BYTES = 2048
 
 
-class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Work that one daemon has placed on a model server.
-
-    Attributes:
-        running: Requests that are placed on it.
-        memory_tokens: Tokens of KV cache that they hold or will hold.
-        prefill_tokens: Prompt tokens that are not computed yet.
-    """
-
-    running: int = 0
-    memory_tokens: int = 0
-    prefill_tokens: int = 0
-
-    def __add__(self, other):
-        return ServerLoad(
-            self.running + other.running,
-            self.memory_tokens + other.memory_tokens,
-            self.prefill_tokens + other.prefill_tokens,
-        )
-
-
-class MeasuredDemand(msgspec.Struct, frozen=True, array_like=True):
-    """What a daemon's latest streams of one service took; see `relay.demand`.
-
-    Attributes:
-        prompt_tokens: Mean length of a prompt.
-        prefill_speed: Prompt tokens that a prefill server computes in a second.
-        decode_s: Mean seconds of a decode server.
-        streams: Number of streams in the means.
-    """
-
-    prompt_tokens: float
-    prefill_speed: float
-    decode_s: float
-    streams: int
-
-
-class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What an instance says of itself, in one datagram or several.
-
-    Each datagram has some of the loads; the first one has all else, too.
-
-    Attributes:
-        instance: Name of the sender.
-        process: Random number of its process.
-        sequence: Rises with each report of the process.
-        serving: Whether callers may be sent to it.
-        loads: `ServerLoad` by backend server, without those that are zero.
-        demands: `MeasuredDemand` by service.
-        switching: Stage of each model server that it has ordered into another pool
-            and that is not listed there yet.
-        interval_s: Seconds until its next report to everybody.
-        crashes: Names of crashed servers by fingerprint of the request that they
-            ran; see `relay.crashes`.
-        versions: Version of the last change that it has seen in a table.
-        lost_handles: Prefill servers whose KV cache can't be fetched; see
-            `relay.handles`.
-        part: Number of the datagram in the report.
-        parts: Number of datagrams of the report.
-    """
-
-    instance: str
-    process: int
-    sequence: int
-    serving: bool
-    loads: dict[str, ServerLoad]
-    demands: dict[str, MeasuredDemand] = {}
-    switching: dict[str, str] = {}
-    interval_s: float = 0.2
-    crashes: dict[str, tuple[str, ...]] = {}
-    versions: dict[str, int] = {}
-    lost_handles: tuple[str, ...] = ()
-    part: int = 0
-    parts: int = 1
-
-
 class Registration(msgspec.Struct, frozen=True):
     """Row of one instance in the store.
 
@@ -158,21 +82,6 @@
     lost_handles: tuple = ()
 
 
-@dataclass(frozen=True)
-class _Heard:
-    """The newest report of a peer.
-
-    Attributes:
-        status: What it says, with the loads of all its datagrams.
-        datagrams: `PeerStatus` of each of them by its part.
-        at: Monotonic time of the latest one.
-    """
-
-    status: PeerStatus
-    datagrams: dict
-    at: float
-
-
 class Peers:
     """View of the table of instances, kept alive by their reports.
 
@@ -216,6 +125,7 @@
         self._on_status = on_status
         self._on_stranger = on_stranger
         self._strangers = {}
+        self._reported = {}
         self._registered = {own.instance: own}
         self._heard = {}
         self._sequence = 0
@@ -363,15 +273,12 @@
         known = self._heard.get(status.instance)
         if known is not None and known.status.process != status.process:
             known = None
-        datagrams = _add_datagram(known, status)
-        if datagrams is None:
+        heard = add_datagram(known, status, self._clock.monotonic())
+        if heard is None:
             return
         if known is None or known.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
-        merged = _merge(datagrams)
-        self._heard[status.instance] = _Heard(
-            merged, datagrams, self._clock.monotonic()
-        )
+        self._heard[status.instance] = heard
         self._on_status(status)
 
     def _note_stranger(self, name, sender):
@@ -387,10 +294,32 @@
         log_event("stranger_heard", member=name, address=sender)
         self._on_stranger()
 
+    def changes(self):
+        """Returns the next status of this process, with changed loads only."""
+        self._sequence += 1
+        loads = self._report_own().loads
+        changed = {
+            name: each
+            for name, each in loads.items()
+            if each != self._reported.get(name)
+        }
+        ended = {name: ServerLoad() for name in self._reported if name not in loads}
+        self._reported = dict(loads)
+        return PeerStatus(
+            instance=self.own.instance,
+            process=self._process,
+            sequence=self._sequence,
+            serving=self.serving,
+            loads=changed | ended,
+            interval_s=self.interval_s(),
+            only_changes=True,
+        )
+
     def status(self):
         """Returns the next status of this process."""
         self._sequence += 1
         own = self._report_own()
+        self._reported = dict(own.loads)
         return PeerStatus(
             instance=self.own.instance,
             process=self._process,
@@ -419,15 +348,17 @@
             self._socket.close()
             self._socket = None
 
-    def announce(self, names=None):
+    def announce(self, names=None, only_changes=False):
         """Reports at once, as after a change of `serving`.
 
         Args:
             names: Instances to report to; all if None.
+            only_changes: Whether only changed loads are reported.
         """
         if self._socket is None:
             return
-        frames = [_encode(each) for each in split_report(self.status())]
+        status = self.changes() if only_changes else self.status()
+        frames = [encode_datagram(each) for each in split_report(status)]
         for name, each in tuple(self._registered.items()):
             if name != self.own.instance and (names is None or name in names):
                 for frame in frames:
@@ -461,7 +392,7 @@
         self._changed.set()
 
     def _report(self):
-        reported_at = self._clock.monotonic()
+        reported_at = whole_at = self._clock.monotonic()
         while True:
             self._changed.wait(REPORT_INTERVAL_S - HASTY_INTERVAL_S)
             changed = self._changed.is_set()
@@ -469,9 +400,12 @@
             now = self._clock.monotonic()
             if now - reported_at >= self.interval_s():
                 self.announce(self._audience())
-                reported_at = now
-            elif changed or self._has_work():
+                reported_at = whole_at = now
+            elif now - whole_at >= REPORT_INTERVAL_S and self._has_work():
                 self.announce(self._busy_names())
+                whole_at = now
+            elif changed:
+                self.announce(self._busy_names(), only_changes=True)
             self._clock.sleep(HASTY_INTERVAL_S)
 
     def _receive(self):
@@ -485,68 +419,3 @@
                 self._clock.sleep(self.interval_s())
             except msgspec.DecodeError as exc:
                 log_event("status_unreadable", level="warning", detail=str(exc))
-
-
-def split_report(status):
-    """Returns the `PeerStatus` of each datagram of a report.
-
-    Args:
-        status: `PeerStatus` with all loads.
-    """
-    loads = sorted(status.loads.items())
-    parts = max(1, -(-len(loads) // LOADS_PER_DATAGRAM))
-    found = []
-    for part in range(parts):
-        first = part * LOADS_PER_DATAGRAM
-        some = dict(loads[first : first + LOADS_PER_DATAGRAM])
-        each = msgspec.structs.replace(status, loads=some, part=part, parts=parts)
-        found.append(each if part == 0 else _without_details(each))
-    return found
-
-
-def _without_details(status):
-    return msgspec.structs.replace(
-        status, demands={}, switching={}, crashes={}, versions={}, lost_handles=()
-    )
-
-
-def _encode(status):
-    frame = msgspec.msgpack.encode(status)
-    if len(frame) <= MAX_DATAGRAM_BYTES:
-        return frame
-    # The loads matter most, and everything else is in one of the next reports.
-    log_event("status_too_large", level="warning", size=len(frame))
-    return msgspec.msgpack.encode(_without_details(status))
-
-
-def _add_datagram(known, status):
-    """Returns the datagrams of a report with a new one, or None if it is too late.
-
-    Args:
-        known: `_Heard` of the same process, or None.
-        status: `PeerStatus` of the new datagram.
-    """
-    if known is None:
-        return {status.part: status}
-    if known.status.parts != status.parts:
-        is_late = status.sequence < known.status.sequence
-        return None if is_late else {status.part: status}
-    before = known.datagrams.get(status.part)
-    if before is not None and status.sequence <= before.sequence:
-        return None
-    return known.datagrams | {status.part: status}
-
-
-def _merge(datagrams):
-    """Returns the `PeerStatus` that datagrams amount to."""
-    newest = max(datagrams.values(), key=lambda each: each.sequence)
-    loads = {}
-    for each in datagrams.values():
-        loads |= each.loads
-    return msgspec.structs.replace(
-        datagrams.get(0, newest),
-        sequence=newest.sequence,
-        serving=newest.serving,
-        interval_s=newest.interval_s,
-        loads=loads,
-    )
--- a/amaranthbay/fleet/tests/test_backends.py
+++ b/amaranthbay/fleet/tests/test_backends.py
@@ -100,9 +100,11 @@
         return Ok(RoutingTable(int(value), (), {}))
 
     view = ConfigurationView(read, "config")
-    for value in (b"3", b"2", b"?", None, b"7", b"7"):
+    versions = []
+    for value in (b"3", b"2", b"?", None, b"7", b"7", b"4"):
         view.apply([ChangedRow("config", 1, value), ChangedRow("other", 1, b"99")])
-    case.assertEqual(view.table.version, 7)
+        versions.append(view.table.version)
+    case.assertEqual(versions, [3, 3, 3, 3, 7, 7, 7])
 
 
 load_tests = collect(globals())
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -1,16 +1,16 @@
 """What instances learn of each other by their reports."""
 
+import random
+
 import gevent
 import msgspec
+from hypothesis import given, settings, strategies as st
 
-from amaranthbay.fleet.peers import (
-    HASTY_INTERVAL_S,
+from amaranthbay.fleet.peers import HASTY_INTERVAL_S, OwnReport, Peers, Registration
+from amaranthbay.fleet.reports import (
     MAX_DATAGRAM_BYTES,
     MeasuredDemand,
-    OwnReport,
-    Peers,
     PeerStatus,
-    Registration,
     ServerLoad,
     split_report,
 )
@@ -242,6 +242,60 @@
     case.assertEqual(made.loads(), {"dec-1": ServerLoad(1, 2, 3)})
 
 
+def changes(sequence, loads, process=5):
+    return PeerStatus("entry-2", process, sequence, True, loads, only_changes=True)
+
+
+def test_changes_of_loads_follow_a_whole_report(case):
+    """Guards against loads that stay after their work has ended, or that a late
+    datagram brings back."""
+    made, _ = peers()
+    made.hear(changes(1, {"dec-1": ServerLoad(1, 1, 1)}))
+    case.assertEqual(made.loads(), {})
+    made.hear(status(2, loads={"dec-1": ServerLoad(1, 10, 0)}))
+    made.hear(changes(3, {"dec-1": ServerLoad(), "dec-2": ServerLoad(2, 5, 0)}))
+    case.assertEqual(made.loads(), {"dec-2": ServerLoad(2, 5, 0)})
+    made.hear(changes(2, {"dec-1": ServerLoad(9, 9, 9)}))
+    case.assertEqual(made.loads(), {"dec-2": ServerLoad(2, 5, 0)})
+    made.hear(status(4, loads={"dec-3": ServerLoad(3, 7, 0)}))
+    case.assertEqual(made.loads(), {"dec-3": ServerLoad(3, 7, 0)})
+    made.hear(changes(1, {"dec-4": ServerLoad(1, 1, 1)}, process=6))
+    case.assertEqual(made.loads(), {"dec-3": ServerLoad(3, 7, 0)})
+
+
+def test_change_that_overtakes_a_whole_report_stays(case):
+    """Guards against an older whole report that undoes a newer change."""
+    made, _ = peers()
+    made.hear(status(1))
+    made.hear(changes(3, {"dec-1": ServerLoad(1, 10, 0)}))
+    made.hear(status(2, loads={"dec-2": ServerLoad(1, 20, 0)}))
+    found = {"dec-1": ServerLoad(1, 10, 0), "dec-2": ServerLoad(1, 20, 0)}
+    case.assertEqual(made.loads(), found)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.integers(0, 2**32 - 1))
+def test_loads_are_right_after_a_whole_report_whatever_is_lost(case, seed):
+    """Guards against sums that drift as datagrams are lost, doubled and reordered."""
+    rng = random.Random(seed)
+    load = {}
+    sender, _ = peers()
+    sender._report_own = lambda: OwnReport(dict(load))
+    receiver, _ = peers(1)
+    sent = []
+    for _ in range(rng.randint(1, 30)):
+        name = f"dec-{rng.randint(1, 40)}"
+        load[name] = ServerLoad(rng.randint(1, 3), rng.randint(1, 9), 0)
+        load.pop(f"dec-{rng.randint(1, 40)}", None)
+        report = sender.changes() if rng.random() < 0.7 else sender.status()
+        sent += split_report(report) * rng.choice((0, 1, 1, 2))
+    rng.shuffle(sent)
+    last = split_report(sender.status())
+    for each in [*sent, *last, *sent]:
+        receiver.hear(msgspec.structs.replace(each, instance="entry-2"))
+    case.assertEqual(receiver.loads(), load)
+
+
 def test_instance_that_the_table_does_not_name_is_looked_up_once(case):
     """Guards against an instance that stays unknown, and against a call to the store
     for each of its reports."""
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -16,7 +16,7 @@
 
 from amaranthbay.cli import app
 from amaranthbay.daemon.entry import SERVE_SHARE, SERVERS_PAUSE_S, EntryDaemon
-from amaranthbay.fleet.peers import PeerStatus, ServerLoad
+from amaranthbay.fleet.reports import PeerStatus, ServerLoad
 from amaranthbay.fleet.tables import BEHIND_S, FEED_WAIT_S
 from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.rows import RowStore, RowTable
@@ -74,6 +74,21 @@
     case.assertLessEqual(3 * found["TtlS"], serves_s)
 
 
+def test_others_are_known_while_the_own_row_is_not_written(case):
+    """Guards against an instance that restarts while the store is slow and places work
+    without knowing of anybody else's."""
+    with small_fleet() as fleet:
+        row = msgspec.json.encode(fleet.daemon.peers.own)
+        fleet.store.put("members", "entry-2", row.replace(b"entry-1", b"entry-2"))
+        fleet.store.lose_answers = 10**6
+        fleet.store.late_s = 60.0
+        settings = settings_of(fleet.daemon.settings.store_address, "entry-3")
+        daemon = EntryDaemon(settings, PlatformAdapter(), rng=random.Random(2))
+        daemon.start()
+        case.addCleanup(daemon.close)
+        wait_until(lambda: len(daemon.peers.registrations()) == 3, bound_s=1.0)
+
+
 def test_readiness_follows_the_configuration_and_the_drain(case):
     """Guards against callers at an instance that can't serve them."""
     fleet = case.enterContext(small_fleet())
--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.tests.fleet import (
     call,
     call_raw,
@@ -97,6 +98,47 @@
     case.assertEqual(answer.status, 200)
 
 
+def test_slow_call_also_goes_to_a_server_with_a_free_slot(case):
+    """Guards against late answers beside an idle server, and in a burst against second
+    copies that take the places of other callers' calls."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    workers = [fleet.workers[name] for name in ("desk-1", "desk-2")]
+
+    def asked():
+        return sum(len(worker.received) for worker in workers)
+
+    def slow_first(worker):
+        def reply(req):
+            gevent.sleep(0.5 if asked() == 1 else 0.0)
+            return worker.reply(req)
+
+        return reply
+
+    for worker in workers:
+        worker.replies.append(slow_first(worker))
+    case.assertEqual(call(fleet, "/look/x").status, 200)
+    case.assertEqual(asked(), 2)
+    for worker in workers:
+        worker.replies.clear()
+        worker.received.clear()
+        worker.replies.append(slow_first(worker))
+    full = [fleet.daemon.ledger.add(w.name, ServerLoad(running=8)) for w in workers]
+    case.assertEqual(call(fleet, "/look/x").status, 200)
+    case.assertEqual(asked(), 1)
+    for release in full:
+        release()
+
+
+def test_slow_call_that_may_not_run_twice_is_sent_once(case):
+    """Guards against a second run where the route would allow two attempts."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    workers = [fleet.workers[name] for name in ("desk-1", "desk-2")]
+    for worker in workers:
+        worker.replies.append(lambda req, w=worker: gevent.sleep(0.4) or w.reply(req))
+    case.assertEqual(call(fleet, "/pay/x", "POST", b"1").status, 200)
+    case.assertEqual(sum(len(worker.received) for worker in workers), 1)
+
+
 def test_lost_answer_of_a_non_idempotent_call_promises_nothing(case):
     """Guards against running an order twice, or calling it not run."""
     fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.tests.fleet import (
     call_raw,
     connect,
@@ -158,6 +158,26 @@
     case.assertEqual(sum(len(worker.received) for worker in workers), 1)
 
 
+def test_refusal_after_a_lost_attempt_promises_nothing(case):
+    """Guards against "not run" from the second server of a stream that the first one
+    may have run."""
+    fleet = case.enterContext(small_fleet(prefill=(), decode=("dec-1", "dec-2")))
+    workers = [fleet.workers[name] for name in ("dec-1", "dec-2")]
+
+    def break_off_first(worker):
+        def reply(req):
+            first = sum(len(each.received) for each in workers) == 1
+            return None if first else worker.refuse()
+
+        return reply
+
+    for worker in workers:
+        worker.replies.append(break_off_first(worker))
+    answer = call_raw(fleet.address, stream_request("/resume/x"))
+    case.assertEqual([len(worker.received) for worker in workers], [1, 1])
+    case.assertIn(answer.status, (502, 504))
+
+
 def test_prompt_that_a_server_refuses_goes_to_another_one(case):
     """Guards against computing a prompt again since its decode server was full."""
     fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
@@ -200,6 +220,19 @@
     case.assertEqual(fleet.daemon.ctx.outcomes.failure("dec-1"), 0.0)
 
 
+def test_lost_prefill_leaves_an_attempt_for_the_decode_server(case):
+    """Guards against refusing a stream of one attempt, seconds later, since the answer
+    to its prefill was lost."""
+    fleet = case.enterContext(small_fleet())
+    answered = []
+    for lost in (None, lambda req: gevent.sleep(5) or answered.append(req)):
+        fleet.workers["pre-1"].replies.append(lost)
+        answer = call_raw(fleet.address, stream_request("/sum/x"))
+        case.assertEqual((answer.status, answer.body), (200, events(1, 3)))
+        case.assertEqual(answered, [])
+    case.assertEqual(len(fleet.workers["pre-1"].received), 2)
+
+
 def test_suspect_handle_is_not_offered_to_another_server(case):
     """Guards against using up a stream's attempts on KV cache that is gone."""
     fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
@@ -222,25 +255,51 @@
     case.assertEqual(sorted(sent, key=bool), [None, sent[0] or sent[1]])
 
 
-def test_continued_stream_waits_for_room_however_old_it_is(case):
-    """Guards against giving up a stream whose server was lost after some time."""
-    fleet = case.enterContext(small_fleet())
-    daemon = fleet.daemon
+def stream_call(daemon, prompt, age_s=0.0):
+    """Returns a `Call` of a resumable stream that arrived some seconds ago."""
     table = daemon.configuration.table
-    now = daemon.clock.monotonic()
-    old = Call(
+    arrived_at = daemon.clock.monotonic() - age_s
+    return Call(
         "a1",
         b"POST",
         b"/resume/x",
         (),
         b"",
         True,
-        CallHead("a1", prompt_tokens=100),
+        CallHead("a1", prompt_tokens=prompt),
         table.find("shop.example", "/resume/x"),
         table.services["lm"],
-        now - 100.0,
-        now + 100.0,
+        arrived_at,
+        arrived_at + age_s + 100.0,
     )
+
+
+def test_small_stream_does_not_overtake_a_large_one_for_ever(case):
+    """Guards against a large stream that never finds room, since each small one that
+    comes later takes what is freed."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    release = daemon.ledger.add("dec-1", ServerLoad(1, 5000, 0))
+    # Longer ago than the head start that streams of little cost get.
+    older = stream_call(daemon, prompt=6000, age_s=0.4)
+    large = gevent.spawn(daemon.queue.place, older)
+    wait_until(lambda: daemon.queue.length() == 1)
+    small = gevent.spawn(daemon.queue.place, stream_call(daemon, prompt=2000))
+    wait_until(lambda: daemon.queue.length() == 2)
+    gevent.sleep(0.1)
+    case.assertEqual(daemon.queue.length(), 2)
+    release()
+    for waiting in (large, small):
+        placed = waiting.get(timeout=2.0)
+        case.assertTrue(placed.is_ok())
+        placed.unwrap().release()
+
+
+def test_continued_stream_waits_for_room_however_old_it_is(case):
+    """Guards against giving up a stream whose server was lost after some time."""
+    fleet = case.enterContext(small_fleet())
+    daemon = fleet.daemon
+    old = stream_call(daemon, prompt=100, age_s=100.0)
     release = daemon.ledger.add("dec-1", ServerLoad(1, 10000, 0))
     waiting = gevent.spawn(daemon.queue.place, old, frozenset(), False, True)
     wait_until(lambda: daemon.queue.length() == 1 or waiting.ready())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -14,7 +14,7 @@
 
     Attributes:
         without: Names of servers that are not used again for this stream.
-        prefilled: Whether a server has computed the prompt.
+        prefilled: Whether a server has computed the prompt, or may have.
     """
 
     def __init__(self, ctx, call):
@@ -34,6 +34,10 @@
             self._count += 1
         self.prefilled = True
 
+    def prefill_lost(self):
+        """Notes a prefill without an answer, which a server may have accepted."""
+        self.computed()
+
     def is_left(self):
         """Returns whether the route allows another attempt."""
         return self._count < self._call.route.max_attempts
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Candidate", "choose_decode", "choose_plain", "choose_prefill"]
+__all__ = [
+    "Candidate",
+    "choose_decode",
+    "choose_plain",
+    "choose_prefill",
+    "has_free_slot",
+]
 
 # A failing server counts as this many times slower at a failure share of one.
 FAILURE_FACTOR = 30.0
@@ -68,6 +74,15 @@
     return cost_s + (0.0 if each.near else ZONE_PENALTY_S)
 
 
+def has_free_slot(candidates):
+    """Returns whether a server would begin with a request at once.
+
+    It answers the load of a burst: a second copy of a call that waits at a full server
+    would take the place of another caller's call.
+    """
+    return any(each.running < each.server.slots for each in candidates)
+
+
 def choose_prefill(candidates, draw):
     """Returns the candidate with the fewest prompt tokens ahead, or None."""
     return _lowest(candidates, _prefill_cost, draw)
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.relay.choice import Candidate
 
 __all__ = ["RelayContext"]
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-from amaranthbay.fleet.peers import MeasuredDemand
+from amaranthbay.fleet.reports import MeasuredDemand
 
 __all__ = ["DemandMeter", "StageDemand", "plan_prefill_servers"]
 
--- a/amaranthbay/relay/ledger.py
+++ b/amaranthbay/relay/ledger.py
@@ -1,6 +1,6 @@
 """Work that this daemon has placed on backend servers."""
 
-from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.fleet.reports import ServerLoad
 
 __all__ = ["WorkLedger"]
 
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -6,7 +6,7 @@
 from gevent.event import AsyncResult
 from result import Err, Ok
 
-from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Step, current_metrics, log_decision
 from amaranthbay.relay.admission import (
@@ -52,6 +52,7 @@
 
     Attributes:
         prefill: Prefill server; None if the decode server reads the prompt.
+        prefill_s: Time that the prefill server's queue and the prompt take.
         decode: Decode server.
         end_prefill: Function that takes the prompt off the prefill server's load.
         release: Function that takes the attempt off both servers' loads.
@@ -60,6 +61,7 @@
     """
 
     prefill: object
+    prefill_s: float
     decode: object
     need_tokens: int
     pressed: bool
@@ -302,8 +304,10 @@
             end_prefill()
             end_decode()
 
+        speed = self._speed(call)
         return Placement(
             prefill and prefill.server,
+            self._prefill_wait_s(call, prefill) + tokens / speed,
             decode.server,
             need,
             pressed,
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -6,10 +6,10 @@
 from gevent.queue import Empty, Queue
 from result import Err, Ok
 
-from amaranthbay.fleet.peers import ServerLoad
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
 from amaranthbay.observe import Step, current_metrics, log_decision, log_event
-from amaranthbay.relay.choice import choose_plain
+from amaranthbay.relay.choice import choose_plain, has_free_slot
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.exchange import AnswerHead, ExchangeBroken, open_exchange
 from amaranthbay.relay.refusals import RETRY_SOON, give_up
@@ -134,7 +134,8 @@
             return 0
         if self._ctx.crashes.is_dangerous(self._call):
             return 0
-        if not self._ctx.candidates(self._call.service.name, without=self._tried):
+        candidates = self._ctx.candidates(self._call.service.name, without=self._tried)
+        if not (has_free_slot(candidates) if cause == "slow" else candidates):
             return 0
         if not self._ctx.budget(self._call.service.name).withdraw():
             log_event("repeat_denied", request_id=self._call.request_id, cause=cause)
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -15,10 +15,14 @@
 CONNECT_TIMEOUT_S = 0.15
 # A prompt that takes longer misses the targets of all routes.
 PREFILL_TIMEOUT_S = 2.0
+# Times of what is expected after which an answer counts as lost, and time for the way.
+# Servers that turn slow take up to five times as long as others.
+PATIENCE = 5.0
+LEAST_PATIENCE_S = 0.4
 OK = 200
 
 
-def run_prefill(ctx, call, attempts, server):
+def run_prefill(ctx, call, attempts, server, expected_s):
     """Returns ``Result[str, Refusal]`` with the handle of the KV cache.
 
     Args:
@@ -26,9 +30,11 @@
         call: `Call`.
         attempts: `StreamAttempts`.
         server: Prefill server.
+        expected_s: Time that the server's queue and the prompt take.
     """
     started_at = ctx.clock.monotonic()
-    answer = _ask(ctx, call, attempts, server)
+    limit_s = min(PREFILL_TIMEOUT_S, LEAST_PATIENCE_S + PATIENCE * expected_s)
+    answer = _ask(ctx, call, attempts, server, limit_s)
     if answer.is_err():
         return answer
     head, body = answer.unwrap()
@@ -48,14 +54,14 @@
     return Ok(found.handle)
 
 
-def _ask(ctx, call, attempts, server):
+def _ask(ctx, call, attempts, server, limit_s):
     """Returns ``Result[tuple[AnswerHead, bytes], Refusal]``."""
     left_s = call.left_s(ctx.clock.monotonic())
     directions = Directions(server.name, left_s, prefill_only=True)
     slow = ExchangeBroken(Verdict.NOT_RUN, "prefill_slow")
     exchange = None
     try:
-        with gevent.Timeout(PREFILL_TIMEOUT_S, slow):
+        with gevent.Timeout(limit_s, slow):
             exchange = open_exchange(
                 ctx.connections, ctx.codec, server, call, directions, CONNECT_TIMEOUT_S
             )
@@ -64,7 +70,7 @@
     except ExchangeBroken as exc:
         attempts.failed(server, exc, sent=exchange is not None)
         if exchange is not None:
-            attempts.sent()
+            attempts.prefill_lost()
         # A prompt that was computed, if it was, is no run of the request.
         return _refused(Reason.BACKEND_FAILED, f"prefill failed: {exc.reason}")
     finally:
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -149,7 +149,13 @@
             conn = take_connection(
                 ctx.connections, server, self._call.route.repeatable, CONNECT_TIMEOUT_S
             )
-            found = run_prefill(ctx, self._call, self._attempts, placement.prefill)
+            found = run_prefill(
+                ctx,
+                self._call,
+                self._attempts,
+                placement.prefill,
+                placement.prefill_s,
+            )
             placement.end_prefill()
             if found.is_err():
                 return found
--- /dev/null
+++ b/amaranthbay/relay/tests/test_connections.py
@@ -0,0 +1,55 @@
+"""Which kept connections to backend servers are used again."""
+
+from types import SimpleNamespace
+from unittest import mock
+
+from gevent import socket
+
+from amaranthbay.relay.connections import (
+    IDLE_LIMIT_NON_IDEMPOTENT_S,
+    IDLE_LIMIT_S,
+    ConnectionPool,
+)
+from amaranthbay.utils.testing import ManualClock, collect
+
+SERVER = SimpleNamespace(name="desk-1", address="127.0.0.1:1", service="desk")
+
+
+def pool(case):
+    """Returns a pool whose connections are socket pairs, and its clock."""
+    clock = ManualClock()
+
+    def connect(address, timeout_s):
+        ours, theirs = socket.socketpair()
+        case.addCleanup(ours.close)
+        case.addCleanup(theirs.close)
+        return ours
+
+    path = "amaranthbay.relay.connections.connect"
+    case.enterContext(mock.patch(path, connect))
+    return ConnectionPool(clock), clock
+
+
+def test_call_that_may_not_run_twice_gets_a_fresher_connection(case):
+    """Guards against a posting that is lost on a connection which its server closes at
+    that moment; a call that may be repeated only costs a repeat there."""
+    made, clock = pool(case)
+    conn = made.take(SERVER, True, 1.0)
+    made.give_back(conn, None)
+    clock.advance((IDLE_LIMIT_NON_IDEMPOTENT_S + IDLE_LIMIT_S) / 2)
+    case.assertIs(made.take(SERVER, True, 1.0), conn)
+    made.give_back(conn, None)
+    clock.advance((IDLE_LIMIT_NON_IDEMPOTENT_S + IDLE_LIMIT_S) / 2)
+    case.assertIsNot(made.take(SERVER, False, 1.0), conn)
+
+
+def test_idle_connection_ends_before_its_server_closes_it(case):
+    """Guards against requests on connections that are about to be closed."""
+    made, clock = pool(case)
+    conn = made.take(SERVER, True, 1.0)
+    made.give_back(conn, 2.0)
+    clock.advance(1.1)
+    case.assertIsNot(made.take(SERVER, True, 1.0), conn)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from amaranthbay.fleet.peers import MeasuredDemand
+from amaranthbay.fleet.reports import MeasuredDemand
 from amaranthbay.relay.admission import (
     Pressure,
     Urgency,
