Leave out decode servers that refuse what they should have room for

A prefill server is distrusted after refusals of two decode servers only. A decode server with room that refuses is left out for 0.3 s, twice as long each further time in a row, until it runs something.

The test gave refusals before.

--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -233,10 +233,29 @@
     case.assertEqual(len(fleet.workers["pre-1"].received), 2)
 
 
+def test_decode_server_that_refuses_everything_is_left_out(case):
+    """Guards against prompts that are read in vain for seconds, since the daemon has
+    restarted and does not know that a decode server is on its way into the other
+    pool."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    refuser = fleet.workers["dec-1"]
+    refuser.replies.extend([refuser.refuse()] * 20)
+    # All else being equal, the refusing server would be chosen.
+    release = fleet.daemon.ledger.add("dec-2", ServerLoad(1, 3000, 0))
+    case.addCleanup(release)
+    statuses = [
+        call_raw(fleet.address, stream_request("/resume/x", attempt=f"a{n}")).status
+        for n in range(8)
+    ]
+    case.assertEqual(statuses, [200] * 8)
+    case.assertEqual(len(refuser.received), 1)
+    case.assertEqual(fleet.daemon.ctx.handles.distrusted(), frozenset())
+
+
 def test_suspect_handle_is_not_offered_to_another_server(case):
     """Guards against using up a stream's attempts on KV cache that is gone."""
     fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
-    fleet.daemon.ctx.handles.missed("pre-1")
+    fleet.daemon.ctx.handles.missed("pre-1", "dec-0")
     for name in ("dec-1", "dec-2"):
         worker = fleet.workers[name]
 
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -90,7 +90,8 @@
             server: `BackendServer` that refused.
             prefill: `BackendServer` that has computed the prompt.
         """
-        self._ctx.handles.missed(prefill.name)
+        self._ctx.handles.missed(prefill.name, server.name)
+        self._ctx.outcomes.refused_run(server.name)
         log_event(
             "handle_refused",
             level="warning",
@@ -107,6 +108,8 @@
             self._count -= 1
             self._ctx.backends.forget(server.name)
             self._ctx.connections.drop_server(server.name)
+        elif head.traits.not_run:
+            self._ctx.outcomes.refused_run(server.name)
         self._ctx.outcomes.failed(server.name)
         log_event(
             "server_refused",
--- a/amaranthbay/relay/handles.py
+++ b/amaranthbay/relay/handles.py
@@ -2,7 +2,8 @@
 
 A prefill server may drop what it has computed before a decode server fetches it. Each
 prompt that it reads is then read in vain, and its stream is refused. The decode server
-only says that it does not run the request, so that one refusal proves nothing.
+only says that it does not run the request, and may be at fault itself, so that it takes
+the refusals of two of them.
 """
 
 from dataclasses import dataclass
@@ -11,8 +12,9 @@
 
 __all__ = ["HandleRecord"]
 
-# Refused fetches in a row after which a prefill server gets no prompts for some time.
-MISSES = 2
+# Decode servers that have refused fetches, with none that succeeded in between, after
+# which a prefill server gets no prompts for some time.
+REFUSERS = 2
 # Time without prompts, twice as long after each further miss. A prompt that is read
 # in vain costs about a fifth of a second of a server.
 PAUSE_S = 2.0
@@ -23,6 +25,7 @@
 
 @dataclass(frozen=True)
 class _Misses:
+    refusers: frozenset
     count: int
     at: float
     until: float = 0.0
@@ -47,22 +50,29 @@
         """Notes that a decode server has fetched KV cache of a prefill server."""
         self._misses.pop(server, None)
 
-    def missed(self, server):
-        """Notes that a decode server with room did not fetch it."""
+    def missed(self, server, refuser):
+        """Notes that a decode server with room did not fetch it.
+
+        Args:
+            server: Name of the prefill server.
+            refuser: Name of the decode server.
+        """
         now = self._clock.monotonic()
-        count = self._misses[server].count + 1 if server in self._misses else 1
-        until = 0.0
-        if count >= MISSES:
-            pause_s = min(PAUSE_LIMIT_S, PAUSE_S * 2 ** (count - MISSES))
+        known = self._misses.get(server, _Misses(frozenset(), 0, now))
+        refusers = known.refusers | {refuser}
+        count, until = known.count, 0.0
+        if len(refusers) >= REFUSERS:
+            pause_s = min(PAUSE_LIMIT_S, PAUSE_S * 2**count)
             until = now + pause_s
+            count += 1
             log_event(
                 "handles_distrusted",
                 level="warning",
                 backend_server=server,
-                misses=count,
+                times=count,
                 seconds=pause_s,
             )
-        self._misses[server] = _Misses(count, now, until)
+        self._misses[server] = _Misses(refusers, count, now, until)
 
     def is_suspect(self, server):
         """Returns whether the latest fetch from a prefill server was refused."""
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -17,6 +17,11 @@
 SILENT_AVOIDED_S = 0.8
 # Time in which a full server frees the memory of about one request.
 FULL_S = 0.15
+# A server that refuses what it should have room for may be on its way into the other
+# pool, which takes seconds. It is left out for this long, twice as long after each
+# further refusal in a row.
+REFUSED_BASE_S = 0.3
+REFUSED_LIMIT_S = 4.0
 
 
 @dataclass
@@ -29,6 +34,7 @@
     unreachable: int = 0
     avoid_until: float = 0.0
     full_until: float = 0.0
+    refusals: int = 0
 
 
 class ServerOutcomes:
@@ -94,6 +100,17 @@
         """Notes that the server had no room."""
         self._record(server).full_until = self._clock.monotonic() + FULL_S
 
+    def refused_run(self, server):
+        """Notes that the server refused a request that it should have room for."""
+        record = self._record(server)
+        pause_s = min(REFUSED_LIMIT_S, REFUSED_BASE_S * 2**record.refusals)
+        record.refusals = min(record.refusals + 1, 8)
+        record.full_until = self._clock.monotonic() + pause_s
+
+    def accepted(self, server):
+        """Notes that the server runs a request."""
+        self._record(server).refusals = 0
+
     def is_full(self, server):
         """Returns whether the server had no room a moment ago."""
         record = self._records.get(server)
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -260,8 +260,10 @@
             refusal = self._refusal_of(server, head)
             if refusal is not None:
                 return Err(refusal)
-            if computed is not None and head.status == OK:
-                self._ctx.handles.fetched(computed.server.name)
+            if head.status == OK:
+                ctx.outcomes.accepted(server.name)
+                if computed is not None:
+                    ctx.handles.fetched(computed.server.name)
             if head.status != OK:
                 return self._pass_on(exchange, head)
             return self._relay(placement, exchange, head)
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -289,6 +289,23 @@
     case.assertFalse(outcomes.is_avoided("a"))
 
 
+def test_refusing_server_is_left_out_for_longer_each_time(case):
+    """Guards against a server on its way into the other pool that refuses a stream each
+    few hundred milliseconds, and against leaving out one that runs streams again."""
+    clock = ManualClock()
+    outcomes = ServerOutcomes(clock)
+    for _ in range(4):
+        outcomes.refused_run("a")
+    clock.advance(2.0)
+    case.assertTrue(outcomes.is_full("a"))
+    clock.advance(0.5)
+    case.assertFalse(outcomes.is_full("a"))
+    outcomes.accepted("a")
+    outcomes.refused_run("a")
+    clock.advance(0.4)
+    case.assertFalse(outcomes.is_full("a"))
+
+
 @settings(derandomize=True, max_examples=200)
 @given(st.integers(0, 2**32 - 1), st.integers(1, 12))
 def test_events_come_whole_and_once_however_they_are_cut(case, seed, count):
--- a/amaranthbay/relay/tests/test_handles.py
+++ b/amaranthbay/relay/tests/test_handles.py
@@ -9,10 +9,12 @@
     return HandleRecord(clock, of_peers), clock
 
 
-def test_one_refusal_proves_nothing(case):
-    """Guards against a pool that loses a server whenever a decode server is full."""
+def test_refusals_of_one_decode_server_prove_nothing(case):
+    """Guards against a pool that loses a prefill server since a decode server is full,
+    or on its way into the other pool."""
     made, _ = record()
-    made.missed("pre-1")
+    for _ in range(3):
+        made.missed("pre-1", "dec-1")
     case.assertTrue(made.is_suspect("pre-1"))
     case.assertEqual(made.distrusted(), frozenset())
 
@@ -21,16 +23,16 @@
     """Guards against a server that stays out for ever, and against a prompt in vain
     each few seconds."""
     made, clock = record()
-    made.missed("pre-1")
-    made.missed("pre-1")
+    made.missed("pre-1", "dec-1")
+    made.missed("pre-1", "dec-2")
     case.assertEqual(made.distrusted(), {"pre-1"})
     clock.advance(PAUSE_S + 0.1)
     case.assertEqual(made.distrusted(), frozenset())
-    made.missed("pre-1")
+    made.missed("pre-1", "dec-1")
     clock.advance(PAUSE_S + 0.1)
     case.assertEqual(made.distrusted(), {"pre-1"})
     for _ in range(9):
-        made.missed("pre-1")
+        made.missed("pre-1", "dec-2")
     clock.advance(PAUSE_LIMIT_S + 0.1)
     case.assertEqual(made.distrusted(), frozenset())
 
@@ -38,15 +40,15 @@
 def test_fetch_clears_a_server(case):
     """Guards against refusals that add up over hours."""
     made, clock = record()
-    for _ in range(5):
-        made.missed("pre-1")
+    for number in range(5):
+        made.missed("pre-1", f"dec-{number}")
         made.fetched("pre-1")
     case.assertEqual(made.distrusted(), frozenset())
     case.assertFalse(made.is_suspect("pre-1"))
-    made.missed("pre-1")
+    made.missed("pre-1", "dec-1")
     clock.advance(LIFE_S + 1)
     made.sweep()
-    made.missed("pre-1")
+    made.missed("pre-1", "dec-2")
     case.assertEqual(made.distrusted(), frozenset())
 
 
