Take reports of changes in several datagrams, and drop damaged ones

Found on reading the diff: the second datagram of one report of changes counted as late, so that more than 24 loads that change at once were partly dropped until the next whole report, and a datagram with any number of parts took memory. Both have a test that failed before.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -16,6 +16,7 @@
     ServerLoad,
     add_datagram,
     encode_datagram,
+    is_sound,
     split_report,
 )
 from amaranthbay.observe import log_event
@@ -269,6 +270,10 @@
         """
         if status.instance == self.own.instance:
             return
+        if not is_sound(status):
+            detail = f"datagram {status.part} of {status.parts}"
+            log_event("status_unreadable", level="warning", detail=detail)
+            return
         self._note_stranger(status.instance, sender)
         known = self._heard.get(status.instance)
         if known is not None and known.status.process != status.process:
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -19,6 +19,7 @@
     "ServerLoad",
     "add_datagram",
     "encode_datagram",
+    "is_sound",
     "split_report",
 ]
 
@@ -26,6 +27,8 @@
 # Loads that fit into a datagram beside the rest: a name and three numbers take up to 30
 # bytes.
 LOADS_PER_DATAGRAM = 24
+# A report of all servers at the target size takes 55 datagrams.
+MOST_DATAGRAMS = 64
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -152,11 +155,17 @@
     )
 
 
+def is_sound(status):
+    """Returns whether a `PeerStatus` can be one of a report's datagrams."""
+    return 0 <= status.part < status.parts <= MOST_DATAGRAMS
+
+
 def encode_datagram(status):
+    """Returns the bytes of a `PeerStatus`, without details if they would not fit."""
     frame = msgspec.msgpack.encode(status)
     if len(frame) <= MAX_DATAGRAM_BYTES:
         return frame
-    # The loads matter most, and everything else is in one of the next reports.
+    # Placement needs the loads most.
     log_event("status_too_large", level="warning", size=len(frame))
     return msgspec.msgpack.encode(_without_details(status))
 
@@ -173,7 +182,8 @@
         # Changes say nothing without what they change.
         return None if status.only_changes else _merge({status.part: status}, {}, now)
     if status.only_changes:
-        if status.sequence <= known.status.sequence:
+        # One report of changes may take several datagrams, too.
+        if status.sequence < known.status.sequence:
             return None
         newer = {name: (status.sequence, load) for name, load in status.loads.items()}
         return _merge(known.datagrams, known.changes | newer, now, status)
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -263,6 +263,31 @@
     case.assertEqual(made.loads(), {"dec-3": ServerLoad(3, 7, 0)})
 
 
+def test_many_changes_take_several_datagrams(case):
+    """Guards against changes that are dropped since others of the same report came
+    first."""
+    made, _ = peers()
+    made.hear(status(1))
+    loads = {f"dec-{number}": ServerLoad(1, number, 0) for number in range(60)}
+    parts = split_report(changes(2, loads))
+    case.assertEqual(len(parts), 3)
+    for each in parts:
+        made.hear(each)
+    case.assertEqual(made.loads(), loads)
+
+
+def test_foreign_datagram_is_dropped(case):
+    """Guards against memory that a foreign or damaged datagram takes."""
+    made, _ = peers()
+    for part, parts in ((5, 3), (-1, 3), (0, 0), (10**6, 10**7)):
+        made.hear(
+            msgspec.structs.replace(
+                status(1, loads={"dec-1": ServerLoad(1, 1, 1)}), part=part, parts=parts
+            )
+        )
+    case.assertEqual((made.loads(), live(made)), ({}, ["entry-1"]))
+
+
 def test_change_that_overtakes_a_whole_report_stays(case):
     """Guards against an older whole report that undoes a newer change."""
     made, _ = peers()
