Let the test of SIGHUP not depend on the shell that runs it

The child inherits an ignored SIGHUP from nohup: with it the module fails alone, without it it passes. The program under test sets the default first, and the check stays as it was; it passes both ways now.

--- a/amaranthbay/utils/tests/test_runtime.py
+++ b/amaranthbay/utils/tests/test_runtime.py
@@ -8,6 +8,8 @@
 
 PROGRAM = """
 import os, signal
+# A shell that runs the tests with nohup hands its own choice down.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 from amaranthbay.utils.runtime import ignore_early_reload
 ignore_early_reload(["amaranthbay", "{command}"])
 os.kill(os.getpid(), signal.SIGHUP)
