--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -14,14 +14,10 @@
 )
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
+from amaranthbay.fleet.health import StoreHealth
 from amaranthbay.fleet.peers import OwnReport
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
-from amaranthbay.fleet.tables import (
-    FEED_WAIT_S,
-    OnDemandFollower,
-    StoreHealth,
-    TableFollower,
-)
+from amaranthbay.fleet.tables import FEED_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
@@ -35,6 +31,7 @@
 from amaranthbay.relay.handles import HandleRecord
 from amaranthbay.relay.ledger import WorkLedger
 from amaranthbay.relay.outcomes import ServerOutcomes
+from amaranthbay.relay.pauses import ServerPauses
 from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.relay.plain import PlainRelay
 from amaranthbay.relay.refusals import RETRY_SOON
@@ -62,6 +59,12 @@
 # Shorter than any bound that a changed setting has to be in force by.
 RELOAD_S = 2.0
 REGISTER_RETRY_S = 0.5
+# Time over which the instances write their rows again after a restore of the store: at
+# the target size of 320 instances, a tenth of the writes that it takes.
+REWRITE_SPREAD_S = 2.0
+# Time after its start for which an instance waits for a configuration that others have
+# in force. The operator writes it again after a restore.
+CATCH_UP_S = 3.0
 # Descriptors kept back for files, the store, the platform and backend servers.
 RESERVED_DESCRIPTORS = 700
 # Caller connections: a small instance serves some at least, and each costs memory.
@@ -93,14 +96,19 @@
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
         self._adapter = adapter
-        self.store = adapter.open_store(settings.store_address)
+        self.health = StoreHealth(self.clock)
+        self.store = adapter.open_store(settings.store_address, self.health.era)
         self.configuration = ConfigurationView(
             adapter.decode_configuration, adapter.configuration_key
         )
-        self.health = StoreHealth(self.clock)
-        self.backends = BackendPool(adapter.decode_server, self.clock, self.health)
+        self.backends = BackendPool(
+            adapter.decode_server, self.clock, self.health, settings.entry_life_s
+        )
         self.ledger = WorkLedger()
-        connections = ConnectionPool(self.clock, _count_connection)
+        pauses = ServerPauses(self.clock)
+        connections = ConnectionPool(
+            self.clock, _count_connection, self._note_answer, pauses.may_send
+        )
         crashes = CrashRecord(self.clock, partial(answers_connections, connections))
         process = random.SystemRandom().getrandbits(PROCESS_BITS)
         self.peers = Peers(
@@ -130,6 +138,7 @@
             demand=DemandMeter(self.clock),
             crashes=crashes,
             handles=HandleRecord(self.clock, self.peers.lost_handles),
+            pauses=pauses,
             switching=lambda: self.balancer.switching(),
             availability_zone=settings.availability_zone,
         )
@@ -164,6 +173,9 @@
         )
         self.stop_requested = gevent.event.Event()
         self.draining = False
+        self._created_at = self.clock.monotonic()
+        self._restored = gevent.event.Event()
+        self.health.era.on_restored(self._restored.set)
         self._jobs = []
         self._orders = []
         self._servers = []
@@ -189,6 +201,9 @@
             self.ctx.crashes.report(),
             self._versions(),
             tuple(self.ctx.handles.own()),
+            self.health.era.number,
+            self._configuration_version(),
+            self.backends.leaving(),
         )
 
     def _versions(self):
@@ -203,7 +218,17 @@
             self.ctx.crashes.learn(status.crashes)
         for name, changed in status.versions.items():
             if name in self._followers:
-                self._followers[name].note_newer(changed)
+                self._followers[name].note_newer(changed, status.era)
+        if status.leaving:
+            self.backends.learn_leaving(status.leaving)
+
+    def _note_answer(self, server, traits):
+        """Takes what each answer of a backend server says of the server itself."""
+        if traits.leaving and not traits.misdirected:
+            if self.backends.note_leaving(server):
+                self.peers.announce(self.peers.serving_names())
+        if traits.pause_s is not None:
+            self.ctx.pauses.ask(server, traits.pause_s)
 
     def _read_members(self):
         """Reads the table of instances, as one reports that it does not name."""
@@ -221,7 +246,18 @@
 
     def is_ready(self):
         """Returns whether callers may be sent here."""
-        return self.configuration.table is not None and not self.draining
+        if self.configuration.table is None or self.draining:
+            return False
+        return self._has_caught_up()
+
+    def _has_caught_up(self):
+        """Returns whether the configuration is no older than those of the others.
+
+        The table that a process reads as it starts may be a copy of some seconds ago.
+        """
+        if self.clock.monotonic() - self._created_at > CATCH_UP_S:
+            return True
+        return self._configuration_version() >= self.peers.newest_configuration()
 
     def addresses(self, availability_zone, region):
         """Returns the addresses that a caller should use."""
@@ -309,6 +345,15 @@
         self._followers[table] = follower
 
     def _register(self):
+        """Writes this instance's row, again after each restore of the store."""
+        while True:
+            self._write_row()
+            self._restored.wait()
+            self._restored.clear()
+            # All instances notice the restore at about the same time.
+            self.clock.sleep(self.rng.uniform(0.0, REWRITE_SPREAD_S))
+
+    def _write_row(self):
         """Writes this instance's row, so that the others find it.
 
         The table is read once more afterwards: of two instances that start together,
@@ -340,6 +385,7 @@
             self.ctx.connections.sweep()
             self.ctx.crashes.sweep()
             self.ctx.handles.sweep()
+            self.ctx.pauses.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
     def watch(self, metrics):
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -166,4 +166,48 @@
     case.assertEqual(orders(fleet), [])
 
 
+def test_no_order_is_sent_once_the_lease_has_run_out(case):
+    """Guards against a process that stands still between two steps of an order and
+    acts on a lease that has ended meanwhile, which a server that checks no fencing
+    number would carry out."""
+    for paused, sent in (("lease", 0), ("/report", 0), ("/order", 1)):
+        made, fleet, clock = balancer(case)
+        _stand_still_after(made, clock, paused)
+        made.step()
+        clock.advance(UNBALANCED_S + 0.1)
+        made.step()
+        # The two servers are asked side by side.
+        case.assertIn(len(orders(fleet)), (sent, 2 * sent), paused)
+
+
+def _stand_still_after(made, clock, step):
+    """Lets the process stand still for ten seconds after a step of an order."""
+    call, acquire = made._call, made._leases.acquire
+
+    def acquire_slowly(*args):
+        lease = acquire(*args)
+        clock.advance(10.0 if step == "lease" else 0.0)
+        return lease
+
+    def call_slowly(server, method, path, body):
+        answer = call(server, method, path, body)
+        clock.advance(10.0 if step == path else 0.0)
+        return answer
+
+    made._leases.acquire = acquire_slowly
+    made._call = call_slowly
+
+
+def test_server_that_carries_out_an_order_gets_no_other(case):
+    """Guards against an order that another one crosses."""
+    made, fleet, clock = balancer(case)
+    for name in PREFILL:
+        fleet.workers[name].busy = True
+    made.step()
+    clock.advance(UNBALANCED_S + 0.1)
+    made.step()
+    case.assertEqual(orders(fleet), [])
+    case.assertEqual(made.switching(), {})
+
+
 load_tests = collect(globals())
--- a/amaranthbay/fleet/configuration.py
+++ b/amaranthbay/fleet/configuration.py
@@ -23,8 +23,8 @@
         self._key = key
         self.table = None
 
-    def replace(self, rows):
-        """Takes the whole table."""
+    def replace(self, rows, restored=False):
+        """Takes the whole table; an older copy of it changes nothing."""
         self.apply(rows)
 
     def apply(self, rows):
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -81,6 +81,9 @@
     crashes: dict = field(default_factory=dict)
     versions: dict = field(default_factory=dict)
     lost_handles: tuple = ()
+    era: int | None = None
+    configuration: int = 0
+    leaving: dict = field(default_factory=dict)
 
 
 class Peers:
@@ -134,9 +137,17 @@
         self._socket = None
         self._changed = gevent.event.Event()
 
-    def replace(self, rows):
-        """Takes the whole table."""
-        self._registered = {self.own.instance: self.own}
+    def replace(self, rows, restored=False):
+        """Takes the whole table.
+
+        Instances whose rows a restore has undone stay known while they report; they
+        write their rows again.
+        """
+        kept = {status.instance for status in self._reporting()} if restored else ()
+        self._registered = {
+            name: each for name, each in self._registered.items() if name in kept
+        }
+        self._registered[self.own.instance] = self.own
         self.apply(rows)
 
     def apply(self, rows):
@@ -256,6 +267,10 @@
             found.update(status.lost_handles)
         return frozenset(found)
 
+    def newest_configuration(self):
+        """Returns the highest version of a configuration in force that peers report."""
+        return max((each.configuration for each in self._reporting()), default=0)
+
     def demands(self, service):
         """Returns the `MeasuredDemand` of each peer that has one."""
         found = [status.demands.get(service) for status in self.statuses()]
@@ -337,6 +352,9 @@
             crashes=own.crashes,
             versions=own.versions,
             lost_handles=own.lost_handles,
+            era=own.era,
+            configuration=own.configuration,
+            leaving=own.leaving,
         )
 
     def start(self):
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -93,6 +93,10 @@
         parts: Number of datagrams of the report.
         only_changes: Whether the loads are those that have changed since the report
             before, with zeros for those that have ended, and all else is as it was.
+        era: Era of the store in which `versions` count; None if it names none.
+        configuration: Version of the configuration in force; 0 for none.
+        leaving: Backend servers whose answers say that they leave, with the start of
+            their process in Unix milliseconds.
     """
 
     instance: str
@@ -109,6 +113,9 @@
     part: int = 0
     parts: int = 1
     only_changes: bool = False
+    era: int | None = None
+    configuration: int = 0
+    leaving: dict[str, int] = {}
 
 
 @dataclass(frozen=True)
@@ -151,7 +158,13 @@
 
 def _without_details(status):
     return msgspec.structs.replace(
-        status, demands={}, switching={}, crashes={}, versions={}, lost_handles=()
+        status,
+        demands={},
+        switching={},
+        crashes={},
+        versions={},
+        lost_handles=(),
+        leaving={},
     )
 
 
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, fields, replace
 
+from amaranthbay.fleet.backends import ENTRY_LIFE_S
+
 __all__ = ["EntrySettings", "Limits", "changed_fields", "merge"]
 
 # Taken when a process starts: sockets are open and names are known to others.
@@ -52,6 +54,7 @@
         retry_allowance: Repeats of all daemons allowed beside the ratio.
         order_turn_s: Least time between orders of two instances to a server.
         lookup_ttl_s: Longest time for which callers keep a lookup's answer.
+        entry_life_s: Silence of a backend server after which its entry is removed.
     """
 
     instance: str
@@ -73,6 +76,7 @@
     retry_allowance: float
     order_turn_s: float
     lookup_ttl_s: float
+    entry_life_s: float = ENTRY_LIFE_S
 
 
 def changed_fields(current, found):
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -14,7 +14,6 @@
     "HistoryGone",
     "OnDemandFollower",
     "Snapshot",
-    "StoreHealth",
     "TableFollower",
     "TableSource",
 ]
@@ -22,12 +21,9 @@
 # Connections that were made as the store came back are often lost once more, so that
 # for some time after a loss the table is asked more often.
 RECOVERY_WAIT_S = 0.5
-RECOVERY_S = 8.0
 # The same for instances that do not watch the store: each call is one of hundreds, and
 # the reports of those that watch tell them of changes.
 IDLE_RECOVERY_WAIT_S = 4.0
-# A shorter loss is that of a single connection.
-OUTAGE_S = 1.0
 # The other tables wait as long as the store allows; a call costs more than an open
 # poll, and peers that know a newer change tell of a lost one.
 FEED_WAIT_S = 30.0
@@ -65,18 +61,32 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """All rows of a table, and the store's version at that moment."""
+    """All rows of a table at one moment.
+
+    Attributes:
+        rows: The rows.
+        version: The store's version.
+        era: Era in which the version counts; None if the store names none.
+    """
 
     rows: tuple[ChangedRow, ...]
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True)
 class Changes:
-    """Rows that have changed, and the version from which to continue."""
+    """Rows that have changed.
+
+    Attributes:
+        rows: The rows.
+        version: Version from which to continue.
+        era: Era in which the version counts; None if the store names none.
+    """
 
     rows: tuple[ChangedRow, ...]
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True)
@@ -108,80 +118,13 @@
         """Writes a row without a condition and returns the `CommitState`."""
 
 
-class StoreHealth:
-    """Whether the store answers this process; shared by all followers.
-
-    Attributes:
-        lost_at: Monotonic time since which it gives no answer, or None.
-        regained_at: Monotonic time of the end of the last loss, or None.
-        lost_s: Length of the last loss in seconds.
-    """
-
-    def __init__(self, clock):
-        self._clock = clock
-        self.lost_s = 0.0
-        self._callbacks = []
-        self._loss_callbacks = []
-        self._answered_at = clock.monotonic()
-        self._available = gevent.event.Event()
-        self._available.set()
-        self.lost_at = None
-        self.regained_at = None
-
-    def on_regained(self, callback):
-        """Calls ``callback()`` when the store answers again."""
-        self._callbacks.append(callback)
-
-    def on_lost(self, callback):
-        """Calls ``callback()`` when a call has failed and none before it."""
-        self._loss_callbacks.append(callback)
-
-    def wait(self, timeout_s):
-        """Waits until the store answers, or until the time is over."""
-        self._available.wait(timeout_s)
-
-    def answered(self, sent_at):
-        """Notes an answer to a call that was sent at a monotonic time."""
-        self._answered_at = self._clock.monotonic()
-        if self.lost_at is None or sent_at < self.lost_at:
-            return
-        self.regained_at = self._clock.monotonic()
-        self.lost_s = self.regained_at - self.lost_at
-        self.lost_at = None
-        self._available.set()
-        log_event("store_regained", seconds=round(self.lost_s, 3))
-        for callback in self._callbacks:
-            callback()
-
-    def is_recovering(self):
-        """Returns whether the store is lost, or was until a moment ago."""
-        if self.lost_at is not None:
-            return True
-        if self.regained_at is None or self.lost_s < OUTAGE_S:
-            return False
-        return self._clock.monotonic() - self.regained_at < RECOVERY_S
-
-    def silence_s(self):
-        """Returns the seconds since the last answer."""
-        return self._clock.monotonic() - self._answered_at
-
-    def failed(self, detail):
-        """Notes a call without a usable answer."""
-        if self.lost_at is not None:
-            return
-        self.lost_at = self._clock.monotonic()
-        self._available.clear()
-        log_event("store_lost", level="warning", detail=detail)
-        for callback in self._loss_callbacks:
-            callback()
-
-
 class TableFollower:
     """Keeps a view of one table up to date.
 
     Attributes:
         version: Version of the store up to which the view is complete; None
             before the first snapshot.
+        era: Era in which the versions count; None if the store names none.
         changed: Version of the last change in the view.
     """
 
@@ -201,7 +144,7 @@
         Args:
             source: `TableSource`.
             table: Name of the table.
-            view: Object with ``replace(rows)`` and ``apply(rows)``.
+            view: Object with ``replace(rows, restored)`` and ``apply(rows)``.
             health: `StoreHealth`.
             clock: `Clock`.
             rng: `random.Random`.
@@ -226,7 +169,9 @@
         self._behind_since = None
         self._behind_s = BEHIND_S
         self.version = None
+        self.era = None
         self.changed = 0
+        health.era.on_restored(self._restart)
         if watch_s is None:
             health.on_regained(self._restart)
         else:
@@ -243,8 +188,8 @@
             self._job = None
 
     def _restart(self):
-        """Asks again: a poll from before the loss may never be answered."""
-        if self._job is not None:
+        """Asks again: a poll from before a loss or a restore may never be answered."""
+        if self._job is not None and self._job is not gevent.getcurrent():
             self._job.kill(block=False)
             self.start()
 
@@ -253,10 +198,15 @@
         if self._polling:
             self._restart()
 
-    def note_newer(self, changed):
-        """Notes the last change that another instance has seen."""
+    def note_newer(self, changed, era=None):
+        """Notes the last change that another instance has seen.
+
+        Args:
+            changed: Version of the change.
+            era: Era of the version; None if the store names none.
+        """
         # An instance that is behind itself says nothing about this one.
-        if changed <= self.changed or not self._polling:
+        if not self._polling or not self._is_newer(changed, era):
             return
         now = self._clock.monotonic()
         if self._behind_since is None:
@@ -267,18 +217,24 @@
                 level="warning",
                 table=self._table,
                 version=self.changed,
+                era=self.era,
                 known_version=changed,
+                known_era=era,
             )
             self._behind_s = min(BEHIND_LIMIT_S, 2 * self._behind_s)
             self._restart()
 
+    def _is_newer(self, changed, era):
+        if era != self.era:
+            return era is not None and (self.era is None or era > self.era)
+        return changed > self.changed
+
     def _verify(self):
         """Asks at once whether the store is lost, as another follower has noted.
 
         The others wait for the answer, and the poll that is open may take seconds.
         """
-        if self._job is not None and self._job is not gevent.getcurrent():
-            self._restart()
+        self._restart()
 
     def _run(self):
         while True:
@@ -290,7 +246,7 @@
 
     def step(self):
         """Makes one call and returns the seconds to wait before the next one."""
-        if self.version is None:
+        if self.version is None or self.era != self._health.era.number:
             return self._read_all()
         sent_at = self._clock.monotonic()
         wait_s = self._wait_s()
@@ -304,6 +260,9 @@
         if found.is_ok():
             self._note_answer(sent_at)
             changes = found.unwrap()
+            if changes.era not in (None, self.era):
+                # The versions of the era before say nothing any more.
+                return 0.0
             if changes.rows:
                 self._view.apply(changes.rows)
                 self._note_changed(changes.rows)
@@ -334,7 +293,8 @@
             return self._note_failure(found.unwrap_err())
         self._note_answer(sent_at)
         snapshot = found.unwrap()
-        if self.version is not None and snapshot.version < self.version:
+        restored = self.version is not None and snapshot.era not in (None, self.era)
+        if not restored and snapshot.version < (self.version or 0):
             log_event(
                 "stale_snapshot",
                 level="warning",
@@ -343,9 +303,13 @@
                 known_version=self.version,
             )
             return STALE_RETRY_S
-        self._view.replace(snapshot.rows)
+        self._view.replace(snapshot.rows, restored)
+        if restored:
+            self.changed = 0
         self._note_changed(snapshot.rows)
         self.version = snapshot.version
+        known_era = self._health.era.number
+        self.era = known_era if snapshot.era is None else snapshot.era
         return 0.0
 
     def _note_changed(self, rows):
--- a/amaranthbay/fleet/tests/test_backends.py
+++ b/amaranthbay/fleet/tests/test_backends.py
@@ -1,11 +1,14 @@
 """Which backend servers may get work as their entries change, lapse and return."""
 
+from dataclasses import replace
+
 from result import Err, Ok
 
 from amaranthbay.fleet.backends import BackendPool
 from amaranthbay.fleet.configuration import ConfigurationView
-from amaranthbay.fleet.tables import ChangedRow, StoreHealth
-from amaranthbay.routing import BackendServer, RoutingTable
+from amaranthbay.fleet.health import StoreHealth
+from amaranthbay.fleet.tables import ChangedRow
+from amaranthbay.routing import BackendServer, EntryRevision, RoutingTable
 from amaranthbay.utils.testing import ManualClock, collect
 
 
@@ -107,4 +110,126 @@
     case.assertEqual(versions, [3, 3, 3, 3, 7, 7, 7])
 
 
+def entry(state="ready", started_ms=1000, sequence=1):
+    """Returns the text of an entry with its revision."""
+    return f"desk {state} {started_ms} {sequence}".encode()
+
+
+def decode_entry(name, value):
+    service, state, started_ms, sequence = value.decode().split()
+    revision = EntryRevision(int(started_ms), int(sequence))
+    made = BackendServer(name, service, "127.0.0.1:1", "zone-a")
+    return Ok(replace(made, draining=state != "ready", revision=revision))
+
+
+def restorable_pool(*rows):
+    """Returns a pool of servers with revisions, its clock and its health."""
+    clock = ManualClock()
+    health = StoreHealth(clock)
+    health.era.observe(1)
+    made = BackendPool(decode_entry, clock, health, entry_life_s=3.6)
+    made.apply([ChangedRow(key, 1, value) for key, value in rows])
+    return made, clock, health
+
+
+def restore(made, health, *rows):
+    """Lets the pool read the table of a restored store."""
+    health.era.observe(health.era.number + 1)
+    made.replace([ChangedRow(key, 1, value) for key, value in rows], True)
+
+
+def test_restored_list_does_not_bring_back_a_server_that_left(case):
+    """Guards against work for a server that drains or has gone, which the older copy
+    shows as ready."""
+    rows = [(name, entry(sequence=7)) for name in ("a", "b", "c")]
+    made, clock, health = restorable_pool(*rows)
+    made.apply([ChangedRow("a", 2, entry("draining", sequence=8))])
+    made.apply([ChangedRow("b", 3, None)])
+    clock.advance(3.0)
+    case.assertEqual(names(made), ["c"])
+    restore(made, health, *rows)
+    case.assertEqual(names(made), ["c"])
+    # Its own word after that, of the same process or of a new one.
+    made.apply([ChangedRow("a", 2, entry(sequence=9))])
+    made.apply([ChangedRow("b", 3, entry(started_ms=2000, sequence=1))])
+    case.assertEqual(names(made), ["a", "b", "c"])
+
+
+def test_restored_entry_counts_once_a_dead_server_had_lost_it(case):
+    """Guards against leaving out for ever a server whose entry lapsed before the
+    restore and which has nothing new to write."""
+    made, clock, health = restorable_pool(("a", entry()), ("b", entry()))
+    made.apply([ChangedRow("a", 2, None)])
+    clock.advance(3.0)
+    restore(made, health, ("a", entry()), ("b", entry()))
+    clock.advance(3.6)
+    case.assertEqual(names(made), ["b"])
+    clock.advance(2.1)
+    case.assertEqual(names(made), ["a", "b"])
+
+
+def test_server_that_the_copy_lacks_stays_until_it_has_written_again(case):
+    """Guards against losing the servers that came after the copy was made."""
+    made, clock, health = restorable_pool(("a", entry()), ("b", entry()))
+    restore(made, health, ("a", entry()))
+    clock.advance(1.9)
+    case.assertEqual(names(made), ["a", "b"])
+    clock.advance(0.2)
+    case.assertEqual(names(made), ["a"])
+
+
+def test_second_restore_within_the_first_keeps_what_is_known(case):
+    """Guards against a departure that is forgotten by the time of another restore."""
+    made, clock, health = restorable_pool(("a", entry()), ("b", entry()))
+    made.apply([ChangedRow("a", 2, entry("draining", sequence=2))])
+    for _ in range(2):
+        restore(made, health, ("a", entry()), ("b", entry()))
+        case.assertEqual(names(made), ["b"])
+        clock.advance(1.0)
+
+
+def test_server_that_says_it_leaves_gets_no_work(case):
+    """Guards against relying on the list alone, which may be late, stale or restored:
+    the answers of a leaving server say so."""
+    made, clock, health = restorable_pool(("a", entry()), ("b", entry()))
+    case.assertTrue(made.note_leaving("a"))
+    case.assertFalse(made.note_leaving("a"))
+    case.assertEqual(names(made), ["b"])
+    made.apply([ChangedRow("a", 2, entry(sequence=50))])
+    restore(made, health, ("a", entry()), ("b", entry()))
+    clock.advance(60.0)
+    case.assertEqual(names(made), ["b"])
+    # Another process under the name.
+    made.apply([ChangedRow("a", 3, entry(started_ms=2000))])
+    case.assertEqual(names(made), ["a", "b"])
+
+
+def test_last_servers_are_used_for_a_moment_as_they_leave(case):
+    """Guards against refusing all calls as the last servers begin to leave, and
+    against work for them later than the drain bound allows."""
+    made, clock, _ = restorable_pool(("a", entry()), ("b", entry()))
+    made.note_leaving("a")
+    made.note_leaving("b")
+    clock.advance(0.9)
+    case.assertEqual(names(made), ["a", "b"])
+    made.note_leaving("a")
+    clock.advance(0.2)
+    case.assertEqual(names(made), [])
+
+
+def test_leaving_server_is_told_to_other_instances(case):
+    """Guards against each instance having to find out by a request of its own, and
+    against a word on an earlier process that keeps a new one from work."""
+    first, _, _ = restorable_pool(("a", entry()), ("b", entry()))
+    first.note_leaving("a")
+    told = first.leaving()
+    case.assertEqual(told, {"a": 1000})
+    second, _, _ = restorable_pool(("a", entry()), ("b", entry()))
+    second.learn_leaving(told)
+    case.assertEqual(names(second), ["b"])
+    later, _, _ = restorable_pool(("a", entry(started_ms=2000)), ("b", entry()))
+    later.learn_leaving(told)
+    case.assertEqual(names(later), ["a", "b"])
+
+
 load_tests = collect(globals())
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -5,6 +5,7 @@
 import gevent
 from result import Err, Ok
 
+from amaranthbay.fleet.health import StoreHealth
 from amaranthbay.fleet.tables import (
     BEHIND_S,
     FEED_WAIT_S,
@@ -14,7 +15,6 @@
     HistoryGone,
     OnDemandFollower,
     Snapshot,
-    StoreHealth,
     TableFollower,
     TableSource,
 )
@@ -50,7 +50,7 @@
     def __init__(self):
         self.rows = {}
 
-    def replace(self, rows):
+    def replace(self, rows, restored=False):
         self.rows = {}
         self.apply(rows)
 
--- a/amaranthbay/kernel/interfaces.py
+++ b/amaranthbay/kernel/interfaces.py
@@ -1,9 +1,12 @@
 """Abstract base classes that plug-ins implement."""
 
+import math
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 
 __all__ = [
     "EngineClient",
+    "Era",
     "InstanceList",
     "Membership",
     "ObjectStore",
@@ -119,9 +122,26 @@
         """Returns whether the engine acknowledged the cancellation."""
 
 
+@dataclass(frozen=True)
+class Era:
+    """Span between two restores of a table service from an older copy.
+
+    Attributes:
+        number: Rises with each restore; 0 for a service that is never restored.
+        seen_at: Monotonic time at which this process first saw it.
+    """
+
+    number: int = 0
+    seen_at: float = -math.inf
+
+
 class TableService(ABC):
     """Transactional table service of the platform."""
 
+    def era(self):
+        """Returns the `Era` that the latest answer was of."""
+        return Era()
+
     @abstractmethod
     def commit(self, writes):
         """Commits conditional writes atomically.
--- a/amaranthbay/platform/adapter.py
+++ b/amaranthbay/platform/adapter.py
@@ -34,9 +34,14 @@
     create_ready_app = staticmethod(create_ready_app)
     create_lookup_app = staticmethod(create_lookup_app)
 
-    def open_store(self, address):
-        """Returns the `TableSource` at an address."""
-        return RowStore(address)
+    def open_store(self, address, era=None):
+        """Returns the `TableSource` at an address.
+
+        Args:
+            address: Host and port.
+            era: `StoreEra` that is told of the era of each answer.
+        """
+        return RowStore(address, era)
 
     def open_table(self, store, name):
         """Returns the `TableService` of one table of our own."""
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -12,6 +12,8 @@
 
 PATH_VARIABLE = "AMARANTHBAY_BOOT"
 MS_PER_S = 1000.0
+# Writes of a backend server that may be missing in a row before its entry is removed.
+MISSED_HEARTBEATS = 3
 
 
 class _Listen(msgspec.Struct):
@@ -54,6 +56,8 @@
     Platform: _Platform
     Limits: _Machine = msgspec.field(default_factory=_Machine)
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Time between two writes of a backend server to its entry.
+    HeartbeatMs: float = 1200.0
 
 
 def load_boot_settings(path=None):
@@ -97,4 +101,5 @@
         retry_allowance=bounds.BudgetSlack,
         order_turn_s=bounds.LeaseMs / MS_PER_S,
         lookup_ttl_s=bounds.ttl_max_s,
+        entry_life_s=MISSED_HEARTBEATS * boot.HeartbeatMs / MS_PER_S,
     )
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -1,8 +1,11 @@
 """Headers of calls between callers, the router and the backend servers."""
 
+import math
+
 import msgspec
 from result import Err, Ok
 
+from amaranthbay.observe import log_event
 from amaranthbay.relay.codec import (
     AnswerTraits,
     CallCodec,
@@ -28,6 +31,8 @@
 STAMP = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
 SERVER_ID = b"x-instance-id"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 # Only the router may set these on a call.
 ROUTER_HEADERS = frozenset(
@@ -60,6 +65,7 @@
     )
 )
 MISDIRECTED = 421
+UNAVAILABLE = 503
 STAGES = {each.value: each for each in Stage}
 MS_PER_S = 1000.0
 
@@ -122,11 +128,14 @@
     def read_answer(self, status, headers):
         values = dict(headers)
         not_run = NOT_RUN in values or status == MISDIRECTED
+        refused = status == UNAVAILABLE
         return AnswerTraits(
             attempt_id=values.get(ATTEMPT_ID, b"").decode("latin-1"),
             stamped=STAMP in values,
             not_run=not_run,
             misdirected=status == MISDIRECTED,
+            leaving=values.get(LEAVING) == b"1",
+            pause_s=_pause_s(values.get(RETRY_AFTER)) if refused else None,
         )
 
     def read_prefill(self, body):
@@ -186,6 +195,20 @@
         return None
 
 
+def _pause_s(value):
+    """Returns the seconds of a header; None if it is absent or no such number."""
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if not (math.isfinite(seconds) and seconds >= 0):
+        log_event("pause_unreadable", level="warning", value=value.decode("latin-1"))
+        return None
+    return seconds
+
+
 def _whole(value):
     try:
         return int(value)
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -12,6 +12,7 @@
     CallKind,
     ClientLimits,
     Engine,
+    EntryRevision,
     Route,
     RoutingTable,
     Service,
@@ -90,6 +91,10 @@
     State: str
     Slots: int = 1
     Stage: str | None = None
+    # Number of what the server has written since its start.
+    Sequence: int = 0
+    # Unix time of its start in milliseconds.
+    born: int = 0
 
 
 def decode_configuration(body):
@@ -169,5 +174,6 @@
             slots=max(1, found.Slots),
             draining=DRAINING_STATES[found.State],
             stage=STAGES.get(found.Stage),
+            revision=EntryRevision(found.born, found.Sequence),
         )
     )
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok
 
+from amaranthbay.fleet.eras import StoreEra
 from amaranthbay.fleet.tables import (
     ChangedRow,
     Changes,
@@ -13,15 +14,17 @@
     Snapshot,
     TableSource,
 )
+from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.kernel.interfaces import TableService
+from amaranthbay.observe import log_event
 from amaranthbay.platform.types import (
     CommitOutcome,
     CommitState,
     PlatformFailure,
     Row,
 )
-from amaranthbay.utils.http import json_exchange
+from amaranthbay.utils.http import json_exchange_with_header
 
 __all__ = ["RowStore", "RowTable"]
 
@@ -29,6 +32,8 @@
 # than this is treated as lost.
 CALL_TIMEOUT_S = 0.9
 PAGE_ROWS = 500
+# Number of times that the store was restored from an older copy.
+ERA_HEADER = "Store-Era"
 # A refusal of a transaction; after any other status it may have taken effect.
 TRANSACTION_STATES = {
     412: CommitState.CONFLICT,
@@ -59,11 +64,18 @@
     lost delivers nothing further.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, era=None):
+        """Creates the client.
+
+        Args:
+            address: Host and port of the store.
+            era: `StoreEra` that is told of the era of each answer.
+        """
         self._address = address
+        self.era = era or StoreEra(SystemClock())
 
     def snapshot(self, table):
-        rows, start, version = [], "", None
+        rows, start, version, era = [], "", None, None
         while True:
             query = {"Table": table, "part": "", "Limit": PAGE_ROWS}
             if start:
@@ -71,12 +83,15 @@
             reply = self._get("/rows-get", query, CALL_TIMEOUT_S)
             if reply.is_err():
                 return reply
-            page = reply.unwrap()
+            page, page_era = reply.unwrap()
+            if version is not None and page_era != era:
+                return Err(PlatformFailure("the store was restored between two pages"))
+            era = page_era
             # Changes after the first page are read again from the feed.
             version = page.Ver if version is None else version
             rows += [_row(each) for each in page.Rows]
             if not page.HasMore or not page.Rows:
-                return Ok(Snapshot(tuple(rows), version))
+                return Ok(Snapshot(tuple(rows), version, era))
             start = page.Rows[-1].Key + "\0"
 
     def changes(self, table, after, wait_s):
@@ -84,8 +99,8 @@
         reply = self._get("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
         if reply.is_err():
             return reply
-        found = reply.unwrap()
-        return Ok(Changes(tuple(_row(each) for each in found.Rows), found.Ver))
+        found, era = reply.unwrap()
+        return Ok(Changes(tuple(_row(each) for each in found.Rows), found.Ver, era))
 
     def put(self, table, key, value):
         row = {"Table": table, "part": "", "Key": key}
@@ -104,29 +119,46 @@
         """
         body = msgspec.json.encode({"Expected": expected, "Put": put, "Remove": []})
         headers = (("Content-Type", "application/json"),)
-        outcome = json_exchange(
-            self._address, "POST", "/rows-tx", body, headers, CALL_TIMEOUT_S
-        )
+        outcome = self._call("POST", "/rows-tx", body, headers, CALL_TIMEOUT_S)
         if outcome.is_err():
             sent = outcome.unwrap_err().verdict is not Verdict.NOT_RUN
             return (CommitState.UNKNOWN if sent else CommitState.NOT_DONE), 0
-        status, answer = outcome.unwrap()
+        status, answer, era = outcome.unwrap()
+        if not self.era.observe(era):
+            # What was done then, a restore has undone since.
+            return CommitState.UNKNOWN, 0
         if status == 200:
             return CommitState.DONE, msgspec.json.decode(answer, type=_Rows).Ver
         return TRANSACTION_STATES.get(status, CommitState.UNKNOWN), 0
 
+    def _call(self, method, target, body=b"", headers=(), timeout_s=CALL_TIMEOUT_S):
+        """Returns ``Result[tuple[int, bytes, int | None], HttpFailure]``.
+
+        The values are status, body and the era.
+        """
+        outcome = json_exchange_with_header(
+            self._address, method, target, ERA_HEADER, body, headers, timeout_s
+        )
+        return outcome.map(lambda found: (*found[:2], _era(found[2])))
+
     def _get(self, path, query, timeout_s):
+        """Returns ``Result[tuple[_Rows, int | None], PlatformFailure | HistoryGone]``.
+
+        The values are the rows and the era.
+        """
         target = f"{path}?{urlencode(query)}"
-        outcome = json_exchange(self._address, "GET", target, timeout_s=timeout_s)
+        outcome = self._call("GET", target, timeout_s=timeout_s)
         if outcome.is_err():
             return Err(PlatformFailure(outcome.unwrap_err().detail))
-        status, body = outcome.unwrap()
+        status, body, era = outcome.unwrap()
+        if not self.era.observe(era):
+            return Err(PlatformFailure("an answer from before the store's restore"))
         if status == 410:
             return Err(HistoryGone())
         if status != 200:
             return Err(PlatformFailure(f"the store answered {status}"))
         try:
-            return Ok(msgspec.json.decode(body, type=_Rows))
+            return Ok((msgspec.json.decode(body, type=_Rows), era))
         except msgspec.DecodeError as exc:
             return Err(PlatformFailure(f"unreadable answer: {exc}"))
 
@@ -138,6 +170,9 @@
         self._store = store
         self._table = table
 
+    def era(self):
+        return self._store.era.current()
+
     def commit(self, writes):
         expected, put = [], []
         for each in writes:
@@ -166,6 +201,18 @@
         )
 
 
+def _era(value):
+    """Returns the era that a header names; None if there is none."""
+    if value is None:
+        return None
+    try:
+        return int(value)
+    except (TypeError, ValueError):
+        # A header that stands twice is a list.
+        log_event("store_era_unreadable", level="warning", value=str(value)[:40])
+        return None
+
+
 def _find(rows, key):
     """Returns the `Row` with a key, or None."""
     for each in rows:
--- a/amaranthbay/platform/tests/fleet.py
+++ b/amaranthbay/platform/tests/fleet.py
@@ -97,7 +97,7 @@
     }
 
 
-def server_entry(service, address, stage=None, state="ready"):
+def server_entry(service, address, stage=None, state="ready", **fields):
     """Returns the row of a backend server."""
     entry = {
         "Service": service,
@@ -109,7 +109,7 @@
         "ColdRemainingMs": 0,
         "Sequence": 1,
     }
-    return entry | ({"Stage": stage} if stage else {})
+    return entry | ({"Stage": stage} if stage else {}) | fields
 
 
 @dataclass
@@ -125,10 +125,11 @@
     def address(self):
         return self.daemon.settings.caller_address
 
-    def entry(self, name, service, stage=None, state="ready", address=None):
+    def entry(self, name, service, stage=None, state="ready", address=None, **fields):
         """Writes a server's entry."""
         address = address or self.addresses[name]
-        self.store.put("servers", name, server_entry(service, address, stage, state))
+        entry = server_entry(service, address, stage, state, **fields)
+        self.store.put("servers", name, entry)
 
     def knows(self, service, count, stage=None):
         """Waits until the daemon uses that many servers."""
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -5,7 +5,7 @@
 import itertools
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import parse_qs, urlsplit
 
 import gevent
@@ -159,6 +159,15 @@
             sock.close()
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at one moment."""
+
+    rows: dict
+    version: int
+    history: tuple
+
+
 @dataclass
 class StoreStandin:
     """The platform's store, in memory.
@@ -170,6 +179,7 @@
         behind: Whether snapshots show the state at `forgotten`.
         lose_answers: Number of writes to come whose answers are lost.
         late_s: Time after which a write with a lost answer is carried out.
+        era: Number of restores that all answers name; None if they name none.
     """
 
     rows: dict = field(default_factory=dict)
@@ -180,6 +190,7 @@
     behind: bool = False
     lose_answers: int = 0
     late_s: float = 0.0
+    era: int | None = None
     calls: list = field(default_factory=list)
     _history: deque = field(default_factory=deque)
     _changed: gevent.event.Event = field(default_factory=gevent.event.Event)
@@ -211,6 +222,13 @@
     def answer(self, req):
         """Returns the `Reply` to a call."""
         self.calls.append(f"{req.method} {req.target}")
+        era = self.era
+        reply = self._reply(req)
+        if reply is None or era is None:
+            return reply
+        return replace(reply, headers=(*reply.headers, ("Store-Era", str(era))))
+
+    def _reply(self, req):
         if self.silent:
             gevent.sleep(60)
         if self.down:
@@ -222,6 +240,20 @@
         }[req.path]
         return handler(req)
 
+    def copy(self):
+        """Returns a copy to restore the store from."""
+        return StoreCopy(dict(self.rows), self.version, tuple(self._history))
+
+    def restore(self, copy):
+        """Goes back to a copy; what was written since is lost.
+
+        Polls that wait get no answer, as those of a store that has been replaced.
+        """
+        self.rows, self.version = dict(copy.rows), copy.version
+        self._history = deque(copy.history)
+        self.era = (self.era or 0) + 1
+        self._changed = gevent.event.Event()
+
     def _get(self, req):
         table, start = req.query["Table"], req.query.get("From", "")
         limit = int(req.query.get("Limit", 500))
@@ -242,7 +274,7 @@
 
     def _feed(self, req):
         after, table = int(req.query["after"]), req.query["Table"]
-        if after < self.forgotten:
+        if after < self.forgotten or after > self.version:
             return Reply(410)
         end = time.monotonic() + int(req.query["WaitMs"]) / 1000
         while True:
@@ -296,6 +328,8 @@
         received: Requests that it ran or refused, control calls left out.
         control: Control calls.
         lost_orders: Orders to come that are accepted without an answer.
+        leaving: Whether all answers say that it leaves.
+        busy: Whether it reports that it carries out an order.
     """
 
     name: str
@@ -306,10 +340,18 @@
     hold_status: int = 200
     lost_orders: int = 0
     stage: str | None = None
+    leaving: bool = False
+    busy: bool = False
     _numbers: object = field(default_factory=itertools.count)
 
     def answer(self, req):
         """Returns the `Reply` to a call."""
+        reply = self._reply(req)
+        if reply is None or not self.leaving:
+            return reply
+        return replace(reply, headers=(*reply.headers, ("Server-Leaving", "1")))
+
+    def _reply(self, req):
         if req.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, (("X-Instance-Id", self.name),))
         if self._is_control(req):
@@ -336,7 +378,7 @@
                 return Reply(self.hold_status, (("X-Not-Executed", "1"),))
             return _json({"Hold": "k1"})
         if req.path == "/report":
-            return _json({"Stage": self.stage, "Busy": False, "Sequence": 4})
+            return _json({"Stage": self.stage, "Busy": self.busy, "Sequence": 4})
         if req.path == "/order":
             self.control.append(msgspec.json.decode(req.body))
             if self.lost_orders:
@@ -345,9 +387,17 @@
             return Reply(202)
         return Reply(200)
 
-    def refuse(self, status=503):
-        """Returns a reply that states that nothing ran."""
-        return Reply(status, (("X-Not-Executed", "1"),))
+    def refuse(self, status=503, retry_after=None):
+        """Returns a reply that states that nothing ran.
+
+        Args:
+            status: HTTP status.
+            retry_after: Text of the header that asks for a pause; None for none.
+        """
+        headers = (("X-Not-Executed", "1"),)
+        if retry_after is not None:
+            headers += (("Retry-After", retry_after),)
+        return Reply(status, headers)
 
     def reply(self, req, status=200, body=b"", **fields):
         """Returns a signed reply to a request."""
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_pauses.py
@@ -0,0 +1,159 @@
+"""Backend servers that say they leave, or that they want no requests for a while."""
+
+import gevent
+
+from amaranthbay.platform.tests.fleet import (
+    call,
+    call_raw,
+    small_fleet,
+    stream_request,
+)
+from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.routing import Stage
+from amaranthbay.utils.testing import collect, wait_until
+
+# Far beyond the test, and a pause that ends in it.
+LONG, SHORT = "30", "0.4"
+
+
+def stage_names(fleet, stage):
+    return [each.name for each in fleet.daemon.backends.usable("lm", stage)]
+
+
+def test_leaving_server_gets_nothing_more_whatever_the_list_says(case):
+    """Guards against work for a server that has said in an answer that it leaves while
+    its entry is still that of a ready one."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    fleet.workers["desk-1"].leaving = True
+    for number in range(8):
+        case.assertEqual(call(fleet, "/book/x", attempt=f"a{number}").status, 200)
+    case.assertLessEqual(len(fleet.workers["desk-1"].received), 1)
+    fleet.entry("desk-1", "desk", Sequence=9)
+    gevent.sleep(0.2)
+    before = len(fleet.workers["desk-1"].received)
+    for number in range(8, 16):
+        case.assertEqual(call(fleet, "/book/x", attempt=f"a{number}").status, 200)
+    case.assertEqual(len(fleet.workers["desk-1"].received), before)
+
+
+def test_answers_of_each_kind_of_call_say_that_a_server_leaves(case):
+    """Guards against missing the word in the answer to a prefill, of a stream, or to
+    a call of our own."""
+    for stage, name in ((Stage.PREFILL, "pre-1"), (Stage.DECODE, "dec-1")):
+        pools = {"prefill": ("pre-1", "pre-2"), "decode": ("dec-1", "dec-2")}
+        with small_fleet(**pools) as fleet:
+            fleet.workers[name].leaving = True
+            for number in range(20):
+                answer = call_raw(fleet.address, stream_request("/sum/x", f"a{number}"))
+                case.assertEqual(answer.status, 200)
+            case.assertNotIn(name, stage_names(fleet, stage))
+            case.assertLessEqual(len(fleet.workers[name].received), 1)
+
+
+def test_new_process_under_the_name_gets_work(case):
+    """Guards against a mark that outlives the process which it belongs to."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    worker = fleet.workers["desk-1"]
+    worker.leaving = True
+    while not worker.received:
+        call(fleet, "/look/x")
+    fleet.knows("desk", 1)
+    worker.leaving = False
+    fleet.entry("desk-1", "desk", born=1_800_000_000_000)
+    fleet.knows("desk", 2)
+
+
+def test_refusal_of_all_servers_that_leave_is_true(case):
+    """Guards against a refusal that says ``not run`` of a call that has run, and
+    against one that comes late, as the last server leaves."""
+    fleet = case.enterContext(small_fleet())
+    fleet.workers["desk-1"].leaving = True
+    case.assertEqual(call(fleet, "/book/x").status, 200)
+    wait_until(lambda: not fleet.daemon.backends.usable("desk"))
+    received = len(fleet.workers["desk-1"].received)
+    answer = call(fleet, "/book/x", attempt="a2")
+    case.assertEqual(answer.status, 503)
+    case.assertIn("retry-after", answer.headers)
+    case.assertEqual(len(fleet.workers["desk-1"].received), received)
+
+
+def test_server_in_a_pause_is_left_alone(case):
+    """Guards against more than two requests at a server that has asked for a pause."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    worker = fleet.workers["desk-1"]
+    worker.replies.extend([worker.refuse(retry_after=LONG)] * 20)
+    for number in range(20):
+        case.assertEqual(call(fleet, "/look/x", attempt=f"a{number}").status, 200)
+    case.assertEqual(len(worker.received), 1)
+
+
+def test_calls_are_refused_at_once_while_all_servers_pause(case):
+    """Guards against waiting for servers that are known to take nothing, and against
+    callers who are told to come back before one of them does."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    worker.replies.append(worker.refuse(retry_after=LONG))
+    call(fleet, "/look/x")
+    answer = call(fleet, "/look/x", attempt="a2")
+    case.assertEqual(answer.status, 503)
+    case.assertGreater(float(answer.headers["retry-after"]), 25.0)
+    case.assertEqual(len(worker.received), 1)
+
+
+def test_stream_waits_for_a_pause_that_ends_in_time(case):
+    """Guards against refusing a stream that can still begin in time."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.append(worker.refuse(retry_after=SHORT))
+    call_raw(fleet.address, stream_request("/sum/x"))
+    answer = call_raw(fleet.address, stream_request("/sum/x", "a2"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+
+
+def test_stream_is_refused_at_once_while_all_decode_servers_pause(case):
+    """Guards against holding a stream until it is late although no server will take
+    it."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.append(worker.refuse(retry_after=LONG))
+    call_raw(fleet.address, stream_request("/sum/x"))
+    prompts = len(fleet.workers["pre-1"].received)
+    answer = call_raw(fleet.address, stream_request("/sum/x", "a2"))
+    case.assertEqual(answer.status, 503)
+    case.assertGreater(float(answer.headers["retry-after"]), 25.0)
+    case.assertEqual(len(fleet.workers["pre-1"].received), prompts)
+
+
+def test_prefill_server_in_a_pause_gets_no_prompts(case):
+    """Guards against prompts for a prefill server that has asked for a pause."""
+    fleet = case.enterContext(small_fleet(prefill=("pre-1", "pre-2")))
+    worker = fleet.workers["pre-1"]
+    worker.replies.extend([worker.refuse(retry_after=LONG)] * 20)
+    for number in range(12):
+        call_raw(fleet.address, stream_request("/once/x", f"a{number}"))
+    case.assertEqual(len(worker.received), 1)
+
+
+def test_unusable_pauses_are_passed_over(case):
+    """Guards against a header that ends a request, or a server for good."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    bad = ("Fri, 04 Dec 2026 12:00:00 GMT", "-5", "nan", "inf", "", "x" * 300, "1e999")
+    for number, value in enumerate(bad):
+        worker.replies.append(worker.refuse(retry_after=value))
+        call(fleet, "/book/x", attempt=f"a{number}")
+        answer = call(fleet, "/book/x", attempt=f"b{number}")
+        case.assertEqual(answer.status, 200, value)
+
+
+def test_pause_in_other_answers_asks_for_nothing(case):
+    """Guards against taking the word of an application for that of its server."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["desk-1"]
+    headers = (("Retry-After", LONG), ("X-Response-Stamp", "s"))
+    worker.replies.append(Reply(200, headers, b"full"))
+    call(fleet, "/look/x")
+    case.assertEqual(call(fleet, "/look/x", attempt="a2").status, 200)
+
+
+load_tests = collect(globals())
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_restored.py
@@ -0,0 +1,255 @@
+"""An entry daemon before a store that was restored from an older copy."""
+
+import random
+
+import msgspec
+
+from amaranthbay.daemon.entry import EntryDaemon
+from amaranthbay.fleet.eras import StoreEra
+from amaranthbay.fleet.reports import PeerStatus
+from amaranthbay.platform.adapter import PlatformAdapter
+from amaranthbay.platform.rows import RowStore, RowTable
+from amaranthbay.platform.tests.fleet import (
+    call,
+    configuration,
+    settings_of,
+    small_fleet,
+)
+from amaranthbay.platform.tests.standins import Reply, StoreStandin, serve_http
+from amaranthbay.platform.types import CommitState
+from amaranthbay.state.leases import LeaseStore
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
+
+LEASE_S = 5.0
+
+
+def name_era(fleet):
+    """Lets the daemon see the store's first era."""
+    fleet.store.era = 1
+    fleet.store.put("op", "other", {})
+    wait_until(lambda: fleet.daemon.health.era.number == 1)
+
+
+def own_row(fleet):
+    return fleet.store.rows.get(("members", "entry-1"))
+
+
+def test_instance_writes_its_row_again(case):
+    """Guards against an instance that the others can't find after a restore."""
+    fleet = case.enterContext(small_fleet())
+    name_era(fleet)
+    wait_until(lambda: own_row(fleet))
+    copy = fleet.store.copy()
+    del copy.rows["members", "entry-1"]
+    fleet.store.restore(copy)
+    case.assertIsNone(own_row(fleet))
+    wait_until(lambda: own_row(fleet))
+
+
+def test_configuration_in_force_survives_a_restore(case):
+    """Guards against an older configuration that comes back into force, and against
+    missing a newer one whose row has a lower version."""
+    fleet = case.enterContext(small_fleet())
+    name_era(fleet)
+    copy = fleet.store.copy()
+    for number in range(5):
+        fleet.store.put("op", "config", configuration(version=10 + number))
+    table = fleet.daemon.configuration
+    wait_until(lambda: table.table.version == 14)
+    fleet.store.restore(copy)
+    wait_until(lambda: fleet.daemon.health.era.number == 2)
+    case.assertEqual(table.table.version, 14)
+    fleet.store.put("op", "config", configuration(version=20))
+    case.assertLess(fleet.store.version, 20)
+    wait_until(lambda: table.table.version == 20)
+
+
+def test_instance_that_starts_with_an_older_copy_asks_the_others_first(case):
+    """Guards against callers at an instance that knows only a configuration which the
+    others have replaced."""
+    fleet = case.enterContext(small_fleet())
+    other = PeerStatus("entry-2", 7, 1, True, {}, configuration=9)
+    case.assertTrue(fleet.daemon.is_ready())
+    fleet.daemon.peers.hear(other)
+    case.assertFalse(fleet.daemon.is_ready())
+    fleet.store.put("op", "config", configuration(version=9))
+    wait_until(fleet.daemon.is_ready)
+
+
+def test_calls_are_served_through_a_restore(case):
+    """Guards against a service that stops while the store comes back."""
+    fleet = case.enterContext(small_fleet())
+    name_era(fleet)
+    copy = fleet.store.copy()
+    fleet.store.remove("servers", "desk-1")
+    fleet.entry("desk-1", "desk")
+    for _ in range(3):
+        fleet.store.restore(copy)
+        case.assertEqual(call(fleet, "/look/x").status, 200)
+    wait_until(lambda: fleet.daemon.health.era.number == 4)
+    case.assertEqual(call(fleet, "/look/x").status, 200)
+
+
+def test_two_instances_on_both_sides_of_a_restore(case):
+    """Guards against a poll that waits at a store which is no longer there, although
+    another instance knows the next era."""
+    fleet = case.enterContext(small_fleet())
+    name_era(fleet)
+    fleet.store.put("op", "config", configuration(version=2))
+    wait_until(lambda: fleet.daemon.health.era.number == 1)
+    fleet.store.restore(fleet.store.copy())
+    polls = len(fleet.store.calls)
+    for sequence in range(1, 100):
+        status = PeerStatus("entry-2", 7, sequence, True, {}, versions={"op": 1}, era=2)
+        fleet.daemon.peers.hear(status)
+        if fleet.daemon.health.era.number == 2:
+            break
+        fleet.daemon.clock.sleep(0.05)
+    case.assertEqual(fleet.daemon.health.era.number, 2)
+    case.assertGreater(len(fleet.store.calls), polls)
+
+
+def test_answers_of_an_earlier_era_are_dropped(case):
+    """Guards against a late answer that tells of what a restore has undone, be it a
+    read or a write."""
+    store = StoreStandin(era=3)
+    address = case.enterContext(serve_http(store.answer))
+    era = StoreEra(ManualClock())
+    rows = RowStore(address, era)
+    store.put("t", "a", b"1")
+    case.assertEqual(rows.snapshot("t").unwrap().era, 3)
+    store.era = 2
+    case.assertTrue(rows.snapshot("t").is_err())
+    case.assertTrue(rows.changes("t", 0, 0.0).is_err())
+    case.assertEqual(rows.put("t", "a", b"2"), CommitState.UNKNOWN)
+    store.era = 4
+    case.assertEqual(rows.put("t", "a", b"2"), CommitState.DONE)
+    case.assertEqual(era.number, 4)
+
+
+def test_damaged_era_is_no_reason_to_fail(case):
+    """Guards against a header that ends a reader of the store."""
+    store = StoreStandin()
+    era = StoreEra(ManualClock())
+    for value in ("", "x", "1.5", "9" * 5000):
+        headers = (("Store-Era", value),)
+        address = case.enterContext(
+            serve_http(lambda req: Reply(200, headers, b'{"Ver":1}'))
+        )
+        case.assertTrue(RowStore(address, era).snapshot("t").is_ok())
+    case.assertIsNone(era.number)
+    case.assertEqual(store.calls, [])
+
+
+def leases(case, store, *names):
+    """Returns a clock and a `LeaseStore` by name, each with an era of its own."""
+    address = case.enterContext(serve_http(store.answer))
+    clock = ManualClock()
+    made = []
+    for name in names:
+        table = RowTable(RowStore(address, StoreEra(clock)), "leases")
+        made.append(LeaseStore(table, clock, name))
+        made[-1].acquire("stages", LEASE_S)
+    clock.advance(LEASE_S * 1.1)
+    return clock, *made
+
+
+def test_restored_store_gives_no_lease_before_the_forgotten_one_has_ended(case):
+    """Guards against two holders, and a fencing number that is given out twice, where
+    the copy knows nothing of the lease."""
+    store = StoreStandin(era=1)
+    clock, first, second = leases(case, store, "n-1", "n-2")
+    copy = store.copy()
+    lease = first.acquire("stages", LEASE_S)
+    case.assertIsNotNone(lease)
+    store.restore(copy)
+    case.assertIsNone(second.acquire("stages", LEASE_S))
+    clock.advance(LEASE_S - 0.1)
+    case.assertIsNone(second.acquire("stages", LEASE_S))
+    clock.advance(0.4)
+    taken = second.acquire("stages", LEASE_S)
+    case.assertGreater(taken.fence, lease.fence)
+    case.assertFalse(first.is_held(lease))
+
+
+def test_holder_that_hears_of_a_restore_stops(case):
+    """Guards against acting on a lease that the store has forgotten."""
+    store = StoreStandin(era=1)
+    _, first = leases(case, store, "n-1")
+    lease = first.acquire("stages", LEASE_S)
+    case.assertTrue(first.is_held(lease))
+    store.restore(store.copy())
+    first.acquire("other", LEASE_S)
+    case.assertFalse(first.is_held(lease))
+
+
+def test_condition_from_before_a_restore_takes_no_lease(case):
+    """Guards against a write that meets its condition by accident, since the version
+    that it was read with names another row's change now."""
+    store = StoreStandin(era=1)
+    clock, first, second = leases(case, store, "n-1", "n-2")
+    copy = store.copy()
+    held = first.acquire("stages", LEASE_S)
+    version = store.version
+    store.restore(copy)
+    first.acquire("stages", LEASE_S)
+    clock.advance(LEASE_S * 1.1)
+    other = first.acquire("stages", LEASE_S)
+    case.assertEqual(other.version, version)
+    # The second one has read the row in the first era and writes only now.
+    second._table._store.era._number = 1
+    late = second.renew(held, LEASE_S)
+    case.assertIsNone(late)
+    row = store.value("leases", "lease/stages/2")
+    case.assertEqual((row["holder"], row["fence"]), ("n-1", other.fence))
+
+
+def test_process_that_starts_after_a_restore_waits_as_long(case):
+    """Guards against a new process that takes the lease of a living holder, since it
+    can't know how long ago the store was restored."""
+    store = StoreStandin(era=1)
+    address = case.enterContext(serve_http(store.answer))
+    clock = ManualClock()
+    table = RowTable(RowStore(address, StoreEra(clock)), "leases")
+    case.assertIsNone(LeaseStore(table, clock, "n-1").acquire("stages", LEASE_S))
+    clock.advance(LEASE_S * 1.06)
+    case.assertIsNotNone(LeaseStore(table, clock, "n-1").acquire("stages", LEASE_S))
+
+
+def test_row_of_an_instance_in_the_gap_is_not_missed(case):
+    """Guards against lookups without an instance whose row the restore has undone."""
+    fleet = case.enterContext(small_fleet())
+    name_era(fleet)
+    copy = fleet.store.copy()
+    row = msgspec.json.encode(
+        {
+            "instance": "entry-2",
+            "availability_zone": "zone-a",
+            "region": "region-1",
+            "caller_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:9",
+        }
+    )
+    fleet.store.put("members", "entry-2", row)
+    peers = fleet.daemon.peers
+    fleet.daemon._read_members()
+    wait_until(lambda: "entry-2" in {each.instance for each in peers.registrations()})
+    peers.hear(PeerStatus("entry-2", 7, 1, True, {}, interval_s=5.0))
+    fleet.store.restore(copy)
+    wait_until(lambda: fleet.daemon._followers["members"].era == 2)
+    case.assertIn("entry-2", {each.instance for each in peers.live()})
+
+
+def test_daemon_starts_before_a_store_that_names_its_era(case):
+    """Guards against a start that waits for ever in a later era."""
+    store = StoreStandin(era=5)
+    store.put("op", "config", configuration())
+    address = case.enterContext(serve_http(store.answer))
+    daemon = EntryDaemon(settings_of(address), PlatformAdapter(), rng=random.Random(1))
+    daemon.start()
+    case.addCleanup(daemon.close)
+    wait_until(daemon.is_ready)
+    wait_until(lambda: ("members", "entry-1") in store.rows)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -81,12 +81,17 @@
         stamped: Whether the server has signed it.
         not_run: Whether it states that the request did not run.
         misdirected: Whether another server has the address.
+        leaving: Whether the server says that it leaves.
+        pause_s: Time for which the server wants no more requests; None if it asks for
+            none.
     """
 
     attempt_id: str
     stamped: bool
     not_run: bool
     misdirected: bool = False
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -53,10 +53,28 @@
 class ConnectionPool:
     """Idle connections by backend server; the latest used is taken first."""
 
-    def __init__(self, clock, on_open=lambda server: None):
+    def __init__(
+        self,
+        clock,
+        on_open=lambda server: None,
+        on_answer=lambda server, traits: None,
+        may_send=lambda server: True,
+    ):
+        """Creates an empty pool.
+
+        Args:
+            clock: `Clock`.
+            on_open: Function of a `BackendServer` to which a connection is made.
+            on_answer: Function of a server's name and the `AnswerTraits` of each of
+                its answers.
+            may_send: Function of a server's name that returns whether one more
+                request may be sent to it, and counts that one.
+        """
         self._clock = clock
         self._on_open = on_open
         self._idle = defaultdict(list)
+        self.note_answer = on_answer
+        self.may_send = may_send
 
     def take(self, server, repeatable, timeout_s):
         """Returns an idle or a new `ServerConnection`.
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -25,6 +25,7 @@
         demand: `DemandMeter`.
         crashes: `CrashRecord`.
         handles: `HandleRecord`.
+        pauses: `ServerPauses`.
         switching: Function that returns the stage of each server that this daemon
             has ordered into another pool.
         availability_zone: Where the process runs.
@@ -42,18 +43,33 @@
     demand: object
     crashes: object
     handles: object
+    pauses: object
     switching: object
     availability_zone: str
 
     def candidates(self, service, stage=None, without=frozenset()):
         """Returns a `Candidate` for each usable server of a service."""
         others = self.peers.loads()
+        return [
+            self._candidate(server, others)
+            for server in self._usable(service, stage, without)
+            if not self.pauses.left_s(server.name)
+        ]
+
+    def pause_left_s(self, service, stage=None, without=frozenset()):
+        """Returns the seconds until a paused server of a service takes requests.
+
+        Returns:
+            None if there is a server that is not paused, or none at all.
+        """
+        names = [each.name for each in self._usable(service, stage, without)]
+        left = [self.pauses.left_s(name) for name in names]
+        return min(left) if left and all(left) else None
+
+    def _usable(self, service, stage, without):
         unusable = without | set(self.peers.switching()) | set(self.switching())
-        found = []
-        for server in self.backends.usable(service, stage):
-            if server.name not in unusable:
-                found.append(self._candidate(server, others))
-        return found
+        usable = self.backends.usable(service, stage)
+        return [each for each in usable if each.name not in unusable]
 
     def _candidate(self, server, others):
         load = self.ledger.loads().get(server.name, ServerLoad())
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -22,6 +22,8 @@
 # Late answers of earlier requests that are skipped on one connection.
 LATE_ANSWERS = 4
 LATE_ANSWER_BYTES = 2**20
+# Reason of a request that a server was not sent as it wants none for a while.
+ASKED_TO_PAUSE = "asked_to_pause"
 
 
 class ExchangeBroken(AmaranthbayError):
@@ -93,6 +95,7 @@
             lowered = [(name, value) for name, value in event.headers]
             self._raw_headers = lowered
             traits = self._codec.read_answer(event.status_code, lowered)
+            self._pool.note_answer(self._conn.server, traits)
             if traits.attempt_id in ("", self._call_id):
                 raw = tuple(event.headers.raw_items())
                 self.head = AnswerHead(event.status_code, raw, traits)
@@ -201,6 +204,7 @@
         ExchangeBroken: With the verdict ``not_run`` if nothing was sent.
     """
     frame = _encode(codec, call, directions)
+    _check_pause(pool, server)
     if conn is None or not conn.is_quiet():
         conn = take_connection(pool, server, call.route.repeatable, connect_timeout_s)
     # The server may answer before it has read a long body.
@@ -228,6 +232,7 @@
     exchange = None
     try:
         with gevent.Timeout(timeout_s, late):
+            _check_pause(pool, server)
             conn = take_connection(pool, server, True, timeout_s)
             lines = [f"{method} {path} HTTP/1.1", f"Host: {server.address}"]
             if body:
@@ -267,6 +272,16 @@
     return conn
 
 
+def _check_pause(pool, server):
+    """Keeps a request from a server that has asked to be left alone.
+
+    Raises:
+        ExchangeBroken: With the verdict ``not_run``.
+    """
+    if not pool.may_send(server.name):
+        raise ExchangeBroken(Verdict.NOT_RUN, ASKED_TO_PAUSE)
+
+
 def _encode(codec, call, directions):
     headers = codec.forward_headers(call.headers, directions)
     if call.body or call.framed:
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -18,6 +18,7 @@
     urgency,
 )
 from amaranthbay.relay.choice import choose_decode, choose_prefill
+from amaranthbay.relay.refusals import all_paused
 from amaranthbay.routing import Stage
 
 __all__ = ["Placement", "StreamQueue", "memory_need"]
@@ -127,15 +128,15 @@
             ``Result[Placement, Refusal]``; a refusal comes as soon as it is known
             that the wait is in vain.
         """
-        if not self._ctx.candidates(call.service.name, Stage.DECODE, without):
-            detail = "no decode server is known"
-            retry = timedelta(seconds=1)
-            return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry))
-        if len(self._waiting) >= QUEUE_LENGTH:
-            return Err(self._overloaded("the queue is full"))
         now = self._ctx.clock.monotonic()
         since = now if continued else call.arrived_at
         until = min(call.ends_at, since + HOLD_TARGETS * call.route.target_s)
+        if not self._ctx.candidates(call.service.name, Stage.DECODE, without):
+            refusal = self._without_servers(call, without, until - now)
+            if refusal is not None:
+                return Err(refusal)
+        if len(self._waiting) >= QUEUE_LENGTH:
+            return Err(self._overloaded("the queue is full"))
         waiting = _Waiting(
             call, without, decode_only, continued, now, until, AsyncResult()
         )
@@ -149,6 +150,27 @@
             elif waiting.ready.ready() and not waiting.taken:
                 waiting.ready.get().release()
 
+    def _without_servers(self, call, without, hold_s):
+        """Returns the refusal of a stream that no server can take now.
+
+        Args:
+            call: `Call`.
+            without: Names of servers that must not be used.
+            hold_s: Time for which the stream may wait.
+
+        Returns:
+            None if a server takes requests again in that time.
+        """
+        name = call.service.name
+        pause_s = self._ctx.pause_left_s(name, Stage.DECODE, without)
+        if pause_s is None:
+            detail = "no decode server is known"
+            retry = timedelta(seconds=1)
+            return not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
+        if pause_s < hold_s:
+            return None
+        return all_paused(pause_s, self._ctx.rng.random())
+
     def _wait(self, waiting):
         while True:
             if waiting.ready.ready():
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -12,7 +12,7 @@
 from amaranthbay.relay.choice import choose_plain, has_free_slot
 from amaranthbay.relay.codec import Directions
 from amaranthbay.relay.exchange import AnswerHead, ExchangeBroken, open_exchange
-from amaranthbay.relay.refusals import RETRY_SOON, give_up
+from amaranthbay.relay.refusals import RETRY_SOON, all_paused, give_up
 
 __all__ = ["PlainRelay", "WholeAnswer"]
 
@@ -152,6 +152,12 @@
         while True:
             server = self._choose(self._tried | unreachable)
             now = self._ctx.clock.monotonic()
+            if server is None:
+                pause_s = self._ctx.pause_left_s(
+                    self._call.service.name, without=self._tried | unreachable
+                )
+                if pause_s is not None:
+                    return Err(all_paused(pause_s, self._ctx.rng.random()))
             if server is None or now >= self._call.ends_at:
                 detail = "no backend server can be reached"
                 return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -6,10 +6,12 @@
 
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
 
-__all__ = ["RETRY_SOON", "body_of", "give_up", "headers_of"]
+__all__ = ["RETRY_SOON", "all_paused", "body_of", "give_up", "headers_of"]
 
 # A server that refused or left is known to all daemons after about this time.
 RETRY_SOON = timedelta(seconds=0.2)
+# Part of a pause over which the callers that were refused in it come back.
+RETURN_SPREAD = 0.5
 
 
 def give_up(verdict):
@@ -21,6 +23,18 @@
     return may_have_run(Reason.BACKEND_SLOW, detail, 504)
 
 
+def all_paused(pause_s, draw):
+    """Returns the refusal of a request whose servers all want to be left alone.
+
+    Args:
+        pause_s: Seconds until the first of them takes requests again.
+        draw: Number from 0 to 1 that spreads the callers' return.
+    """
+    detail = "all backend servers have asked for a pause"
+    retry = timedelta(seconds=pause_s * (1 + RETURN_SPREAD * draw))
+    return not_run(Reason.OVERLOADED, detail, 503, retry)
+
+
 def headers_of(refusal):
     """Returns the headers of a refusal's answer."""
     headers = [(b"Content-Type", b"application/problem+json")]
--- a/amaranthbay/routing/__init__.py
+++ b/amaranthbay/routing/__init__.py
@@ -6,6 +6,7 @@
     CallKind,
     ClientLimits,
     Engine,
+    EntryRevision,
     Route,
     Service,
     Stage,
--- a/amaranthbay/routing/types.py
+++ b/amaranthbay/routing/types.py
@@ -1,6 +1,6 @@
 """Types of the routing configuration and of the backend servers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 __all__ = [
@@ -8,6 +8,7 @@
     "CallKind",
     "ClientLimits",
     "Engine",
+    "EntryRevision",
     "Route",
     "Service",
     "Stage",
@@ -120,6 +121,19 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclass(frozen=True, order=True)
+class EntryRevision:
+    """Age of what a server's entry says; a later one is greater.
+
+    Attributes:
+        started_ms: Unix time of the server's start in milliseconds; 0 if not stated.
+        sequence: Rises with what the server writes after a start.
+    """
+
+    started_ms: int = 0
+    sequence: int = 0
+
+
 @dataclass(frozen=True)
 class BackendServer:
     """One running backend server.
@@ -133,6 +147,7 @@
         slots: Requests that it runs at once.
         draining: Whether it takes no new work.
         stage: Pool of a model server; None for a plain service.
+        revision: `EntryRevision` of the entry that says so.
     """
 
     name: str
@@ -142,3 +157,4 @@
     slots: int = 1
     draining: bool = False
     stage: Stage | None = None
+    revision: EntryRevision = field(default=EntryRevision(), compare=False)
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -18,6 +18,7 @@
     "HttpFailure",
     "connect",
     "json_exchange",
+    "json_exchange_with_header",
     "open_exchange",
     "split_address",
 ]
@@ -157,12 +158,37 @@
 
 def json_exchange(address, method, path, body=b"", headers=(), timeout_s=10.0):
     """Returns ``Result[tuple[int, bytes], HttpFailure]``: status and body."""
+    found = json_exchange_with_header(
+        address, method, path, "", body, headers, timeout_s
+    )
+    return found.map(lambda answer: answer[:2])
+
+
+def json_exchange_with_header(
+    address, method, path, header, body=b"", headers=(), timeout_s=10.0
+):
+    """Makes a call whose answer is told apart by a header, too.
+
+    Args:
+        address: ``host:port``.
+        method: HTTP method.
+        path: Path with query.
+        header: Name of the answer's header; empty for none.
+        body: Request body.
+        headers: Pairs of name and value.
+        timeout_s: Longest silence of the peer; None waits for ever.
+
+    Returns:
+        ``Result[tuple[int, bytes, str | None], HttpFailure]``: status, body and the
+        header's value.
+    """
     exchange: Result = open_exchange(address, method, path, body, headers, timeout_s)
     if exchange.is_err():
         return exchange
     opened = exchange.unwrap()
     try:
-        return Ok((opened.status, opened.read()))
+        value = opened.header(header) if header else None
+        return Ok((opened.status, opened.read(), value))
     except (OSError, ValueError, HTTPException) as exc:
         detail = f"response of {address} broke: {type(exc).__name__}"
         timed_out = isinstance(exc, TimeoutError)
