Ask a server that refuses without need whether it switches pools, and tell the others

Hypothesis: prompts are read in vain for a decode server on its way into the other pool, since an instance that has started again knows no order.

Change: the first refusal that memory doesn't explain is followed by one question to the server, at most one a second; if it carries out an order, the instance reports the switch to the others at once. `relay.switches` keeps what the balancer kept before.

Ruled out: keeping the switch in the lease row, one more call of the store for each start.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -36,6 +36,7 @@
 from amaranthbay.relay.plain import PlainRelay
 from amaranthbay.relay.refusals import RETRY_SOON
 from amaranthbay.relay.streams import StreamRelay
+from amaranthbay.relay.switches import SwitchRecord
 from amaranthbay.routing import ClientLimits
 from amaranthbay.state.leases import LeaseStore
 from amaranthbay.utils.serving import Server
@@ -139,7 +140,9 @@
             crashes=crashes,
             handles=HandleRecord(self.clock, self.peers.lost_handles),
             pauses=pauses,
-            switching=lambda: self.balancer.switching(),
+            switches=SwitchRecord(
+                self.clock, self.backends.stage_of, self._tell_others
+            ),
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
@@ -197,7 +200,7 @@
         return OwnReport(
             dict(self.ledger.loads()),
             self.ctx.demand.own(),
-            self.balancer.switching(),
+            self.ctx.switches.current(),
             self.ctx.crashes.report(),
             self._versions(),
             tuple(self.ctx.handles.own()),
@@ -226,10 +229,14 @@
         """Takes what each answer of a backend server says of the server itself."""
         if traits.leaving and not traits.misdirected:
             if self.backends.note_leaving(server):
-                self.peers.announce(self.peers.serving_names())
+                self._tell_others()
         if traits.pause_s is not None:
             self.ctx.pauses.ask(server, traits.pause_s)
 
+    def _tell_others(self):
+        """Reports to the instances that serve at once."""
+        self.peers.announce(self.peers.serving_names())
+
     def _read_members(self):
         """Reads the table of instances, as one reports that it does not name."""
         self._followers[self._adapter.members_table].ask()
@@ -386,6 +393,7 @@
             self.ctx.crashes.sweep()
             self.ctx.handles.sweep()
             self.ctx.pauses.sweep()
+            self.ctx.switches.sweep()
             self.clock.sleep(SWEEP_S if serving else IDLE_POLL_S)
 
     def watch(self, metrics):
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -1,7 +1,5 @@
 """Moves model servers between the prefill and the decode pool as the load asks."""
 
-from dataclasses import dataclass
-
 import gevent
 
 from amaranthbay.observe import log_decision, log_event
@@ -27,14 +25,6 @@
 # not reach the store.
 UNBALANCED_S = 2.0
 RANK_S = 3.0
-# Time beyond a switch in which the list of servers shows its result.
-LIST_LAG_S = 3.0
-
-
-@dataclass(frozen=True)
-class _Switch:
-    stage: Stage
-    ends_at: float
 
 
 class StageBalancer:
@@ -60,7 +50,6 @@
         self._unbalanced_at = {}
         self._ordered_at = {}
         self._plans = {}
-        self._switching = {}
 
     def run(self):
         """Balances all services until killed."""
@@ -156,22 +145,9 @@
         ]
         gevent.joinall(jobs)
 
-    def switching(self):
-        """Returns the stage of each server that is on its way into another pool.
-
-        One whose switch should be over counts for some time more, until it is listed
-        in its new pool.
-        """
-        now = self._ctx.clock.monotonic()
-        for name, switch in tuple(self._switching.items()):
-            listed = self._ctx.backends.stage_of(name) is switch.stage
-            if now >= switch.ends_at + (0.0 if listed else LIST_LAG_S):
-                del self._switching[name]
-        return {name: each.stage.value for name, each in self._switching.items()}
-
     def _count(self, service, stage):
         """Returns the servers of a pool; those that switch count where they will be."""
-        switching = self._ctx.peers.switching() | self.switching()
+        switching = self._ctx.peers.switching() | self._ctx.switches.current()
         known = {each.name for each in self._ctx.backends.usable(service.name)}
         arriving = [
             name
@@ -204,7 +180,8 @@
             self._note_order(server, order, answer)
             if answer.is_ok():
                 if answer.unwrap()[0] < REFUSED_STATUS:
-                    self._note_switch(server, stage, service)
+                    switch_s = service.engine.stage_switch_s
+                    self._ctx.switches.note(server.name, stage, switch_s)
                 return
 
     def _note_order(self, server, order, answer):
@@ -217,10 +194,6 @@
             detail=answer.err(),
         )
 
-    def _note_switch(self, server, stage, service):
-        ends_at = self._ctx.clock.monotonic() + service.engine.stage_switch_s
-        self._switching[server.name] = _Switch(stage, ends_at)
-
     def _call(self, server, method, path, body):
         """Returns ``Result[tuple[int, bytes], str]``: status and body."""
         return control_exchange(
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -1,9 +1,10 @@
 """Orders that move model servers between the pools."""
 
-from amaranthbay.daemon.staging import LIST_LAG_S, RANK_S, UNBALANCED_S, StageBalancer
+from amaranthbay.daemon.staging import RANK_S, UNBALANCED_S, StageBalancer
 from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus
 from amaranthbay.platform.tests.fleet import small_fleet
 from amaranthbay.relay.demand import StageDemand
+from amaranthbay.relay.switches import LIST_LAG_S, SwitchRecord
 from amaranthbay.state.leases import LeaseStore
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
@@ -47,6 +48,7 @@
     def __init__(self, ctx, clock):
         self._inner = ctx
         self.clock = clock
+        self.switches = SwitchRecord(clock, ctx.backends.stage_of)
 
     def __getattr__(self, name):
         return getattr(self._inner, name)
@@ -73,7 +75,7 @@
     for order in given:
         case.assertEqual((order["Op"], order["Stage"]), ("Stage", "decode"))
         case.assertEqual((order["Fence"], order["Expected"]), (1, 4))
-    case.assertEqual(len(made.switching()), 2)
+    case.assertEqual(len(made._ctx.switches.current()), 2)
 
 
 def test_servers_on_their_way_count_where_they_will_be(case):
@@ -87,10 +89,10 @@
         clock.advance(1.0)
         made.step()
     case.assertEqual(len(orders(fleet)), 2)
-    case.assertEqual(len(made.switching()), 2)
-    for name in made.switching():
+    case.assertEqual(len(made._ctx.switches.current()), 2)
+    for name in made._ctx.switches.current():
         fleet.entry(name, "lm", "decode")
-    wait_until(lambda: not made.switching())
+    wait_until(lambda: not made._ctx.switches.current())
     made.step()
     case.assertEqual(len(orders(fleet)), 2)
 
@@ -107,7 +109,7 @@
     given = orders(fleet)
     case.assertEqual(len(given), 4)
     case.assertEqual({(each["Fence"], each["Expected"]) for each in given}, {(1, 4)})
-    case.assertEqual(len(made.switching()), 2)
+    case.assertEqual(len(made._ctx.switches.current()), 2)
 
 
 def test_orders_of_other_instances_count(case):
@@ -134,7 +136,7 @@
     clock.advance(UNBALANCED_S + 0.1)
     made.step()
     clock.advance(6.0 + LIST_LAG_S + 0.1)
-    case.assertEqual(made.switching(), {})
+    case.assertEqual(made._ctx.switches.current(), {})
 
 
 def test_only_the_first_instance_orders_at_once(case):
@@ -207,7 +209,7 @@
     clock.advance(UNBALANCED_S + 0.1)
     made.step()
     case.assertEqual(orders(fleet), [])
-    case.assertEqual(made.switching(), {})
+    case.assertEqual(made._ctx.switches.current(), {})
 
 
 load_tests = collect(globals())
--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -13,6 +13,7 @@
 from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.relay.calls import Call
 from amaranthbay.relay.codec import CallHead
+from amaranthbay.relay.outcomes import REFUSED_BASE_S
 from amaranthbay.routing import Stage
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -404,4 +405,35 @@
     case.assertEqual(fleet.workers["pre-1"].received, [])
 
 
+def test_switching_server_is_found_by_one_refusal(case):
+    """Guards against prompts that are computed in vain for a server whose switch into
+    the other pool a new process knows nothing of, one by one until the list shows it.
+    """
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    worker, peers = fleet.workers["dec-1"], fleet.daemon.peers
+    worker.busy = True
+    worker.replies.extend([worker.refuse()] * 50)
+    for number in range(30):
+        call_raw(fleet.address, stream_request("/sum/x", f"a{number}"))
+        gevent.sleep(0.02)
+    case.assertEqual(len(worker.received), 1)
+    case.assertEqual(worker.control.count("GET /report"), 1)
+    case.assertEqual(peers.status().switching, {"dec-1": "prefill"})
+
+
+def test_refusing_server_that_does_not_switch_is_tried_again(case):
+    """Guards against leaving out a server for the time of a switch since it has
+    refused once, and against a question for each refusal."""
+    fleet = case.enterContext(small_fleet())
+    worker = fleet.workers["dec-1"]
+    worker.replies.extend([worker.refuse()] * 2)
+    call_raw(fleet.address, stream_request("/once/x"))
+    gevent.sleep(REFUSED_BASE_S)
+    call_raw(fleet.address, stream_request("/once/x", "a2"))
+    case.assertEqual(worker.control.count("GET /report"), 1)
+    gevent.sleep(2 * REFUSED_BASE_S)
+    answer = call_raw(fleet.address, stream_request("/once/x", "a3"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -2,6 +2,7 @@
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import log_event
+from amaranthbay.relay.switches import inspect
 
 __all__ = ["StreamAttempts"]
 
@@ -92,6 +93,7 @@
         """
         self._ctx.handles.missed(prefill.name, server.name)
         self._ctx.outcomes.refused_run(server.name)
+        inspect(self._ctx, server, self._call.service.engine)
         log_event(
             "handle_refused",
             level="warning",
@@ -110,6 +112,7 @@
             self._ctx.connections.drop_server(server.name)
         elif head.traits.not_run:
             self._ctx.outcomes.refused_run(server.name)
+            inspect(self._ctx, server, self._call.service.engine)
         self._ctx.outcomes.failed(server.name)
         log_event(
             "server_refused",
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -26,8 +26,7 @@
         crashes: `CrashRecord`.
         handles: `HandleRecord`.
         pauses: `ServerPauses`.
-        switching: Function that returns the stage of each server that this daemon
-            has ordered into another pool.
+        switches: `SwitchRecord`.
         availability_zone: Where the process runs.
     """
 
@@ -44,7 +43,7 @@
     crashes: object
     handles: object
     pauses: object
-    switching: object
+    switches: object
     availability_zone: str
 
     def candidates(self, service, stage=None, without=frozenset()):
@@ -67,7 +66,7 @@
         return min(left) if left and all(left) else None
 
     def _usable(self, service, stage, without):
-        unusable = without | set(self.peers.switching()) | set(self.switching())
+        unusable = without | set(self.peers.switching()) | set(self.switches.current())
         usable = self.backends.usable(service, stage)
         return [each for each in usable if each.name not in unusable]
 
