Take the speed of prefill servers from the slope of their times

Hypothesis: the time that a prompt takes whatever its length, about 0.1 s in which the server reads other prompts, is counted as work. Prefill servers seemed to read 20,000 tokens a second; one alone has read 28,563 in a second. Their queues seemed 1.7 times as long, prompts were kept from decode servers that could have read them in time, and the pools were planned with too many prefill servers.

Change: `relay.speed` takes speed and fixed time from the medians of short and long work, the prompts ahead included; peers' figures stand in until an instance can tell. The time from the call of a decode server to its first event is measured as well (0.12 s, 0.08 were assumed).

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -136,7 +136,7 @@
             ledger=self.ledger,
             outcomes=ServerOutcomes(self.clock),
             budget=self._budgets.of,
-            demand=DemandMeter(self.clock),
+            demand=DemandMeter(self.clock, self.peers.demands),
             crashes=crashes,
             handles=HandleRecord(self.clock, self.peers.lost_handles),
             pauses=pauses,
--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -90,8 +90,7 @@
 
     def _wanted_move(self, service):
         """Returns the stage to move servers to and their number, or None."""
-        of_peers = self._ctx.peers.demands(service.name)
-        demand = self._meter.demand(service.name, of_peers)
+        demand = self._meter.demand(service.name)
         if demand is None:
             return None
         prefill = self._count(service, Stage.PREFILL)
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -57,15 +57,18 @@
 
     Attributes:
         prompt_tokens: Mean length of a prompt.
-        prefill_speed: Prompt tokens that a prefill server computes in a second.
+        prefill_speed: Prompt tokens that a prefill server computes in a second; 0 if
+            it can't be told.
         decode_s: Mean seconds of a decode server.
         streams: Number of streams in the means.
+        prefill_base_s: Seconds that each prompt takes beside its tokens.
     """
 
     prompt_tokens: float
     prefill_speed: float
     decode_s: float
     streams: int
+    prefill_base_s: float = 0.0
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/amaranthbay/relay/admission.py
+++ b/amaranthbay/relay/admission.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from amaranthbay.relay.speed import PrefillSpeed
+
 __all__ = [
     "Pressure",
     "Urgency",
@@ -17,8 +19,6 @@
     "urgency",
 ]
 
-# Transfer of the KV cache and first step of the decode server.
-FIRST_EVENT_S = 0.08
 # Error of the estimate that still counts as in time.
 MARGIN_S = 0.05
 # Part of a decode server's memory up to which late streams may fill it, and the
@@ -48,19 +48,23 @@
 
     Attributes:
         prefill_wait_s: Time until the prefill server begins with its prompt.
-        prefill_speed: Prompt tokens that it computes in a second.
+        prefill_speed: Its `PrefillSpeed`.
         memory_share: Part of the decode server's memory that is taken with it.
+        first_event_s: Transfer of the KV cache and time of the decode server until
+            the first event.
     """
 
     prefill_wait_s: float
-    prefill_speed: float
+    prefill_speed: PrefillSpeed
     memory_share: float
+    first_event_s: float
 
 
 def first_event_s(prompt_tokens, pressure):
     """Returns the time from a start to the first event."""
-    compute_s = prompt_tokens / pressure.prefill_speed
-    return pressure.prefill_wait_s + compute_s + FIRST_EVENT_S
+    speed = pressure.prefill_speed
+    compute_s = speed.base_s + prompt_tokens / speed.tokens_s
+    return pressure.prefill_wait_s + compute_s + pressure.first_event_s
 
 
 def urgency(call, wait_s, now):
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -5,6 +5,7 @@
 from statistics import median
 
 from amaranthbay.fleet.reports import MeasuredDemand
+from amaranthbay.relay.speed import PrefillSpeed, PrefillTimes
 
 __all__ = ["DemandMeter", "StageDemand", "plan_prefill_servers"]
 
@@ -15,17 +16,13 @@
 # and the distance of the marks in it.
 SPAN_S = 20.0
 MARK_S = 1.0
-# Quantile of the speeds that counts: slower prefills waited in a queue, and single
-# faster ones found their prompt in the cache.
-SPEED_QUANTILE = 0.9
-# Part of a prefill's time in which the server is free for others: the way there and
-# back, and the first step.
-OVERHEAD_S = 0.02
 # Part of a decode server's memory that streams fill on average; the rest is too small
 # for the next one.
 FILL_SHARE = 0.85
-# Prompt tokens a second until a prompt has been computed.
-ASSUMED_SPEED = 30_000.0
+# Time from the call of a decode server to the first event of its stream until one was
+# measured, and the streams over which it is taken.
+ASSUMED_FIRST_EVENT_S = 0.12
+FIRST_EVENTS = 30
 # A queue of prompts delays all first events, while a full decode server only
 # delays the next stream, so that prefill gets a little more than its part.
 PREFILL_BIAS = 0.1
@@ -119,16 +116,25 @@
     """What the latest streams of one service took."""
 
     def __init__(self, clock):
-        self.speeds = deque(maxlen=SAMPLES)
+        self.prefills = PrefillTimes()
         self.prompts = deque(maxlen=SAMPLES)
+        self.first_events = deque(maxlen=FIRST_EVENTS)
         self.decodes = _Decodes(clock)
 
 
 class DemandMeter:
     """Latest streams by service."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, of_peers=lambda service: ()):
+        """Creates an empty meter.
+
+        Args:
+            clock: `Clock`.
+            of_peers: Function of a service's name that returns the `MeasuredDemand`
+                of other daemons.
+        """
         self._clock = clock
+        self._of_peers = of_peers
         self._samples = {}
 
     def _of(self, service):
@@ -136,11 +142,21 @@
             self._samples[service] = _Samples(self._clock)
         return self._samples[service]
 
-    def note_prefill(self, service, tokens, seconds):
-        """Notes a prompt that a prefill server has computed."""
-        if tokens > 0 and seconds > OVERHEAD_S:
-            self._of(service).speeds.append(tokens / (seconds - OVERHEAD_S))
-            self._of(service).prompts.append(tokens)
+    def note_prefill(self, service, tokens, work_tokens, seconds):
+        """Notes a prompt that a prefill server has computed.
+
+        Args:
+            service: Name of the service.
+            tokens: Length of the prompt.
+            work_tokens: The same with the prompts that were ahead of it.
+            seconds: Time until the answer.
+        """
+        self._of(service).prefills.note(work_tokens, seconds)
+        self._of(service).prompts.append(tokens)
+
+    def note_first_event(self, service, seconds):
+        """Notes the time from the call of a decode server to a stream's first event."""
+        self._of(service).first_events.append(seconds)
 
     def begin_decode(self, service, memory_share):
         """Returns the `DecodeRun` of a stream that begins.
@@ -152,11 +168,22 @@
         return DecodeRun(self._of(service).decodes, self._clock, memory_share)
 
     def prefill_speed(self, service):
-        """Returns the prompt tokens that a prefill server computes in a second."""
-        speeds = self._of(service).speeds
-        if not speeds:
-            return ASSUMED_SPEED
-        return sorted(speeds)[int(SPEED_QUANTILE * len(speeds))]
+        """Returns the `PrefillSpeed` of a service, as others measure it if need be."""
+        own = self._of(service).prefills.speed()
+        if own is not None:
+            return own
+        of_peers = [each for each in self._of_peers(service) if each.prefill_speed]
+        if not of_peers:
+            return PrefillSpeed()
+        return PrefillSpeed(
+            median(each.prefill_speed for each in of_peers),
+            median(each.prefill_base_s for each in of_peers),
+        )
+
+    def first_event_s(self, service):
+        """Returns the time from the call of a decode server to the first event."""
+        seconds = self._of(service).first_events
+        return median(seconds) if seconds else ASSUMED_FIRST_EVENT_S
 
     def own(self):
         """Returns the `MeasuredDemand` of this daemon by service."""
@@ -165,30 +192,27 @@
             decode_s, ended = samples.decodes.measure()
             streams = min(len(samples.prompts), ended)
             if streams:
+                speed = samples.prefills.speed() or PrefillSpeed(0.0, 0.0)
                 found[service] = MeasuredDemand(
                     sum(samples.prompts) / len(samples.prompts),
-                    self.prefill_speed(service),
+                    speed.tokens_s,
                     decode_s / FILL_SHARE,
                     streams,
+                    speed.base_s,
                 )
         return found
 
-    def demand(self, service, of_peers):
-        """Returns the `StageDemand` of a service, or None before enough streams.
-
-        Args:
-            service: Name of the service.
-            of_peers: `MeasuredDemand` of other daemons.
-        """
-        measured = [*of_peers]
-        if service in self.own():
-            measured.append(self.own()[service])
+    def demand(self, service):
+        """Returns the `StageDemand` of a service, or None before enough streams."""
+        own = self.own()
+        measured = [*self._of_peers(service)]
+        measured += [own[service]] if service in own else []
         streams = sum(each.streams for each in measured)
         if streams < LEAST_SAMPLES:
             return None
         prompt = sum(each.prompt_tokens * each.streams for each in measured) / streams
-        # A daemon with few prompts may have seen only queued or cached ones.
-        speed = median(each.prefill_speed for each in measured)
+        speeds = [each.prefill_speed for each in measured if each.prefill_speed]
+        speed = median(speeds) if speeds else PrefillSpeed().tokens_s
         return StageDemand(
             prompt / speed,
             sum(each.decode_s * each.streams for each in measured) / streams,
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -54,6 +54,7 @@
     Attributes:
         prefill: Prefill server; None if the decode server reads the prompt.
         prefill_s: Time that the prefill server's queue and the prompt take.
+        work_tokens: Prompt tokens of the queue and the prompt.
         decode: Decode server.
         end_prefill: Function that takes the prompt off the prefill server's load.
         release: Function that takes the attempt off both servers' loads.
@@ -63,6 +64,7 @@
 
     prefill: object
     prefill_s: float
+    work_tokens: int
     decode: object
     need_tokens: int
     pressed: bool
@@ -239,7 +241,7 @@
         for at, waiting in zip(times, self._waiting):
             call = waiting.call
             wait_s = self._prefill_wait_s(call, self._best_prefill(waiting, views))
-            pressure = Pressure(wait_s, self._speed(call), 0.0)
+            pressure = self._pressure(call, wait_s, 0.0)
             first_s = first_event_s(call.head.prompt_tokens, pressure)
             rank = urgency(call, first_s, now)
             if waiting.continued:
@@ -252,12 +254,18 @@
     def _speed(self, call):
         return self._ctx.demand.prefill_speed(call.service.name)
 
+    def _pressure(self, call, wait_s, memory_share):
+        first_event_s = self._ctx.demand.first_event_s(call.service.name)
+        return Pressure(wait_s, self._speed(call), memory_share, first_event_s)
+
     def _best_prefill(self, waiting, views):
         prefills = views.of(waiting, Stage.PREFILL)
         return choose_prefill(prefills, self._ctx.rng.random())
 
     def _prefill_wait_s(self, call, prefill):
-        return prefill.prefill_tokens / self._speed(call) if prefill else 0.0
+        if prefill is None:
+            return 0.0
+        return prefill.prefill_tokens / self._speed(call).tokens_s
 
     def _try(self, waiting, rank, views):
         ctx, call = self._ctx, waiting.call
@@ -270,7 +278,7 @@
         prefill = self._best_prefill(waiting, views)
         wait_s = self._prefill_wait_s(call, prefill)
         share = (decode.memory_tokens + need) / engine.memory_tokens
-        if not may_start(rank, Pressure(wait_s, self._speed(call), share)):
+        if not may_start(rank, self._pressure(call, wait_s, share)):
             return None
         pause_s = reading_pause_s(call.head.prompt_tokens, self._speed(call))
         if waiting.decode_only or reads_prompt_itself(
@@ -327,9 +335,11 @@
             end_decode()
 
         speed = self._speed(call)
+        wait_s = self._prefill_wait_s(call, prefill)
         return Placement(
             prefill and prefill.server,
-            self._prefill_wait_s(call, prefill) + tokens / speed,
+            wait_s + speed.base_s + tokens / speed.tokens_s,
+            tokens + (prefill.prefill_tokens if prefill else 0),
             decode.server,
             need,
             pressed,
@@ -343,9 +353,9 @@
 
     Args:
         prompt_tokens: Length of the prompt.
-        prefill_speed: Prompt tokens that a prefill server computes in a second.
+        prefill_speed: `PrefillSpeed` of a prefill server.
     """
-    return prompt_tokens / (DECODE_READ_SHARE * prefill_speed) + STEP_S
+    return prompt_tokens / (DECODE_READ_SHARE * prefill_speed.tokens_s) + STEP_S
 
 
 def reads_prompt_itself(prefill, decode, wait_s, pause_s, max_gap_s):
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -22,18 +22,18 @@
 OK = 200
 
 
-def run_prefill(ctx, call, attempts, server, expected_s):
+def run_prefill(ctx, call, attempts, placement):
     """Returns ``Result[str, Refusal]`` with the handle of the KV cache.
 
     Args:
         ctx: `RelayContext`.
         call: `Call`.
         attempts: `StreamAttempts`.
-        server: Prefill server.
-        expected_s: Time that the server's queue and the prompt take.
+        placement: `Placement` with a prefill server.
     """
+    server = placement.prefill
     started_at = ctx.clock.monotonic()
-    limit_s = min(PREFILL_TIMEOUT_S, LEAST_PATIENCE_S + PATIENCE * expected_s)
+    limit_s = min(PREFILL_TIMEOUT_S, LEAST_PATIENCE_S + PATIENCE * placement.prefill_s)
     answer = _ask(ctx, call, attempts, server, limit_s)
     if answer.is_err():
         return answer
@@ -50,7 +50,11 @@
         return _refused(Reason.BACKEND_FAILED, "the prefill can't be read")
     attempts.computed()
     found = decoded.unwrap()
-    _note(ctx, call, server, found.tokens, ctx.clock.monotonic() - started_at)
+    seconds = ctx.clock.monotonic() - started_at
+    ctx.demand.note_prefill(
+        call.service.name, found.tokens, placement.work_tokens, seconds
+    )
+    _note(ctx, call, server, found.tokens, seconds)
     return Ok(found.handle)
 
 
@@ -85,7 +89,6 @@
 def _note(ctx, call, server, tokens, seconds):
     service = call.service.name
     ctx.outcomes.answered(server.name, seconds)
-    ctx.demand.note_prefill(service, tokens, seconds)
     current_metrics().step_ended(service, Step.PREFILL, seconds)
     log_event(
         "prefilled",
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -149,13 +149,7 @@
             conn = take_connection(
                 ctx.connections, server, self._call.route.repeatable, CONNECT_TIMEOUT_S
             )
-            found = run_prefill(
-                ctx,
-                self._call,
-                self._attempts,
-                placement.prefill,
-                placement.prefill_s,
-            )
+            found = run_prefill(ctx, self._call, self._attempts, placement)
             placement.end_prefill()
             if found.is_err():
                 return found
@@ -239,6 +233,7 @@
             last_event_id=self._output.last_id if self._output.started else None,
         )
         exchange = None
+        called_at = ctx.clock.monotonic()
         try:
             exchange = open_exchange(
                 ctx.connections,
@@ -266,7 +261,7 @@
                     ctx.handles.fetched(computed.server.name)
             if head.status != OK:
                 return self._pass_on(exchange, head)
-            return self._relay(placement, exchange, head)
+            return self._relay(placement, exchange, head, called_at)
         except ExchangeBroken as exc:
             self._attempts.failed(server, exc, sent=exchange is not None)
             return _decode_failed(exc)
@@ -301,9 +296,10 @@
         may_repeat = self._call.route.repeatable and self._attempts.is_left()
         return self._output.started or may_repeat
 
-    def _relay(self, placement, exchange, head):
+    def _relay(self, placement, exchange, head, called_at):
         """Passes on a stream; returns ``Ok`` once it is complete."""
         self._output.begin_server()
+        waits = placement.prefill is not None
         started_at = self._ctx.clock.monotonic()
         self._note_opened(placement.decode, started_at)
         pauses = self._watch_silence(exchange, placement.decode)
@@ -314,6 +310,10 @@
             for data in exchange.chunks():
                 pauses.clear()
                 placement.end_prefill()
+                if waits:
+                    waits = False
+                    first_s = self._ctx.clock.monotonic() - called_at
+                    self._ctx.demand.note_first_event(service.name, first_s)
                 self._output.feed(head, data)
             self._output.finish(head)
             run.end()
