Let the next instance give stage orders after half a second in place of three

Hypothesis: a pool that lost a server waits for it. The lease keeps two instances from ordering; the wait for each place only saves writes of the store that lose.

--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -24,7 +24,7 @@
 # sooner. Each further instance in order of name waits longer, as the first one may
 # not reach the store.
 UNBALANCED_S = 2.0
-RANK_S = 3.0
+RANK_S = 0.5
 
 
 class StageBalancer:
