Let the soak restore its store, and servers leave by their answers and ask for pauses

Restore takes the store back to a copy of up to three seconds ago, at times after an outage, and the operator and the servers write again up to two seconds later. Leave lets a server say that it leaves in its answers alone; AskPause lets it refuse with a time. Two checks look at what the servers have seen; evidence that breaks each is played to them.

--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -20,6 +20,11 @@
 # A silent store is noticed after its open polls have timed out.
 STORE_SETTLE_S = 4.0
 LOST_ANSWERS, LATE_S = 3, 1.0
+# Longest time until what a restore has undone is written again.
+REWRITE_S = 2.0
+# Time for which a server serves on after it has begun to say that it leaves.
+LEAVE_S = 3.0
+LONGEST_PAUSE_S = 4.0
 FEWEST, MOST = 6, 14
 SHORTEST_S, LONGEST_S = 0.3, 3.0
 
@@ -211,6 +216,58 @@
         store.down, store.silent, store.lose_answers = 0, False, 0
 
 
+class Restore(Fault):
+    """The store comes back from an older copy, at a low strength after an outage."""
+
+    settle_s = STORE_SETTLE_S
+
+    def targets(self, world):
+        return ["store"]
+
+    def strike(self, world, step):
+        copy = world.store.copy()
+        gevent.sleep(step.for_s)
+        if step.strength < 0.5:
+            world.store.down = 503
+            gevent.sleep(step.for_s)
+            world.store.down = 0
+        world.restore_store(copy, REWRITE_S * step.strength)
+
+
+class Leave(Fault):
+    """A server's answers say that it leaves; its entry says so later, or never."""
+
+    settle_s = 1.0
+
+    def targets(self, world):
+        return list(SERVERS)
+
+    def strike(self, world, step):
+        place = step.target
+        server = world.servers[place]
+        server.leaving = True
+        gevent.sleep(LEAVE_S + step.for_s)
+        if step.strength < 0.5:
+            world.drain_server(place)
+            gevent.sleep(step.for_s)
+        world.remove_server(place)
+        world.start_server(place, server.service, server.stage)
+
+
+class AskPause(Fault):
+    """A server refuses requests and asks to be left alone for some time."""
+
+    def targets(self, world):
+        return list(SERVERS)
+
+    def strike(self, world, step):
+        server = world.servers[step.target]
+        server.pause_s = LONGEST_PAUSE_S * step.strength
+        server.faults = {"pause": 0.5}
+        gevent.sleep(step.for_s)
+        server.faults = {}
+
+
 class ServerFaults(Fault):
     """A server answers part of its requests wrongly."""
 
@@ -242,8 +299,7 @@
         old = world.servers[step.target].name
         world.start_server(step.target, service, None)
         gevent.sleep(step.for_s)
-        world.leaving.setdefault(old, time.monotonic())
-        world.store.remove("servers", old)
+        world.drop_entry(old)
 
 
 class Drain(Fault):
@@ -293,6 +349,9 @@
         ServerLink,
         Reset,
         Store,
+        Restore,
+        Leave,
+        AskPause,
         ServerFaults,
         Replace,
         Drain,
@@ -358,6 +417,10 @@
     group = step.kind
     if step.kind in ("Pause", "Kill", "KillAll", "Stop"):
         group = "process"
-    elif step.kind in ("Replace", "Drain"):
+    elif step.kind in ("Replace", "Drain", "Leave"):
         group = "place"
+    elif step.kind in ("Store", "Restore"):
+        group = "store"
+    elif step.kind in ("ServerFaults", "AskPause"):
+        group = "answers"
     return {f"{group} {target}" for target in _struck(world, step)}
--- a/amaranthbay/platform/tests/soak/promises.py
+++ b/amaranthbay/platform/tests/soak/promises.py
@@ -20,8 +20,12 @@
 # A request that is unanswered at its route's time gets its answer this much later.
 LATE_S = 0.5
 PROMISING = frozenset((408, 421, 429, 503))
-STORE_FORMS = frozenset(("Store", "StoreLink"))
+STORE_FORMS = frozenset(("Store", "StoreLink", "Restore"))
+# Requests that may reach a server in its pause, and the time after the server has asked
+# for it in which those on their way don't count.
+PAUSE_REQUESTS, ON_THE_WAY_S = 2, 0.5
 PLANNED_FORMS = frozenset(("Stop", "Reload"))
+LINK_FORMS = frozenset(("CallerLink", "StoreLink", "Reset"))
 CHECKS = []
 
 
@@ -229,6 +233,49 @@
                 yield f"{attempt} reached {each.server} {late_s:.1f} s after it left"
 
 
+@check
+def answers_that_say_leaving_are_heeded(evidence):
+    """A server gets no request that was sent later than the drain bound after the
+    process has passed on an answer in which the server says that it leaves."""
+    told = {}
+    for each in evidence.world.statements():
+        passed = evidence.by_attempt.get(each.attempt)
+        if each.pause_s or passed is None or not passed.complete:
+            continue
+        key = passed.process, each.server
+        told[key] = min(told.get(key, passed.ended_at), passed.ended_at)
+    for attempt, arrivals in evidence.arrivals.items():
+        sent = evidence.by_attempt.get(attempt)
+        for each in arrivals if sent is not None else ():
+            told_at = told.get((sent.process, each.server))
+            if told_at is None or sent.sent_at <= told_at + DRAIN_S:
+                continue
+            without = LINK_FORMS | {"Reload"}
+            if not evidence.world.disturbed(sent.process, told_at, each.at, without):
+                yield f"{attempt} reached {each.server}, which had said it leaves"
+
+
+@check
+def pauses_are_kept(evidence):
+    """No more than two requests of a process reach a server in a pause that it has
+    asked that process for."""
+    reached = defaultdict(list)
+    for attempt, arrivals in evidence.arrivals.items():
+        sent = evidence.by_attempt.get(attempt)
+        for each in arrivals if sent is not None else ():
+            reached[sent.process, each.server].append(each.at)
+    for each in evidence.world.statements():
+        sent = evidence.by_attempt.get(each.attempt)
+        if not each.pause_s or sent is None:
+            continue
+        start, end = each.at + ON_THE_WAY_S, each.at + each.pause_s
+        count = _count(reached[sent.process, each.server], start, end)
+        without = {"Reset", "Reload"}
+        excused = evidence.world.disturbed(sent.process, each.at, end, without)
+        if count > PAUSE_REQUESTS and not excused:
+            yield f"{count} requests reached {each.server} in a pause"
+
+
 @check
 def processes_are_sound(evidence):
     """Processes end by a signal only, in time, and log JSON lines without defects."""
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -8,12 +8,14 @@
 
 from amaranthbay.platform.tests.standins import Reply, WorkerStandin
 
-__all__ = ["Arrival", "SoakServer", "expected_body", "expected_events"]
+__all__ = ["Arrival", "SoakServer", "Statement", "expected_body", "expected_events"]
 
 # Longer than any route's time, so that only the router ends the wait.
 HANG_S = 6.0
 LONGEST_WORK_S = 0.08
 EVENTS = 4
+# Forms of answers that say that nothing ran.
+REFUSALS = ("refuse", "pause")
 EVENT_PAUSE_S = 0.04
 
 
@@ -42,6 +44,23 @@
     prefill: bool
 
 
+@dataclass(frozen=True)
+class Statement:
+    """What a backend server has said of itself in an answer.
+
+    Attributes:
+        server: Name of the server.
+        attempt: Request that it answered.
+        at: Monotonic time.
+        pause_s: Time for which it wants no requests; 0 if it says that it leaves.
+    """
+
+    server: str
+    attempt: str
+    at: float
+    pause_s: float
+
+
 def expected_body(server, attempt):
     """Returns the plain answer that a server gives to a request."""
     return f"{server} ran {attempt}".encode()
@@ -64,24 +83,33 @@
         service: Its service.
         rng: `random.Random`.
         faults: Shares of the requests that are answered wrongly, by form: refuse,
-            error, cut, break, extra, hang.
+            pause, error, cut, break, extra, hang.
         arrivals: `Arrival` of each request.
+        pause_s: Pause that it asks for as it refuses.
+        statements: `Statement` of each answer in which it says that it leaves, or
+            asks for a pause.
     """
 
     service: str = ""
     rng: object = None
     faults: dict = field(default_factory=dict)
     arrivals: list = field(default_factory=list)
+    pause_s: float = 0.0
+    statements: list = field(default_factory=list)
 
-    def answer(self, req):
-        """Returns the `Reply` to a call."""
+    def _reply(self, req):
         if req.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, (("X-Instance-Id", self.name),))
         if self._is_control(req):
             return self._control(req)
         prefill = req.headers.get("x-serving-stage") == "prefill"
         form = self._draw()
-        self._note(req, form != "refuse" and not prefill, prefill)
+        self._note(req, form not in REFUSALS and not prefill, prefill)
+        if self.leaving:
+            self.statements.append(self._statement(req, 0.0))
+        if form == "pause":
+            self.statements.append(self._statement(req, self.pause_s))
+            return self.refuse(retry_after=f"{self.pause_s:.3f}")
         if form == "refuse":
             return self.refuse()
         if form == "hang":
@@ -93,7 +121,7 @@
         if form == "cut":
             return None
         if prefill:
-            return super().answer(req)
+            return super()._reply(req)
         if "x-token-count" in req.headers:
             return self._stream(req, form)
         return self._plain(req, form)
@@ -120,6 +148,10 @@
             )
         )
 
+    def _statement(self, req, pause_s):
+        attempt = req.headers.get("x-attempt-id", "")
+        return Statement(self.name, attempt, time.monotonic(), pause_s)
+
     def _plain(self, req, form):
         attempt = req.headers.get("x-attempt-id", "")
         body = expected_body(self.name, attempt)
--- a/amaranthbay/platform/tests/soak/world.py
+++ b/amaranthbay/platform/tests/soak/world.py
@@ -134,7 +134,7 @@
 
     def __init__(self, seed, processes=3, folder=None):
         self.rng = random.Random(seed)
-        self.store = StoreStandin()
+        self.store = StoreStandin(era=1)
         self.servers = {}
         self.links = {}
         self.processes = {}
@@ -147,6 +147,8 @@
         self._folder = folder
         self._stack = ExitStack()
         self._incarnations = 0
+        # Rows as their writers have them, whatever a restored store holds.
+        self._written = {}
 
     def __enter__(self):
         try:
@@ -182,7 +184,7 @@
         for each in tree["Routes"]:
             each["TimeoutMs"] = 2000
         tree["Services"].append({"Name": "other", "MaxConnections": 50})
-        self.store.put("op", "config", tree)
+        self._write("op", "config", tree)
         self.versions.append(Version(number, service, time.monotonic()))
 
     def _open_place(self, place):
@@ -212,7 +214,7 @@
         server = self.servers[place]
         address = self.links[place].address
         entry = server_entry(server.service, address, server.stage, state)
-        self.store.put("servers", server.name, entry)
+        self._write("servers", server.name, entry)
 
     def drain_server(self, place):
         """Says that a server leaves."""
@@ -221,9 +223,38 @@
 
     def remove_server(self, place):
         """Drops a server's entry; its address stays open."""
-        name = self.servers[place].name
+        self.drop_entry(self.servers[place].name)
+
+    def drop_entry(self, name):
+        """Drops the entry of a server that has left its place."""
         self.leaving.setdefault(name, time.monotonic())
-        self.store.remove("servers", name)
+        self._remove("servers", name)
+
+    def _write(self, table, key, value):
+        self._written[table, key] = value
+        self.store.put(table, key, value)
+
+    def _remove(self, table, key):
+        self._written.pop((table, key), None)
+        if (table, key) in self.store.rows:
+            self.store.remove(table, key)
+
+    def restore_store(self, copy, pause_s):
+        """Takes the store back to a copy; all writers write again after a pause.
+
+        Args:
+            copy: `StoreCopy`.
+            pause_s: Longest time until the operator or a server writes again.
+        """
+        self.store.restore(copy)
+        gevent.sleep(pause_s)
+        keys = [*self._written, *self.store.rows]
+        for table, key in sorted(set(keys), key=lambda each: self.rng.random()):
+            if (table, key) in self._written:
+                self.store.put(table, key, self._written[table, key])
+            elif table == "servers" and (table, key) in self.store.rows:
+                # A server that is gone is silent, so that its entry lapses.
+                self.store.remove(table, key)
 
     def _create_process(self, name, zone):
         ports = {each: free_port() for each in ("Front", "Ready", "Directory")}
@@ -360,6 +391,11 @@
             for each in self.disturbances
         )
 
+    def statements(self):
+        """Returns the `Statement` of all servers."""
+        servers = [*self.servers.values(), *self.retired]
+        return [each for server in servers for each in server.statements]
+
     def arrivals(self):
         """Returns the `Arrival` of all requests at all servers."""
         servers = [*self.servers.values(), *self.retired]
--- a/amaranthbay/platform/tests/test_promises.py
+++ b/amaranthbay/platform/tests/test_promises.py
@@ -10,8 +10,10 @@
     Evidence,
     answers_belong_to_their_requests,
     answers_come_in_time,
+    answers_that_say_leaving_are_heeded,
     configuration_is_in_force,
     leaving_servers_get_nothing,
+    pauses_are_kept,
     processes_are_sound,
     refused_requests_never_run,
     repeats_keep_their_budget,
@@ -22,6 +24,7 @@
 )
 from amaranthbay.platform.tests.soak.servers import (
     Arrival,
+    Statement,
     expected_body,
     expected_events,
 )
@@ -45,6 +48,7 @@
         disturbances=disturbances,
         versions=[Version(1, "desk", 0.0)],
         leaving={},
+        statements=lambda: [],
         processes={"entry-1": SimpleNamespace(exits=[0])},
         log_lines=lambda name: ([], []),
         peaks_mb={"entry-1": 60.0},
@@ -196,6 +200,47 @@
         case.assertEqual(bool(seen), broken)
 
 
+def test_request_at_a_server_that_said_it_leaves_is_seen(case):
+    """Guards against a check that overlooks work for a server whose answers say that
+    it leaves, and against one that excuses it by a cut."""
+    told = exchange(attempt="a1", at=10.0)
+    said = [Statement("desk-1", "a1", 10.0, 0.0)]
+    for at, form, broken in (
+        (10.2 + DRAIN_S, "StoreLink", True),
+        (10.0 + DRAIN_S, "StoreLink", False),
+        (10.2 + DRAIN_S, "Pause", False),
+    ):
+        sent = exchange(attempt="a2", at=at)
+        seen = found(
+            answers_that_say_leaving_are_heeded,
+            [told, sent],
+            [arrival(told), arrival(sent)],
+            disturbances=[Disturbance("entry-1", form, 11.0, 12.0)],
+            statements=lambda: said,
+        )
+        case.assertEqual(bool(seen), broken, (at, form))
+
+
+def test_requests_in_a_pause_are_seen(case):
+    """Guards against a check that overlooks a third request in a pause, or counts those
+    that were on their way."""
+    asked = exchange(attempt="a0", at=10.0, status=503)
+    said = [Statement("desk-1", "a0", 10.0, 3.0)]
+    for times, broken in (
+        ((10.6, 11.0, 12.9), True),
+        ((10.6, 11.0, 13.1), False),
+        ((10.4, 11.0, 12.9), False),
+    ):
+        sent = [exchange(attempt=f"a{at}", at=at) for at in times]
+        seen = found(
+            pauses_are_kept,
+            [asked, *sent],
+            [arrival(each) for each in (asked, *sent)],
+            statements=lambda: said,
+        )
+        case.assertEqual(bool(seen), broken, times)
+
+
 def test_unsound_processes_are_seen(case):
     """Guards against a check that overlooks exits, defects, stray output and memory."""
     crashed = {"entry-1": SimpleNamespace(exits=[0, -11])}
