Take the speed of prefill servers from prompts that met no other one

What is ahead by the reports is computed in part, and counts until its answer has come. Queues were overlooked.

Change: only prompts that met an idle server count, and the tokens of the last base time count as computed in the wait of the next one.

--- a/amaranthbay/relay/admission.py
+++ b/amaranthbay/relay/admission.py
@@ -62,8 +62,7 @@
 
 def first_event_s(prompt_tokens, pressure):
     """Returns the time from a start to the first event."""
-    speed = pressure.prefill_speed
-    compute_s = speed.base_s + prompt_tokens / speed.tokens_s
+    compute_s = pressure.prefill_speed.prompt_s(prompt_tokens)
     return pressure.prefill_wait_s + compute_s + pressure.first_event_s
 
 
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -123,16 +123,17 @@
             self._samples[service] = _Samples(self._clock)
         return self._samples[service]
 
-    def note_prefill(self, service, tokens, work_tokens, seconds):
+    def note_prefill(self, service, tokens, tokens_ahead, seconds):
         """Notes a prompt that a prefill server has computed.
 
         Args:
             service: Name of the service.
             tokens: Length of the prompt.
-            work_tokens: The same with the prompts that were ahead of it.
+            tokens_ahead: Those of the prompts that were ahead of it.
             seconds: Time until the answer.
         """
-        self._of(service).prefills.note(work_tokens, seconds)
+        if not tokens_ahead:
+            self._of(service).prefills.note(tokens, seconds)
         self._of(service).prompts.append(tokens)
 
     def note_first_event(self, service, seconds):
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -54,7 +54,7 @@
     Attributes:
         prefill: Prefill server; None if the decode server reads the prompt.
         prefill_s: Time that the prefill server's queue and the prompt take.
-        work_tokens: Prompt tokens of the queue and the prompt.
+        tokens_ahead: Prompt tokens of the queue.
         decode: Decode server.
         end_prefill: Function that takes the prompt off the prefill server's load.
         release: Function that takes the attempt off both servers' loads.
@@ -64,7 +64,7 @@
 
     prefill: object
     prefill_s: float
-    work_tokens: int
+    tokens_ahead: int
     decode: object
     need_tokens: int
     pressed: bool
@@ -265,7 +265,7 @@
     def _prefill_wait_s(self, call, prefill):
         if prefill is None:
             return 0.0
-        return prefill.prefill_tokens / self._speed(call).tokens_s
+        return self._speed(call).wait_s(prefill.prefill_tokens)
 
     def _try(self, waiting, rank, views):
         ctx, call = self._ctx, waiting.call
@@ -334,12 +334,11 @@
             end_prefill()
             end_decode()
 
-        speed = self._speed(call)
         wait_s = self._prefill_wait_s(call, prefill)
         return Placement(
             prefill and prefill.server,
-            wait_s + speed.base_s + tokens / speed.tokens_s,
-            tokens + (prefill.prefill_tokens if prefill else 0),
+            wait_s + self._speed(call).prompt_s(tokens),
+            prefill.prefill_tokens if prefill else 0,
             decode.server,
             need,
             pressed,
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -52,7 +52,7 @@
     found = decoded.unwrap()
     seconds = ctx.clock.monotonic() - started_at
     ctx.demand.note_prefill(
-        call.service.name, found.tokens, placement.work_tokens, seconds
+        call.service.name, found.tokens, placement.tokens_ahead, seconds
     )
     _note(ctx, call, server, found.tokens, seconds)
     return Ok(found.handle)
--- a/amaranthbay/relay/speed.py
+++ b/amaranthbay/relay/speed.py
@@ -34,13 +34,26 @@
     tokens_s: float = 30_000.0
     base_s: float = 0.1
 
+    def wait_s(self, tokens_ahead):
+        """Returns the time until a server begins with the next prompt.
+
+        Args:
+            tokens_ahead: Prompt tokens whose answers have not come. Those of the last
+                `base_s` are computed already.
+        """
+        return max(0.0, tokens_ahead / self.tokens_s - self.base_s)
+
+    def prompt_s(self, tokens):
+        """Returns the time that a prompt takes once it has begun."""
+        return self.base_s + tokens / self.tokens_s
+
 
 def fit_speed(samples):
     """Returns the `PrefillSpeed` that samples show, or None if they are too few.
 
     Args:
-        samples: Pairs of the prompt tokens that a server had to compute until an
-            answer, those ahead included, and the seconds until it.
+        samples: Pairs of the length in tokens of a prompt that met no other one, and
+            the seconds until its answer.
 
     Examples:
         >>> work = range(1000, 6000, 100)
@@ -55,34 +68,37 @@
     ordered = sorted(samples)
     size = len(ordered) // END_SHARE
     short, long = (_medians(each) for each in (ordered[:size], ordered[-size:]))
-    tokens, seconds = long[0] - short[0], long[1] - short[1]
-    if tokens < LEAST_SPREAD * short[0] or seconds <= 0:
+    spread, seconds = long[0] - short[0], long[1] - short[1]
+    if spread < LEAST_SPREAD * short[0] or seconds <= 0:
         return None
-    speed = tokens / seconds
-    base_s = median(taken_s - work / speed for work, taken_s in samples)
+    speed = spread / seconds
+    base_s = median(taken_s - tokens / speed for tokens, taken_s in samples)
     return PrefillSpeed(speed, max(0.0, base_s))
 
 
 def _medians(samples):
-    work, seconds = zip(*samples)
-    return median(work), median(seconds)
+    tokens, seconds = zip(*samples)
+    return median(tokens), median(seconds)
 
 
 class PrefillTimes:
-    """Latest prompts of one service that prefill servers have computed."""
+    """Latest prompts of one service, and what they show."""
 
     def __init__(self):
         self._samples = deque(maxlen=SAMPLES)
         self._fitted = None
 
-    def note(self, work_tokens, seconds):
-        """Notes a prompt.
+    def note(self, tokens, seconds):
+        """Notes a prompt that met no other one at its server.
+
+        Behind others the time says little: what is ahead is known from reports, and
+        counts until its answer has come.
 
         Args:
-            work_tokens: Its tokens and those that were ahead of it at the server.
+            tokens: Its length.
             seconds: Time until the answer.
         """
-        self._samples.append((work_tokens, seconds))
+        self._samples.append((tokens, seconds))
         self._fitted = fit_speed(self._samples) or self._fitted
 
     def speed(self):
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -236,7 +236,7 @@
     clock = ManualClock()
     meter = DemandMeter(clock, lambda service: peers)
     for _ in range(4):
-        meter.note_prefill("lm", 3000, 3000, 0.6)
+        meter.note_prefill("lm", 3000, 0, 0.6)
         run = meter.begin_decode("lm", 0.1)
         clock.advance(3.0)
         run.end()
@@ -259,7 +259,7 @@
             ends.remove((at, run))
         run = meter.begin_decode("lm", FILL_SHARE)
         ends.append((step + (20 if step % 2 else 80), run))
-        meter.note_prefill("lm", 3000, 3000, 0.1)
+        meter.note_prefill("lm", 3000, 0, 0.1)
         clock.advance(0.05)
     decode_s = meter.own()["lm"].decode_s
     case.assertGreater(decode_s, 2.0)
@@ -271,14 +271,16 @@
 def check_speed(seed):
     rng = random.Random(seed)
     meter = DemandMeter(ManualClock())
-    for number in range(60):
+    for number in range(120):
         tokens = rng.randint(1000, 6000)
         ahead = rng.choice((0, 0, rng.randint(1000, 9000)))
-        seconds = 0.1 + (tokens + ahead) / 33_000 + rng.gauss(0.0, 0.01)
+        # What is ahead by the reports is computed in part.
+        left = ahead * rng.random()
+        seconds = 0.1 + (tokens + left) / 33_000 + rng.gauss(0.0, 0.01)
         if number % 10 == 0:
             # A slow server, a lost packet, a prompt that was cached.
             seconds = rng.choice((seconds * 4, seconds + 0.2, 0.1))
-        meter.note_prefill("lm", tokens, tokens + ahead, seconds)
+        meter.note_prefill("lm", tokens, ahead, seconds)
     speed = meter.prefill_speed("lm")
     assert 26_000 < speed.tokens_s < 42_000, speed
     assert 0.05 < speed.base_s < 0.15, speed
