Let smaller streams use the servers that a large one does not wait for

Hypothesis: a large stream at the head of the queue keeps all others from starting, so that servers stay filled to 85% in a burst.

Change: the server that has room first is kept for it; the others may take smaller ones.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -91,12 +91,18 @@
         self._ctx = ctx
         self._found = {}
 
-    def of(self, waiting, stage):
-        """Returns the candidates that a waiting request may use."""
+    def of(self, waiting, stage, kept=frozenset()):
+        """Returns the candidates that a waiting request may use.
+
+        Args:
+            waiting: The request.
+            stage: `Stage` of the servers.
+            kept: Names of servers that are kept for others.
+        """
         key = waiting.call.service.name, stage
         if key not in self._found:
             self._found[key] = self._ctx.candidates(*key)
-        without = waiting.without
+        without = waiting.without | kept
         if stage is Stage.PREFILL:
             without = without | self._ctx.handles.distrusted()
         return [each for each in self._found[key] if each.server.name not in without]
@@ -222,15 +228,23 @@
             return
         self._next_at = now + ADVANCE_S
         views = _Views(self._ctx)
+        kept = frozenset()
         for rank, _, waiting in self._ranked(now, views):
-            placement = self._try(waiting, rank, views)
+            placement = self._try(waiting, rank, views, kept)
             if placement is not None:
                 self._waiting.remove(waiting)
                 waiting.ready.set(placement)
                 views = _Views(self._ctx)
             elif rank is Urgency.IN_TIME:
-                # A smaller request must not overtake for ever.
-                return
+                # Smaller requests must not overtake for ever: the server that has room
+                # first is kept for it.
+                kept |= self._next_free(waiting, views, kept)
+
+    def _next_free(self, waiting, views, kept):
+        """Returns the name of the server that a request waits for, in a set."""
+        decodes = views.of(waiting, Stage.DECODE, kept)
+        first = min(decodes, key=lambda each: each.memory_tokens, default=None)
+        return frozenset() if first is None else frozenset((first.server.name,))
 
     def _ranked(self, now, views):
         """Returns rank, order in the rank and entry of the waiting, sorted."""
@@ -267,11 +281,11 @@
             return 0.0
         return self._speed(call).wait_s(prefill.prefill_tokens)
 
-    def _try(self, waiting, rank, views):
+    def _try(self, waiting, rank, views, kept):
         ctx, call = self._ctx, waiting.call
         engine = call.service.engine
         need = memory_need(call.head)
-        decodes = views.of(waiting, Stage.DECODE)
+        decodes = views.of(waiting, Stage.DECODE, kept)
         decode = choose_decode(decodes, need, engine.memory_tokens, ctx.rng.random())
         if decode is None:
             return None
