Report all loads every 0.6 s in large fleets, and at once to a new process

Changed loads are reported within 20 ms in any case; whole reports mend what was lost.

Change: the regular interval of 0.2 to 0.6 s by the size of the fleet is the only one. An instance with work answers the first report of a new process with all loads. Small fleets report as before.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -36,12 +36,12 @@
 # instances that decide on older loads choose the same server.
 HASTY_INTERVAL_S = 0.02
 REPORT_LIMIT_S = 2.0
-# Instances that serve callers report to everybody at least this often.
+# Instances that serve callers report to everybody at least this often. It mends what was
+# lost of their changes, and is shorter than the time for which loads count.
 SERVING_INTERVAL_S = 0.6
 # Reports that may be lost in a row before an instance is left out of lookups.
 MISSED_REPORTS = 4
-# Instances with work report it to each other at the shortest interval; what one has
-# reported counts for this long.
+# Loads that an instance has reported count for this long.
 LOAD_LIFE_S = 1.0
 # The table of instances is read at most this often for one that it does not name.
 STRANGER_S = 10.0
@@ -299,6 +299,9 @@
         if known is None or known.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._heard[status.instance] = heard
+        if known is None and self._has_work():
+            # A new process knows no loads yet.
+            self.announce({status.instance})
         self._on_status(status)
 
     def _note_stranger(self, name, sender):
@@ -415,7 +418,7 @@
         self._changed.set()
 
     def _report(self):
-        reported_at = whole_at = self._clock.monotonic()
+        reported_at = self._clock.monotonic()
         while True:
             self._changed.wait(REPORT_INTERVAL_S - HASTY_INTERVAL_S)
             changed = self._changed.is_set()
@@ -423,10 +426,7 @@
             now = self._clock.monotonic()
             if now - reported_at >= self.interval_s():
                 self.announce(self._audience())
-                reported_at = whole_at = now
-            elif now - whole_at >= REPORT_INTERVAL_S and self._has_work():
-                self.announce(self._busy_names())
-                whole_at = now
+                reported_at = now
             elif changed:
                 self.announce(self._busy_names(), only_changes=True)
             self._clock.sleep(HASTY_INTERVAL_S)
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -190,6 +190,21 @@
     case.assertEqual(made["entry-2"].loads(), load)
 
 
+def test_new_process_learns_the_loads_at_once(case):
+    """Guards against placing blindly for half a second after each restart, and against
+    answers to each report."""
+    made, _ = peers()
+    sent = []
+    made.announce = lambda names=None, only_changes=False: sent.append(names)
+    made.hear(status(1))
+    case.assertEqual(sent, [])
+    made._has_work = lambda: True
+    made.hear(status(2))
+    made.hear(status(1, process=6))
+    made.hear(status(2, process=6))
+    case.assertEqual(sent, [{"entry-2"}])
+
+
 def busy_status(sequence, servers=78):
     """Returns a report of an instance that knows something of everything."""
     loads = {f"i-{n:010x}": ServerLoad(20, 20000, 9000) for n in range(servers)}
