--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -36,8 +36,8 @@
 # instances that decide on older loads choose the same server.
 HASTY_INTERVAL_S = 0.02
 REPORT_LIMIT_S = 2.0
-# Instances that serve callers report to everybody at least this often. It mends what was
-# lost of their changes, and is shorter than the time for which loads count.
+# Instances that serve callers report to everybody at least this often. That mends what
+# was lost of their changes, and is shorter than the time for which loads count.
 SERVING_INTERVAL_S = 0.6
 # Reports that may be lost in a row before an instance is left out of lookups.
 MISSED_REPORTS = 4
