Read a prompt at the decode server only if it would be late otherwise

Hypothesis: from a prefill queue of 0.4 s on, decode servers read prompts that would be in time at the prefill server, and hold up ten streams for 0.2 s each time.

Change: `relay.reading` compares the first event both ways with the time left. The rule is a function of its own, and the fixed 0.4 s go.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -18,7 +18,12 @@
     urgency,
 )
 from amaranthbay.relay.choice import choose_decode, choose_prefill
-from amaranthbay.relay.pools import DECODE_READ_SHARE
+from amaranthbay.relay.reading import (
+    ReadingTimes,
+    reading_pause_s,
+    reading_s,
+    reads_prompt_itself,
+)
 from amaranthbay.relay.refusals import all_paused
 from amaranthbay.routing import Stage
 
@@ -33,11 +38,6 @@
 # Requests that wait at a daemon; each holds its body and a connection.
 QUEUE_LENGTH = 200
 MIN_RETRY_S = 0.5
-# Prefill queue from which a decode server computes a prompt itself.
-OVERFLOW_S = 0.4
-# Time from one event of a decode server's streams to the next, on which the pause comes
-# on top while it reads a prompt.
-STEP_S = 0.05
 # Part of an answer's expected length that its run holds on average.
 ANSWER_SHARE = 0.75
 # Part of a decode server's memory from which the reports of other daemons are too
@@ -294,10 +294,7 @@
         share = (decode.memory_tokens + need) / engine.memory_tokens
         if not may_start(rank, self._pressure(call, wait_s, share)):
             return None
-        pause_s = reading_pause_s(call.head.prompt_tokens, self._speed(call))
-        if waiting.decode_only or reads_prompt_itself(
-            prefill, decode, wait_s, pause_s, call.route.max_gap_s
-        ):
+        if waiting.decode_only or self._reads_itself(call, prefill, decode):
             prefill = None
         log_decision(
             "stream_servers",
@@ -314,6 +311,19 @@
         )
         return self._reserve(call, prefill, decode, need, share > PRESSED_SHARE)
 
+    def _reads_itself(self, call, prefill, decode):
+        """Returns whether the decode server should compute the prompt of a call."""
+        tokens, speed = call.head.prompt_tokens, self._speed(call)
+        first_s = self._ctx.demand.first_event_s(call.service.name)
+        pressure = self._pressure(call, self._prefill_wait_s(call, prefill), 0.0)
+        times = ReadingTimes(
+            apart_s=first_event_s(tokens, pressure),
+            itself_s=reading_s(tokens, speed) + first_s,
+            left_s=call.target_at - self._ctx.clock.monotonic(),
+            pause_s=reading_pause_s(tokens, speed),
+        )
+        return reads_prompt_itself(prefill, decode, times, call.route.max_gap_s)
+
     def another_decode(self, call, without):
         """Returns a `Placement` for a prompt that is computed, or None.
 
@@ -361,37 +371,6 @@
         )
 
 
-def reading_pause_s(prompt_tokens, prefill_speed):
-    """Returns the pause of a decode server's streams while it reads a prompt.
-
-    Args:
-        prompt_tokens: Length of the prompt.
-        prefill_speed: `PrefillSpeed` of a prefill server.
-    """
-    return prompt_tokens / (DECODE_READ_SHARE * prefill_speed.tokens_s) + STEP_S
-
-
-def reads_prompt_itself(prefill, decode, wait_s, pause_s, max_gap_s):
-    """Returns whether the decode server should compute the prompt.
-
-    It does so at half the speed and holds up the streams that it runs, which is
-    better than a first event that is late for want of a prefill server, but not if
-    all of these streams become late.
-
-    Args:
-        prefill: `Candidate` of the best prefill server, or None.
-        decode: `Candidate` of the decode server.
-        wait_s: Time until the prefill server would begin.
-        pause_s: Pause of the decode server's streams.
-        max_gap_s: Longest pause between events that is still on time, or None.
-    """
-    if prefill is None:
-        return True
-    if decode.running and max_gap_s is not None and pause_s > max_gap_s:
-        return False
-    return wait_s > OVERFLOW_S and decode.prefill_tokens == 0
-
-
 def memory_need(head):
     """Returns the tokens of KV cache that a stream takes on average over its run.
 
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Choices of servers and of the next stream, without a network."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 from hypothesis import given, settings, strategies as st
@@ -25,8 +26,12 @@
 from amaranthbay.relay.demand import FILL_SHARE, DemandMeter
 from amaranthbay.relay.events import EventSplitter
 from amaranthbay.relay.outcomes import ServerOutcomes
-from amaranthbay.relay.placing import reading_pause_s, reads_prompt_itself
 from amaranthbay.relay.pools import StageDemand, plan_prefill_servers
+from amaranthbay.relay.reading import (
+    ReadingTimes,
+    reading_pause_s,
+    reads_prompt_itself,
+)
 from amaranthbay.relay.speed import PrefillSpeed, fit_speed
 from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
 from amaranthbay.utils.testing import ManualClock, collect
@@ -207,14 +212,29 @@
     their callers allow, for the sake of one first event."""
     prefill = candidate("pre", prefill_tokens=20000)
     busy, idle = candidate("dec", running=9), candidate("dec")
-    short = reading_pause_s(2500, SPEED)
-    long = reading_pause_s(5100, SPEED)
-    case.assertTrue(reads_prompt_itself(prefill, busy, 0.6, short, 0.3))
-    case.assertFalse(reads_prompt_itself(prefill, busy, 0.6, long, 0.3))
-    case.assertTrue(reads_prompt_itself(prefill, idle, 0.6, long, 0.3))
-    case.assertTrue(reads_prompt_itself(prefill, busy, 0.6, long, None))
-    case.assertTrue(reads_prompt_itself(None, busy, 0.0, long, 0.3))
-    case.assertFalse(reads_prompt_itself(prefill, idle, 0.1, short, 0.3))
+    late = ReadingTimes(1.1, 0.4, 0.9, reading_pause_s(2500, SPEED))
+    long = replace(late, pause_s=reading_pause_s(5100, SPEED))
+    case.assertTrue(reads_prompt_itself(prefill, busy, late, 0.3))
+    case.assertFalse(reads_prompt_itself(prefill, busy, long, 0.3))
+    case.assertTrue(reads_prompt_itself(prefill, idle, long, 0.3))
+    case.assertTrue(reads_prompt_itself(prefill, busy, long, None))
+    case.assertTrue(reads_prompt_itself(None, busy, long, 0.3))
+
+
+def test_prompt_is_read_apart_unless_that_alone_makes_it_late(case):
+    """Guards against streams that are held up for a prompt that would be in time at the
+    prefill server, or is late at both, or comes on top of another one."""
+    prefill, decode = candidate("pre", prefill_tokens=9000), candidate("dec", running=9)
+    for apart_s, itself_s, left_s, expected in (
+        (0.5, 0.4, 0.9, False),
+        (1.0, 0.4, 0.9, True),
+        (1.0, 0.4, 0.3, False),
+    ):
+        times = ReadingTimes(apart_s, itself_s, left_s, 0.2)
+        seen = reads_prompt_itself(prefill, decode, times, 0.3)
+        case.assertEqual(seen, expected, times)
+        reading = replace(decode, prefill_tokens=1000)
+        case.assertFalse(reads_prompt_itself(prefill, reading, times, 0.3))
 
 
 def test_pools_are_planned_by_the_work_of_each_stage(case):
--- a/amaranthbay/relay/tests/test_pools.py
+++ b/amaranthbay/relay/tests/test_pools.py
@@ -8,12 +8,12 @@
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.relay.pools import (
-    DECODE_READ_SHARE,
     LEAST_GAIN,
     StageDemand,
     plan_prefill_servers,
     streams_per_s,
 )
+from amaranthbay.relay.reading import reading_s
 from amaranthbay.relay.speed import PrefillSpeed
 from amaranthbay.utils.testing import collect
 
@@ -22,7 +22,7 @@
 SERVERS, MEMORY_TOKENS, SPEED = 6, 34_000, PrefillSpeed(33_333.0, 0.1)
 PROMPT_TOKENS, ANSWER_TOKENS, LIFE_S = 3200, 400, 3.6
 CALM_RATE, BURST_RATE, BURST_START_S, BURST_END_S, END_S = 6.5, 14.3, 3.0, 8.0, 14.0
-TARGET_S, FIRST_EVENT_S, OVERFLOW_S = 1.0, 0.12, 0.4
+TARGET_S, FIRST_EVENT_S = 1.0, 0.12
 DEMAND = StageDemand(
     PROMPT_TOKENS / SPEED.tokens_s,
     LIFE_S * (PROMPT_TOKENS + ANSWER_TOKENS) / MEMORY_TOKENS,
@@ -77,15 +77,18 @@
             waiting.popleft()
             number = min(range(prefill), key=busy_until.__getitem__)
             wait_s = max(0.0, busy_until[number] - now)
-            if wait_s > OVERFLOW_S and best.reads_until <= now:
-                read_s = tokens / (DECODE_READ_SHARE * SPEED.tokens_s)
+            apart_s = wait_s + SPEED.prompt_s(tokens) + FIRST_EVENT_S
+            read_s = reading_s(tokens, SPEED)
+            left_s = at + TARGET_S - now
+            reads_itself = read_s + FIRST_EVENT_S <= left_s < apart_s
+            if reads_itself and best.reads_until <= now:
                 best.reads_until = now + read_s
                 # Its streams stand still meanwhile.
                 best.ends = [(end + read_s, held) for end, held in best.ends]
                 first_s = read_s + FIRST_EVENT_S
             else:
                 busy_until[number] = now + wait_s + tokens / SPEED.tokens_s
-                first_s = wait_s + SPEED.prompt_s(tokens) + FIRST_EVENT_S
+                first_s = apart_s
             best.free -= need
             heapq.heappush(best.ends, (now + first_s + LIFE_S, need))
             in_time += now + first_s - at <= TARGET_S
