--- a/amaranthbay/platform/tests/test_entry_pauses.py
+++ b/amaranthbay/platform/tests/test_entry_pauses.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from amaranthbay.fleet.reports import PeerStatus
 from amaranthbay.platform.tests.fleet import (
     call,
     call_raw,
@@ -50,6 +51,16 @@
             case.assertLessEqual(len(fleet.workers[name].received), 1)
 
 
+def test_leaving_server_that_another_instance_reports_gets_no_work(case):
+    """Guards against each instance having to ask a leaving server once itself."""
+    fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
+    told = PeerStatus("entry-2", 7, 1, True, {}, leaving={"desk-1": 0})
+    fleet.daemon.peers.hear(told)
+    for number in range(8):
+        case.assertEqual(call(fleet, "/book/x", attempt=f"a{number}").status, 200)
+    case.assertEqual(fleet.workers["desk-1"].received, [])
+
+
 def test_new_process_under_the_name_gets_work(case):
     """Guards against a mark that outlives the process which it belongs to."""
     fleet = case.enterContext(small_fleet(plain=("desk-1", "desk-2")))
