--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -23,6 +23,7 @@
 app.command("status")(operate.show_status)
 app.command("drain")(operate.drain)
 app.command("explain")(operate.explain)
+app.command("streams")(operate.account_streams)
 app.command("bench")(bench_command)
 
 
--- a/amaranthbay/cli/operate.py
+++ b/amaranthbay/cli/operate.py
@@ -8,7 +8,7 @@
 
 from amaranthbay.cli.output import Exit, fail, print_json
 
-__all__ = ["drain", "explain", "show_status"]
+__all__ = ["account_streams", "drain", "explain", "show_status"]
 
 DRAIN_PATH = "/v1/drain"
 DRAIN_TIMEOUT_S = 30.0
@@ -135,3 +135,39 @@
         return
     for line in found:
         typer.echo(sentence(line))
+
+
+def account_streams(
+    logs: list[Path] = typer.Argument(
+        None, help="Log files of the daemons; standard input if none."
+    ),
+    target_s: float = typer.Option(1.0, help="Time to an answer that is late, s."),
+    gap_s: float = typer.Option(0.3, help="Pause between events that is too long, s."),
+    as_json: bool = JSON_OPTION,
+):
+    """Accounts for all streams and computed prompts in JSON log files.
+
+    Example: amaranthbay streams --target-s 1.0 entry-1.log entry-2.log
+    """
+    from amaranthbay.observe.explain import read_lines
+    from amaranthbay.observe.ledger import stream_ledger
+
+    try:
+        lines = read_lines(logs) if logs else read_lines(None, sys.stdin)
+        ledger = stream_ledger(lines, target_s, gap_s)
+    except OSError as exc:
+        fail(f"{exc.filename}: {exc.strerror}", Exit.FAULTY_INPUT, as_json)
+    streams = {
+        f"{fate}: {reason}" if reason else str(fate): count
+        for (fate, reason), count in sorted(ledger.streams.items())
+    }
+    tokens = {
+        cause or "fetched": count for cause, count in sorted(ledger.tokens.items())
+    }
+    if as_json:
+        print_json({"streams": streams, "prompt_tokens": tokens})
+        return
+    for title, counts in (("streams", streams), ("prompt tokens", tokens)):
+        typer.echo(f"{title}: {sum(counts.values())}")
+        for name, count in counts.items():
+            typer.echo(f"  {count:>9}  {name}")
--- /dev/null
+++ b/amaranthbay/observe/tests/test_ledger.py
@@ -0,0 +1,72 @@
+"""What the logs say of the streams and prompts of a day."""
+
+from tempfile import NamedTemporaryFile
+
+import msgspec
+from typer.testing import CliRunner
+
+from amaranthbay.cli import app
+from amaranthbay.observe.ledger import Fate, stream_ledger
+from amaranthbay.utils.testing import collect
+
+
+def lines(request_id, *events):
+    """Returns log lines of one stream; each event is a name with its fields."""
+    return [{"request_id": request_id, "event": e, **f} for e, f in events]
+
+
+PREFILLED = ("prefilled", {"tokens": 100})
+OPENED = ("stream_opened", {"seconds": 0.3})
+ENDED = ("stream_ended", {"longest_gap_s": 0.05})
+ANSWERED = ("request_ended", {"outcome": "answered"})
+REFUSED = ("request_ended", {"outcome": "refused", "reason": "overloaded"})
+PLACED = ("decision", {"decision": "stream_servers"})
+DAY = [
+    *lines("whole", PLACED, PREFILLED, OPENED, ENDED, ANSWERED),
+    *lines("late", PLACED, PREFILLED, ("stream_opened", {"seconds": 1.2}), ENDED),
+    *lines("gap", OPENED, ("stream_ended", {"longest_gap_s": 0.4})),
+    *lines("full", PLACED, REFUSED),
+    *lines("gone", PREFILLED, ("caller_gone", {}), ("request_ended", {})),
+    *lines("killed", PREFILLED, OPENED),
+    *lines("again", PREFILLED, ("handle_refused", {}), PREFILLED, OPENED, ENDED),
+    *lines("plain", ("attempt_ended", {}), ANSWERED),
+    {"event": "started"},
+]
+
+
+def test_each_stream_and_prompt_counts_once(case):
+    """Guards against an account that leaves streams or tokens out, or counts them
+    twice, so that its parts don't add up."""
+    ledger = stream_ledger(DAY, 1.0, 0.3)
+    case.assertEqual(
+        ledger.streams,
+        {
+            (Fate.IN_TIME, ""): 2,
+            (Fate.LATE_START, ""): 1,
+            (Fate.LATE_GAP, ""): 1,
+            (Fate.REFUSED, "overloaded"): 1,
+            (Fate.CALLER_LEFT, ""): 1,
+            (Fate.LOST, ""): 1,
+        },
+    )
+    case.assertEqual(ledger.count(), 7)
+    case.assertEqual(
+        ledger.tokens, {"": 400, "caller_gone": 100, "handle_refused": 100}
+    )
+
+
+def test_command_accounts_for_log_files(case):
+    """Guards against a command that fails on lines of collectors or other writers."""
+    with NamedTemporaryFile("wb", suffix=".log") as file:
+        file.write(b"12.1 entry-1 no json\n")
+        for line in DAY:
+            timed = {"time": "2026-01-01T00:00:00Z"} | line
+            file.write(b"12.1 entry-1 " + msgspec.json.encode(timed) + b"\n")
+        file.flush()
+        result = CliRunner().invoke(app, ["streams", file.name])
+    case.assertEqual(result.exit_code, 0, result.output)
+    for text in ("streams: 7", "refused: overloaded", "prompt tokens: 600", "fetched"):
+        case.assertIn(text, result.output)
+
+
+load_tests = collect(globals())
