Leave out a check that no failure needs

A mutation of the followers went unnoticed: changes of another era are followed by a whole read in the next step in any case, since the era of the store has changed.

--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -260,9 +260,6 @@
         if found.is_ok():
             self._note_answer(sent_at)
             changes = found.unwrap()
-            if changes.era not in (None, self.era):
-                # The versions of the era before say nothing any more.
-                return 0.0
             if changes.rows:
                 self._view.apply(changes.rows)
                 self._note_changed(changes.rows)
