--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -81,12 +81,10 @@
     Attributes:
         rows: The rows.
         version: Version from which to continue.
-        era: Era in which the version counts; None if the store names none.
     """
 
     rows: tuple[ChangedRow, ...]
     version: int
-    era: int | None = None
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/fleet/tests/test_eras.py
+++ b/amaranthbay/fleet/tests/test_eras.py
@@ -62,7 +62,7 @@
         if after > self.version:
             return self._deliver(self.number, Err(HistoryGone()))
         rows = tuple(row for row in self.history if row.version > after)
-        return self._deliver(self.number, Ok(Changes(rows, self.version, self.number)))
+        return self._deliver(self.number, Ok(Changes(rows, self.version)))
 
     def put(self, table, key, value):
         raise NotImplementedError
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -99,8 +99,8 @@
         reply = self._get("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
         if reply.is_err():
             return reply
-        found, era = reply.unwrap()
-        return Ok(Changes(tuple(_row(each) for each in found.Rows), found.Ver, era))
+        found, _ = reply.unwrap()
+        return Ok(Changes(tuple(_row(each) for each in found.Rows), found.Ver))
 
     def put(self, table, key, value):
         row = {"Table": table, "part": "", "Key": key}
