Tell callers of the pause already in the first refusal, and record sessions of both headers

Cause: a call that its only server refused with a time was told to come back after 0.2 s, since only the second look at the servers knew of the pause. Found by recording the session. The session of a stream that nobody takes shows the question to a server that refuses.

--- a/amaranthbay/platform/tests/sessions.py
+++ b/amaranthbay/platform/tests/sessions.py
@@ -134,6 +134,22 @@
     call_raw(address, stream_request("/sum/x"))
 
 
+@session
+def server_that_leaves(fleet, address):
+    fleet.workers["desk-1"].leaving = True
+    call_raw(address, request("/pay/x", "POST", b"body"))
+    wait_until(lambda: not fleet.daemon.backends.usable("desk"))
+    call_raw(address, request("/pay/y", "POST", b"body", attempt="a2"))
+
+
+@session
+def server_that_asks_for_a_pause(fleet, address):
+    worker = fleet.workers["desk-1"]
+    worker.replies.append(worker.refuse(retry_after="30"))
+    call_raw(address, request("/pay/x", "POST", b"body"))
+    call_raw(address, request("/pay/y", "POST", b"body", attempt="a2"))
+
+
 def write():
     """Writes the files of all sessions."""
     FOLDER.mkdir(exist_ok=True)
--- a/amaranthbay/platform/tests/test_entry_pauses.py
+++ b/amaranthbay/platform/tests/test_entry_pauses.py
@@ -104,10 +104,10 @@
     fleet = case.enterContext(small_fleet())
     worker = fleet.workers["desk-1"]
     worker.replies.append(worker.refuse(retry_after=LONG))
-    call(fleet, "/look/x")
-    answer = call(fleet, "/look/x", attempt="a2")
-    case.assertEqual(answer.status, 503)
-    case.assertGreater(float(answer.headers["retry-after"]), 25.0)
+    answers = [call(fleet, "/look/x", attempt=each) for each in ("a1", "a2")]
+    for answer in answers:
+        case.assertEqual(answer.status, 503)
+        case.assertGreater(float(answer.headers["retry-after"]), 25.0)
     case.assertEqual(len(worker.received), 1)
 
 
@@ -127,11 +127,11 @@
     fleet = case.enterContext(small_fleet())
     worker = fleet.workers["dec-1"]
     worker.replies.append(worker.refuse(retry_after=LONG))
-    call_raw(fleet.address, stream_request("/sum/x"))
+    first = call_raw(fleet.address, stream_request("/sum/x"))
     prompts = len(fleet.workers["pre-1"].received)
-    answer = call_raw(fleet.address, stream_request("/sum/x", "a2"))
-    case.assertEqual(answer.status, 503)
-    case.assertGreater(float(answer.headers["retry-after"]), 25.0)
+    for answer in (first, call_raw(fleet.address, stream_request("/sum/x", "a2"))):
+        case.assertEqual(answer.status, 503)
+        case.assertGreater(float(answer.headers["retry-after"]), 25.0)
     case.assertEqual(len(fleet.workers["pre-1"].received), prompts)
 
 
--- a/amaranthbay/platform/tests/test_sessions.py
+++ b/amaranthbay/platform/tests/test_sessions.py
@@ -29,6 +29,17 @@
     compare(case, "stream_that_nobody_takes")
 
 
+def test_server_that_leaves(case):
+    """Guards against a call at a server that has just said it leaves."""
+    compare(case, "server_that_leaves")
+
+
+def test_server_that_asks_for_a_pause(case):
+    """Guards against a call at a server in its pause, and against callers that are
+    told to come back before its end."""
+    compare(case, "server_that_asks_for_a_pause")
+
+
 def test_each_session_is_compared(case):
     """Guards against a file that no test reads."""
     names = {path.stem for path in FOLDER.glob("*.txt")}
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -171,11 +171,18 @@
         """
         name = call.service.name
         pause_s = self._ctx.pause_left_s(name, Stage.DECODE, without)
+        if pause_s is not None and pause_s < hold_s:
+            return None
+        detail = "no decode server is known"
+        retry = timedelta(seconds=1)
+        unknown = not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
+        return self.all_paused(call, without) or unknown
+
+    def all_paused(self, call, without=frozenset()):
+        """Returns the refusal of a stream whose decode servers all pause, or None."""
+        name = call.service.name
+        pause_s = self._ctx.pause_left_s(name, Stage.DECODE, without)
         if pause_s is None:
-            detail = "no decode server is known"
-            retry = timedelta(seconds=1)
-            return not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
-        if pause_s < hold_s:
             return None
         return all_paused(pause_s, self._ctx.rng.random())
 
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -124,7 +124,8 @@
             return self._failure
         if self._verdict is Verdict.NOT_RUN:
             detail = "no backend server took the request"
-            return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
+            refusal = not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON)
+            return Err(self._all_paused() or refusal)
         detail = "the backend server gave no answer"
         return Err(may_have_run(Reason.BACKEND_FAILED, detail))
 
@@ -153,11 +154,9 @@
             server = self._choose(self._tried | unreachable)
             now = self._ctx.clock.monotonic()
             if server is None:
-                pause_s = self._ctx.pause_left_s(
-                    self._call.service.name, without=self._tried | unreachable
-                )
-                if pause_s is not None:
-                    return Err(all_paused(pause_s, self._ctx.rng.random()))
+                paused = self._all_paused(self._tried | unreachable)
+                if paused is not None:
+                    return Err(paused)
             if server is None or now >= self._call.ends_at:
                 detail = "no backend server can be reached"
                 return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
@@ -169,6 +168,13 @@
             self._running.append(gevent.spawn(self._attempt, server, exchange, now))
             return Ok(None)
 
+    def _all_paused(self, without=frozenset()):
+        """Returns the refusal of a call whose servers all pause, or None."""
+        pause_s = self._ctx.pause_left_s(self._call.service.name, without=without)
+        if pause_s is None:
+            return None
+        return all_paused(pause_s, self._ctx.rng.random())
+
     def _choose(self, without):
         """Returns the `BackendServer` to ask next, or None."""
         ctx, call = self._ctx, self._call
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -135,7 +135,7 @@
             )
             return None
         if self._verdict is Verdict.NOT_RUN:
-            return refusal
+            return self._queue.all_paused(self._call) or refusal
         return refusal.with_verdict(self._verdict)
 
     def _attempt(self, placement, hold):
--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -260,6 +260,9 @@
             status = self.status(name)
         except OSError:
             return False
+        if "members" not in status:
+            # Another process may have got the port; what it says tells which one.
+            raise RuntimeError(f"{name} at {process.address} answered {status}")
         known = len(status["members"]) >= len(self.daemons)
         return status["config_version"] >= version and known
 
