--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -315,6 +315,26 @@
         placed.unwrap().release()
 
 
+def test_small_stream_uses_the_server_that_a_large_one_does_not_wait_for(case):
+    """Guards against room that stays empty at several servers while a large stream
+    waits for one of them."""
+    fleet = case.enterContext(small_fleet(decode=("dec-1", "dec-2")))
+    daemon = fleet.daemon
+    release = daemon.ledger.add("dec-1", ServerLoad(1, 5000, 0))
+    case.addCleanup(daemon.ledger.add("dec-2", ServerLoad(1, 6000, 0)))
+    older = stream_call(daemon, prompt=6000, age_s=0.4)
+    large = gevent.spawn(daemon.queue.place, older)
+    wait_until(lambda: daemon.queue.length() == 1)
+    placed = daemon.queue.place(stream_call(daemon, prompt=2000)).unwrap()
+    case.assertEqual(placed.decode.name, "dec-2")
+    case.assertEqual(daemon.queue.length(), 1)
+    placed.release()
+    release()
+    found = large.get(timeout=2.0).unwrap()
+    case.assertEqual(found.decode.name, "dec-1")
+    found.release()
+
+
 def test_continued_stream_waits_for_room_however_old_it_is(case):
     """Guards against giving up a stream whose server was lost after some time."""
     fleet = case.enterContext(small_fleet())
