--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -10,7 +10,7 @@
 from amaranthbay.platform.documents import decode_configuration, decode_server
 from amaranthbay.platform.tests.fleet import configuration
 from amaranthbay.relay.codec import Directions
-from amaranthbay.routing import CallKind, Stage
+from amaranthbay.routing import CallKind, EntryRevision, Stage
 from amaranthbay.utils.testing import collect
 
 ENTRY = {
@@ -144,4 +144,19 @@
     )
 
 
+def test_age_of_an_entry_is_read(case):
+    """Guards against entries of a restored store that can't be told from newer ones."""
+    entry = {"Service": "s", "Address": "h:1", "Zone": "z", "State": "ready"}
+    plain = decode_server("a", msgspec.json.encode(entry)).unwrap()
+    case.assertEqual(plain.revision, EntryRevision())
+    aged = entry | {"Sequence": 7, "born": 1_764_806_400_123}
+    found = decode_server("a", msgspec.json.encode(aged)).unwrap()
+    case.assertEqual(found.revision, EntryRevision(1_764_806_400_123, 7))
+    case.assertLess(plain.revision, found.revision)
+    # The age is no part of what the server is.
+    case.assertEqual(plain, found)
+    for wrong in ({"born": "x"}, {"Sequence": None}):
+        case.assertTrue(decode_server("a", msgspec.json.encode(entry | wrong)).is_err())
+
+
 load_tests = collect(globals())
