Send records to guards that wait behind a lost batch

Cause: batches to a guard go one at a time, and one without a reply took a second. Records that came meanwhile stayed with their daemon; if it was killed then, nobody cancelled for it. The first batch of a start, sent before the guard listens, is lost so. The new test waits for ever without the change.

--- a/amaranthbay/dispatch/guards.py
+++ b/amaranthbay/dispatch/guards.py
@@ -54,6 +54,8 @@
         self.entered = {}
         self.ended = set()
         self.changed = gevent.event.Event()
+        # Time for which later records wait for the reply to a batch.
+        self.patience_s = ACK_BOUND_S
         self.job = None
 
 
@@ -140,7 +142,7 @@
             gevent.sleep(GATHER_S)
             link.changed.clear()
             batch = self._next_batch(link)
-            reply = self._channel.ask(link.instance, batch, REPLY_TIMEOUT_S)
+            reply = self._ask(link, batch)
             if isinstance(reply, InFlightAck):
                 self._note_ack(batch)
             if not isinstance(reply, InFlightAck) or reply.resync:
@@ -150,6 +152,23 @@
                 if len(self._table) or batch.ended:
                     link.changed.set()
 
+    def _ask(self, link, batch):
+        """Returns the guard's reply, or None if there is none in time.
+
+        A batch that is lost must not hold up the records that come after it: their
+        daemon may die before the time of the reply is over. A slow guard gets twice
+        the time with each batch that it leaves unanswered.
+        """
+        job = gevent.spawn(self._channel.ask, link.instance, batch, REPLY_TIMEOUT_S)
+        gevent.wait([job], timeout=link.patience_s)
+        gevent.wait([job, link.changed], timeout=REPLY_TIMEOUT_S, count=1)
+        if job.ready() and job.value is not None:
+            link.patience_s = ACK_BOUND_S
+            return job.value
+        job.kill(block=False)
+        link.patience_s = min(REPLY_TIMEOUT_S, 2 * link.patience_s)
+        return None
+
     def _next_batch(self, link):
         snapshot, link.snapshot = link.snapshot, False
         if snapshot:
--- a/amaranthbay/dispatch/tests/test_guards.py
+++ b/amaranthbay/dispatch/tests/test_guards.py
@@ -1,11 +1,13 @@
 """In-flight copies: batches, guards, proof of death, takeover, pauses."""
 
 import uuid
+from unittest import mock
 
 import gevent
 import gevent.event
 import msgspec
 
+from amaranthbay.dispatch import guards as guards_module
 from amaranthbay.dispatch.cancels import CancelQueue
 from amaranthbay.dispatch.guard_messages import CopiedRecord, InFlightBatch
 from amaranthbay.dispatch.guards import _Link, guards_of
@@ -59,6 +61,18 @@
     case.assertEqual(len(made["a"].table), 1)
 
 
+def test_lost_batch_does_not_hold_up_later_records(case):
+    """Guards against a daemon that dies while its guards wait for a record behind a
+    batch that was lost, as the first one is that is sent before a guard listens."""
+    peers, _, made = nodes(case, "a", "b", "c")
+    case.enterContext(mock.patch.object(guards_module, "REPLY_TIMEOUT_S", 3600.0))
+    peers.silent.update(("b", "c"))
+    made["a"].copier.enter(record("one"))
+    peers.silent.clear()
+    made["a"].copier.enter(record("two"))
+    wait_until(lambda: len(made["b"].guarded) == 2 and len(made["c"].guarded) == 2)
+
+
 def test_records_that_arrive_together_share_a_batch(case):
     """Guards against one peer message for each request."""
     peers, _, made = nodes(case, "a", "b")
