--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -12,6 +12,7 @@
     serving_places,
     watching,
 )
+from amaranthbay.daemon.registration import RowWriter
 from amaranthbay.daemon.staging import StageBalancer
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.health import StoreHealth
@@ -21,7 +22,6 @@
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
-from amaranthbay.platform.types import CommitState
 from amaranthbay.relay import Listener, RelayService, find_codec
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets, allowance_part
 from amaranthbay.relay.connections import ConnectionPool
@@ -59,10 +59,6 @@
 LONE_WATCH_SHARE = 0.7
 # Shorter than any bound that a changed setting has to be in force by.
 RELOAD_S = 2.0
-REGISTER_RETRY_S = 0.5
-# Time over which the instances write their rows again after a restore of the store: 160
-# writes a second at the target size, of the 3,200 that the largest store takes today.
-REWRITE_SPREAD_S = 2.0
 # Time after its start for which an instance waits for a configuration that others have
 # in force. The operator writes it again after a restore.
 CATCH_UP_S = 3.0
@@ -177,8 +173,15 @@
         self.stop_requested = gevent.event.Event()
         self.draining = False
         self._created_at = self.clock.monotonic()
-        self._restored = gevent.event.Event()
-        self.health.era.on_restored(self._restored.set)
+        self._row = RowWriter(
+            self.store,
+            adapter.members_table,
+            self.peers.own,
+            self.health.era,
+            self.clock,
+            self.rng,
+            self._read_members,
+        )
         self._jobs = []
         self._orders = []
         self._servers = []
@@ -290,7 +293,7 @@
             OnDemandFollower,
             pause_s=self._members_pause_s,
         )
-        self._jobs.append(gevent.spawn(self._register))
+        self._jobs.append(gevent.spawn(self._row.run))
         self._jobs.append(gevent.spawn(self._sweep))
         self._jobs.append(gevent.spawn(self._watch_settings))
         self._orders = [gevent.spawn(self.balancer.run)]
@@ -351,34 +354,6 @@
         follower.start()
         self._followers[table] = follower
 
-    def _register(self):
-        """Writes this instance's row, again after each restore of the store."""
-        while True:
-            self._write_row()
-            self._restored.wait()
-            self._restored.clear()
-            # All instances notice the restore at about the same time.
-            self.clock.sleep(self.rng.uniform(0.0, REWRITE_SPREAD_S))
-
-    def _write_row(self):
-        """Writes this instance's row, so that the others find it.
-
-        The table is read once more afterwards: of two instances that start together,
-        at least one finds the other and reports to it.
-        """
-        import msgspec
-
-        row = msgspec.json.encode(self.peers.own)
-        state = CommitState.UNKNOWN
-        while state is not CommitState.DONE:
-            state = self.store.put(
-                self._adapter.members_table, self.settings.instance, row
-            )
-            log_event("member_row_written", state=state)
-            if state is not CommitState.DONE:
-                self.clock.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
-        self._read_members()
-
     def _sweep(self):
         watch_s = self._watch_s()
         while True:
