Refuse a stream whose servers pause in one place

A mutation went unnoticed: the end of a stream's run looks at the pauses in any case, so that the look at its placement was needless.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -175,13 +175,11 @@
             return None
         detail = "no decode server is known"
         retry = timedelta(seconds=1)
-        unknown = not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
-        return self.all_paused(call, without) or unknown
+        return not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
 
-    def all_paused(self, call, without=frozenset()):
+    def all_paused(self, call):
         """Returns the refusal of a stream whose decode servers all pause, or None."""
-        name = call.service.name
-        pause_s = self._ctx.pause_left_s(name, Stage.DECODE, without)
+        pause_s = self._ctx.pause_left_s(call.service.name, Stage.DECODE)
         if pause_s is None:
             return None
         return all_paused(pause_s, self._ctx.rng.random())
