--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -324,7 +324,6 @@
         times = ReadingTimes(
             apart_s=first_event_s(tokens, pressure),
             itself_s=reading_s(tokens, speed) + first_s,
-            left_s=call.target_at - self._ctx.clock.monotonic(),
             pause_s=reading_pause_s(tokens, speed),
         )
         return reads_prompt_itself(prefill, decode, times, call.route.max_gap_s)
--- a/amaranthbay/relay/pools.py
+++ b/amaranthbay/relay/pools.py
@@ -1,19 +1,20 @@
 """Plans the pools of a service's model servers; pure functions.
 
-They answer the load of a burst: the split that carries most streams then. With few
-servers the split is coarse, and what a small prefill pool leaves over is read by decode
-servers at a price that counts, so that the work of both stages is weighed together.
+They answer the load of a burst: both pools should be full at the same time.
 """
 
 from dataclasses import dataclass
 
-__all__ = ["StageDemand", "plan_prefill_servers", "streams_per_s"]
+__all__ = ["StageDemand", "plan_prefill_servers"]
 
 # Part of a prefill server's speed at which a decode server reads a prompt.
 DECODE_READ_SHARE = 0.5
-# Part by which another split must carry more: a switch takes seconds in which the
+# A queue of prompts delays all first events, while a full decode server only
+# delays the next stream, so that prefill gets a little more than its part.
+PREFILL_BIAS = 0.1
+# Servers by which a pool may miss its ideal size: a switch takes seconds in which the
 # server serves neither pool.
-LEAST_GAIN = 0.08
+HYSTERESIS = 0.6
 
 
 @dataclass(frozen=True)
@@ -29,30 +30,11 @@
     decode_s: float
 
 
-def streams_per_s(prefill, decode, demand):
-    """Returns the streams that two pools carry in a second.
-
-    Args:
-        prefill: Number of prefill servers.
-        decode: Number of decode servers, which read the prompts that are left over.
-        demand: `StageDemand`.
-
-    Examples:
-        >>> round(streams_per_s(2, 4, StageDemand(0.1, 0.4)), 1)
-        10.0
-        >>> round(streams_per_s(1, 5, StageDemand(0.1, 0.4)), 1)
-        11.7
-    """
-    read_apart = prefill / demand.prefill_s
-    if decode <= read_apart * demand.decode_s:
-        return decode / demand.decode_s
-    read_s = demand.prefill_s / DECODE_READ_SHARE
-    return (decode + read_apart * read_s) / (demand.decode_s + read_s)
-
-
 def plan_prefill_servers(prefill, decode, demand):
     """Returns how many of a service's servers should serve prefill.
 
+    Both stages then reach their limit at the same load.
+
     Args:
         prefill: Servers that serve prefill now.
         decode: Servers that serve decode now.
@@ -67,11 +49,8 @@
     servers = prefill + decode
     if servers < 2:
         return prefill
-
-    def carried(number):
-        return streams_per_s(number, servers - number, demand)
-
-    best = max(range(1, servers), key=lambda each: (carried(each), each))
-    if not (prefill and decode):
-        return best
-    return best if carried(best) > (1 + LEAST_GAIN) * carried(prefill) else prefill
+    share = demand.prefill_s / (demand.prefill_s + demand.decode_s)
+    ideal = servers * share + PREFILL_BIAS
+    if prefill and decode and abs(ideal - prefill) <= HYSTERESIS:
+        return prefill
+    return max(1, min(servers - 1, round(ideal)))
--- a/amaranthbay/relay/reading.py
+++ b/amaranthbay/relay/reading.py
@@ -10,6 +10,8 @@
 
 __all__ = ["ReadingTimes", "reading_pause_s", "reading_s", "reads_prompt_itself"]
 
+# Time by which one first event must come sooner for the pause of all other streams.
+LEAST_GAIN_S = 0.4
 # Time from one event of a decode server's streams to the next, on which the pause comes
 # on top while it reads a prompt.
 STEP_S = 0.05
@@ -42,13 +44,11 @@
     Attributes:
         apart_s: Time to the first event with the prefill server.
         itself_s: Time to the first event if the decode server computes the prompt.
-        left_s: Time until the first event is late.
         pause_s: Pause of the decode server's streams in the latter case.
     """
 
     apart_s: float
     itself_s: float
-    left_s: float
     pause_s: float
 
 
@@ -57,7 +57,7 @@
 
     It does so at half the speed and holds up the streams that it runs. That is better
     than a first event that is late for want of a prefill server, but not if all of
-    these streams become late, or if the first event is late either way.
+    these streams become late.
 
     Args:
         prefill: `Candidate` of the best prefill server, or None.
@@ -71,4 +71,4 @@
         return False
     if decode.prefill_tokens:
         return False
-    return times.itself_s <= times.left_s < times.apart_s
+    return times.apart_s - times.itself_s > LEAST_GAIN_S
