--- a/amaranthbay/relay/pools.py
+++ b/amaranthbay/relay/pools.py
@@ -7,8 +7,6 @@
 
 __all__ = ["StageDemand", "plan_prefill_servers"]
 
-# Part of a prefill server's speed at which a decode server reads a prompt.
-DECODE_READ_SHARE = 0.5
 # A queue of prompts delays all first events, while a full decode server only
 # delays the next stream, so that prefill gets a little more than its part.
 PREFILL_BIAS = 0.1
--- a/amaranthbay/relay/reading.py
+++ b/amaranthbay/relay/reading.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
-from amaranthbay.relay.pools import DECODE_READ_SHARE
-
 __all__ = ["ReadingTimes", "reading_pause_s", "reading_s", "reads_prompt_itself"]
 
+# Part of a prefill server's speed at which a decode server reads a prompt.
+DECODE_READ_SHARE = 0.5
 # Time by which one first event must come sooner for the pause of all other streams.
 LEAST_GAIN_S = 0.4
 # Time from one event of a decode server's streams to the next, on which the pause comes
