Log the limit that a backend server names, and its end

A server in trouble names in its answers how many requests a second it takes from all instances together. The adapter decodes the header, and an instance logs when a limit is named, changes or ends. No decision depends on it yet.

The limit ends only with an answer to a request that was sent after the last answer that named it, as answers overtake each other. The stand-in of the store now serves a steady clock, and the stand-in of a server names a limit and notes the time of each call.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -29,6 +29,7 @@
 from amaranthbay.relay.crashes import CrashRecord, accepts_connections
 from amaranthbay.relay.demand import DemandMeter
 from amaranthbay.relay.handles import HandleRecord
+from amaranthbay.relay.limits import ServerLimits
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.pauses import ServerPauses
 from amaranthbay.relay.placed_load import PlacedLoad
@@ -141,6 +142,7 @@
             crashes=crashes,
             handles=HandleRecord(self.clock, self.peers.lost_handles),
             pauses=pauses,
+            limits=ServerLimits(self.clock),
             switches=SwitchRecord(
                 self.clock, self.backends.stage_of, self._report_to_chosen
             ),
@@ -240,13 +242,24 @@
         if status.leaving:
             self.backends.merge_leaving(status.leaving)
 
-    def _note_answer(self, server_name, traits):
-        """Processes what an answer of a backend server says of the server itself."""
+    def _note_answer(self, server_name, traits, sent_at):
+        """Processes what an answer of a backend server says of the server itself.
+
+        Args:
+            server_name: Name of the server.
+            traits: `AnswerTraits` of the answer.
+            sent_at: Monotonic time at which the request was sent; None if the answer
+                belongs to an earlier request.
+        """
         if traits.leaving and not traits.misdirected:
             if self.backends.mark_leaving(server_name):
                 self._report_to_chosen()
         if traits.pause_s is not None:
             self.ctx.pauses.note_pause(server_name, traits.pause_s)
+        if traits.limit_per_s is not None and not traits.misdirected:
+            self.ctx.limits.note_limit(server_name, traits.limit_per_s)
+        elif traits.stamped and sent_at is not None:
+            self.ctx.limits.note_unlimited(server_name, sent_at)
 
     def _report_to_chosen(self):
         """Sends a report to the chosen instances at once."""
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -34,6 +34,7 @@
 SERVER_ID = b"x-instance-id"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"
 
 # Only the router may set these headers; they are removed from a caller's request.
 ROUTER_HEADERS = frozenset(
@@ -140,6 +141,7 @@
             misdirected=status == MISDIRECTED,
             leaving=values.get(SERVER_LEAVING) == b"1",
             pause_s=_parse_retry_after(values.get(RETRY_AFTER)) if refused else None,
+            limit_per_s=_parse_limit(values.get(SERVER_LIMIT)),
         )
 
     def read_prefill(self, body):
@@ -209,18 +211,32 @@
     Returns None if the header is absent, negative or not a finite number, such as a
     date.
     """
-    if value is None:
-        return None
-    try:
-        seconds = float(value)
-    except ValueError:
-        seconds = math.nan
-    if not (math.isfinite(seconds) and seconds >= 0):
+    seconds = _parse_non_negative(value)
+    if seconds is None and value is not None:
         log_event("pause_unreadable", level="warning", value=value.decode("latin-1"))
-        return None
     return seconds
 
 
+def _parse_limit(value):
+    """Returns the requests per second that a ``Server-Limit`` header names.
+
+    Returns None if the header is absent, negative or not a finite number.
+    """
+    rate_per_s = _parse_non_negative(value)
+    if rate_per_s is None and value is not None:
+        log_event("limit_unreadable", level="warning", value=value.decode("latin-1"))
+    return rate_per_s
+
+
+def _parse_non_negative(value):
+    """Returns the number in a header; None if it is negative or not finite."""
+    try:
+        number = float(value)
+    except (TypeError, ValueError):
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def _parse_int(value):
     """Returns the integer in a header; None if it is absent or unreadable."""
     try:
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -284,7 +284,7 @@
                 "Rows": rows[:limit],
                 "HasMore": len(rows) > limit,
                 "Ver": version,
-                "NowMs": 1,
+                "NowMs": _now_ms(),
             }
         )
 
@@ -302,7 +302,7 @@
             ]
             left_s = ends_at - time.monotonic()
             if rows or left_s <= 0:
-                return _json({"Rows": rows, "Ver": self.version, "NowMs": 1})
+                return _json({"Rows": rows, "Ver": self.version, "NowMs": _now_ms()})
             changed.wait(left_s)
             if self.silent:
                 gevent.sleep(60)
@@ -316,8 +316,8 @@
             gevent.sleep(0)
             return None
         if not self._apply(call):
-            return Reply(412, body=b'{"Ver":0,"NowMs":1}')
-        return _json({"Ver": self.version, "NowMs": 1})
+            return replace(_json({"Ver": 0, "NowMs": _now_ms()}), status=412)
+        return _json({"Ver": self.version, "NowMs": _now_ms()})
 
     def _apply(self, call):
         """Applies a transaction; returns whether its conditions held."""
@@ -330,6 +330,11 @@
         return True
 
 
+def _now_ms():
+    """Returns the steady clock of the store in milliseconds."""
+    return int(time.monotonic() * 1000)
+
+
 def _json(value):
     headers = (("Content-Type", "application/json"),)
     return Reply(200, headers, msgspec.json.encode(value))
@@ -350,6 +355,8 @@
         orders_to_lose: Number of further orders that are accepted without an answer.
         stage: Stage that it reports.
         leaving: Whether all answers announce that it leaves.
+        limit: Requests per second that all answers name as its limit; None for none.
+        received_at: Monotonic time of each call that it received, control calls too.
         busy: Whether it reports that it is executing an order.
     """
 
@@ -362,15 +369,23 @@
     orders_to_lose: int = 0
     stage: str | None = None
     leaving: bool = False
+    limit: float | None = None
+    received_at: list = field(default_factory=list)
     busy: bool = False
     _handle_numbers: object = field(default_factory=itertools.count)
 
     def answer(self, req):
         """Returns the `Reply` to a call."""
+        self.received_at.append(time.monotonic())
         reply = self._reply(req)
-        if reply is None or not self.leaving:
-            return reply
-        return replace(reply, headers=(*reply.headers, ("Server-Leaving", "1")))
+        if reply is None:
+            return None
+        headers = reply.headers
+        if self.leaving:
+            headers += (("Server-Leaving", "1"),)
+        if self.limit is not None:
+            headers += (("Server-Limit", str(self.limit)),)
+        return replace(reply, headers=headers)
 
     def _reply(self, req):
         if req.headers.get("x-expect-instance", self.name) != self.name:
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -87,6 +87,8 @@
         leaving: Whether the server states that it is leaving.
         pause_s: Seconds for which the server wants no requests; None if it asks for no
             pause.
+        limit_per_s: Requests per second that the server takes from all instances
+            together; None if it names no limit.
     """
 
     attempt_id: str
@@ -95,6 +97,7 @@
     misdirected: bool = False
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -52,13 +52,17 @@
 
 
 class ConnectionPool:
-    """Idle connections by backend server; the last used one is taken first."""
+    """Idle connections by backend server; the last used one is taken first.
+
+    Attributes:
+        clock: `Clock`.
+    """
 
     def __init__(
         self,
         clock,
         on_open=lambda server: None,
-        on_answer=lambda server_name, traits: None,
+        on_answer=lambda server_name, traits, sent_at: None,
         may_send=lambda server_name: True,
     ):
         """Creates an empty pool.
@@ -67,11 +71,12 @@
             clock: `Clock`.
             on_open: Called with the `BackendServer` before each new connection to it.
             on_answer: Called with the server's name and the `AnswerTraits` of each of
-                its answers.
+                its answers, and the monotonic time at which the request was sent, or
+                None if the answer belongs to an earlier request.
             may_send: Function of a server's name that returns whether another request
                 may be sent to it, and counts that request.
         """
-        self._clock = clock
+        self.clock = clock
         self._on_open = on_open
         self._idle = defaultdict(list)
         self.note_answer = on_answer
@@ -94,7 +99,7 @@
             limit_s = conn.idle_limit_s
             if not repeatable:
                 limit_s = min(limit_s, IDLE_LIMIT_NON_IDEMPOTENT_S)
-            fresh = self._clock.monotonic() - conn.idle_since < limit_s
+            fresh = self.clock.monotonic() - conn.idle_since < limit_s
             if fresh and conn.is_quiet():
                 return conn
             conn.close()
@@ -114,7 +119,7 @@
         if len(idle) >= MAX_IDLE_PER_SERVER or conn.idle_limit_s <= 0:
             conn.close()
             return
-        conn.idle_since = self._clock.monotonic()
+        conn.idle_since = self.clock.monotonic()
         idle.append(conn)
 
     def drop_server(self, name):
@@ -124,7 +129,7 @@
 
     def sweep(self):
         """Closes connections that have been idle for too long."""
-        now = self._clock.monotonic()
+        now = self.clock.monotonic()
         for name in list(self._idle):
             fresh_conns = []
             for conn in self._idle[name]:
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -26,6 +26,7 @@
         crashes: `CrashRecord` of requests that crash servers.
         handles: `HandleRecord` of KV cache that could not be fetched.
         pauses: `ServerPauses` that servers have asked for.
+        limits: `ServerLimits` that servers have named.
         switches: `SwitchRecord` of servers that change their pool.
         availability_zone: Availability zone in which the process runs.
     """
@@ -43,6 +44,7 @@
     crashes: object
     handles: object
     pauses: object
+    limits: object
     switches: object
     availability_zone: str
 
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -86,6 +86,7 @@
         self._peer_closed = False
         self._headers = ()
         self._on_silence = None
+        self._sent_at = pool.clock.monotonic()
 
     def watch_silence(self, seconds, callback):
         """Calls ``callback()`` each time the server has been silent for some seconds.
@@ -111,8 +112,10 @@
             headers = [(name, value) for name, value in event.headers]
             self._headers = headers
             traits = self._codec.read_answer(event.status_code, headers)
-            self._pool.note_answer(self._conn.server, traits)
-            if traits.attempt_id in ("", self._attempt_id):
+            is_own = traits.attempt_id in ("", self._attempt_id)
+            sent_at = self._sent_at if is_own else None
+            self._pool.note_answer(self._conn.server, traits, sent_at)
+            if is_own:
                 original_headers = tuple(event.headers.raw_items())
                 self.head = AnswerHead(event.status_code, original_headers, traits)
                 return self.head
