Give each port to one test process only

Cause: free_port looked whether a port was free and remembered it for its own process. A test module that ran beside it, of the same run or of another, could choose the same port before either listened. Callers of the harness saw 'Address already in use', or a foreign process on the port.

--- a/amaranthbay/utils/testing.py
+++ b/amaranthbay/utils/testing.py
@@ -1,9 +1,12 @@
 """Test helpers: collection of test functions, ports, a manual clock, waiting."""
 
 import contextlib
+import fcntl
 import functools
+import os
 import random
 import socket
+import tempfile
 import time
 import unittest
 from datetime import datetime, timedelta, timezone
@@ -29,6 +32,12 @@
 # Seeded by the system, so that concurrent test runs choose different ports.
 _port_random = random.SystemRandom()
 _allocated_ports = set()
+# All processes that run tests lock the byte of each port that they have allocated, as a
+# port looks free until the process under test listens. A lock ends with its process.
+_port_locks_path = os.path.join(
+    tempfile.gettempdir(), f"amaranthbay-ports-{os.getuid()}.lock"
+)
+_port_locks = []
 
 
 class FunctionTest(unittest.FunctionTestCase):
@@ -96,16 +105,13 @@
 def free_port():
     """Returns a loopback port that is currently free for TCP and UDP.
 
-    The port is never one that the system assigns to outgoing connections, as such a
-    connection could take it before the process under test listens.
+    No other call returns it while this process runs, also in other processes. The port
+    is never one that the system assigns to outgoing connections, as such a connection
+    could take it before the process under test listens.
     """
     while True:
         port = _port_random.randrange(*PORT_RANGE)
-        socket_types = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
-        if port not in _allocated_ports and all(
-            _is_free(port, each) for each in socket_types
-        ):
-            _allocated_ports.add(port)
+        if _allocate(port):
             return port
 
 
@@ -113,13 +119,32 @@
     """Returns the first of two adjacent ports that are currently free."""
     while True:
         port = free_port()
-        socket_types = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
-        allocated = port + 1 in _allocated_ports
-        if not allocated and all(_is_free(port + 1, each) for each in socket_types):
-            _allocated_ports.add(port + 1)
+        if _allocate(port + 1):
             return port
 
 
+def _allocate(port):
+    """Allocates a port to this process; returns whether that was possible."""
+    if port in _allocated_ports or not _lock(port):
+        return False
+    socket_types = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    if not all(_is_free(port, each) for each in socket_types):
+        return False
+    _allocated_ports.add(port)
+    return True
+
+
+def _lock(port):
+    """Locks a port for this process; returns whether no other process holds it."""
+    if not _port_locks:
+        _port_locks.append(open(_port_locks_path, "ab"))
+    try:
+        fcntl.lockf(_port_locks[0], fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def _is_free(port, socket_type):
     with socket.socket(socket.AF_INET, socket_type) as sock:
         try:
