Replace the key file of the test harness as a whole

The file is now written under another name and replaced.

test_key_file_is_whole_whenever_a_daemon_reads_it fails without it.

--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -247,7 +247,7 @@
         caller_address, membership_address, peer_address = (
             f"127.0.0.1:{port}" for port in ports
         )
-        self.key_path.write_text(self.key)
+        self._write_key()
         settings_path = self.folder / f"{name}.toml"
         settings_path.write_text(
             f'instance = "{name}"\n'
@@ -272,6 +272,12 @@
         )
         return self._launch_daemon(entry)
 
+    def _write_key(self):
+        """Replaces the key file as a whole, as daemons that start read it meanwhile."""
+        new_path = self.key_path.with_suffix(".new")
+        new_path.write_text(self.key)
+        new_path.replace(self.key_path)
+
     def restart_daemon(self, name):
         """Kills a daemon and starts it again with the same addresses."""
         self.daemons[name].kill()
--- /dev/null
+++ b/amaranthbay/standins/tests/test_processes.py
@@ -0,0 +1,43 @@
+"""The harness that runs a deployment as processes."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import mock
+
+from amaranthbay.standins.processes import Deployment, Process
+from amaranthbay.utils.testing import collect
+
+
+def test_key_file_is_whole_whenever_a_daemon_reads_it(case):
+    """Guards against a daemon that reads the key while the harness writes it again."""
+    folder = Path(case.enterContext(TemporaryDirectory()))
+    deployment = Deployment(folder)
+    deployment.platform = mock.Mock(address="127.0.0.1:1")
+    seen = []
+
+    def read_key(name, *args, **kwargs):
+        seen.append(deployment.key_path.read_text())
+        return mock.Mock()
+
+    with mock.patch.object(Deployment, "_start", side_effect=read_key):
+        deployment.start_daemon("entry-1")
+        reader = case.enterContext(open(deployment.key_path))
+        deployment.key = "another-key-of-a-deployment"
+        with mock.patch.object(Path, "write_text", write_half(Path.write_text)):
+            with case.assertRaises(InterruptedError):
+                deployment.start_daemon("entry-2")
+    case.assertEqual(deployment.key_path.read_text(), seen[0])
+    case.assertEqual(reader.read(), seen[0])
+
+
+def write_half(write_text):
+    """Returns a replacement of `Path.write_text` that is interrupted half-way."""
+
+    def write(path, text):
+        write_text(path, text[: len(text) // 2])
+        raise InterruptedError
+
+    return write
+
+
+load_tests = collect(globals())
