--- a/amaranthbay/standins/processes.py
+++ b/amaranthbay/standins/processes.py
@@ -84,9 +84,16 @@
         self.popen.wait()
 
     def log_lines(self):
-        """Returns the decoded JSON lines of the log, without its other lines."""
-        lines = self.log_path.read_text().splitlines()
-        return [msgspec.json.decode(line) for line in lines if line.startswith("{")]
+        """Returns the decoded JSON lines of the log, without its other lines.
+
+        A last line that the process is still writing is left out.
+        """
+        lines = self.log_path.read_text().splitlines(keepends=True)
+        return [
+            msgspec.json.decode(line)
+            for line in lines
+            if line.startswith("{") and line.endswith("\n")
+        ]
 
 
 @dataclass
--- a/amaranthbay/standins/tests/test_processes.py
+++ b/amaranthbay/standins/tests/test_processes.py
@@ -40,4 +40,12 @@
     return write
 
 
+def test_log_line_that_is_being_written_is_left_for_later(case):
+    """Guards against decoding the first half of a line."""
+    folder = Path(case.enterContext(TemporaryDirectory()))
+    process = Process("entry-1", mock.Mock(), None, folder / "entry-1.log")
+    process.log_path.write_text('{"event":"started"}\nno JSON\n{"event":"dra')
+    case.assertEqual(process.log_lines(), [{"event": "started"}])
+
+
 load_tests = collect(globals())
