Show that a daemon never answers its status with not_ready

The answer comes from an entry process on the users' platform, which answers each path so until it has a configuration: a test module that ran beside had taken the port.

--- a/amaranthbay/standins/tests/test_processes.py
+++ b/amaranthbay/standins/tests/test_processes.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from amaranthbay.standins.processes import Deployment, Process
-from amaranthbay.utils.testing import collect
+from amaranthbay.utils.testing import collect, wait_until
 
 
 def test_key_file_is_whole_whenever_a_daemon_reads_it(case):
@@ -48,4 +48,21 @@
     case.assertEqual(process.log_lines(), [{"event": "started"}])
 
 
+def test_daemon_without_a_configuration_answers_its_status(case):
+    """Guards against taking a daemon that starts for a foreign process on its port."""
+    deployment = case.enterContext(Deployment())
+    deployment.start_daemon("entry-1")
+    deployment.publish()
+
+    def answered():
+        try:
+            return deployment.status("entry-1")
+        except OSError:
+            return None
+
+    status = wait_until(answered)
+    case.assertEqual(status["config_version"], 0)
+    case.assertIn("members", status)
+
+
 load_tests = collect(globals())
