Tell other instances of the start and the end of a server's limit

Without reports each instance sends a server in trouble a request to learn of its limit, and learns of its end only in its next slot: after eight seconds on average for a limit of one a second and eight instances, after minutes in a large fleet.

Instances report what answers to themselves have said in the last ten seconds, with the time on the store's clock, and the newer one counts. A lost report costs only time: the limit then ends with the answer to the next request.

Tests: the report ends a limit at another instance; one that is overtaken changes nothing; nobody repeats what it has only heard; a store whose clock goes back does not keep a limit in force.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -148,6 +148,7 @@
                 self.health.time.now,
                 settings.instance,
                 self.peers.known_names,
+                self._report_to_chosen,
             ),
             switches=SwitchRecord(
                 self.clock, self.backends.stage_of, self._report_to_chosen
@@ -223,6 +224,7 @@
             self.health.era.number,
             self._configuration_version(),
             self.backends.leaving(),
+            self.ctx.limits.report(),
         )
 
     def _versions(self):
@@ -247,6 +249,8 @@
                 self._followers[name].note_newer(last_change, status.era)
         if status.leaving:
             self.backends.merge_leaving(status.leaving)
+        if status.limits:
+            self.ctx.limits.merge(status.limits)
 
     def _check_send(self, server_name, placed):
         return self.ctx.check_send(server_name, placed)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -91,6 +91,7 @@
     era: int | None = None
     configuration: int = 0
     leaving: dict = field(default_factory=dict)
+    limits: dict = field(default_factory=dict)
 
 
 class Peers:
@@ -395,6 +396,7 @@
             era=report.era,
             configuration=report.configuration,
             leaving=report.leaving,
+            limits=report.limits,
         )
 
     def start(self):
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
+    "LimitNotice",
     "MeasuredDemand",
     "MergedReport",
     "PeerStatus",
@@ -71,6 +72,20 @@
     prefill_base_s: float = 0.0
 
 
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What an answer of a backend server has said of its limit; see `relay.limits`.
+
+    Attributes:
+        noted_at: Time of the answer on the store's clock in seconds; of an answer
+            without a limit, the time at which its request was sent.
+        rate_per_s: Requests per second that the server takes from all instances
+            together; None if its limit has ended.
+    """
+
+    noted_at: float
+    rate_per_s: float | None = None
+
+
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
     """Status of an entry instance, as one datagram of a report.
 
@@ -101,6 +116,8 @@
         configuration: Version of the configuration in force; 0 for none.
         leaving: Backend servers whose answers say that they leave, with the start of
             their process in Unix milliseconds.
+        limits: `LimitNotice` of each backend server whose answers to the sender have
+            named or ended a limit lately.
     """
 
     instance: str
@@ -120,6 +137,7 @@
     era: int | None = None
     configuration: int = 0
     leaving: dict[str, int] = {}
+    limits: dict[str, LimitNotice] = {}
 
 
 @dataclass(frozen=True)
@@ -175,6 +193,7 @@
         versions={},
         lost_handles=(),
         leaving={},
+        limits={},
     )
 
 
--- a/amaranthbay/relay/tests/test_limits.py
+++ b/amaranthbay/relay/tests/test_limits.py
@@ -213,6 +213,77 @@
     case.assertTrue(all(limits.withdraw("a") for _ in range(50)))
 
 
+def test_start_and_end_of_a_limit_are_told_to_other_instances(case):
+    """Guards against instances that each send a request to learn of a limit, and that
+    hold requests back long after its end, as their next slot is far off."""
+    clock = ManualClock()
+    first, second = make_fleet(clock, 2)
+    first.note_limit("a", 0.2)
+    second.merge(first.report())
+    case.assertEqual(second.rate_per_s("a"), 0.2)
+    clock.advance(1.0)
+    first.note_unlimited("a", clock.monotonic())
+    second.merge(first.report())
+    case.assertIsNone(second.rate_per_s("a"))
+
+
+def test_report_that_is_overtaken_changes_nothing(case):
+    """Guards against an older report that ends a limit or names it again."""
+    clock = ManualClock()
+    first, second = make_fleet(clock, 2)
+    first.note_limit("a", 1.0)
+    named = first.report()
+    clock.advance(0.5)
+    first.note_unlimited("a", clock.monotonic())
+    ended = first.report()
+    second.merge(ended)
+    second.merge(named)
+    second.merge(named)
+    case.assertIsNone(first.rate_per_s("a"))
+    clock.advance(0.5)
+    second.note_limit("a", 2.0)
+    second.merge(ended)
+    case.assertEqual(second.rate_per_s("a"), 2.0)
+    first.merge(named)
+    case.assertIsNone(first.rate_per_s("a"))
+
+
+def test_report_names_only_what_answers_have_said_lately(case):
+    """Guards against a limit that instances tell each other forever."""
+    clock = ManualClock()
+    first, second = make_fleet(clock, 2)
+    first.note_limit("a", 1.0)
+    second.merge(first.report())
+    case.assertEqual(second.report(), {})
+    clock.advance(11.0)
+    case.assertEqual(first.report(), {})
+
+
+def test_clock_of_the_store_that_goes_back_lets_limits_end(case):
+    """Guards against a limit that no answer and no report can end after a restore."""
+    for told in (False, True):
+        clock = ManualClock()
+        start_s = [1000.0]
+        fleet = [
+            ServerLimits(
+                clock,
+                lambda: start_s[0] + clock.monotonic(),
+                name,
+                lambda: frozenset(("entry-1", "entry-2")),
+            )
+            for name in ("entry-1", "entry-2")
+        ]
+        for limits in fleet:
+            limits.note_limit("a", 1.0)
+        start_s[0] = 0.0
+        clock.advance(1.0)
+        fleet[0].note_unlimited("a", clock.monotonic())
+        case.assertIsNone(fleet[0].rate_per_s("a"))
+        if told:
+            fleet[1].merge(fleet[0].report())
+            case.assertIsNone(fleet[1].rate_per_s("a"))
+
+
 def test_limit_of_a_server_that_is_gone_is_forgotten(case):
     """Guards against limits that pile up over the life of a process, and against
     forgetting the limit of a server whose entry is missing for a moment."""
