Look for room before searching the next slot of a limit

Placement asks often whether a limited server has room, and needs no time to come back. The search hashes all instances for up to 64 slots, which a large fleet would pay at each pass over the queue.

--- a/amaranthbay/relay/limit_slots.py
+++ b/amaranthbay/relay/limit_slots.py
@@ -70,18 +70,23 @@
         """Returns the number of requests that the slots allow that have begun."""
         return sum(requests for _, requests in self._begun)
 
+    def has_room(self, now):
+        """Returns whether a request may be sent now."""
+        self._advance(now)
+        return self.available() >= 1.0 - ROUNDING
+
     def wait_s(self, now):
         """Returns the seconds until a request may be sent; 0 if one may be sent now.
 
         A wait whose end is not in sight counts as the least that it will take.
         """
-        if self._has_room(now):
+        if self.has_room(now):
             return 0.0
         return max(ROUNDING, self._next_own_slot() * self._slot_s - now)
 
     def take(self, now):
         """Returns whether a request may be sent, and counts it if so."""
-        if not self._has_room(now):
+        if not self.has_room(now):
             return False
         missing = 1.0
         while missing > ROUNDING and self._begun:
@@ -91,10 +96,6 @@
             missing -= requests
         return True
 
-    def _has_room(self, now):
-        self._advance(now)
-        return self.available() >= 1.0 - ROUNDING
-
     def _advance(self, now):
         """Adds the own slots that have begun, and drops those that have expired."""
         slot, current = self._next_slot, floor(now / self._slot_s)
--- a/amaranthbay/relay/limits.py
+++ b/amaranthbay/relay/limits.py
@@ -194,6 +194,11 @@
             noted_at = self._limits[name].named_at
         return noted_at if noted_at < self._slot_time() + MAX_SKEW_S else -inf
 
+    def has_room(self, server_name):
+        """Returns whether a server may get a request now."""
+        limit = self._limits.get(server_name)
+        return limit is None or limit.slots.has_room(self._slot_time())
+
     def wait_s(self, server_name):
         """Returns the seconds until a server may get a request; 0 if it may now."""
         limit = self._limits.get(server_name)
