--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -77,7 +77,7 @@
         return [
             self._candidate(server, peer_loads)
             for server in self._usable(service, stage, excluded)
-            if not (self.pauses.left_s(server.name) or self.limits.wait_s(server.name))
+            if not self.pauses.left_s(server.name) and self.limits.has_room(server.name)
         ]
 
     def held_back(self, service, stage=None, excluded=frozenset()):
