Let servers of the soak name limits, and check that they are kept

The check counts requests from processes that have forwarded an answer with the limit; a cut from the store is no excuse. The limits are drawn by a generator of their own, so that the schedules of earlier seeds stay as they were.

--- a/amaranthbay/platform/tests/soak/checks.py
+++ b/amaranthbay/platform/tests/soak/checks.py
@@ -9,6 +9,7 @@
     RETRY_RATIO,
     RETRY_WINDOW_S,
 )
+from amaranthbay.platform.tests.soak.faults import FAULTS
 from amaranthbay.platform.tests.soak.servers import expected_body, expected_events
 
 __all__ = ["CHECKS", "find_violations"]
@@ -27,7 +28,13 @@
 # `IN_TRANSIT_S` after the server asked for the pause don't count, as they may have been
 # on their way.
 MAX_PAUSE_REQUESTS, IN_TRANSIT_S = 2, 0.5
+# In each window, half as much again as its limit allows and five more requests reach a
+# server, from processes that know of the limit for `TOLD_S`.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK, TOLD_S = 4.0, 1.5, 5, 0.5
+# Faults of a process that excuse it from limits: a cut from the store does not.
+LIMIT_EXCUSES = frozenset(("Pause", "Kill", "KillAll", "Stop"))
 PLANNED_FAULTS = frozenset(("Stop", "Reload"))
+FAULT_KINDS = frozenset(FAULTS)
 LINK_FAULTS = frozenset(("CallerLink", "StoreLink", "Reset"))
 CHECKS = []
 
@@ -342,6 +349,59 @@
             yield f"{count} requests reached {notice.server} in a pause"
 
 
+@check
+def limits_are_kept(history):
+    """From `CONTACT_S` after a server first named its limit, no more requests reach it
+    than allowed, from all processes that have forwarded an answer with the limit."""
+    deployment = history.deployment
+    named_limits = defaultdict(list)
+    for named in deployment.named_limits():
+        named_limits[named.server].append(named)
+    for server, named in named_limits.items():
+        named.sort(key=lambda answer: answer.sent_at)
+        start, end = named[0].sent_at, named[-1].sent_at
+        place = server.rsplit("-", 1)[0]
+        # A faulty link delivers at once what it has held up.
+        if deployment.had_fault(place, start, end, FAULT_KINDS - {"ServerLink"}):
+            continue
+        times = list(_times_of_informed_processes(history, named, start, end))
+        rate_per_s = max(answer.rate_per_s for answer in named)
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * rate_per_s + LIMIT_SLACK
+        for moment in times:
+            count = _count(times, moment - LIMIT_WINDOW_S, moment + 1e-6)
+            if moment >= start + CONTACT_S and count > allowed:
+                yield f"{count} requests in 4 s reached {server}, allowed {allowed:.0f}"
+                break
+
+
+def _times_of_informed_processes(history, named_limits, start, end):
+    """Yields the arrival times of requests from processes that know of a limit.
+
+    Args:
+        history: `RunHistory`.
+        named_limits: `NamedLimit` of each answer of one server with its limit.
+        start: Monotonic time of the first of these answers.
+        end: Monotonic time of the last one.
+    """
+    informed_at = {}
+    for named in named_limits:
+        exchange = history.by_attempt.get(named.attempt)
+        if exchange is not None and exchange.complete:
+            known_at = informed_at.get(exchange.process, exchange.ended_at)
+            informed_at[exchange.process] = min(known_at, exchange.ended_at)
+    for attempt, arrivals in history.arrivals.items():
+        exchange = history.by_attempt.get(attempt)
+        for arrival in arrivals:
+            if exchange is None or arrival.server != named_limits[0].server:
+                continue
+            known_at = informed_at.get(exchange.process, end) + TOLD_S
+            is_excused = history.deployment.had_fault(
+                exchange.process, start, arrival.arrived_at, FAULT_KINDS - LIMIT_EXCUSES
+            )
+            if known_at <= arrival.arrived_at <= end and not is_excused:
+                yield arrival.arrived_at
+
+
 @check
 def processes_are_sound(history):
     """Processes exit with 0 and in time, log JSON without defects and keep to their
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -412,6 +412,11 @@
         servers = [*self.servers.values(), *self.former_servers]
         return [notice for server in servers for notice in server.notices]
 
+    def named_limits(self):
+        """Returns each `NamedLimit` of all servers, replaced ones included."""
+        servers = [*self.servers.values(), *self.former_servers]
+        return [named for server in servers for named in server.named_limits]
+
     def arrivals(self):
         """Returns each `Arrival` at all servers, replaced ones included."""
         servers = [*self.servers.values(), *self.former_servers]
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -10,7 +10,7 @@
 from amaranthbay.platform.tests.soak.deployment import SERVERS
 from amaranthbay.platform.tests.soak.links import Mode
 
-__all__ = ["FAULTS", "Step", "draw_steps", "run_steps"]
+__all__ = ["FAULTS", "Step", "draw_limits", "draw_steps", "run_steps"]
 
 # After most faults, requests may still be affected for this long: processes find broken
 # connections, and try servers again that they had avoided.
@@ -25,6 +25,11 @@
 # A server keeps serving at least this long after it announces that it leaves.
 LEAVE_S = 3.0
 MAX_PAUSE_S = 4.0
+# Limits that servers name, in requests per second, and the shortest time for which they
+# do so; limits are checked from three seconds after the first answer that names one.
+MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 1.0, 5.0
+LIMIT_S = 6.0
+MAX_LIMITED_SERVERS = 5
 MIN_STEPS, MAX_STEPS = 6, 14
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 3.0
 
@@ -290,6 +295,20 @@
         server.faults = {}
 
 
+class NameLimit(Fault):
+    """A server names a limit for the requests of all processes together."""
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        server = deployment.servers[step.target]
+        limit_range = MAX_LIMIT_PER_S - MIN_LIMIT_PER_S
+        server.limit = round(MIN_LIMIT_PER_S + limit_range * step.strength, 1)
+        gevent.sleep(LIMIT_S + step.duration_s)
+        server.limit = None
+
+
 class ServerFaults(Fault):
     """A server answers half of its requests wrongly."""
 
@@ -358,7 +377,8 @@
             gevent.sleep(0.3)
 
 
-# A seed draws from the sorted names, so a new name changes the schedules of all seeds.
+# A seed draws from the sorted names, so a new name changes the schedules of all seeds;
+# see `draw_limits` for a kind that does not.
 FAULTS = {
     fault_class.__name__: fault_class()
     for fault_class in (
@@ -375,6 +395,7 @@
         Restore,
         Leave,
         AskPause,
+        NameLimit,
         ServerFaults,
         Replace,
         Drain,
@@ -393,7 +414,7 @@
     """
     steps = []
     for _ in range(rng.randint(MIN_STEPS, MAX_STEPS)):
-        kind = rng.choice(sorted(FAULTS))
+        kind = rng.choice(sorted(FAULTS.keys() - {NameLimit.__name__}))
         target = rng.choice(sorted(FAULTS[kind].targets(deployment)))
         start_s = rng.uniform(0.5, traffic_s - MAX_DURATION_S)
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
@@ -401,6 +422,24 @@
     return sorted(steps, key=lambda step: step.start_s)
 
 
+def draw_limits(rng, traffic_s):
+    """Draws the steps at which servers name limits, in the order of their start.
+
+    They have a random generator of their own, so that the other steps of a seed stay as
+    they were when it failed.
+
+    Args:
+        rng: `random.Random` that draws them.
+        traffic_s: Seconds of traffic.
+    """
+    steps = []
+    for target in rng.sample(sorted(SERVERS), rng.randint(0, MAX_LIMITED_SERVERS)):
+        start_s = rng.uniform(0.5, traffic_s - LIMIT_S)
+        duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        steps.append(Step(start_s, "NameLimit", target, duration_s, rng.random()))
+    return sorted(steps, key=lambda step: step.start_s)
+
+
 def run_steps(deployment, steps):
     """Runs a schedule; returns once the last fault has ended.
 
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -11,7 +11,7 @@
 from amaranthbay.platform.tests.soak.callers import KINDS, Caller, look_up, send
 from amaranthbay.platform.tests.soak.checks import find_violations
 from amaranthbay.platform.tests.soak.deployment import EXIT_TIMEOUT_S, Deployment
-from amaranthbay.platform.tests.soak.faults import draw_steps, run_steps
+from amaranthbay.platform.tests.soak.faults import draw_limits, draw_steps, run_steps
 from amaranthbay.utils.testing import wait_until
 
 __all__ = ["Outcome", "run_seed"]
@@ -63,6 +63,8 @@
             START_TIMEOUT_S,
         )
         steps = draw_steps(rng, deployment, traffic_s)
+        steps += draw_limits(random.Random(f"limits {seed}"), traffic_s)
+        steps.sort(key=lambda step: step.start_s)
         callers = [
             Caller(deployment, random.Random(rng.random()), exchanges)
             for _ in range(CALLER_COUNT)
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -8,7 +8,14 @@
 
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
-__all__ = ["Arrival", "Notice", "SoakServer", "expected_body", "expected_events"]
+__all__ = [
+    "Arrival",
+    "NamedLimit",
+    "Notice",
+    "SoakServer",
+    "expected_body",
+    "expected_events",
+]
 
 # Longer than the timeout of any route, so that the router ends the wait.
 HANG_S = 6.0
@@ -61,6 +68,23 @@
     pause_s: float
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """An answer in which a backend server named its limit.
+
+    Attributes:
+        server: Name of the server.
+        attempt: Attempt id of the request that it answered.
+        sent_at: Monotonic time of the answer.
+        rate_per_s: Requests per second that it takes from all processes together.
+    """
+
+    server: str
+    attempt: str
+    sent_at: float
+    rate_per_s: float
+
+
 def expected_body(server, attempt):
     """Returns the body with which a server answers a plain request."""
     return f"{server} ran {attempt}".encode()
@@ -89,6 +113,7 @@
         arrivals: `Arrival` of each request so far.
         pause_s: Seconds of the pause that the fault ``pause`` asks for.
         notices: `Notice` of each answer that announced a departure or a pause.
+        named_limits: `NamedLimit` of each answer to a request while it has a limit.
     """
 
     service: str = ""
@@ -97,6 +122,7 @@
     arrivals: list = field(default_factory=list)
     pause_s: float = 0.0
     notices: list = field(default_factory=list)
+    named_limits: list = field(default_factory=list)
 
     def _reply(self, req):
         if req.headers.get("x-expect-instance", self.name) != self.name:
@@ -108,6 +134,11 @@
         self._record_arrival(req, fault not in NOT_RUN_FAULTS and not prefill, prefill)
         if self.leaving:
             self.notices.append(self._notice(req, 0.0))
+        if self.limit is not None:
+            attempt = req.headers.get("x-attempt-id", "")
+            self.named_limits.append(
+                NamedLimit(self.name, attempt, time.monotonic(), self.limit)
+            )
         if fault == "pause":
             self.notices.append(self._notice(req, self.pause_s))
             return self.refusal(retry_after=f"{self.pause_s:.3f}")
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -12,6 +12,7 @@
     answers_match_their_requests,
     configuration_is_in_force,
     leaving_servers_get_nothing,
+    limits_are_kept,
     pauses_are_kept,
     processes_are_sound,
     refused_requests_never_run,
@@ -31,6 +32,7 @@
 )
 from amaranthbay.platform.tests.soak.servers import (
     Arrival,
+    NamedLimit,
     Notice,
     expected_body,
     expected_events,
@@ -49,6 +51,7 @@
         versions=[ConfigurationVersion(1, "desk", 0.0)],
         leaving_since={},
         notices=lambda: [],
+        named_limits=lambda: [],
         processes={"entry-1": SimpleNamespace(exit_codes=[0])},
         log_lines=lambda name: ([], []),
         peaks_mb={"entry-1": 60.0},
@@ -250,6 +253,28 @@
         case.assertEqual(bool(violations), is_violation, times)
 
 
+def test_requests_beyond_a_limit_are_detected(case):
+    """Guards against a check that misses requests beyond a limit, accepts a cut from
+    the store as an excuse, or counts processes that were not told or were restarted."""
+    first = exchange(attempt="a0", sent_at=10.0)
+    end = NamedLimit("desk-1", "none", 20.0, 1.0)
+    sent = [exchange(attempt=f"a{k}", sent_at=12.0 + k / 4) for k in range(1, 13)]
+    for requests, told, kind, is_violation in (
+        (sent, "a0", "StoreLink", True),
+        (sent, "a0", "Kill", False),
+        (sent, "none", "StoreLink", False),
+        (sent[:11], "a0", "StoreLink", False),
+    ):
+        violations = find(
+            limits_are_kept,
+            [first, *requests],
+            [arrival(request, server="desk-1") for request in (first, *requests)],
+            injected_faults=[InjectedFault("entry-1", kind, 11.0, 12.0)],
+            named_limits=lambda: [NamedLimit("desk-1", told, 10.0, 1.0), end],
+        )
+        case.assertEqual(bool(violations), is_violation, (len(requests), told, kind))
+
+
 def test_unsound_processes_are_detected(case):
     """Guards against a check that misses exits, defects, stray output or memory use."""
     crashed = {"entry-1": SimpleNamespace(exit_codes=[0, -11])}
