--- a/amaranthbay/platform/tests/sessions.py
+++ b/amaranthbay/platform/tests/sessions.py
@@ -153,6 +153,15 @@
     call_raw(address, request("/pay/y", "POST", b"body", attempt="a2"))
 
 
+@session
+def server_that_names_a_limit(fixture, address):
+    # The shared time stands still, so that no slot of the limit begins.
+    fixture.daemon.ctx.limits._store_now = lambda: 1000.0
+    fixture.servers["desk-1"].limit = 0.1
+    call_raw(address, request("/pay/x", "POST", b"body"))
+    call_raw(address, request("/pay/y", "POST", b"body", attempt="a2"))
+
+
 def write():
     """Writes the golden files of all sessions."""
     GOLDEN_FOLDER.mkdir(exist_ok=True)
--- a/amaranthbay/platform/tests/test_sessions.py
+++ b/amaranthbay/platform/tests/test_sessions.py
@@ -40,6 +40,12 @@
     compare(case, "server_that_asks_for_a_pause")
 
 
+def test_server_that_names_a_limit(case):
+    """Guards against a call beyond the limit of a server, and against a limit that the
+    caller's answer lacks or the refusal repeats."""
+    compare(case, "server_that_names_a_limit")
+
+
 def test_each_session_is_compared(case):
     """Guards against a golden file that no test reads."""
     names = {path.stem for path in GOLDEN_FOLDER.glob("*.txt")}
