Treat a request that a limit forbids as held back, not as unreachable

A slot may end between the choice of a server and the send. The request then went to another server, but its first one counted as unreachable and was avoided for up to four seconds. A refusal of a waiting stream was computed twice, the second time possibly after a slot had begun, which would have been an error without a value.

test_slot_that_ends_before_the_request_is_sent_moves_it_elsewhere fails without it.

--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -102,6 +102,24 @@
     case.assertEqual(len(server.received), 1)
 
 
+def test_slot_that_ends_before_the_request_is_sent_moves_it_elsewhere(case):
+    """Guards against taking a server whose limit forbids a request for one that can't
+    be reached."""
+    fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
+    set_shared_time(fixture, START_S)
+    ctx = fixture.daemon.ctx
+    for server in fixture.servers.values():
+        server.limit = SCARCE_PER_S
+    while not ctx.limits.rate_per_s("desk-1"):
+        call(fixture, "/look/x")
+    ctx.limits.has_room = lambda name: True
+    received = len(fixture.servers["desk-1"].received)
+    answers = [call(fixture, "/look/x", attempt=f"b{k}").status for k in range(4)]
+    case.assertEqual(len(fixture.servers["desk-1"].received), received)
+    case.assertFalse(ctx.outcomes.is_avoided("desk-1"))
+    case.assertLessEqual(set(answers), {200, 503})
+
+
 def test_limit_that_has_ended_holds_nothing_back(case):
     """Guards against keeping the limit of a server that has recovered."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -14,6 +14,7 @@
     "AnswerHead",
     "Exchange",
     "ExchangeBroken",
+    "SendForbidden",
     "control_exchange",
     "open_exchange",
     "take_connection",
@@ -39,6 +40,10 @@
         self.reason = reason
 
 
+class SendForbidden(ExchangeBroken):
+    """Raised when a server's pause or limit forbids to send it a request."""
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Head of a backend server's answer.
@@ -222,6 +227,7 @@
         `Exchange`, whose head is not read yet.
 
     Raises:
+        SendForbidden: If the server's pause or limit forbids it; nothing was sent.
         ExchangeBroken: With the verdict ``not_run``; nothing was sent then.
     """
     request_bytes = _encode(codec, call, options)
@@ -297,11 +303,11 @@
     """Checks that a server may get a request despite its pause or its limit.
 
     Raises:
-        ExchangeBroken: With the verdict ``not_run``, if it may not.
+        SendForbidden: If it may not.
     """
     reason = pool.check_send(server.name, placed)
     if reason is not None:
-        raise ExchangeBroken(Verdict.NOT_RUN, reason)
+        raise SendForbidden(Verdict.NOT_RUN, reason)
 
 
 def _encode(codec, call, options):
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -206,9 +206,9 @@
         retry = timedelta(seconds=1)
         return not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
 
-    def held_back_refusal(self, call, excluded=frozenset()):
+    def held_back_refusal(self, call):
         """Returns a stream's `Refusal` if no decode server may get it, else None."""
-        held = self._ctx.held_back(call.service.name, Stage.DECODE, excluded)
+        held = self._ctx.held_back(call.service.name, Stage.DECODE)
         return None if held is None else all_held_back(held, self._ctx.rng.random())
 
     def _wait(self, waiting):
@@ -227,16 +227,19 @@
             waiting.ready.wait(min(RECHECK_INTERVAL_S, waiting.until - now))
             if not waiting.ready.ready():
                 self.advance()
-            if not waiting.ready.ready() and self._waits_for_limit(waiting):
-                return Err(self.held_back_refusal(waiting.call, waiting.excluded))
+            refusal = None if waiting.ready.ready() else self._limit_refusal(waiting)
+            if refusal is not None:
+                return Err(refusal)
 
-    def _waits_for_limit(self, waiting):
-        """Returns whether a new stream waits only because limits are used up."""
+    def _limit_refusal(self, waiting):
+        """Returns the `Refusal` of a new stream that only a limit keeps waiting."""
         if waiting.continued or not self._ctx.limits.in_force():
-            return False
+            return None
         name = waiting.call.service.name
         held = self._ctx.held_back(name, Stage.DECODE, waiting.excluded)
-        return held is not None and held.by_limit
+        if held is None or not held.by_limit:
+            return None
+        return all_held_back(held, self._ctx.rng.random())
 
     def _log_no_memory(self, waiting):
         """Logs the memory in use on the decode servers that a stream has waited for."""
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -11,7 +11,12 @@
 from amaranthbay.observe import Step, current_metrics, log_decision, log_event
 from amaranthbay.relay.choice import choose_plain, has_free_slot
 from amaranthbay.relay.codec import ForwardOptions
-from amaranthbay.relay.exchange import AnswerHead, ExchangeBroken, open_exchange
+from amaranthbay.relay.exchange import (
+    AnswerHead,
+    ExchangeBroken,
+    SendForbidden,
+    open_exchange,
+)
 from amaranthbay.relay.refusals import RETRY_SOON, all_held_back, timed_out
 
 __all__ = ["PlainRelay", "WholeAnswer"]
@@ -218,7 +223,8 @@
                 ctx.connections, ctx.codec, server, call, options, CONNECT_TIMEOUT_S
             )
         except ExchangeBroken as exc:
-            ctx.outcomes.note_unreachable(server.name)
+            if not isinstance(exc, SendForbidden):
+                ctx.outcomes.note_unreachable(server.name)
             log_event(
                 "server_unreachable",
                 level="warning",
