Test control calls, holds and streams in progress at a limited server

Each guards a decision of its own: calls of the daemon itself count as requests, a limited server is not asked for a hold, and only a stream that has begun waits for a slot.

--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -6,6 +6,7 @@
 import gevent
 
 from amaranthbay.daemon.entry import EntryDaemon
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.tests.fixtures import (
     call,
@@ -199,4 +200,46 @@
     case.assertEqual({job.value.status for job in jobs}, {200, 503})
 
 
+def test_stream_that_has_begun_waits_for_a_slot(case):
+    """Guards against giving up a stream whose caller has events already, although the
+    next slot begins in time."""
+    fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
+    set_shared_time(fixture, START_S)
+    fixture.daemon.ctx.limits.note_limit("dec-2", AMPLE_PER_S)
+    server = fixture.servers["dec-1"]
+
+    def break_off(req):
+        gevent.spawn_later(0.2, set_shared_time, fixture, START_S + 1.01)
+        return server.stream_reply(req, last=1, cut=True)
+
+    server.replies.append(break_off)
+    answer = call_raw(fixture.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(len(fixture.servers["dec-2"].received), 1)
+
+
+def test_control_calls_count_as_requests(case):
+    """Guards against calls of the daemon itself that exceed the limit of a server."""
+    fixture = case.enterContext(entry_fixture())
+    set_shared_time(fixture, START_S)
+    prefill, decode = fixture.servers["pre-1"], fixture.servers["dec-1"]
+    prefill.limit = SCARCE_PER_S
+    decode.replies.append(decode.refusal())
+    case.assertEqual(call_raw(fixture.address, stream_request("/sum/x")).status, 503)
+    # The daemon would give back the KV cache that no decode server took.
+    gevent.sleep(0.2)
+    case.assertEqual(len(prefill.received_at), 1)
+
+
+def test_limited_server_is_not_asked_for_a_hold(case):
+    """Guards against spending the few requests of a server on reservations."""
+    fixture = case.enterContext(entry_fixture())
+    set_shared_time(fixture, START_S)
+    fixture.daemon.ctx.limits.note_limit("dec-1", AMPLE_PER_S)
+    set_shared_time(fixture, START_S + 1.01)
+    case.addCleanup(fixture.daemon.placed_load.add("dec-1", ServerLoad(1, 8000, 0)))
+    case.assertEqual(call_raw(fixture.address, stream_request("/sum/x")).status, 200)
+    case.assertEqual(fixture.servers["dec-1"].control_calls, [])
+
+
 load_tests = collect(globals())
