Test that streams are refused for a limit and that instances report limits

Mutations of a scratch copy (trials) showed three mechanisms that no test noticed: refusing streams that wait when the slots are used up, refusing new ones at once, and sending and applying reports. Each has a test now.

--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -2,11 +2,12 @@
 
 import random
 import time
+from unittest import mock
 
 import gevent
 
 from amaranthbay.daemon.entry import EntryDaemon
-from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.fleet.reports import LimitNotice, PeerStatus, ServerLoad
 from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.tests.fixtures import (
     call,
@@ -16,6 +17,7 @@
     request,
     stream_request,
 )
+from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.utils.testing import collect, wait_until
 
 INSTANCES = 6
@@ -121,6 +123,26 @@
     case.assertLessEqual(set(answers), {200, 503})
 
 
+def test_instances_report_limits_to_each_other(case):
+    """Guards against instances that each ask a server in trouble for its limit, and
+    that miss its end."""
+    fixture = case.enterContext(entry_fixture())
+    limits, peers = fixture.daemon.ctx.limits, fixture.daemon.peers
+    set_shared_time(fixture, START_S)
+    fixture.servers["desk-1"].limit = SCARCE_PER_S
+    call(fixture, "/look/x")
+    case.assertEqual(
+        peers.next_report().limits, {"desk-1": LimitNotice(START_S, SCARCE_PER_S)}
+    )
+    for sequence, notice in enumerate(
+        (LimitNotice(START_S + 1), LimitNotice(START_S + 2, 3.0)), 1
+    ):
+        set_shared_time(fixture, notice.noted_at)
+        status = PeerStatus("e-2", 7, sequence, True, {}, limits={"desk-1": notice})
+        peers.receive(status)
+        case.assertEqual(limits.rate_per_s("desk-1"), notice.rate_per_s)
+
+
 def test_limit_that_has_ended_holds_nothing_back(case):
     """Guards against keeping the limit of a server that has recovered."""
     fixture = case.enterContext(entry_fixture())
@@ -171,10 +193,14 @@
     answer = call_raw(fixture.address, stream_request("/once/x"))
     case.assertEqual(answer.status, 200)
     prefills = len(fixture.servers["pre-1"].received)
-    for number in range(5):
-        answer = call_raw(fixture.address, stream_request("/once/x", f"b{number}"))
-        case.assertEqual(answer.status, 503)
-        case.assertGreater(float(answer.headers["retry-after"]), 0.0)
+    # The next slot would begin within the time for which a stream may wait.
+    server.limit = AMPLE_PER_S
+    fixture.daemon.ctx.limits.note_limit("dec-1", AMPLE_PER_S)
+    with mock.patch.object(StreamQueue, "_wait", side_effect=AssertionError):
+        for number in range(5):
+            answer = call_raw(fixture.address, stream_request("/once/x", f"b{number}"))
+            case.assertEqual(answer.status, 503)
+            case.assertGreater(float(answer.headers["retry-after"]), 0.0)
     case.assertEqual(len(server.received_at), 1)
     case.assertEqual(len(fixture.servers["pre-1"].received), prefills)
 
@@ -197,7 +223,10 @@
     case.assertEqual(served, 10)
     case.assertEqual(len(server.received), 1 + served)
     case.assertEqual(len(fixture.servers["pre-1"].received), 1 + served)
-    case.assertEqual({job.value.status for job in jobs}, {200, 503})
+    refusals = [job.value for job in jobs if job.value.status == 503]
+    case.assertEqual(served + len(refusals), 30)
+    for answer in refusals:
+        case.assertIn(b"limits", answer.body)
 
 
 def test_stream_that_has_begun_waits_for_a_slot(case):
