Test that slots lie on the store's clock and whose answers count

Three more mutations that no test noticed (trials): slots on the local clock, a limit in the answer of another server at the same address, and a refusal without a limit that ends one. The stand-in of the store has a clock of its own now.

--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -17,9 +17,11 @@
 
 from amaranthbay.utils.testing import free_port
 
-__all__ = ["Reply", "StoreStandin", "ServerStandin", "serve_http"]
+__all__ = ["STORE_LEAD_S", "Reply", "StoreStandin", "ServerStandin", "serve_http"]
 
 READ_BYTES = 65536
+# Lead of the store's steady clock over that of this machine.
+STORE_LEAD_S = 5000.0
 
 
 @dataclass(frozen=True)
@@ -332,7 +334,7 @@
 
 def _now_ms():
     """Returns the steady clock of the store in milliseconds."""
-    return int(time.monotonic() * 1000)
+    return int((time.monotonic() + STORE_LEAD_S) * 1000)
 
 
 def _json(value):
--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -17,6 +17,7 @@
     request,
     stream_request,
 )
+from amaranthbay.platform.tests.standins import STORE_LEAD_S
 from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -123,6 +124,31 @@
     case.assertLessEqual(set(answers), {200, 503})
 
 
+def test_slots_lie_on_the_clock_of_the_store(case):
+    """Guards against slots on the clocks of the instances, which differ."""
+    started_at = time.monotonic()
+    fixture = case.enterContext(entry_fixture())
+    slot_time = fixture.daemon.ctx.limits._slot_time()
+    case.assertGreaterEqual(slot_time, started_at + STORE_LEAD_S - 0.001)
+    case.assertLessEqual(slot_time, time.monotonic() + STORE_LEAD_S)
+
+
+def test_limit_in_the_answer_of_another_server_is_ignored(case):
+    """Guards against limiting a server whose address another one has taken over."""
+    fixture = case.enterContext(entry_fixture())
+    fixture.servers["desk-1"].limit = SCARCE_PER_S
+    address = fixture.addresses["desk-1"]
+    fixture.write_entry("desk-9", "desk", address=address)
+    fixture.wait_for_servers("desk", 2)
+
+    def is_forgotten():
+        call(fixture, "/look/x")
+        return not fixture.daemon.backends.is_listed("desk-9")
+
+    wait_until(is_forgotten)
+    case.assertIsNone(fixture.daemon.ctx.limits.rate_per_s("desk-9"))
+
+
 def test_instances_report_limits_to_each_other(case):
     """Guards against instances that each ask a server in trouble for its limit, and
     that miss its end."""
@@ -160,6 +186,18 @@
     case.assertEqual({call(fixture, "/look/x").status for _ in range(30)}, {200})
 
 
+def test_refusal_without_a_limit_does_not_end_it(case):
+    """Guards against ending a limit because of an answer that no request was run for."""
+    fixture = case.enterContext(entry_fixture())
+    set_shared_time(fixture, START_S)
+    server, limits = fixture.servers["desk-1"], fixture.daemon.ctx.limits
+    limits.note_limit("desk-1", AMPLE_PER_S)
+    set_shared_time(fixture, START_S + 1.01)
+    server.replies.append(server.refusal())
+    case.assertEqual(call(fixture, "/look/x").status, 503)
+    case.assertEqual(limits.rate_per_s("desk-1"), AMPLE_PER_S)
+
+
 def test_limit_that_cannot_be_read_is_ignored(case):
     """Guards against an unreadable limit that fails a request or excludes a server."""
     fixture = case.enterContext(entry_fixture())
