--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -187,7 +187,7 @@
 
 
 def test_refusal_without_a_limit_does_not_end_it(case):
-    """Guards against ending a limit because of an answer that no request was run for."""
+    """Guards against ending a limit because of an answer to a refused request."""
     fixture = case.enterContext(entry_fixture())
     set_shared_time(fixture, START_S)
     server, limits = fixture.servers["desk-1"], fixture.daemon.ctx.limits
