Count a decode that was placed before its server named a limit

A stream is placed, and counted, before its prompt is computed. If the decode server named its limit meanwhile, the stream was not counted at all: with fifteen instances and a few prompts on their way at each, a server with a limit of one a second could get more than the 11 requests in 4 s that are allowed.

A placement now says which servers it has counted; others are checked at the send. A decode that is forbidden then goes to another server with its computed prompt, and its server does not count as unreachable.

Found by reading. test_limit_named_during_a_prefill_holds_for_the_decode fails without it: the decode reached the limited server.

--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -399,12 +399,7 @@
             reply = self.replies.popleft()
             return reply(req) if callable(reply) else reply
         if req.headers.get("x-serving-stage") == "prefill":
-            body = {
-                "KvHandle": f"h{next(self._handle_numbers)}",
-                "Tokens": 10,
-                "Version": 1,
-            }
-            return _json(body)
+            return self.prefill_reply()
         if "x-token-count" in req.headers:
             return self.stream_reply(req)
         return self.stamped_reply(req, body=b"body of " + self.name.encode())
@@ -429,6 +424,11 @@
             return Reply(202)
         return Reply(200)
 
+    def prefill_reply(self):
+        """Returns a reply that names the KV cache of a computed prompt."""
+        handle = f"h{next(self._handle_numbers)}"
+        return _json({"KvHandle": handle, "Tokens": 10, "Version": 1})
+
     def refusal(self, status=503, retry_after=None):
         """Returns a reply which states that the request was not run.
 
--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -243,6 +243,28 @@
     case.assertEqual(len(fixture.servers["pre-1"].received), prefills)
 
 
+def test_limit_named_during_a_prefill_holds_for_the_decode(case):
+    """Guards against decodes beyond the limit of a server that named it after they were
+    placed there."""
+    fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
+    set_shared_time(fixture, START_S)
+    prefill, daemon = fixture.servers["pre-1"], fixture.daemon
+    limited = []
+
+    def name_limit(req):
+        loads = daemon.placed_load.loads()
+        limited.extend({"dec-1", "dec-2"} & loads.keys())
+        daemon.ctx.limits.note_limit(limited[0], SCARCE_PER_S)
+        return prefill.prefill_reply()
+
+    prefill.replies.append(name_limit)
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(fixture.servers[limited[0]].received_at, [])
+    case.assertEqual(len(prefill.received), 1)
+    case.assertFalse(daemon.ctx.outcomes.is_avoided(limited[0]))
+
+
 def test_streams_that_begin_together_waste_no_prompt(case):
     """Guards against prompts computed for the same request that a limit allows."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -2,6 +2,7 @@
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import log_event
+from amaranthbay.relay.exchange import SendForbidden
 from amaranthbay.relay.switches import inspect_refusal
 
 __all__ = ["StreamAttempts"]
@@ -78,7 +79,7 @@
         if sent:
             self._ctx.outcomes.note_failed(server.name)
             self._ctx.crashes.note_broken(self._call, server, exc)
-        else:
+        elif not isinstance(exc, SendForbidden):
             self._ctx.outcomes.note_unreachable(server.name)
         log_event(
             "attempt_failed",
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -63,6 +63,7 @@
         decode: `BackendServer` that decodes.
         need_tokens: KV cache tokens that the attempt needs on the decode server.
         may_be_full: Whether the decode server may turn out to be full.
+        counted: Names of the servers whose limit the placement has counted.
         end_prefill: Function that removes the prompt from the load of the server that
             computes it.
         release: Function that removes the attempt from the loads of both servers.
@@ -74,6 +75,7 @@
     decode: object
     need_tokens: int
     may_be_full: bool
+    counted: frozenset
     end_prefill: object
     release: object
 
@@ -427,8 +429,12 @@
         tokens = call.head.prompt_tokens
         prefill_host = (prefill or decode).server
         # Counted here, as a computed prompt would be wasted without its decode.
-        for server in {decode.server.name, prefill_host.name}:
-            self._ctx.limits.withdraw(server)
+        limits = self._ctx.limits
+        counted = frozenset(
+            name
+            for name in {decode.server.name, prefill_host.name}
+            if limits.rate_per_s(name) is not None and limits.withdraw(name)
+        )
         end_decode = placed_load.add(
             decode.server.name, ServerLoad(running=1, memory_tokens=need_tokens)
         )
@@ -448,6 +454,7 @@
             decode.server,
             need_tokens,
             may_be_full,
+            counted,
             end_prefill,
             release,
         )
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -39,7 +39,8 @@
     limit_s = min(
         PREFILL_TIMEOUT_S, BASE_TIMEOUT_S + TIMEOUT_FACTOR * placement.prefill_end_s
     )
-    answer = _request_prefill(ctx, call, attempts, server, limit_s)
+    placed = server.name in placement.counted
+    answer = _request_prefill(ctx, call, attempts, server, limit_s, placed)
     if answer.is_err():
         return answer
     head, body = answer.unwrap()
@@ -63,7 +64,7 @@
     return Ok(prefilled.handle)
 
 
-def _request_prefill(ctx, call, attempts, server, limit_s):
+def _request_prefill(ctx, call, attempts, server, limit_s, placed):
     """Returns ``Result[tuple[AnswerHead, bytes], Refusal]``."""
     left_s = call.left_s(ctx.clock.monotonic())
     options = ForwardOptions(server.name, left_s, prefill_only=True)
@@ -78,7 +79,7 @@
                 call,
                 options,
                 CONNECT_TIMEOUT_S,
-                placed=True,
+                placed=placed,
             )
             head = exchange.read_head()
             return Ok((head, b"".join(exchange.chunks())))
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -261,7 +261,7 @@
                 options,
                 CONNECT_TIMEOUT_S,
                 conn,
-                placed=True,
+                placed=server.name in placement.counted,
             )
             self._attempts.note_sent()
             self._may_be_running = True
