--- a/amaranthbay/platform/tests/test_entry_limits.py
+++ b/amaranthbay/platform/tests/test_entry_limits.py
@@ -19,7 +19,7 @@
 )
 from amaranthbay.platform.tests.standins import STORE_LEAD_S
 from amaranthbay.relay.placing import StreamQueue
-from amaranthbay.utils.testing import collect, wait_until
+from amaranthbay.utils.testing import collect, largest_count, wait_until
 
 INSTANCES = 6
 LIMIT_PER_S = 1.0
@@ -55,13 +55,6 @@
     return [daemon.settings.caller_address for daemon in daemons]
 
 
-def largest_count(times):
-    """Returns the largest number of times within one window."""
-    return max(
-        (sum(0 <= t - start < WINDOW_S for t in times) for start in times), default=0
-    )
-
-
 def test_limit_of_a_server_holds_for_all_instances_together(case):
     """Guards against instances that together exceed the limit that a server names."""
     fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
@@ -83,7 +76,9 @@
     told_at = time.monotonic() + 2 * TOLD_S
     gevent.joinall(jobs, raise_error=True)
     times = [moment for moment in server.received_at if moment >= told_at]
-    case.assertLessEqual(largest_count(times), FACTOR * WINDOW_S * LIMIT_PER_S + SLACK)
+    case.assertLessEqual(
+        largest_count(times, WINDOW_S), FACTOR * WINDOW_S * LIMIT_PER_S + SLACK
+    )
     case.assertGreater(len(times), 0)
     case.assertEqual(set(answers), {200})
 
--- a/amaranthbay/relay/tests/test_limits.py
+++ b/amaranthbay/relay/tests/test_limits.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.relay.limits import ServerLimits
-from amaranthbay.utils.testing import ManualClock, collect
+from amaranthbay.utils.testing import ManualClock, collect, largest_count
 
 # The platform's bound on the requests of instances that know of a limit: in each window
 # half as much again as the limit allows, and five more.
@@ -66,13 +66,6 @@
     return times
 
 
-def largest_count(times):
-    """Returns the largest number of times within one window."""
-    return max(
-        (sum(0 <= t - start < WINDOW_S for t in times) for start in times), default=0
-    )
-
-
 def allowed(rate_per_s):
     return FACTOR * WINDOW_S * rate_per_s + SLACK
 
@@ -86,7 +79,7 @@
 def check_fleet(size, rate_per_s, server):
     clock = ManualClock()
     times = send_times(clock, make_fleet(clock, size), rate_per_s, server, 10.0)
-    assert largest_count(times) <= allowed(rate_per_s)
+    assert largest_count(times, WINDOW_S) <= allowed(rate_per_s)
 
 
 def test_limit_holds_for_any_number_of_instances(case):
@@ -122,7 +115,7 @@
             clock, 8, unknown=lambda number: () if number == newcomer else (newcomer,)
         )
         times = send_times(clock, fleet, 1.0)
-        case.assertLessEqual(largest_count(times), allowed(1.0))
+        case.assertLessEqual(largest_count(times, WINDOW_S), allowed(1.0))
 
 
 def test_limit_holds_with_shared_times_that_differ(case):
@@ -134,7 +127,7 @@
         clock = ManualClock()
         fleet = make_fleet(clock, 9, errors_s=lambda number: errors_s[number])
         times = send_times(clock, fleet, 1.2)
-        case.assertLessEqual(largest_count(times), allowed(1.2))
+        case.assertLessEqual(largest_count(times, WINDOW_S), allowed(1.2))
 
 
 def test_wait_ends_with_a_slot_that_may_be_used(case):
@@ -169,7 +162,7 @@
     clock = ManualClock()
     times = send_times(clock, make_fleet(clock, 3), 0.0, seconds=60.0)
     case.assertGreater(len(times), 2)
-    case.assertLessEqual(largest_count(times), allowed(0.0))
+    case.assertLessEqual(largest_count(times, WINDOW_S), allowed(0.0))
 
 
 def test_clock_of_the_store_that_goes_back_stops_no_requests(case):
--- a/amaranthbay/utils/testing.py
+++ b/amaranthbay/utils/testing.py
@@ -21,6 +21,7 @@
     "free_port",
     "free_port_pair",
     "greenlet",
+    "largest_count",
     "wait_until",
 ]
 
@@ -154,6 +155,23 @@
     return True
 
 
+def largest_count(times, window_s):
+    """Returns the largest number of times within one window.
+
+    Args:
+        times: Times in seconds, in any order.
+        window_s: Length of a window, which doesn't include its end.
+
+    Examples:
+        >>> largest_count([0.0, 1.0, 3.5, 4.5], 3.0)
+        2
+    """
+    return max(
+        (sum(0 <= time - start < window_s for time in times) for start in times),
+        default=0,
+    )
+
+
 def wait_until(condition, timeout_s=WAIT_TIMEOUT_S):
     """Waits until a condition returns a true value and returns that value.
 
