Log requests that end without an answer and connections that fail

A stream that was cut was logged as answered, an idle connection that is closed with input in it left no line, and an exception outside of a request left a trace that is no log line. The configuration in force names its idle limit.

--- a/amaranthbay/fleet/configuration.py
+++ b/amaranthbay/fleet/configuration.py
@@ -46,5 +46,8 @@
             return
         self.table = table
         log_event(
-            "configuration_in_force", version=table.version, routes=len(table.routes)
+            "configuration_in_force",
+            version=table.version,
+            routes=len(table.routes),
+            idle_timeout_s=table.limits.idle_timeout_s,
         )
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers, with limits and graceful shutdown."""
 
 import socket as std_socket
+import sys
 from dataclasses import dataclass
 
 import gevent
@@ -84,6 +85,13 @@
         except (OSError, CallerGone):
             # The caller has hung up or doesn't read, so no answer is possible.
             pass
+        except Exception:
+            log_event(
+                "defect",
+                level="error",
+                exc=sys.exc_info(),
+                message="the connection of a caller failed",
+            )
         finally:
             self._close()
 
@@ -164,6 +172,8 @@
         try:
             return self.sock.recv(READ_BYTES)
         except OSError:
+            if peek(self.sock):
+                log_event("request_unread", level="warning", idle_s=idle_s)
             return b""
         finally:
             self._listener.idle.discard(self)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -163,9 +163,9 @@
             log_event("request_ended", request_id=call.request_id, outcome="gone")
             raise
         if refusal is None:
-            service = call.service.name
-            current_metrics().request_ended(service, Verdict.RAN, "answered")
-            self._log_end(call.request_id, "answered", call.arrived_at)
+            outcome = "answered" if conn.answered else "cut"
+            current_metrics().request_ended(call.service.name, Verdict.RAN, outcome)
+            self._log_end(call.request_id, outcome, call.arrived_at)
         return refusal
 
     def _answer_plain(self, conn, call):
