Keep the stream of a silent server until another server has taken it over

Cause: a resumable stream left its server after 1 s of silence, or 2 s before the head, and only then looked for another one. Without another server, room, an attempt or a repeat, or if the other server refused, the stream was over.

Now another attempt is opened beside the silent one. The silent server is left once the other one has answered with a stream; if it sends anything before that, the other attempt is dropped. The request is at two servers for 0.1 s at most, of the 0.4 s that are allowed. The silence is measured without a timeout of the socket, which would also end the sending of a long prompt.

--- a/amaranthbay/platform/tests/test_entry_silence.py
+++ b/amaranthbay/platform/tests/test_entry_silence.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
+    connect,
     entry_fixture,
     stream_request,
 )
@@ -45,6 +46,11 @@
     return reply
 
 
+def hang(req):
+    """A reply that never comes."""
+    gevent.sleep(30.0)
+
+
 def call_stream(fixture, path="/resume/x"):
     deadline = (("X-Deadline-Ms", "9000"),)
     return call_raw(fixture.address, stream_request(path, headers=deadline))
@@ -133,4 +139,18 @@
     wait_until(lambda: not fixture.daemon.placed_load.loads())
 
 
+def test_takeover_ends_with_its_stream(case):
+    """Guards against a request, or a placement, that outlives its stream while another
+    server is about to take it over."""
+    fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
+    servers = [fixture.servers[name] for name in ("dec-1", "dec-2")]
+    for server in servers:
+        pause = pause_between_events(server, 30.0)
+        server.replies.append(answer_unless_resumed(pause, hang))
+    with connect(fixture.address) as sock:
+        sock.sendall(stream_request("/resume/x"))
+        wait_until(lambda: all(server.received for server in servers))
+    wait_until(lambda: not fixture.daemon.placed_load.loads())
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -17,6 +17,7 @@
     Attributes:
         excluded: Names of servers that are not used again for this stream.
         prefilled: Whether a server has computed the prompt, or may have.
+        decode_in_progress: Whether a decode server has the request, or may have.
     """
 
     def __init__(self, ctx, call):
@@ -25,11 +26,17 @@
         self._attempt_count = 0
         self.excluded = set()
         self.prefilled = False
+        self.decode_in_progress = False
 
     def note_sent(self):
         """Counts an attempt whose request was sent."""
         self._attempt_count += 1
 
+    def note_decode_sent(self):
+        """Counts an attempt whose request was sent to a decode server."""
+        self.note_sent()
+        self.decode_in_progress = True
+
     def note_prefill_computed(self):
         """Records that a prefill server has computed the prompt."""
         if self.prefilled:
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -88,6 +88,7 @@
         self._complete = False
         self._peer_closed = False
         self._headers = ()
+        self._silence_s = None
         self._on_silence = None
         self._sent_at = pool.clock.monotonic()
 
@@ -96,7 +97,7 @@
 
         An exception of the callback ends the read.
         """
-        self._conn.sock.settimeout(seconds)
+        self._silence_s = seconds
         self._on_silence = callback
 
     def read_head(self):
@@ -163,12 +164,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = self._conn.sock.recv(READ_BYTES)
-            except TimeoutError as exc:
-                if self._on_silence is None:
-                    raise self._broken("connection_reset") from exc
-                self._on_silence()
-                continue
+                data = self._receive()
             except OSError as exc:
                 raise self._broken("connection_reset") from exc
             self._peer_closed = not data
@@ -177,6 +173,14 @@
             except h11.RemoteProtocolError as exc:
                 raise self._broken("connection_closed") from exc
 
+    def _receive(self):
+        # The request may still be being sent, so the socket gets no timeout.
+        while self._on_silence is not None:
+            with gevent.Timeout(self._silence_s, False):
+                return self._conn.sock.recv(READ_BYTES)
+            self._on_silence()
+        return self._conn.sock.recv(READ_BYTES)
+
     def _broken(self, reason):
         return ExchangeBroken(Verdict.MAY_HAVE_RUN, reason)
 
@@ -187,7 +191,6 @@
         if not (self._complete and sent and self._may_reuse()):
             self._conn.close()
             return
-        self._conn.sock.settimeout(None)
         self._pool.give_back(self._conn, self._keep_alive_s())
 
     def _may_reuse(self):
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -1,57 +1,49 @@
-"""Relays streams of model servers: prefill, decode and continuation after failures."""
+"""Relays streams of model servers, with continuation after failures and silence."""
 
 from dataclasses import dataclass
 
 import gevent
 from result import Err, Ok
 
-from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
+from amaranthbay.kernel.errors import Reason, Verdict, may_have_run
 from amaranthbay.observe import Step, current_metrics, log_event
 from amaranthbay.relay.attempts import StreamAttempts
-from amaranthbay.relay.codec import ForwardOptions
-from amaranthbay.relay.exchange import (
-    ExchangeBroken,
-    open_exchange,
-    take_connection,
-)
-from amaranthbay.relay.holds import drop_hold, release_handle, take_hold
+from amaranthbay.relay.exchange import ExchangeBroken
+from amaranthbay.relay.holds import drop_hold
+from amaranthbay.relay.opening import StreamOpener, decode_failed
 from amaranthbay.relay.output import StreamOutput
 from amaranthbay.relay.placing import memory_need
-from amaranthbay.relay.plain import AMBIGUOUS_STATUSES
-from amaranthbay.relay.prefill import CONNECT_TIMEOUT_S, run_prefill
-from amaranthbay.relay.refusals import RETRY_SOON, timed_out
+from amaranthbay.relay.refusals import timed_out
 
 __all__ = ["StreamRelay"]
 
-# Silence of a decode server after which a resumable stream continues elsewhere.
-# Callers leave after two seconds without an event.
+# Silence of a decode server, after and before the head of its answer, after which a
+# resumable stream looks for another server. Callers leave after two seconds without an
+# event, and after four targets without the first one; the target is one second.
 STALL_S = 1.0
-# Longest wait of a resumable stream for the head of the answer. Callers leave after
-# four targets without an event; the target is one second.
-HEAD_TIMEOUT_S = 2.0
+HEAD_STALL_S = 2.0
 # Interval at which the silence of a decode server is recorded, so that it gets no new
 # streams for a while; events usually come every 50 ms.
 SILENCE_CHECK_S = 0.5
-# Share of a handle's life within which another decode server may still be offered it.
-HANDLE_REUSE_SHARE = 0.6
+# Interval at which a stream of a silent server checks whether another one has taken
+# over. Two servers may run the same stream for 0.4 s.
+TAKEOVER_CHECK_S = 0.1
 OK = 200
 
 
-@dataclass(frozen=True)
-class _ComputedPrompt:
-    """A computed prompt, whose KV cache a prefill server keeps for a moment.
+@dataclass
+class _Silence:
+    """Time for which a server has sent nothing.
 
     Attributes:
-        server: `BackendServer` that keeps the KV cache.
-        handle: Name of the KV cache at that server.
-        source: Text that tells a decode server where to fetch the KV cache.
-        computed_at: Monotonic time at which the prefill ended.
+        seconds: Seconds of silence so far.
     """
 
-    server: object
-    handle: str
-    source: str
-    computed_at: float
+    seconds: float = 0.0
+
+    def clear(self):
+        """Starts anew after the server has sent something."""
+        self.seconds = 0.0
 
 
 class StreamRelay:
@@ -83,49 +75,68 @@
         self._call = call
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
+        self._opener = self._create_opener(watch_head=self._watch_head)
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
-        # Whether an attempt has sent the request to a decode server and is in progress.
-        self._may_be_running = False
+        # Greenlet that opens the stream at another server while its server is silent.
+        self._takeover = None
+
+    def _create_opener(self, **options):
+        return StreamOpener(
+            self._ctx, self._queue, self._call, self._attempts, self._output, **options
+        )
 
     def run(self):
         """Returns None if anything was sent to the caller, else a `Refusal`."""
         limit_s = self._call.left_s(self._ctx.clock.monotonic())
-        with gevent.Timeout(limit_s, False):
-            return self._run_attempts()
+        try:
+            with gevent.Timeout(limit_s, False):
+                return self._run_attempts()
+        finally:
+            self._cancel_takeover()
         # The deadline has passed: a stream that has started stays incomplete.
         if self._output.started:
             return None
-        verdict = Verdict.MAY_HAVE_RUN if self._may_be_running else self._verdict
-        return timed_out(verdict)
+        may_be_running = self._attempts.decode_in_progress
+        return timed_out(Verdict.MAY_HAVE_RUN if may_be_running else self._verdict)
 
     def _run_attempts(self):
         while True:
-            place_result = self._queue.place(
-                self._call,
-                frozenset(self._attempts.excluded),
-                self._attempts.must_skip_prefill(),
-                self._output.started,
-            )
+            place_result = self._opener.place()
             if place_result.is_err():
                 return self._end(place_result.unwrap_err())
-            placement = place_result.unwrap()
-            try:
-                hold_result = take_hold(self._ctx, self._call, placement)
-                if hold_result.is_err():
-                    continue
-                outcome = self._attempt(placement, hold_result.unwrap())
-                self._may_be_running = False
-            finally:
-                placement.release()
-            if outcome.is_ok():
+            refusal = self._relay_to_end(self._opener.open(*place_result.unwrap()))
+            self._attempts.decode_in_progress = False
+            if refusal is None:
                 return None
-            refusal = outcome.unwrap_err()
-            if refusal.verdict is not Verdict.NOT_RUN:
-                self._verdict = refusal.verdict
             if not self._attempts.withdraw_repeat(refusal):
                 return self._end(refusal)
 
+    def _relay_to_end(self, outcome):
+        """Relays an opened stream, and those that take over from a silent server.
+
+        Args:
+            outcome: ``Result[OpenedStream, Refusal]`` of the attempt.
+
+        Returns:
+            None once the stream is complete, else the `Refusal` of the last attempt.
+        """
+        while True:
+            if outcome.is_ok():
+                refusal = self._relay_opened(outcome.unwrap())
+                if refusal is None:
+                    return None
+            else:
+                refusal = outcome.unwrap_err()
+            self._note_verdict(refusal)
+            outcome = self._finish_takeover()
+            if outcome is None:
+                return refusal
+
+    def _note_verdict(self, refusal):
+        if refusal.verdict is not Verdict.NOT_RUN:
+            self._verdict = refusal.verdict
+
     def _end(self, refusal):
         """Returns the `Refusal` for the caller; None if its stream has started."""
         if self._output.started:
@@ -141,206 +152,38 @@
             return self._queue.held_back_refusal(self._call) or refusal
         return refusal.with_verdict(self._verdict)
 
-    def _attempt(self, placement, hold):
-        """Returns ``Result[None, Refusal]``; Ok once the stream is complete."""
-        if placement.prefill is None:
-            return self._decode(placement, None, hold)
-        ctx, server, conn = self._ctx, placement.decode, None
+    def _relay_opened(self, opened):
+        """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
         try:
-            # Connects before the prefill, so that no prompt is computed for a decode
-            # server that can't be reached.
-            conn = take_connection(
-                ctx.connections, server, self._call.route.repeatable, CONNECT_TIMEOUT_S
-            )
-            prefill_result = run_prefill(ctx, self._call, self._attempts, placement)
-            placement.end_prefill()
-            if prefill_result.is_err():
-                return prefill_result
-            server_conn, conn = conn, None
-            return self._decode_computed(
-                placement, prefill_result.unwrap(), hold, server_conn
-            )
-        except ExchangeBroken as exc:
-            self._attempts.note_failed(server, exc, sent=False)
-            return _decode_failed(exc)
-        finally:
-            if conn is not None:
-                ctx.connections.give_back(conn, None)
-                drop_hold(ctx, server, hold)
-
-    def _decode_computed(self, placement, handle, hold, conn):
-        """Decodes a computed prompt and releases its KV cache if no server takes it.
-
-        Args:
-            placement: `Placement` whose prefill server has computed the prompt.
-            handle: Name of the KV cache at the prefill server.
-            hold: Id of the hold at the decode server; empty for none.
-            conn: `ServerConnection` to the decode server.
-
-        Returns:
-            ``Result[None, Refusal]``.
-        """
-        server = placement.prefill
-        computed = _ComputedPrompt(
-            server,
-            handle,
-            self._ctx.codec.kv_source(server.address, handle),
-            self._ctx.clock.monotonic(),
-        )
-        was_suspect = self._ctx.handles.is_suspect(server.name)
-        taken = False
-        try:
-            outcome = self._decode(placement, computed, hold, conn)
-            # A suspect prefill server has probably lost the KV cache. Another decode
-            # server couldn't fetch it either.
-            if _is_not_run(outcome) and not was_suspect:
-                other_outcome = self._decode_elsewhere(
-                    outcome.unwrap_err(), placement.decode, computed
-                )
-                outcome = other_outcome or outcome
-            taken = not _is_not_run(outcome)
-            return outcome
-        finally:
-            if not taken:
-                release_handle(self._ctx, server, handle)
-
-    def _decode_elsewhere(self, refusal, first_server, computed):
-        """Offers a computed prompt to another decode server.
-
-        Args:
-            refusal: `Refusal` of the first decode server.
-            first_server: `BackendServer` that refused.
-            computed: `_ComputedPrompt` to offer.
-
-        Returns:
-            ``Result[None, Refusal]``, or None if no server is left, the handle is too
-            old or no repeat is allowed.
-        """
-        age_s = self._ctx.clock.monotonic() - computed.computed_at
-        if age_s > HANDLE_REUSE_SHARE * self._call.service.engine.handle_ttl_s:
+            if opened.head.status != OK:
+                return self._forward_whole(opened)
+            self._relay(opened)
             return None
-        excluded = frozenset(self._attempts.excluded) | {first_server.name}
-        other_placement = self._queue.place_on_other_decode(self._call, excluded)
-        if other_placement is None:
-            return None
-        try:
-            if not self._attempts.withdraw_repeat(refusal, prefill_again=False):
-                return None
-            return self._decode(other_placement, computed, "")
-        finally:
-            other_placement.release()
-
-    def _decode(self, placement, computed, hold, conn=None):
-        """Sends the request to the decode server and relays its events.
-
-        Args:
-            placement: `Placement` with the decode server.
-            computed: `_ComputedPrompt`; None if the decode server computes the prompt.
-            hold: Id of the hold at the decode server; empty for none.
-            conn: `ServerConnection` to use if it is still open, or None.
-
-        Returns:
-            ``Result[None, Refusal]``; Ok once the stream is complete.
-        """
-        ctx, call, server = self._ctx, self._call, placement.decode
-        options = ForwardOptions(
-            server.name,
-            call.left_s(ctx.clock.monotonic()),
-            kv_source=computed.source if computed is not None else "",
-            hold=hold,
-            last_event_id=self._output.last_id if self._output.started else None,
-        )
-        exchange = None
-        called_at = ctx.clock.monotonic()
-        try:
-            exchange = open_exchange(
-                ctx.connections,
-                ctx.codec,
-                server,
-                call,
-                options,
-                CONNECT_TIMEOUT_S,
-                conn,
-                placed=server.name in placement.counted,
-            )
-            self._attempts.note_sent()
-            self._may_be_running = True
-            head = self._read_head(exchange)
-            if computed is not None and _surely_has_memory(placement, hold):
-                not_fetched = head.traits.not_run and not head.traits.misdirected
-                if not_fetched:
-                    self._attempts.note_handle_refused(server, computed.server)
-                    return Err(_decode_refused(head))
-            refusal = self._refusal_of(server, head)
-            if refusal is not None:
-                return Err(refusal)
-            if head.status == OK:
-                ctx.outcomes.note_accepted(server.name)
-                if computed is not None:
-                    ctx.handles.note_fetched(computed.server.name)
-            if head.status != OK:
-                return self._forward_whole(exchange, head)
-            return self._relay(placement, exchange, head, called_at)
         except ExchangeBroken as exc:
-            self._attempts.note_failed(server, exc, sent=exchange is not None)
-            return _decode_failed(exc)
+            self._attempts.note_failed(opened.placement.decode, exc, sent=True)
+            return decode_failed(exc).unwrap_err()
         finally:
-            if exchange is not None:
-                exchange.close()
+            opened.close()
 
-    def _read_head(self, exchange):
-        if not self._call.route.resumable:
-            return exchange.read_head()
-        stalled = ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
-        with gevent.Timeout(HEAD_TIMEOUT_S, stalled):
-            return exchange.read_head()
-
-    def _refusal_of(self, server, head):
-        """Returns the `Refusal` for a decode server's `AnswerHead`.
-
-        Returns:
-            None if the answer is passed on to the caller.
-        """
-        if head.traits.not_run:
-            self._attempts.note_refused(server, head)
-            return _decode_refused(head)
-        unstamped = head.status < 300 and not head.traits.stamped
-        failed = head.status >= 500 and head.status not in AMBIGUOUS_STATUSES
-        if failed and not self._must_withhold_failure():
-            # No repeat is possible, so the caller gets the failure as it is.
-            return None
-        if unstamped or failed or head.status in AMBIGUOUS_STATUSES:
-            self._attempts.note_refused(server, head)
-            detail = f"the decode server answered {head.status}"
-            return may_have_run(Reason.BACKEND_FAILED, detail)
-        return None
-
-    def _must_withhold_failure(self):
-        """Returns whether a failed answer is kept from the caller.
-
-        Either another attempt may follow, or the caller already has a status and events
-        and can't get a second status.
-        """
-        may_repeat = self._call.route.repeatable and self._attempts.has_attempts_left()
-        return self._output.started or may_repeat
-
-    def _relay(self, placement, exchange, head, called_at):
-        """Relays a stream to the caller; returns ``Ok`` once it is complete."""
+    def _relay(self, opened):
+        placement, head = opened.placement, opened.head
         self._output.switch_server()
         awaits_first_event = placement.prefill is not None
         started_at = self._ctx.clock.monotonic()
         self._note_opened(placement.decode, started_at)
-        silences = self._watch_silence(exchange, placement.decode)
+        self._cancel_takeover()
+        silence = self._watch_events(opened.exchange, placement.decode)
         service = self._call.service
         memory_share = memory_need(self._call.head) / service.engine.memory_tokens
         run = self._ctx.demand.begin_decode(service.name, memory_share)
         try:
-            for data in exchange.chunks():
-                silences.clear()
+            for data in opened.exchange.chunks():
+                silence.clear()
+                self._cancel_takeover()
                 placement.end_prefill()
                 if awaits_first_event:
                     awaits_first_event = False
-                    first_s = self._ctx.clock.monotonic() - called_at
+                    first_s = self._ctx.clock.monotonic() - opened.called_at
                     self._ctx.demand.note_first_event(service.name, first_s)
                 self._output.feed(head, data)
             self._output.finish(head)
@@ -348,27 +191,104 @@
         finally:
             run.drop()
         self._note_ended(placement.decode, self._ctx.clock.monotonic() - started_at)
-        return Ok(None)
 
-    def _watch_silence(self, exchange, server):
+    def _watch_head(self, exchange, server):
+        """Looks for another server if the head of a resumable stream is late."""
+        if self._call.route.resumable:
+            self._watch_silence(exchange, server, HEAD_STALL_S)
+
+    def _watch_events(self, exchange, server):
         """Records the silence of a server, so that it gets no new streams.
 
-        After `STALL_S` a resumable stream breaks off to continue on another server; any
-        other stream keeps waiting.
+        A resumable stream also looks for another server after `STALL_S`.
 
         Returns:
-            List of the seconds of silence so far, which must be cleared at each chunk.
+            `_Silence`, which must be cleared at each chunk.
         """
-        silences = []
+        if self._call.route.resumable:
+            return self._watch_silence(exchange, server, STALL_S)
+        exchange.watch_silence(
+            SILENCE_CHECK_S, lambda: self._ctx.outcomes.note_silent(server.name)
+        )
+        return _Silence()
+
+    def _watch_silence(self, exchange, server, stall_s):
+        silence = _Silence()
 
         def note_silence():
-            silences.append(SILENCE_CHECK_S)
-            self._ctx.outcomes.note_silent(server.name)
-            if self._call.route.resumable and sum(silences) >= STALL_S:
+            silence.seconds += TAKEOVER_CHECK_S
+            if exchange.head is not None and silence.seconds >= SILENCE_CHECK_S:
+                self._ctx.outcomes.note_silent(server.name)
+            if silence.seconds >= stall_s:
+                self._check_takeover(server, silence)
+
+        exchange.watch_silence(TAKEOVER_CHECK_S, note_silence)
+        return silence
+
+    def _check_takeover(self, server, silence):
+        """Starts a takeover from a silent server, or completes it.
+
+        The server keeps the stream until another one has answered, as it may go on and
+        no other one may take the stream.
+
+        Raises:
+            ExchangeBroken: If another server has taken over.
+        """
+        takeover = self._takeover
+        if takeover is None:
+            if self._attempts.has_attempts_left():
+                log_event(
+                    "stream_stalled",
+                    level="warning",
+                    request_id=self._call.request_id,
+                    backend_server=server.name,
+                    last_event=self._output.last_id,
+                )
+                self._takeover = gevent.spawn(self._open_elsewhere, server)
+        elif takeover.ready():
+            if takeover.get().is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
+            self._finish_takeover()
+            silence.clear()
+
+    def _open_elsewhere(self, silent_server):
+        """Returns the ``Result[OpenedStream, Refusal]`` of an attempt elsewhere."""
+        excluded = frozenset((silent_server.name,))
+        opener = self._create_opener(excluded=excluded)
+        place_result = opener.place()
+        if place_result.is_err():
+            return place_result
+        placement, hold = place_result.unwrap()
+        refusal = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
+        if not self._attempts.withdraw_repeat(refusal):
+            placement.release()
+            drop_hold(self._ctx, placement.decode, hold)
+            return Err(refusal)
+        return opener.open(placement, hold)
+
+    def _finish_takeover(self):
+        """Waits for a takeover in progress.
 
-        exchange.watch_silence(SILENCE_CHECK_S, note_silence)
-        return silences
+        Returns:
+            ``Ok[OpenedStream]``; None if there is none or it has failed.
+        """
+        if self._takeover is None:
+            return None
+        outcome = self._takeover.get()
+        self._takeover = None
+        if outcome.is_ok():
+            return outcome
+        self._note_verdict(outcome.unwrap_err())
+        return None
+
+    def _cancel_takeover(self):
+        takeover, self._takeover = self._takeover, None
+        if takeover is None:
+            return
+        # Its request may have reached a server.
+        self._verdict = Verdict.MAY_HAVE_RUN
+        takeover.link_value(_close_unused)
+        takeover.kill(block=False)
 
     def _note_opened(self, server, now):
         waited_s = now - self._call.arrived_at
@@ -393,36 +313,21 @@
             longest_gap_s=round(self._output.longest_gap_s, 3),
         )
 
-    def _forward_whole(self, exchange, head):
-        """Passes on an answer that isn't a stream, such as a server error."""
-        body = b"".join(exchange.chunks())
-        if self._output.started:
-            return Err(
-                may_have_run(Reason.STREAM_BROKEN, "the resumed answer is not a stream")
-            )
-        self._output.send_whole(head, body)
-        return Ok(None)
-
-
-def _surely_has_memory(placement, hold):
-    """Returns whether the decode server is known to have memory for the stream."""
-    return bool(hold) or not placement.may_be_full
-
-
-def _decode_refused(head):
-    """Returns the `Refusal` of an attempt that the decode server did not run."""
-    detail = f"the decode server refused with {head.status}"
-    return not_run(Reason.BACKEND_REFUSED, detail, 503, RETRY_SOON)
+    def _forward_whole(self, opened):
+        """Passes on an answer that isn't a stream, such as a server error.
 
-
-def _decode_failed(exc):
-    """Returns ``Err`` with the `Refusal` of an attempt whose exchange broke."""
-    if exc.verdict is Verdict.NOT_RUN:
-        detail = f"decode failed: {exc.reason}"
-        return Err(not_run(Reason.BACKEND_FAILED, detail, 503, RETRY_SOON))
-    detail = f"the decode server broke off: {exc.reason}"
-    return Err(may_have_run(Reason.STREAM_BROKEN, detail))
+        Returns:
+            None, or a `Refusal` if the caller has a stream already.
+        """
+        body = b"".join(opened.exchange.chunks())
+        if self._output.started:
+            detail = "the resumed answer is not a stream"
+            return may_have_run(Reason.STREAM_BROKEN, detail)
+        self._output.send_whole(opened.head, body)
+        return None
 
 
-def _is_not_run(outcome):
-    return outcome.is_err() and outcome.unwrap_err().verdict is Verdict.NOT_RUN
+def _close_unused(takeover):
+    """Closes what a takeover has opened although its stream no longer needs it."""
+    if isinstance(takeover.value, Ok):
+        takeover.value.unwrap().close()
