Answer a HEAD request that is refused

The body is left out now. The test failed before with an empty answer; 30 tests of test_entry_plain pass.

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -389,6 +389,20 @@
     case.assertIn(b"may_have_run", answer.body)
 
 
+def test_refused_head_request_gets_an_answer(case):
+    """Guards against a connection that is closed without an answer, as an answer to
+    HEAD has no body."""
+    fixture = case.enterContext(entry_fixture(plain=()))
+    for path, status in (("/none/x", 404), ("/look/x", 503)):
+        with connect(fixture.address) as sock:
+            sock.sendall(request(path, "HEAD"))
+            head = sock.recv(4096)
+            case.assertTrue(head.startswith(b"HTTP/1.1 %d" % status), head)
+            case.assertTrue(head.endswith(b"\r\n\r\n"), head)
+            sock.sendall(request(path, "HEAD", attempt="a2"))
+            case.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 %d" % status))
+
+
 def test_slow_request_head_times_out(case):
     """Guards against connections that stay open for a head that never ends."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -72,6 +72,7 @@
         )
         self.answered = False
         self._streaming = False
+        self._method = b""
 
     def serve(self, handler):
         """Serves requests until the connection ends.
@@ -98,6 +99,7 @@
     def _serve_one(self, handler):
         self.answered = False
         self._streaming = False
+        self._method = b""
         try:
             req = self._read_request()
         except _Rejected as exc:
@@ -162,6 +164,7 @@
             event = self._next_event()
         if type(event) is not h11.Request:
             return None
+        self._method = event.method
         if _head_bytes(event) > limits.header_bytes:
             raise _Rejected(431)
         return event
@@ -203,14 +206,14 @@
         Args:
             status: HTTP status.
             headers: Pairs of name and value in bytes; Content-Length is added.
-            body: Bytes of the body.
+            body: Bytes of the body, which an answer to HEAD leaves out.
             close: Whether the connection ends after the answer.
         """
         headers = [h for h in headers if h[0].lower() != b"content-length"]
         if _may_have_body(status):
             headers.append((b"Content-Length", str(len(body)).encode()))
         output = self._head(status, headers, close)
-        if body:
+        if body and self._method != b"HEAD":
             output += self._http.send(h11.Data(data=body))
         output += self._http.send(h11.EndOfMessage())
         self.answered = True
