Answer a request whose acceptance or attempt fails by a defect

Acceptance stood outside of the part of a request in which a defect is logged and answered with 500, and an exception in the greenlet of an attempt ended that greenlet alone. Both tests failed before: no answer, and 504 at the deadline in place of 502 at once.

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -389,6 +389,26 @@
     case.assertIn(b"may_have_run", answer.body)
 
 
+def test_defect_during_acceptance_still_gets_an_answer(case):
+    """Guards against a connection that is closed without an answer if the daemon fails
+    before it knows the route of a request."""
+    fixture = case.enterContext(entry_fixture())
+    fixture.daemon.ctx.codec.read_call = lambda headers: 1 / 0
+    answer = call(fixture, "/look/x")
+    case.assertEqual(answer.status, 500)
+    case.assertIn(b"not_run", answer.body)
+
+
+def test_defect_of_an_attempt_ends_its_call_at_once(case):
+    """Guards against a call that waits for its deadline after the daemon has failed to
+    read an answer."""
+    fixture = case.enterContext(entry_fixture())
+    fixture.daemon.ctx.connections.note_answer = lambda *args: 1 / 0
+    answer = call(fixture, "/book/x", "POST", b"1")
+    case.assertEqual(answer.status, 502)
+    case.assertIn(b"may_have_run", answer.body)
+
+
 def test_refused_head_request_gets_an_answer(case):
     """Guards against a connection that is closed without an answer, as an answer to
     HEAD has no body."""
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -1,5 +1,6 @@
 """Relays calls of plain services."""
 
+import sys
 from dataclasses import dataclass
 
 import gevent
@@ -242,6 +243,12 @@
             # Another attempt answered first, or the caller has hung up.
             self._note_if_slow(server, started_at)
             raise
+        except Exception:
+            request_id = self._call.request_id
+            log_event(
+                "defect", level="error", exc=sys.exc_info(), request_id=request_id
+            )
+            outcome = Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
         finally:
             release()
             exchange.close()
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -63,9 +63,14 @@
                 sent.
         """
         arrived_at = self._ctx.clock.monotonic()
-        call = self._accept(req, arrived_at)
+        request_id = ""
+        try:
+            head = self._ctx.codec.read_call(req.headers)
+            request_id = head.attempt_id
+            call = self._accept(req, head, arrived_at)
+        except Exception as exc:
+            call = self._log_defect(conn, request_id, exc).with_verdict(Verdict.NOT_RUN)
         if isinstance(call, Refusal):
-            request_id = self._ctx.codec.read_call(req.headers).attempt_id
             self._refuse(conn, request_id, call, arrived_at)
             return
         if conn.has_hung_up():
@@ -78,28 +83,26 @@
         except CallerGone:
             raise
         except Exception as exc:
-            refusal = self._log_defect(conn, call, exc)
+            refusal = self._log_defect(conn, call.request_id, exc)
         finally:
             watch.stop()
         if refusal is not None:
             name = call.service.name
             self._refuse(conn, call.request_id, refusal, arrived_at, name)
 
-    def _log_defect(self, conn, call, exc):
+    def _log_defect(self, conn, request_id, exc):
         """Logs an unexpected exception and returns the `Refusal` of its request.
 
         Raises:
             ConnectionAbortedError: If a part of the answer was sent.
         """
-        log_event(
-            "defect", level="error", exc=sys.exc_info(), request_id=call.request_id
-        )
+        log_event("defect", level="error", exc=sys.exc_info(), request_id=request_id)
         if conn.started:
             # The answer must not look complete, so the connection is closed.
             raise ConnectionAbortedError from exc
         return may_have_run(Reason.INTERNAL, "the daemon has failed", 500)
 
-    def _accept(self, req, arrived_at):
+    def _accept(self, req, head, arrived_at):
         """Returns the `Call` of a request, or the `Refusal` if it isn't accepted."""
         table = self._configuration.table
         if table is None:
@@ -118,14 +121,13 @@
         if service is None:
             detail = "the route's service is not configured"
             return not_run(Reason.UNKNOWN_SERVICE, detail, 503, NOT_READY_RETRY)
-        call = self._build_call(req, route, service, arrived_at)
+        call = self._build_call(req, head, route, service, arrived_at)
         if self._ctx.crashes.is_quarantined(call):
             detail = "the request has crashed the backend servers that ran it"
             return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
         return call
 
-    def _build_call(self, req, route, service, arrived_at):
-        head = self._ctx.codec.read_call(req.headers)
+    def _build_call(self, req, head, route, service, arrived_at):
         limit_s = route.timeout_s
         if head.deadline_s is not None:
             limit_s = min(limit_s, head.deadline_s)
