Read a request that has arrived as the idle limit of its connection ends

The socket is checked for input first. The test failed before without an answer. That a caller has met this is not shown; callers reuse connections up to four fifths of the limit.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -156,7 +156,7 @@
     def _read_head(self, limits):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
         if not self._http.trailing_data[0]:
-            data = self._receive_first(limits.idle_timeout_s)
+            data = self._receive_first()
             if not data:
                 return None
             self._http.receive_data(data)
@@ -169,14 +169,20 @@
             raise _Rejected(431)
         return event
 
-    def _receive_first(self, idle_s):
-        self.sock.settimeout(idle_s)
+    def _receive_first(self):
+        """Waits for the first bytes of a request.
+
+        Returns:
+            The bytes; empty if the caller is idle or has hung up.
+        """
         self._listener.idle.add(self)
         try:
+            self.sock.settimeout(self._listener.limits().idle_timeout_s)
             return self.sock.recv(READ_BYTES)
+        except TimeoutError:
+            # A request may have arrived while the process was busy.
+            return self.sock.recv(READ_BYTES) if peek(self.sock) else b""
         except OSError:
-            if peek(self.sock):
-                log_event("request_unread", level="warning", idle_s=idle_s)
             return b""
         finally:
             self._listener.idle.discard(self)
--- /dev/null
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -0,0 +1,70 @@
+"""Connections of callers that wait for their next request."""
+
+import contextlib
+
+import gevent
+from gevent import socket
+
+from amaranthbay.platform.tests.fixtures import read_answer
+from amaranthbay.relay.listener import Listener
+from amaranthbay.routing import ClientLimits
+from amaranthbay.utils.testing import collect, free_port
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@contextlib.contextmanager
+def connection(limits):
+    """Yields a socket that is connected to a `Listener`, which answers 200."""
+    address = f"127.0.0.1:{free_port()}"
+    listener = Listener(
+        address, lambda conn, req: conn.answer(200, [], b"ok"), limits, 10
+    )
+    listener.start()
+    host, port = address.split(":")
+    sock = socket.create_connection((host, int(port)), 5.0)
+    try:
+        yield sock, listener
+    finally:
+        sock.close()
+        listener.close()
+
+
+def test_request_that_arrives_as_the_idle_limit_ends_is_answered(case):
+    """Guards against closing a connection with a request in it, which arrived while
+    the process was busy."""
+    with connection(lambda: ClientLimits(idle_timeout_s=0.2)) as (sock, listener):
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+        (conn,) = listener.idle
+        server_sock = conn.sock
+
+        class LateSocket:
+            """Delivers the request only after the wait for it has timed out."""
+
+            timed_out = False
+
+            def __getattr__(self, name):
+                return getattr(server_sock, name)
+
+            def recv(self, *args):
+                if not self.timed_out:
+                    self.timed_out = True
+                    sock.sendall(REQUEST)
+                    gevent.sleep(0.1)
+                    raise TimeoutError
+                return server_sock.recv(*args)
+
+        sock.sendall(REQUEST)
+        conn.sock = LateSocket()
+        case.assertEqual(read_answer(sock).status, 200)
+        case.assertEqual(read_answer(sock).status, 200)
+
+
+def test_idle_connection_is_closed(case):
+    """Guards against connections that stay open without a request."""
+    with connection(lambda: ClientLimits(idle_timeout_s=0.1)) as (sock, _):
+        case.assertEqual(sock.recv(10), b"")
+
+
+load_tests = collect(globals())
