--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -176,10 +176,17 @@
             The bytes; empty if the caller is idle or has hung up.
         """
         self._listener.idle.add(self)
+        waited_s = 0.0
         try:
-            self.sock.settimeout(self._listener.limits().idle_timeout_s)
-            return self.sock.recv(READ_BYTES)
-        except TimeoutError:
+            # A new configuration may raise the limit during the wait.
+            while waited_s < self._listener.limits().idle_timeout_s:
+                limit_s = self._listener.limits().idle_timeout_s
+                self.sock.settimeout(limit_s - waited_s)
+                waited_s = limit_s
+                try:
+                    return self.sock.recv(READ_BYTES)
+                except TimeoutError:
+                    continue
             # A request may have arrived while the process was busy.
             return self.sock.recv(READ_BYTES) if peek(self.sock) else b""
         except OSError:
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -30,6 +30,19 @@
         listener.close()
 
 
+def test_raised_idle_limit_applies_to_connections_that_wait(case):
+    """Guards against closing a connection by the idle limit of a configuration that is
+    no longer in force."""
+    limits = [ClientLimits(idle_timeout_s=0.1)]
+    with connection(lambda: limits[-1]) as (sock, _):
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+        limits.append(ClientLimits(idle_timeout_s=5.0))
+        gevent.sleep(0.3)
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+
+
 def test_request_that_arrives_as_the_idle_limit_ends_is_answered(case):
     """Guards against closing a connection with a request in it, which arrived while
     the process was busy."""
