--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -22,6 +22,7 @@
 DEADLINE = b"x-deadline-ms"
 MODEL = b"x-model-name"
 TOKENS = b"x-token-count"
+PROMPT_PARTS = b"x-prompt-prefix"
 LENGTH_HINT = b"x-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 EXPECTED_SERVER = b"x-expect-instance"
@@ -106,6 +107,7 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             expected_tokens=_parse_int(values.get(LENGTH_HINT)),
+            shared_parts=_parse_shared_parts(values.get(PROMPT_PARTS, b"")),
         )
 
     def forward_headers(self, headers, options):
@@ -245,6 +247,15 @@
         return None
 
 
+def _parse_shared_parts(value):
+    """Returns the ids of all parts of a prompt but the last, which is the request's own.
+
+    The header lists the parts as ``ID:TOKENS``, separated by commas.
+    """
+    parts = [part.partition(b":")[0].strip() for part in value.split(b",")]
+    return tuple(part.decode("latin-1").lower() for part in parts[:-1] if part)
+
+
 def _parse_token_counts(value):
     """Returns the prompt tokens and the maximum output tokens that a header names.
 
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -32,6 +32,8 @@
         max_output_tokens: Limit on the answer's tokens.
         expected_tokens: Caller's estimate of the answer's tokens, which is often far
             off; None if not stated.
+        shared_parts: Ids of the parts of the prompt that other requests may share, in
+            their order.
     """
 
     attempt_id: str
@@ -41,6 +43,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     expected_tokens: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def likely_tokens(self):
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -72,6 +72,7 @@
             request_id=call.request_id,
             backend_server=server.name,
             fingerprint=fingerprint,
+            parts=call.head.shared_parts,
         )
         self._own_crashes[fingerprint, server.name] = self._clock.monotonic()
         self.merge({fingerprint: (server.name,)})
--- a/amaranthbay/relay/tests/test_crashes.py
+++ b/amaranthbay/relay/tests/test_crashes.py
@@ -5,6 +5,7 @@
 import gevent
 
 from amaranthbay.kernel.errors import Verdict
+from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.crashes import (
     CRASH_LIFE_S,
@@ -27,6 +28,7 @@
         target=target,
         body=body,
         request_id="a1",
+        head=CallHead("a1"),
     )
 
 
