--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -248,9 +248,10 @@
 
 
 def _parse_shared_parts(value):
-    """Returns the ids of all parts of a prompt but the last, which is the request's own.
+    """Returns the ids of the parts of a prompt that other requests may share.
 
-    The header lists the parts as ``ID:TOKENS``, separated by commas.
+    The header lists the parts as ``ID:TOKENS``, separated by commas. The last one is
+    the request's own.
     """
     parts = [part.partition(b":")[0].strip() for part in value.split(b",")]
     return tuple(part.decode("latin-1").lower() for part in parts[:-1] if part)
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -0,0 +1,98 @@
+"""Requests that share a part which crashes each decode server that runs them."""
+
+import itertools
+
+import gevent
+
+from amaranthbay.platform.tests.fixtures import call_raw, entry_fixture, request
+from amaranthbay.utils.testing import collect, wait_until
+
+DECODE = ("dec-1", "dec-2", "dec-3", "dec-4")
+CRASHING = "bad0"
+# Crashes after which no request with the part may reach a server.
+MAX_CRASHES = 5
+
+
+class CrashingServers:
+    """Decode servers of an `EntryFixture` that crash on the part `CRASHING`.
+
+    Attributes:
+        crashed: Names of the servers that have crashed. Each of them is replaced at
+            once by one with another name at its address.
+    """
+
+    def __init__(self, fixture):
+        self.crashed = []
+        self._fixture = fixture
+        self._numbers = itertools.count(1)
+        fixture.daemon.ctx.crashes._accepts_connections = (
+            lambda server: server.name not in self.crashed
+        )
+        for name in DECODE:
+            server = fixture.servers[name]
+            server.replies.extend([self._reply(server)] * 200)
+
+    def _reply(self, server):
+        def reply(req):
+            if CRASHING not in req.headers["x-prompt-prefix"]:
+                return server.stream_reply(req)
+            self._crash(server)
+            return None
+
+        return reply
+
+    def _crash(self, server):
+        old_name = server.name
+        server.name = f"{old_name}-{next(self._numbers)}"
+        self.crashed.append(old_name)
+        store = self._fixture.store
+        address = self._fixture.addresses[old_name[: len(DECODE[0])]]
+        self._fixture.write_entry(server.name, "lm", "decode", address=address)
+        store.remove("servers", old_name)
+
+
+def prompt(parts, attempt, path="/resume/x"):
+    """Returns the bytes of a request for a stream with some parts in its prompt."""
+    header = ",".join(f"{part}:50" for part in (*parts, f"f{attempt}"))
+    tokens = (("X-Token-Count", "100,40"), ("X-Prompt-Prefix", header))
+    body = f"prompt {attempt}".encode()
+    return request(path, "POST", body, tokens, attempt=f"a{attempt}")
+
+
+def send(fixture, parts, attempt, path="/resume/x"):
+    return call_raw(fixture.address, prompt(parts, attempt, path))
+
+
+def test_part_that_crashes_servers_is_refused_whatever_else_a_request_holds(case):
+    """Guards against requests that crash one server after the other although no two of
+    them are alike."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    for number in range(8):
+        send(fixture, ("aa", CRASHING), number, ("/resume/x", "/sum/x")[number % 2])
+        # Longer than the probe of a crash and the read of the new entry.
+        gevent.sleep(0.3)
+    case.assertLessEqual(len(servers.crashed), MAX_CRASHES)
+    answer = send(fixture, ("aa", CRASHING), 100)
+    case.assertEqual(answer.status, 503)
+    case.assertIn(b"quarantined", answer.body)
+    case.assertIn(b"not_run", answer.body)
+    case.assertIn("retry-after", answer.headers)
+
+
+def test_sound_requests_are_served_beside_a_part_that_crashes_servers(case):
+    """Guards against refusing requests that share only sound parts with those that
+    crash servers."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    CrashingServers(fixture)
+    for number in range(6):
+        send(fixture, ("aa", CRASHING), number)
+        gevent.sleep(0.3)
+    wait_until(lambda: len(fixture.daemon.backends.usable("lm", None)) >= len(DECODE))
+    for number, parts in enumerate((("aa",), ("aa", "bb"), ("cc",), ())):
+        case.assertEqual(send(fixture, parts, 50 + number).status, 200, parts)
+    # A sound request has shown that the first part is sound.
+    case.assertEqual(send(fixture, ("cc", CRASHING), 60).status, 503)
+
+
+load_tests = collect(globals())
