Block parts of prompts that crash decode servers

Cause: a crash was blamed on the whole request, and no two requests with the part are alike. Now streams that had just begun at a crash are suspected with all their shared parts. A part on which a stream has completed is cleared, at all instances. A part with three crashes in half a second or more is blocked for two minutes, then tried again. Parts that were present at the same crashes are refused only together, so that sound requests with the same first part are served and show which part it is. Instances report crashes at once. A crash is named by its server and the start of its process, as a server may start again under its name.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -113,7 +113,11 @@
         connections = ConnectionPool(
             self.clock, _count_connection, self._note_answer, self._check_send
         )
-        crashes = CrashRecord(self.clock, partial(accepts_connections, connections))
+        crashes = CrashRecord(
+            self.clock,
+            partial(accepts_connections, connections),
+            lambda: self.peers.report_now(),
+        )
         process_number = random.SystemRandom().getrandbits(PROCESS_NUMBER_BITS)
         self.peers = Peers(
             self._registration(),
@@ -225,6 +229,8 @@
             self._configuration_version(),
             self.backends.leaving(),
             self.ctx.limits.report(),
+            self.ctx.crashes.parts.crash_report(),
+            self.ctx.crashes.parts.sound_report(),
         )
 
     def _versions(self):
@@ -244,6 +250,8 @@
         """Merges the knowledge that another instance reports into that of this one."""
         if status.crashes:
             self.ctx.crashes.merge(status.crashes)
+        if status.crashed_parts or status.sound_parts:
+            self.ctx.crashes.parts.merge(status.crashed_parts, status.sound_parts)
         for name, last_change in status.versions.items():
             if name in self._followers:
                 self._followers[name].note_newer(last_change, status.era)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -92,6 +92,8 @@
     configuration: int = 0
     leaving: dict = field(default_factory=dict)
     limits: dict = field(default_factory=dict)
+    crashed_parts: dict = field(default_factory=dict)
+    sound_parts: tuple = ()
 
 
 class Peers:
@@ -397,6 +399,8 @@
             configuration=report.configuration,
             leaving=report.leaving,
             limits=report.limits,
+            crashed_parts=report.crashed_parts,
+            sound_parts=report.sound_parts,
         )
 
     def start(self):
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -103,8 +103,8 @@
         switching: Target stage of each model server that the sender has ordered into
             another pool and that is not listed there yet.
         interval_s: Seconds until the sender's next regular full report.
-        crashes: Names of crashed servers, by fingerprint of the request that they
-            ran; see `relay.crashes`.
+        crashes: Names of crashes, by fingerprint of the request that the crashed
+            server ran; see `relay.crashes`.
         versions: Version of the last change that the sender has seen, by table.
         lost_handles: Prefill servers whose KV cache can't be fetched; see
             `relay.handles`.
@@ -118,6 +118,9 @@
             their process in Unix milliseconds.
         limits: `LimitNotice` of each backend server whose answers to the sender have
             named or ended a limit lately.
+        crashed_parts: Names of crashes by part of a prompt that was present at them;
+            see `relay.crash_parts`.
+        sound_parts: Suspected parts of prompts on which streams have completed.
     """
 
     instance: str
@@ -138,6 +141,8 @@
     configuration: int = 0
     leaving: dict[str, int] = {}
     limits: dict[str, LimitNotice] = {}
+    crashed_parts: dict[str, tuple[str, ...]] = {}
+    sound_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -194,6 +199,8 @@
         lost_handles=(),
         leaving={},
         limits={},
+        crashed_parts={},
+        sound_parts=(),
     )
 
 
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -74,18 +74,19 @@
         needs_budget = self._attempt_count > 0 or (prefill_again and self.prefilled)
         return not needs_budget or self._ctx.budget(self._call.service.name).withdraw()
 
-    def note_failed(self, server, exc, sent):
+    def note_failed(self, server, exc, sent, began=False):
         """Records an exchange that broke.
 
         Args:
             server: `BackendServer` of the exchange.
             exc: `ExchangeBroken` that was raised.
             sent: Whether the request was sent.
+            began: Whether its decode server had just begun the answer.
         """
         self.excluded.add(server.name)
         if sent:
             self._ctx.outcomes.note_failed(server.name)
-            self._ctx.crashes.note_broken(self._call, server, exc)
+            self._ctx.crashes.note_broken(self._call, server, exc, began)
         elif not isinstance(exc, SendForbidden):
             self._ctx.outcomes.note_unreachable(server.name)
         log_event(
--- /dev/null
+++ b/amaranthbay/relay/crash_parts.py
@@ -0,0 +1,207 @@
+"""Finds parts of prompts that crash the decode servers that run them.
+
+Requests share parts of their prompts. If one part crashes each server that begins an
+answer on it, no two of the requests need to be alike. All streams that had just begun
+on a crashed server are suspected, with all their shared parts. A part on which a
+stream has completed is sound, which clears it of all crashes so far. What remains of
+several crashes is blocked.
+
+Parts that have been present at the same crashes can't be told apart. A request is then
+refused only if it has all of them, so that others with some of them, which may be
+sound, show which part it is.
+"""
+
+from dataclasses import dataclass, field
+
+from amaranthbay.observe import log_event
+
+__all__ = ["CrashingParts"]
+
+# A part is blocked after this many crashes. The platform allows five.
+CRASH_LIMIT = 3
+# Shortest time between the first and the last of these crashes. Servers that fail at
+# the same moment, as with their rack, all run requests with a popular part.
+MIN_SPAN_S = 0.5
+# Time for which a crash counts.
+CRASH_LIFE_S = 60.0
+# Time for which a part is blocked. Afterwards a request with it is tried; if it crashes
+# its server, the time doubles, up to the maximum.
+BLOCK_S = 120.0
+MAX_BLOCK_S = 3600.0
+# Time for which reports name a part as sound after a stream has completed on it, and
+# the largest number of parts and of crashes in a report, which also has to hold loads.
+SOUND_REPORT_S = 3.0
+MAX_REPORTED_PARTS = 6
+MAX_REPORTED_CRASHES = 8
+# Largest number of parts that are kept; the one suspected longest goes first.
+MAX_PARTS = 1000
+
+
+@dataclass
+class _Suspicion:
+    """What is known of a suspected part; changed in place by `CrashingParts`.
+
+    Attributes:
+        crashes: Monotonic time by crash that counts.
+        cleared: Monotonic time by crash that no longer counts.
+        own: Crashes that this instance has seen.
+        sound_at: Monotonic time at which this instance found the part sound; None if it
+            hasn't.
+        blocked_until: Monotonic time until which the part is blocked.
+        block_s: Seconds of the last block; 0 if it never was blocked.
+    """
+
+    crashes: dict = field(default_factory=dict)
+    cleared: dict = field(default_factory=dict)
+    own: set = field(default_factory=set)
+    sound_at: float | None = None
+    blocked_until: float = 0.0
+    block_s: float = 0.0
+
+    def must_block(self):
+        """Returns whether the crashes suffice to block the part."""
+        if self.block_s:
+            return bool(self.crashes)
+        if len(self.crashes) < CRASH_LIMIT:
+            return False
+        return max(self.crashes.values()) - min(self.crashes.values()) >= MIN_SPAN_S
+
+    def expire(self, oldest):
+        """Forgets crashes before a monotonic time."""
+        for crashes in (self.crashes, self.cleared):
+            for crash in [name for name, at in crashes.items() if at < oldest]:
+                del crashes[crash]
+                self.own.discard(crash)
+
+
+class CrashingParts:
+    """Suspected parts of prompts, seen by this instance or reported by others."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._suspicions = {}
+
+    def note_crash(self, parts, crash):
+        """Suspects the shared parts of a stream that had just begun at a crash.
+
+        Args:
+            parts: Names of the parts.
+            crash: Name of the crash: the same at all instances, another one for each
+                start of a server.
+        """
+        for part in parts:
+            self._add(part, crash)
+            self._suspicions[part].own.add(crash)
+
+    def note_served(self, parts):
+        """Clears the parts of a stream that has completed."""
+        for part in parts:
+            suspicion = self._suspicions.get(part)
+            if suspicion is not None:
+                suspicion.sound_at = self._clock.monotonic()
+                self._clear(part, suspicion)
+
+    def merge(self, crashes, sound):
+        """Adds what another instance has seen.
+
+        Args:
+            crashes: Names of crashes by part.
+            sound: Names of parts on which streams have completed.
+        """
+        for part, names in crashes.items():
+            for crash in names:
+                self._add(part, crash)
+        for part in sound:
+            suspicion = self._suspicions.get(part)
+            if suspicion is not None:
+                self._clear(part, suspicion)
+
+    def _add(self, part, crash):
+        now = self._clock.monotonic()
+        suspicion = self._suspicions.setdefault(part, _Suspicion())
+        if crash in suspicion.cleared or crash in suspicion.crashes:
+            return
+        suspicion.expire(now - CRASH_LIFE_S)
+        suspicion.crashes[crash] = now
+        if now >= suspicion.blocked_until and suspicion.must_block():
+            doubled_s = min(MAX_BLOCK_S, 2 * suspicion.block_s)
+            suspicion.block_s = doubled_s or BLOCK_S
+            suspicion.blocked_until = now + suspicion.block_s
+            log_event(
+                "prompt_part_blocked",
+                level="warning",
+                part=part,
+                crashes=len(suspicion.crashes),
+                seconds=suspicion.block_s,
+            )
+        while len(self._suspicions) > MAX_PARTS:
+            self._suspicions.pop(next(iter(self._suspicions)))
+
+    def _clear(self, part, suspicion):
+        now = self._clock.monotonic()
+        if suspicion.blocked_until > now:
+            log_event("prompt_part_cleared", part=part, crashes=len(suspicion.crashes))
+        suspicion.cleared.update(dict.fromkeys(suspicion.crashes, now))
+        suspicion.crashes.clear()
+        suspicion.blocked_until = suspicion.block_s = 0.0
+
+    def is_blocked(self, parts):
+        """Returns whether requests with these shared parts are refused."""
+        if not self._suspicions:
+            return False
+        now = self._clock.monotonic()
+        for part in parts:
+            suspicion = self._suspicions.get(part)
+            if suspicion is None or now >= suspicion.blocked_until:
+                continue
+            if self._present_at(suspicion.crashes) <= set(parts):
+                return True
+        return False
+
+    def _present_at(self, crashes):
+        """Returns the parts that were present at all of some crashes."""
+        return {
+            part
+            for part, suspicion in self._suspicions.items()
+            if suspicion.crashes.keys() >= crashes.keys()
+        }
+
+    def crash_report(self):
+        """Returns the crashes that this instance has seen, in the form of `merge`.
+
+        Parts with more crashes come first.
+        """
+        oldest = self._clock.monotonic() - CRASH_LIFE_S
+        pairs = [
+            (len(suspicion.crashes), suspicion.crashes[crash], part, crash)
+            for part, suspicion in self._suspicions.items()
+            for crash in suspicion.own & suspicion.crashes.keys()
+            if suspicion.crashes[crash] >= oldest
+        ]
+        report = {}
+        for _, _, part, crash in sorted(pairs, reverse=True)[:MAX_REPORTED_CRASHES]:
+            report[part] = (*report.get(part, ()), crash)
+        return report
+
+    def sound_report(self):
+        """Returns the suspected parts that this instance has lately found sound."""
+        oldest = self._clock.monotonic() - SOUND_REPORT_S
+        sound = [
+            part
+            for part, suspicion in self._suspicions.items()
+            if suspicion.sound_at is not None and suspicion.sound_at >= oldest
+        ]
+        return tuple(sound[-MAX_REPORTED_PARTS:])
+
+    def sweep(self):
+        """Forgets crashes and parts that no longer count."""
+        now = self._clock.monotonic()
+        for part, suspicion in list(self._suspicions.items()):
+            if now < suspicion.blocked_until:
+                continue
+            suspicion.expire(now - CRASH_LIFE_S)
+            recently_blocked = now < suspicion.blocked_until + MAX_BLOCK_S
+            if suspicion.block_s and recently_blocked:
+                continue
+            if not suspicion.crashes and not suspicion.cleared:
+                del self._suspicions[part]
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -1,16 +1,19 @@
-"""Detects requests that crash the backend servers that run them.
+"""Detects requests, and parts of prompts, that crash the servers that run them.
 
 A request is suspected if its connection breaks while a server runs it and the server
 then refuses connections. Every request that ran on the server is suspected, so a single
 crash doesn't show which of them caused it. After a few crashes a request is refused.
 Instances exchange crashes in their reports. A crash is identified by the name of its
-server, which changes with each start, so repeated reports of it count once.
+server and the time of its start, so repeated reports of it count once. Parts that
+different prompts share are suspected by `relay.crash_parts`.
 """
 
 import gevent
+import xxhash
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import log_event
+from amaranthbay.relay.crash_parts import CrashingParts
 from amaranthbay.relay.exchange import ExchangeBroken, take_connection
 from amaranthbay.state.crash_marks import fingerprint_of
 
@@ -29,53 +32,78 @@
 MAX_REPORTED_CRASHES = 8
 # Largest number of suspected requests that are kept; the one known longest goes first.
 MAX_SUSPECTED_REQUESTS = 1000
-# Characters of a fingerprint; enough to tell a thousand requests apart.
+# Characters of a fingerprint; enough to tell a thousand requests or parts apart.
 FINGERPRINT_LENGTH = 16
+PART_FINGERPRINT_LENGTH = 10
+# The start of a server is named by its time in milliseconds modulo this number.
+START_NAME_MODULUS = 10**6
+# Delay before a crash is reported to other instances, as all streams on the server
+# break at the same moment.
+REPORT_DELAY_S = 0.02
 # Reasons of an `ExchangeBroken` that a crash of the server can cause.
 CRASH_REASONS = frozenset(("connection_reset", "connection_closed", "answer_cut"))
 
 
 class CrashRecord:
-    """Crashes by request, seen by this instance or reported by others."""
+    """Crashes by request, seen by this instance or reported by others.
 
-    def __init__(self, clock, accepts_connections):
+    Attributes:
+        parts: `CrashingParts` of the prompts.
+    """
+
+    def __init__(self, clock, accepts_connections, on_crash=lambda: None):
         """Creates the record.
 
         Args:
             clock: `Clock`.
             accepts_connections: Function of a `BackendServer` that returns whether it
                 accepts connections.
+            on_crash: Function that is called soon after a crash was seen.
         """
+        self.parts = CrashingParts(clock)
         self._clock = clock
         self._accepts_connections = accepts_connections
+        self._on_crash = on_crash
+        self._report_job = None
         self._crashes = {}
         self._own_crashes = {}
 
-    def note_broken(self, call, server, exc):
+    def note_broken(self, call, server, exc, began=False):
         """Checks in the background whether a broken exchange is due to a crash.
 
         Args:
             call: `Call` of the exchange.
             server: `BackendServer` that ran it.
             exc: `ExchangeBroken` that was raised.
+            began: Whether the exchange is a stream that had just begun, so that a part
+                of its prompt may have caused a crash.
         """
         if exc.verdict is Verdict.MAY_HAVE_RUN and exc.reason in CRASH_REASONS:
-            gevent.spawn_later(PROBE_DELAY_S, self._probe_server, call, server)
+            gevent.spawn_later(PROBE_DELAY_S, self._probe_server, call, server, began)
 
-    def _probe_server(self, call, server):
+    def _probe_server(self, call, server, began):
         if self._accepts_connections(server):
             return
         fingerprint = _fingerprint(call)
+        crash = _crash_name(server)
         log_event(
             "crash_suspected",
             level="warning",
             request_id=call.request_id,
             backend_server=server.name,
             fingerprint=fingerprint,
-            parts=call.head.shared_parts,
+            parts=_part_names(call) if began else (),
         )
-        self._own_crashes[fingerprint, server.name] = self._clock.monotonic()
-        self.merge({fingerprint: (server.name,)})
+        self._own_crashes[fingerprint, crash] = self._clock.monotonic()
+        self.merge({fingerprint: (crash,)})
+        if began:
+            self.parts.note_crash(_part_names(call), crash)
+        if not self._report_job:
+            self._report_job = gevent.spawn_later(REPORT_DELAY_S, self._on_crash)
+
+    def note_served(self, call):
+        """Records that a stream has completed."""
+        self.parts.note_served(_part_names(call))
 
     def merge(self, crashes):
         """Adds crashes that this or another instance has seen.
@@ -83,20 +111,23 @@
         A crash that is already known keeps the time at which it was first recorded.
 
         Args:
-            crashes: Names of crashed servers by fingerprint of the request.
+            crashes: Names of crashes by fingerprint of the request.
         """
         now = self._clock.monotonic()
-        for fingerprint, servers in crashes.items():
+        for fingerprint, names in crashes.items():
             crashed_at = self._crashes.setdefault(fingerprint, {})
-            for server in servers:
-                crashed_at.setdefault(server, now)
+            for crash in names:
+                crashed_at.setdefault(crash, now)
         while len(self._crashes) > MAX_SUSPECTED_REQUESTS:
             self._crashes.pop(next(iter(self._crashes)))
 
     def is_quarantined(self, call):
-        """Returns whether a request is refused, as it has crashed too many servers."""
-        if not self._crashes:
-            return False
+        """Returns whether a request is refused, as it would crash its server.
+
+        It has crashed too many servers itself, or a part of its prompt has.
+        """
+        if self.parts.is_blocked(_part_names(call)):
+            return True
         crashed_at = self._crashes.get(_fingerprint(call), {})
         oldest = self._clock.monotonic() - CRASH_LIFE_S
         return (
@@ -112,8 +143,8 @@
             if timestamp >= oldest
         }
         report = {}
-        for fingerprint, server in list(self._own_crashes)[-MAX_REPORTED_CRASHES:]:
-            report[fingerprint] = (*report.get(fingerprint, ()), server)
+        for fingerprint, crash in list(self._own_crashes)[-MAX_REPORTED_CRASHES:]:
+            report[fingerprint] = (*report.get(fingerprint, ()), crash)
         return report
 
     def sweep(self):
@@ -122,6 +153,7 @@
         for fingerprint, crashed_at in list(self._crashes.items()):
             if max(crashed_at.values()) < oldest:
                 del self._crashes[fingerprint]
+        self.parts.sweep()
 
 
 def accepts_connections(connections, server):
@@ -143,3 +175,17 @@
 def _fingerprint(call):
     fingerprint = fingerprint_of(call.service.name, call.method, call.target, call.body)
     return fingerprint[:FINGERPRINT_LENGTH]
+
+
+def _part_names(call):
+    """Returns a short name for each shared part of a call's prompt."""
+    names = (f"{call.service.name}/{part}" for part in call.head.shared_parts)
+    return tuple(
+        xxhash.xxh64_hexdigest(name.encode())[:PART_FINGERPRINT_LENGTH]
+        for name in names
+    )
+
+
+def _crash_name(server):
+    """Returns a name that is the same at all instances and new with each start."""
+    return f"{server.name}/{server.revision.started_ms % START_NAME_MODULUS}"
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -14,7 +14,7 @@
 from amaranthbay.relay.holds import drop_hold, release_handle, take_hold
 from amaranthbay.relay.plain import AMBIGUOUS_STATUSES
 from amaranthbay.relay.prefill import CONNECT_TIMEOUT_S, run_prefill
-from amaranthbay.relay.refusals import RETRY_SOON
+from amaranthbay.relay.refusals import RETRY_SOON, quarantined
 
 __all__ = ["OpenedStream", "StreamOpener", "decode_failed"]
 
@@ -49,12 +49,14 @@
         exchange: `Exchange` with the decode server.
         head: `AnswerHead` of the answer.
         called_at: Monotonic time at which the request was sent.
+        opened_at: Monotonic time at which the head was read.
     """
 
     placement: object
     exchange: object
     head: object
     called_at: float
+    opened_at: float
 
     def close(self):
         """Ends the exchange and releases the placement."""
@@ -113,6 +115,10 @@
             if place_result.is_err():
                 return place_result
             placement = place_result.unwrap()
+            if self._ctx.crashes.is_quarantined(self._call):
+                # Its crashes became known while it waited.
+                placement.release()
+                return Err(quarantined())
             hold_result = Err("interrupted")
             try:
                 hold_result = take_hold(self._ctx, self._call, placement)
@@ -275,10 +281,13 @@
                 ctx.outcomes.note_accepted(server.name)
                 if computed is not None:
                     ctx.handles.note_fetched(computed.server.name)
-            opened = OpenedStream(placement, exchange, head, called_at)
+            opened = OpenedStream(
+                placement, exchange, head, called_at, ctx.clock.monotonic()
+            )
             return Ok(opened)
         except ExchangeBroken as exc:
-            self._attempts.note_failed(server, exc, sent=exchange is not None)
+            sent = exchange is not None
+            self._attempts.note_failed(server, exc, sent, began=sent)
             return decode_failed(exc)
         finally:
             if exchange is not None and opened is None:
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -6,10 +6,19 @@
 
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
 
-__all__ = ["RETRY_SOON", "all_held_back", "body_of", "timed_out", "headers_of"]
+__all__ = [
+    "RETRY_SOON",
+    "all_held_back",
+    "body_of",
+    "headers_of",
+    "quarantined",
+    "timed_out",
+]
 
 # All instances know of a server that refused or left after about this time.
 RETRY_SOON = timedelta(seconds=0.2)
+# Crashes of a request count for this long; see `CrashRecord`.
+QUARANTINE_RETRY = timedelta(seconds=60)
 # Time over which refused callers come back, as a share of the time after which the
 # first server takes requests.
 RETURN_SPREAD = 0.5
@@ -28,6 +37,12 @@
     return may_have_run(Reason.BACKEND_SLOW, detail, 504)
 
 
+def quarantined():
+    """Returns the `Refusal` of a request that would crash its server."""
+    detail = "the request, or a part of its prompt, has crashed backend servers"
+    return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
+
+
 def all_held_back(held, draw):
     """Returns the `Refusal` of a request that no server of its service may get now.
 
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -14,7 +14,7 @@
 )
 from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.relay.calls import Call
-from amaranthbay.relay.refusals import body_of, headers_of
+from amaranthbay.relay.refusals import body_of, headers_of, quarantined
 from amaranthbay.routing import CallKind
 from amaranthbay.routing.table import choose_service
 from amaranthbay.utils.hangup import HangupWatch
@@ -23,8 +23,6 @@
 
 # A new instance reads its configuration within this time.
 NOT_READY_RETRY = timedelta(seconds=0.5)
-# Crashes of a request count for this long; see `CrashRecord`.
-QUARANTINE_RETRY = timedelta(seconds=60)
 SECONDS_DIGITS = 4
 
 
@@ -123,8 +121,7 @@
             return not_run(Reason.UNKNOWN_SERVICE, detail, 503, NOT_READY_RETRY)
         call = self._build_call(req, head, route, service, arrived_at)
         if self._ctx.crashes.is_quarantined(call):
-            detail = "the request has crashed the backend servers that ran it"
-            return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
+            return quarantined()
         return call
 
     def _build_call(self, req, head, route, service, arrived_at):
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -28,6 +28,8 @@
 # Interval at which a stream of a silent server checks whether another one has taken
 # over. Two servers may run the same stream for 0.4 s.
 TAKEOVER_CHECK_S = 0.1
+# Time after the head of an answer in which its server has just begun it.
+BEGINNING_S = 1.0
 OK = 200
 
 
@@ -160,7 +162,8 @@
             self._relay(opened)
             return None
         except ExchangeBroken as exc:
-            self._attempts.note_failed(opened.placement.decode, exc, sent=True)
+            began = self._ctx.clock.monotonic() - opened.opened_at < BEGINNING_S
+            self._attempts.note_failed(opened.placement.decode, exc, True, began)
             return decode_failed(exc).unwrap_err()
         finally:
             opened.close()
@@ -188,6 +191,7 @@
                 self._output.feed(head, data)
             self._output.finish(head)
             run.end()
+            self._ctx.crashes.note_served(self._call)
         finally:
             run.drop()
         self._note_ended(placement.decode, self._ctx.clock.monotonic() - started_at)
--- a/amaranthbay/relay/tests/test_crashes.py
+++ b/amaranthbay/relay/tests/test_crashes.py
@@ -15,6 +15,7 @@
     accepts_connections,
 )
 from amaranthbay.relay.exchange import ExchangeBroken
+from amaranthbay.routing import EntryRevision
 from amaranthbay.utils.testing import ManualClock, collect, free_port
 
 RESET = ExchangeBroken(Verdict.MAY_HAVE_RUN, "connection_reset")
@@ -32,8 +33,13 @@
     )
 
 
-def make_server(name, port=1):
-    return SimpleNamespace(name=name, service="desk", address=f"127.0.0.1:{port}")
+def make_server(name, port=1, started_ms=0):
+    return SimpleNamespace(
+        name=name,
+        service="desk",
+        address=f"127.0.0.1:{port}",
+        revision=EntryRevision(started_ms=started_ms),
+    )
 
 
 def make_record(is_listening=False):
@@ -89,6 +95,30 @@
     case.assertEqual([len(servers) for servers in second.report().values()], [1])
 
 
+def test_crashes_of_a_server_that_keeps_its_name_count_each(case):
+    """Guards against a request that crashes one server again and again, as it starts
+    under the name that it had."""
+    crash_record, _ = make_record()
+    for started_ms in (1, 2, 3):
+        server = make_server("a", started_ms=started_ms)
+        crash_record.note_broken(make_call(), server, RESET)
+    gevent.sleep(2 * PROBE_DELAY_S)
+    case.assertTrue(crash_record.is_quarantined(make_call()))
+
+
+def test_crash_is_reported_at_once_and_only_once(case):
+    """Guards against instances that learn of a crash late, and against a report for
+    each stream that broke."""
+    reports = []
+    crash_record = CrashRecord(
+        ManualClock(), lambda server: False, lambda: reports.append(1)
+    )
+    break_connections(crash_record, ["a"] * 5)
+    case.assertEqual(reports, [1])
+    break_connections(crash_record, ["b"])
+    case.assertEqual(reports, [1, 1])
+
+
 def test_record_is_swept(case):
     """Guards against memory that grows with each crash."""
     crash_record, clock = make_record()
