Send details that leave no room for loads in a datagram of their own

After several crashes beside servers that leave or name limits, a report of an instance exceeds 1,400 bytes, and all its details, the crashes among them, are dropped. They go in a datagram without loads then. Without the change the test fails with 1,614 bytes.

--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -177,13 +177,18 @@
         List of the `PeerStatus` of each datagram.
     """
     loads = sorted(status.loads.items())
-    parts = max(1, -(-len(loads) // LOADS_PER_DATAGRAM))
+    chunks = [
+        dict(loads[first : first + LOADS_PER_DATAGRAM])
+        for first in range(0, len(loads), LOADS_PER_DATAGRAM)
+    ] or [{}]
+    first = msgspec.structs.replace(status, loads=chunks[0])
+    if len(msgspec.msgpack.encode(first)) > MAX_DATAGRAM_BYTES:
+        # Details that leave no room for loads, as after a crash, go by themselves.
+        chunks.insert(0, {})
     datagrams = []
-    for part in range(parts):
-        first = part * LOADS_PER_DATAGRAM
-        datagram_loads = dict(loads[first : first + LOADS_PER_DATAGRAM])
+    for part, chunk in enumerate(chunks):
         datagram = msgspec.structs.replace(
-            status, loads=datagram_loads, part=part, parts=parts
+            status, loads=chunk, part=part, parts=len(chunks)
         )
         datagrams.append(datagram if part == 0 else _without_details(datagram))
     return datagrams
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -14,6 +14,7 @@
 )
 from amaranthbay.fleet.reports import (
     MAX_DATAGRAM_BYTES,
+    LimitNotice,
     MeasuredDemand,
     PeerStatus,
     ServerLoad,
@@ -238,12 +239,33 @@
         {"svc-0001": MeasuredDemand(3200.5, 33333.3, 1.25, 60)},
         {f"i-{n:010x}": "prefill" for n in range(4)},
         0.6,
-        {f"{n:016x}": (f"i-{n:010x}",) for n in range(8)},
+        {f"{n:016x}": (f"i-{n:010x}/123456",) for n in range(8)},
         {"op": 10**6, "servers": 10**6},
         tuple(f"i-{n:010x}" for n in range(4)),
     )
 
 
+def test_report_after_crashes_keeps_its_details(case):
+    """Guards against dropping what other instances must know of crashes, as loads and
+    details don't fit into one datagram."""
+    status = msgspec.structs.replace(
+        busy_status(10**6),
+        crashed_parts={f"{n:010x}": (f"i-{n:010x}/123456",) for n in range(8)},
+        sound_parts=tuple(f"{n:010x}" for n in range(6)),
+        leaving={f"i-{n:010x}": 1764900000000 for n in range(4)},
+        limits={f"i-{n:010x}": LimitNotice(1234567.125, 1.5) for n in range(4)},
+    )
+    datagrams = split_report(status)
+    for datagram in datagrams:
+        case.assertLess(len(msgspec.msgpack.encode(datagram)), MAX_DATAGRAM_BYTES)
+    peers, _ = make_peers()
+    for datagram in datagrams:
+        peers.receive(msgspec.structs.replace(datagram, instance="entry-2"))
+    case.assertEqual(peers.loads(), status.loads)
+    (merged,) = peers.fresh_statuses()
+    case.assertEqual(merged.crashed_parts, status.crashed_parts)
+
+
 def test_report_of_many_servers_fits_into_datagrams(case):
     """Guards against IP fragments, and against dropping loads, which placement needs,
     when many servers are busy."""
