Close connections after refusals that name no attempt

Callers got 503 for calls and streams that a server had run, and a call of an unsafe route with two attempts ran at two servers, when a server wrote an earlier refusal once more on a kept connection.

Cause: an answer without an attempt id is taken for the own one, since a refusal may lack the id, and the connection was kept after such a refusal. A repeat that arrives after the next request was sent then refused that request. The look at unread bytes sees only what arrives before.

The connection is now closed after an answer without an id that is not successful. Each failure on a kept connection thus names its attempt, and a repeat of it is skipped by its id. Refusals with an id keep the connection, so that an overload costs no new ones: ten refused calls use one (refusals_that_name_their_attempts_keep_the_connection).

Stand-ins can repeat the latest answers of a connection.

--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -58,6 +58,8 @@
         cut: Whether the connection is closed before the end of the body.
         raw: Bytes that are sent instead of all the above; then the connection closes.
         extra: Bytes that are sent after the complete answer.
+        repeats: Number of the latest whole answers on the connection that are sent once
+            more before this one.
     """
 
     status: int = 200
@@ -69,6 +71,7 @@
     cut: bool = False
     raw: bytes | None = None
     extra: bytes = b""
+    repeats: int = 0
 
 
 class _Connection:
@@ -78,6 +81,7 @@
         self._sock = sock
         self._answer = answer
         self._http = h11.Connection(h11.SERVER)
+        self._whole_answers = []
 
     def serve(self):
         try:
@@ -119,14 +123,16 @@
         """Sends a reply; returns whether the connection stays open."""
         if reply is None:
             return False
+        if reply.repeats:
+            self._sock.sendall(b"".join(self._whole_answers[-reply.repeats :]))
         if reply.raw is not None:
             self._sock.sendall(reply.raw)
             return False
         headers = list(reply.headers)
         if reply.chunks is None:
             headers.append(("Content-Length", str(len(reply.body))))
-        head = h11.Response(status_code=reply.status, headers=headers)
-        self._sock.sendall(self._http.send(head))
+        head = self._http.send(h11.Response(status_code=reply.status, headers=headers))
+        self._sock.sendall(head)
         parts = reply.chunks if reply.chunks is not None else (reply.body,)
         pauses = reply.pauses or (reply.pause_s,) * len(parts)
         for part, pause_s in zip(parts, pauses):
@@ -136,6 +142,8 @@
         if reply.cut:
             return False
         self._sock.sendall(self._http.send(h11.EndOfMessage()) + reply.extra)
+        if reply.chunks is None:
+            self._whole_answers.append(head + reply.body)
         return self._http.our_state is h11.DONE
 
 
@@ -360,6 +368,8 @@
         limit: Requests per second that all answers name as its limit; None for none.
         received_at: Monotonic time of each call that it received, control calls too.
         busy: Whether it reports that it is executing an order.
+        repeats: Number of the latest answers on a connection that are sent once more
+            before each answer.
     """
 
     name: str
@@ -374,6 +384,7 @@
     limit: float | None = None
     received_at: list = field(default_factory=list)
     busy: bool = False
+    repeats: int = 0
     _handle_numbers: object = field(default_factory=itertools.count)
 
     def answer(self, req):
@@ -387,7 +398,7 @@
             headers += (("Server-Leaving", "1"),)
         if self.limit is not None:
             headers += (("Server-Limit", str(self.limit)),)
-        return replace(reply, headers=headers)
+        return replace(reply, headers=headers, repeats=self.repeats)
 
     def _reply(self, req):
         if req.headers.get("x-expect-instance", self.name) != self.name:
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_repeated_refusals.py
@@ -0,0 +1,153 @@
+"""Refusals and control answers that a server writes once more on a kept connection."""
+
+from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.platform.tests.fixtures import (
+    call,
+    call_raw,
+    entry_fixture,
+    stream_request,
+)
+from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.exchange import control_exchange
+from amaranthbay.utils.testing import collect
+
+HEAD_200 = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n"
+REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+# Largest load of a decode server with which its room is in doubt, so that a hold is
+# taken.
+SCARCE = ServerLoad(1, 8000, 0)
+
+
+def named_refusal(req):
+    """Returns a refusal that names the attempt which it answers."""
+    attempt = ("X-Attempt-Id", req.headers["x-attempt-id"])
+    return Reply(503, (attempt, ("X-Not-Executed", "1")))
+
+
+def attempts(server):
+    """Returns the attempt ids of the requests that a server has received."""
+    return [req.headers["x-attempt-id"] for req in server.received]
+
+
+def control(fixture, name, request):
+    """Returns the ``Result`` of a control call to a server: status and body."""
+    ctx = fixture.daemon.ctx
+    server = next(s for s in ctx.backends.usable("lm") if s.name == name)
+    method, path, body = (*request, b"")[:3]
+    return control_exchange(ctx.connections, ctx.codec, server, method, path, body, 2.0)
+
+
+def test_repeated_refusal_does_not_refuse_a_call_that_runs(case):
+    """Guards against a 503 for a non-idempotent call that its server has run."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["desk-1"]
+    for refusal in (server.refusal(), server.refusal(429), named_refusal):
+        server.received.clear()
+        server.repeats = 0
+        server.replies.append(refusal)
+        case.assertEqual(call(fixture, "/book/x", "POST", b"1").status, 503)
+        server.repeats = 1
+        answer = call(fixture, "/book/x", "POST", b"1", attempt="a2")
+        case.assertEqual((answer.status, attempts(server)), (200, ["a1", "a2"]))
+
+
+def test_repeated_refusal_does_not_lead_to_a_second_run(case):
+    """Guards against a non-idempotent call that runs at two servers."""
+    fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
+    servers = [fixture.servers[name] for name in ("desk-1", "desk-2")]
+    for server in servers:
+        server.replies.append(server.refusal())
+    case.assertEqual(call(fixture, "/pay/x", "POST", b"1").status, 503)
+    for server in servers:
+        server.repeats = 1
+    answer = call(fixture, "/pay/x", "POST", b"1", attempt="a2")
+    received = [attempt for server in servers for attempt in attempts(server)]
+    case.assertEqual(sorted(received), ["a1", "a1", "a2"])
+    case.assertEqual(answer.status, 200)
+
+
+def test_refusals_that_name_their_attempts_keep_the_connection(case):
+    """Guards against a new connection for each refused call during an overload."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["desk-1"]
+    server.repeats = 1
+    opened = []
+    fixture.daemon.ctx.connections._on_open = opened.append
+    for number in range(10):
+        server.replies.append(named_refusal)
+        answer = call(fixture, "/book/x", "POST", b"1", attempt=f"a{number}")
+        case.assertEqual(answer.status, 503)
+    case.assertEqual(len(opened), 1)
+
+
+def test_repeated_refusal_of_a_hold_does_not_refuse_a_stream_that_runs(case):
+    """Guards against a 503 for a stream whose decode server runs it, because the
+    connection has carried a refused control call before."""
+    fixture = case.enterContext(entry_fixture())
+    decode = fixture.servers["dec-1"]
+    release = fixture.daemon.placed_load.add("dec-1", SCARCE)
+    decode.hold_status = 503
+    deadline = (("X-Deadline-Ms", "300"),)
+    answer = call_raw(fixture.address, stream_request("/sum/x", headers=deadline))
+    case.assertEqual((answer.status, decode.received), (503, []))
+    release()
+    decode.repeats = 1
+    answer = call_raw(fixture.address, stream_request("/sum/x", "a2"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+
+
+def test_repeated_refusal_of_a_call_does_not_answer_a_control_call(case):
+    """Guards against a hold that is taken but counts as refused."""
+    fixture = case.enterContext(entry_fixture())
+    decode, codec = fixture.servers["dec-1"], fixture.daemon.ctx.codec
+    for refusal in (decode.refusal(), named_refusal):
+        decode.repeats = 0
+        decode.replies.append(refusal)
+        call_raw(fixture.address, stream_request("/sum/x"))
+        decode.repeats = 1
+        hold = control(fixture, "dec-1", codec.hold_request(10, 1.0))
+        case.assertEqual(hold.unwrap()[0], 200)
+
+
+def test_repeated_refusal_after_the_answer_began_refuses_nothing(case):
+    """Guards against a stream that looks complete, is refused or is sent once more,
+    because a refusal follows on its head."""
+    fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
+    servers = [fixture.servers[name] for name in ("dec-1", "dec-2")]
+    head = HEAD_200 % b"a1" + b"Transfer-Encoding: chunked\r\n\r\n"
+    event = b"id: 1\ndata: piece 1\n\n"
+    raw = head + b"%x\r\n%s\r\n" % (len(event), event) + REFUSAL
+    for server in servers:
+        server.replies.append(Reply(raw=raw))
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual((answer.status, answer.body), (200, event))
+    case.assertFalse(answer.complete)
+    case.assertEqual(sum(len(server.received) for server in servers), 1)
+
+
+def test_repeated_refusal_after_the_answer_ended_refuses_nothing(case):
+    """Guards against a refusal right behind an answer that is taken for the next one's
+    answer."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["desk-1"]
+    for number in range(6):
+        server.replies.append(lambda req: server.stamped_reply(req, extra=REFUSAL))
+        answer = call(fixture, "/book/x", "POST", b"1", attempt=f"a{number}")
+        case.assertEqual(answer.status, 200)
+    case.assertEqual(len(server.received), 6)
+
+
+def test_repeated_interim_answers_are_skipped_with_a_repeated_refusal(case):
+    """Guards against interim heads that hide or become the answer."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["desk-1"]
+    interim = b"HTTP/1.1 100 Continue\r\nX-Not-Executed: 1\r\n\r\n"
+    named = REFUSAL.replace(b"X-Not", b"X-Attempt-Id: old\r\nX-Not")
+    own = HEAD_200 % b"a1" + b"Content-Length: 3\r\n\r\nown"
+    raw = interim * 2 + named + interim + named + interim * 2 + own
+    server.replies.append(Reply(raw=raw))
+    answer = call(fixture, "/book/x", "POST", b"1")
+    case.assertEqual((answer.status, answer.body), (200, b"own"))
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -191,12 +191,26 @@
         self._pool.give_back(self._conn, self._keep_alive_s())
 
     def _may_reuse(self):
+        if not self._is_repeat_recognizable():
+            return False
         if self._parser.trailing_data[0]:
             return False
         if self._parser.their_state is not h11.DONE:
             return False
         return b"close" not in self._header(b"connection").lower()
 
+    def _is_repeat_recognizable(self):
+        """Returns whether a repeat of the answer can't pass for a later answer.
+
+        A server may send an answer once more when the next one is due. Only the attempt
+        id tells the two apart. A successful answer without an id is a prefill's or a
+        control call's; repeated, it refuses nothing.
+        """
+        traits = self.head.traits
+        if traits.attempt_id:
+            return True
+        return 200 <= self.head.status < 300 and not traits.not_run
+
     def _keep_alive_s(self):
         for part in self._header(b"keep-alive").split(b","):
             name, _, value = part.strip().partition(b"=")
