Close connections after control calls

A server that wrote the answer to a control call once more had it taken for the answer to a later request: a stream that ran got 502, the KV cache of a prompt was given up, a hold was taken and counted as refused, and an old report would have counted as an accepted order.

Cause: control calls have no attempt id, and their connection was kept, both for callers' requests and for other control calls. A request of a caller without an id has the same flaw.

A connection on which a request without an id was sent is now closed with its answer.

--- a/amaranthbay/platform/tests/test_entry_repeated_refusals.py
+++ b/amaranthbay/platform/tests/test_entry_repeated_refusals.py
@@ -8,8 +8,10 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.codec import StageOrder
 from amaranthbay.relay.exchange import control_exchange
-from amaranthbay.utils.testing import collect
+from amaranthbay.routing import Stage
+from amaranthbay.utils.testing import collect, wait_until
 
 HEAD_200 = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s\r\n"
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -80,6 +82,36 @@
     case.assertEqual(len(opened), 1)
 
 
+def test_repeated_refusal_of_a_prefill_does_not_refuse_the_next_one(case):
+    """Guards against a stream that is refused, and a handle that the next stream takes
+    for its own, because a prefill server repeats a refusal."""
+    fixture = case.enterContext(entry_fixture())
+    prefill, decode = fixture.servers["pre-1"], fixture.servers["dec-1"]
+    prefill.replies.append(prefill.refusal())
+    call_raw(fixture.address, stream_request("/sum/x"))
+    wait_until(lambda: not fixture.daemon.ctx.outcomes.is_full("pre-1"))
+    prefill.repeats = 1
+    answer = call_raw(fixture.address, stream_request("/sum/x", "a2"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(attempts(prefill), ["a1", "a2"])
+    source = decode.received[-1].headers["x-kv-source"]
+    case.assertEqual(source, f"{fixture.addresses['pre-1']}/h0")
+
+
+def test_repeated_refusal_does_not_refuse_the_second_try_at_a_decode_server(case):
+    """Guards against a 503 or 502 for a stream that runs, because its decode server
+    repeats the refusal of the first try, which has the same attempt id, or the answer
+    to a control call."""
+    fixture = case.enterContext(entry_fixture())
+    decode = fixture.servers["dec-1"]
+    decode.replies.append(
+        lambda req: setattr(decode, "repeats", 1) or named_refusal(req)
+    )
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(attempts(decode), ["a1", "a1"])
+
+
 def test_repeated_refusal_of_a_hold_does_not_refuse_a_stream_that_runs(case):
     """Guards against a 503 for a stream whose decode server runs it, because the
     connection has carried a refused control call before."""
@@ -96,6 +128,25 @@
     case.assertEqual((answer.status, answer.complete), (200, True))
 
 
+def test_repeated_answers_of_control_calls_answer_no_other_control_call(case):
+    """Guards against a hold that nobody uses, a state of long ago and an order that
+    counts as accepted, because a server repeats an answer without an id."""
+    fixture = case.enterContext(entry_fixture())
+    decode, codec = fixture.servers["dec-1"], fixture.daemon.ctx.codec
+    hold, report = codec.hold_request(10, 1.0), codec.report_request()
+    order = codec.order_request(StageOrder(Stage.PREFILL, "entry-1", 1, 4))
+    decode.hold_status = 503
+    control(fixture, "dec-1", hold)
+    decode.repeats, decode.hold_status = 1, 200
+    case.assertEqual(control(fixture, "dec-1", hold).unwrap()[0], 200)
+    case.assertIn(b'"Busy":false', control(fixture, "dec-1", report).unwrap()[1])
+    decode.busy = True
+    case.assertIn(b'"Busy":true', control(fixture, "dec-1", report).unwrap()[1])
+    case.assertEqual(control(fixture, "dec-1", order).unwrap()[0], 202)
+    decode.hold_status = 503
+    case.assertEqual(control(fixture, "dec-1", hold).unwrap()[0], 503)
+
+
 def test_repeated_refusal_of_a_call_does_not_answer_a_control_call(case):
     """Guards against a hold that is taken but counts as refused."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -203,9 +203,11 @@
         """Returns whether a repeat of the answer can't pass for a later answer.
 
         A server may send an answer once more when the next one is due. Only the attempt
-        id tells the two apart. A successful answer without an id is a prefill's or a
-        control call's; repeated, it refuses nothing.
+        id tells the two apart, and control calls have none. A successful answer without
+        an id is a prefill's; repeated, it refuses nothing.
         """
+        if not self._attempt_id:
+            return False
         traits = self.head.traits
         if traits.attempt_id:
             return True
@@ -256,6 +258,9 @@
 def control_exchange(pool, codec, server, method, path, body, timeout_s, headers=()):
     """Sends a call of the relay itself to a backend server; the call may be repeated.
 
+    The connection is closed after the call, as the answer has no attempt id by which a
+    repeat of it could be recognized.
+
     Args:
         pool: `ConnectionPool` to take a connection from.
         codec: `CallCodec` that reads the answer's headers.
--- a/amaranthbay/relay/tests/test_exchange.py
+++ b/amaranthbay/relay/tests/test_exchange.py
@@ -9,7 +9,7 @@
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.relay.codec import AnswerTraits
 from amaranthbay.relay.connections import ConnectionPool
-from amaranthbay.relay.exchange import ExchangeBroken, open_exchange
+from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
 from amaranthbay.utils.testing import ManualClock, collect
 
 SERVER = SimpleNamespace(name="desk-1", address="127.0.0.1:1", service="desk")
@@ -108,6 +108,26 @@
         case.assertEqual(len(ends), opened + 1)
 
 
+def test_request_without_an_id_leaves_no_connection(case):
+    """Guards against a repeated answer to a request without an id."""
+    pool, ends = make_pool(case)
+    for _ in range(2):
+        case.assertEqual(exchange_once(pool, ends, "", answer()), 200)
+    case.assertEqual(len(ends), 2)
+
+
+def test_control_call_leaves_no_connection(case):
+    """Guards against a repeated answer to a control call that the next one, or a
+    caller's request, takes for its own."""
+    pool, ends = make_pool(case)
+    for status in (200, 503):
+        gevent.spawn_later(0.01, lambda: ends[-1].sendall(answer(status=status)))
+        args = (pool, Codec(), SERVER, "GET", "/x", b"", TIMEOUT_S)
+        case.assertEqual(control_exchange(*args).unwrap(), (status, b""))
+    case.assertEqual(exchange_once(pool, ends, "a1", answer("a1")), 200)
+    case.assertEqual(len(ends), 3)
+
+
 def test_repeated_refusals_are_skipped_by_their_id(case):
     """Guards against a repeated refusal that refuses a later request, and against a new
     connection after each refusal."""
