Send no attempt again on the connection that refused it

A call that its caller sent again under the same attempt id got 503 although its server ran it, when the server wrote the refusal of the first time once more on the same connection.

Cause: the repeat bears the id of the request that waits, so the id does not tell it from the answer.

Without the fix (the tests of this commit with the check and the limit removed): 18 passed, 3 failed. of_the_same_attempt_does_not_refuse_its_retry: (503, ['a1', 'a2', 'a1']) != (200, ['a1', 'a2', 'a1']) test_exchange: 1 != 2 connections, twice

A connection keeps the ids of the attempts that were refused on it and is closed when one of them is to use it again. After 100 refusals it is closed too, so that no id has to be forgotten. The relay itself sends an attempt to the same decode server again; the connection of that refusal was and is closed, as its body is not read.

--- a/amaranthbay/platform/tests/test_entry_repeated_refusals.py
+++ b/amaranthbay/platform/tests/test_entry_repeated_refusals.py
@@ -68,6 +68,20 @@
     case.assertEqual(answer.status, 200)
 
 
+def test_repeated_refusal_of_the_same_attempt_does_not_refuse_its_retry(case):
+    """Guards against a 503 for a call that its caller has sent again under the same
+    attempt id: the id doesn't tell the repeated refusal from the answer."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["desk-1"]
+    server.replies.append(named_refusal)
+    case.assertEqual(call(fixture, "/book/x", "POST", b"1").status, 503)
+    # Another answer follows on the connection before the attempt comes back.
+    case.assertEqual(call(fixture, "/look/x", attempt="a2").status, 200)
+    server.repeats = 2
+    answer = call(fixture, "/book/x", "POST", b"1")
+    case.assertEqual((answer.status, attempts(server)), (200, ["a1", "a2", "a1"]))
+
+
 def test_refusals_that_name_their_attempts_keep_the_connection(case):
     """Guards against a new connection for each refused call during an overload."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -1,7 +1,7 @@
 """Pool of reusable connections to backend servers."""
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 
@@ -18,6 +18,8 @@
 # Taken off the timeout that a server states, as its timer starts before ours.
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_SERVER = 32
+# Largest number of refused attempts that a connection keeps; it is then closed.
+MAX_REFUSED_IDS = 100
 READ_BYTES = 65536
 
 
@@ -31,6 +33,8 @@
         idle_limit_s: Idle time after which it isn't used again.
         idle_since: Monotonic time at which it was given back.
         uses: Number of requests that were sent on it.
+        refused_ids: Ids of the attempts that the server has refused on it. It may send
+            such a refusal once more, so that no attempt may use the connection again.
     """
 
     server: str
@@ -38,6 +42,7 @@
     idle_limit_s: float = IDLE_LIMIT_S
     idle_since: float = 0.0
     uses: int = 0
+    refused_ids: set = field(default_factory=set)
 
     def close(self):
         """Closes the socket; never raises."""
@@ -83,13 +88,14 @@
         self.note_answer = on_answer
         self.check_send = check_send
 
-    def take(self, server, repeatable, timeout_s):
+    def take(self, server, repeatable, timeout_s, attempt_id=""):
         """Returns an idle or a new `ServerConnection`.
 
         Args:
             server: `BackendServer` to connect to.
             repeatable: Whether the request may be sent again if the connection breaks.
             timeout_s: Longest wait for a new connection.
+            attempt_id: Id of the request; empty if it has none.
 
         Raises:
             OSError: If no connection could be made; nothing was sent.
@@ -101,7 +107,8 @@
             if not repeatable:
                 limit_s = min(limit_s, IDLE_LIMIT_NON_IDEMPOTENT_S)
             fresh = self.clock.monotonic() - conn.idle_since < limit_s
-            if fresh and conn.is_quiet():
+            refused = attempt_id in conn.refused_ids
+            if fresh and not refused and conn.is_quiet():
                 return conn
             conn.close()
         self._on_open(server)
@@ -117,7 +124,8 @@
         if keep_alive_s is not None:
             conn.idle_limit_s = max(0.0, keep_alive_s - KEEP_ALIVE_MARGIN_S)
         idle = self._idle[conn.server]
-        if len(idle) >= MAX_IDLE_PER_SERVER or conn.idle_limit_s <= 0:
+        is_used_up = conn.idle_limit_s <= 0 or len(conn.refused_ids) >= MAX_REFUSED_IDS
+        if is_used_up or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
             return
         conn.idle_since = self.clock.monotonic()
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -187,6 +187,8 @@
         if not (self._complete and sent and self._may_reuse()):
             self._conn.close()
             return
+        if self.head.traits.not_run:
+            self._conn.refused_ids.add(self._attempt_id)
         self._conn.sock.settimeout(None)
         self._pool.give_back(self._conn, self._keep_alive_s())
 
@@ -248,11 +250,13 @@
     """
     request_bytes = _encode(codec, call, options)
     _check_send(pool, server, placed)
+    attempt_id = call.head.attempt_id
     if conn is None or not conn.is_quiet():
-        conn = take_connection(pool, server, call.route.repeatable, connect_timeout_s)
+        repeatable = call.route.repeatable
+        conn = take_connection(pool, server, repeatable, connect_timeout_s, attempt_id)
     # The server may answer before it has read a long body.
     sender = gevent.spawn(_send, conn.sock, request_bytes)
-    return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
+    return Exchange(conn, pool, codec, attempt_id, call.method, sender)
 
 
 def control_exchange(pool, codec, server, method, path, body, timeout_s, headers=()):
@@ -297,7 +301,7 @@
             exchange.close()
 
 
-def take_connection(pool, server, repeatable, timeout_s):
+def take_connection(pool, server, repeatable, timeout_s, attempt_id=""):
     """Returns a `ServerConnection` for one request.
 
     Args:
@@ -305,12 +309,13 @@
         server: `BackendServer` to connect to.
         repeatable: Whether the request may be sent again if the connection breaks.
         timeout_s: Longest wait for a connection.
+        attempt_id: Id of the request; empty if it has none.
 
     Raises:
         ExchangeBroken: With the verdict ``not_run``, if no connection could be made.
     """
     try:
-        conn = pool.take(server, repeatable, timeout_s)
+        conn = pool.take(server, repeatable, timeout_s, attempt_id)
     except OSError as exc:
         raise ExchangeBroken(Verdict.NOT_RUN, "connect_failed") from exc
     conn.uses += 1
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -150,7 +150,11 @@
             # Connects before the prefill, so that no prompt is computed for a decode
             # server that can't be reached.
             conn = take_connection(
-                ctx.connections, server, self._call.route.repeatable, CONNECT_TIMEOUT_S
+                ctx.connections,
+                server,
+                self._call.route.repeatable,
+                CONNECT_TIMEOUT_S,
+                self._call.head.attempt_id,
             )
             prefill_result = run_prefill(ctx, self._call, self._attempts, placement)
             placement.end_prefill()
--- a/amaranthbay/relay/tests/test_exchange.py
+++ b/amaranthbay/relay/tests/test_exchange.py
@@ -8,7 +8,7 @@
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.relay.codec import AnswerTraits
-from amaranthbay.relay.connections import ConnectionPool
+from amaranthbay.relay.connections import MAX_REFUSED_IDS, ConnectionPool
 from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
 from amaranthbay.utils.testing import ManualClock, collect
 
@@ -139,6 +139,30 @@
     case.assertEqual(len(ends), 1)
 
 
+def test_refused_attempt_does_not_use_its_connection_again(case):
+    """Guards against a repeated refusal that names the attempt which waits for its
+    answer, also when other answers lie between."""
+    pool, ends = make_pool(case)
+    exchange_once(pool, ends, "a1", answer("a1", 503, refused=True))
+    exchange_once(pool, ends, "a2", answer("a2"))
+    case.assertEqual(len(ends), 1)
+    exchange_once(pool, ends, "a1", answer("a1"))
+    case.assertEqual(len(ends), 2)
+
+
+def test_connection_with_many_refusals_is_closed(case):
+    """Guards against memory that grows with each refusal, and against forgetting a
+    refusal that may be repeated."""
+    pool, ends = make_pool(case)
+    for number in range(MAX_REFUSED_IDS):
+        attempt_id = f"a{number}"
+        refusal = answer(attempt_id, 503, refused=True)
+        exchange_once(pool, ends, attempt_id, refusal)
+    case.assertEqual(len(ends), 1)
+    exchange_once(pool, ends, "b", answer("b"))
+    case.assertEqual(len(ends), 2)
+
+
 def test_refusal_before_the_request_was_sent_ends_the_connection(case):
     """Guards against a connection on which the rest of a refused request would be read
     as the next one."""
