--- a/amaranthbay/platform/tests/test_entry_repeated_refusals.py
+++ b/amaranthbay/platform/tests/test_entry_repeated_refusals.py
@@ -112,6 +112,27 @@
     case.assertEqual(source, f"{fixture.addresses['pre-1']}/h0")
 
 
+def test_repeated_refusal_of_a_prefill_does_not_refuse_the_decode(case):
+    """Guards against a 503 for a stream that runs at a server which has refused its
+    prefill under the same attempt id, before it moved to the other pool."""
+    fixture = case.enterContext(entry_fixture())
+    ctx, server = fixture.daemon.ctx, fixture.servers["pre-1"]
+    # The query for a switch would use up the connection.
+    ctx.switches.may_query("pre-1")
+    server.replies.append(named_refusal)
+    call_raw(fixture.address, stream_request("/sum/x"))
+    case.assertEqual(len(ctx.connections._idle["pre-1"]), 1)
+    fixture.write_entry("pre-1", "lm", "decode", Sequence=2)
+    fixture.write_entry("dec-1", "lm", "prefill", Sequence=2)
+    fixture.wait_for_servers("lm", 1, Stage.DECODE)
+    wait_until(lambda: ctx.backends.usable("lm", Stage.DECODE)[0].name == "pre-1")
+    wait_until(lambda: not ctx.outcomes.is_full("pre-1"))
+    server.repeats = 1
+    answer = call_raw(fixture.address, stream_request("/sum/x"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertIn("x-kv-source", server.received[-1].headers)
+
+
 def test_repeated_refusal_does_not_refuse_the_second_try_at_a_decode_server(case):
     """Guards against a 503 or 502 for a stream that runs, because its decode server
     repeats the refusal of the first try, which has the same attempt id, or the answer
