--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -191,15 +191,33 @@
         if not (self._complete and sent and self._may_reuse()):
             self._conn.close()
             return
+        if self.head.traits.not_run:
+            self._conn.refused_ids.add(self._attempt_id)
         self._pool.give_back(self._conn, self._keep_alive_s())
 
     def _may_reuse(self):
+        if not self._is_repeat_recognizable():
+            return False
         if self._parser.trailing_data[0]:
             return False
         if self._parser.their_state is not h11.DONE:
             return False
         return b"close" not in self._header(b"connection").lower()
 
+    def _is_repeat_recognizable(self):
+        """Returns whether a repeat of the answer can't pass for a later answer.
+
+        A server may send an answer once more when the next one is due. Only the attempt
+        id tells the two apart, and control calls have none. A successful answer without
+        an id is a prefill's; repeated, it refuses nothing.
+        """
+        if not self._attempt_id:
+            return False
+        traits = self.head.traits
+        if traits.attempt_id:
+            return True
+        return 200 <= self.head.status < 300 and not traits.not_run
+
     def _keep_alive_s(self):
         for part in self._header(b"keep-alive").split(b","):
             name, _, value = part.strip().partition(b"=")
@@ -235,16 +253,21 @@
     """
     request_bytes = _encode(codec, call, options)
     _check_send(pool, server, placed)
+    attempt_id = call.head.attempt_id
     if conn is None or not conn.is_quiet():
-        conn = take_connection(pool, server, call.route.repeatable, connect_timeout_s)
+        repeatable = call.route.repeatable
+        conn = take_connection(pool, server, repeatable, connect_timeout_s, attempt_id)
     # The server may answer before it has read a long body.
     sender = gevent.spawn(_send, conn.sock, request_bytes)
-    return Exchange(conn, pool, codec, call.head.attempt_id, call.method, sender)
+    return Exchange(conn, pool, codec, attempt_id, call.method, sender)
 
 
 def control_exchange(pool, codec, server, method, path, body, timeout_s, headers=()):
     """Sends a call of the relay itself to a backend server; the call may be repeated.
 
+    The connection is closed after the call, as the answer has no attempt id by which a
+    repeat of it could be recognized.
+
     Args:
         pool: `ConnectionPool` to take a connection from.
         codec: `CallCodec` that reads the answer's headers.
@@ -281,7 +304,7 @@
             exchange.close()
 
 
-def take_connection(pool, server, repeatable, timeout_s):
+def take_connection(pool, server, repeatable, timeout_s, attempt_id=""):
     """Returns a `ServerConnection` for one request.
 
     Args:
@@ -289,12 +312,13 @@
         server: `BackendServer` to connect to.
         repeatable: Whether the request may be sent again if the connection breaks.
         timeout_s: Longest wait for a connection.
+        attempt_id: Id of the request; empty if it has none.
 
     Raises:
         ExchangeBroken: With the verdict ``not_run``, if no connection could be made.
     """
     try:
-        conn = pool.take(server, repeatable, timeout_s)
+        conn = pool.take(server, repeatable, timeout_s, attempt_id)
     except OSError as exc:
         raise ExchangeBroken(Verdict.NOT_RUN, "connect_failed") from exc
     conn.uses += 1
