Keep connections for calls for holds, apart from all others

Each call for a hold opened a connection since connections are closed after control calls. They share connections with each other alone: a repeated answer can't reach a caller's request there, and at worst makes a stream try another server.

--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -33,6 +33,8 @@
         idle_limit_s: Idle time after which it isn't used again.
         idle_since: Monotonic time at which it was given back.
         uses: Number of requests that were sent on it.
+        for_holds: Whether it carries only calls for holds. Their answers bear no
+            attempt id, so that a repeat of one would pass for that to any request.
         refused_ids: Ids of the attempts that the server has refused on it. It may send
             such a refusal once more, so that no attempt may use the connection again.
     """
@@ -42,6 +44,7 @@
     idle_limit_s: float = IDLE_LIMIT_S
     idle_since: float = 0.0
     uses: int = 0
+    for_holds: bool = False
     refused_ids: set = field(default_factory=set)
 
     def close(self):
@@ -88,7 +91,7 @@
         self.note_answer = on_answer
         self.check_send = check_send
 
-    def take(self, server, repeatable, timeout_s, attempt_id=""):
+    def take(self, server, repeatable, timeout_s, attempt_id="", for_holds=False):
         """Returns an idle or a new `ServerConnection`.
 
         Args:
@@ -96,11 +99,12 @@
             repeatable: Whether the request may be sent again if the connection breaks.
             timeout_s: Longest wait for a new connection.
             attempt_id: Id of the request; empty if it has none.
+            for_holds: Whether the request is a call for a hold.
 
         Raises:
             OSError: If no connection could be made; nothing was sent.
         """
-        idle = self._idle[server.name]
+        idle = self._idle[_pool_key(server.name, for_holds)]
         while idle:
             conn = idle.pop()
             limit_s = conn.idle_limit_s
@@ -112,7 +116,8 @@
                 return conn
             conn.close()
         self._on_open(server)
-        return ServerConnection(server.name, connect(server.address, timeout_s))
+        sock = connect(server.address, timeout_s)
+        return ServerConnection(server.name, sock, for_holds=for_holds)
 
     def give_back(self, conn, keep_alive_s):
         """Keeps a connection for reuse, or closes it if there are enough.
@@ -123,7 +128,7 @@
         """
         if keep_alive_s is not None:
             conn.idle_limit_s = max(0.0, keep_alive_s - KEEP_ALIVE_MARGIN_S)
-        idle = self._idle[conn.server]
+        idle = self._idle[_pool_key(conn.server, conn.for_holds)]
         is_used_up = conn.idle_limit_s <= 0 or len(conn.refused_ids) >= MAX_REFUSED_IDS
         if is_used_up or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
@@ -133,8 +138,9 @@
 
     def drop_server(self, name):
         """Closes the idle connections to a server that is gone."""
-        for conn in self._idle.pop(name, ()):
-            conn.close()
+        for for_holds in (False, True):
+            for conn in self._idle.pop(_pool_key(name, for_holds), ()):
+                conn.close()
 
     def sweep(self):
         """Closes connections that have been idle for too long."""
@@ -152,6 +158,10 @@
                 del self._idle[name]
 
 
+def _pool_key(server_name, for_holds):
+    return (server_name, "holds") if for_holds else server_name
+
+
 def answer_parser(method):
     """Returns an h11 connection that is ready to parse one answer."""
     parser = h11.Connection(h11.CLIENT)
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -208,11 +208,13 @@
         """Returns whether a repeat of the answer can't pass for a later answer.
 
         A server may send an answer once more when the next one is due. Only the attempt
-        id tells the two apart, and control calls have none. A successful answer without
-        an id is a prefill's; repeated, it refuses nothing.
+        id tells the two apart, and control calls have none. Calls for holds share their
+        connections with nothing else: at worst a repeat makes a stream try another
+        server. A successful answer without an id is a prefill's; repeated, it refuses
+        nothing.
         """
         if not self._attempt_id:
-            return False
+            return self._conn.for_holds
         traits = self.head.traits
         if traits.attempt_id:
             return True
@@ -262,11 +264,13 @@
     return Exchange(conn, pool, codec, attempt_id, call.method, sender)
 
 
-def control_exchange(pool, codec, server, method, path, body, timeout_s, headers=()):
+def control_exchange(
+    pool, codec, server, method, path, body, timeout_s, headers=(), for_holds=False
+):
     """Sends a call of the relay itself to a backend server; the call may be repeated.
 
-    The connection is closed after the call, as the answer has no attempt id by which a
-    repeat of it could be recognized.
+    The connection is closed after a call that isn't for a hold, as the answer has no
+    attempt id by which a repeat of it could be recognized.
 
     Args:
         pool: `ConnectionPool` to take a connection from.
@@ -277,6 +281,7 @@
         body: Bytes of the body.
         timeout_s: Longest time for the whole call.
         headers: Further pairs of name and value.
+        for_holds: Whether the call takes or releases a hold.
 
     Returns:
         ``Result[tuple[int, bytes], str]``: status and body, or the reason of a failure.
@@ -286,7 +291,7 @@
     try:
         with gevent.Timeout(timeout_s, timeout_exc):
             _check_send(pool, server, placed=False)
-            conn = take_connection(pool, server, True, timeout_s)
+            conn = take_connection(pool, server, True, timeout_s, for_holds=for_holds)
             lines = [f"{method} {path} HTTP/1.1", f"Host: {server.address}"]
             if body:
                 lines.append("Content-Type: application/json")
@@ -304,7 +309,9 @@
             exchange.close()
 
 
-def take_connection(pool, server, repeatable, timeout_s, attempt_id=""):
+def take_connection(
+    pool, server, repeatable, timeout_s, attempt_id="", for_holds=False
+):
     """Returns a `ServerConnection` for one request.
 
     Args:
@@ -313,12 +320,13 @@
         repeatable: Whether the request may be sent again if the connection breaks.
         timeout_s: Longest wait for a connection.
         attempt_id: Id of the request; empty if it has none.
+        for_holds: Whether the request is a call for a hold.
 
     Raises:
         ExchangeBroken: With the verdict ``not_run``, if no connection could be made.
     """
     try:
-        conn = pool.take(server, repeatable, timeout_s, attempt_id)
+        conn = pool.take(server, repeatable, timeout_s, attempt_id, for_holds)
     except OSError as exc:
         raise ExchangeBroken(Verdict.NOT_RUN, "connect_failed") from exc
     conn.uses += 1
--- a/amaranthbay/relay/holds.py
+++ b/amaranthbay/relay/holds.py
@@ -36,7 +36,12 @@
         return Ok("")
     hold_request = ctx.codec.hold_request(placement.need_tokens, engine.hold_ttl_s)
     answer = control_exchange(
-        ctx.connections, ctx.codec, server, *hold_request, CALL_TIMEOUT_S
+        ctx.connections,
+        ctx.codec,
+        server,
+        *hold_request,
+        CALL_TIMEOUT_S,
+        for_holds=True,
     )
     if answer.is_err():
         ctx.outcomes.note_unreachable(server.name)
@@ -72,7 +77,14 @@
 
 def _send(ctx, server, method, path):
     answer = control_exchange(
-        ctx.connections, ctx.codec, server, method, path, b"", CALL_TIMEOUT_S
+        ctx.connections,
+        ctx.codec,
+        server,
+        method,
+        path,
+        b"",
+        CALL_TIMEOUT_S,
+        for_holds=True,
     )
     log_event(
         "given_back",
--- a/amaranthbay/relay/tests/test_exchange.py
+++ b/amaranthbay/relay/tests/test_exchange.py
@@ -128,6 +128,24 @@
     case.assertEqual(len(ends), 3)
 
 
+def test_calls_for_holds_share_connections_with_each_other_alone(case):
+    """Guards against a new connection for each hold, and against a repeated answer to a
+    call for a hold that a caller's request takes for its own."""
+    pool, ends = make_pool(case)
+    args = (pool, Codec(), SERVER, "POST", "/x", b"", TIMEOUT_S)
+    for _ in range(3):
+        gevent.spawn_later(0.01, lambda: ends[-1].sendall(answer()))
+        control_exchange(*args, for_holds=True).unwrap()
+    case.assertEqual(len(ends), 1)
+    case.assertEqual(exchange_once(pool, ends, "a1", answer("a1")), 200)
+    case.assertEqual(len(ends), 2)
+    gevent.spawn_later(0.01, lambda: ends[0].sendall(answer()))
+    control_exchange(*args, for_holds=True).unwrap()
+    pool.drop_server(SERVER.name)
+    case.assertEqual(exchange_once(pool, ends, "a2", answer("a2")), 200)
+    case.assertEqual(len(ends), 3)
+
+
 def test_repeated_refusals_are_skipped_by_their_id(case):
     """Guards against a repeated refusal that refuses a later request, and against a new
     connection after each refusal."""
