Tell instances that start later which parts of prompts are blocked

All instances now report the parts that they block, with the crashes at which these were present, so that parts that can't be told apart stay so. Names of crashes are shorter, to fit into a report. The new test, and the simulation with restarts, fail without the adoption of blocks.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -231,6 +231,7 @@
             self.ctx.limits.report(),
             self.ctx.crashes.parts.crash_report(),
             self.ctx.crashes.parts.sound_report(),
+            self.ctx.crashes.parts.block_report(),
         )
 
     def _versions(self):
@@ -252,6 +253,8 @@
             self.ctx.crashes.merge(status.crashes)
         if status.crashed_parts or status.sound_parts:
             self.ctx.crashes.parts.merge(status.crashed_parts, status.sound_parts)
+        if status.blocked_parts:
+            self.ctx.crashes.parts.merge_blocks(status.blocked_parts)
         for name, last_change in status.versions.items():
             if name in self._followers:
                 self._followers[name].note_newer(last_change, status.era)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -94,6 +94,7 @@
     limits: dict = field(default_factory=dict)
     crashed_parts: dict = field(default_factory=dict)
     sound_parts: tuple = ()
+    blocked_parts: dict = field(default_factory=dict)
 
 
 class Peers:
@@ -401,6 +402,7 @@
             limits=report.limits,
             crashed_parts=report.crashed_parts,
             sound_parts=report.sound_parts,
+            blocked_parts=report.blocked_parts,
         )
 
     def start(self):
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -16,6 +16,7 @@
     "LimitNotice",
     "MeasuredDemand",
     "MergedReport",
+    "PartBlock",
     "PeerStatus",
     "ServerLoad",
     "add_datagram",
@@ -86,6 +87,20 @@
     rate_per_s: float | None = None
 
 
+class PartBlock(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that is refused; see `relay.crash_parts`.
+
+    Attributes:
+        left_s: Seconds for which it is still refused.
+        block_s: Seconds for which it is refused in all.
+        crashes: Names of the crashes at which it was present.
+    """
+
+    left_s: float
+    block_s: float
+    crashes: tuple[str, ...]
+
+
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
     """Status of an entry instance, as one datagram of a report.
 
@@ -121,6 +136,7 @@
         crashed_parts: Names of crashes by part of a prompt that was present at them;
             see `relay.crash_parts`.
         sound_parts: Suspected parts of prompts on which streams have completed.
+        blocked_parts: `PartBlock` by part of a prompt.
     """
 
     instance: str
@@ -143,6 +159,7 @@
     limits: dict[str, LimitNotice] = {}
     crashed_parts: dict[str, tuple[str, ...]] = {}
     sound_parts: tuple[str, ...] = ()
+    blocked_parts: dict[str, PartBlock] = {}
 
 
 @dataclass(frozen=True)
@@ -206,6 +223,7 @@
         limits={},
         crashed_parts={},
         sound_parts=(),
+        blocked_parts={},
     )
 
 
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -16,6 +16,7 @@
     MAX_DATAGRAM_BYTES,
     LimitNotice,
     MeasuredDemand,
+    PartBlock,
     PeerStatus,
     ServerLoad,
     split_report,
@@ -239,7 +240,7 @@
         {"svc-0001": MeasuredDemand(3200.5, 33333.3, 1.25, 60)},
         {f"i-{n:010x}": "prefill" for n in range(4)},
         0.6,
-        {f"{n:016x}": (f"i-{n:010x}/123456",) for n in range(8)},
+        {f"{n:016x}": (f"{n:08x}",) for n in range(8)},
         {"op": 10**6, "servers": 10**6},
         tuple(f"i-{n:010x}" for n in range(4)),
     )
@@ -250,7 +251,11 @@
     details don't fit into one datagram."""
     status = msgspec.structs.replace(
         busy_status(10**6),
-        crashed_parts={f"{n:010x}": (f"i-{n:010x}/123456",) for n in range(8)},
+        crashed_parts={f"{n:010x}": (f"{n:08x}",) for n in range(8)},
+        blocked_parts={
+            f"{n:010x}": PartBlock(99.9, 120.0, tuple(f"{n:08x}" for n in range(6)))
+            for n in range(4)
+        },
         sound_parts=tuple(f"{n:010x}" for n in range(6)),
         leaving={f"i-{n:010x}": 1764900000000 for n in range(4)},
         limits={f"i-{n:010x}": LimitNotice(1234567.125, 1.5) for n in range(4)},
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -13,6 +13,7 @@
 
 from dataclasses import dataclass, field
 
+from amaranthbay.fleet.reports import PartBlock
 from amaranthbay.observe import log_event
 
 __all__ = ["CrashingParts"]
@@ -33,6 +34,9 @@
 SOUND_REPORT_S = 3.0
 MAX_REPORTED_PARTS = 6
 MAX_REPORTED_CRASHES = 8
+# Largest number of blocked parts in a report, and of crashes of each.
+MAX_REPORTED_BLOCKS = 4
+MAX_BLOCK_CRASHES = 6
 # Largest number of parts that are kept; the one suspected longest goes first.
 MAX_PARTS = 1000
 
@@ -137,6 +141,27 @@
         while len(self._suspicions) > MAX_PARTS:
             self._suspicions.pop(next(iter(self._suspicions)))
 
+    def merge_blocks(self, blocks):
+        """Adopts the parts that another instance refuses.
+
+        An instance may have started after the crashes, and those that have seen them
+        may be gone.
+
+        Args:
+            blocks: `PartBlock` by part.
+        """
+        now = self._clock.monotonic()
+        for part, block in blocks.items():
+            suspicion = self._suspicions.setdefault(part, _Suspicion())
+            new = [crash for crash in block.crashes if crash not in suspicion.cleared]
+            if not new:
+                continue
+            for crash in new:
+                suspicion.crashes.setdefault(crash, now)
+            suspicion.block_s = max(suspicion.block_s, block.block_s)
+            until = now + min(block.left_s, block.block_s, MAX_BLOCK_S)
+            suspicion.blocked_until = max(suspicion.blocked_until, until)
+
     def _clear(self, part, suspicion):
         now = self._clock.monotonic()
         if suspicion.blocked_until > now:
@@ -183,6 +208,23 @@
             report[part] = (*report.get(part, ()), crash)
         return report
 
+    def block_report(self):
+        """Returns the `PartBlock` of the parts blocked last, by part."""
+        now = self._clock.monotonic()
+        blocked = sorted(
+            (suspicion.blocked_until, part)
+            for part, suspicion in self._suspicions.items()
+            if now < suspicion.blocked_until
+        )
+        return {
+            part: PartBlock(
+                round(blocked_until - now, 1),
+                self._suspicions[part].block_s,
+                tuple(sorted(self._suspicions[part].crashes)[:MAX_BLOCK_CRASHES]),
+            )
+            for blocked_until, part in blocked[-MAX_REPORTED_BLOCKS:]
+        }
+
     def sound_report(self):
         """Returns the suspected parts that this instance has lately found sound."""
         oldest = self._clock.monotonic() - SOUND_REPORT_S
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -35,8 +35,7 @@
 # Characters of a fingerprint; enough to tell a thousand requests or parts apart.
 FINGERPRINT_LENGTH = 16
 PART_FINGERPRINT_LENGTH = 10
-# The start of a server is named by its time in milliseconds modulo this number.
-START_NAME_MODULUS = 10**6
+CRASH_NAME_LENGTH = 8
 # Delay before a crash is reported to other instances, as all streams on the server
 # break at the same moment.
 REPORT_DELAY_S = 0.02
@@ -188,4 +187,5 @@
 
 def _crash_name(server):
     """Returns a name that is the same at all instances and new with each start."""
-    return f"{server.name}/{server.revision.started_ms % START_NAME_MODULUS}"
+    start = f"{server.name}/{server.revision.started_ms}"
+    return xxhash.xxh64_hexdigest(start.encode())[:CRASH_NAME_LENGTH]
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -98,6 +98,24 @@
     case.assertEqual(set(first.crash_report()), {"bad"})
 
 
+def test_instance_that_starts_after_the_crashes_refuses_their_part(case):
+    """Guards against new crashes each time that an instance starts, also after those
+    that have seen the crashes are gone."""
+    witness, clock = make_parts(("s1", "s2", "s3"))
+    second, _ = make_parts()
+    second.merge_blocks(witness.block_report())
+    third, third_clock = make_parts()
+    third.merge_blocks(second.block_report())
+    case.assertTrue(third.is_blocked(("first", "bad")))
+    case.assertFalse(third.is_blocked(("first",)))
+    third.note_served(("first",))
+    third.merge_blocks(second.block_report())
+    case.assertTrue(third.is_blocked(("other", "bad")))
+    case.assertFalse(third.is_blocked(("first",)))
+    third_clock.advance(BLOCK_S)
+    case.assertFalse(third.is_blocked(("other", "bad")))
+
+
 def test_blocked_part_is_tried_again_and_blocked_for_longer(case):
     """Guards against a part that is refused forever, and against three crashes more
     each time that it is tried."""
@@ -175,6 +193,14 @@
         for sender in self.instances:
             for receiver in self.instances:
                 receiver.merge(sender.crash_report(), sender.sound_report())
+                receiver.merge_blocks(sender.block_report())
+
+    def restart(self):
+        """Replaces an instance by one that knows nothing."""
+        number = self.rng.randrange(len(self.instances))
+        gone = self.instances[number]
+        self._running = [run for run in self._running if run[1] is not gone]
+        self.instances[number] = CrashingParts(self.clock)
 
 
 def test_part_is_blocked_beside_load_and_other_crashes_and_sound_ones_are_not(case):
@@ -191,6 +217,8 @@
                 fleet.send(rng.choice((("first",), (f"p{rng.randrange(firsts)}", "q"))))
             if rng.random() < 0.02:
                 fleet.crash(rng.randrange(5))
+            if len(fleet.instances) > 1 and rng.random() < 0.05:
+                fleet.restart()
             fleet.advance(0.2)
         fifth_at = fleet.crashes[4] if len(fleet.crashes) > 4 else float("inf")
         late = sum(sent_at > fifth_at + 3.0 for sent_at in fleet.sent_bad)
