Split events whose lines end with CR

Callers of a stream with lone CRs as line ends would have seen nothing until its end, and after a break all events twice, since neither the end of an event nor its id was found: both patterns knew LF and CRLF only. Server-sent events may use any of the three.

A CR at the end of the bytes is taken as a whole blank line only after another CR; after a CRLF or LF the next byte decides, so that a CRLF that is split over two reads stays in one event.

The property test failed before on one event with CRs (b'' instead of the event) and passes now, with all three line ends, comments and cuts of any size.

--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -4,8 +4,10 @@
 
 __all__ = ["EventSplitter"]
 
-_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+# Blank line after an event; lines end with CRLF, LF or CR. A CR at the end of the bytes
+# is the whole blank line only if the line before it ended with a CR too.
+_END = re.compile(rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
+_ID = re.compile(rb"id: ?(\d{1,18})")
 
 
 class EventSplitter:
@@ -39,10 +41,9 @@
         return b"".join(complete)
 
     def _record_if_new(self, event):
-        match = _ID.search(event)
-        if match is None:
+        event_id = _id_of(event)
+        if event_id is None:
             return True
-        event_id = int(match.group(1))
         if self.last_id is not None and event_id <= self.last_id:
             return False
         self.last_id = event_id
@@ -55,3 +56,12 @@
     def drop_partial(self):
         """Drops a partial event when another server continues the stream."""
         self._buffer = b""
+
+
+def _id_of(event):
+    """Returns the number in the id line of an event; None if it has none."""
+    for line in event.splitlines():
+        match = _ID.fullmatch(line)
+        if match:
+            return int(match.group(1))
+    return None
--- /dev/null
+++ b/amaranthbay/relay/tests/test_events.py
@@ -0,0 +1,54 @@
+"""Splitting of event streams, whatever their line ends and however they are cut."""
+
+from hypothesis import given, settings, strategies as st
+
+from amaranthbay.relay.events import EventSplitter
+from amaranthbay.utils.testing import collect
+
+LINE_ENDS = st.sampled_from([b"\n", b"\r\n", b"\r"])
+COMMENTS = st.sampled_from([(), (b": ping",), (b":", b": ping")])
+
+
+def event(number, line_end, comments=()):
+    """Returns the bytes of one event with lines of comments before it."""
+    lines = (*comments, b"id: %d" % number, b"data: piece %d" % number, b"")
+    return b"".join(line + line_end for line in lines)
+
+
+@st.composite
+def streams(draw):
+    """Draws the events of a stream in bytes, each with line ends of one kind."""
+    count = draw(st.integers(1, 5))
+    return [
+        event(number, draw(LINE_ENDS), draw(COMMENTS)) for number in range(1, count + 1)
+    ]
+
+
+def parts_of(data, cuts):
+    """Yields bytes in parts, whose sizes are repeated as often as needed."""
+    while data:
+        for size in cuts:
+            yield data[:size]
+            data = data[size:]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(streams(), st.lists(st.integers(1, 30), min_size=1, max_size=5))
+def test_events_are_passed_on_at_their_end_with_any_line_ends(case, whole, cuts):
+    """Guards against events that are cut, changed or held back because of the line ends
+    or of where the bytes are split."""
+    splitter, fed, output = EventSplitter(), b"", b""
+    for part in parts_of(b"".join(whole), cuts):
+        fed += part
+        output += splitter.feed(part)
+        arrived = b""
+        for each in whole:
+            if not fed.startswith(arrived + each):
+                break
+            arrived += each
+        case.assertEqual(output, arrived)
+    case.assertEqual(splitter.remainder(), b"")
+    case.assertEqual(splitter.last_id, len(whole))
+
+
+load_tests = collect(globals())
