Treat a stream that ends inside an event as broken off

Callers got the bytes of the cut event and the end of the stream, so that it looked complete: StreamOutput.finish sent whatever was left of the server's bytes. The text of an error in a 200 answer that should have continued a stream got to the caller in the same way.

An answer that ends inside an event counts as cut now, whatever its framing. Its last bytes are dropped; a resumable stream continues at another server, any other one ends without its last chunk. Whole lines of comments after the last event are passed on. A CR that waits for its LF counts as cut.

--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -3,6 +3,7 @@
 import base64
 import contextlib
 import itertools
+import struct
 import time
 from collections import deque
 from dataclasses import dataclass, field, replace
@@ -56,7 +57,9 @@
         pause_s: Seconds before each part.
         pauses: Seconds before each single part; replaces ``pause_s``.
         cut: Whether the connection is closed before the end of the body.
-        raw: Bytes that are sent instead of all the above; then the connection closes.
+        raw: Bytes that are sent instead of all the above, or a tuple of parts, each
+            after ``pause_s``; then the connection closes.
+        reset: Whether a connection that ``cut`` or ``raw`` ends is reset.
         extra: Bytes that are sent after the complete answer.
     """
 
@@ -67,7 +70,8 @@
     pause_s: float = 0.0
     pauses: tuple = ()
     cut: bool = False
-    raw: bytes | None = None
+    raw: bytes | tuple | None = None
+    reset: bool = False
     extra: bytes = b""
 
 
@@ -119,8 +123,14 @@
         """Sends a reply; returns whether the connection stays open."""
         if reply is None:
             return False
+        if reply.reset:
+            # The next close sends a reset.
+            linger = struct.pack("ii", 1, 0)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         if reply.raw is not None:
-            self._sock.sendall(reply.raw)
+            for part in reply.raw if type(reply.raw) is tuple else (reply.raw,):
+                gevent.sleep(reply.pause_s)
+                self._sock.sendall(part)
             return False
         headers = list(reply.headers)
         if reply.chunks is None:
@@ -456,6 +466,19 @@
         )
         return Reply(status, headers, body, **fields)
 
+    def unframed_reply(self, req, *parts, **fields):
+        """Returns a stamped reply with neither length nor chunks.
+
+        Args:
+            req: The `ReceivedRequest`.
+            *parts: Parts of the body.
+            **fields: Further fields of the `Reply`.
+        """
+        headers = self.stamped_reply(req).headers
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        return Reply(raw=(head, *parts), **fields)
+
     def stream_reply(self, req, first=None, last=None, **fields):
         """Returns a reply that streams events.
 
--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -7,6 +7,7 @@
 # Blank line after an event; lines end with CRLF, LF or CR. A CR at the end of the bytes
 # is the whole blank line only if the line before it ended with a CR too.
 _END = re.compile(rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
+_COMMENT_OR_BLANK = re.compile(rb"(?::[^\r\n]*)?[\r\n]+")
 _ID = re.compile(rb"id: ?(\d{1,18})")
 
 
@@ -49,9 +50,22 @@
         self.last_id = event_id
         return True
 
-    def remainder(self):
-        """Returns the bytes after the last whole event."""
-        return self._buffer
+    def finish(self):
+        """Returns the comments and blank lines after the last whole event.
+
+        Other bytes after it, such as a CR without the LF of its CRLF, belong to a
+        partial event and are kept; see `has_partial`.
+        """
+        lines = self._buffer.splitlines(keepends=True)
+        partial = not all(_COMMENT_OR_BLANK.fullmatch(line) for line in lines)
+        if partial or self._buffer.endswith(b"\n\r"):
+            return b""
+        comments, self._buffer = self._buffer, b""
+        return comments
+
+    def has_partial(self):
+        """Returns whether there are bytes after the last whole event."""
+        return bool(self._buffer)
 
     def drop_partial(self):
         """Drops a partial event when another server continues the stream."""
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -1,6 +1,8 @@
 """Writes a stream's answer to its caller."""
 
+from amaranthbay.kernel.errors import Verdict
 from amaranthbay.relay.events import EventSplitter
+from amaranthbay.relay.exchange import ExchangeBroken
 
 __all__ = ["StreamOutput"]
 
@@ -52,12 +54,18 @@
             self._write(head, events)
 
     def finish(self, head):
-        """Sends the remaining bytes and marks the stream as complete.
+        """Marks the stream as complete.
 
         Args:
             head: `AnswerHead` of the server's answer.
+
+        Raises:
+            ExchangeBroken: If the server's answer ends inside an event.
         """
-        self._write(head, self._events.remainder())
+        events = self._events.finish()
+        if self._events.has_partial():
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_cut")
+        self._write(head, events)
         self._conn.finish_stream()
 
     def send_whole(self, head, body):
--- a/amaranthbay/relay/tests/test_events.py
+++ b/amaranthbay/relay/tests/test_events.py
@@ -47,8 +47,28 @@
                 break
             arrived += each
         case.assertEqual(output, arrived)
-    case.assertEqual(splitter.remainder(), b"")
+    case.assertEqual(splitter.finish(), b"")
+    case.assertFalse(splitter.has_partial())
     case.assertEqual(splitter.last_id, len(whole))
 
 
+@settings(derandomize=True, max_examples=300)
+@given(streams(), st.data())
+def test_stream_that_ends_inside_an_event_is_recognized(case, whole, data):
+    """Guards against taking a stream for complete although its last event is cut."""
+    stream = b"".join(whole)
+    end = data.draw(st.integers(0, len(stream)))
+    splitter, arrived = EventSplitter(), b""
+    output = splitter.feed(stream[:end]) + splitter.finish()
+    for each in whole:
+        if len(arrived + each) > end:
+            break
+        arrived += each
+    rest = stream[len(arrived) : end]
+    # The events have no blank lines; comments may come before their id.
+    partial = b"id" in rest or not rest.endswith((b"\n", b"\r")) and rest != b""
+    case.assertEqual(splitter.has_partial(), partial)
+    case.assertEqual(output, arrived if partial else stream[:end])
+
+
 load_tests = collect(globals())
