Pass on nothing but the events that continue a stream

Callers of a stream that had broken off found the text of an error in it, or the head of a second answer, and then its proper end; or events were missing or came twice. A 200 answer with stamp was taken for the rest of the stream whatever its body was: blocks without an id always passed, as did any id above the last one.

Each line of an event must be a field of server-sent events or a comment now. After a change of server the first event must be the one after the last id; earlier ones are dropped as before, and blocks that clients don't see as events (comments, times for reconnecting) pass. A stream without ids can't be continued this way, so its events are no longer sent twice.

Seen before the change, with answers by framing: a page with blank lines, an event without id and a later event each ended in 'Tuples differ: (200, True) != (200, False)'; a second answer after a stream without length and chunks put 'HTTP/1.1 500 Internal Server Error' into the body, for the first server too; a stream without ids came as 'data: a data: a'. Not affected before: all statuses but 200, answers without stamp, refusals, garbage, 1xx and split heads.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -9,6 +9,9 @@
 from amaranthbay.utils.testing import collect
 
 STAMP = b"X-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n"
+ERROR_TEXT = b"error: the worker is overloaded"
+ERROR_PAGE = b"<p>error\n\nthe worker is overloaded</p>\n\n"
+SECOND_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nServer: worker\r\n\r\n"
 
 
 def events(first, last):
@@ -52,6 +55,75 @@
         return call_raw(fixture.address, stream_request(path))
 
 
+def bad_answers():
+    """Returns the bytes of answers that neither start nor continue a stream, by name.
+
+    The caller of a continued stream has the events 1 and 2.
+    """
+    statuses = (
+        b"201 Created",
+        b"202 Accepted",
+        b"206 Partial Content",
+        b"302 Found",
+        b"400 Bad Request",
+        b"404 Not Found",
+        b"408 Request Timeout",
+        b"409 Conflict",
+        b"429 Too Many Requests",
+        b"500 Internal Server Error",
+        b"502 Bad Gateway",
+        b"503 Service Unavailable",
+        b"504 Gateway Timeout",
+    )
+    answers = {
+        f"{status.decode()}, {framing}": answer
+        for status in statuses
+        for framing, answer in framed(status, ERROR_TEXT).items()
+    }
+    bodies = {
+        "text": ERROR_TEXT,
+        "page": ERROR_PAGE,
+        "event without id": b"event: error\ndata: overloaded\n\n",
+        "later event": events(4, 5),
+        "partial event": b"id: 3\ndata: pie",
+        "event without blank line": b"id: 3\ndata: piece 3\n",
+        "head": SECOND_HEAD + ERROR_TEXT,
+    }
+    for name, body in bodies.items():
+        for framing, answer in framed(b"200 OK", body).items():
+            answers[f"200 with {name}, {framing}"] = answer
+    unstamped = framed(b"200 OK", events(3, 3), b"X-Attempt-Id: a1\r\n")
+    for framing, answer in unstamped.items():
+        answers[f"200 without stamp, {framing}"] = answer
+    error = framed(b"500 Internal Server Error", ERROR_TEXT)["length"]
+    answers["102, then 500"] = b"HTTP/1.1 102 Processing\r\n\r\n" + error
+    answers["103, then closed"] = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    answers["101"] = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+    answers["204"] = b"HTTP/1.1 204 No Content\r\n" + STAMP + b"\r\n"
+    answers["304"] = b"HTTP/1.1 304 Not Modified\r\n" + STAMP + b"\r\n"
+    answers["421"] = framed(b"421 Misdirected Request", b"")["length"]
+    refusal_headers = STAMP + b"X-Not-Executed: 1\r\n"
+    refusal = framed(b"503 Service Unavailable", ERROR_TEXT, refusal_headers)
+    answers |= {f"refusal, {framing}": answer for framing, answer in refusal.items()}
+    answers["garbage"] = b"\x00\x01 garbage\r\n\r\n" + ERROR_TEXT
+    answers["partial head"] = b"HTTP/1.1 500 Internal Ser"
+    answers["head split over reads"] = (error[:30], error[30:])
+    answers["nothing"] = ()
+    return answers
+
+
+def break_off(server):
+    """Returns a reply of two events whose connection then ends."""
+    return lambda req: server.stream_reply(req, last=2, cut=True)
+
+
+def fall_silent(server):
+    """Returns a reply of two events, after which nothing comes."""
+    return lambda req: server.stamped_reply(
+        req, chunks=(events(1, 1), events(2, 2), b""), pauses=(0, 0, 30)
+    )
+
+
 def begin_then(server, first_reply, next_reply):
     """Returns a reply that begins a stream, or the one that continues it."""
     return lambda req: (
@@ -70,6 +142,90 @@
     return answer
 
 
+def test_bad_answer_does_not_get_into_a_stream_that_broke_off(case):
+    """Guards against an error's text in the middle of a stream, and against a stream
+    that looks complete, when the server that should continue it fails."""
+    for name, raw in bad_answers().items():
+        with case.subTest(name):
+            answer = continued_answer(case, break_off, Reply(raw=raw, pause_s=0.02))
+            case.assertEqual((answer.status, answer.complete), (200, False))
+            case.assertEqual(answer.body, events(1, 2))
+
+
+def test_bad_answer_does_not_get_into_a_stream_that_stalled(case):
+    """Guards against the same faults where the first server has fallen silent."""
+    answers = bad_answers()
+    names = ("500 Internal Server Error, chunks", "200 with page, neither", "garbage")
+    for name in names:
+        with case.subTest(name):
+            answer = continued_answer(case, fall_silent, Reply(raw=answers[name]))
+            case.assertEqual((answer.status, answer.complete), (200, False))
+            case.assertEqual(answer.body, events(1, 2))
+
+
+def test_bad_first_answer_does_not_look_like_a_stream(case):
+    """Guards against the start of a stream, and the text of an error in it, where the
+    first server's answer isn't a stream."""
+    # These start a stream, though they can't continue one.
+    streams = ("200 with event without id", "200 with later event")
+    for name, raw in bad_answers().items():
+        if name.startswith(streams):
+            continue
+        with case.subTest(name):
+            answer = first_answer(lambda server, req: Reply(raw=raw, pause_s=0.02))
+            case.assertTrue(answer.complete)
+            case.assertNotEqual(answer.status, 200)
+            if "x-response-stamp" in answer.headers:
+                case.assertIn(answer.body, (ERROR_TEXT, b""))
+            else:
+                not_run = name.startswith(("refusal", "421"))
+                case.assertEqual(answer.status, 503 if not_run else 502)
+                case.assertNotIn(ERROR_TEXT, answer.body)
+
+
+def test_second_answer_on_a_connection_does_not_get_into_the_stream(case):
+    """Guards against the head and the text of a later answer in a stream without length
+    and chunks, which take the later answer for a part of the stream."""
+    second_answer = framed(b"500 Internal Server Error", ERROR_TEXT)["length"]
+    for parts in ((events(1, 2) + second_answer,), (events(1, 2), second_answer)):
+        answer = first_answer(lambda server, req: server.unframed_reply(req, *parts))
+        case.assertEqual((answer.status, answer.complete), (200, False))
+        case.assertEqual(answer.body, events(1, 2))
+        rest = framed(b"200 OK", events(3, 4))["length"]
+        answer = continued_answer(
+            case,
+            lambda server: lambda req: server.unframed_reply(req, *parts),
+            Reply(raw=rest),
+        )
+        case.assertEqual((answer.status, answer.complete), (200, True))
+        case.assertEqual(answer.body, events(1, 4))
+
+
+def test_continuation_with_comments_and_earlier_events_is_accepted(case):
+    """Guards against giving up a stream because the next server first sends a comment,
+    a time for reconnecting or events that the caller already has."""
+    start = b": resumed\n\nretry: 1000\n\n"
+    for body in (events(3, 4), start + events(3, 4), start + events(1, 4)):
+        reply = Reply(raw=framed(b"200 OK", body)["chunks"])
+        answer = continued_answer(case, break_off, reply)
+        case.assertEqual((answer.status, answer.complete), (200, True))
+        case.assertEqual(answer.body.replace(start, b""), events(1, 4))
+
+
+def test_stream_without_ids_is_not_begun_again(case):
+    """Guards against repeated events of a stream that names no ids, so that no server
+    can continue it."""
+    with entry_fixture(plain=(), prefill=(), decode=("dec-1", "dec-2")) as fixture:
+        for server in fixture.servers.values():
+            headers = (("X-Attempt-Id", "a1"), ("X-Response-Stamp", "s"))
+            server.replies.append(
+                Reply(headers=headers, chunks=(b"data: a\n\n",), cut=True)
+            )
+        answer = call_raw(fixture.address, stream_request("/resume/x"))
+    case.assertEqual((answer.status, answer.complete), (200, False))
+    case.assertEqual(answer.body, b"data: a\n\n")
+
+
 PARTIAL_EVENTS = (b"id: 3\ndata: pie", b"id: 3\ndata: piece 3\n", b"id: 3\n\r")
 
 
--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -8,6 +8,7 @@
 # is the whole blank line only if the line before it ended with a CR too.
 _END = re.compile(rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
 _COMMENT_OR_BLANK = re.compile(rb"(?::[^\r\n]*)?[\r\n]+")
+_LINE = re.compile(rb"(?P<field>data|event|id|retry)?(?::|\Z)")
 _ID = re.compile(rb"id: ?(\d{1,18})")
 
 
@@ -15,40 +16,64 @@
     """Collects bytes and returns whole events.
 
     A backend server may break off in the middle of an event. The partial event must not
-    be joined with the events of the next server; see `drop_partial`.
+    be joined with the events of the next server; see `switch_server`.
 
     Attributes:
         last_id: Id of the last event that was returned, or the one after which the
             caller continues; None before the first.
+        fault: Why the bytes of the current server can't be passed on, or None.
     """
 
     def __init__(self, last_id=None):
         self.last_id = last_id
+        self.fault = None
         self._buffer = b""
+        self._passed_any = False
+        # Whether the next event must be the one after `last_id`.
+        self._awaits_next = False
 
     def feed(self, data):
         """Adds bytes and returns the events that are whole now.
 
-        Events whose id isn't above `last_id` are left out.
+        Events whose id isn't above `last_id` are left out. Nothing is returned from the
+        first `fault` on.
         """
+        if self.fault is not None:
+            return b""
         self._buffer += data
         complete, start = [], 0
         for end in _END.finditer(self._buffer):
             event = self._buffer[start : end.end()]
             start = end.end()
-            if self._record_if_new(event):
+            self.fault, is_new = self._check(event)
+            if self.fault is not None:
+                break
+            if is_new:
                 complete.append(event)
         self._buffer = self._buffer[start:]
         return b"".join(complete)
 
-    def _record_if_new(self, event):
-        event_id = _id_of(event)
-        if event_id is None:
-            return True
-        if self.last_id is not None and event_id <= self.last_id:
-            return False
-        self.last_id = event_id
-        return True
+    def _check(self, event):
+        """Returns why an event can't be passed on, or None, and whether it is new."""
+        content = _read(event)
+        if content is None:
+            return "not_an_event", False
+        event_id, has_data = content
+        if event_id is None and not has_data:
+            # Clients see no event, such as for a comment.
+            return None, True
+        if event_id is not None and self.last_id is not None:
+            if event_id <= self.last_id:
+                return None, False
+        if self._awaits_next and not self._is_next(event_id):
+            return "not_continued", False
+        self.last_id = self.last_id if event_id is None else event_id
+        self._passed_any = True
+        self._awaits_next = False
+        return None, True
+
+    def _is_next(self, event_id):
+        return None not in (event_id, self.last_id) and event_id == self.last_id + 1
 
     def finish(self):
         """Returns the comments and blank lines after the last whole event.
@@ -67,15 +92,29 @@
         """Returns whether there are bytes after the last whole event."""
         return bool(self._buffer)
 
-    def drop_partial(self):
-        """Drops a partial event when another server continues the stream."""
+    def switch_server(self):
+        """Drops a partial event, as another server starts or continues the stream.
+
+        If events were returned, the stream has to go on with the one after `last_id`;
+        without it, the answer isn't the rest of the stream.
+        """
+        self.fault = None
         self._buffer = b""
+        self._awaits_next = self._passed_any
 
 
-def _id_of(event):
-    """Returns the number in the id line of an event; None if it has none."""
+def _read(event):
+    """Returns the id of an event, or None, and whether it has data.
+
+    The result is None if a line is neither a field nor a comment.
+    """
+    event_id, has_data = None, False
     for line in event.splitlines():
-        match = _ID.fullmatch(line)
-        if match:
-            return int(match.group(1))
-    return None
+        match = _LINE.match(line)
+        if match is None:
+            return None
+        if match["field"] == b"data":
+            has_data = True
+        elif match["field"] == b"id" and (id_match := _ID.fullmatch(line)):
+            event_id = int(id_match[1])
+    return event_id, has_data
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -38,8 +38,8 @@
         return self._events.last_id
 
     def switch_server(self):
-        """Drops a partial event of the previous server."""
-        self._events.drop_partial()
+        """Drops a partial event of the previous server, whose stream must go on."""
+        self._events.switch_server()
 
     def feed(self, head, data):
         """Passes on the events that are whole after more bytes of the body.
@@ -47,11 +47,16 @@
         Args:
             head: `AnswerHead` of the server's answer.
             data: Next bytes of the body.
+
+        Raises:
+            ExchangeBroken: If bytes are no events or don't continue the stream.
         """
         events = self._events.feed(data)
         if events:
             self._note_gap()
             self._write(head, events)
+        if self._events.fault is not None:
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, self._events.fault)
 
     def finish(self, head):
         """Marks the stream as complete.
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -366,7 +366,7 @@
     splitter = EventSplitter()
     output = b""
     for part in (first_server_bytes, b"".join(events[max(0, resumed - 2) :])):
-        splitter.drop_partial()
+        splitter.switch_server()
         while part:
             size = rng.randint(1, 9)
             output += splitter.feed(part[:size])
