Don't read an error that should continue a stream

A stream that had begun waited for its deadline if the next server answered 3xx, 4xx or a 2xx other than 200 with a body that did not end, and went to the same server again if it did: such an answer was read to its end like one that is passed on, and its server was not recorded as failed.

An answer other than 200 to a stream that has started is judged by its head now, as 5xx was, and its server isn't asked again. Before the change the test's stream stayed incomplete with the silent body ((200, False) != (200, True)) and asked [2, 0, 1] instead of [1, 1, 1] servers with the whole one.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -1,12 +1,15 @@
 """Streams whose server, or the one that continues them, gives a bad answer."""
 
+import functools
+
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
+    configuration,
     entry_fixture,
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
-from amaranthbay.utils.testing import collect
+from amaranthbay.utils.testing import collect, wait_until
 
 STAMP = b"X-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n"
 ERROR_TEXT = b"error: the worker is overloaded"
@@ -212,6 +215,44 @@
         case.assertEqual(answer.body.replace(start, b""), events(1, 4))
 
 
+def test_stream_continues_after_an_answer_that_is_no_stream(case):
+    """Guards against waiting for the body of such an answer, and against asking its
+    server again although another one is left."""
+    headers = (("X-Attempt-Id", "a1"),)
+    silent = Reply(404, headers, chunks=(ERROR_TEXT, b""), pauses=(0, 30))
+    for name, second_reply in {"silent": silent, "whole": Reply(404, headers)}.items():
+        with (
+            case.subTest(name),
+            entry_fixture(
+                plain=(), prefill=(), decode=("dec-1", "dec-2", "dec-3")
+            ) as fixture,
+        ):
+            _allow_three_attempts(fixture)
+            servers = list(fixture.servers.values())
+
+            def reply(server, req):
+                number = sum(len(each.received) for each in servers)
+                replies = (break_off(server)(req), second_reply)
+                return replies[number - 1] if number < 3 else server.stream_reply(req)
+
+            for server in servers:
+                each_reply = functools.partial(reply, server)
+                server.replies.extend([each_reply] * 3)
+            answer = call_raw(fixture.address, stream_request("/resume/x"))
+            case.assertEqual((answer.status, answer.complete), (200, True))
+            case.assertEqual(answer.body, events(1, 3))
+            case.assertEqual([len(server.received) for server in servers], [1, 1, 1])
+
+
+def _allow_three_attempts(fixture):
+    """Gives the route of resumable streams a third attempt."""
+    config = configuration(version=2)
+    for each in config["Routes"]:
+        each["MaxAttempts"] = 3
+    fixture.store.put("op", "config", config)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+
+
 def test_stream_without_ids_is_not_begun_again(case):
     """Guards against repeated events of a stream that names no ids, so that no server
     can continue it."""
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -305,11 +305,14 @@
             self._attempts.note_refused(server, head)
             return _decode_refused(head)
         unstamped = head.status < 300 and not head.traits.stamped
+        # The caller has a status and events, which only a stream can continue.
+        not_continued = self._output.started and head.status != OK
         failed = head.status >= 500 and head.status not in AMBIGUOUS_STATUSES
         if failed and not self._must_withhold_failure():
             # No repeat is possible, so the caller gets the failure as it is.
             return None
-        if unstamped or failed or head.status in AMBIGUOUS_STATUSES:
+        ambiguous = head.status in AMBIGUOUS_STATUSES
+        if unstamped or not_continued or failed or ambiguous:
             self._attempts.note_refused(server, head)
             detail = f"the decode server answered {head.status}"
             return may_have_run(Reason.BACKEND_FAILED, detail)
@@ -395,12 +398,7 @@
 
     def _forward_whole(self, exchange, head):
         """Passes on an answer that isn't a stream, such as a server error."""
-        body = b"".join(exchange.chunks())
-        if self._output.started:
-            return Err(
-                may_have_run(Reason.STREAM_BROKEN, "the resumed answer is not a stream")
-            )
-        self._output.send_whole(head, body)
+        self._output.send_whole(head, b"".join(exchange.chunks()))
         return Ok(None)
 
 
