Reset the connection of an HTTP/1.0 caller whose stream breaks off

Callers of HTTP/1.0 took a broken stream for a whole one: they get no chunks, so their stream ends with the connection, which was closed in the same way at the end of a stream and after a break. It is reset after a break now, which they can tell from its end.

Before the change the test's caller received two events and an orderly end (False != True for the reset). Plain answers to such callers have a length whatever framing the server used; a test holds that, and passed before.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -5,7 +5,9 @@
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
     configuration,
+    connect,
     entry_fixture,
+    request,
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
@@ -325,4 +327,45 @@
     case.assertEqual(answer.body, events(1, 2))
 
 
+def read_to_end(address, raw_request):
+    """Sends bytes; returns what is received and whether the connection was reset."""
+    received = b""
+    with connect(address) as sock:
+        sock.sendall(raw_request)
+        try:
+            while data := sock.recv(4096):
+                received += data
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
+def test_callers_without_chunks_can_tell_the_end_of_a_stream(case):
+    """Guards against a broken stream that looks complete, or a whole one that does not,
+    to a caller of HTTP/1.0, whose stream ends with its connection."""
+    raw_request = stream_request("/sum/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+    for last, cut in ((2, True), (3, False)):
+        with entry_fixture(plain=(), prefill=(), decode=("dec-1",)) as fixture:
+            server = fixture.servers["dec-1"]
+            server.replies.append(
+                lambda req: server.stream_reply(req, last=last, cut=cut)
+            )
+            received, was_reset = read_to_end(fixture.address, raw_request)
+        head, _, body = received.partition(b"\r\n\r\n")
+        case.assertNotIn(b"chunked", head.lower())
+        case.assertEqual((body, was_reset), (events(1, last), cut))
+
+
+def test_callers_without_chunks_get_plain_answers_with_a_length(case):
+    """Guards against a plain answer whose end a caller of HTTP/1.0 can't tell."""
+    with entry_fixture(prefill=(), decode=()) as fixture:
+        server = fixture.servers["desk-1"]
+        server.replies.append(lambda req: server.unframed_reply(req, b"one ", b"two"))
+        raw_request = request("/look/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+        received, was_reset = read_to_end(fixture.address, raw_request)
+    head, _, body = received.partition(b"\r\n\r\n")
+    case.assertIn(b"content-length: 7", head.lower())
+    case.assertEqual((body, was_reset), (b"one two", False))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers, with limits and graceful shutdown."""
 
 import socket as std_socket
+import struct
 from dataclasses import dataclass
 
 import gevent
@@ -274,8 +275,15 @@
         self._listener.idle.discard(self)
         if self.answered and self._http.our_state is h11.MUST_CLOSE:
             self._linger()
+        if self.started and not self.answered and not self._sends_chunks():
+            # The end of the connection would look like the end of the stream.
+            linger = struct.pack("ii", 1, 0)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.sock.close()
 
+    def _sends_chunks(self):
+        return self._http.their_http_version >= b"1.1"
+
 
 def _head_bytes(head):
     """Returns the size of a request head; h11 limits that of incomplete heads only."""
