End the connection of an answer that was not sent to its end

The head of the next answer could follow within an answer that its caller had not read, if the deadline of a stream passed while the last part was sent and the caller had sent another request already: the answer was marked as complete before it was written, so the connection went on.

It is marked after the last write now; 'started' is set with the head, as a defect in between must not lead to a second answer either. The test has two heads on its connection before the change (2 != 1), one after it.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -61,7 +61,8 @@
 
     Attributes:
         sock: Socket of the connection.
-        answered: Whether the answer to the current request is complete.
+        started: Whether any part of the answer to the current request was sent.
+        answered: Whether all of it was sent.
     """
 
     def __init__(self, sock, listener):
@@ -70,8 +71,8 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
         )
+        self.started = False
         self.answered = False
-        self._streaming = False
 
     def serve(self, handler):
         """Serves requests until the connection ends.
@@ -89,8 +90,8 @@
             self._close()
 
     def _serve_one(self, handler):
+        self.started = False
         self.answered = False
-        self._streaming = False
         try:
             req = self._read_request()
         except _Rejected as exc:
@@ -204,27 +205,21 @@
         if body:
             output += self._http.send(h11.Data(data=body))
         output += self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def answer_head_request(self, status, headers):
         """Sends an answer to HEAD, whose Content-Length is that of the omitted body."""
         output = self._head(status, headers, False)
         output += self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def start_stream(self, status, headers):
         """Sends the head of an answer whose length isn't known yet."""
         headers = [h for h in headers if h[0].lower() != b"content-length"]
-        self._streaming = True
         self._write(self._head(status, headers, False))
 
-    @property
-    def started(self):
-        """Whether any part of the current answer was sent."""
-        return self.answered or self._streaming
-
     def send(self, data):
         """Sends a part of a stream."""
         self._write(self._http.send(h11.Data(data=data)))
@@ -232,14 +227,16 @@
     def finish_stream(self):
         """Marks a stream as complete."""
         output = self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def _head(self, status, headers, close):
         if close or self._listener.draining:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
-        return self._http.send(response)
+        output = self._http.send(response)
+        self.started = True
+        return output
 
     def _write(self, output):
         if not output:
