Don't take a reset that the send has met for the end of an answer

Callers got a cut answer as a whole one if a server had answered without length and chunks before it had read the request, and its connection was then reset: the greenlet that sends the request got the error, after which the read only sees the end of the connection, by which such an answer is complete.

A failed send and the end of the connection together count as a reset now. Bodies that fit into the buffers of the connection are not affected, and a reset that the read itself meets was told apart before, as a second test holds.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -2,17 +2,24 @@
 
 import functools
 
+import gevent
+from gevent.server import StreamServer
+
 from amaranthbay.platform.tests.fixtures import (
+    call,
     call_raw,
     configuration,
     connect,
     entry_fixture,
+    read_answer,
     request,
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
-from amaranthbay.utils.testing import collect, wait_until
+from amaranthbay.utils.testing import collect, free_port, wait_until
 
+# More than the buffers of a connection on loopback hold.
+LARGE_BODY = b"x" * (32 * 2**20)
 STAMP = b"X-Attempt-Id: a1\r\nX-Response-Stamp: s\r\n"
 ERROR_TEXT = b"error: the worker is overloaded"
 ERROR_PAGE = b"<p>error\n\nthe worker is overloaded</p>\n\n"
@@ -327,6 +334,40 @@
     case.assertEqual(answer.body, events(1, 2))
 
 
+def test_reset_that_the_send_of_the_request_meets_is_not_an_end(case):
+    """Guards against taking a reset for the end of an answer without length and chunks,
+    if the server has answered before it has read the request: the send then gets the
+    error, and the read only sees the connection end."""
+    head = b"HTTP/1.1 200 OK\r\n" + STAMP + b"\r\n"
+
+    def answer_early(sock, peer):
+        sock.recv(100)
+        sock.sendall(head + events(1, 2))
+        gevent.sleep(0.05)
+        # Unread input turns the close into a reset.
+        sock.close()
+
+    with entry_fixture(plain=(), prefill=(), decode=()) as fixture:
+        config = configuration(version=2)
+        config["Limits"]["MaxBodyBytes"] = 2 * len(LARGE_BODY)
+        fixture.store.put("op", "config", config)
+        wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+        address = f"127.0.0.1:{free_port()}"
+        server = StreamServer(address, answer_early)
+        server.start()
+        case.addCleanup(server.stop)
+        fixture.write_entry("dec-1", "lm", "decode", address=address)
+        fixture.wait_for_servers("lm", 1)
+        raw_request = stream_request("/sum/x").replace(
+            b"Content-Length: 6", b"Content-Length: %d" % len(LARGE_BODY)
+        )
+        with connect(fixture.address) as sock:
+            sock.sendall(raw_request.removesuffix(b"prompt") + LARGE_BODY)
+            answer = read_answer(sock)
+    case.assertEqual((answer.status, answer.complete), (200, False))
+    case.assertEqual(answer.body, events(1, 2))
+
+
 def read_to_end(address, raw_request):
     """Sends bytes; returns what is received and whether the connection was reset."""
     received = b""
@@ -368,4 +409,15 @@
     case.assertEqual((body, was_reset), (b"one two", False))
 
 
+def test_plain_answer_whose_connection_is_reset_is_not_complete(case):
+    """Guards against taking a reset for the end of a plain answer without length."""
+    with entry_fixture(prefill=(), decode=()) as fixture:
+        server = fixture.servers["desk-1"]
+        server.replies.append(
+            lambda req: server.unframed_reply(req, b"part", reset=True)
+        )
+        answer = call(fixture, "/book/x", "POST", b"1")
+    case.assertEqual((answer.status, b"part" in answer.body), (502, False))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -172,11 +172,17 @@
             except OSError as exc:
                 raise self._broken("connection_reset") from exc
             self._peer_closed = not data
+            if self._peer_closed and self._send_failed():
+                # The send has met a reset, so the read does not get the error.
+                raise self._broken("connection_reset")
             try:
                 self._parser.receive_data(data)
             except h11.RemoteProtocolError as exc:
                 raise self._broken("connection_closed") from exc
 
+    def _send_failed(self):
+        return self._sender.ready() and self._sender.value is not True
+
     def _broken(self, reason):
         return ExchangeBroken(Verdict.MAY_HAVE_RUN, reason)
 
