Don't take a lost connection for silence of its server

A stream without length and chunks that can't be resumed looked complete to its caller some three seconds after the host of its server was lost: the error of the unanswered keep-alive probes (ETIMEDOUT) is a TimeoutError in Python, like the end of a wait for bytes. It was counted as silence; the system reports it only once, so that the next read saw the end of the connection, by which such a stream is complete.

Only the end of a wait, which has no error number, counts as silence now. Before the change the test failed with 'ExchangeBroken not raised'; it plays the reads of such a connection, as no test can cut the network.

--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -165,7 +165,8 @@
             try:
                 data = self._conn.sock.recv(READ_BYTES)
             except TimeoutError as exc:
-                if self._on_silence is None:
+                # An error of the connection has a number, the end of a wait has none.
+                if self._on_silence is None or exc.errno is not None:
                     raise self._broken("connection_reset") from exc
                 self._on_silence()
                 continue
