Don't take a head without events for a complete stream

If a server that sends neither length nor chunks ended its connection after the head, its caller got an empty stream that looked complete, or one that had broken off got its end. A server that fails after its head closes its connection in the same way.

Without length and chunks a stream is complete only if the server has sent an event that is new to the caller, or repeated the last one that it has. With a length or chunks an empty answer still ends the stream.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -324,6 +324,33 @@
             case.assertEqual(answer.body, b"".join(parts))
 
 
+def test_head_alone_is_not_a_complete_stream(case):
+    """Guards against an empty stream that looks complete, and a broken one that looks
+    continued, after a server that sends neither length nor chunks broke off early."""
+    for body in (b"", b": ping\n\n"):
+        reply = Reply(raw=framed(b"200 OK", body)["neither"])
+        answer = first_answer(lambda server, req: reply)
+        case.assertFalse(answer.status == 200 and answer.complete)
+    for body in (b"", events(1, 1)):
+        reply = Reply(raw=framed(b"200 OK", body)["neither"])
+        answer = continued_answer(case, break_off, reply)
+        case.assertEqual((answer.status, answer.complete), (200, False))
+    # The next server has repeated all events that there are.
+    reply = Reply(raw=framed(b"200 OK", events(1, 2))["neither"])
+    answer = continued_answer(case, break_off, reply)
+    case.assertEqual((answer.body, answer.complete), (events(1, 2), True))
+
+
+def test_empty_stream_with_its_own_end_is_complete(case):
+    """Guards against giving up a stream that broke off after its last event."""
+    for framing in ("length", "chunks"):
+        reply = Reply(raw=framed(b"200 OK", b"")[framing])
+        answer = first_answer(lambda server, req: reply)
+        case.assertEqual((answer.status, answer.complete), (200, True))
+        answer = continued_answer(case, break_off, reply)
+        case.assertEqual((answer.body, answer.complete), (events(1, 2), True))
+
+
 def test_stream_whose_connection_is_reset_is_not_complete(case):
     """Guards against taking a reset for the end of a stream without length and
     chunks."""
--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -22,11 +22,13 @@
         last_id: Id of the last event that was returned, or the one after which the
             caller continues; None before the first.
         fault: Why the bytes of the current server can't be passed on, or None.
+        caught_up: Whether the current server has sent the last event that was returned.
     """
 
     def __init__(self, last_id=None):
         self.last_id = last_id
         self.fault = None
+        self.caught_up = False
         self._buffer = b""
         self._passed_any = False
         # Whether the next event must be the one after `last_id`.
@@ -64,11 +66,12 @@
             return None, True
         if event_id is not None and self.last_id is not None:
             if event_id <= self.last_id:
+                self.caught_up = self.caught_up or event_id == self.last_id
                 return None, False
         if self._awaits_next and not self._is_next(event_id):
             return "not_continued", False
         self.last_id = self.last_id if event_id is None else event_id
-        self._passed_any = True
+        self.caught_up = self._passed_any = True
         self._awaits_next = False
         return None, True
 
@@ -99,6 +102,7 @@
         without it, the answer isn't the rest of the stream.
         """
         self.fault = None
+        self.caught_up = False
         self._buffer = b""
         self._awaits_next = self._passed_any
 
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -65,10 +65,12 @@
             head: `AnswerHead` of the server's answer.
 
         Raises:
-            ExchangeBroken: If the server's answer ends inside an event.
+            ExchangeBroken: If the server's answer ends inside an event, or with its
+                connection before any event that is new or the last one sent.
         """
         events = self._events.finish()
-        if self._events.has_partial():
+        has_own_end = self._events.caught_up or _has_framing(head)
+        if self._events.has_partial() or not has_own_end:
             raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_cut")
         self._write(head, events)
         self._conn.finish_stream()
@@ -97,3 +99,9 @@
         if self._sent_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self._sent_at)
         self._sent_at = now
+
+
+def _has_framing(head):
+    """Returns whether the headers of an answer tell where its body ends."""
+    names = {name.lower() for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
