--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -2,7 +2,10 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
+
+# Events hold some tokens each.
+MAX_EVENT_BYTES = 2**20
 
 # Blank line after an event; lines end with CRLF, LF or CR. A CR at the end of the bytes
 # is the whole blank line only if the line before it ended with a CR too.
@@ -42,9 +45,11 @@
         """
         if self.fault is not None:
             return b""
+        # The blank line may begin in the bytes that have been searched.
+        searched = max(0, len(self._buffer) - 3)
         self._buffer += data
         complete, start = [], 0
-        for end in _END.finditer(self._buffer):
+        for end in _END.finditer(self._buffer, searched):
             event = self._buffer[start : end.end()]
             start = end.end()
             self.fault, is_new = self._check(event)
@@ -53,6 +58,8 @@
             if is_new:
                 complete.append(event)
         self._buffer = self._buffer[start:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.fault = self.fault or "event_too_large"
         return b"".join(complete)
 
     def _check(self, event):
--- a/amaranthbay/relay/tests/test_events.py
+++ b/amaranthbay/relay/tests/test_events.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from amaranthbay.relay.events import EventSplitter
+from amaranthbay.relay.events import MAX_EVENT_BYTES, EventSplitter
 from amaranthbay.utils.testing import collect
 
 LINE_ENDS = st.sampled_from([b"\n", b"\r\n", b"\r"])
@@ -71,4 +71,41 @@
     case.assertEqual(output, arrived if partial else stream[:end])
 
 
+@settings(derandomize=True, max_examples=300)
+@given(
+    st.integers(1, 5),
+    st.integers(1, 9),
+    st.booleans(),
+    st.lists(st.integers(1, 30), min_size=1, max_size=5),
+)
+def test_only_the_next_event_continues_a_stream(case, last_id, first_id, named, cuts):
+    """Guards against lost and repeated events, and bytes that are no events, after
+    another server has taken over."""
+    splitter = EventSplitter()
+    begun = b"".join(event(number, b"\n") for number in range(1, last_id + 1))
+    output = splitter.feed(begun + b"id: 99\nda")
+    splitter.switch_server()
+    rest = [event(number, b"\n") for number in range(first_id, 10)]
+    if not named:
+        rest = [b"data: text\n\n", *rest]
+    continues = named and first_id <= last_id + 1
+    for part in parts_of(b"".join(rest) + b"text\n\n", cuts):
+        output += splitter.feed(part)
+    expected = [event(number, b"\n") for number in range(last_id + 1, 10)]
+    case.assertEqual(output, begun + b"".join(expected if continues else ()))
+    fault = "not_an_event" if continues else "not_continued"
+    case.assertEqual((splitter.fault, splitter.caught_up), (fault, continues))
+
+
+def test_bytes_without_an_event_are_not_collected_for_ever(case):
+    """Guards against a process that spends its memory and time on the body of one
+    server that sends no blank line."""
+    splitter, size = EventSplitter(), 0
+    while splitter.fault is None:
+        splitter.feed(b"x" * 65536)
+        size += 65536
+        case.assertLessEqual(size, 2 * MAX_EVENT_BYTES)
+    case.assertEqual(splitter.feed(b"\n\n"), b"")
+
+
 load_tests = collect(globals())
