Limit the size of an error that is passed on in place of a stream

The body of a first answer other than 200 was collected until the deadline, without a limit on its size. More than 8 MiB count as a broken answer now, as for plain calls. The test got 504 at its deadline before, 502 after the change.

--- a/amaranthbay/platform/tests/test_entry_stream_errors.py
+++ b/amaranthbay/platform/tests/test_entry_stream_errors.py
@@ -16,6 +16,7 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay.plain import MAX_ANSWER_BYTES
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
 # More than the buffers of a connection on loopback hold.
@@ -195,6 +196,14 @@
                 case.assertNotIn(ERROR_TEXT, answer.body)
 
 
+def test_endless_error_is_not_collected(case):
+    """Guards against a process that spends its memory on the body of an error."""
+    parts = (bytes(MAX_ANSWER_BYTES), b"more", b"")
+    reply = Reply(404, (("X-Attempt-Id", "a1"),), chunks=parts, pauses=(0, 0, 30))
+    answer = first_answer(lambda server, req: reply)
+    case.assertEqual((answer.status, answer.complete), (502, True))
+
+
 def test_second_answer_on_a_connection_does_not_get_into_the_stream(case):
     """Guards against the head and the text of a later answer in a stream without length
     and chunks, which take the later answer for a part of the stream."""
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -17,7 +17,7 @@
 from amaranthbay.relay.holds import drop_hold, release_handle, take_hold
 from amaranthbay.relay.output import StreamOutput
 from amaranthbay.relay.placing import memory_need
-from amaranthbay.relay.plain import AMBIGUOUS_STATUSES
+from amaranthbay.relay.plain import AMBIGUOUS_STATUSES, MAX_ANSWER_BYTES
 from amaranthbay.relay.prefill import CONNECT_TIMEOUT_S, run_prefill
 from amaranthbay.relay.refusals import RETRY_SOON, timed_out
 
@@ -398,7 +398,12 @@
 
     def _forward_whole(self, exchange, head):
         """Passes on an answer that isn't a stream, such as a server error."""
-        self._output.send_whole(head, b"".join(exchange.chunks()))
+        body = bytearray()
+        for data in exchange.chunks():
+            body += data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_too_large")
+        self._output.send_whole(head, bytes(body))
         return Ok(None)
 
 
