Accept events that begin with a byte order mark

Since the lines of events are checked, a stream that begins with a byte order mark, as server-sent events may, was rejected; before that the id of its first event was overlooked.

--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events into whole events."""
 
+import codecs
 import re
 
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
@@ -120,7 +121,7 @@
     The result is None if a line is neither a field nor a comment.
     """
     event_id, has_data = None, False
-    for line in event.splitlines():
+    for line in event.removeprefix(codecs.BOM_UTF8).splitlines():
         match = _LINE.match(line)
         if match is None:
             return None
--- a/amaranthbay/relay/tests/test_events.py
+++ b/amaranthbay/relay/tests/test_events.py
@@ -97,6 +97,18 @@
     case.assertEqual((splitter.fault, splitter.caught_up), (fault, continues))
 
 
+def test_byte_order_mark_is_no_fault(case):
+    """Guards against rejecting a stream that begins with a byte order mark, and against
+    overlooking the id of its first event."""
+    splitter = EventSplitter()
+    stream = b"\xef\xbb\xbf" + event(1, b"\n") + event(2, b"\n")
+    case.assertEqual(splitter.feed(stream), stream)
+    case.assertEqual(splitter.last_id, 2)
+    splitter.switch_server()
+    case.assertEqual(splitter.feed(b"\xef\xbb\xbf" + event(2, b"\n")), b"")
+    case.assertEqual(splitter.feed(event(3, b"\n")), event(3, b"\n"))
+
+
 def test_bytes_without_an_event_are_not_collected_for_ever(case):
     """Guards against a process that spends its memory and time on the body of one
     server that sends no blank line."""
