--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers, with limits and graceful shutdown."""
 
 import socket as std_socket
+import struct
 import sys
 from dataclasses import dataclass
 
@@ -61,7 +62,8 @@
 
     Attributes:
         sock: Socket of the connection.
-        answered: Whether the answer to the current request is complete.
+        started: Whether any part of the answer to the current request was sent.
+        answered: Whether all of it was sent.
     """
 
     def __init__(self, sock, listener):
@@ -70,8 +72,8 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
         )
+        self.started = False
         self.answered = False
-        self._streaming = False
         self._method = b""
 
     def serve(self, handler):
@@ -97,8 +99,8 @@
             self._close()
 
     def _serve_one(self, handler):
+        self.started = False
         self.answered = False
-        self._streaming = False
         self._method = b""
         try:
             req = self._read_request()
@@ -229,27 +231,21 @@
         if body and self._method != b"HEAD":
             output += self._http.send(h11.Data(data=body))
         output += self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def answer_head_request(self, status, headers):
         """Sends an answer to HEAD, whose Content-Length is that of the omitted body."""
         output = self._head(status, headers, False)
         output += self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def start_stream(self, status, headers):
         """Sends the head of an answer whose length isn't known yet."""
         headers = [h for h in headers if h[0].lower() != b"content-length"]
-        self._streaming = True
         self._write(self._head(status, headers, False))
 
-    @property
-    def started(self):
-        """Whether any part of the current answer was sent."""
-        return self.answered or self._streaming
-
     def send(self, data):
         """Sends a part of a stream."""
         self._write(self._http.send(h11.Data(data=data)))
@@ -257,14 +253,16 @@
     def finish_stream(self):
         """Marks a stream as complete."""
         output = self._http.send(h11.EndOfMessage())
-        self.answered = True
         self._write(output)
+        self.answered = True
 
     def _head(self, status, headers, close):
         if close or self._listener.draining:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
-        return self._http.send(response)
+        output = self._http.send(response)
+        self.started = True
+        return output
 
     def _write(self, output):
         if not output:
@@ -300,8 +298,15 @@
         self._listener.idle.discard(self)
         if self.answered and self._http.our_state is h11.MUST_CLOSE:
             self._linger()
+        if self.started and not self.answered and not self._sends_chunks():
+            # The end of the connection would look like the end of the stream.
+            linger = struct.pack("ii", 1, 0)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.sock.close()
 
+    def _sends_chunks(self):
+        return self._http.their_http_version >= b"1.1"
+
 
 def _head_bytes(head):
     """Returns the size of a request head; h11 limits that of incomplete heads only."""
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -326,19 +326,16 @@
             return True
         if head.status < 300 and not head.traits.stamped:
             return True
-        if self._watch_head is None and head.status != OK:
+        # A caller that has events needs a stream, and so does a takeover.
+        needs_stream = self._output.started or self._watch_head is None
+        if needs_stream and head.status != OK:
             return True
         # If no repeat is possible, the caller gets the failure as it is.
         return head.status >= 500 and self._must_withhold_failure()
 
     def _must_withhold_failure(self):
-        """Returns whether a failed answer is kept from the caller.
-
-        Either another attempt may follow, or the caller already has a status and events
-        and can't get a second status.
-        """
-        may_repeat = self._call.route.repeatable and self._attempts.has_attempts_left()
-        return self._output.started or may_repeat
+        """Returns whether a failure is kept from the caller, as a repeat may follow."""
+        return self._call.route.repeatable and self._attempts.has_attempts_left()
 
 
 def _surely_has_memory(placement, hold):
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -1,6 +1,8 @@
 """Writes a stream's answer to its caller."""
 
+from amaranthbay.kernel.errors import Verdict
 from amaranthbay.relay.events import EventSplitter
+from amaranthbay.relay.exchange import ExchangeBroken
 
 __all__ = ["StreamOutput"]
 
@@ -36,8 +38,8 @@
         return self._events.last_id
 
     def switch_server(self):
-        """Drops a partial event of the previous server."""
-        self._events.drop_partial()
+        """Drops a partial event of the previous server, whose stream must go on."""
+        self._events.switch_server()
 
     def feed(self, head, data):
         """Passes on the events that are whole after more bytes of the body.
@@ -45,19 +47,32 @@
         Args:
             head: `AnswerHead` of the server's answer.
             data: Next bytes of the body.
+
+        Raises:
+            ExchangeBroken: If bytes are no events or don't continue the stream.
         """
         events = self._events.feed(data)
         if events:
             self._note_gap()
             self._write(head, events)
+        if self._events.fault is not None:
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, self._events.fault)
 
     def finish(self, head):
-        """Sends the remaining bytes and marks the stream as complete.
+        """Marks the stream as complete.
 
         Args:
             head: `AnswerHead` of the server's answer.
+
+        Raises:
+            ExchangeBroken: If the server's answer ends inside an event, or with its
+                connection before any event that is new or the last one sent.
         """
-        self._write(head, self._events.remainder())
+        events = self._events.finish()
+        has_own_end = self._events.caught_up or _has_framing(head)
+        if self._events.has_partial() or not has_own_end:
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_cut")
+        self._write(head, events)
         self._conn.finish_stream()
 
     def send_whole(self, head, body):
@@ -84,3 +99,9 @@
         if self._sent_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self._sent_at)
         self._sent_at = now
+
+
+def _has_framing(head):
+    """Returns whether the headers of an answer tell where its body ends."""
+    names = {name.lower() for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -13,6 +13,7 @@
 from amaranthbay.relay.opening import StreamOpener, decode_failed
 from amaranthbay.relay.output import StreamOutput
 from amaranthbay.relay.placing import memory_need
+from amaranthbay.relay.plain import MAX_ANSWER_BYTES
 from amaranthbay.relay.refusals import timed_out
 
 __all__ = ["StreamRelay"]
@@ -157,9 +158,10 @@
     def _relay_opened(self, opened):
         """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
         try:
-            if opened.head.status != OK:
-                return self._forward_whole(opened)
-            self._relay(opened)
+            if opened.head.status == OK:
+                self._relay(opened)
+            else:
+                self._forward_whole(opened)
             return None
         except ExchangeBroken as exc:
             began = self._ctx.clock.monotonic() - opened.opened_at < BEGINNING_S
@@ -320,15 +322,15 @@
     def _forward_whole(self, opened):
         """Passes on an answer that isn't a stream, such as a server error.
 
-        Returns:
-            None, or a `Refusal` if the caller has a stream already.
+        Raises:
+            ExchangeBroken: If the answer ends early or is too large.
         """
-        body = b"".join(opened.exchange.chunks())
-        if self._output.started:
-            detail = "the resumed answer is not a stream"
-            return may_have_run(Reason.STREAM_BROKEN, detail)
-        self._output.send_whole(opened.head, body)
-        return None
+        body = bytearray()
+        for data in opened.exchange.chunks():
+            body += data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_too_large")
+        self._output.send_whole(opened.head, bytes(body))
 
 
 def _close_unused(takeover):
