Pass on events with fields of the server's own

Streams would have broken off as not_an_event at the event that names a new version of the weights, which the platform puts into the first line of the event, since only the four fields of the standard were accepted. Fields without any event, as in the head of an answer, are still rejected. The test failed before: no event was passed on.

--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -12,7 +12,8 @@
 # is the whole blank line only if the line before it ended with a CR too.
 _END = re.compile(rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
 _COMMENT_OR_BLANK = re.compile(rb"(?::[^\r\n]*)?[\r\n]+")
-_LINE = re.compile(rb"(?P<field>data|event|id|retry)?(?::|\Z)")
+_LINE = re.compile(rb"(?P<field>[A-Za-z][A-Za-z0-9_-]*)?(?::|\Z)")
+_FIELDS_WITHOUT_EVENT = (None, b"event", b"retry")
 _ID = re.compile(rb"id: ?(\d{1,18})")
 
 
@@ -118,9 +119,11 @@
 def _read(event):
     """Returns the id of an event, or None, and whether it has data.
 
-    The result is None if a line is neither a field nor a comment.
+    An event may have fields of the server's own. The result is None if a line is
+    neither a field nor a comment, or if there are only such fields, as in the head of
+    an answer.
     """
-    event_id, has_data = None, False
+    event_id, has_data, has_other = None, False, False
     for line in event.removeprefix(codecs.BOM_UTF8).splitlines():
         match = _LINE.match(line)
         if match is None:
@@ -129,4 +132,8 @@
             has_data = True
         elif match["field"] == b"id" and (id_match := _ID.fullmatch(line)):
             event_id = int(id_match[1])
+        elif match["field"] not in _FIELDS_WITHOUT_EVENT:
+            has_other = True
+    if has_other and event_id is None and not has_data:
+        return None
     return event_id, has_data
--- a/amaranthbay/relay/tests/test_events.py
+++ b/amaranthbay/relay/tests/test_events.py
@@ -52,6 +52,17 @@
     case.assertEqual(splitter.last_id, len(whole))
 
 
+def test_event_with_fields_of_the_server_is_passed_on(case):
+    """Guards against breaking off a stream in which an event names, for example, the
+    version of the weights, and against passing on the head of an answer."""
+    splitter = EventSplitter()
+    named = b"x-weight-versions: 7\nid: 1\ndata: piece 1\n\n"
+    case.assertEqual(splitter.feed(named), named)
+    case.assertIsNone(splitter.fault)
+    case.assertEqual(splitter.feed(b"content-type: text/plain\nserver: x\n\n"), b"")
+    case.assertEqual(splitter.fault, "not_an_event")
+
+
 @settings(derandomize=True, max_examples=300)
 @given(streams(), st.data())
 def test_stream_that_ends_inside_an_event_is_recognized(case, whole, data):
