Leave a silent server 0.2 s after another one has the stream

Cause: the silent server kept the stream until the other one had sent the head of its answer, however late. A server that computes the prompt itself, or is silent too, may take seconds. Now the silent server is left when the other one has had the request for 0.2 s without a refusal. Refusals come sooner, so a server that doesn't take the stream still costs nothing.

--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -18,6 +18,8 @@
         excluded: Names of servers that are not used again for this stream.
         prefilled: Whether a server has computed the prompt, or may have.
         decode_in_progress: Whether a decode server has the request, or may have.
+        decode_sent_at: Monotonic time at which the last decode was sent; None if none
+            was.
     """
 
     def __init__(self, ctx, call):
@@ -27,6 +29,7 @@
         self.excluded = set()
         self.prefilled = False
         self.decode_in_progress = False
+        self.decode_sent_at = None
 
     def note_sent(self):
         """Counts an attempt whose request was sent."""
@@ -36,6 +39,7 @@
         """Counts an attempt whose request was sent to a decode server."""
         self.note_sent()
         self.decode_in_progress = True
+        self.decode_sent_at = self._ctx.clock.monotonic()
 
     def note_prefill_computed(self):
         """Records that a prefill server has computed the prompt."""
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -26,8 +26,11 @@
 # streams for a while; events usually come every 50 ms.
 SILENCE_CHECK_S = 0.5
 # Interval at which a stream of a silent server checks whether another one has taken
-# over. Two servers may run the same stream for 0.4 s.
+# over.
 TAKEOVER_CHECK_S = 0.1
+# Time after which a silent server is left although the other one has not answered. Two
+# servers may run the same stream for 0.4 s; a check and the close take the rest.
+MAX_OVERLAP_S = 0.2
 OK = 200
 
 
@@ -80,6 +83,7 @@
         self._verdict = Verdict.NOT_RUN
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
+        self._takeover_at = None
 
     def _create_opener(self, **options):
         return StreamOpener(
@@ -228,11 +232,11 @@
     def _check_takeover(self, server, silence):
         """Starts a takeover from a silent server, or completes it.
 
-        The server keeps the stream until another one has answered, as it may go on and
-        no other one may take the stream.
+        The server keeps the stream until another one has answered or has had it for
+        `MAX_OVERLAP_S`, as it may go on and no other one may take the stream.
 
         Raises:
-            ExchangeBroken: If another server has taken over.
+            ExchangeBroken: If another server has taken over, or must go on alone.
         """
         takeover = self._takeover
         if takeover is None:
@@ -244,12 +248,22 @@
                     backend_server=server.name,
                     last_event=self._output.last_id,
                 )
+                self._takeover_at = self._ctx.clock.monotonic()
                 self._takeover = gevent.spawn(self._open_elsewhere, server)
         elif takeover.ready():
             if takeover.get().is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
             self._finish_takeover()
             silence.clear()
+        elif self._overlap_s() >= MAX_OVERLAP_S:
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
+
+    def _overlap_s(self):
+        """Returns the seconds since the takeover in progress was sent to a server."""
+        sent_at = self._attempts.decode_sent_at
+        if sent_at is None or sent_at < self._takeover_at:
+            return 0.0
+        return self._ctx.clock.monotonic() - sent_at
 
     def _open_elsewhere(self, silent_server):
         """Returns the ``Result[OpenedStream, Refusal]`` of an attempt elsewhere."""
