Keep a stream at its server if the daemon fails to look for another one

Its exception was raised again in the greenlet that reads the stream. It is logged now and counts as a failed attempt.

--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -61,4 +61,21 @@
     case.assertLess(overlap_s[0], MAX_OVERLAP_S)
 
 
+def test_defect_in_a_takeover_leaves_the_stream_at_its_server(case):
+    """Guards against a cut stream because the daemon fails while it looks for another
+    server."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    for name in DECODE:
+        server = fixture.servers[name]
+        server.replies.append(pause_between_events(server))
+    place, calls = fixture.daemon.queue.place, []
+
+    def fail_second(*args):
+        calls.append(args)
+        return place(*args) if len(calls) == 1 else 1 / 0
+
+    fixture.daemon.queue.place = fail_second
+    check_whole(case, call_resumable(fixture))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -1,5 +1,6 @@
 """Relays streams of model servers, with continuation after failures and silence."""
 
+import sys
 from dataclasses import dataclass
 
 import gevent
@@ -249,7 +250,7 @@
                     last_event=self._output.last_id,
                 )
                 self._takeover_at = self._ctx.clock.monotonic()
-                self._takeover = gevent.spawn(self._open_elsewhere, server)
+                self._takeover = gevent.spawn(self._take_over, server)
         elif takeover.ready():
             if takeover.get().is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
@@ -265,8 +266,18 @@
             return 0.0
         return self._ctx.clock.monotonic() - sent_at
 
-    def _open_elsewhere(self, silent_server):
+    def _take_over(self, silent_server):
         """Returns the ``Result[OpenedStream, Refusal]`` of an attempt elsewhere."""
+        try:
+            return self._open_elsewhere(silent_server)
+        except Exception:
+            request_id = self._call.request_id
+            log_event(
+                "defect", level="error", exc=sys.exc_info(), request_id=request_id
+            )
+            return Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
+
+    def _open_elsewhere(self, silent_server):
         excluded = frozenset((silent_server.name,))
         opener = self._create_opener(excluded=excluded)
         place_result = opener.place()
