--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
+    configuration,
     entry_fixture,
     stream_request,
 )
@@ -78,4 +79,32 @@
     check_whole(case, call_resumable(fixture))
 
 
+def test_prompt_is_offered_elsewhere_only_once_at_a_time(case):
+    """Guards against a stream at two servers, if its silent server refuses it while
+    another one is about to take it over."""
+    fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
+    changed = configuration(version=2)
+    changed["Services"][1]["Engine"]["KvHoldS"] = 20.0
+    changed["Routes"][-1] |= {"MaxAttempts": 5, "TimeoutMs": 9000}
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    servers = [fixture.servers[name] for name in (*DECODE, "dec-3")]
+    order = []
+
+    def by_order(server):
+        def reply(req):
+            order.append(server.name)
+            if len(order) == 1:
+                gevent.sleep(2.25)
+                return server.refusal()
+            return late_head(server, 1.0)(req)
+
+        return reply
+
+    for server in servers:
+        server.replies.append(by_order(server))
+    check_whole(case, call_resumable(fixture, 8000))
+    case.assertEqual(len(order), 2)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -74,6 +74,7 @@
         output,
         watch_head=None,
         excluded=frozenset(),
+        is_taken_over=lambda: False,
     ):
         """Creates the opener.
 
@@ -87,6 +88,8 @@
                 the silence before the head. None if another attempt is in progress:
                 this one then counts only if its answer is a stream.
             excluded: Names of servers to leave out besides those that have failed.
+            is_taken_over: Function that returns whether another opener is at work on
+                the stream; a computed prompt is then not offered elsewhere.
         """
         self._ctx = ctx
         self._queue = queue
@@ -95,6 +98,7 @@
         self._output = output
         self._watch_head = watch_head
         self._excluded = excluded
+        self._is_taken_over = is_taken_over
 
     def place(self):
         """Waits for servers that can take the stream.
@@ -213,8 +217,10 @@
 
         Returns:
             ``Result[OpenedStream, Refusal]``, or None if no server is left, the handle
-            is too old or no repeat is allowed.
+            is too old, no repeat is allowed or another opener is at work.
         """
+        if self._is_taken_over():
+            return None
         age_s = self._ctx.clock.monotonic() - computed.computed_at
         if age_s > HANDLE_REUSE_SHARE * self._call.service.engine.handle_ttl_s:
             return None
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -79,7 +79,10 @@
         self._call = call
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
-        self._opener = self._create_opener(watch_head=self._watch_head)
+        self._opener = self._create_opener(
+            watch_head=self._watch_head,
+            is_taken_over=lambda: self._takeover is not None,
+        )
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
         # Greenlet that opens the stream at another server while its server is silent.
