Apply the limits in force when a request arrives, not when the wait for it began

The test failed before: 413 in place of 200. A raised header limit still doesn't apply to a head that arrives in several pieces on an open connection, whose parser has the limit of its start.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -123,10 +123,10 @@
         return True
 
     def _read_request(self):
-        limits = self._listener.limits()
-        head = self._read_head(limits)
+        head = self._read_head()
         if head is None:
             return None
+        limits = self._listener.limits()
         body, size = [], 0
         with gevent.Timeout(limits.idle_timeout_s, _Rejected(408)):
             if self._http.they_are_waiting_for_100_continue:
@@ -153,13 +153,15 @@
             b"content-length" in names or b"transfer-encoding" in names,
         )
 
-    def _read_head(self, limits):
+    def _read_head(self):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
         if not self._http.trailing_data[0]:
             data = self._receive_first()
             if not data:
                 return None
             self._http.receive_data(data)
+        # The configuration may have changed during the wait.
+        limits = self._listener.limits()
         with gevent.Timeout(limits.header_timeout_s, _Rejected(408)):
             event = self._next_event()
         if type(event) is not h11.Request:
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -8,7 +8,7 @@
 from amaranthbay.platform.tests.fixtures import read_answer
 from amaranthbay.relay.listener import Listener
 from amaranthbay.routing import ClientLimits
-from amaranthbay.utils.testing import collect, free_port
+from amaranthbay.utils.testing import collect, free_port, wait_until
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -80,4 +80,20 @@
         case.assertEqual(sock.recv(10), b"")
 
 
+def test_raised_body_limit_applies_to_connections_that_wait(case):
+    """Guards against refusing a request by the limits of a configuration that is no
+    longer in force."""
+    limits = [ClientLimits(body_bytes=10)]
+    with connection(lambda: limits[-1]) as (sock, listener):
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+        wait_until(lambda: listener.idle)
+        limits.append(ClientLimits(body_bytes=100))
+        body = b"x" * 50
+        sock.sendall(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" + body
+        )
+        case.assertEqual(read_answer(sock).status, 200)
+
+
 load_tests = collect(globals())
