Read a request that has begun to arrive when the idle connections are closed

Such a connection is left alone now; it is answered and ends with its answer. The test failed before with ConnectionResetError.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -280,7 +280,12 @@
             raise CallerGone("the caller has closed the connection") from exc
 
     def close_idle(self):
-        """Ends a connection that waits for its next request."""
+        """Ends a connection that waits for its next request.
+
+        One whose request has begun to arrive is left to be read and answered.
+        """
+        if peek(self.sock):
+            return
         try:
             self.sock.shutdown(std_socket.SHUT_RD)
         except OSError:
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -96,4 +96,20 @@
         case.assertEqual(read_answer(sock).status, 200)
 
 
+def test_drain_lets_a_request_arrive_that_has_begun(case):
+    """Guards against a reset of a connection whose next request has arrived in part,
+    when the idle connections are closed."""
+    with connection(ClientLimits) as (sock, listener):
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+        wait_until(lambda: listener.idle)
+        sock.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+        # Nothing has run since then, so the head is in the socket.
+        listener.draining = True
+        listener.close_idle()
+        gevent.sleep(0.05)
+        sock.sendall(b"ab")
+        case.assertEqual(read_answer(sock).status, 200)
+
+
 load_tests = collect(globals())
