Answer requests that are still in progress when a drain has to end

Those that were accepted at 38% have 54% of it, 4.3 s of 8 s, and a route's timeout may be longer. Requests whose caller has got nothing yet are interrupted now and answered with 504, may_have_run. Streams in progress are still cut; a shorter serving time would be the only way to avoid that.

Not shown: that a caller has met this.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -20,7 +20,7 @@
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.kernel.clock import SystemClock
-from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.kernel.errors import ProcessStops, Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
 from amaranthbay.relay import Listener, RelayService, find_codec
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets, allowance_part
@@ -482,7 +482,8 @@
     def _drain(self):
         """Drains within the platform's grace period.
 
-        New requests are served first, then refused while the others end.
+        New requests are served first, then refused while the others end. Those that
+        don't end in time are answered, unless a part of their answer was sent.
         """
         started_at = self.clock.monotonic()
         self.draining = True
@@ -501,6 +502,9 @@
         while self.listener.busy and self.clock.monotonic() < ends_at:
             self.clock.sleep(CHECK_INTERVAL_S)
             self.listener.close_idle()
+        if self.listener.busy:
+            self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
+            self.clock.sleep(CHECK_INTERVAL_S)
         log_event("stopped", requests=len(self.listener.busy))
 
 
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -11,6 +11,7 @@
     "AmaranthbayError",
     "CallerGone",
     "Fault",
+    "ProcessStops",
     "Reason",
     "Refusal",
     "SettingsError",
@@ -120,6 +121,10 @@
     """Raised in the greenlet of a request whose caller has disconnected."""
 
 
+class ProcessStops(AmaranthbayError):
+    """Raised in the greenlet of a request whose process is about to end."""
+
+
 class UnknownPlugin(AmaranthbayError):
     """Raised when no plug-in is registered under a name."""
 
--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -1,5 +1,6 @@
 """Requests that may end without a complete answer, or run at two servers at once."""
 
+import contextlib
 import time
 
 import gevent
@@ -7,12 +8,16 @@
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
     configuration,
+    connect,
     entry_fixture,
+    read_answer,
+    request,
     stream_request,
 )
 from amaranthbay.platform.tests.test_entry_silence import (
     answer_unless_resumed,
     check_whole,
+    hang,
     pause_between_events,
 )
 from amaranthbay.utils.testing import collect, wait_until
@@ -107,4 +112,29 @@
     case.assertEqual(len(order), 2)
 
 
+def test_requests_in_progress_at_the_end_of_the_drain_are_answered(case):
+    """Guards against connections that end without an answer because their process has
+    to stop, and against an answer which says that the request did not run."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    changed = configuration(version=2)
+    for route in changed["Routes"]:
+        route["TimeoutMs"] = 9000
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    for name in ("desk-1", *DECODE):
+        fixture.servers[name].replies.append(hang)
+    calls = (request("/book/x", "POST", b"1"), stream_request("/resume/x"))
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(connect(fixture.address)) for _ in calls]
+        for sock, raw_request in zip(socks, calls):
+            sock.sendall(raw_request)
+        wait_until(lambda: len(fixture.daemon.listener.busy) == 2)
+        fixture.daemon._drain()
+        case.assertFalse(fixture.daemon.listener.busy)
+        for sock in socks:
+            answer = read_answer(sock)
+            case.assertEqual((answer.status, answer.complete), (504, True))
+            case.assertIn(b"may_have_run", answer.body)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -62,11 +62,13 @@
 
     Attributes:
         sock: Socket of the connection.
+        greenlet: Greenlet that serves the connection.
         answered: Whether the answer to the current request is complete.
     """
 
     def __init__(self, sock, listener):
         self.sock = sock
+        self.greenlet = gevent.getcurrent()
         self._listener = listener
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
@@ -367,6 +369,12 @@
         for conn in tuple(self.idle):
             conn.close_idle()
 
+    def interrupt_busy(self, exc):
+        """Raises an exception in each handler whose caller has got nothing yet."""
+        for conn in tuple(self.busy):
+            if not conn.started:
+                gevent.kill(conn.greenlet, exc)
+
 
 def _listen(address):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.kernel.errors import (
     CallerGone,
+    ProcessStops,
     Reason,
     Refusal,
     Verdict,
@@ -82,6 +83,8 @@
             refusal = self._relay(conn, call)
         except CallerGone:
             raise
+        except ProcessStops as exc:
+            refusal = may_have_run(Reason.DRAINING, str(exc), 504)
         except Exception as exc:
             refusal = self._log_defect(conn, call.request_id, exc)
         finally:
