Place a stream elsewhere only if a repeat is allowed

It is asked before, too, without taking from it. The test failed before with two placements in place of one. The line stream_stalled is no longer written if no repeat is left.

--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from unittest import mock
 
 import gevent
 
@@ -20,6 +21,7 @@
     hang,
     pause_between_events,
 )
+from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.utils.testing import collect, wait_until
 
 DECODE = ("dec-1", "dec-2")
@@ -137,4 +139,18 @@
             case.assertIn(b"may_have_run", answer.body)
 
 
+def test_stream_without_a_repeat_places_nothing_elsewhere(case):
+    """Guards against a silent server whose streams take up the room, holds and limits
+    of others each second, although no repeat is allowed."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    fixture.daemon._budgets.configure(BudgetLimits(0.0, 0.0, 10.0))
+    for name in DECODE:
+        server = fixture.servers[name]
+        server.replies.append(pause_between_events(server))
+    place = fixture.daemon.queue.place
+    fixture.daemon.queue.place = mock.Mock(side_effect=place)
+    check_whole(case, call_resumable(fixture))
+    case.assertEqual(fixture.daemon.queue.place.call_count, 1)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -68,15 +68,31 @@
             refusal: `Refusal` that ended the last attempt.
             prefill_again: Whether the prompt would be computed again.
         """
+        if not self._is_repeat_allowed(refusal):
+            return False
+        needs_budget = self._attempt_count > 0 or (prefill_again and self.prefilled)
+        return not needs_budget or self._budget().withdraw()
+
+    def may_repeat(self, refusal):
+        """Returns whether another attempt may start beside one that was sent.
+
+        Nothing is taken from the budget.
+
+        Args:
+            refusal: `Refusal` that would end the attempt that was sent.
+        """
+        return self._is_repeat_allowed(refusal) and self._budget().has_left()
+
+    def _is_repeat_allowed(self, refusal):
         may_have_run = refusal.verdict is not Verdict.NOT_RUN
         if (
             may_have_run and not self._call.route.repeatable
         ) or not self.has_attempts_left():
             return False
-        if self._ctx.crashes.is_quarantined(self._call):
-            return False
-        needs_budget = self._attempt_count > 0 or (prefill_again and self.prefilled)
-        return not needs_budget or self._ctx.budget(self._call.service.name).withdraw()
+        return not self._ctx.crashes.is_quarantined(self._call)
+
+    def _budget(self):
+        return self._ctx.budget(self._call.service.name)
 
     def note_failed(self, server, exc, sent):
         """Records an exchange that broke.
--- a/amaranthbay/relay/budget.py
+++ b/amaranthbay/relay/budget.py
@@ -90,16 +90,20 @@
         return granted
 
     def _try_withdraw(self):
+        if not self.has_left():
+            return False
+        self._repeats.append(self._clock.monotonic())
+        return True
+
+    def has_left(self):
+        """Returns whether a repeat may be sent, without counting it."""
         now = self._clock.monotonic()
         for timestamps in (self._requests, self._repeats):
             while timestamps and now - timestamps[0] > self.limits.window_s:
                 timestamps.popleft()
         own_allowance = self.limits.allowance * self._allowance_part()
         allowed = SAFE_SHARE * (self.limits.ratio * len(self._requests) + own_allowance)
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return len(self._repeats) + 1 <= allowed
 
 
 class RepeatBudgets:
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -32,6 +32,7 @@
 # Time after which a silent server is left although the other one has not answered. Two
 # servers may run the same stream for 0.4 s; a check and the close take the rest.
 MAX_OVERLAP_S = 0.2
+SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
 
 
@@ -244,7 +245,7 @@
         """
         takeover = self._takeover
         if takeover is None:
-            if self._attempts.has_attempts_left():
+            if self._attempts.may_repeat(SILENT):
                 log_event(
                     "stream_stalled",
                     level="warning",
@@ -287,11 +288,10 @@
         if place_result.is_err():
             return place_result
         placement, hold = place_result.unwrap()
-        refusal = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
-        if not self._attempts.withdraw_repeat(refusal):
+        if not self._attempts.withdraw_repeat(SILENT):
             placement.release()
             drop_hold(self._ctx, placement.decode, hold)
-            return Err(refusal)
+            return Err(SILENT)
         return opener.open(placement, hold)
 
     def _finish_takeover(self):
