Let a server that should continue a stream be taken over in turn

Before it left that server after 2 s. The head of the second server was not watched; it is now, once the first server no longer has the stream.

--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -21,6 +21,8 @@
     hang,
     pause_between_events,
 )
+from amaranthbay.platform.tests.test_entry_streams import events
+from amaranthbay.relay import streams
 from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -153,4 +155,56 @@
     case.assertEqual(fixture.daemon.queue.place.call_count, 1)
 
 
+def test_stream_leaves_a_second_silent_server(case):
+    """Guards against waiting until the deadline for a server that should continue a
+    stream and never answers, after the first one has broken off."""
+    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
+    changed = configuration(version=2)
+    changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    servers = [fixture.servers[name] for name in (*DECODE, "dec-3")]
+
+    def break_after_silence(server):
+        return lambda req: server.stamped_reply(
+            req, chunks=(events(1, 1), b""), pauses=(0, 1.5), cut=True
+        )
+
+    def hang_once(server):
+        def reply(req):
+            resumed = [
+                other
+                for other in servers
+                if any("last-event-id" in r.headers for r in other.received)
+            ]
+            return hang(req) if len(resumed) == 1 else server.stream_reply(req)
+
+        return reply
+
+    for server in servers:
+        reply = answer_unless_resumed(break_after_silence(server), hang_once(server))
+        server.replies.append(reply)
+    check_whole(case, call_resumable(fixture, 8000))
+    wait_until(lambda: not fixture.daemon.placed_load.loads())
+
+
+def test_chain_of_takeovers_ends_with_its_stream(case):
+    """Guards against a request, or a placement, that outlives its stream if the server
+    that should take it over is to be taken over in turn."""
+    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
+    changed = configuration(version=2)
+    changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    servers = [fixture.servers[name] for name in (*DECODE, "dec-3")]
+    for server in servers:
+        server.replies.append(hang)
+    with connect(fixture.address) as sock:
+        sock.sendall(stream_request("/resume/x"))
+        wait_until(lambda: all(server.received for server in servers))
+    wait_until(lambda: not fixture.daemon.placed_load.loads())
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -72,8 +72,9 @@
         call,
         attempts,
         output,
-        watch_head=None,
+        watch_head,
         excluded=frozenset(),
+        streams_only=False,
         is_taken_over=lambda: False,
     ):
         """Creates the opener.
@@ -85,9 +86,10 @@
             attempts: `StreamAttempts` of the stream, which records the outcomes.
             output: `StreamOutput` with the events that the caller has.
             watch_head: Function of an `Exchange` and its `BackendServer` that watches
-                the silence before the head. None if another attempt is in progress:
-                this one then counts only if its answer is a stream.
+                the silence before the head.
             excluded: Names of servers to leave out besides those that have failed.
+            streams_only: Whether an answer counts only if it is a stream, as another
+                attempt is in progress.
             is_taken_over: Function that returns whether another opener is at work on
                 the stream; a computed prompt is then not offered elsewhere.
         """
@@ -98,6 +100,7 @@
         self._output = output
         self._watch_head = watch_head
         self._excluded = excluded
+        self._streams_only = streams_only
         self._is_taken_over = is_taken_over
 
     def place(self):
@@ -271,8 +274,7 @@
                 placed=server.name in placement.counted,
             )
             self._attempts.note_decode_sent()
-            if self._watch_head is not None:
-                self._watch_head(exchange, server)
+            self._watch_head(exchange, server)
             head = exchange.read_head()
             refusal = self._refusal_of(placement, computed, hold, head)
             if refusal is not None:
@@ -319,7 +321,7 @@
             return True
         if head.status < 300 and not head.traits.stamped:
             return True
-        if self._watch_head is None and head.status != OK:
+        if self._streams_only and head.status != OK:
             return True
         # If no repeat is possible, the caller gets the failure as it is.
         return head.status >= 500 and self._must_withhold_failure()
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -80,21 +80,32 @@
         self._call = call
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
-        self._opener = self._create_opener(
-            watch_head=self._watch_head,
-            is_taken_over=lambda: self._takeover is not None,
-        )
+        self._opener = self._create_opener()
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
+        self._reader = gevent.getcurrent()
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
         self._takeover_at = None
+        # Takeover that the stream waits for, as its silent server was left.
+        self._awaited = None
 
     def _create_opener(self, **options):
         return StreamOpener(
-            self._ctx, self._queue, self._call, self._attempts, self._output, **options
+            self._ctx,
+            self._queue,
+            self._call,
+            self._attempts,
+            self._output,
+            self._watch_head,
+            is_taken_over=lambda: self._other_takeover() is not None,
+            **options,
         )
 
+    def _other_takeover(self):
+        """Returns the takeover in progress unless it is the current greenlet."""
+        return None if self._takeover is gevent.getcurrent() else self._takeover
+
     def run(self):
         """Returns None if anything was sent to the caller, else a `Refusal`."""
         limit_s = self._call.left_s(self._ctx.clock.monotonic())
@@ -243,6 +254,9 @@
         Raises:
             ExchangeBroken: If another server has taken over, or must go on alone.
         """
+        if gevent.getcurrent() not in (self._reader, self._awaited):
+            # The server before still has the stream.
+            return
         takeover = self._takeover
         if takeover is None:
             if self._attempts.may_repeat(SILENT):
@@ -258,7 +272,8 @@
         elif takeover.ready():
             if takeover.get().is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
-            self._finish_takeover()
+            self._takeover = None
+            self._note_verdict(takeover.get().unwrap_err())
             silence.clear()
         elif self._overlap_s() >= MAX_OVERLAP_S:
             raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
@@ -283,7 +298,7 @@
 
     def _open_elsewhere(self, silent_server):
         excluded = frozenset((silent_server.name,))
-        opener = self._create_opener(excluded=excluded)
+        opener = self._create_opener(excluded=excluded, streams_only=True)
         place_result = opener.place()
         if place_result.is_err():
             return place_result
@@ -295,24 +310,28 @@
         return opener.open(placement, hold)
 
     def _finish_takeover(self):
-        """Waits for a takeover in progress.
+        """Waits for a takeover in progress, whose server may be taken over in turn.
 
         Returns:
             ``Ok[OpenedStream]``; None if there is none or it has failed.
         """
-        if self._takeover is None:
-            return None
-        outcome = self._takeover.get()
-        self._takeover = None
-        if outcome.is_ok():
-            return outcome
-        self._note_verdict(outcome.unwrap_err())
+        while self._takeover is not None:
+            self._awaited, self._takeover = self._takeover, None
+            outcome = self._awaited.get()
+            self._awaited = None
+            if outcome.is_ok():
+                return outcome
+            self._note_verdict(outcome.unwrap_err())
         return None
 
     def _cancel_takeover(self):
-        takeover, self._takeover = self._takeover, None
-        if takeover is None:
-            return
+        takeovers = self._takeover, self._awaited
+        self._takeover = self._awaited = None
+        for takeover in takeovers:
+            if takeover is not None:
+                self._cancel(takeover)
+
+    def _cancel(self, takeover):
         # Its request may have reached a server.
         self._verdict = Verdict.MAY_HAVE_RUN
         takeover.link_value(_close_unused)
