--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -207,4 +207,25 @@
     wait_until(lambda: not fixture.daemon.placed_load.loads())
 
 
+def test_failure_of_a_silent_server_is_withheld_during_a_takeover(case):
+    """Guards against a late failure that reaches the caller although another server
+    is about to send the stream."""
+    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = [fixture.servers[name] for name in DECODE]
+
+    def fail_first(server):
+        def reply(req):
+            if sum(len(other.received) for other in servers) == 1:
+                gevent.sleep(0.7)
+                return server.stamped_reply(req, 500, body=b"failed")
+            return late_head(server, 0.4)(req)
+
+        return reply
+
+    for server in servers:
+        server.replies.append(fail_first(server))
+    check_whole(case, call_resumable(fixture))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -329,10 +329,11 @@
     def _must_withhold_failure(self):
         """Returns whether a failed answer is kept from the caller.
 
-        Either another attempt may follow, or the caller already has a status and events
-        and can't get a second status.
+        Either another attempt may follow or is in progress, or the caller already has a
+        status and events and can't get a second status.
         """
-        may_repeat = self._call.route.repeatable and self._attempts.has_attempts_left()
+        other_left = self._attempts.has_attempts_left() or self._is_taken_over()
+        may_repeat = self._call.route.repeatable and other_left
         return self._output.started or may_repeat
 
 
