--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -18,6 +18,8 @@
         excluded: Names of servers that are not used again for this stream.
         prefilled: Whether a server has computed the prompt, or may have.
         decode_in_progress: Whether a decode server has the request, or may have.
+        decode_sent_at: Monotonic time at which the last decode was sent; None if none
+            was.
     """
 
     def __init__(self, ctx, call):
@@ -27,6 +29,7 @@
         self.excluded = set()
         self.prefilled = False
         self.decode_in_progress = False
+        self.decode_sent_at = None
 
     def note_sent(self):
         """Counts an attempt whose request was sent."""
@@ -36,6 +39,7 @@
         """Counts an attempt whose request was sent to a decode server."""
         self.note_sent()
         self.decode_in_progress = True
+        self.decode_sent_at = self._ctx.clock.monotonic()
 
     def note_prefill_computed(self):
         """Records that a prefill server has computed the prompt."""
@@ -64,15 +68,31 @@
             refusal: `Refusal` that ended the last attempt.
             prefill_again: Whether the prompt would be computed again.
         """
+        if not self._is_repeat_allowed(refusal):
+            return False
+        needs_budget = self._attempt_count > 0 or (prefill_again and self.prefilled)
+        return not needs_budget or self._budget().withdraw()
+
+    def may_repeat(self, refusal):
+        """Returns whether another attempt may start beside one that was sent.
+
+        Nothing is taken from the budget.
+
+        Args:
+            refusal: `Refusal` that would end the attempt that was sent.
+        """
+        return self._is_repeat_allowed(refusal) and self._budget().has_left()
+
+    def _is_repeat_allowed(self, refusal):
         may_have_run = refusal.verdict is not Verdict.NOT_RUN
         if (
             may_have_run and not self._call.route.repeatable
         ) or not self.has_attempts_left():
             return False
-        if self._ctx.crashes.is_quarantined(self._call):
-            return False
-        needs_budget = self._attempt_count > 0 or (prefill_again and self.prefilled)
-        return not needs_budget or self._ctx.budget(self._call.service.name).withdraw()
+        return not self._ctx.crashes.is_quarantined(self._call)
+
+    def _budget(self):
+        return self._ctx.budget(self._call.service.name)
 
     def note_failed(self, server, exc, sent, began=False):
         """Records an exchange that broke.
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -20,8 +20,9 @@
 
 READ_BYTES = 65536
 # A caller that doesn't read its answer is cut off after this time, as it keeps memory
-# and a backend server busy.
+# and a backend server busy. One that reads slowly isn't: the time holds for each part.
 WRITE_TIMEOUT_S = 5.0
+WRITE_BYTES = 65536
 # Time for which input is read before a close. Unread input would turn the close into a
 # reset, which may discard the answer before the caller reads it.
 LINGER_S = 0.5
@@ -62,12 +63,14 @@
 
     Attributes:
         sock: Socket of the connection.
+        greenlet: Greenlet that serves the connection.
         started: Whether any part of the answer to the current request was sent.
         answered: Whether all of it was sent.
     """
 
     def __init__(self, sock, listener):
         self.sock = sock
+        self.greenlet = gevent.getcurrent()
         self._listener = listener
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
@@ -125,10 +128,10 @@
         return True
 
     def _read_request(self):
-        limits = self._listener.limits()
-        head = self._read_head(limits)
+        head = self._read_head()
         if head is None:
             return None
+        limits = self._listener.limits()
         body, size = [], 0
         with gevent.Timeout(limits.idle_timeout_s, _Rejected(408)):
             if self._http.they_are_waiting_for_100_continue:
@@ -155,13 +158,15 @@
             b"content-length" in names or b"transfer-encoding" in names,
         )
 
-    def _read_head(self, limits):
+    def _read_head(self):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
         if not self._http.trailing_data[0]:
             data = self._receive_first()
             if not data:
                 return None
             self._http.receive_data(data)
+        # The configuration may have changed during the wait.
+        limits = self._listener.limits()
         with gevent.Timeout(limits.header_timeout_s, _Rejected(408)):
             event = self._next_event()
         if type(event) is not h11.Request:
@@ -267,16 +272,22 @@
     def _write(self, output):
         if not output:
             return
+        parts = memoryview(output)
+        gone = CallerGone("the caller does not read its answer")
         try:
-            with gevent.Timeout(
-                WRITE_TIMEOUT_S, CallerGone("the caller does not read its answer")
-            ):
-                self.sock.sendall(output)
+            for start in range(0, len(parts), WRITE_BYTES):
+                with gevent.Timeout(WRITE_TIMEOUT_S, gone):
+                    self.sock.sendall(parts[start : start + WRITE_BYTES])
         except OSError as exc:
             raise CallerGone("the caller has closed the connection") from exc
 
     def close_idle(self):
-        """Ends a connection that waits for its next request."""
+        """Ends a connection that waits for its next request.
+
+        One whose request has begun to arrive is left to be read and answered.
+        """
+        if peek(self.sock):
+            return
         try:
             self.sock.shutdown(std_socket.SHUT_RD)
         except OSError:
@@ -363,6 +374,12 @@
         for conn in tuple(self.idle):
             conn.close_idle()
 
+    def interrupt_busy(self, exc):
+        """Raises an exception in each handler whose caller has got nothing yet."""
+        for conn in tuple(self.busy):
+            if not conn.started:
+                gevent.kill(conn.greenlet, exc)
+
 
 def _listen(address):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -74,8 +74,10 @@
         call,
         attempts,
         output,
-        watch_head=None,
+        watch_head,
         excluded=frozenset(),
+        streams_only=False,
+        is_taken_over=lambda: False,
     ):
         """Creates the opener.
 
@@ -86,9 +88,12 @@
             attempts: `StreamAttempts` of the stream, which records the outcomes.
             output: `StreamOutput` with the events that the caller has.
             watch_head: Function of an `Exchange` and its `BackendServer` that watches
-                the silence before the head. None if another attempt is in progress:
-                this one then counts only if its answer is a stream.
+                the silence before the head.
             excluded: Names of servers to leave out besides those that have failed.
+            streams_only: Whether an answer counts only if it is a stream, as another
+                attempt is in progress.
+            is_taken_over: Function that returns whether another opener is at work on
+                the stream; a computed prompt is then not offered elsewhere.
         """
         self._ctx = ctx
         self._queue = queue
@@ -97,6 +102,8 @@
         self._output = output
         self._watch_head = watch_head
         self._excluded = excluded
+        self._streams_only = streams_only
+        self._is_taken_over = is_taken_over
 
     def place(self):
         """Waits for servers that can take the stream.
@@ -223,8 +230,10 @@
 
         Returns:
             ``Result[OpenedStream, Refusal]``, or None if no server is left, the handle
-            is too old or no repeat is allowed.
+            is too old, no repeat is allowed or another opener is at work.
         """
+        if self._is_taken_over():
+            return None
         age_s = self._ctx.clock.monotonic() - computed.computed_at
         if age_s > HANDLE_REUSE_SHARE * self._call.service.engine.handle_ttl_s:
             return None
@@ -275,8 +284,7 @@
                 placed=server.name in placement.counted,
             )
             self._attempts.note_decode_sent()
-            if self._watch_head is not None:
-                self._watch_head(exchange, server)
+            self._watch_head(exchange, server)
             head = exchange.read_head()
             refusal = self._refusal_of(placement, computed, hold, head)
             if refusal is not None:
@@ -327,15 +335,19 @@
         if head.status < 300 and not head.traits.stamped:
             return True
         # A caller that has events needs a stream, and so does a takeover.
-        needs_stream = self._output.started or self._watch_head is None
+        needs_stream = self._output.started or self._streams_only
         if needs_stream and head.status != OK:
             return True
         # If no repeat is possible, the caller gets the failure as it is.
         return head.status >= 500 and self._must_withhold_failure()
 
     def _must_withhold_failure(self):
-        """Returns whether a failure is kept from the caller, as a repeat may follow."""
-        return self._call.route.repeatable and self._attempts.has_attempts_left()
+        """Returns whether a failure is kept from the caller.
+
+        Another attempt may follow, or is in progress.
+        """
+        other_left = self._attempts.has_attempts_left() or self._is_taken_over()
+        return self._call.route.repeatable and other_left
 
 
 def _surely_has_memory(placement, hold):
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -1,5 +1,6 @@
 """Relays streams of model servers, with continuation after failures and silence."""
 
+import sys
 from dataclasses import dataclass
 
 import gevent
@@ -27,10 +28,14 @@
 # streams for a while; events usually come every 50 ms.
 SILENCE_CHECK_S = 0.5
 # Interval at which a stream of a silent server checks whether another one has taken
-# over. Two servers may run the same stream for 0.4 s.
+# over.
 TAKEOVER_CHECK_S = 0.1
 # Time after the head of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
+# Time after which a silent server is left although the other one has not answered. Two
+# servers may run the same stream for 0.4 s; a check and the close take the rest.
+MAX_OVERLAP_S = 0.2
+SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
 
 
@@ -78,17 +83,32 @@
         self._call = call
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
-        self._opener = self._create_opener(watch_head=self._watch_head)
+        self._opener = self._create_opener()
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
+        self._reader = gevent.getcurrent()
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
+        self._takeover_at = None
+        # Takeover that the stream waits for, as its silent server was left.
+        self._awaited = None
 
     def _create_opener(self, **options):
         return StreamOpener(
-            self._ctx, self._queue, self._call, self._attempts, self._output, **options
+            self._ctx,
+            self._queue,
+            self._call,
+            self._attempts,
+            self._output,
+            self._watch_head,
+            is_taken_over=lambda: self._other_takeover() is not None,
+            **options,
         )
 
+    def _other_takeover(self):
+        """Returns the takeover in progress unless it is the current greenlet."""
+        return None if self._takeover is gevent.getcurrent() else self._takeover
+
     def run(self):
         """Returns None if anything was sent to the caller, else a `Refusal`."""
         limit_s = self._call.left_s(self._ctx.clock.monotonic())
@@ -234,15 +254,18 @@
     def _check_takeover(self, server, silence):
         """Starts a takeover from a silent server, or completes it.
 
-        The server keeps the stream until another one has answered, as it may go on and
-        no other one may take the stream.
+        The server keeps the stream until another one has answered or has had it for
+        `MAX_OVERLAP_S`, as it may go on and no other one may take the stream.
 
         Raises:
-            ExchangeBroken: If another server has taken over.
+            ExchangeBroken: If another server has taken over, or must go on alone.
         """
+        if gevent.getcurrent() not in (self._reader, self._awaited):
+            # The server before still has the stream.
+            return
         takeover = self._takeover
         if takeover is None:
-            if self._attempts.has_attempts_left():
+            if self._attempts.may_repeat(SILENT):
                 log_event(
                     "stream_stalled",
                     level="warning",
@@ -250,47 +273,71 @@
                     backend_server=server.name,
                     last_event=self._output.last_id,
                 )
-                self._takeover = gevent.spawn(self._open_elsewhere, server)
+                self._takeover_at = self._ctx.clock.monotonic()
+                self._takeover = gevent.spawn(self._take_over, server)
         elif takeover.ready():
             if takeover.get().is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
-            self._finish_takeover()
+            self._takeover = None
+            self._note_verdict(takeover.get().unwrap_err())
             silence.clear()
+        elif self._overlap_s() >= MAX_OVERLAP_S:
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
 
-    def _open_elsewhere(self, silent_server):
+    def _overlap_s(self):
+        """Returns the seconds since the takeover in progress was sent to a server."""
+        sent_at = self._attempts.decode_sent_at
+        if sent_at is None or sent_at < self._takeover_at:
+            return 0.0
+        return self._ctx.clock.monotonic() - sent_at
+
+    def _take_over(self, silent_server):
         """Returns the ``Result[OpenedStream, Refusal]`` of an attempt elsewhere."""
+        try:
+            return self._open_elsewhere(silent_server)
+        except Exception:
+            request_id = self._call.request_id
+            log_event(
+                "defect", level="error", exc=sys.exc_info(), request_id=request_id
+            )
+            return Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
+
+    def _open_elsewhere(self, silent_server):
         excluded = frozenset((silent_server.name,))
-        opener = self._create_opener(excluded=excluded)
+        opener = self._create_opener(excluded=excluded, streams_only=True)
         place_result = opener.place()
         if place_result.is_err():
             return place_result
         placement, hold = place_result.unwrap()
-        refusal = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
-        if not self._attempts.withdraw_repeat(refusal):
+        if not self._attempts.withdraw_repeat(SILENT):
             placement.release()
             drop_hold(self._ctx, placement.decode, hold)
-            return Err(refusal)
+            return Err(SILENT)
         return opener.open(placement, hold)
 
     def _finish_takeover(self):
-        """Waits for a takeover in progress.
+        """Waits for a takeover in progress, whose server may be taken over in turn.
 
         Returns:
             ``Ok[OpenedStream]``; None if there is none or it has failed.
         """
-        if self._takeover is None:
-            return None
-        outcome = self._takeover.get()
-        self._takeover = None
-        if outcome.is_ok():
-            return outcome
-        self._note_verdict(outcome.unwrap_err())
+        while self._takeover is not None:
+            self._awaited, self._takeover = self._takeover, None
+            outcome = self._awaited.get()
+            self._awaited = None
+            if outcome.is_ok():
+                return outcome
+            self._note_verdict(outcome.unwrap_err())
         return None
 
     def _cancel_takeover(self):
-        takeover, self._takeover = self._takeover, None
-        if takeover is None:
-            return
+        takeovers = self._takeover, self._awaited
+        self._takeover = self._awaited = None
+        for takeover in takeovers:
+            if takeover is not None:
+                self._cancel(takeover)
+
+    def _cancel(self, takeover):
         # Its request may have reached a server.
         self._verdict = Verdict.MAY_HAVE_RUN
         takeover.link_value(_close_unused)
