Keep a silent server until the one that takes over begins to answer

A takeover that has no head after 2 s is dropped, its server is left out, and another one may follow.

--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -28,13 +28,11 @@
 # streams for a while; events usually come every 50 ms.
 SILENCE_CHECK_S = 0.5
 # Interval at which a stream of a silent server checks whether another one has taken
-# over.
+# over. Servers send the head of an answer as they begin to run it, and two of them may
+# run the same stream for 0.4 s.
 TAKEOVER_CHECK_S = 0.1
 # Time after the head of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
-# Time after which a silent server is left although the other one has not answered. Two
-# servers may run the same stream for 0.4 s; a check and the close take the rest.
-MAX_OVERLAP_S = 0.2
 SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
 
@@ -90,6 +88,7 @@
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
         self._takeover_at = None
+        self._takeover_server = None
         # Takeover that the stream waits for, as its silent server was left.
         self._awaited = None
 
@@ -254,11 +253,11 @@
     def _check_takeover(self, server, silence):
         """Starts a takeover from a silent server, or completes it.
 
-        The server keeps the stream until another one has answered or has had it for
-        `MAX_OVERLAP_S`, as it may go on and no other one may take the stream.
+        The server keeps the stream until another one has answered, as it may go on and
+        no other one may take the stream.
 
         Raises:
-            ExchangeBroken: If another server has taken over, or must go on alone.
+            ExchangeBroken: If another server has taken over.
         """
         if gevent.getcurrent() not in (self._reader, self._awaited):
             # The server before still has the stream.
@@ -281,10 +280,15 @@
             self._takeover = None
             self._note_verdict(takeover.get().unwrap_err())
             silence.clear()
-        elif self._overlap_s() >= MAX_OVERLAP_S:
-            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
+        elif self._takeover_sent_s() >= HEAD_STALL_S:
+            # The other server is silent, too.
+            self._attempts.excluded.add(self._takeover_server)
+            self._ctx.outcomes.note_silent(self._takeover_server)
+            self._takeover = None
+            self._cancel(takeover)
+            silence.clear()
 
-    def _overlap_s(self):
+    def _takeover_sent_s(self):
         """Returns the seconds since the takeover in progress was sent to a server."""
         sent_at = self._attempts.decode_sent_at
         if sent_at is None or sent_at < self._takeover_at:
@@ -313,6 +317,7 @@
             placement.release()
             drop_hold(self._ctx, placement.decode, hold)
             return Err(SILENT)
+        self._takeover_server = placement.decode.name
         return opener.open(placement, hold)
 
     def _finish_takeover(self):
