--- /dev/null
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -0,0 +1,128 @@
+"""Faults of the backend servers."""
+
+import gevent
+
+from amaranthbay.platform.tests.soak.deployment import SERVERS
+from amaranthbay.platform.tests.soak.steps import Fault, choose_by_strength
+
+__all__ = [
+    "LIMIT_S",
+    "AskPause",
+    "Drain",
+    "Leave",
+    "NameLimit",
+    "Replace",
+    "ServerFaults",
+]
+
+# A server keeps serving at least this long after it announces that it leaves.
+LEAVE_S = 3.0
+MAX_PAUSE_S = 4.0
+# Limits that servers name, in requests per second, and the shortest time for which they
+# do so; limits are checked from three seconds after the first answer that names one.
+MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 1.0, 5.0
+LIMIT_S = 6.0
+
+
+class Leave(Fault):
+    """A server announces in its answers that it leaves.
+
+    Its entry says so later if the strength is low, else never.
+    """
+
+    settle_s = 1.0
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        place = step.target
+        server = deployment.servers[place]
+        server.leaving = True
+        gevent.sleep(LEAVE_S + step.duration_s)
+        if step.strength < 0.5:
+            deployment.drain_server(place)
+            gevent.sleep(step.duration_s)
+        deployment.remove_server(place)
+        deployment.start_server(place, server.service, server.stage)
+
+
+class AskPause(Fault):
+    """A server refuses half of its requests and asks for a pause."""
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        server = deployment.servers[step.target]
+        server.pause_s = MAX_PAUSE_S * step.strength
+        server.faults = {"pause": 0.5}
+        gevent.sleep(step.duration_s)
+        server.faults = {}
+
+
+class NameLimit(Fault):
+    """A server names a limit for the requests of all processes together."""
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        server = deployment.servers[step.target]
+        limit_range = MAX_LIMIT_PER_S - MIN_LIMIT_PER_S
+        server.limit = round(MIN_LIMIT_PER_S + limit_range * step.strength, 1)
+        gevent.sleep(LIMIT_S + step.duration_s)
+        server.limit = None
+
+
+class ServerFaults(Fault):
+    """A server answers half of its requests wrongly."""
+
+    VARIANTS = ("refuse", "error", "cut", "break", "extra", "hang")
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        server = deployment.servers[step.target]
+        variant = choose_by_strength(self.VARIANTS, step.strength)
+        server.faults = {variant: 0.5}
+        gevent.sleep(step.duration_s)
+        server.faults = {}
+
+
+class Replace(Fault):
+    """A new server takes over an address, for another service if strength is low."""
+
+    settle_s = 2.0
+
+    def targets(self, deployment):
+        return [place for place, (_, stage) in SERVERS.items() if stage is None]
+
+    def inject(self, deployment, step):
+        service = SERVERS[step.target][0]
+        if step.strength < 0.5:
+            service = "other" if service == "desk" else "desk"
+        old_name = deployment.servers[step.target].name
+        deployment.start_server(step.target, service, None)
+        gevent.sleep(step.duration_s)
+        deployment.remove_entry(old_name)
+
+
+class Drain(Fault):
+    """A server drains and leaves; a new one starts at its place."""
+
+    settle_s = 1.0
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        place = step.target
+        server = deployment.servers[place]
+        deployment.drain_server(place)
+        gevent.sleep(step.duration_s)
+        if deployment.servers[place] is server:
+            deployment.remove_server(place)
+            gevent.sleep(0.5)
+            deployment.start_server(place, server.service, server.stage)
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -3,32 +3,34 @@
 from types import SimpleNamespace
 
 from amaranthbay.platform.tests.soak.callers import Exchange
-from amaranthbay.platform.tests.soak.checks import (
-    CHECKS,
+from amaranthbay.platform.tests.soak.checks import CHECKS
+from amaranthbay.platform.tests.soak.deployment import (
+    MEMORY_MB,
+    RETRY_ALLOWANCE,
+    ConfigurationVersion,
+    Deployment,
+    InjectedFault,
+)
+from amaranthbay.platform.tests.soak.history import RunHistory
+from amaranthbay.platform.tests.soak.request_checks import (
     CONFIGURATION_S,
-    DRAIN_S,
-    RunHistory,
     answers_come_in_time,
     answers_match_their_requests,
     configuration_is_in_force,
-    leaving_servers_get_nothing,
-    limits_are_kept,
-    pauses_are_kept,
     processes_are_sound,
     refused_requests_never_run,
     requests_are_not_lost,
     requests_arrive_as_sent,
     retries_stay_within_budget,
-    servers_that_announce_leaving_get_nothing,
     streams_are_in_order,
     unrepeatable_requests_run_once,
 )
-from amaranthbay.platform.tests.soak.deployment import (
-    MEMORY_MB,
-    RETRY_ALLOWANCE,
-    ConfigurationVersion,
-    Deployment,
-    InjectedFault,
+from amaranthbay.platform.tests.soak.server_checks import (
+    DRAIN_S,
+    leaving_servers_get_nothing,
+    limits_are_kept,
+    pauses_are_kept,
+    servers_that_announce_leaving_get_nothing,
 )
 from amaranthbay.platform.tests.soak.servers import (
     Arrival,
