Let a part of prompts crash decode servers in the soak

Callers name several parts of their prompts, as the platform's callers do. Two checks are new: at most three arrivals from 3 s after the fifth crash on, and sound streams with the same first part that still begin. The links refuse connections at the level of TCP while a server is down, since the router tells a crash by that.

--- a/amaranthbay/platform/tests/soak/__main__.py
+++ b/amaranthbay/platform/tests/soak/__main__.py
@@ -33,6 +33,8 @@
             f"seed {number}: {len(outcome.steps)} faults, {outcome.requests} requests, "
             f"{outcome.answered} answered, {len(outcome.violations)} violations"
         )
+        played = ", ".join(f"{n} {name}" for name, n in outcome.played.items() if n)
+        typer.echo(f"  played: {played or 'none with an own generator'}")
         if outcome.violations:
             failed.append(number)
             _print(outcome)
--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -15,8 +15,15 @@
     request,
 )
 from amaranthbay.platform.tests.soak.deployment import ZONES
+from amaranthbay.platform.tests.soak.parts import (
+    CRASHING_PART,
+    FIRST_PARTS,
+    PREFIX_HEADER,
+    draw_parts,
+    encode_parts,
+)
 
-__all__ = ["KINDS", "Caller", "Exchange", "look_up", "send"]
+__all__ = ["KINDS", "Caller", "Exchange", "PartCaller", "look_up", "send"]
 
 TIMEOUT_S = 4.0
 # Deadline that each request names; also the timeout of the routes.
@@ -29,6 +36,8 @@
 # that a lookup names.
 RECONNECT_SHARE = 0.3
 REQUESTS_BEFORE_RECONNECT = 8
+# Share of a `PartCaller`'s requests that have the crashing part while the fault is on.
+CRASHING_SHARE = 0.35
 
 
 @dataclass(frozen=True)
@@ -76,6 +85,7 @@
         complete: Whether the end of the body arrived.
         trailing: Bytes that arrived after a complete answer.
         abandoned: Whether the caller left on purpose before the answer.
+        parts: Ids of the parts of its prompt; empty if it has none.
     """
 
     attempt: str
@@ -90,19 +100,27 @@
     complete: bool = False
     trailing: bytes = b""
     abandoned: bool = False
+    parts: tuple = ()
 
     @property
     def duration_s(self):
         return self.ended_at - self.sent_at
 
+    @property
+    def crashing(self):
+        """Whether the request crashes decode servers."""
+        return CRASHING_PART in self.parts
+
 
 class Caller:
     """A caller that sends random requests over one connection at a time.
 
     Attributes:
+        kinds: Names of the kinds of its requests.
         stopping: Whether `run` returns after the current request.
     """
 
+    kinds = tuple(sorted(KINDS))
     _numbers = itertools.count(1)
 
     def __init__(self, deployment, rng, exchanges):
@@ -117,7 +135,7 @@
     def run(self):
         """Sends requests until `stopping` is set."""
         while not self.stopping:
-            kind = self._rng.choice(sorted(KINDS))
+            kind = self._rng.choice(self.kinds)
             try:
                 self._exchange(kind)
             except OSError:
@@ -129,13 +147,17 @@
         self._connect()
         attempt = f"a{next(self._numbers):07d}"
         abandon = self._rng.random() < ABANDON_SHARE
-        exchange = send(self._sock, self._process, kind, attempt, abandon)
+        parts = self._draw_parts(attempt) if KINDS[kind].stream else ()
+        exchange = send(self._sock, self._process, kind, attempt, abandon, parts)
         self._exchanges.append(exchange)
         self._requests_sent += 1
         closes = (exchange.headers or {}).get("connection") == "close"
         if closes or not exchange.complete or exchange.trailing:
             self._disconnect()
 
+    def _draw_parts(self, attempt):
+        return draw_parts(attempt)
+
     def _connect(self):
         if (
             self._requests_sent >= REQUESTS_BEFORE_RECONNECT
@@ -171,6 +193,17 @@
         self._sock, self._requests_sent = None, 0
 
 
+class PartCaller(Caller):
+    """A caller of streams with one first part, some of them with the crashing part."""
+
+    kinds = tuple(sorted(name for name, kind in KINDS.items() if kind.stream))
+
+    def _draw_parts(self, attempt):
+        is_on = self._deployment.sends_crashing_part
+        crashing = is_on and self._rng.random() < CRASHING_SHARE
+        return draw_parts(attempt, FIRST_PARTS[0], crashing)
+
+
 def look_up(address, zone):
     """Returns the addresses that a process names to callers; none if it is down.
 
@@ -187,7 +220,7 @@
         return []
 
 
-def send(sock, process, kind, attempt, abandon=False):
+def send(sock, process, kind, attempt, abandon=False, parts=()):
     """Sends one request on a connection and returns the `Exchange`.
 
     Args:
@@ -196,13 +229,18 @@
         kind: Name of a `RequestKind`.
         attempt: Attempt id of the request.
         abandon: Whether to return shortly after sending, without reading an answer.
+        parts: Ids of the parts of the prompt; by default those that the id decides.
     """
     target = f"{KINDS[kind].prefix}{attempt}?n=1"
     headers = [("X-Deadline-Ms", str(DEADLINE_MS))]
     method, body = "GET", b""
     if KINDS[kind].stream:
         method, body = "POST", b"prompt of " + attempt.encode()
-        headers += [("X-Token-Count", "100,40"), ("X-Prompt-Prefix", "1f:100")]
+        parts = parts or draw_parts(attempt)
+        headers += [
+            ("X-Token-Count", "100,40"),
+            (PREFIX_HEADER, encode_parts(parts)),
+        ]
     raw_request = request(target, method, body, headers, HOST, attempt)
     sent_at = time.monotonic()
     identity = (attempt, kind, process, target, sent_at)
@@ -210,9 +248,9 @@
         sock.sendall(raw_request)
         if abandon:
             gevent.sleep(0.02)
-            return Exchange(*identity, time.monotonic(), abandoned=True)
+            return Exchange(*identity, time.monotonic(), abandoned=True, parts=parts)
         answer = read_answer(sock)
-        return Exchange(*identity, time.monotonic(), **vars(answer))
+        return Exchange(*identity, time.monotonic(), parts=parts, **vars(answer))
     except OSError:
         # The connection ended without an answer.
-        return Exchange(*identity, time.monotonic())
+        return Exchange(*identity, time.monotonic(), parts=parts)
--- a/amaranthbay/platform/tests/soak/checks.py
+++ b/amaranthbay/platform/tests/soak/checks.py
@@ -1,9 +1,19 @@
 """All checks of a soak run against what callers and backend servers recorded."""
 
-from amaranthbay.platform.tests.soak import request_checks, server_checks
+from amaranthbay.platform.tests.soak import (
+    crash_checks,
+    request_checks,
+    server_checks,
+)
 from amaranthbay.platform.tests.soak.history import CHECKS, RunHistory
 
-__all__ = ["CHECKS", "find_violations", "request_checks", "server_checks"]
+__all__ = [
+    "CHECKS",
+    "crash_checks",
+    "find_violations",
+    "request_checks",
+    "server_checks",
+]
 
 
 def find_violations(deployment, exchanges):
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -37,6 +38,10 @@
 RETRY_ALLOWANCE = 20
 RESTART_DELAY_S = 0.3
 EXIT_TIMEOUT_S = GRACE_S + 2.0
+# Time for which a crashed server is down, and in which the crash may have effects after
+# that.
+MIN_DOWN_S, MAX_DOWN_S = 1.0, 2.0
+CRASH_SETTLE_S = 1.5
 
 # Service and stage of the server at each place. A place is a fixed address at which
 # one server after another runs.
@@ -137,6 +142,10 @@
             leaves, by name of the server.
         peaks_mb: Peak memory of each process at the end of the run.
         former_servers: Each `SoakServer` that has been replaced at its place.
+        sends_crashing_part: Whether callers send requests that crash decode servers.
+        crashed_at: Monotonic time of each crash of a decode server.
+        played: Number of times that each kind of fault with an own generator was
+            played, by what was counted.
     """
 
     def __init__(self, seed, processes=3, folder=None):
@@ -157,6 +166,11 @@
         self.leaving_since = {}
         self.peaks_mb = {}
         self.former_servers = []
+        self.sends_crashing_part = False
+        self.crashed_at = []
+        self.played = Counter()
+        self._seed = seed
+        self._crash_jobs = []
         self._process_count = processes
         self._folder = folder
         self._stack = ExitStack()
@@ -218,6 +232,9 @@
             stage=stage,
             service=service,
             rng=random.Random(self.rng.random()),
+            own_rng=random.Random(f"{self._seed} {name}"),
+            played=self.played,
+            crash=lambda server: self._spawn_crash(place, server),
         )
         if place in self.servers:
             self.former_servers.append(self.servers[place])
@@ -230,6 +247,29 @@
         entry = server_entry(server.service, address, server.stage, state)
         self._write("servers", server.name, entry)
 
+    def _spawn_crash(self, place, server):
+        if not server.crashed:
+            server.crashed = True
+            self._crash_jobs.append(gevent.spawn(self._crash, place, server))
+
+    def _crash(self, place, server):
+        """Crashes a server; after a while it is back under a new name."""
+        started_at = time.monotonic()
+        self.crashed_at.append(started_at)
+        self.played["crashes"] += 1
+        self.links[place].go_down()
+        gevent.sleep(server.own_rng.uniform(MIN_DOWN_S, MAX_DOWN_S))
+        self.links[place].come_up()
+        # Another fault may have started a server at the place in the meantime.
+        if self.servers[place] is server:
+            self.start_server(place, server.service, server.stage)
+        self.remove_entry(server.name)
+        self.record_fault(place, "CrashingPart", started_at, CRASH_SETTLE_S)
+
+    def join_crashes(self):
+        """Waits until each server that has crashed is back."""
+        gevent.joinall(self._crash_jobs, raise_error=True)
+
     def drain_server(self, place):
         """Marks the entry of the server at a place as draining."""
         self._write_entry(place, "draining")
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults of a soak run: the random schedule and its execution."""
 
+import random
 import time
 
 import gevent
@@ -13,14 +14,21 @@
 from amaranthbay.platform.tests.soak.server_faults import LIMIT_S, NameLimit
 from amaranthbay.platform.tests.soak.steps import Step
 
-__all__ = ["FAULTS", "Step", "draw_limits", "draw_steps", "run_steps"]
+__all__ = [
+    "FAULTS",
+    "Step",
+    "draw_limits",
+    "draw_own_steps",
+    "draw_steps",
+    "run_steps",
+]
 
 MAX_LIMITED_SERVERS = 5
 MIN_STEPS, MAX_STEPS = 6, 14
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 3.0
 
-# A seed draws from the sorted names, so a new name changes the schedules of all seeds;
-# see `draw_limits` for a kind that does not.
+# `draw_steps` draws from the sorted names of the kinds that have no generator of their
+# own, so a new name among these would change the schedules of all seeds.
 FAULTS = {
     fault_class.__name__: fault_class()
     for fault_class in (
@@ -42,6 +50,7 @@
         server_faults.Replace,
         server_faults.Drain,
         store_faults.Configure,
+        server_faults.CrashingPart,
     )
 }
 
@@ -54,9 +63,11 @@
         deployment: `Deployment` whose processes may be targets.
         traffic_s: Seconds of traffic.
     """
+    own_kinds = {name for name, fault in FAULTS.items() if fault.max_steps}
+    kinds = sorted(FAULTS.keys() - own_kinds - {NameLimit.__name__})
     steps = []
     for _ in range(rng.randint(MIN_STEPS, MAX_STEPS)):
-        kind = rng.choice(sorted(FAULTS.keys() - {NameLimit.__name__}))
+        kind = rng.choice(kinds)
         target = rng.choice(sorted(FAULTS[kind].targets(deployment)))
         start_s = rng.uniform(0.5, traffic_s - MAX_DURATION_S)
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
@@ -82,6 +93,25 @@
     return sorted(steps, key=lambda step: step.start_s)
 
 
+def draw_own_steps(seed, deployment, traffic_s):
+    """Draws the steps of the other kinds with own generators, as `draw_limits` does.
+
+    Args:
+        seed: Seed of the run.
+        deployment: `Deployment` whose processes may be targets.
+        traffic_s: Seconds of traffic.
+    """
+    steps = []
+    for kind, fault in FAULTS.items():
+        rng = random.Random(f"{kind} {seed}")
+        for _ in range(rng.randint(0, fault.max_steps)):
+            target = rng.choice(sorted(fault.targets(deployment)))
+            start_s = rng.uniform(0.5, traffic_s - MAX_DURATION_S)
+            duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+            steps.append(Step(start_s, kind, target, duration_s, rng.random()))
+    return sorted(steps, key=lambda step: step.start_s)
+
+
 def run_steps(deployment, steps):
     """Runs a schedule; returns once the last fault has ended.
 
--- a/amaranthbay/platform/tests/soak/links.py
+++ b/amaranthbay/platform/tests/soak/links.py
@@ -54,15 +54,36 @@
         self.mode = Mode.PASS
         self.delay_s = 0.0
         self._open_socks = set()
-        port = free_port()
-        self.address = f"127.0.0.1:{port}"
-        self._server = StreamServer(("127.0.0.1", port), self._serve)
+        self._local = ("127.0.0.1", free_port())
+        self.address = f"127.0.0.1:{self._local[1]}"
+        self._port_holder = None
+        self._listen()
+
+    def _listen(self):
+        self._server = StreamServer(self._local, self._serve)
         self._server.start()
 
     def close(self):
         """Stops listening and resets all connections."""
         self._server.stop(timeout=0)
         self.reset()
+        if self._port_holder is not None:
+            self._port_holder.close()
+
+    def go_down(self):
+        """Resets all connections and refuses new ones, as after a crash."""
+        self._server.stop(timeout=0)
+        self.reset()
+        # The port is bound without a listener, so that no other program gets it.
+        self._port_holder = socket.socket()
+        self._port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._port_holder.bind(self._local)
+
+    def come_up(self):
+        """Accepts connections again."""
+        self._port_holder.close()
+        self._port_holder = None
+        self._listen()
 
     def reset(self):
         """Resets all open connections."""
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -8,21 +8,37 @@
 import gevent
 from gevent import socket
 
-from amaranthbay.platform.tests.soak.callers import KINDS, Caller, look_up, send
+from amaranthbay.platform.tests.soak.callers import (
+    KINDS,
+    Caller,
+    PartCaller,
+    look_up,
+    send,
+)
 from amaranthbay.platform.tests.soak.checks import find_violations
 from amaranthbay.platform.tests.soak.deployment import EXIT_TIMEOUT_S, Deployment
-from amaranthbay.platform.tests.soak.faults import draw_limits, draw_steps, run_steps
+from amaranthbay.platform.tests.soak.faults import (
+    draw_limits,
+    draw_own_steps,
+    draw_steps,
+    run_steps,
+)
 from amaranthbay.utils.testing import wait_until
 
 __all__ = ["Outcome", "run_seed"]
 
 CALLER_COUNT = 8
+# Further callers of a run in which a part of prompts crashes servers.
+PART_CALLER_COUNT = 3
 START_TIMEOUT_S = 30.0
 # Within this time after the last fault every process serves every kind of request
 # (RecoveryS of the platform).
 RECOVERY_S = 12.0
 # Time without faults in which the callers go on after the check of the recovery.
 QUIET_S = 1.5
+# The same in a run in which a part of prompts crashes servers, as a check compares with
+# this time.
+PART_QUIET_S = 4.0
 ANY_ZONE = "zone-a"
 PROBE_INTERVAL_S = 0.1
 
@@ -37,6 +53,8 @@
         requests: Number of requests.
         answered: Number of requests with a complete answer of status 200.
         violations: A sentence for each violation that a check found.
+        played: Number of times that the faults with own generators were played, by
+            what was counted.
     """
 
     seed: int
@@ -44,6 +62,7 @@
     requests: int
     answered: int
     violations: tuple
+    played: dict
 
 
 def run_seed(seed, traffic_s, processes=3, folder=None):
@@ -64,16 +83,23 @@
         )
         steps = draw_steps(rng, deployment, traffic_s)
         steps += draw_limits(random.Random(f"limits {seed}"), traffic_s)
+        steps += draw_own_steps(seed, deployment, traffic_s)
         steps.sort(key=lambda step: step.start_s)
         callers = [
             Caller(deployment, random.Random(rng.random()), exchanges)
             for _ in range(CALLER_COUNT)
         ]
+        has_crashing_part = any(step.kind == "CrashingPart" for step in steps)
+        if has_crashing_part:
+            callers += [
+                PartCaller(deployment, random.Random(f"{seed} {number}"), exchanges)
+                for number in range(PART_CALLER_COUNT)
+            ]
         jobs = [gevent.spawn(caller.run) for caller in callers]
         supervisor = gevent.spawn(deployment.supervise)
         run_steps(deployment, steps)
         violations = list(_check_recovery(deployment, exchanges))
-        gevent.sleep(QUIET_S)
+        gevent.sleep(PART_QUIET_S if has_crashing_part else QUIET_S)
         for caller in callers:
             caller.stopping = True
         gevent.joinall(jobs, raise_error=True)
@@ -82,9 +108,14 @@
         violations += _stop_processes(deployment)
         violations += find_violations(deployment, exchanges)
     answered = sum(
-        exchange.status == 200 and exchange.complete for exchange in exchanges
+        exchange.status == 200 and exchange.complete and not exchange.crashing
+        for exchange in exchanges
+    )
+    played = deployment.played
+    played["crashing requests"] = sum(exchange.crashing for exchange in exchanges)
+    return Outcome(
+        seed, tuple(steps), len(exchanges), answered, tuple(violations), dict(played)
     )
-    return Outcome(seed, tuple(steps), len(exchanges), answered, tuple(violations))
 
 
 def _entry_processes(deployment):
--- a/amaranthbay/platform/tests/soak/server_faults.py
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -1,13 +1,18 @@
 """Faults of the backend servers."""
 
+import time
+
 import gevent
 
 from amaranthbay.platform.tests.soak.deployment import SERVERS
 from amaranthbay.platform.tests.soak.steps import Fault, choose_by_strength
 
 __all__ = [
+    "CRASH_COUNT",
     "LIMIT_S",
+    "SPARED_AFTER_S",
     "AskPause",
+    "CrashingPart",
     "Drain",
     "Leave",
     "NameLimit",
@@ -22,6 +27,15 @@
 # do so; limits are checked from three seconds after the first answer that names one.
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 1.0, 5.0
 LIMIT_S = 6.0
+# Number of crashes after which a request must no longer reach decode servers, and the
+# longest time until there are as many.
+CRASH_COUNT, MAX_CRASHES_S = 5, 10.0
+# Sound requests are counted from this time after the last of these crashes on, for the
+# time after it.
+SPARED_AFTER_S, OBSERVED_S = 6.0, 5.0
+# Longer than the deadline of any request.
+LAST_REQUEST_S = 2.5
+POLL_S = 0.05
 
 
 class Leave(Fault):
@@ -126,3 +140,22 @@
             deployment.remove_server(place)
             gevent.sleep(0.5)
             deployment.start_server(place, server.service, server.stage)
+
+
+class CrashingPart(Fault):
+    """A part of some prompts crashes each decode server that answers on it."""
+
+    max_steps = 1
+
+    def targets(self, deployment):
+        return ["decode"]
+
+    def inject(self, deployment, step):
+        deployment.sends_crashing_part = True
+        ends_at = time.monotonic() + MAX_CRASHES_S
+        while len(deployment.crashed_at) < CRASH_COUNT and time.monotonic() < ends_at:
+            gevent.sleep(POLL_S)
+        gevent.sleep(SPARED_AFTER_S + OBSERVED_S)
+        deployment.sends_crashing_part = False
+        gevent.sleep(LAST_REQUEST_S)
+        deployment.join_crashes()
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -6,6 +6,7 @@
 import gevent
 import h11
 
+from amaranthbay.platform.tests.soak.parts import CRASHING_PART, PREFIX_HEADER
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
 __all__ = [
@@ -24,6 +25,9 @@
 # Faults whose answer says that the request was not run.
 NOT_RUN_FAULTS = ("refuse", "pause")
 EVENT_INTERVAL_S = 0.04
+# Time from the head of an answer to the crash of its server, in half of the crashes; in
+# the others the server crashes before the head.
+CRASH_DELAY_S = 1.5 * EVENT_INTERVAL_S
 
 
 @dataclass(frozen=True)
@@ -114,6 +118,10 @@
         pause_s: Seconds of the pause that the fault ``pause`` asks for.
         notices: `Notice` of each answer that announced a departure or a pause.
         named_limits: `NamedLimit` of each answer to a request while it has a limit.
+        own_rng: `random.Random` that draws the faults which `faults` does not hold.
+        played: `collections.Counter` of these faults, which all servers share.
+        crash: Function that crashes the server, which is its argument.
+        crashed: Whether it has crashed; it then answers nothing.
     """
 
     service: str = ""
@@ -123,8 +131,14 @@
     pause_s: float = 0.0
     notices: list = field(default_factory=list)
     named_limits: list = field(default_factory=list)
+    own_rng: object = None
+    played: object = None
+    crash: object = None
+    crashed: bool = False
 
     def _reply(self, req):
+        if self.crashed:
+            return None
         if req.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, (("X-Instance-Id", self.name),))
         if self._is_control(req):
@@ -194,6 +208,11 @@
 
     def _stream(self, req, fault):
         attempt = req.headers.get("x-attempt-id", "")
+        if CRASHING_PART in req.headers.get(PREFIX_HEADER.lower(), ""):
+            if self.own_rng.random() < 0.5:
+                self.crash(self)
+                return None
+            gevent.spawn_later(CRASH_DELAY_S, self.crash, self)
         start = int(req.headers.get("last-event-id", 0)) + 1
         parts = [_event(attempt, number) for number in range(start, EVENT_COUNT + 1)]
         if fault == "break":
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -4,6 +4,12 @@
 
 from amaranthbay.platform.tests.soak.callers import Exchange
 from amaranthbay.platform.tests.soak.checks import CHECKS
+from amaranthbay.platform.tests.soak.crash_checks import (
+    MAX_LATE_ARRIVALS,
+    MIN_COMPARED,
+    crashing_part_is_held_back,
+    requests_beside_a_crashing_part_begin,
+)
 from amaranthbay.platform.tests.soak.deployment import (
     MEMORY_MB,
     RETRY_ALLOWANCE,
@@ -12,6 +18,7 @@
     InjectedFault,
 )
 from amaranthbay.platform.tests.soak.history import RunHistory
+from amaranthbay.platform.tests.soak.parts import CRASHING_PART, FIRST_PARTS
 from amaranthbay.platform.tests.soak.request_checks import (
     CONFIGURATION_S,
     answers_come_in_time,
@@ -54,6 +61,7 @@
         leaving_since={},
         notices=lambda: [],
         named_limits=lambda: [],
+        crashed_at=[],
         processes={"entry-1": SimpleNamespace(exit_codes=[0])},
         log_lines=lambda name: ([], []),
         peaks_mb={"entry-1": 60.0},
@@ -290,4 +298,73 @@
         case.assertTrue(find(processes_are_sound, [], **fields))
 
 
+def test_late_requests_with_a_crashing_part_are_detected(case):
+    """Guards against a check that misses a fourth late request with a part that has
+    crashed five servers, or counts a process that had a fault just before."""
+    parts = (*FIRST_PARTS[:1], CRASHING_PART, "9")
+    sent = [
+        exchange("once", attempt=f"a{n}", sent_at=28.2 + n / 100, parts=parts)
+        for n in range(MAX_LATE_ARRIVALS + 1)
+    ]
+    arrivals = [arrival(request, "pre-1", prefill=True) for request in sent]
+    crashes = [21.0, 22.0, 23.0, 24.0, 25.0]
+    for crashed_at, count, fault_end, is_violation in (
+        (crashes, MAX_LATE_ARRIVALS + 1, 25.0, True),
+        (crashes, MAX_LATE_ARRIVALS, 25.0, False),
+        (crashes, MAX_LATE_ARRIVALS + 1, 26.0, False),
+        (crashes[:4], MAX_LATE_ARRIVALS + 1, 25.0, False),
+        ([*crashes[:4], 25.5], MAX_LATE_ARRIVALS + 1, 25.0, False),
+    ):
+        violations = find(
+            crashing_part_is_held_back,
+            sent,
+            arrivals[:count],
+            crashed_at=crashed_at,
+            injected_faults=[InjectedFault("entry-1", "Reset", 24.0, fault_end)],
+        )
+        case.assertEqual(bool(violations), is_violation, (crashed_at, count, fault_end))
+
+
+def test_streams_kept_back_beside_a_crashing_part_are_detected(case):
+    """Guards against a check that misses sound streams which are refused for a first
+    part that they share with crashing ones, or that counts other faults as such."""
+    first, own = FIRST_PARTS[0], "9"
+    crashing = exchange(
+        "once", attempt="a0", sent_at=40.0, parts=(first, CRASHING_PART, own)
+    )
+
+    def streams(start, begun, part=first):
+        return [
+            exchange(
+                "once",
+                attempt=f"{start}-{n}",
+                sent_at=start + n / 20,
+                status=200 if n < begun else 503,
+                parts=(part, own),
+            )
+            for n in range(MIN_COMPARED)
+        ]
+
+    few = MIN_COMPARED // 2 - 1
+    for beside, usual, faulty_place, is_violation in (
+        (streams(32.0, few), streams(60.0, MIN_COMPARED), "desk-1", True),
+        (streams(32.0, few + 1), streams(60.0, MIN_COMPARED), "desk-1", False),
+        (streams(30.0, few), streams(60.0, MIN_COMPARED), "desk-1", False),
+        (streams(32.0, few), streams(60.0, MIN_COMPARED), "dec-1", False),
+        (streams(32.0, few), streams(60.0, MIN_COMPARED - 2), "desk-1", False),
+        (streams(32.0, few, "2a0"), streams(60.0, MIN_COMPARED), "desk-1", False),
+        (streams(32.0, few), streams(60.0, MIN_COMPARED)[1:], "desk-1", False),
+    ):
+        violations = find(
+            requests_beside_a_crashing_part_begin,
+            [crashing, *beside, *usual],
+            crashed_at=[23.0, 25.0],
+            injected_faults=[
+                InjectedFault(faulty_place, "Reset", 20.0, 45.0),
+                InjectedFault("dec-2", "CrashingPart", 20.0, 45.0),
+            ],
+        )
+        case.assertEqual(bool(violations), is_violation, (len(usual), faulty_place))
+
+
 load_tests = collect(globals())
