Let sound servers of the soak fall silent for a second

Up to eight times a run a server of any kind sends nothing for 0.8 to 1.6 s, before an answer or between two events, and goes on; half of these steps begin beside a change of the configuration or planned work. It excuses nothing. A new check looks for requests that ran first at a sound server and ended without its whole answer before their deadline, and streams without any answer count as lost like plain requests.

--- a/amaranthbay/platform/tests/soak/crash_checks.py
+++ b/amaranthbay/platform/tests/soak/crash_checks.py
@@ -1,7 +1,7 @@
 """Checks of a soak run on a part of prompts that crashes decode servers."""
 
 from amaranthbay.platform.tests.soak.callers import KINDS
-from amaranthbay.platform.tests.soak.deployment import SERVERS
+from amaranthbay.platform.tests.soak.deployment import MODEL_PLACES
 from amaranthbay.platform.tests.soak.history import CONTACT_S, check
 from amaranthbay.platform.tests.soak.parts import FIRST_PARTS
 from amaranthbay.platform.tests.soak.server_faults import CRASH_COUNT, SPARED_AFTER_S
@@ -14,7 +14,6 @@
 # Requests without the part that share its first part begin at least this share as often
 # as without faults, if there are enough of each.
 MIN_BEGIN_RATIO, MIN_COMPARED = 0.5, 20
-MODEL_PLACES = tuple(place for place, (_, stage) in SERVERS.items() if stage)
 # Faults that leave a server able to begin streams, or that are what is checked.
 HARMLESS_KINDS = frozenset(("CrashingPart", "Silence"))
 
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -26,7 +26,14 @@
 from amaranthbay.platform.tests.standins import StoreStandin, serve_http
 from amaranthbay.utils.testing import free_port, free_port_pair
 
-__all__ = ["SERVERS", "ZONES", "ConfigurationVersion", "Deployment", "InjectedFault"]
+__all__ = [
+    "MODEL_PLACES",
+    "SERVERS",
+    "ZONES",
+    "ConfigurationVersion",
+    "Deployment",
+    "InjectedFault",
+]
 
 ROOT = Path(__file__).resolve().parents[4]
 ZONES = {"zone-a": "region-1", "zone-b": "region-1"}
@@ -56,6 +63,7 @@
     "dec-1": ("lm", "decode"),
     "dec-2": ("lm", "decode"),
 }
+MODEL_PLACES = tuple(place for place, (_, stage) in SERVERS.items() if stage)
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -51,6 +51,7 @@
         server_faults.Drain,
         store_faults.Configure,
         server_faults.CrashingPart,
+        server_faults.Silence,
     )
 }
 
@@ -93,13 +94,14 @@
     return sorted(steps, key=lambda step: step.start_s)
 
 
-def draw_own_steps(seed, deployment, traffic_s):
+def draw_own_steps(seed, deployment, traffic_s, other_steps=()):
     """Draws the steps of the other kinds with own generators, as `draw_limits` does.
 
     Args:
         seed: Seed of the run.
         deployment: `Deployment` whose processes may be targets.
         traffic_s: Seconds of traffic.
+        other_steps: Steps that are drawn already, beside which some of these come.
     """
     steps = []
     for kind, fault in FAULTS.items():
@@ -107,6 +109,9 @@
         for _ in range(rng.randint(0, fault.max_steps)):
             target = rng.choice(sorted(fault.targets(deployment)))
             start_s = rng.uniform(0.5, traffic_s - MAX_DURATION_S)
+            others = [step for step in other_steps if step.kind in fault.beside]
+            if others and rng.random() < 0.5:
+                start_s = max(0.0, rng.choice(others).start_s - rng.uniform(0.0, 0.5))
             duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
             steps.append(Step(start_s, kind, target, duration_s, rng.random()))
     return sorted(steps, key=lambda step: step.start_s)
--- a/amaranthbay/platform/tests/soak/request_checks.py
+++ b/amaranthbay/platform/tests/soak/request_checks.py
@@ -9,7 +9,12 @@
     RETRY_RATIO,
     RETRY_WINDOW_S,
 )
-from amaranthbay.platform.tests.soak.history import CONTACT_S, check, count_times
+from amaranthbay.platform.tests.soak.history import (
+    CONTACT_S,
+    FAULT_KINDS,
+    check,
+    count_times,
+)
 from amaranthbay.platform.tests.soak.servers import expected_body, expected_events
 
 __all__ = [
@@ -18,6 +23,7 @@
     "STORE_FAULTS",
     "answers_come_in_time",
     "answers_match_their_requests",
+    "answers_of_sound_servers_arrive",
     "configuration_is_in_force",
     "processes_are_sound",
     "refused_requests_never_run",
@@ -37,6 +43,9 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STORE_FAULTS = frozenset(("Store", "StoreLink", "Restore"))
 PLANNED_FAULTS = frozenset(("Stop", "Reload"))
+# Faults of a server or its link that may break off any of its answers. A server with
+# any other fault is sound, apart from the answers that it spoils.
+BREAKING_FAULTS = frozenset(("ServerLink", "Reset", "ServerFaults", "CrashingPart"))
 
 
 @check
@@ -147,12 +156,15 @@
 
 @check
 def requests_are_not_lost(history):
-    """A plain request that reached a server is answered, whatever the server does.
+    """A request that reached a server is answered, whatever the server does; only a
+    stream may end early.
 
     A fault of the entry process is an excuse, but not one of the store or planned work.
     """
     for exchange in history.exchanges:
-        if exchange.abandoned or exchange.complete or KINDS[exchange.kind].stream:
+        if exchange.abandoned or exchange.complete or exchange.crashing:
+            continue
+        if KINDS[exchange.kind].stream and exchange.status is not None:
             continue
         if not history.arrivals[exchange.attempt]:
             continue
@@ -163,6 +175,32 @@
             )
 
 
+@check
+def answers_of_sound_servers_arrive(history):
+    """A request that ran first at a sound server gets a complete success before its
+    deadline, also if the server is silent for a while or leaves.
+
+    A fault of the entry process is an excuse, but not one of the store or planned work.
+    """
+    for exchange in history.exchanges:
+        runs = history.runs(exchange.attempt)
+        succeeded = exchange.status == 200 and exchange.complete
+        if not runs or succeeded or exchange.abandoned or exchange.crashing:
+            continue
+        place = runs[0].server.rsplit("-", 1)[0]
+        broken_off = runs[0].spoiled or history.deployment.had_fault(
+            place, exchange.sent_at, exchange.ended_at, FAULT_KINDS - BREAKING_FAULTS
+        )
+        is_due = exchange.duration_s < DEADLINE_MS / 1000
+        excused = history.is_excused(exchange, STORE_FAULTS | PLANNED_FAULTS)
+        if is_due and not broken_off and not excused:
+            yield (
+                f"{exchange.attempt} ({exchange.kind}) ran at {runs[0].server}, which "
+                f"was sound, and ended with {exchange.status} and "
+                f"{len(exchange.body)} bytes after {exchange.duration_s:.2f} s"
+            )
+
+
 @check
 def answers_come_in_time(history):
     """Of the requests that outlast the timeout of their route, at most half, or two if
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -83,7 +83,7 @@
         )
         steps = draw_steps(rng, deployment, traffic_s)
         steps += draw_limits(random.Random(f"limits {seed}"), traffic_s)
-        steps += draw_own_steps(seed, deployment, traffic_s)
+        steps += draw_own_steps(seed, deployment, traffic_s, steps)
         steps.sort(key=lambda step: step.start_s)
         callers = [
             Caller(deployment, random.Random(rng.random()), exchanges)
--- a/amaranthbay/platform/tests/soak/server_faults.py
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -4,7 +4,8 @@
 
 import gevent
 
-from amaranthbay.platform.tests.soak.deployment import SERVERS
+from amaranthbay.platform.tests.soak.deployment import MODEL_PLACES, SERVERS
+from amaranthbay.platform.tests.soak.servers import BEFORE_ANSWER, BETWEEN_EVENTS
 from amaranthbay.platform.tests.soak.steps import Fault, choose_by_strength
 
 __all__ = [
@@ -18,6 +19,7 @@
     "NameLimit",
     "Replace",
     "ServerFaults",
+    "Silence",
 ]
 
 # A server keeps serving at least this long after it announces that it leaves.
@@ -27,6 +29,9 @@
 # do so; limits are checked from three seconds after the first answer that names one.
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 1.0, 5.0
 LIMIT_S = 6.0
+MIN_SILENCE_S, MAX_SILENCE_S = 0.8, 1.6
+# Time between two silences of a server, which lets streams begin.
+SILENCE_INTERVAL_S = 0.5
 # Number of crashes after which a request must no longer reach decode servers, and the
 # longest time until there are as many.
 CRASH_COUNT, MAX_CRASHES_S = 5, 10.0
@@ -142,6 +147,33 @@
             deployment.start_server(place, server.service, server.stage)
 
 
+class Silence(Fault):
+    """A sound server sends nothing for about a second and goes on, several times.
+
+    Each silence comes before the head of an answer or between two events of a stream,
+    and excuses nothing.
+    """
+
+    max_steps = 8
+    beside = ("Configure", "Drain", "Leave", "Reload", "Replace", "Stop")
+
+    def targets(self, deployment):
+        # Streams are few in comparison.
+        return [*SERVERS, *MODEL_PLACES, *MODEL_PLACES]
+
+    def inject(self, deployment, step):
+        ends_at = time.monotonic() + step.duration_s
+        silence_s = MIN_SILENCE_S + (MAX_SILENCE_S - MIN_SILENCE_S) * step.strength
+        while True:
+            server = deployment.servers[step.target]
+            streams = server.stage == "decode" and server.own_rng.random() < 0.7
+            moment = BETWEEN_EVENTS if streams else BEFORE_ANSWER
+            server.next_silence = moment, silence_s
+            gevent.sleep(silence_s + SILENCE_INTERVAL_S)
+            if time.monotonic() >= ends_at:
+                return
+
+
 class CrashingPart(Fault):
     """A part of some prompts crashes each decode server that answers on it."""
 
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass, field
+from itertools import repeat
 
 import gevent
 import h11
@@ -10,6 +11,8 @@
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
 __all__ = [
+    "BEFORE_ANSWER",
+    "BETWEEN_EVENTS",
     "Arrival",
     "NamedLimit",
     "Notice",
@@ -30,6 +33,10 @@
 CRASH_DELAY_S = 1.5 * EVENT_INTERVAL_S
 
 
+# Moments at which a server falls silent.
+BEFORE_ANSWER, BETWEEN_EVENTS = "before an answer", "between events"
+
+
 @dataclass(frozen=True)
 class Arrival:
     """A request that a backend server received.
@@ -43,6 +50,8 @@
         arrived_at: Monotonic time of its arrival.
         ran: Whether the server ran it; a prefill doesn't count as a run.
         prefill: Whether it asked for a prefill only.
+        spoiled: Whether the server spoiled or broke off the answer, except by one of
+            its `SoakServer.faults`.
     """
 
     attempt: str
@@ -53,6 +62,7 @@
     arrived_at: float
     ran: bool
     prefill: bool
+    spoiled: bool = False
 
 
 @dataclass(frozen=True)
@@ -122,6 +132,9 @@
         played: `collections.Counter` of these faults, which all servers share.
         crash: Function that crashes the server, which is its argument.
         crashed: Whether it has crashed; it then answers nothing.
+        next_silence: When its next silence begins, `BEFORE_ANSWER` or `BETWEEN_EVENTS`,
+            and its seconds; None for no silence.
+        silent_until: Monotonic time until which it sends nothing.
     """
 
     service: str = ""
@@ -135,6 +148,29 @@
     played: object = None
     crash: object = None
     crashed: bool = False
+    next_silence: tuple | None = None
+    silent_until: float = 0.0
+
+    def answer(self, req):
+        reply = super().answer(req)
+        self._wait_while_silent(BEFORE_ANSWER)
+        return reply
+
+    def _wait_while_silent(self, moment):
+        """Waits until the server sends again.
+
+        Args:
+            moment: `BEFORE_ANSWER` or `BETWEEN_EVENTS`.
+        """
+        if self.next_silence is not None and self.next_silence[0] == moment:
+            self.silent_until = time.monotonic() + self.next_silence[1]
+            self.next_silence = None
+        left_s = self.silent_until - time.monotonic()
+        if left_s > 0:
+            self.played[f"silences {moment}"] += 1
+        while left_s > 0:
+            gevent.sleep(left_s)
+            left_s = self.silent_until - time.monotonic()
 
     def _reply(self, req):
         if self.crashed:
@@ -219,9 +255,17 @@
             # The last part is an incomplete event.
             parts = [*parts[:1], *(part[:9] for part in parts[1:2])]
         return self.stamped_reply(
-            req, chunks=tuple(parts), pause_s=EVENT_INTERVAL_S, cut=fault == "break"
+            req, chunks=self._paced(parts), pauses=repeat(0.0), cut=fault == "break"
         )
 
+    def _paced(self, parts):
+        """Yields each part at the time at which the server sends it."""
+        for number, part in enumerate(parts):
+            gevent.sleep(EVENT_INTERVAL_S)
+            if number:
+                self._wait_while_silent(BETWEEN_EVENTS)
+            yield part
+
 
 def _second_answer(server):
     """Returns the bytes of an answer that belongs to no request."""
--- a/amaranthbay/platform/tests/soak/steps.py
+++ b/amaranthbay/platform/tests/soak/steps.py
@@ -41,10 +41,12 @@
         settle_s: Seconds after the end of the fault in which it may still have effects.
         max_steps: Largest number of its steps in a run, for a kind whose steps are
             drawn by a generator of its own; 0 for any other kind.
+        beside: Names of the kinds beside which half of these steps come.
     """
 
     settle_s = SETTLE_S
     max_steps = 0
+    beside = ()
 
     def targets(self, deployment):
         """Returns the names of its possible targets; by default all processes."""
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -23,6 +23,7 @@
     CONFIGURATION_S,
     answers_come_in_time,
     answers_match_their_requests,
+    answers_of_sound_servers_arrive,
     configuration_is_in_force,
     processes_are_sound,
     refused_requests_never_run,
@@ -183,6 +184,41 @@
         faults = [InjectedFault("entry-1", kind, 9.0, 12.0)]
         violations = find(requests_are_not_lost, [lost], ran, injected_faults=faults)
         case.assertEqual(not violations, excused, kind)
+    for fields, is_violation in (
+        ({"status": None}, True),
+        ({"status": 200}, False),
+        ({"status": None, "parts": (FIRST_PARTS[0], CRASHING_PART, "9")}, False),
+    ):
+        stream = exchange("once", complete=False, **fields)
+        violations = find(requests_are_not_lost, [stream], [arrival(stream)])
+        case.assertEqual(bool(violations), is_violation, fields)
+
+
+def test_lost_answer_of_a_sound_server_is_detected(case):
+    """Guards against a check that misses an answer which a sound server went on with
+    after a silence, or accepts its silence, its departure or planned work as an excuse.
+    """
+    check = answers_of_sound_servers_arrive
+    cut = exchange("once", body=b"id: 1", complete=False, duration_s=1.3)
+    ran = [arrival(cut, "dec-1-4")]
+    for target, kind, is_violation in (
+        ("dec-1", "Silence", True),
+        ("dec-1", "Leave", True),
+        ("entry-1", "Stop", True),
+        ("dec-2", "ServerLink", True),
+        ("dec-1", "ServerLink", False),
+        ("entry-1", "CallerLink", False),
+    ):
+        faults = [InjectedFault(target, kind, 9.0, 12.0)]
+        violations = find(check, [cut], ran, injected_faults=faults)
+        case.assertEqual(bool(violations), is_violation, (target, kind))
+    failed = exchange("once", status=502, body=b"failed")
+    case.assertTrue(find(check, [failed], [arrival(failed, "dec-1-4")]))
+    crashing = exchange("once", complete=False, parts=("1f", CRASHING_PART, "9"))
+    late = exchange("once", complete=False, duration_s=2.01)
+    for excused, spoiled in ((crashing, False), (late, False), (cut, True)):
+        ran = [arrival(excused, "dec-1-4", spoiled=spoiled)]
+        case.assertFalse(find(check, [excused], ran), excused)
 
 
 def test_too_late_answers_are_detected(case):
