Let servers of the soak repeat a refusal before the next answer

For two to five seconds a server refuses 40% of its requests and writes each refusal once more when the next request has arrived on that connection, before its own answer. The checks of runs after a refusal and of second runs judge it. The stand-ins hand the socket on with a request for it.

--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -52,6 +52,7 @@
         store_faults.Configure,
         server_faults.CrashingPart,
         server_faults.Silence,
+        server_faults.RepeatRefusal,
     )
 }
 
--- a/amaranthbay/platform/tests/soak/server_faults.py
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -17,6 +17,7 @@
     "Drain",
     "Leave",
     "NameLimit",
+    "RepeatRefusal",
     "Replace",
     "ServerFaults",
     "Silence",
@@ -29,6 +30,8 @@
 # do so; limits are checked from three seconds after the first answer that names one.
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 1.0, 5.0
 LIMIT_S = 6.0
+# Shortest time for which a server plays a fault with an own generator.
+MIN_OWN_FAULT_S = 2.0
 MIN_SILENCE_S, MAX_SILENCE_S = 0.8, 1.6
 # Time between two silences of a server, which lets streams begin.
 SILENCE_INTERVAL_S = 0.5
@@ -174,6 +177,29 @@
                 return
 
 
+class _OwnServerFault(Fault):
+    """A server plays one of its `SoakServer.own_faults` for a while."""
+
+    max_steps = 6
+    NAME = ""
+    SHARE = 0.4
+
+    def targets(self, deployment):
+        return list(SERVERS)
+
+    def inject(self, deployment, step):
+        server = deployment.servers[step.target]
+        server.own_faults[self.NAME] = self.SHARE
+        gevent.sleep(MIN_OWN_FAULT_S + step.duration_s)
+        del server.own_faults[self.NAME]
+
+
+class RepeatRefusal(_OwnServerFault):
+    """A server repeats refusals when the next request has arrived on a connection."""
+
+    NAME = "repeat"
+
+
 class CrashingPart(Fault):
     """A part of some prompts crashes each decode server that answers on it."""
 
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -3,10 +3,11 @@
 import time
 from dataclasses import dataclass, field
 from itertools import repeat
+from weakref import WeakSet
 
 import gevent
-import h11
 
+from amaranthbay.platform.tests.soak.answers import second_answer, send_refusal
 from amaranthbay.platform.tests.soak.parts import CRASHING_PART, PREFIX_HEADER
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
@@ -26,7 +27,9 @@
 MAX_WORK_S = 0.08
 EVENT_COUNT = 4
 # Faults whose answer says that the request was not run.
-NOT_RUN_FAULTS = ("refuse", "pause")
+NOT_RUN_FAULTS = ("refuse", "pause", "repeat")
+# Faults with own generators that spoil the answer which they hit.
+SPOILING_FAULTS = ("repeat",)
 EVENT_INTERVAL_S = 0.04
 # Time from the head of an answer to the crash of its server, in half of the crashes; in
 # the others the server crashes before the head.
@@ -135,6 +138,9 @@
         next_silence: When its next silence begins, `BEFORE_ANSWER` or `BETWEEN_EVENTS`,
             and its seconds; None for no silence.
         silent_until: Monotonic time until which it sends nothing.
+        own_faults: Share of the requests that each fault with an own generator hits.
+            ``repeat`` refuses a request, and once more when the next one has arrived
+            on its connection.
     """
 
     service: str = ""
@@ -150,6 +156,9 @@
     crashed: bool = False
     next_silence: tuple | None = None
     silent_until: float = 0.0
+    own_faults: dict = field(default_factory=dict)
+    # Connections on which the refusal of the last request is sent once more.
+    _refused_socks: WeakSet = field(default_factory=WeakSet)
 
     def answer(self, req):
         reply = super().answer(req)
@@ -175,13 +184,16 @@
     def _reply(self, req):
         if self.crashed:
             return None
+        spoiled = self._repeat_refusal(req)
         if req.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, (("X-Instance-Id", self.name),))
         if self._is_control(req):
             return self._answer_control(req)
         prefill = req.headers.get("x-serving-stage") == "prefill"
-        fault = self._draw_fault()
-        self._record_arrival(req, fault not in NOT_RUN_FAULTS and not prefill, prefill)
+        fault = self._draw_fault() or self._draw_own_fault()
+        spoiled |= fault in SPOILING_FAULTS
+        ran = fault not in NOT_RUN_FAULTS and not prefill
+        self._record_arrival(req, ran, prefill, spoiled)
         if self.leaving:
             self.notices.append(self._notice(req, 0.0))
         if self.limit is not None:
@@ -192,7 +204,10 @@
         if fault == "pause":
             self.notices.append(self._notice(req, self.pause_s))
             return self.refusal(retry_after=f"{self.pause_s:.3f}")
-        if fault == "refuse":
+        if fault in ("refuse", "repeat"):
+            if fault == "repeat":
+                self.played["refusals to repeat"] += 1
+                self._refused_socks.add(req.sock)
             return self.refusal()
         if fault == "hang":
             gevent.sleep(HANG_S)
@@ -208,15 +223,26 @@
             return self._stream(req, fault)
         return self._plain(req, fault)
 
+    def _repeat_refusal(self, req):
+        """Repeats the refusal of the last request on a connection, if it is to be.
+
+        Returns:
+            Whether it was sent, and spoils the answer to the request.
+        """
+        if req.sock not in self._refused_socks:
+            return False
+        self._refused_socks.discard(req.sock)
+        self.played["repeated refusals"] += 1
+        send_refusal(req.sock)
+        return True
+
     def _draw_fault(self):
-        number = self.rng.random()
-        for fault, share in self.faults.items():
-            if number < share:
-                return fault
-            number -= share
-        return ""
-
-    def _record_arrival(self, req, ran, prefill):
+        return _draw(self.rng, self.faults)
+
+    def _draw_own_fault(self):
+        return _draw(self.own_rng, self.own_faults) if self.own_faults else ""
+
+    def _record_arrival(self, req, ran, prefill, spoiled):
         self.arrivals.append(
             Arrival(
                 req.headers.get("x-attempt-id", ""),
@@ -227,6 +253,7 @@
                 time.monotonic(),
                 ran,
                 prefill,
+                spoiled,
             )
         )
 
@@ -239,7 +266,7 @@
         body = expected_body(self.name, attempt)
         if fault == "break":
             return self.stamped_reply(req, chunks=(body[:4],), cut=True)
-        extra = _second_answer(self.name) if fault == "extra" else b""
+        extra = second_answer(self.name) if fault == "extra" else b""
         return self.stamped_reply(req, body=body, extra=extra)
 
     def _stream(self, req, fault):
@@ -267,17 +294,11 @@
             yield part
 
 
-def _second_answer(server):
-    """Returns the bytes of an answer that belongs to no request."""
-    body = b"nobody asked " + server.encode()
-    conn = h11.Connection(h11.SERVER)
-    conn.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-    conn.next_event()
-    headers = [
-        ("X-Attempt-Id", "ffffffffffffffff"),
-        ("X-Response-Stamp", f"stamp-{server}"),
-        ("Content-Length", str(len(body))),
-    ]
-    return conn.send(h11.Response(status_code=200, headers=headers)) + conn.send(
-        h11.Data(data=body)
-    )
+def _draw(rng, shares):
+    """Returns the fault that a random number selects by its share, or ""."""
+    number = rng.random()
+    for fault, share in shares.items():
+        if number < share:
+            return fault
+        number -= share
+    return ""
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -26,12 +26,21 @@
 
 @dataclass(frozen=True)
 class ReceivedRequest:
-    """A request that a stand-in received."""
+    """A request that a stand-in received.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Values by lower-case name.
+        body: Whole body.
+        sock: Socket on which it arrived.
+    """
 
     method: str
     target: str
     headers: dict
     body: bytes
+    sock: object = field(default=None, repr=False, compare=False)
 
     @property
     def path(self):
@@ -112,7 +121,7 @@
             event = self._next_event()
         headers = {n.decode(): v.decode() for n, v in head.headers}
         return ReceivedRequest(
-            head.method.decode(), head.target.decode(), headers, body
+            head.method.decode(), head.target.decode(), headers, body, self._sock
         )
 
     def _write(self, reply):
