Let servers of the soak send answers that end with their connection

For two to five seconds a server sends 70% of its answers with neither length nor chunks; three of seven of these end within an event, or with a reset. Plain answers are cut by a reset only, as their end can't be told otherwise. The stand-ins offer such answers.

--- a/amaranthbay/platform/tests/soak/answers.py
+++ b/amaranthbay/platform/tests/soak/answers.py
@@ -1,8 +1,11 @@
 """Answers of servers of the soak that the stand-ins do not offer, byte by byte."""
 
 import h11
+from gevent import socket
 
-__all__ = ["second_answer", "send_refusal"]
+from amaranthbay.platform.tests.soak.links import RESET_OPTION
+
+__all__ = ["reset_at_close", "second_answer", "send_refusal"]
 
 
 def second_answer(server):
@@ -31,3 +34,8 @@
         b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
         b"Content-Length: 0\r\n\r\n"
     )
+
+
+def reset_at_close(sock):
+    """Makes the close of a socket send a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_OPTION)
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -54,6 +54,7 @@
         server_faults.Silence,
         server_faults.RepeatRefusal,
         server_faults.ContinuationError,
+        server_faults.Unframed,
     )
 }
 
--- a/amaranthbay/platform/tests/soak/links.py
+++ b/amaranthbay/platform/tests/soak/links.py
@@ -9,7 +9,7 @@
 
 from amaranthbay.utils.testing import free_port
 
-__all__ = ["Link", "Mode"]
+__all__ = ["RESET_OPTION", "Link", "Mode"]
 
 READ_BYTES = 65536
 # Timeout of a connect, and of the second direction after the first one has ended.
--- a/amaranthbay/platform/tests/soak/server_faults.py
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -22,6 +22,7 @@
     "Replace",
     "ServerFaults",
     "Silence",
+    "Unframed",
 ]
 
 # A server keeps serving at least this long after it announces that it leaves.
@@ -179,11 +180,10 @@
 
 
 class _OwnServerFault(Fault):
-    """A server plays one of its `SoakServer.own_faults` for a while."""
+    """A server plays some of its `SoakServer.own_faults` for a while."""
 
     max_steps = 6
-    NAME = ""
-    SHARE = 0.4
+    SHARES = {}
 
     def targets(self, deployment):
         return list(SERVERS)
@@ -195,23 +195,24 @@
     def inject(self, deployment, step):
         servers = [deployment.servers[place] for place in self.places(step.target)]
         for server in servers:
-            server.own_faults[self.NAME] = self.SHARE
+            server.own_faults.update(self.SHARES)
         gevent.sleep(MIN_OWN_FAULT_S + step.duration_s)
         for server in servers:
-            del server.own_faults[self.NAME]
+            for fault in self.SHARES:
+                del server.own_faults[fault]
 
 
 class RepeatRefusal(_OwnServerFault):
     """A server repeats refusals when the next request has arrived on a connection."""
 
-    NAME = "repeat"
+    SHARES = {"repeat": 0.4}
 
 
 class ContinuationError(_OwnServerFault):
     """Decode servers break off streams and answer continuations with errors."""
 
     max_steps = 2
-    NAME = "continuation"
+    SHARES = {"continuation": 0.4}
 
     def targets(self, deployment):
         return ["decode"]
@@ -220,6 +221,12 @@
         return [place for place, (_, stage) in SERVERS.items() if stage == target]
 
 
+class Unframed(_OwnServerFault):
+    """A server sends answers that end with their connection, some too early."""
+
+    SHARES = {"unframed": 0.4, "unframed_cut": 0.3}
+
+
 class CrashingPart(Fault):
     """A part of some prompts crashes each decode server that answers on it."""
 
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -7,7 +7,11 @@
 
 import gevent
 
-from amaranthbay.platform.tests.soak.answers import second_answer, send_refusal
+from amaranthbay.platform.tests.soak.answers import (
+    reset_at_close,
+    second_answer,
+    send_refusal,
+)
 from amaranthbay.platform.tests.soak.parts import CRASHING_PART, PREFIX_HEADER
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
@@ -28,6 +32,7 @@
 EVENT_COUNT = 4
 # Faults whose answer says that the request was not run.
 NOT_RUN_FAULTS = ("refuse", "pause", "repeat", "continuation")
+UNFRAMED_FAULTS = ("unframed", "unframed_cut")
 # Statuses of the answers to requests that continue a stream.
 ERROR_STATUSES = (400, 404, 409, 422, 429, 500, 502, 503)
 EVENT_INTERVAL_S = 0.04
@@ -140,7 +145,9 @@
         own_faults: Share of the requests that each fault with an own generator hits.
             ``repeat`` refuses a request, and once more when the next one has arrived
             on its connection. ``continuation`` breaks off streams after an event, and
-            answers all requests that continue a stream with an error.
+            answers all requests that continue a stream with an error. ``unframed``
+            answers with neither length nor chunks; ``unframed_cut`` also ends within
+            an event or with a reset.
     """
 
     service: str = ""
@@ -191,7 +198,7 @@
             return self._answer_control(req)
         prefill = req.headers.get("x-serving-stage") == "prefill"
         fault = self._draw_fault() or self._draw_own_fault(req)
-        spoiled |= bool(fault)
+        spoiled |= fault not in ("", "unframed")
         ran = fault not in NOT_RUN_FAULTS and not prefill
         self._record_arrival(req, ran, prefill, spoiled)
         if self.leaving:
@@ -269,6 +276,8 @@
     def _plain(self, req, fault):
         attempt = req.headers.get("x-attempt-id", "")
         body = expected_body(self.name, attempt)
+        if fault in UNFRAMED_FAULTS:
+            return self._unframed(req, (body[:4], body[4:]), fault)
         if fault == "break":
             return self.stamped_reply(req, chunks=(body[:4],), cut=True)
         extra = second_answer(self.name) if fault == "extra" else b""
@@ -283,6 +292,8 @@
             gevent.spawn_later(CRASH_DELAY_S, self.crash, self)
         start = int(req.headers.get("last-event-id", 0)) + 1
         parts = [_event(attempt, number) for number in range(start, EVENT_COUNT + 1)]
+        if fault in UNFRAMED_FAULTS:
+            return self._unframed(req, parts, fault)
         if fault == "break":
             # The last part is an incomplete event.
             parts = [*parts[:1], *(part[:9] for part in parts[1:2])]
@@ -290,6 +301,26 @@
             req, chunks=self._paced(parts), pauses=repeat(0.0), cut=fault == "break"
         )
 
+    def _unframed(self, req, parts, fault):
+        """Returns an answer that ends with its connection.
+
+        Args:
+            req: The `ReceivedRequest`.
+            parts: Parts of the body.
+            fault: One of the `UNFRAMED_FAULTS`.
+        """
+        self.played[f"{fault.replace('_', ' ')} answers"] += 1
+        if fault == "unframed_cut":
+            # The end of a plain answer shows only in the way in which it ends.
+            resets = "x-token-count" not in req.headers or self.own_rng.random() < 0.5
+            whole = self.own_rng.randrange(len(parts))
+            parts = [*parts[:whole], parts[whole][:9]]
+            if resets:
+                reset_at_close(req.sock)
+        return self.stamped_reply(
+            req, chunks=self._paced(parts), pauses=repeat(0.0), unframed=True
+        )
+
     def _continuation_error(self, req):
         self.played["errors at a continuation"] += 1
         status = self.own_rng.choice(ERROR_STATUSES)
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -67,6 +67,8 @@
         cut: Whether the connection is closed before the end of the body.
         raw: Bytes that are sent instead of all the above; then the connection closes.
         extra: Bytes that are sent after the complete answer.
+        unframed: Whether ``chunks`` are sent without chunked encoding, so that the
+            answer ends with the connection.
     """
 
     status: int = 200
@@ -78,6 +80,7 @@
     cut: bool = False
     raw: bytes | None = None
     extra: bytes = b""
+    unframed: bool = False
 
 
 class _Connection:
@@ -134,6 +137,9 @@
         headers = list(reply.headers)
         if reply.chunks is None:
             headers.append(("Content-Length", str(len(reply.body))))
+        if reply.unframed:
+            # To a peer of this version h11 sends the body as it is, and closes.
+            self._http.their_http_version = b"1.0"
         head = h11.Response(status_code=reply.status, headers=headers)
         self._sock.sendall(self._http.send(head))
         parts = reply.chunks if reply.chunks is not None else (reply.body,)
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -147,7 +147,8 @@
     """Guards against a check that misses lost, repeated or missing events."""
     events = expected_events("a1")
     first = events[: events.index(b"id: 2")]
-    for body in (events[len(first) :], first + events, first):
+    within = events[: len(first) + 9]
+    for body in (events[len(first) :], first + events, first, within):
         wrong = exchange("once", body=body)
         case.assertTrue(find(streams_are_in_order, [wrong]), body)
     cut = exchange("once", body=first, complete=False)
