Add odd entries of servers to the soak's store

Another writer adds 44 entries and removes them after a while, up to twice a run: nested 100,000 levels deep, with numbers too large, ports out of range, wrong types or bytes that aren't JSON. processes_are_sound and the check of the recovery judge them.

--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -292,6 +292,16 @@
         self.leaving_since.setdefault(name, time.monotonic())
         self._remove("servers", name)
 
+    def write_odd_entry(self, name, value):
+        """Writes an entry that no server has written.
+
+        Args:
+            name: Key of the entry.
+            value: Its bytes.
+        """
+        self.played["odd entries"] += 1
+        self._write("servers", name, value)
+
     def _write(self, table, key, value):
         self._intended_rows[table, key] = value
         self.store.put(table, key, value)
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -55,6 +55,7 @@
         server_faults.RepeatRefusal,
         server_faults.ContinuationError,
         server_faults.Unframed,
+        store_faults.OddEntries,
     )
 }
 
--- a/amaranthbay/platform/tests/soak/store_faults.py
+++ b/amaranthbay/platform/tests/soak/store_faults.py
@@ -1,15 +1,22 @@
 """Faults of the store and changes of the configuration."""
 
 import gevent
+import msgspec
 
+from amaranthbay.platform.tests.fixtures import server_entry
+from amaranthbay.platform.tests.soak.deployment import SERVERS
 from amaranthbay.platform.tests.soak.process_faults import STORE_SETTLE_S
 from amaranthbay.platform.tests.soak.steps import Fault, choose_by_strength
 
-__all__ = ["Configure", "Restore", "Store"]
+__all__ = ["Configure", "OddEntries", "Restore", "Store"]
 
 LOST_ANSWERS, LATE_WRITE_S = 3, 1.0
 # Longest time until the writers write again after a restore.
 MAX_REWRITE_DELAY_S = 2.0
+ODD_ENTRY_INTERVAL_S = 0.2
+NESTED_LEVELS = 100_000
+# Numbers that fit no machine word, and no floating-point number.
+LARGE_NUMBERS = (b"9" * 30, b"9" * 400, b"1e400")
 
 
 class Store(Fault):
@@ -77,3 +84,39 @@
             service = deployment.versions[-1].service
             deployment.configure("other" if service == "desk" else "desk")
             gevent.sleep(0.3)
+
+
+class OddEntries(Fault):
+    """Another writer adds entries of servers that nobody can read, and removes them."""
+
+    max_steps = 2
+
+    def targets(self, deployment):
+        return ["entries"]
+
+    def inject(self, deployment, step):
+        names = []
+        service, stage = choose_by_strength(
+            sorted(set(SERVERS.values()), key=str), step.strength
+        )
+        for number, value in enumerate(_odd_entries(service, stage)):
+            names.append(f"odd-{step.start_s:.1f}-{number}")
+            deployment.write_odd_entry(names[-1], value)
+            gevent.sleep(ODD_ENTRY_INTERVAL_S * step.strength)
+        gevent.sleep(step.duration_s)
+        for name in names:
+            deployment.remove_entry(name)
+
+
+def _odd_entries(service, stage):
+    """Yields the bytes of entries that each have something odd."""
+    nested = b"[" * NESTED_LEVELS + b"]" * NESTED_LEVELS
+    # Nothing listens at this address.
+    sound = server_entry(service, "127.0.0.1:1", stage)
+    yield from (b"", b"\xff\xfe", b"{", b"null", b"7", b"[]", nested)
+    yield msgspec.json.encode(sound | {"Note": msgspec.Raw(nested)})
+    for field in ("Service", "Address", "State", "Slots", "Sequence"):
+        for raw in (*LARGE_NUMBERS, b"-1", b"null", b"{}"):
+            yield msgspec.json.encode(sound | {field: msgspec.Raw(raw)})
+    for port in (":0", ":-1", ":65536", ":" + "9" * 30, ":x", ""):
+        yield msgspec.json.encode(sound | {"Address": f"127.0.0.1{port}"})
