Keep the soak's modules small and tell its crashing part exactly

Two faults of the new kinds are mended. The id of the crashing part was looked for anywhere in the header, where the random id of a request's own part holds it once in some thousands of requests, so a sound request could crash a server. And a server without events left to send failed with an unhandled ValueError when it was to cut an unframed answer.

--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -1,27 +1,27 @@
 """The deployment of a soak run: processes, store, backend servers and links."""
 
-import os
 import random
-import signal
-import subprocess
-import sys
 import tempfile
 import time
 from collections import Counter
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import gevent
 import msgspec
 
-from amaranthbay.platform.boot import BOOT_PATH_VARIABLE
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     route,
     server_entry,
 )
 from amaranthbay.platform.tests.soak.links import Link
+from amaranthbay.platform.tests.soak.processes import (
+    GRACE_S,
+    RESTART_DELAY_S,
+    EntryProcess,
+)
 from amaranthbay.platform.tests.soak.servers import SoakServer
 from amaranthbay.platform.tests.standins import StoreStandin, serve_http
 from amaranthbay.utils.testing import free_port, free_port_pair
@@ -35,16 +35,12 @@
     "InjectedFault",
 ]
 
-ROOT = Path(__file__).resolve().parents[4]
 ZONES = {"zone-a": "region-1", "zone-b": "region-1"}
 # Settings of the processes, which the checks of a run also use.
-GRACE_S = 4.0
 MEMORY_MB = 150
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
 RETRY_ALLOWANCE = 20
-RESTART_DELAY_S = 0.3
-EXIT_TIMEOUT_S = GRACE_S + 2.0
 # Time for which a crashed server is down, and in which the crash may have effects after
 # that.
 MIN_DOWN_S, MAX_DOWN_S = 1.0, 2.0
@@ -98,43 +94,6 @@
     written_at: float
 
 
-@dataclass
-class EntryProcess:
-    """An entry process that is started again each time it ends.
-
-    Attributes:
-        name: Name of its instance.
-        boot_path: Path of its boot file.
-        log_path: Path of the file with its output.
-        caller_link: `Link` from callers to the process.
-        store_link: `Link` from the process to the store.
-        lookup_address: Address at which it answers lookups.
-        popen: The process that runs or ran last.
-        log_offset: Size of the log when that process was started, in bytes.
-        restarted_by_fault: Whether a fault ends the process and starts it again, so
-            that `Deployment.supervise` must not.
-        exit_codes: Exit codes of processes that had begun to serve and weren't killed;
-            None for one that did not end in time.
-    """
-
-    name: str
-    boot_path: Path
-    log_path: Path
-    caller_link: Link
-    store_link: Link
-    lookup_address: str
-    popen: subprocess.Popen = None
-    log_offset: int = 0
-    restarted_by_fault: bool = False
-    exit_codes: list = field(default_factory=list)
-
-    def has_started(self):
-        """Returns whether the last process has logged that it serves."""
-        with open(self.log_path, "rb") as log:
-            log.seek(self.log_offset)
-            return b'"event":"started"' in log.read()
-
-
 class Deployment:
     """A deployment on loopback; a context manager that starts and ends it.
 
@@ -345,7 +304,7 @@
             self._stack.callback(link.close)
         self._write_boot(process, zone, ports)
         self.processes[name] = process
-        self.start(name)
+        process.start()
 
     def _write_boot(self, process, zone, ports):
         listen = "\n".join(f'{key} = "127.0.0.1:{port}"' for key, port in ports.items())
@@ -362,80 +321,18 @@
             f'[Platform]\nAddress = "{process.store_link.address}"\n'
         )
 
-    def start(self, name):
-        """Starts a process that does not run."""
-        process = self.processes[name]
-        environ = dict(os.environ) | {
-            BOOT_PATH_VARIABLE: str(process.boot_path),
-            "PYTHONPATH": str(ROOT),
-            "PYTHONDONTWRITEBYTECODE": "1",
-        }
-        command = [sys.executable, "-m", "amaranthbay", "entry"]
-        with open(process.log_path, "ab") as log:
-            process.log_offset = log.tell()
-            process.popen = subprocess.Popen(
-                command, stdout=log, stderr=log, env=environ
-            )
-
     def supervise(self):
         """Restarts processes that ended without a fault; runs until it is killed."""
         while True:
-            for name, process in self.processes.items():
+            for process in self.processes.values():
                 code = process.popen.poll()
                 if code is None or process.restarted_by_fault:
                     continue
                 if process.has_started():
                     process.exit_codes.append(code)
-                self.start(name)
+                process.start()
             gevent.sleep(RESTART_DELAY_S)
 
-    def signal(self, name, signum):
-        """Sends a signal to a process that still runs."""
-        popen = self.processes[name].popen
-        if popen.poll() is None:
-            popen.send_signal(signum)
-
-    def wait_exit(self, name, timeout_s):
-        """Waits for a process to end; returns its exit code, None after the timeout."""
-        popen = self.processes[name].popen
-        ends_at = time.monotonic() + timeout_s
-        while popen.poll() is None and time.monotonic() < ends_at:
-            gevent.sleep(0.02)
-        return popen.poll()
-
-    def kill_and_restart(self, name):
-        """Kills a process and starts it again."""
-        process = self.processes[name]
-        process.restarted_by_fault = True
-        self.kill(name)
-        gevent.sleep(RESTART_DELAY_S)
-        self.start(name)
-        process.restarted_by_fault = False
-
-    def kill(self, name):
-        """Kills a process and waits for its end."""
-        self.signal(name, signal.SIGKILL)
-        self.wait_exit(name, EXIT_TIMEOUT_S)
-
-    def stop_and_restart(self, name):
-        """Ends a process with SIGTERM and starts it again.
-
-        Its exit code is recorded only if it had begun to serve: before that, the
-        default action of the signal ends it, and no request is lost.
-        """
-        process = self.processes[name]
-        process.restarted_by_fault = True
-        has_started = process.has_started()
-        self.signal(name, signal.SIGTERM)
-        code = self.wait_exit(name, EXIT_TIMEOUT_S)
-        if has_started:
-            process.exit_codes.append(code)
-        if code is None:
-            self.kill(name)
-        gevent.sleep(RESTART_DELAY_S)
-        self.start(name)
-        process.restarted_by_fault = False
-
     def record_fault(self, target, kind, started_at, settle_s):
         """Records a fault that has just ended.
 
--- a/amaranthbay/platform/tests/soak/process_faults.py
+++ b/amaranthbay/platform/tests/soak/process_faults.py
@@ -31,11 +31,12 @@
     """A process is suspended with SIGSTOP, several times if the strength is high."""
 
     def inject(self, deployment, step):
+        process = deployment.processes[step.target]
         times = 1 + int(step.strength * 4)
         for _ in range(times):
-            deployment.signal(step.target, signal.SIGSTOP)
+            process.signal(signal.SIGSTOP)
             gevent.sleep(step.duration_s / times)
-            deployment.signal(step.target, signal.SIGCONT)
+            process.signal(signal.SIGCONT)
             gevent.sleep(0.05)
 
 
@@ -45,7 +46,7 @@
     settle_s = START_S
 
     def inject(self, deployment, step):
-        deployment.kill_and_restart(step.target)
+        deployment.processes[step.target].kill_and_restart()
 
 
 class KillAll(Fault):
@@ -58,8 +59,8 @@
 
     def inject(self, deployment, step):
         jobs = [
-            gevent.spawn(deployment.kill_and_restart, name)
-            for name in deployment.processes
+            gevent.spawn(process.kill_and_restart)
+            for process in deployment.processes.values()
         ]
         gevent.joinall(jobs)
 
@@ -70,7 +71,7 @@
     settle_s = START_S
 
     def inject(self, deployment, step):
-        deployment.stop_and_restart(step.target)
+        deployment.processes[step.target].stop_and_restart()
 
 
 class Reload(Fault):
@@ -79,10 +80,11 @@
     settle_s = 0.0
 
     def inject(self, deployment, step):
-        path = deployment.processes[step.target].boot_path
+        process = deployment.processes[step.target]
+        path = process.boot_path
         text = path.read_text().replace("LinkMbps = 1000.0", "LinkMbps = 900.0")
         path.write_text(text)
-        deployment.signal(step.target, signal.SIGHUP)
+        process.signal(signal.SIGHUP)
 
 
 class _LinkFault(Fault):
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -16,13 +16,14 @@
     send,
 )
 from amaranthbay.platform.tests.soak.checks import find_violations
-from amaranthbay.platform.tests.soak.deployment import EXIT_TIMEOUT_S, Deployment
+from amaranthbay.platform.tests.soak.deployment import Deployment
 from amaranthbay.platform.tests.soak.faults import (
     draw_limits,
     draw_own_steps,
     draw_steps,
     run_steps,
 )
+from amaranthbay.platform.tests.soak.processes import EXIT_TIMEOUT_S
 from amaranthbay.utils.testing import wait_until
 
 __all__ = ["Outcome", "run_seed"]
@@ -164,11 +165,11 @@
 
 def _stop_processes(deployment):
     """Stops all processes with SIGTERM; returns a violation for each that fails."""
-    for name in deployment.processes:
-        deployment.signal(name, signal.SIGTERM)
+    for process in deployment.processes.values():
+        process.signal(signal.SIGTERM)
     violations = []
-    for name in deployment.processes:
-        code = deployment.wait_exit(name, EXIT_TIMEOUT_S)
+    for process in deployment.processes.values():
+        code = process.wait_exit(EXIT_TIMEOUT_S)
         if code != 0:
-            violations.append(f"{name} exited with {code} after SIGTERM")
+            violations.append(f"{process.name} exited with {code} after SIGTERM")
     return violations
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -39,8 +39,6 @@
 # Time from the head of an answer to the crash of its server, in half of the crashes; in
 # the others the server crashes before the head.
 CRASH_DELAY_S = 1.5 * EVENT_INTERVAL_S
-
-
 # Moments at which a server falls silent.
 BEFORE_ANSWER, BETWEEN_EVENTS = "before an answer", "between events"
 
@@ -285,7 +283,7 @@
 
     def _stream(self, req, fault):
         attempt = req.headers.get("x-attempt-id", "")
-        if CRASHING_PART in req.headers.get(PREFIX_HEADER.lower(), ""):
+        if f",{CRASHING_PART}:" in req.headers.get(PREFIX_HEADER.lower(), ""):
             if self.own_rng.random() < 0.5:
                 self.crash(self)
                 return None
@@ -310,7 +308,7 @@
             fault: One of the `UNFRAMED_FAULTS`.
         """
         self.played[f"{fault.replace('_', ' ')} answers"] += 1
-        if fault == "unframed_cut":
+        if fault == "unframed_cut" and parts:
             # The end of a plain answer shows only in the way in which it ends.
             resets = "x-token-count" not in req.headers or self.own_rng.random() < 0.5
             whole = self.own_rng.randrange(len(parts))
