--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -1,42 +1,50 @@
 """The deployment of a soak run: processes, store, backend servers and links."""
 
-import os
 import random
-import signal
-import subprocess
-import sys
 import tempfile
 import time
+from collections import Counter
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import gevent
 import msgspec
 
-from amaranthbay.platform.boot import BOOT_PATH_VARIABLE
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     route,
     server_entry,
 )
 from amaranthbay.platform.tests.soak.links import Link
+from amaranthbay.platform.tests.soak.processes import (
+    GRACE_S,
+    RESTART_DELAY_S,
+    EntryProcess,
+)
 from amaranthbay.platform.tests.soak.servers import SoakServer
 from amaranthbay.platform.tests.standins import StoreStandin, serve_http
 from amaranthbay.utils.testing import free_port, free_port_pair
 
-__all__ = ["SERVERS", "ZONES", "ConfigurationVersion", "Deployment", "InjectedFault"]
+__all__ = [
+    "MODEL_PLACES",
+    "SERVERS",
+    "ZONES",
+    "ConfigurationVersion",
+    "Deployment",
+    "InjectedFault",
+]
 
-ROOT = Path(__file__).resolve().parents[4]
 ZONES = {"zone-a": "region-1", "zone-b": "region-1"}
 # Settings of the processes, which the checks of a run also use.
-GRACE_S = 4.0
 MEMORY_MB = 150
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
 RETRY_ALLOWANCE = 20
-RESTART_DELAY_S = 0.3
-EXIT_TIMEOUT_S = GRACE_S + 2.0
+# Time for which a crashed server is down, and in which the crash may have effects after
+# that.
+MIN_DOWN_S, MAX_DOWN_S = 1.0, 2.0
+CRASH_SETTLE_S = 1.5
 
 # Service and stage of the server at each place. A place is a fixed address at which
 # one server after another runs.
@@ -51,6 +59,7 @@
     "dec-1": ("lm", "decode"),
     "dec-2": ("lm", "decode"),
 }
+MODEL_PLACES = tuple(place for place, (_, stage) in SERVERS.items() if stage)
 
 
 @dataclass(frozen=True)
@@ -85,43 +94,6 @@
     written_at: float
 
 
-@dataclass
-class EntryProcess:
-    """An entry process that is started again each time it ends.
-
-    Attributes:
-        name: Name of its instance.
-        boot_path: Path of its boot file.
-        log_path: Path of the file with its output.
-        caller_link: `Link` from callers to the process.
-        store_link: `Link` from the process to the store.
-        lookup_address: Address at which it answers lookups.
-        popen: The process that runs or ran last.
-        log_offset: Size of the log when that process was started, in bytes.
-        restarted_by_fault: Whether a fault ends the process and starts it again, so
-            that `Deployment.supervise` must not.
-        exit_codes: Exit codes of processes that had begun to serve and weren't killed;
-            None for one that did not end in time.
-    """
-
-    name: str
-    boot_path: Path
-    log_path: Path
-    caller_link: Link
-    store_link: Link
-    lookup_address: str
-    popen: subprocess.Popen = None
-    log_offset: int = 0
-    restarted_by_fault: bool = False
-    exit_codes: list = field(default_factory=list)
-
-    def has_started(self):
-        """Returns whether the last process has logged that it serves."""
-        with open(self.log_path, "rb") as log:
-            log.seek(self.log_offset)
-            return b'"event":"started"' in log.read()
-
-
 class Deployment:
     """A deployment on loopback; a context manager that starts and ends it.
 
@@ -137,6 +109,10 @@
             leaves, by name of the server.
         peaks_mb: Peak memory of each process at the end of the run.
         former_servers: Each `SoakServer` that has been replaced at its place.
+        sends_crashing_part: Whether callers send requests that crash decode servers.
+        crashed_at: Monotonic time of each crash of a decode server.
+        played: Number of times that each kind of fault with an own generator was
+            played, by what was counted.
     """
 
     def __init__(self, seed, processes=3, folder=None):
@@ -157,6 +133,11 @@
         self.leaving_since = {}
         self.peaks_mb = {}
         self.former_servers = []
+        self.sends_crashing_part = False
+        self.crashed_at = []
+        self.played = Counter()
+        self._seed = seed
+        self._crash_jobs = []
         self._process_count = processes
         self._folder = folder
         self._stack = ExitStack()
@@ -218,6 +199,9 @@
             stage=stage,
             service=service,
             rng=random.Random(self.rng.random()),
+            own_rng=random.Random(f"{self._seed} {name}"),
+            played=self.played,
+            crash=lambda server: self._spawn_crash(place, server),
         )
         if place in self.servers:
             self.former_servers.append(self.servers[place])
@@ -230,6 +214,29 @@
         entry = server_entry(server.service, address, server.stage, state)
         self._write("servers", server.name, entry)
 
+    def _spawn_crash(self, place, server):
+        if not server.crashed:
+            server.crashed = True
+            self._crash_jobs.append(gevent.spawn(self._crash, place, server))
+
+    def _crash(self, place, server):
+        """Crashes a server; after a while it is back under a new name."""
+        started_at = time.monotonic()
+        self.crashed_at.append(started_at)
+        self.played["crashes"] += 1
+        self.links[place].go_down()
+        gevent.sleep(server.own_rng.uniform(MIN_DOWN_S, MAX_DOWN_S))
+        self.links[place].come_up()
+        # Another fault may have started a server at the place in the meantime.
+        if self.servers[place] is server:
+            self.start_server(place, server.service, server.stage)
+        self.remove_entry(server.name)
+        self.record_fault(place, "CrashingPart", started_at, CRASH_SETTLE_S)
+
+    def join_crashes(self):
+        """Waits until each server that has crashed is back."""
+        gevent.joinall(self._crash_jobs, raise_error=True)
+
     def drain_server(self, place):
         """Marks the entry of the server at a place as draining."""
         self._write_entry(place, "draining")
@@ -244,6 +251,16 @@
         self.leaving_since.setdefault(name, time.monotonic())
         self._remove("servers", name)
 
+    def write_odd_entry(self, name, value):
+        """Writes an entry that no server has written.
+
+        Args:
+            name: Key of the entry.
+            value: Its bytes.
+        """
+        self.played["odd entries"] += 1
+        self._write("servers", name, value)
+
     def _write(self, table, key, value):
         self._intended_rows[table, key] = value
         self.store.put(table, key, value)
@@ -287,7 +304,7 @@
             self._stack.callback(link.close)
         self._write_boot(process, zone, ports)
         self.processes[name] = process
-        self.start(name)
+        process.start()
 
     def _write_boot(self, process, zone, ports):
         listen = "\n".join(f'{key} = "127.0.0.1:{port}"' for key, port in ports.items())
@@ -304,80 +321,18 @@
             f'[Platform]\nAddress = "{process.store_link.address}"\n'
         )
 
-    def start(self, name):
-        """Starts a process that does not run."""
-        process = self.processes[name]
-        environ = dict(os.environ) | {
-            BOOT_PATH_VARIABLE: str(process.boot_path),
-            "PYTHONPATH": str(ROOT),
-            "PYTHONDONTWRITEBYTECODE": "1",
-        }
-        command = [sys.executable, "-m", "amaranthbay", "entry"]
-        with open(process.log_path, "ab") as log:
-            process.log_offset = log.tell()
-            process.popen = subprocess.Popen(
-                command, stdout=log, stderr=log, env=environ
-            )
-
     def supervise(self):
         """Restarts processes that ended without a fault; runs until it is killed."""
         while True:
-            for name, process in self.processes.items():
+            for process in self.processes.values():
                 code = process.popen.poll()
                 if code is None or process.restarted_by_fault:
                     continue
                 if process.has_started():
                     process.exit_codes.append(code)
-                self.start(name)
+                process.start()
             gevent.sleep(RESTART_DELAY_S)
 
-    def signal(self, name, signum):
-        """Sends a signal to a process that still runs."""
-        popen = self.processes[name].popen
-        if popen.poll() is None:
-            popen.send_signal(signum)
-
-    def wait_exit(self, name, timeout_s):
-        """Waits for a process to end; returns its exit code, None after the timeout."""
-        popen = self.processes[name].popen
-        ends_at = time.monotonic() + timeout_s
-        while popen.poll() is None and time.monotonic() < ends_at:
-            gevent.sleep(0.02)
-        return popen.poll()
-
-    def kill_and_restart(self, name):
-        """Kills a process and starts it again."""
-        process = self.processes[name]
-        process.restarted_by_fault = True
-        self.kill(name)
-        gevent.sleep(RESTART_DELAY_S)
-        self.start(name)
-        process.restarted_by_fault = False
-
-    def kill(self, name):
-        """Kills a process and waits for its end."""
-        self.signal(name, signal.SIGKILL)
-        self.wait_exit(name, EXIT_TIMEOUT_S)
-
-    def stop_and_restart(self, name):
-        """Ends a process with SIGTERM and starts it again.
-
-        Its exit code is recorded only if it had begun to serve: before that, the
-        default action of the signal ends it, and no request is lost.
-        """
-        process = self.processes[name]
-        process.restarted_by_fault = True
-        has_started = process.has_started()
-        self.signal(name, signal.SIGTERM)
-        code = self.wait_exit(name, EXIT_TIMEOUT_S)
-        if has_started:
-            process.exit_codes.append(code)
-        if code is None:
-            self.kill(name)
-        gevent.sleep(RESTART_DELAY_S)
-        self.start(name)
-        process.restarted_by_fault = False
-
     def record_fault(self, target, kind, started_at, settle_s):
         """Records a fault that has just ended.
 
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -2,13 +2,22 @@
 
 import time
 from dataclasses import dataclass, field
+from itertools import repeat
+from weakref import WeakSet
 
 import gevent
-import h11
 
+from amaranthbay.platform.tests.soak.answers import (
+    reset_at_close,
+    second_answer,
+    send_refusal,
+)
+from amaranthbay.platform.tests.soak.parts import CRASHING_PART, PREFIX_HEADER
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
 __all__ = [
+    "BEFORE_ANSWER",
+    "BETWEEN_EVENTS",
     "Arrival",
     "NamedLimit",
     "Notice",
@@ -22,8 +31,16 @@
 MAX_WORK_S = 0.08
 EVENT_COUNT = 4
 # Faults whose answer says that the request was not run.
-NOT_RUN_FAULTS = ("refuse", "pause")
+NOT_RUN_FAULTS = ("refuse", "pause", "repeat", "continuation")
+UNFRAMED_FAULTS = ("unframed", "unframed_cut")
+# Statuses of the answers to requests that continue a stream.
+ERROR_STATUSES = (400, 404, 409, 422, 429, 500, 502, 503)
 EVENT_INTERVAL_S = 0.04
+# Time from the head of an answer to the crash of its server, in half of the crashes; in
+# the others the server crashes before the head.
+CRASH_DELAY_S = 1.5 * EVENT_INTERVAL_S
+# Moments at which a server falls silent.
+BEFORE_ANSWER, BETWEEN_EVENTS = "before an answer", "between events"
 
 
 @dataclass(frozen=True)
@@ -39,6 +56,7 @@
         arrived_at: Monotonic time of its arrival.
         ran: Whether the server ran it; a prefill doesn't count as a run.
         prefill: Whether it asked for a prefill only.
+        spoiled: Whether the server spoiled or broke off the answer on purpose.
     """
 
     attempt: str
@@ -49,6 +67,7 @@
     arrived_at: float
     ran: bool
     prefill: bool
+    spoiled: bool = False
 
 
 @dataclass(frozen=True)
@@ -114,6 +133,19 @@
         pause_s: Seconds of the pause that the fault ``pause`` asks for.
         notices: `Notice` of each answer that announced a departure or a pause.
         named_limits: `NamedLimit` of each answer to a request while it has a limit.
+        own_rng: `random.Random` that draws the faults which `faults` does not hold.
+        played: `collections.Counter` of these faults, which all servers share.
+        crash: Function that crashes the server, which is its argument.
+        crashed: Whether it has crashed; it then answers nothing.
+        next_silence: When its next silence begins, `BEFORE_ANSWER` or `BETWEEN_EVENTS`,
+            and its seconds; None for no silence.
+        silent_until: Monotonic time until which it sends nothing.
+        own_faults: Share of the requests that each fault with an own generator hits.
+            ``repeat`` refuses a request, and once more when the next one has arrived
+            on its connection. ``continuation`` breaks off streams after an event, and
+            answers all requests that continue a stream with an error. ``unframed``
+            answers with neither length nor chunks; ``unframed_cut`` also ends within
+            an event or with a reset.
     """
 
     service: str = ""
@@ -123,15 +155,50 @@
     pause_s: float = 0.0
     notices: list = field(default_factory=list)
     named_limits: list = field(default_factory=list)
+    own_rng: object = None
+    played: object = None
+    crash: object = None
+    crashed: bool = False
+    next_silence: tuple | None = None
+    silent_until: float = 0.0
+    own_faults: dict = field(default_factory=dict)
+    # Connections on which the refusal of the last request is sent once more.
+    _refused_socks: WeakSet = field(default_factory=WeakSet)
+
+    def answer(self, req):
+        reply = super().answer(req)
+        self._wait_while_silent(BEFORE_ANSWER)
+        return reply
+
+    def _wait_while_silent(self, moment):
+        """Waits until the server sends again.
+
+        Args:
+            moment: `BEFORE_ANSWER` or `BETWEEN_EVENTS`.
+        """
+        if self.next_silence is not None and self.next_silence[0] == moment:
+            self.silent_until = time.monotonic() + self.next_silence[1]
+            self.next_silence = None
+        left_s = self.silent_until - time.monotonic()
+        if left_s > 0:
+            self.played[f"silences {moment}"] += 1
+        while left_s > 0:
+            gevent.sleep(left_s)
+            left_s = self.silent_until - time.monotonic()
 
     def _reply(self, req):
+        if self.crashed:
+            return None
+        spoiled = self._repeat_refusal(req)
         if req.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421, (("X-Instance-Id", self.name),))
         if self._is_control(req):
             return self._answer_control(req)
         prefill = req.headers.get("x-serving-stage") == "prefill"
-        fault = self._draw_fault()
-        self._record_arrival(req, fault not in NOT_RUN_FAULTS and not prefill, prefill)
+        fault = self._draw_fault() or self._draw_own_fault(req)
+        spoiled |= fault not in ("", "unframed")
+        ran = fault not in NOT_RUN_FAULTS and not prefill
+        self._record_arrival(req, ran, prefill, spoiled)
         if self.leaving:
             self.notices.append(self._notice(req, 0.0))
         if self.limit is not None:
@@ -142,7 +209,10 @@
         if fault == "pause":
             self.notices.append(self._notice(req, self.pause_s))
             return self.refusal(retry_after=f"{self.pause_s:.3f}")
-        if fault == "refuse":
+        if fault in ("refuse", "repeat"):
+            if fault == "repeat":
+                self.played["refusals to repeat"] += 1
+                self._refused_socks.add(req.sock)
             return self.refusal()
         if fault == "hang":
             gevent.sleep(HANG_S)
@@ -150,6 +220,8 @@
         gevent.sleep(self.rng.uniform(0.0, MAX_WORK_S))
         if fault == "error":
             return self.stamped_reply(req, 500, body=b"failed")
+        if fault == "continuation":
+            return self._continuation_error(req)
         if fault == "cut":
             return None
         if prefill:
@@ -158,15 +230,29 @@
             return self._stream(req, fault)
         return self._plain(req, fault)
 
+    def _repeat_refusal(self, req):
+        """Repeats the refusal of the last request on a connection, if it is to be.
+
+        Returns:
+            Whether it was sent, and spoils the answer to the request.
+        """
+        if req.sock not in self._refused_socks:
+            return False
+        self._refused_socks.discard(req.sock)
+        self.played["repeated refusals"] += 1
+        send_refusal(req.sock)
+        return True
+
     def _draw_fault(self):
-        number = self.rng.random()
-        for fault, share in self.faults.items():
-            if number < share:
-                return fault
-            number -= share
-        return ""
-
-    def _record_arrival(self, req, ran, prefill):
+        return _draw(self.rng, self.faults)
+
+    def _draw_own_fault(self, req):
+        if "continuation" in self.own_faults and "last-event-id" in req.headers:
+            return "continuation"
+        fault = _draw(self.own_rng, self.own_faults) if self.own_faults else ""
+        return "break" if fault == "continuation" else fault
+
+    def _record_arrival(self, req, ran, prefill, spoiled):
         self.arrivals.append(
             Arrival(
                 req.headers.get("x-attempt-id", ""),
@@ -177,6 +263,7 @@
                 time.monotonic(),
                 ran,
                 prefill,
+                spoiled,
             )
         )
 
@@ -187,34 +274,72 @@
     def _plain(self, req, fault):
         attempt = req.headers.get("x-attempt-id", "")
         body = expected_body(self.name, attempt)
+        if fault in UNFRAMED_FAULTS:
+            return self._unframed(req, (body[:4], body[4:]), fault)
         if fault == "break":
             return self.stamped_reply(req, chunks=(body[:4],), cut=True)
-        extra = _second_answer(self.name) if fault == "extra" else b""
+        extra = second_answer(self.name) if fault == "extra" else b""
         return self.stamped_reply(req, body=body, extra=extra)
 
     def _stream(self, req, fault):
         attempt = req.headers.get("x-attempt-id", "")
+        if f",{CRASHING_PART}:" in req.headers.get(PREFIX_HEADER.lower(), ""):
+            if self.own_rng.random() < 0.5:
+                self.crash(self)
+                return None
+            gevent.spawn_later(CRASH_DELAY_S, self.crash, self)
         start = int(req.headers.get("last-event-id", 0)) + 1
         parts = [_event(attempt, number) for number in range(start, EVENT_COUNT + 1)]
+        if fault in UNFRAMED_FAULTS:
+            return self._unframed(req, parts, fault)
         if fault == "break":
             # The last part is an incomplete event.
             parts = [*parts[:1], *(part[:9] for part in parts[1:2])]
         return self.stamped_reply(
-            req, chunks=tuple(parts), pause_s=EVENT_INTERVAL_S, cut=fault == "break"
+            req, chunks=self._paced(parts), pauses=repeat(0.0), cut=fault == "break"
         )
 
+    def _unframed(self, req, parts, fault):
+        """Returns an answer that ends with its connection.
+
+        Args:
+            req: The `ReceivedRequest`.
+            parts: Parts of the body.
+            fault: One of the `UNFRAMED_FAULTS`.
+        """
+        self.played[f"{fault.replace('_', ' ')} answers"] += 1
+        if fault == "unframed_cut" and parts:
+            # The end of a plain answer shows only in the way in which it ends.
+            resets = "x-token-count" not in req.headers or self.own_rng.random() < 0.5
+            whole = self.own_rng.randrange(len(parts))
+            parts = [*parts[:whole], parts[whole][:9]]
+            if resets:
+                reset_at_close(req.sock)
+        return self.stamped_reply(
+            req, chunks=self._paced(parts), pauses=repeat(0.0), unframed=True
+        )
 
-def _second_answer(server):
-    """Returns the bytes of an answer that belongs to no request."""
-    body = b"nobody asked " + server.encode()
-    conn = h11.Connection(h11.SERVER)
-    conn.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-    conn.next_event()
-    headers = [
-        ("X-Attempt-Id", "ffffffffffffffff"),
-        ("X-Response-Stamp", f"stamp-{server}"),
-        ("Content-Length", str(len(body))),
-    ]
-    return conn.send(h11.Response(status_code=200, headers=headers)) + conn.send(
-        h11.Data(data=body)
-    )
+    def _continuation_error(self, req):
+        self.played["errors at a continuation"] += 1
+        status = self.own_rng.choice(ERROR_STATUSES)
+        text = b"the stream can't be continued\n\n"
+        framing = self.own_rng.choice(({"body": text}, {"chunks": (text,)}))
+        return self.stamped_reply(req, status, **framing)
+
+    def _paced(self, parts):
+        """Yields each part at the time at which the server sends it."""
+        for number, part in enumerate(parts):
+            gevent.sleep(EVENT_INTERVAL_S)
+            if number:
+                self._wait_while_silent(BETWEEN_EVENTS)
+            yield part
+
+
+def _draw(rng, shares):
+    """Returns the fault that a random number selects by its share, or ""."""
+    number = rng.random()
+    for fault, share in shares.items():
+        if number < share:
+            return fault
+        number -= share
+    return ""
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -27,12 +27,21 @@
 
 @dataclass(frozen=True)
 class ReceivedRequest:
-    """A request that a stand-in received."""
+    """A request that a stand-in received.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Values by lower-case name.
+        body: Whole body.
+        sock: Socket on which it arrived.
+    """
 
     method: str
     target: str
     headers: dict
     body: bytes
+    sock: object = field(default=None, repr=False, compare=False)
 
     @property
     def path(self):
@@ -63,6 +72,8 @@
         extra: Bytes that are sent after the complete answer.
         repeats: Number of the latest whole answers on the connection that are sent once
             more before this one.
+        unframed: Whether ``chunks`` are sent without chunked encoding, so that the
+            answer ends with the connection.
     """
 
     status: int = 200
@@ -76,6 +87,7 @@
     reset: bool = False
     extra: bytes = b""
     repeats: int = 0
+    unframed: bool = False
 
 
 class _Connection:
@@ -120,7 +132,7 @@
             event = self._next_event()
         headers = {n.decode(): v.decode() for n, v in head.headers}
         return ReceivedRequest(
-            head.method.decode(), head.target.decode(), headers, body
+            head.method.decode(), head.target.decode(), headers, body, self._sock
         )
 
     def _write(self, reply):
@@ -141,6 +153,9 @@
         headers = list(reply.headers)
         if reply.chunks is None:
             headers.append(("Content-Length", str(len(reply.body))))
+        if reply.unframed:
+            # To a peer of this version h11 sends the body as it is, and closes.
+            self._http.their_http_version = b"1.0"
         head = self._http.send(h11.Response(status_code=reply.status, headers=headers))
         self._sock.sendall(head)
         parts = reply.chunks if reply.chunks is not None else (reply.body,)
