Let several tests run an entry process

Tests of rows from other writers need a process of its own, as test_process_serves_and_stops_on_sigterm does. Its setup moves to the fixtures; the test checks the same events and exit code as before.

--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -1,11 +1,17 @@
 """Fixtures: an entry daemon in this process, with stand-ins for the platform."""
 
 import contextlib
+import os
 import random
+import subprocess
+import sys
 from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import gevent
 import h11
+import msgspec
 from gevent import socket
 
 from amaranthbay.daemon.entry import EntryDaemon
@@ -18,13 +24,40 @@
 )
 from amaranthbay.utils.testing import free_port, wait_until
 
-__all__ = ["Answer", "EntryFixture", "call", "call_raw", "read_answer", "entry_fixture"]
-
+__all__ = [
+    "Answer",
+    "EntryFixture",
+    "EntryProcess",
+    "call",
+    "call_raw",
+    "entry_fixture",
+    "entry_process",
+    "read_answer",
+]
+
+ROOT = Path(__file__).resolve().parents[3]
 HOST = "shop.example"
 READ_BYTES = 65536
 ANSWER_TIMEOUT_S = 10.0
 
 
+BOOT_FILE = """
+NodeName = "n-1"
+Ip = "127.0.0.1"
+Zone = "z"
+Region = "r"
+InternalPorts = [{peer}, {peer}]
+[Listen]
+Front = "127.0.0.1:{front}"
+Ready = "127.0.0.1:{ready}"
+Directory = "127.0.0.1:{directory}"
+[Platform]
+Address = "{store}"
+[Bounds]
+GraceS = 3
+"""
+
+
 @dataclass(frozen=True)
 class Answer:
     """An answer that a caller received.
@@ -234,6 +267,60 @@
         yield fixture
 
 
+@dataclass(frozen=True)
+class EntryProcess:
+    """An entry process of the program, on loopback.
+
+    Attributes:
+        process: `subprocess.Popen` of it.
+        address: Address to which callers connect.
+        peer_address: UDP address for the reports of other instances.
+        log_path: Path of its log.
+    """
+
+    process: subprocess.Popen
+    address: str
+    peer_address: str
+    log_path: Path
+
+    def log_lines(self):
+        """Returns the decoded lines of its log."""
+        lines = self.log_path.read_bytes().splitlines()
+        return [msgspec.json.decode(line) for line in lines]
+
+
+@contextlib.contextmanager
+def entry_process(store_address):
+    """Runs the program as its own process; yields its `EntryProcess` when ready.
+
+    Args:
+        store_address: Host and port of the store.
+    """
+    ports = {name: free_port() for name in ("peer", "front", "ready", "directory")}
+    with TemporaryDirectory() as folder:
+        boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
+        boot_path.write_text(BOOT_FILE.format(store=store_address, **ports))
+        with open(log_path, "wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "amaranthbay", "entry"],
+                cwd=ROOT,
+                env=os.environ | {"AMARANTHBAY_BOOT": str(boot_path)},
+                stdout=log,
+                stderr=log,
+            )
+        try:
+            wait_until(lambda: _status(f"127.0.0.1:{ports['ready']}") == 200)
+            yield EntryProcess(
+                process,
+                f"127.0.0.1:{ports['front']}",
+                f"127.0.0.1:{ports['peer']}",
+                log_path,
+            )
+        finally:
+            process.kill()
+            process.wait()
+
+
 def request(path, method="GET", body=b"", headers=(), host=HOST, attempt="a1"):
     """Returns the bytes of a caller's request."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
@@ -301,3 +388,12 @@
 def spawn_call(fixture, *args, **kwargs):
     """Starts a `call` in a greenlet whose value is the `Answer`."""
     return gevent.spawn(call, fixture, *args, **kwargs)
+
+
+def _status(address):
+    try:
+        with connect(address) as sock:
+            sock.sendall(request("/ready", host="daemon"))
+            return read_answer(sock).status
+    except OSError:
+        return None
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -1,13 +1,8 @@
 """An entry daemon and its fleet: store, configuration, lookups, drain and leases."""
 
-import os
 import random
 import signal
-import subprocess
-import sys
 from dataclasses import replace
-from pathlib import Path
-from tempfile import TemporaryDirectory
 
 import gevent
 import msgspec
@@ -26,17 +21,16 @@
     configuration,
     connect,
     entry_fixture,
+    entry_process,
     make_settings,
-    read_answer,
     request,
     spawn_call,
 )
 from amaranthbay.platform.tests.standins import StoreStandin, serve_http
 from amaranthbay.platform.types import CommitState, Write
 from amaranthbay.state.leases import LeaseStore
-from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
-ROOT = Path(__file__).resolve().parents[3]
 # Time within which a daemon has read the rows of the store again after an outage.
 RECOVERED_S = 2.0
 
@@ -330,66 +324,20 @@
     case.assertNotEqual(result.exit_code, 0)
 
 
-BOOT_FILE = """
-NodeName = "n-1"
-Ip = "127.0.0.1"
-Zone = "z"
-Region = "r"
-InternalPorts = [{peer}, {peer}]
-[Listen]
-Front = "127.0.0.1:{front}"
-Ready = "127.0.0.1:{ready}"
-Directory = "127.0.0.1:{directory}"
-[Platform]
-Address = "{store}"
-[Bounds]
-GraceS = 3
-"""
-
-
 def test_process_serves_and_stops_on_sigterm(case):
     """Guards against a program that does not start, or does not stop in time on
     SIGTERM."""
     store = StoreStandin()
     address = case.enterContext(serve_http(store.answer))
     store.put("op", "config", configuration())
-    folder = Path(case.enterContext(TemporaryDirectory()))
-    ports = {name: free_port() for name in ("peer", "front", "ready", "directory")}
-    path = folder / "node.toml"
-    path.write_text(BOOT_FILE.format(store=address, **ports))
-    log = case.enterContext(open(folder / "log", "wb"))
-    process = subprocess.Popen(
-        [sys.executable, "-m", "amaranthbay", "entry"],
-        cwd=ROOT,
-        env=os.environ | {"AMARANTHBAY_BOOT": str(path)},
-        stdout=log,
-        stderr=log,
-    )
-    try:
-        ready = f"127.0.0.1:{ports['ready']}"
-        wait_until(lambda: _status(ready) == 200)
-        process.send_signal(signal.SIGHUP)
-        process.send_signal(signal.SIGTERM)
-        wait_until(lambda: process.poll() is not None)
-    finally:
-        process.kill()
-        process.wait()
-    case.assertEqual(process.returncode, 0)
-    lines = [
-        msgspec.json.decode(line) for line in (folder / "log").read_bytes().splitlines()
-    ]
-    events = [line["event"] for line in lines]
+    with entry_process(address) as entry:
+        entry.process.send_signal(signal.SIGHUP)
+        entry.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: entry.process.poll() is not None)
+        events = [line["event"] for line in entry.log_lines()]
+    case.assertEqual(entry.process.returncode, 0)
     for event in ("started", "configuration_in_force", "draining", "stopped"):
         case.assertIn(event, events)
 
 
-def _status(address):
-    try:
-        with connect(address) as sock:
-            sock.sendall(request("/ready", host="daemon"))
-            return read_answer(sock).status
-    except OSError:
-        return None
-
-
 load_tests = collect(globals())
