Read deeply nested bytes of other processes without an exception

Seen from outside: one row of another writer in the list of backend servers, nested 100,000 deep in a field that isn't read, and the instance followed the list no more: servers that came later got nothing, servers that drained still got requests. The same row in the table of instances ended the follower of that table, and one datagram of 1,500 bytes ended the receiver of reports, so that the instance no longer heard the others. A nested answer of a model server to a hold or a prefill ended its request as a defect. The process itself did not end: an exception ends a greenlet only.

Cause: msgspec raises RecursionError for deep nesting, also in unknown fields. Each place caught DecodeError only. Writes to the store with an unreadable answer raised as well, which would end the writer of the registration and the stage balancer, and so would an unreadable lease row.

Fix: amaranthbay.utils.decoding turns every failure into an Err, and all places that read what another process sends to a daemon use it. A write with an unreadable answer has an unknown outcome. A row of a table service that can't be read is a failed read.

The datagrams of membership.wire can't nest so deep: a frame has at most 480 bytes.

--- a/amaranthbay/cli/fleet.py
+++ b/amaranthbay/cli/fleet.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-import msgspec
 from result import Err, Ok
 
 from amaranthbay.config.types import Configuration
@@ -13,6 +12,7 @@
     HttpTableService,
 )
 from amaranthbay.state.config_store import CONFIG_ROW_KEY, ConfigStore
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole
 
 __all__ = [
@@ -103,10 +103,9 @@
     status, body = outcome.unwrap()
     if status != 200:
         return Err(f"{address} answered with HTTP status {status}")
-    try:
-        return Ok(msgspec.json.decode(body, type=dict))
-    except msgspec.DecodeError:
-        return Err(f"{address} answered with a body that is not a JSON object")
+    return decode_json(body, dict).map_err(
+        lambda detail: f"{address} answered with a body that is not a JSON object"
+    )
 
 
 def versions_in_force(platform, accepted_version):
--- a/amaranthbay/cli/store.py
+++ b/amaranthbay/cli/store.py
@@ -1,9 +1,9 @@
 """Command that shows what the store of the users' platform holds."""
 
-import msgspec
 import typer
 
 from amaranthbay.cli.output import fail, print_json
+from amaranthbay.utils.decoding import decode_json
 
 __all__ = ["show_fleet"]
 
@@ -75,10 +75,10 @@
 
 def _decode_instance(row):
     """Returns the fields of an instance, or its key and why they are unreadable."""
-    try:
-        return msgspec.json.decode(row.value, type=dict)
-    except msgspec.DecodeError as exc:
-        return {"instance": row.key, "unreadable": str(exc)}
+    decoded = decode_json(row.value, dict)
+    return decoded.unwrap_or_else(
+        lambda detail: {"instance": row.key, "unreadable": detail}
+    )
 
 
 def _decode_server(adapter, row):
--- a/amaranthbay/dispatch/engine_http.py
+++ b/amaranthbay/dispatch/engine_http.py
@@ -7,6 +7,7 @@
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
 from amaranthbay.kernel.interfaces import EngineClient
 from amaranthbay.kernel.registry import register
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole, open_exchange
 
 __all__ = ["HttpEngineClient"]
@@ -34,10 +35,7 @@
 
 def refusal_of_reply(address, status, body):
     """Returns the refusal for an HTTP error response of a backend server."""
-    try:
-        reply = msgspec.json.decode(body, type=_RefusalReply)
-    except msgspec.DecodeError:
-        reply = _RefusalReply()
+    reply = decode_json(body, _RefusalReply).unwrap_or(_RefusalReply())
     detail = f"backend server {address} answered {status}"
     if reply.not_run and status in REFUSAL_STATUSES:
         return not_run(Reason.BACKEND_REFUSED, detail)
@@ -84,11 +82,11 @@
         return self._read_prefill(server, raw)
 
     def _read_prefill(self, server, raw):
-        try:
-            reply = msgspec.json.decode(raw, type=_PrefillReply)
-        except msgspec.DecodeError:
+        decoded = decode_json(raw, _PrefillReply)
+        if decoded.is_err():
             detail = f"backend server {server.address} sent an unreadable reply"
             return Err(may_have_run(Reason.BACKEND_FAILED, detail))
+        reply = decoded.unwrap()
         expires = self._clock.monotonic() + reply.expires_s
         return Ok(
             PrefillOutcome(
@@ -164,9 +162,11 @@
     def __next__(self):
         for line in self._lines:
             if line.startswith(b"data: "):
-                event = msgspec.json.decode(line[6:], type=TokenEvent)
+                event = decode_json(line[6:], TokenEvent)
+                if event.is_err():
+                    raise ValueError(event.unwrap_err())
                 self._set_stream_timeout_once()
-                return event
+                return event.unwrap()
         raise StopIteration
 
     def _set_stream_timeout_once(self):
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -24,6 +24,7 @@
     split_report,
 )
 from amaranthbay.observe import log_event
+from amaranthbay.utils.decoding import decode_json, decode_msgpack
 
 __all__ = [
     "MIN_REPORT_INTERVAL_S",
@@ -177,16 +178,16 @@
             if row.value is None:
                 self._registered.pop(row.key, None)
                 continue
-            try:
-                registration = msgspec.json.decode(row.value, type=Registration)
-            except msgspec.DecodeError as exc:
+            decoded = decode_json(row.value, Registration)
+            if decoded.is_err():
                 log_event(
                     "registration_unreadable",
                     level="warning",
                     member=row.key,
-                    detail=str(exc),
+                    detail=decoded.unwrap_err(),
                 )
                 continue
+            registration = decoded.unwrap()
             self._registered[row.key] = registration
             log_event(
                 "member_registered", member=row.key, address=registration.caller_address
@@ -478,10 +479,13 @@
         while True:
             try:
                 frame, (host, port) = self._socket.recvfrom(MAX_RECEIVE_BYTES)
-                status = msgspec.msgpack.decode(frame, type=PeerStatus)
-                self.receive(status, f"{host}:{port}")
             except OSError as exc:
                 log_event("status_receive_failed", level="warning", code=exc.errno)
                 self._clock.sleep(self.interval_s())
-            except msgspec.DecodeError as exc:
-                log_event("status_unreadable", level="warning", detail=str(exc))
+                continue
+            decoded = decode_msgpack(frame, PeerStatus)
+            if decoded.is_err():
+                detail = decoded.unwrap_err()
+                log_event("status_unreadable", level="warning", detail=detail)
+                continue
+            self.receive(decoded.unwrap(), f"{host}:{port}")
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+from gevent import socket
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.fleet.peers import (
@@ -21,6 +22,7 @@
 )
 from amaranthbay.fleet.tables import ChangedRow
 from amaranthbay.kernel.clock import SystemClock
+from amaranthbay.utils.http import split_address
 from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
 
 
@@ -325,6 +327,52 @@
     case.assertEqual((peers.loads(), live_names(peers)), ({}, ["entry-1"]))
 
 
+def receiving_peers(case):
+    """Returns the view of a running ``entry-1`` and a function that sends it bytes."""
+    address = f"127.0.0.1:{free_port()}"
+    own = msgspec.structs.replace(make_registration("entry-1"), peer_address=address)
+    peers = Peers(own, SystemClock(), OwnReport, bool, 1)
+    jobs = peers.start()
+    case.addCleanup(peers.close)
+    case.addCleanup(gevent.killall, jobs)
+    sock = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    return peers, lambda frame: sock.sendto(frame, split_address(address))
+
+
+def test_no_datagram_ends_the_receiver(case):
+    """Guards against an instance that no longer hears the others after a datagram of
+    another program."""
+    peers, send = receiving_peers(case)
+    fields = msgspec.msgpack.encode(status(1))
+    # The array gets one more element, which is an unknown field.
+    count = len(msgspec.structs.fields(PeerStatus))
+    case.assertEqual(fields[:3], bytes((0xDC, 0, count)))
+    unknown_field = bytes((0xDC, 0, count + 1)) + fields[3:]
+    for frame in (
+        b"",
+        b"\xc1",
+        b"GET / HTTP/1.1",
+        fields[:-1],
+        fields.replace(b"entry-2", b"entry\xff\xfe"),
+        b"\x91" * 1500,
+        unknown_field + b"\x91" * 1500 + b"\xc0",
+    ):
+        send(frame)
+    send(msgspec.msgpack.encode(status(2)))
+    wait_until(lambda: peers.fresh_statuses(), timeout_s=2.0)
+
+
+def test_nested_row_does_not_hide_other_instances(case):
+    """Guards against a row of another writer that ends the follower of the table."""
+    peers, _ = make_peers()
+    row = msgspec.json.encode(make_registration("entry-3"))
+    nested = row[:-1] + b',"extra":' + b"[" * 10_000 + b"]" * 10_000 + b"}"
+    peers.apply([ChangedRow("entry-3", 2, nested), ChangedRow("entry-4", 3, b"[")])
+    peers.apply([ChangedRow("entry-5", 4, row.replace(b"entry-3", b"entry-5"))])
+    names = {registration.instance for registration in peers.registrations()}
+    case.assertEqual(names, {"entry-1", "entry-2", "entry-5"})
+
+
 def test_change_that_overtakes_a_full_report_stays(case):
     """Guards against an older full report that undoes a newer change."""
     peers, _ = make_peers()
--- a/amaranthbay/gateway/operator_calls.py
+++ b/amaranthbay/gateway/operator_calls.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from amaranthbay.kernel.errors import Reason, not_run
+from amaranthbay.utils.decoding import decode_json
 
 __all__ = [
     "AUTH_HEADERS",
@@ -153,10 +154,11 @@
         return True
 
     def _check_body(self, raw):
-        try:
-            body = msgspec.json.decode(raw, type=OperatorBody)
-        except msgspec.DecodeError as exc:
-            return Err(not_run(Reason.BAD_REQUEST, str(exc), status=400))
+        decoded = decode_json(raw, OperatorBody)
+        if decoded.is_err():
+            detail = decoded.unwrap_err()
+            return Err(not_run(Reason.BAD_REQUEST, detail, status=400))
+        body = decoded.unwrap()
         if not body.operator.strip():
             return _refuse("the call names no operator")
         if body.instance != self._instance:
--- a/amaranthbay/gateway/operators.py
+++ b/amaranthbay/gateway/operators.py
@@ -2,8 +2,6 @@
 
 from collections import Counter
 
-import msgspec
-
 from amaranthbay.gateway.operator_calls import (
     AUTH_HEADERS,
     OperatorAuthenticator,
@@ -12,6 +10,7 @@
 from amaranthbay.gateway.replies import write_json, write_refusal
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import log_event
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole
 
 __all__ = ["Drain", "Status"]
@@ -147,10 +146,10 @@
     outcome = exchange_whole(address, "GET", "/v1/status", timeout_s=PROBE_TIMEOUT_S)
     if outcome.is_err() or outcome.unwrap()[0] != 200:
         return False
-    try:
-        status = msgspec.json.decode(outcome.unwrap()[1], type=dict)
-    except msgspec.DecodeError:
+    decoded = decode_json(outcome.unwrap()[1], dict)
+    if decoded.is_err():
         return False
+    status = decoded.unwrap()
     return not status.get("draining", True) and status.get("config_version", 0) > 0
 
 
--- a/amaranthbay/membership/direct.py
+++ b/amaranthbay/membership/direct.py
@@ -3,6 +3,7 @@
 import gevent.pool
 import msgspec
 
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole
 
 __all__ = ["DirectProbes"]
@@ -65,7 +66,5 @@
     """
     if status >= 500:
         return False
-    try:
-        return not msgspec.json.decode(body, type=_LoadReply).leaving
-    except msgspec.DecodeError:
-        return True
+    reply = decode_json(body, _LoadReply)
+    return reply.is_err() or not reply.unwrap().leaving
--- a/amaranthbay/peering/envelope.py
+++ b/amaranthbay/peering/envelope.py
@@ -5,11 +5,12 @@
 from typing import Annotated
 
 import msgspec
-from result import Err, Ok
+from result import Err
 
 from amaranthbay.kernel.errors import UnknownPlugin
 from amaranthbay.kernel.registry import find, registered_names
 from amaranthbay.peering.sealing import FrameFault, open_frame, seal
+from amaranthbay.utils.decoding import decode_msgpack, decode_with
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -83,10 +84,8 @@
     opened = open_frame(keys, PURPOSE, frame, MAX_FRAME_BYTES)
     if opened.is_err():
         return opened
-    try:
-        return Ok(_codec.decoder.decode(opened.unwrap()))
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return Err(FrameFault.MALFORMED)
+    decoded = decode_with(_codec.decoder, opened.unwrap())
+    return decoded.map_err(lambda detail: FrameFault.MALFORMED)
 
 
 def message_name(message_type):
@@ -117,7 +116,5 @@
         message_type = find(MESSAGE_KIND, name)
     except UnknownPlugin:
         return Err(FrameFault.UNKNOWN_MESSAGE)
-    try:
-        return Ok(msgspec.msgpack.decode(body, type=message_type))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return Err(FrameFault.MALFORMED)
+    decoded = decode_msgpack(body, message_type)
+    return decoded.map_err(lambda detail: FrameFault.MALFORMED)
--- a/amaranthbay/placement/tracker.py
+++ b/amaranthbay/placement/tracker.py
@@ -4,13 +4,13 @@
 """
 
 import gevent
-import msgspec
 
 from amaranthbay.kernel.interfaces import PlacementObserver
 from amaranthbay.placement.loads import LoadEstimate, LoadReport
 from amaranthbay.placement.prefix_index import PrefixIndex
 from amaranthbay.placement.speeds import EngineSpeeds
 from amaranthbay.placement.types import LazyViews, PoolView, ServerView
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole
 from amaranthbay.utils.tokens import block_hashes, estimate_tokens
 
@@ -279,7 +279,4 @@
     outcome = exchange_whole(server.address, "GET", path, timeout_s=REPORT_TIMEOUT_S)
     if outcome.is_err() or outcome.unwrap()[0] != 200:
         return None
-    try:
-        return msgspec.json.decode(outcome.unwrap()[1], type=reply_type)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(outcome.unwrap()[1], reply_type).ok()
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -3,7 +3,6 @@
 import math
 
 import msgspec
-from result import Err, Ok
 
 from amaranthbay.observe import log_event
 from amaranthbay.relay.codec import (
@@ -15,6 +14,7 @@
     register_codec,
 )
 from amaranthbay.routing import Stage
+from amaranthbay.utils.decoding import decode_json
 
 __all__ = ["PlatformCallCodec"]
 
@@ -145,11 +145,8 @@
         )
 
     def read_prefill(self, body):
-        try:
-            reply = msgspec.json.decode(body, type=_Handle)
-        except msgspec.DecodeError as exc:
-            return Err(str(exc))
-        return Ok(PrefillResult(reply.KvHandle, reply.Tokens))
+        reply = decode_json(body, _Handle)
+        return reply.map(lambda handle: PrefillResult(handle.KvHandle, handle.Tokens))
 
     def release_request(self, handle):
         return "DELETE", f"/kv-handle/{handle}"
@@ -159,10 +156,7 @@
         return "POST", "/hold-take", msgspec.json.encode(body)
 
     def read_hold(self, body):
-        try:
-            return Ok(msgspec.json.decode(body, type=_Hold).Hold)
-        except msgspec.DecodeError as exc:
-            return Err(str(exc))
+        return decode_json(body, _Hold).map(lambda hold: hold.Hold)
 
     def drop_hold_request(self, hold):
         return "DELETE", f"/hold-drop/{hold}"
@@ -171,11 +165,11 @@
         return "GET", "/report"
 
     def read_report(self, body):
-        try:
-            reply = msgspec.json.decode(body, type=_Report)
-        except msgspec.DecodeError as exc:
-            return Err(str(exc))
-        return Ok(StageReport(STAGES.get(reply.Stage), reply.Busy, reply.Sequence))
+        return decode_json(body, _Report).map(
+            lambda report: StageReport(
+                STAGES.get(report.Stage), report.Busy, report.Sequence
+            )
+        )
 
     def order_request(self, order):
         body = {
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -19,6 +19,7 @@
     Stage,
     WeightedService,
 )
+from amaranthbay.utils.decoding import decode_json
 
 __all__ = ["decode_configuration", "decode_server"]
 
@@ -110,10 +111,10 @@
     Returns:
         ``Result[RoutingTable, str]``.
     """
-    try:
-        document = msgspec.json.decode(body, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Err(str(exc))
+    decoded = decode_json(body, _Configuration)
+    if decoded.is_err():
+        return decoded
+    document = decoded.unwrap()
     services = {service.Name: _to_service(service) for service in document.Services}
     routes = tuple(_to_route(route) for route in document.Routes)
     limits = ClientLimits(
@@ -174,10 +175,10 @@
     Returns:
         ``Result[BackendServer, str]``.
     """
-    try:
-        entry = msgspec.json.decode(body, type=_Server)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Err(str(exc))
+    decoded = decode_json(body, _Server)
+    if decoded.is_err():
+        return decoded
+    entry = decoded.unwrap()
     if entry.State not in IS_DRAINING_BY_STATE:
         return Err(f"unknown state {entry.State!r}")
     if entry.Stage is not None and entry.Stage not in STAGES:
--- a/amaranthbay/platform/http.py
+++ b/amaranthbay/platform/http.py
@@ -23,6 +23,7 @@
     Row,
     WeightInfo,
 )
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import HttpFailure, exchange_whole
 
 __all__ = [
@@ -107,10 +108,11 @@
         status, body = outcome.unwrap()
         if status != 200:
             return Err(PlatformFailure(f"the platform answered with status {status}"))
-        try:
-            return Ok(msgspec.json.decode(body, type=reply_type))
-        except msgspec.DecodeError as exc:
-            return Err(PlatformFailure(f"the platform's reply is unreadable: {exc}"))
+        return decode_json(body, reply_type).map_err(
+            lambda detail: PlatformFailure(
+                f"the platform's reply is unreadable: {detail}"
+            )
+        )
 
 
 @register("platform_client", "http_table")
@@ -145,10 +147,10 @@
     """Returns the `CommitOutcome`; its state is unknown after an unexpected reply."""
     if status not in (200, 409):
         return CommitOutcome(CommitState.UNKNOWN, {})
-    try:
-        reply = msgspec.json.decode(body, type=_CommitReply)
-    except msgspec.DecodeError:
+    decoded = decode_json(body, _CommitReply)
+    if decoded.is_err():
         return CommitOutcome(CommitState.UNKNOWN, {})
+    reply = decoded.unwrap()
     state = CommitState.DONE if reply.committed else CommitState.CONFLICT
     return CommitOutcome(state, reply.versions, reply.conflicts)
 
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -24,6 +24,7 @@
     PlatformFailure,
     Row,
 )
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole_with_header
 
 __all__ = ["RowStore", "RowTable"]
@@ -140,14 +141,25 @@
             # The answer is from before a restore, which has undone the transaction.
             return CommitState.UNKNOWN, 0
         if status == 200:
-            return CommitState.DONE, self._decode_rows(answer).Ver
+            # Without a version, the transaction counts as one whose answer is lost.
+            rows = self._decode_rows(answer)
+            if rows.is_err():
+                return CommitState.UNKNOWN, 0
+            return CommitState.DONE, rows.unwrap().Ver
         return REJECTION_STATES.get(status, CommitState.UNKNOWN), 0
 
     def _decode_rows(self, body):
-        """Decodes the `_Rows` of an answer and passes on the time that it names."""
-        rows = msgspec.json.decode(body, type=_Rows)
-        if rows.NowMs is not None:
-            self._on_time(rows.NowMs / MS_PER_S)
+        """Decodes an answer and passes on the time that it names.
+
+        Returns:
+            ``Result[_Rows, PlatformFailure]``.
+        """
+        rows = decode_json(body, _Rows)
+        if rows.is_err():
+            detail = f"the store's answer is unreadable: {rows.unwrap_err()}"
+            return Err(PlatformFailure(detail))
+        if rows.unwrap().NowMs is not None:
+            self._on_time(rows.unwrap().NowMs / MS_PER_S)
         return rows
 
     def _call(self, method, target, body=b"", headers=(), timeout_s=CALL_TIMEOUT_S):
@@ -180,10 +192,7 @@
             return Err(HistoryGone())
         if status != 200:
             return Err(PlatformFailure(f"the store answered with status {status}"))
-        try:
-            return Ok((self._decode_rows(body), era))
-        except msgspec.DecodeError as exc:
-            return Err(PlatformFailure(f"the store's answer is unreadable: {exc}"))
+        return self._decode_rows(body).map(lambda rows: (rows, era))
 
 
 class RowTable(TableService):
@@ -211,15 +220,16 @@
 
     def read(self, key):
         outcome = self._store.snapshot(self._table)
-        return outcome.map(lambda snapshot: _find_row(snapshot.rows, key))
+        return outcome.and_then(lambda snapshot: _find_row(snapshot.rows, key))
 
     def scan(self, prefix, after="", limit=1000):
         outcome = self._store.snapshot(self._table)
         return outcome.map(
             lambda snapshot: tuple(
-                _decode_json(row)
+                decoded.unwrap()
                 for row in snapshot.rows
                 if row.key.startswith(prefix) and row.key > after
+                if (decoded := _decode_value(row)).is_ok()
             )[:limit]
         )
 
@@ -237,16 +247,21 @@
 
 
 def _find_row(rows, key):
-    """Returns the `Row` with a key; None if there is none."""
+    """Returns ``Result[Row | None, PlatformFailure]``: the row with a key."""
     for row in rows:
         if row.key == key and row.value is not None:
-            return _decode_json(row)
-    return None
-
-
-def _decode_json(row):
-    """Converts a `ChangedRow` with a JSON value to a `Row`."""
-    return Row(row.key, msgspec.json.decode(row.value), row.version)
+            return _decode_value(row)
+    return Ok(None)
+
+
+def _decode_value(row):
+    """Converts a `ChangedRow` to ``Result[Row, PlatformFailure]``."""
+    value = decode_json(row.value, object)
+    if value.is_err():
+        detail = f"the value of the row {row.key!r} is unreadable"
+        log_event("row_unreadable", level="warning", key=row.key, detail=detail)
+        return Err(PlatformFailure(detail))
+    return Ok(Row(row.key, value.unwrap(), row.version))
 
 
 def _decode_row(row):
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -22,6 +22,7 @@
     "Stage": "decode",
     "Sequence": 1,
 }
+DEEP = b"[" * 100_000 + b"]" * 100_000
 BOOT_FILE = """
 NodeName = "n-1"
 Ip = "10.0.0.1"
@@ -76,6 +77,24 @@
         case.assertTrue(decode_server("i", raw).is_err())
 
 
+def test_deeply_nested_bytes_are_unreadable(case):
+    """Guards against a RecursionError that ends whoever reads a row or an answer."""
+    codec = PlatformCallCodec()
+    decoders = (
+        lambda body: decode_server("i-1", body),
+        decode_configuration,
+        codec.read_prefill,
+        codec.read_hold,
+        codec.read_report,
+    )
+    entry = msgspec.json.encode(ENTRY)
+    for body in (DEEP, b'{"Extra":' + DEEP + b"}", b'{"Extra":' + DEEP + b"," + entry):
+        for decode in decoders:
+            case.assertTrue(decode(body).is_err())
+    nested_entry = entry[:-1] + b',"Extra":' + DEEP + b"}"
+    case.assertTrue(decode_server("i-1", nested_entry).is_err())
+
+
 def test_configuration_is_read(case):
     """Guards against fields that are lost or read in the wrong unit."""
     table = decode_configuration(msgspec.json.encode(configuration(7))).unwrap()
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -0,0 +1,115 @@
+"""An entry daemon whose tables hold rows that other writers have left."""
+
+import json
+
+from amaranthbay.platform.rows import RowStore, RowTable
+from amaranthbay.platform.tests.fixtures import (
+    call,
+    call_raw,
+    configuration,
+    entry_fixture,
+    entry_process,
+    request,
+    server_entry,
+)
+from amaranthbay.platform.tests.standins import (
+    Reply,
+    ServerStandin,
+    StoreStandin,
+    serve_http,
+)
+from amaranthbay.platform.types import CommitState
+from amaranthbay.utils.testing import collect, wait_until
+
+DEEP = "[" * 100_000 + "]" * 100_000
+# Field of an entry and its value as JSON text.
+ODD_FIELDS = {
+    "nested unknown field": ("Extra", DEEP),
+    "nested objects": ("Extra", '{"a":' * 50_000 + "0" + "}" * 50_000),
+    "nested field": ("Zone", DEEP),
+    "unclosed field": ("Extra", "[" * 100_000),
+}
+ODD_VALUES = (b"", b"\x00", b"\xff\xfe", b"null", b"[]", b"{", DEEP.encode())
+
+
+def odd_entries(service, address):
+    """Yields a description and the bytes of each entry that names no server.
+
+    Args:
+        service: Service that most of the entries name.
+        address: Address that most of the entries name.
+    """
+    entry = server_entry(service, address)
+    for title, (name, text) in ODD_FIELDS.items():
+        body = json.dumps(entry | {name: "@"}, ensure_ascii=False)
+        yield title, body.replace('"@"', text).encode()
+    for value in ODD_VALUES:
+        yield f"{value[:10]!r}", value
+
+
+def failures_of(log_lines):
+    """Returns the lines of a log that report a defect or an ended job."""
+    failures = ("defect", "job_failed", "row_failed")
+    return [line for line in log_lines if line["event"] in failures]
+
+
+def test_process_serves_and_follows_beside_odd_entries(case):
+    """Guards against one entry of another writer that ends a process, stops it from
+    following the list, or costs requests."""
+    store, server = StoreStandin(), ServerStandin("desk-1")
+    store_address = case.enterContext(serve_http(store.answer))
+    server_address = case.enterContext(serve_http(server.answer))
+    store.put("op", "config", configuration())
+    sound = server_entry("desk", server_address)
+    store.put("servers", "desk-1", sound)
+    with entry_process(store_address) as entry:
+
+        def status_of_call():
+            return call_raw(entry.address, request("/look/x")).status
+
+        wait_until(lambda: status_of_call() == 200)
+        for number, (title, value) in enumerate(odd_entries("desk", server_address)):
+            store.put("servers", f"odd-{number}", value)
+        case.assertEqual({status_of_call() for _ in range(50)}, {200})
+        store.put("servers", "desk-1", sound | {"State": "draining"})
+        wait_until(lambda: status_of_call() == 503)
+        server.name = "desk-2"
+        store.put("servers", "desk-2", sound)
+        wait_until(lambda: status_of_call() == 200)
+        case.assertIsNone(entry.process.poll())
+        case.assertEqual(failures_of(entry.log_lines()), [])
+
+
+def test_each_odd_entry_leaves_the_others_in_use(case):
+    """Guards against an odd entry that gets requests, or keeps later entries out."""
+    fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
+    address = fixture.addresses["desk-2"]
+    # `desk-1` is sound all the time; the entry of `desk-2` turns odd and back.
+    for title, value in odd_entries("desk", address):
+        with case.subTest(title):
+            fixture.store.put("servers", "desk-2", value)
+            fixture.wait_for_servers("desk", 1)
+            case.assertEqual(call(fixture, "/look/x").status, 200)
+            fixture.write_entry("desk-2", "desk")
+            fixture.wait_for_servers("desk", 2)
+
+
+def test_nested_answers_of_the_store_are_failures(case):
+    """Guards against an answer or a row of the store that ends a follower or a job."""
+    nested = b'{"Ver":1,"Extra":' + DEEP.encode() + b"}"
+    address = case.enterContext(serve_http(lambda req: Reply(200, (), nested)))
+    rows = RowStore(address)
+    case.assertTrue(rows.snapshot("t").is_err())
+    case.assertTrue(rows.changes("t", 0, 0.0).is_err())
+    case.assertEqual(rows.put("t", "a", b"1"), CommitState.UNKNOWN)
+    store = StoreStandin()
+    table = RowTable(RowStore(case.enterContext(serve_http(store.answer))), "leases")
+    store.put("leases", "a", DEEP.encode())
+    store.put("leases", "b", b"\xff")
+    store.put("leases", "c", b"1")
+    case.assertTrue(table.read("a").is_err())
+    case.assertTrue(table.read("b").is_err())
+    case.assertEqual([row.key for row in table.scan("").unwrap()], ["c"])
+
+
+load_tests = collect(globals())
--- a/amaranthbay/state/orders.py
+++ b/amaranthbay/state/orders.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from amaranthbay.observe import log_decision
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import exchange_whole
 
 __all__ = ["EngineOrders", "EngineReconciler", "EngineSetup", "Order", "missing_orders"]
@@ -95,10 +96,8 @@
         )
         if outcome.is_err() or outcome.unwrap()[0] != 200:
             return None
-        try:
-            return msgspec.json.decode(outcome.unwrap()[1], type=_OrdersReply).setup
-        except msgspec.DecodeError:
-            return None
+        reply = decode_json(outcome.unwrap()[1], _OrdersReply)
+        return reply.unwrap().setup if reply.is_ok() else None
 
     def send(self, server, order):
         """Sends an order; only a later `read` tells whether it took effect."""
