Leave out servers whose entry has a port or a number out of range

Seen from outside: a row of another writer with port 70000 or 0, a port of other digits than ASCII's, an empty label in the host, or a key that is no name counted as a backend server. A caller whose request was placed there got 502 (the connect raised OverflowError, ValueError or UnicodeError and the request ended as a defect), or reached another port, since the system takes ports modulo 65536. Keys and addresses with line ends added headers to requests. A start time beyond 64 bits, once its server says that it leaves, can't be encoded in the reports to other instances.

Cause: the address was checked with isdigit, the key not at all, and JSON integers have any length. connect documented OSError only, but passed on whatever the resolution of the host raised; its timeout didn't cover the resolution of a name either.

Fix: utils.http.is_valid_address checks host and port, for entries and in connect, which raises OSError; callers treat that as a request that was not sent. All integers of entries and of the configuration must fit into 64 bits, and keys must be printable, have no surrounding blanks, and be at most 128 characters long. A name that isn't resolved in time is a TimeoutError.

An address with an IPv6 host in brackets was never connected to and is refused now.

--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -19,7 +19,8 @@
     Stage,
     WeightedService,
 )
-from amaranthbay.utils.decoding import decode_json
+from amaranthbay.utils.decoding import Int64, decode_json
+from amaranthbay.utils.http import is_valid_address
 
 __all__ = ["decode_configuration", "decode_server"]
 
@@ -32,6 +33,10 @@
 }
 STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Longest name of a server. A report to other instances has room for a few of these.
+MAX_NAME_CHARACTERS = 128
+# Longer texts of other writers are cut off in messages.
+MAX_SHOWN = 60
 
 
 class _Share(msgspec.Struct):
@@ -46,20 +51,20 @@
     Kind: str
     TimeoutMs: float
     TargetLatencyMs: float
-    Priority: int = 1
+    Priority: Int64 = 1
     Service: str = ""
     # Weighted services, which replace `Service` if there are any.
     Split: list[_Share] = []
-    MaxAttempts: int = 1
+    MaxAttempts: Int64 = 1
     Resumable: bool = False
     # Longest intended time between two events of a stream.
     GapAimMs: float | None = None
 
 
 class _Engine(msgspec.Struct):
-    Slots: int
+    Slots: Int64
     # Size of the KV cache in tokens, not bytes.
-    KvCapacity: int
+    KvCapacity: Int64
     # Seconds for which the KV handle of a prefill is valid; not a hold, see `HoldMs`.
     KvHoldS: float = 0.5
     # Seconds that an engine needs to switch between prefill and decode.
@@ -71,19 +76,19 @@
 
 class _Service(msgspec.Struct):
     Name: str
-    MaxConnections: int = 100
+    MaxConnections: Int64 = 100
     Engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int = 16384
-    MaxBodyBytes: int = 4194304
+    MaxHeaderBytes: Int64 = 16384
+    MaxBodyBytes: Int64 = 4194304
     HeaderTimeoutMs: float = 3000.0
     IdleTimeoutMs: float = 15000.0
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: Int64
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -94,12 +99,12 @@
     Address: str
     Zone: str
     State: str
-    Slots: int = 1
+    Slots: Int64 = 1
     Stage: str | None = None
     # Sequence number of the entry, counted from the start of the server.
-    Sequence: int = 0
+    Sequence: Int64 = 0
     # Unix time in milliseconds at which the server started.
-    born: int = 0
+    born: Int64 = 0
 
 
 def decode_configuration(body):
@@ -166,7 +171,8 @@
 def decode_server(name, body):
     """Decodes the entry of a backend server.
 
-    The table may also hold rows of other programs; these yield an error.
+    The table may also hold rows of other programs; these yield an error. So do values
+    that no server can have, such as a port out of range.
 
     Args:
         name: Name of the server, which is the key of the row.
@@ -183,9 +189,10 @@
         return Err(f"unknown state {entry.State!r}")
     if entry.Stage is not None and entry.Stage not in STAGES:
         return Err(f"unknown stage {entry.Stage!r}")
-    host, _, port = entry.Address.rpartition(":")
-    if not host or not port.isdigit():
-        return Err(f"address {entry.Address!r} is not host:port")
+    if not is_valid_address(entry.Address):
+        return Err(f"address {entry.Address[:MAX_SHOWN]!r} is not host:port")
+    if not _is_valid_name(name):
+        return Err(f"the key {name[:MAX_SHOWN]!r} can't be the name of a server")
     return Ok(
         BackendServer(
             name=name,
@@ -198,3 +205,10 @@
             revision=EntryRevision(entry.born, entry.Sequence),
         )
     )
+
+
+def _is_valid_name(name):
+    """Returns whether a key can be the name of a server, which headers carry."""
+    if not 0 < len(name) <= MAX_NAME_CHARACTERS:
+        return False
+    return name.isprintable() and name == name.strip()
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -1,9 +1,11 @@
 """Decoding of the platform's configuration, server entries, settings and headers."""
 
+import json
 import tempfile
 from pathlib import Path
 
 import msgspec
+from hypothesis import given, settings, strategies as st
 
 from amaranthbay.platform.boot import load_boot_settings
 from amaranthbay.platform.calls import PlatformCallCodec
@@ -11,6 +13,7 @@
 from amaranthbay.platform.tests.fixtures import configuration
 from amaranthbay.relay.codec import ForwardOptions
 from amaranthbay.routing import CallKind, EntryRevision, Stage
+from amaranthbay.utils.http import split_address
 from amaranthbay.utils.testing import collect
 
 ENTRY = {
@@ -50,6 +53,46 @@
     return decode_server("i-1", msgspec.json.encode(ENTRY | changes))
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(10**18, 10**40)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(st.characters(exclude_categories=("Cs",)), max_size=8),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from([*ENTRY, "born", "x"]), inner, max_size=3),
+    max_leaves=6,
+)
+ADDRESSES = st.builds(
+    "{}:{}".format,
+    st.sampled_from(("10.0.0.9", "h", "", "a..b", "\u0663", "::1", "x" * 70)),
+    st.integers(-1, 70_000) | st.sampled_from(("", "80 ", "\u0663", 10**30)),
+)
+CHANGES = st.dictionaries(
+    st.sampled_from([*ENTRY, "born", "x"]), JSON_VALUES | ADDRESSES, max_size=3
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(
+    changes=CHANGES, cut=st.none() | st.integers(0, 300), noise=st.binary(max_size=4)
+)
+def check_any_entry(changes, cut, noise):
+    """Checks that a server which is read can be connected to, named and reported."""
+    body = json.dumps(ENTRY | changes).encode()
+    decoded = decode_server("i-1", body if cut is None else body[:cut] + noise)
+    if decoded.is_err():
+        return
+    server = decoded.unwrap()
+    host, port = split_address(server.address)
+    assert host and 1 <= port <= 65535
+    host.encode("idna")
+    assert server.slots >= 1
+    revision = (server.revision.started_ms, server.revision.sequence)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(revision)) == list(revision)
+
+
 def test_server_entry_is_read(case):
     """Guards against a misread stage or state."""
     server = decode_entry().unwrap()
@@ -70,6 +113,29 @@
         {"Stage": "both ends"},
         {"Slots": "many"},
         {"Service": None},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:65536"},
+        {"Address": f"10.0.0.9:{10**20}"},
+        {"Address": f"10.0.0.9:{'9' * 5000}"},
+        {"Address": "10.0.0.9:\u0663"},
+        {"Address": "10.0.0.9:\u00b2"},
+        {"Address": "10.0.0.9:+80"},
+        {"Address": "10.0.0.9: 80"},
+        {"Address": "10.0.0.9:80\n"},
+        {"Address": "10.0.0:80"},
+        {"Address": "10.0.0.999:80"},
+        {"Address": "a..b:80"},
+        {"Address": "a b:80"},
+        {"Address": "a\x00b:80"},
+        {"Address": "a\r\nX-Hop: 1:80"},
+        {"Address": f"{'a' * 64}:80"},
+        {"Address": "[::1]:80"},
+        {"Slots": 2**63},
+        {"Slots": -(10**30)},
+        {"Slots": 1.5},
+        {"Sequence": 10**30},
+        {"born": 10**30},
+        {"born": -(2**64)},
     ):
         with case.subTest(changes):
             case.assertTrue(decode_entry(**changes).is_err())
@@ -77,6 +143,34 @@
         case.assertTrue(decode_server("i", raw).is_err())
 
 
+def test_addresses_of_all_forms_are_read(case):
+    """Guards against leaving out a server for the form of its address."""
+    for address in (
+        "10.0.0.9:1",
+        "10.0.0.9:65535",
+        "a-1.b_c.example:80",
+        "h:1",
+        "::1:80",
+    ):
+        with case.subTest(address):
+            case.assertEqual(decode_entry(Address=address).unwrap().address, address)
+
+
+def test_key_that_no_header_can_carry_names_no_server(case):
+    """Guards against a key of another writer that adds a header to requests."""
+    body = msgspec.json.encode(ENTRY)
+    for key in ("", "a\r\nX-Hop: 1", "a\nb", "a\x00", "a\x7f", " a", "a ", "n" * 129):
+        with case.subTest(key):
+            case.assertTrue(decode_server(key, body).is_err())
+    for key in ("i-1", "desk/1", "n" * 128, "caf\u00e9 1"):
+        case.assertEqual(decode_server(key, body).unwrap().name, key)
+
+
+def test_any_entry_is_read_or_refused(case):
+    """Guards against an entry of any form that ends the follower of the table."""
+    check_any_entry()
+
+
 def test_deeply_nested_bytes_are_unreadable(case):
     """Guards against a RecursionError that ends whoever reads a row or an answer."""
     codec = PlatformCallCodec()
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -1,7 +1,11 @@
 """An entry daemon whose tables hold rows that other writers have left."""
 
 import json
+from unittest import mock
 
+import gevent
+
+from amaranthbay.daemon import entry as daemon_entry
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fixtures import (
     call,
@@ -22,14 +26,38 @@
 from amaranthbay.utils.testing import collect, wait_until
 
 DEEP = "[" * 100_000 + "]" * 100_000
+HUGE = "9" * 4000
 # Field of an entry and its value as JSON text.
 ODD_FIELDS = {
     "nested unknown field": ("Extra", DEEP),
     "nested objects": ("Extra", '{"a":' * 50_000 + "0" + "}" * 50_000),
     "nested field": ("Zone", DEEP),
     "unclosed field": ("Extra", "[" * 100_000),
+    "huge slots": ("Slots", HUGE),
+    "slots beyond 64 bits": ("Slots", str(2**64)),
+    "slots beyond any number": ("Slots", "1e999"),
+    "huge start": ("born", HUGE),
+    "start beyond 64 bits": ("born", str(2**70)),
+    "huge sequence": ("Sequence", str(-(2**70))),
+    "port out of range": ("Address", '"127.0.0.1:70000"'),
+    "port 0": ("Address", '"127.0.0.1:0"'),
+    "huge port": ("Address", f'"127.0.0.1:{HUGE}"'),
+    "port of other digits": ("Address", '"127.0.0.1:\u00b2"'),
+    "address without a port": ("Address", '"127.0.0.1"'),
+    "empty host": ("Address", '":80"'),
+    "empty label": ("Address", '"a..b:80"'),
+    "long label": ("Address", f'"{"a" * 300}:80"'),
+    "NUL in the host": ("Address", '"a\\u0000b:80"'),
+    "line end in the host": ("Address", '"a\\r\\nX-Hop: 1:80"'),
+    "lone surrogate": ("Address", '"\\ud800:80"'),
+    "unknown state": ("State", '"resting"'),
+    "state of another type": ("State", "7"),
+    "unknown stage": ("Stage", '"both"'),
+    "no service": ("Service", "null"),
 }
 ODD_VALUES = (b"", b"\x00", b"\xff\xfe", b"null", b"[]", b"{", DEEP.encode())
+# Keys of rows with a sound entry that can't be the name of a server.
+ODD_KEYS = ("", "a\r\nX-Hop: 1", "a\x00b", " a", "n" * 5000)
 
 
 def odd_entries(service, address):
@@ -70,7 +98,12 @@
         wait_until(lambda: status_of_call() == 200)
         for number, (title, value) in enumerate(odd_entries("desk", server_address)):
             store.put("servers", f"odd-{number}", value)
-        case.assertEqual({status_of_call() for _ in range(50)}, {200})
+        for key in ODD_KEYS:
+            store.put("servers", key, sound)
+        for _ in range(60):
+            # The entries arrive during these calls.
+            case.assertEqual(status_of_call(), 200)
+            gevent.sleep(0.02)
         store.put("servers", "desk-1", sound | {"State": "draining"})
         wait_until(lambda: status_of_call() == 503)
         server.name = "desk-2"
@@ -82,6 +115,7 @@
 
 def test_each_odd_entry_leaves_the_others_in_use(case):
     """Guards against an odd entry that gets requests, or keeps later entries out."""
+    case.enterContext(mock.patch.object(daemon_entry, "SERVERS_BATCH_DELAY_S", 0.01))
     fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
     address = fixture.addresses["desk-2"]
     # `desk-1` is sound all the time; the entry of `desk-2` turns odd and back.
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -4,9 +4,13 @@
 on a broken connection by itself, which could run the request twice.
 """
 
+import errno
+import ipaddress
+import re
 from dataclasses import dataclass
 from http.client import HTTPException
 
+import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
@@ -19,6 +23,8 @@
     "connect",
     "exchange_whole",
     "exchange_whole_with_header",
+    "is_ip_address",
+    "is_valid_address",
     "open_exchange",
     "split_address",
 ]
@@ -29,6 +35,10 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+_HOST_NAME = re.compile(r"(?=.{1,253}$)[\w-]{1,63}(\.[\w-]{1,63})*\.?", re.ASCII)
+_NUMERIC_HOST = re.compile(r"[0-9.]+")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
 
 
 @dataclass(frozen=True)
@@ -115,6 +125,32 @@
     return host, int(port)
 
 
+def is_valid_address(address):
+    """Returns whether an address is ``host:port`` and its port is in range.
+
+    The host is a name, an IPv4 address, or an IPv6 address without brackets.
+
+    Examples:
+        >>> is_valid_address("127.0.0.1:80"), is_valid_address("127.0.0.1:70000")
+        (True, False)
+    """
+    host, _, port = address.rpartition(":")
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        return False
+    if _NUMERIC_HOST.fullmatch(host) or ":" in host:
+        return is_ip_address(host)
+    return _HOST_NAME.fullmatch(host) is not None
+
+
+def is_ip_address(host):
+    """Returns whether a host is an IP address and not a name."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def connect(address, timeout_s=CONNECT_TIMEOUT_S):
     """Returns a connected TCP socket with keepalive probes.
 
@@ -123,9 +159,13 @@
         timeout_s: Timeout of the connect and of each later operation, in seconds.
 
     Raises:
-        OSError: If the connection can't be opened.
+        OSError: If the connection can't be opened, or the address is not valid.
     """
-    conn = socket.create_connection(split_address(address), timeout_s)
+    if not is_valid_address(address):
+        raise OSError(errno.EINVAL, "the address is not a host and a port in range")
+    # The timeout of the socket doesn't cover the resolution of a name.
+    with gevent.Timeout(timeout_s, TimeoutError("connecting took too long")):
+        conn = socket.create_connection(split_address(address), timeout_s)
     conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
--- a/amaranthbay/utils/tests/test_http.py
+++ b/amaranthbay/utils/tests/test_http.py
@@ -1,9 +1,13 @@
-"""Tests of HTTP exchanges with servers that close the connection."""
+"""HTTP exchanges with servers that close the connection, and odd addresses."""
 
+import time
+from unittest import mock
+
+import gevent
 from gevent import socket
 
 from amaranthbay.kernel.errors import Verdict
-from amaranthbay.utils.http import exchange_whole
+from amaranthbay.utils.http import connect, exchange_whole
 from amaranthbay.utils.testing import collect, greenlet
 
 
@@ -26,4 +30,41 @@
     case.assertIs(outcome.unwrap_err().verdict, Verdict.MAY_HAVE_RUN)
 
 
+def test_odd_address_is_a_failed_connection(case):
+    """Guards against an exception that ends a request or a job, and against a
+    connection to another port, since the system takes ports modulo 65536."""
+    for address in (
+        "127.0.0.1:65536",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        f"127.0.0.1:{10**20}",
+        "127.0.0.1:" + "9" * 5000,
+        "127.0.0.1:\u00b2",
+        "127.0.0.1:80\n",
+        "127.0.0.1",
+        "",
+        ":80",
+        "a..b:80",
+        "a\x00b:80",
+        "x" * 300 + ":80",
+        "\ud800:80",
+    ):
+        with case.subTest(ascii(address)[:40]):
+            case.assertRaises(OSError, connect, address, 1.0)
+            failure = exchange_whole(address, "GET", "/").unwrap_err()
+            case.assertIs(failure.verdict, Verdict.NOT_RUN)
+
+
+def test_slow_name_resolution_times_out(case):
+    """Guards against a request that waits for a name which no one resolves."""
+
+    def resolve(address, timeout):
+        gevent.sleep(10)
+
+    case.enterContext(mock.patch.object(socket, "create_connection", resolve))
+    started_at = time.monotonic()
+    case.assertRaises(TimeoutError, connect, "unknown.example:80", 0.1)
+    case.assertLess(time.monotonic() - started_at, 2.0)
+
+
 load_tests = collect(globals())
