Leave out instances whose row has no usable address

Seen from outside: one row of another writer in the table of instances, with an address for reports that has no port or one out of range, and this instance reported to no one any more. The others then left it out of lookups and placed work without knowing its load. A row that names another instance, or an address for callers that is none, could have reached callers through lookups.

Cause: the greenlet that sends reports caught OSError only; an address without a port raises ValueError, a port out of range OverflowError, a host with an empty label UnicodeError. A host name would have been resolved for each datagram, with all further reports behind it.

Fix: a row counts only if it is that of its key, its address for callers is valid, and its address for reports is an IP address with a port. The instances write no other rows: their address for reports is one that they bind.

Evidence: on peers.py before, test_odd_row_does_not_end_the_reports fails: ValueError in the greenlet that reports, and no report arrives within 2 s.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -14,6 +14,7 @@
 import gevent.event
 import msgspec
 from gevent import socket
+from result import Err
 
 from amaranthbay.fleet.reports import (
     PeerStatus,
@@ -25,6 +26,7 @@
 )
 from amaranthbay.observe import log_event
 from amaranthbay.utils.decoding import decode_json, decode_msgpack
+from amaranthbay.utils.http import is_ip_address, is_valid_address, split_address
 
 __all__ = [
     "MIN_REPORT_INTERVAL_S",
@@ -79,6 +81,31 @@
     link_mbps: float = 0.0
 
 
+def decode_registration(key, body):
+    """Decodes the row of an instance; other programs may have written it.
+
+    Args:
+        key: Key of the row, which is the name of the instance.
+        body: Bytes of the row.
+
+    Returns:
+        ``Result[Registration, str]``.
+    """
+    decoded = decode_json(body, Registration)
+    if decoded.is_err():
+        return decoded
+    registration = decoded.unwrap()
+    if registration.instance != key:
+        return Err("the row is that of another instance")
+    if not is_valid_address(registration.caller_address):
+        return Err("the address for callers is not host:port")
+    address = registration.peer_address
+    # The resolution of a name would delay the reports to all instances.
+    if not is_valid_address(address) or not is_ip_address(split_address(address)[0]):
+        return Err("the address for reports is not an IP address and a port")
+    return decoded
+
+
 @dataclass(frozen=True)
 class OwnReport:
     """Content of a full report of this process; see `PeerStatus` for the fields."""
@@ -178,7 +205,7 @@
             if row.value is None:
                 self._registered.pop(row.key, None)
                 continue
-            decoded = decode_json(row.value, Registration)
+            decoded = decode_registration(row.key, row.value)
             if decoded.is_err():
                 log_event(
                     "registration_unreadable",
@@ -406,10 +433,9 @@
         Returns:
             The greenlets that send and receive.
         """
-        host, port = self.own.peer_address.rsplit(":", 1)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, int(port)))
+        self._socket.bind(split_address(self.own.peer_address))
         return (gevent.spawn(self._receive_loop), gevent.spawn(self._report_loop))
 
     def close(self):
@@ -435,9 +461,8 @@
                     self._send(frame, registration.peer_address)
 
     def _send(self, frame, address):
-        host, port = address.rsplit(":", 1)
         try:
-            self._socket.sendto(frame, (host, int(port)))
+            self._socket.sendto(frame, split_address(address))
         except OSError as exc:
             log_event("status_not_sent", level="debug", address=address, code=exc.errno)
 
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -373,6 +373,46 @@
     case.assertEqual(names, {"entry-1", "entry-2", "entry-5"})
 
 
+def test_odd_row_does_not_end_the_reports(case):
+    """Guards against an address of another writer that ends the greenlet which reports
+    to all instances, and against giving such an address to callers."""
+    peers, _ = receiving_peers(case)
+    other = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    other.bind(("127.0.0.1", 0))
+    other.settimeout(2.0)
+    odd = [
+        {"peer_address": text}
+        for text in (
+            "",
+            "127.0.0.1",
+            "127.0.0.1:port",
+            "127.0.0.1:70000",
+            "127.0.0.1:-1",
+            f"127.0.0.1:{10**20}",
+            "127.0.0.1:\u00b2",
+            "a..b:80",
+            "entry-9.example:80",
+        )
+    ]
+    odd += [{"caller_address": text} for text in ("", "entry-9", "127.0.0.1:70000")]
+    odd += [{"instance": "entry-1"}, {"instance": "entry-2"}, {"cores": "1"}]
+    rows = []
+    for number, fields in enumerate(odd):
+        name = f"odd-{number}"
+        row = msgspec.to_builtins(make_registration(name)) | fields
+        rows.append(ChangedRow(name, 1, msgspec.json.encode(row)))
+    port = other.getsockname()[1]
+    sound = make_registration("entry-2")
+    sound = msgspec.structs.replace(sound, peer_address=f"127.0.0.1:{port}")
+    rows.append(ChangedRow("entry-2", 1, msgspec.json.encode(sound)))
+    peers.apply(rows)
+    for _ in range(2):
+        received = msgspec.msgpack.decode(other.recv(2048), type=PeerStatus)
+        case.assertEqual(received.instance, "entry-1")
+    names = {registration.instance for registration in peers.registrations()}
+    case.assertEqual(names, {"entry-1", "entry-2"})
+
+
 def test_change_that_overtakes_a_full_report_stays(case):
     """Guards against an older full report that undoes a newer change."""
     peers, _ = make_peers()
