Bound the numbers and identifiers that headers and answers name

Seen from outside: a caller that stated a token count of 25 digits, or a length hint below -2^63, got 500 for its stream. An answer of a model server with a line end in the id of a hold or of KV cache added a header to the next request or a line to a path.

Cause: integers in headers have any length. The memory need of the stream left 64 bits, which the reports to other instances can't encode (OverflowError), or could not be multiplied with a float. Ids were forwarded as they came.

Fix: token counts and length hints lie between 0 and 2^40, limits of servers are at most 1e9 requests per second, and ids consist of visible ASCII characters; an answer with another one is unreadable. The sums of these numbers fit into reports.

Evidence: on the sources before, these failed: test_huge_numbers_of_callers_do_not_end_the_reports (five of six requests: 500, the log shows the OverflowError as a defect), test_numbers_of_any_size_fit_into_reports (OverflowError: can't serialize ints < -2**63 or > 2**64 - 1), test_identifier_of_a_server_adds_no_header.

--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -1,6 +1,7 @@
 """Headers and control calls between callers, the router and the backend servers."""
 
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -14,7 +15,7 @@
     register_codec,
 )
 from amaranthbay.routing import Stage
-from amaranthbay.utils.decoding import decode_json
+from amaranthbay.utils.decoding import Int64, decode_json
 
 __all__ = ["PlatformCallCodec"]
 
@@ -71,11 +72,17 @@
 UNAVAILABLE = 503
 STAGES = {stage.value: stage for stage in Stage}
 MS_PER_S = 1000.0
+# Larger counts and rates of other programs are lowered to these. They are beyond what
+# any server can do, and their sums still fit into the reports to other instances.
+MAX_TOKENS = 2**40
+MAX_RATE_PER_S = 1e9
+# Identifiers of backend servers become parts of paths and headers.
+_Identifier = Annotated[str, msgspec.Meta(pattern=r"^[!-~]*\Z")]
 
 
 class _Hold(msgspec.Struct):
     # Id of the hold: a slot and KV cache that a decode server keeps reserved.
-    Hold: str
+    Hold: _Identifier
 
 
 class _Report(msgspec.Struct):
@@ -83,12 +90,12 @@
     # Whether the server is carrying out an order.
     Busy: bool = False
     # Number of orders that the server has accepted since its start.
-    Sequence: int = 0
+    Sequence: Int64 = 0
 
 
 class _Handle(msgspec.Struct):
-    KvHandle: str
-    Tokens: int
+    KvHandle: _Identifier
+    Tokens: Int64
 
 
 @register_codec("platform")
@@ -105,7 +112,7 @@
             model=values.get(MODEL, b"").decode("latin-1"),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
-            expected_tokens=_parse_int(values.get(LENGTH_HINT)),
+            expected_tokens=_parse_length_hint(values.get(LENGTH_HINT)),
         )
 
     def forward_headers(self, headers, options):
@@ -214,12 +221,13 @@
 def _parse_limit(value):
     """Returns the requests per second that a ``Server-Limit`` header names.
 
-    Returns None if the header is absent, negative or not a finite number.
+    Returns None if the header is absent, negative or not a finite number, and at most
+    `MAX_RATE_PER_S`.
     """
     rate_per_s = _parse_non_negative(value)
     if rate_per_s is None and value is not None:
         log_event("limit_unreadable", level="warning", value=value.decode("latin-1"))
-    return rate_per_s
+    return None if rate_per_s is None else min(rate_per_s, MAX_RATE_PER_S)
 
 
 def _parse_non_negative(value):
@@ -242,7 +250,19 @@
 def _parse_token_counts(value):
     """Returns the prompt tokens and the maximum output tokens that a header names.
 
-    A count that is absent, negative or unreadable is 0.
+    A count that is absent, negative or unreadable is 0, and at most `MAX_TOKENS`.
     """
     prompt, _, output = value.partition(b",")
-    return max(0, _parse_int(prompt) or 0), max(0, _parse_int(output) or 0)
+    return _parse_token_count(prompt), _parse_token_count(output)
+
+
+def _parse_length_hint(value):
+    """Returns the output tokens that a header expects; None if it is unreadable.
+
+    A negative number is 0, and a larger one than `MAX_TOKENS` is that.
+    """
+    return None if _parse_int(value) is None else _parse_token_count(value)
+
+
+def _parse_token_count(value):
+    return min(MAX_TOKENS, max(0, _parse_int(value) or 0))
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -7,6 +7,7 @@
 import msgspec
 from hypothesis import given, settings, strategies as st
 
+from amaranthbay.fleet.reports import LimitNotice, ServerLoad
 from amaranthbay.platform.boot import load_boot_settings
 from amaranthbay.platform.calls import PlatformCallCodec
 from amaranthbay.platform.documents import decode_configuration, decode_server
@@ -241,6 +242,41 @@
     case.assertIsNone(head.last_event_id)
 
 
+def test_numbers_of_any_size_fit_into_reports(case):
+    """Guards against a number in a header that can't be reported to other instances,
+    and so ends the greenlet that reports."""
+    codec = PlatformCallCodec()
+    for number in (b"9" * 30, b"-" + b"9" * 30, b"9" * 4000, b"9" * 5000):
+        head = codec.read_call(
+            ((b"x-token-count", number + b"," + number), (b"x-length-hint", number))
+        )
+        load = ServerLoad(1, head.prompt_tokens + head.max_output_tokens, 0)
+        hint = ServerLoad(1, head.expected_tokens or 0, head.prompt_tokens)
+        for each in (load, hint, load + hint):
+            raw = msgspec.msgpack.encode(each)
+            case.assertEqual(msgspec.msgpack.decode(raw, type=ServerLoad), each)
+            case.assertGreaterEqual(each.memory_tokens, 0)
+    for rate in (b"9" * 30, b"1e300", b"0"):
+        notice = LimitNotice(
+            1.0, codec.read_answer(200, ((b"server-limit", rate),)).limit_per_s
+        )
+        raw = msgspec.msgpack.encode(notice)
+        case.assertEqual(msgspec.msgpack.decode(raw, type=LimitNotice), notice)
+
+
+def test_identifier_of_a_server_adds_no_header(case):
+    """Guards against an answer whose identifier ends the line of a header or a path."""
+    codec = PlatformCallCodec()
+    for text in ("a\r\nX-Hop: 1", "a\n", "a b", "a\x00", "\u00e9"):
+        hold = msgspec.json.encode({"Hold": text})
+        handle = msgspec.json.encode({"KvHandle": text, "Tokens": 1})
+        case.assertTrue(codec.read_hold(hold).is_err(), text)
+        case.assertTrue(codec.read_prefill(handle).is_err(), text)
+    case.assertEqual(codec.read_hold(b'{"Hold":"k/1-a.b:2"}').unwrap(), "k/1-a.b:2")
+    huge = msgspec.json.encode({"KvHandle": "a", "Tokens": 10**40})
+    case.assertTrue(codec.read_prefill(huge).is_err())
+
+
 def test_headers_of_one_connection_are_not_forwarded(case):
     """Guards against forwarding hop-by-hop headers, or what ``Connection`` names."""
     codec = PlatformCallCodec()
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -4,8 +4,11 @@
 from unittest import mock
 
 import gevent
+import msgspec
+from gevent import select, socket
 
 from amaranthbay.daemon import entry as daemon_entry
+from amaranthbay.fleet.reports import PeerStatus
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fixtures import (
     call,
@@ -128,6 +131,45 @@
             fixture.wait_for_servers("desk", 2)
 
 
+def test_huge_numbers_of_callers_do_not_end_the_reports(case):
+    """Guards against a header of a caller after which this instance reports to no other
+    one any more."""
+    fixture = case.enterContext(entry_fixture())
+    other = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    other.bind(("127.0.0.1", 0))
+    other.settimeout(6.0)
+    own = fixture.daemon.peers.own
+    address = f"127.0.0.1:{other.getsockname()[1]}"
+    row = msgspec.structs.replace(own, instance="entry-2", peer_address=address)
+    fixture.store.put("members", "entry-2", msgspec.json.encode(row))
+    fixture.daemon._read_instances()
+    other.recv(2048)
+    server = fixture.servers["dec-1"]
+    beyond_64_bits = 10**25
+    for tokens, hint in (
+        (f"1,{HUGE}", "1"),
+        (f"1,{HUGE}", "x"),
+        (f"{HUGE},1", "1"),
+        (f"1,{beyond_64_bits}", "x"),
+        (f"{beyond_64_bits},1", "1"),
+        ("1,1", f"-{beyond_64_bits}"),
+    ):
+        # The stream lasts for some regular reports if it is placed.
+        server.replies.append(lambda req: gevent.sleep(0.6) or server.stream_reply(req))
+        headers = (
+            ("X-Token-Count", tokens),
+            ("X-Length-Hint", hint),
+            ("X-Deadline-Ms", "900"),
+        )
+        with case.subTest(tokens=tokens[:30], hint=hint):
+            answer = call(fixture, "/sum/x", "POST", b"prompt", headers)
+            case.assertNotEqual(answer.status, 500)
+    while select.select([other], [], [], 0)[0]:
+        other.recv(2048)
+    report = msgspec.msgpack.decode(other.recv(2048), type=PeerStatus)
+    case.assertEqual(report.instance, "entry-1")
+
+
 def test_nested_answers_of_the_store_are_failures(case):
     """Guards against an answer or a row of the store that ends a follower or a job."""
     nested = b'{"Ver":1,"Extra":' + DEEP.encode() + b"}"
