Ignore an era of the store that reports can't name

Seen from outside: nothing so far. If the first answer of the store had named an era or a version beyond 64 bits, the instance would have ended its reports to the others, whose integers have 64 bits.

Fix: such an era counts as unreadable, and an answer with such a version as failed.

Evidence: test_invalid_era_header_is_ignored has the era 2^70 in addition; on rows.py before it fails with " is not None".

--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -24,7 +24,7 @@
     PlatformFailure,
     Row,
 )
-from amaranthbay.utils.decoding import decode_json
+from amaranthbay.utils.decoding import Int64, decode_json
 from amaranthbay.utils.http import exchange_whole_with_header
 
 __all__ = ["RowStore", "RowTable"]
@@ -48,7 +48,7 @@
 
 class _Row(msgspec.Struct):
     Key: str
-    Ver: int = 0
+    Ver: Int64 = 0
     # Content of the row in base64; absent for a removed row.
     Value: str | None = None
     Removed: bool = False
@@ -56,7 +56,7 @@
 
 class _Rows(msgspec.Struct):
     # Newest version of the whole store, not of one row.
-    Ver: int
+    Ver: Int64
     Rows: list[_Row] = []
     HasMore: bool = False
     # Steady clock of the store.
@@ -239,9 +239,11 @@
     if value is None:
         return None
     try:
-        return int(value)
+        # Instances report the era to each other as an integer of 64 bits.
+        return msgspec.convert(int(value), Int64)
     except (TypeError, ValueError):
-        # A header that occurs twice arrives as a list.
+        # A header that occurs twice arrives as a list. The error of msgspec is a
+        # ValueError too.
         log_event("store_era_unreadable", level="warning", value=str(value)[:40])
         return None
 
--- a/amaranthbay/platform/tests/test_entry_restored.py
+++ b/amaranthbay/platform/tests/test_entry_restored.py
@@ -132,7 +132,7 @@
     """Guards against an invalid header that ends a reader of the store."""
     store = StoreStandin()
     era = StoreEra(ManualClock())
-    for value in ("", "x", "1.5", "9" * 5000):
+    for value in ("", "x", "1.5", "9" * 5000, str(2**70)):
         headers = (("Store-Era", value),)
         address = case.enterContext(
             serve_http(lambda req: Reply(200, headers, b'{"Ver":1}'))
