Drop reports with numbers that nothing can be computed from

Seen from outside: a datagram of another program with an infinite interval made its sender count as live for ever. A crash report without servers ended the greenlet that drops expired state and tells the others when the instance becomes ready. Demands of NaN or of zero ended the stage balancer.

Fix: the types of reports bound their numbers, far beyond those of sound reports, and a report outside of them is unreadable. Crashes without servers are not recorded. Without any measured work, the pools stay as they are.

Evidence: on the sources before, these failed: test_report_with_odd_numbers_is_dropped (odd senders are known), test_report_without_servers_is_forgotten (ValueError: max() arg is an empty sequence), test_pools_are_planned_by_the_work_of_each_stage (ZeroDivisionError).

--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -6,10 +6,12 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from amaranthbay.observe import log_event
+from amaranthbay.utils.decoding import Int64
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -30,6 +32,13 @@
 LOADS_PER_DATAGRAM = 24
 # A full report of all servers at the target size takes 55 datagrams.
 MAX_DATAGRAMS = 64
+# Numbers in datagrams. The bounds are far beyond those of sound reports; they keep out
+# NaN, infinity and numbers that become infinite in sums and products.
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e100)]
+Seconds = Annotated[float, msgspec.Meta(ge=-1e100, le=1e100)]
+# The longest interval of reports that is believed. An instance counts as live for some
+# intervals after its last report.
+Interval = Annotated[float, msgspec.Meta(ge=0.0, le=60.0)]
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -41,9 +50,9 @@
         prefill_tokens: Prompt tokens of these requests that are not computed yet.
     """
 
-    running: int = 0
-    memory_tokens: int = 0
-    prefill_tokens: int = 0
+    running: Int64 = 0
+    memory_tokens: Int64 = 0
+    prefill_tokens: Int64 = 0
 
     def __add__(self, other):
         return ServerLoad(
@@ -65,11 +74,11 @@
         prefill_base_s: Seconds that each prompt takes regardless of its length.
     """
 
-    prompt_tokens: float
-    prefill_speed: float
-    decode_s: float
-    streams: int
-    prefill_base_s: float = 0.0
+    prompt_tokens: Amount
+    prefill_speed: Amount
+    decode_s: Amount
+    streams: Annotated[int, msgspec.Meta(ge=0, le=2**50)]
+    prefill_base_s: Amount = 0.0
 
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -82,8 +91,8 @@
             together; None if its limit has ended.
     """
 
-    noted_at: float
-    rate_per_s: float | None = None
+    noted_at: Seconds
+    rate_per_s: Amount | None = None
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -127,7 +136,7 @@
     loads: dict[str, ServerLoad]
     demands: dict[str, MeasuredDemand] = {}
     switching: dict[str, str] = {}
-    interval_s: float = 0.2
+    interval_s: Interval = 0.2
     crashes: dict[str, tuple[str, ...]] = {}
     versions: dict[str, int] = {}
     lost_handles: tuple[str, ...] = ()
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -1,6 +1,7 @@
 """What instances learn about each other from their reports."""
 
 import random
+from math import inf, nan
 
 import gevent
 import msgspec
@@ -15,6 +16,7 @@
 )
 from amaranthbay.fleet.reports import (
     MAX_DATAGRAM_BYTES,
+    LimitNotice,
     MeasuredDemand,
     PeerStatus,
     ServerLoad,
@@ -362,6 +364,31 @@
     wait_until(lambda: peers.fresh_statuses(), timeout_s=2.0)
 
 
+def test_report_with_odd_numbers_is_dropped(case):
+    """Guards against NaN and infinity in what is computed from reports: an instance
+    that counts as live for ever, and a balancer that ends."""
+    peers, send = receiving_peers(case)
+    demand = MeasuredDemand(100.0, 5000.0, 1.0, 30)
+    odd = [{"interval_s": value} for value in (nan, inf, -1.0, 1e9)]
+    for name in ("prompt_tokens", "prefill_speed", "decode_s", "prefill_base_s"):
+        odd += [
+            {"demands": {"lm": msgspec.structs.replace(demand, **{name: value})}}
+            for value in (nan, inf, -1.0)
+        ]
+    odd.append({"demands": {"lm": msgspec.structs.replace(demand, streams=-30)}})
+    odd += [{"limits": {"a": LimitNotice(value, 1.0)}} for value in (nan, inf)]
+    odd += [{"limits": {"a": LimitNotice(1.0, value)}} for value in (nan, inf, -1.0)]
+    odd.append({"loads": {"a": ServerLoad(1, 2**64 - 1, 0)}})
+    for number, fields in enumerate(odd):
+        name = f"odd-{number}"
+        report = msgspec.structs.replace(status(1), instance=name, **fields)
+        send(msgspec.msgpack.encode(report))
+    send(msgspec.msgpack.encode(status(1)))
+    wait_until(lambda: peers.fresh_statuses(), timeout_s=2.0)
+    names = [report.instance for report in peers.fresh_statuses()]
+    case.assertEqual(names, ["entry-2"])
+
+
 def test_nested_row_does_not_hide_other_instances(case):
     """Guards against a row of another writer that ends the follower of the table."""
     peers, _ = make_peers()
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -86,9 +86,8 @@
         """
         now = self._clock.monotonic()
         for fingerprint, servers in crashes.items():
-            crashed_at = self._crashes.setdefault(fingerprint, {})
             for server in servers:
-                crashed_at.setdefault(server, now)
+                self._crashes.setdefault(fingerprint, {}).setdefault(server, now)
         while len(self._crashes) > MAX_SUSPECTED_REQUESTS:
             self._crashes.pop(next(iter(self._crashes)))
 
--- a/amaranthbay/relay/pools.py
+++ b/amaranthbay/relay/pools.py
@@ -46,9 +46,10 @@
         5
     """
     servers = prefill + decode
-    if servers < 2:
+    work_s = demand.prefill_s + demand.decode_s
+    if servers < 2 or not work_s:
         return prefill
-    prefill_share = demand.prefill_s / (demand.prefill_s + demand.decode_s)
+    prefill_share = demand.prefill_s / work_s
     ideal_prefill = servers * prefill_share + PREFILL_BIAS_SERVERS
     if prefill and decode and abs(ideal_prefill - prefill) <= HYSTERESIS_SERVERS:
         return prefill
--- a/amaranthbay/relay/tests/test_crashes.py
+++ b/amaranthbay/relay/tests/test_crashes.py
@@ -102,4 +102,12 @@
     case.assertFalse(accepts_connections(pool, make_server("a", free_port())))
 
 
+def test_report_without_servers_is_forgotten(case):
+    """Guards against a report of another instance that ends the sweep of old state."""
+    record, _ = make_record()
+    record.merge({"f" * 16: ()})
+    record.sweep()
+    case.assertFalse(record.is_quarantined(make_call()))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -245,6 +245,8 @@
     case.assertEqual(plan_prefill_servers(2, 1, demand), 1)
     case.assertEqual(plan_prefill_servers(0, 3, demand), 1)
     case.assertEqual(plan_prefill_servers(2, 3, StageDemand(0.12, 0.25)), 2)
+    # Streams that took no time, as other instances may report.
+    case.assertEqual(plan_prefill_servers(2, 3, StageDemand(0.0, 0.0)), 2)
 
 
 def test_queued_and_cached_prefills_do_not_count(case):
