Refuse a lease whose row another program has written

Seen from outside: after a row of another writer in the table of leases, the stage balancer ended at its next attempt to acquire the lease, and the instance ordered no server into another pool any more, even after the row was right again.

Cause: msgspec.convert raises ValidationError, which nothing caught.

Fix: such a row is logged as lease_unreadable and the lease is not acquired. Taking it over is no choice: the last fence is unknown, and servers refuse a lower one.

Evidence: test_odd_lease_row_is_held_by_no_one fails on leases.py before (ValidationError for each row that is JSON).

--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -26,7 +26,8 @@
     serve_http,
 )
 from amaranthbay.platform.types import CommitState
-from amaranthbay.utils.testing import collect, wait_until
+from amaranthbay.state.leases import LeaseStore
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 DEEP = "[" * 100_000 + "]" * 100_000
 HUGE = "9" * 4000
@@ -188,4 +189,26 @@
     case.assertEqual([row.key for row in table.scan("").unwrap()], ["c"])
 
 
+def test_odd_lease_row_is_held_by_no_one(case):
+    """Guards against a row of another writer that ends the stage balancer, and against
+    a lease whose fence starts anew because the last one is unknown."""
+    store = StoreStandin()
+    table = RowTable(RowStore(case.enterContext(serve_http(store.answer))), "leases")
+    clock = ManualClock()
+    leases = LeaseStore(table, clock, "n-1")
+    clock.advance(10.0)
+    case.assertEqual(leases.acquire("stages", 2.0).fence, 1)
+    sound = store.value("leases", "lease/stages")
+    odd = [sound | {"fence": value} for value in ("1", None, 1.5, 10**30)]
+    odd += [{}, [], 7, None, sound | {"holder": 3}, sound | {"duration_s": "x"}]
+    for value in (*odd, *ODD_VALUES):
+        with case.subTest(str(value)[:40]):
+            store.put("leases", "lease/stages", value)
+            clock.advance(60.0)
+            case.assertIsNone(leases.acquire("stages", 2.0))
+    store.put("leases", "lease/stages", sound | {"holder": ""})
+    clock.advance(60.0)
+    case.assertEqual(leases.acquire("stages", 2.0).fence, 2)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/state/leases.py
+++ b/amaranthbay/state/leases.py
@@ -17,6 +17,7 @@
 
 from amaranthbay.observe import log_event
 from amaranthbay.platform.types import CommitState, Write
+from amaranthbay.utils.decoding import Int64
 
 __all__ = ["Lease", "LeaseStore"]
 
@@ -41,7 +42,7 @@
 
     holder: str
     attempt: str
-    fence: int
+    fence: Int64
     duration_s: float
 
 
@@ -105,8 +106,8 @@
         if reply.is_err() or not self._may_acquire(era, duration_s):
             return None
         row = reply.unwrap()
-        current = None if row is None else msgspec.convert(row.value, _LeaseRow)
-        if current is not None and not self._has_ended(row, current):
+        current = None if row is None else _read_lease(row)
+        if row is not None and (current is None or not self._has_ended(row, current)):
             return None
         fence = current.fence + 1 if current else era.number * FENCES_PER_ERA + 1
         value = _LeaseRow(self._instance, uuid.uuid4().hex, fence, duration_s)
@@ -193,8 +194,21 @@
         row = self._table.read(key).unwrap_or(None)
         if row is None:
             return None
-        stored = msgspec.convert(row.value, _LeaseRow)
-        return row.version if stored.attempt == value.attempt else None
+        stored = _read_lease(row)
+        is_own = stored is not None and stored.attempt == value.attempt
+        return row.version if is_own else None
+
+
+def _read_lease(row):
+    """Returns the `_LeaseRow` of a row; None if another program has written it.
+
+    Nobody may acquire the lease then, as its fence and its end are unknown.
+    """
+    try:
+        return msgspec.convert(row.value, _LeaseRow)
+    except msgspec.ValidationError as exc:
+        log_event("lease_unreadable", level="warning", key=row.key, detail=str(exc))
+        return None
 
 
 def _key(name, era):
