Leave out servers whose entry names a host instead of an IP address

Seen from outside: with an entry of another writer that has a host name, an instance stands still while the name is resolved. No request, report or poll proceeds, for as long as the name server takes. The zone of an IPv6 address may be any text, which the check of addresses took over, so an entry could add a header to requests.

Cause: an entry process resolves names in its only thread (utils.runtime, RESOLVER); all addresses of the platform are IP addresses. Entries with names were used nevertheless.

Fix: the address of an entry must be an IP address without a zone, as that for reports between instances already must.

That a slow name server stops the process was read from the code and not measured.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -26,7 +26,7 @@
 )
 from amaranthbay.observe import log_event
 from amaranthbay.utils.decoding import decode_json, decode_msgpack
-from amaranthbay.utils.http import is_ip_address, is_valid_address, split_address
+from amaranthbay.utils.http import is_ip_endpoint, is_valid_address, split_address
 
 __all__ = [
     "MIN_REPORT_INTERVAL_S",
@@ -99,9 +99,8 @@
         return Err("the row is that of another instance")
     if not is_valid_address(registration.caller_address):
         return Err("the address for callers is not host:port")
-    address = registration.peer_address
-    # The resolution of a name would delay the reports to all instances.
-    if not is_valid_address(address) or not is_ip_address(split_address(address)[0]):
+    # The resolution of a name blocks the whole process.
+    if not is_ip_endpoint(registration.peer_address):
         return Err("the address for reports is not an IP address and a port")
     return decoded
 
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -20,7 +20,7 @@
     WeightedService,
 )
 from amaranthbay.utils.decoding import Int64, decode_json
-from amaranthbay.utils.http import is_valid_address
+from amaranthbay.utils.http import is_ip_endpoint
 
 __all__ = ["decode_configuration", "decode_server"]
 
@@ -189,8 +189,9 @@
         return Err(f"unknown state {entry.State!r}")
     if entry.Stage is not None and entry.Stage not in STAGES:
         return Err(f"unknown stage {entry.Stage!r}")
-    if not is_valid_address(entry.Address):
-        return Err(f"address {entry.Address[:MAX_SHOWN]!r} is not host:port")
+    # The resolution of a name blocks the whole process.
+    if not is_ip_endpoint(entry.Address):
+        return Err(f"address {entry.Address[:MAX_SHOWN]!r} is not an IP address:port")
     if not _is_valid_name(name):
         return Err(f"the key {name[:MAX_SHOWN]!r} can't be the name of a server")
     return Ok(
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -51,6 +51,8 @@
     "empty host": ("Address", '":80"'),
     "empty label": ("Address", '"a..b:80"'),
     "long label": ("Address", f'"{"a" * 300}:80"'),
+    "host name": ("Address", '"worker.example:80"'),
+    "zone of an IP address": ("Address", '"fe80::1%a\\r\\nX-Hop: 1:80"'),
     "NUL in the host": ("Address", '"a\\u0000b:80"'),
     "line end in the host": ("Address", '"a\\r\\nX-Hop: 1:80"'),
     "lone surrogate": ("Address", '"\\ud800:80"'),
--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 from http.client import HTTPException
 
-import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 from result import Err, Ok, Result
@@ -23,7 +22,7 @@
     "connect",
     "exchange_whole",
     "exchange_whole_with_header",
-    "is_ip_address",
+    "is_ip_endpoint",
     "is_valid_address",
     "open_exchange",
     "split_address",
@@ -138,17 +137,22 @@
     if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
         return False
     if _NUMERIC_HOST.fullmatch(host) or ":" in host:
-        return is_ip_address(host)
+        return _is_ip_address(host)
     return _HOST_NAME.fullmatch(host) is not None
 
 
-def is_ip_address(host):
-    """Returns whether a host is an IP address and not a name."""
+def is_ip_endpoint(address):
+    """Returns whether an address is valid and its host is an IP address, not a name."""
+    return is_valid_address(address) and _is_ip_address(split_address(address)[0])
+
+
+def _is_ip_address(host):
     try:
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return True
+    # The zone of an IPv6 address may be any text.
+    return "%" not in host
 
 
 def connect(address, timeout_s=CONNECT_TIMEOUT_S):
@@ -163,9 +167,7 @@
     """
     if not is_valid_address(address):
         raise OSError(errno.EINVAL, "the address is not a host and a port in range")
-    # The timeout of the socket doesn't cover the resolution of a name.
-    with gevent.Timeout(timeout_s, TimeoutError("connecting took too long")):
-        conn = socket.create_connection(split_address(address), timeout_s)
+    conn = socket.create_connection(split_address(address), timeout_s)
     conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
