Run the background jobs of an entry process again after a defect

Cause: the jobs of an entry process were plain greenlets. The daemon has JobGroup, which runs a job again after an exception.

Fix: all jobs of an entry process and the followers of tables use it. It moves from daemon to utils, since fleet needs it too. A follower that read the same row again would fail again, so views apply rows one by one: a row that raises is logged as row_failed, and the others count. Both events are errors: they show a fault of the program.

In test_staging, the balancer of a daemon is stopped by its group instead of by killing its greenlets; what the tests check is the same.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -3,7 +3,6 @@
 import random
 from functools import partial
 
-import gevent
 import gevent.event
 
 from amaranthbay.daemon.lookup import (
@@ -40,6 +39,7 @@
 from amaranthbay.relay.switches import SwitchRecord
 from amaranthbay.routing import ClientLimits
 from amaranthbay.state.leases import LeaseStore
+from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.serving import Server
 
 __all__ = ["EntryDaemon"]
@@ -196,8 +196,8 @@
             self.rng,
             self._read_instances,
         )
-        self._jobs = []
-        self._balancer_jobs = []
+        self._jobs = JobGroup(self.clock)
+        self._balancer_jobs = JobGroup(self.clock)
         self._servers = []
 
     def _registration(self):
@@ -316,7 +316,7 @@
     def start(self):
         """Starts all jobs and servers, and listens for callers."""
         settings = self.settings
-        self._jobs += self.peers.start()
+        self.peers.start(self._jobs)
         adapter = self._adapter
         self._follow(
             adapter.configuration_table,
@@ -334,10 +334,10 @@
             OnDemandFollower,
             batch_delay_s=self._instances_batch_delay_s,
         )
-        self._jobs.append(gevent.spawn(self._registration_writer.run))
-        self._jobs.append(gevent.spawn(self._sweep_loop))
-        self._jobs.append(gevent.spawn(self._reload_loop))
-        self._balancer_jobs = [gevent.spawn(self.balancer.run)]
+        self._jobs.start("register", self._registration_writer.run)
+        self._jobs.start("sweep", self._sweep_loop)
+        self._jobs.start("reload", self._reload_loop)
+        self._balancer_jobs.start("balance_stages", self.balancer.run)
         self._serve_app(
             settings.ready_address, self._adapter.create_ready_app(self.is_ready)
         )
@@ -465,7 +465,8 @@
 
     def close(self):
         """Stops everything at once without draining, as in tests."""
-        gevent.killall(self._jobs + self._balancer_jobs)
+        self._jobs.stop()
+        self._balancer_jobs.stop()
         self.listener.close()
         for follower in self._followers.values():
             follower.stop()
@@ -488,7 +489,7 @@
         self.draining = True
         self.peers.serving = False
         self.peers.report_now()
-        gevent.killall(self._balancer_jobs)
+        self._balancer_jobs.stop()
         self.listener.draining = True
         log_event("draining", requests=len(self.listener.busy))
         grace_s = self.settings.stop_s
--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -8,7 +8,6 @@
 import gevent.event
 
 from amaranthbay import dispatch, placement  # noqa: F401  (registers plug-ins)
-from amaranthbay.daemon.jobs import JobGroup
 from amaranthbay.daemon.pool_queries import PoolQueries
 from amaranthbay.daemon.status import describe_daemon
 from amaranthbay.daemon.telemetry import start_logs, start_metrics, stop_metrics
@@ -47,6 +46,7 @@
 from amaranthbay.state.crash_marks import CrashMarks
 from amaranthbay.state.idempotency import IdempotencyStore
 from amaranthbay.state.isolation import SuspectClaims
+from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.runtime import check_event_loop
 from amaranthbay.utils.serving import Server
 
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -32,8 +32,7 @@
     """
     fixture = case.enterContext(entry_fixture(prefill=PREFILL))
     daemon, clock = fixture.daemon, ManualClock()
-    for job in daemon._balancer_jobs:
-        job.kill()
+    daemon._balancer_jobs.stop()
     table = daemon._adapter.open_table(daemon.store, "leases")
     balancer = StageBalancer(
         daemon.ctx,
--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from amaranthbay.fleet.departures import Departures
+from amaranthbay.fleet.tables import apply_each
 from amaranthbay.observe import log_event
 from amaranthbay.routing import BackendServer, EntryRevision
 
@@ -75,11 +76,13 @@
 
     def apply(self, rows):
         """Applies changed rows."""
-        for row in rows:
-            if row.value is None:
-                self._remove(row.key)
-            else:
-                self._put(row.key, row.value)
+        apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row):
+        if row.value is None:
+            self._remove(row.key)
+        else:
+            self._put(row.key, row.value)
 
     def _put(self, name, value):
         decoded = self._decode(name, value)
--- a/amaranthbay/fleet/configuration.py
+++ b/amaranthbay/fleet/configuration.py
@@ -1,5 +1,6 @@
 """The routing configuration in force, as read from its row in the store."""
 
+from amaranthbay.fleet.tables import apply_each
 from amaranthbay.observe import log_event
 
 __all__ = ["ConfigurationView"]
@@ -30,9 +31,11 @@
 
     def apply(self, rows):
         """Applies changed rows; the version in force never decreases."""
-        for row in rows:
-            if row.key == self._key and row.value is not None:
-                self._adopt(row.value)
+        apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row):
+        if row.key == self._key and row.value is not None:
+            self._adopt(row.value)
 
     def _adopt(self, value):
         decoded = self._decode(value)
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -10,7 +10,6 @@
 
 from dataclasses import dataclass, field
 
-import gevent
 import gevent.event
 import msgspec
 from gevent import socket
@@ -24,6 +23,7 @@
     has_valid_part,
     split_report,
 )
+from amaranthbay.fleet.tables import apply_each
 from amaranthbay.observe import log_event
 from amaranthbay.utils.decoding import decode_json, decode_msgpack
 from amaranthbay.utils.http import is_ip_endpoint, is_valid_address, split_address
@@ -198,26 +198,28 @@
 
     def apply(self, rows):
         """Applies changed rows."""
-        for row in rows:
-            if row.key == self.own.instance:
-                continue
-            if row.value is None:
-                self._registered.pop(row.key, None)
-                continue
-            decoded = decode_registration(row.key, row.value)
-            if decoded.is_err():
-                log_event(
-                    "registration_unreadable",
-                    level="warning",
-                    member=row.key,
-                    detail=decoded.unwrap_err(),
-                )
-                continue
-            registration = decoded.unwrap()
-            self._registered[row.key] = registration
+        apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row):
+        if row.key == self.own.instance:
+            return
+        if row.value is None:
+            self._registered.pop(row.key, None)
+            return
+        decoded = decode_registration(row.key, row.value)
+        if decoded.is_err():
             log_event(
-                "member_registered", member=row.key, address=registration.caller_address
+                "registration_unreadable",
+                level="warning",
+                member=row.key,
+                detail=decoded.unwrap_err(),
             )
+            return
+        registration = decoded.unwrap()
+        self._registered[row.key] = registration
+        log_event(
+            "member_registered", member=row.key, address=registration.caller_address
+        )
 
     def registrations(self):
         """Returns the `Registration` of each instance that the store names."""
@@ -426,16 +428,17 @@
             limits=report.limits,
         )
 
-    def start(self):
+    def start(self, jobs):
         """Opens the socket and starts to send and receive reports.
 
-        Returns:
-            The greenlets that send and receive.
+        Args:
+            jobs: `JobGroup` that runs the jobs which send and receive.
         """
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(split_address(self.own.peer_address))
-        return (gevent.spawn(self._receive_loop), gevent.spawn(self._report_loop))
+        jobs.start("receive_reports", self._receive_loop)
+        jobs.start("send_reports", self._report_loop)
 
     def close(self):
         """Closes the socket."""
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -15,6 +15,7 @@
 import gevent.event
 
 from amaranthbay.observe import current_metrics, log_event
+from amaranthbay.utils.jobs import run_restarting
 
 __all__ = [
     "ChangedRow",
@@ -24,6 +25,7 @@
     "Snapshot",
     "TableFollower",
     "TableSource",
+    "apply_each",
 ]
 
 # Longest wait of a poll for some time after an outage. Connections that are opened
@@ -104,6 +106,21 @@
     detail: str = "the history is no longer available"
 
 
+def apply_each(rows, apply_row):
+    """Applies rows one by one; an exception at one of them doesn't affect the others.
+
+    Args:
+        rows: Sequence of `ChangedRow`.
+        apply_row: Function of one `ChangedRow`.
+    """
+    for row in rows:
+        try:
+            apply_row(row)
+        except Exception as exc:
+            # Otherwise, the table would stay as it was before this row.
+            log_event("row_failed", level="error", exc=exc, key=row.key)
+
+
 class TableSource(ABC):
     """Client of the store that reads and writes tables."""
 
@@ -193,7 +210,9 @@
 
     def start(self):
         """Starts to follow the table in a greenlet."""
-        self._job = gevent.spawn(self._run)
+        self._job = gevent.spawn(
+            run_restarting, self._clock, f"follow_{self._table}", self._run
+        )
 
     def stop(self):
         """Kills the greenlet."""
--- a/amaranthbay/fleet/tests/test_backends.py
+++ b/amaranthbay/fleet/tests/test_backends.py
@@ -95,6 +95,25 @@
     case.assertEqual(usable_names(pool), [])
 
 
+def test_row_that_raises_does_not_keep_others_out(case):
+    """Guards against a defect at one row that stops an instance from following the
+    whole table."""
+
+    def decode_or_raise(name, value):
+        if value == b"!":
+            raise KeyError(name)
+        return decode(name, value)
+
+    clock = ManualClock()
+    pool = BackendPool(decode_or_raise, clock, StoreHealth(clock))
+    rows = [ChangedRow(name, 1, b"desk") for name in ("a", "c")]
+    rows.insert(1, ChangedRow("b", 1, b"!"))
+    pool.replace(rows)
+    case.assertEqual(usable_names(pool), ["a", "c"])
+    pool.apply([ChangedRow("b", 2, b"!"), ChangedRow("c", 2, b"desk draining")])
+    case.assertEqual(usable_names(pool), ["a"])
+
+
 def test_configuration_never_goes_back(case):
     """Guards against replacing a configuration by an older or unreadable one."""
 
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -25,6 +25,7 @@
 from amaranthbay.fleet.tables import ChangedRow
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.utils.http import split_address
+from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
 
 
@@ -204,9 +205,10 @@
     ]
     for view in peers.values():
         view.apply(rows)
-        jobs = view.start()
+        jobs = JobGroup(SystemClock())
+        view.start(jobs)
         case.addCleanup(view.close)
-        case.addCleanup(gevent.killall, jobs)
+        case.addCleanup(jobs.stop)
     wait_until(lambda: len(peers["entry-2"].live()) == 2)
     gevent.sleep(0.1)
     load["dec-1"] = ServerLoad(1, 3000, 0)
@@ -334,9 +336,10 @@
     address = f"127.0.0.1:{free_port()}"
     own = msgspec.structs.replace(make_registration("entry-1"), peer_address=address)
     peers = Peers(own, SystemClock(), OwnReport, bool, 1)
-    jobs = peers.start()
+    jobs = JobGroup(SystemClock())
+    peers.start(jobs)
     case.addCleanup(peers.close)
-    case.addCleanup(gevent.killall, jobs)
+    case.addCleanup(jobs.stop)
     sock = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
     return peers, lambda frame: sock.sendto(frame, split_address(address))
 
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -87,6 +87,19 @@
     return ChangedRow(key, version, value)
 
 
+def test_follower_goes_on_after_a_defect(case):
+    """Guards against a table that is no longer followed after one exception."""
+    follower, view, source, _, _ = make_follower(
+        Ok(Snapshot((row("a", b"1"),), 5)),
+        None,
+        Ok(Changes((row("a", b"2", 7),), 7)),
+    )
+    # The second answer is none, which raises.
+    follower.start()
+    case.addCleanup(follower.stop)
+    wait_until(lambda: view.rows == {"a": b"2"}, timeout_s=2.0)
+
+
 def test_changes_follow_the_snapshot(case):
     """Guards against a gap between the snapshot and the first poll."""
     follower, view, source, _, _ = make_follower(
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -27,6 +27,7 @@
 )
 from amaranthbay.platform.types import CommitState
 from amaranthbay.state.leases import LeaseStore
+from amaranthbay.utils.http import split_address
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 DEEP = "[" * 100_000 + "]" * 100_000
@@ -213,4 +214,43 @@
     case.assertEqual(leases.acquire("stages", 2.0).fence, 2)
 
 
+def test_every_job_of_a_daemon_runs_again_after_a_defect(case):
+    """Guards against a background job that ends for good at one unexpected value."""
+    fixture = case.enterContext(entry_fixture())
+    daemon = fixture.daemon
+    raised, reached = set(), set()
+
+    def raise_once(target, name):
+        """Makes the first call of a method raise, and notes the later ones."""
+        method = getattr(target, name)
+
+        def replacement(*args, **kwargs):
+            if name not in raised:
+                raised.add(name)
+                raise OverflowError(name)
+            reached.add(name)
+            return method(*args, **kwargs)
+
+        case.enterContext(mock.patch.object(target, name, replacement))
+
+    raise_once(daemon.balancer, "step")
+    raise_once(daemon.ctx.pauses, "sweep")
+    raise_once(daemon.peers, "next_report")
+    raise_once(daemon.peers, "receive")
+    raise_once(daemon.store, "changes")
+    address = split_address(daemon.peers.own.peer_address)
+    sock = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    report = msgspec.msgpack.encode(PeerStatus("entry-2", 1, 1, True, {}))
+
+    def all_reached():
+        sock.sendto(report, address)
+        # Ends the open polls, so that the followers call the store again.
+        fixture.write_entry("desk-1", "desk")
+        gevent.sleep(0.1)
+        return len(reached) == 5
+
+    wait_until(all_reached, timeout_s=10.0)
+    case.assertEqual(call(fixture, "/look/x").status, 200)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/daemon/jobs.py
+++ b/amaranthbay/utils/jobs.py
@@ -4,12 +4,31 @@
 
 from amaranthbay.observe import log_event
 
-__all__ = ["JobGroup"]
+__all__ = ["JobGroup", "run_restarting"]
 
 # A job that fails at once on each run must not starve the requests of processor time.
 RESTART_DELAY_S = 1.0
 
 
+def run_restarting(clock, name, function, *args):
+    """Runs a function, again after each exception, until it returns.
+
+    Args:
+        clock: `Clock`.
+        name: Name of the job in the log.
+        function: Function to run.
+        *args: Arguments of the function.
+    """
+    while True:
+        try:
+            function(*args)
+            return
+        except Exception as exc:
+            # Otherwise, a single unexpected exception would end the job for good.
+            log_event("job_failed", level="error", exc=exc, job=name)
+        clock.sleep(RESTART_DELAY_S)
+
+
 class JobGroup:
     """Greenlets that run until the daemon stops."""
 
@@ -25,17 +44,9 @@
             function: Function to run; the job ends when it returns.
             *args: Arguments of the function.
         """
-        self._greenlets.append(gevent.spawn(self._run_restarting, name, function, args))
-
-    def _run_restarting(self, name, function, args):
-        while True:
-            try:
-                function(*args)
-                return
-            except Exception as exc:
-                # Otherwise, a single unexpected exception would end the job for good.
-                log_event("job_failed", level="error", exc=exc, job=name)
-            self._clock.sleep(RESTART_DELAY_S)
+        self._greenlets.append(
+            gevent.spawn(run_restarting, self._clock, name, function, *args)
+        )
 
     def stop(self):
         """Kills all jobs."""
--- a/amaranthbay/daemon/tests/test_jobs.py
+++ b/amaranthbay/utils/tests/test_jobs.py
@@ -2,7 +2,7 @@
 
 import gevent.event
 
-from amaranthbay.daemon.jobs import JobGroup
+from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 
