Drop reports with negative work

Seen from outside: a datagram of another program that reported a large negative load for a decode server, and the streams of that service got 500 while the report was fresh.

Cause: the choice takes the servers whose cost is at most 1.02 times the lowest one. No server is, if the lowest cost is negative (IndexError).

Fix: work in reports is at least 0.

--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from amaranthbay.observe import log_event
-from amaranthbay.utils.decoding import Int64
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -33,7 +32,8 @@
 # A full report of all servers at the target size takes 55 datagrams.
 MAX_DATAGRAMS = 64
 # Numbers in datagrams. The bounds are far beyond those of sound reports; they keep out
-# NaN, infinity and numbers that become infinite in sums and products.
+# negative work, NaN, infinity and numbers that become infinite in sums and products.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e100)]
 Seconds = Annotated[float, msgspec.Meta(ge=-1e100, le=1e100)]
 # The longest interval of reports that is believed. An instance counts as live for some
@@ -50,9 +50,9 @@
         prefill_tokens: Prompt tokens of these requests that are not computed yet.
     """
 
-    running: Int64 = 0
-    memory_tokens: Int64 = 0
-    prefill_tokens: Int64 = 0
+    running: Count = 0
+    memory_tokens: Count = 0
+    prefill_tokens: Count = 0
 
     def __add__(self, other):
         return ServerLoad(
@@ -77,7 +77,7 @@
     prompt_tokens: Amount
     prefill_speed: Amount
     decode_s: Amount
-    streams: Annotated[int, msgspec.Meta(ge=0, le=2**50)]
+    streams: Count
     prefill_base_s: Amount = 0.0
 
 
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -381,7 +381,15 @@
     odd.append({"demands": {"lm": msgspec.structs.replace(demand, streams=-30)}})
     odd += [{"limits": {"a": LimitNotice(value, 1.0)}} for value in (nan, inf)]
     odd += [{"limits": {"a": LimitNotice(1.0, value)}} for value in (nan, inf, -1.0)]
-    odd.append({"loads": {"a": ServerLoad(1, 2**64 - 1, 0)}})
+    odd += [
+        {"loads": {"a": load}}
+        for load in (
+            ServerLoad(1, 2**64 - 1, 0),
+            ServerLoad(-1, 0, 0),
+            ServerLoad(0, -1, 0),
+            ServerLoad(0, 0, -1),
+        )
+    ]
     for number, fields in enumerate(odd):
         name = f"odd-{number}"
         report = msgspec.structs.replace(status(1), instance=name, **fields)
--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -284,8 +284,8 @@
     log_path: Path
 
     def log_lines(self):
-        """Returns the decoded lines of its log."""
-        lines = self.log_path.read_bytes().splitlines()
+        """Returns the decoded lines of its log, without one that is being written."""
+        lines = self.log_path.read_bytes().split(b"\n")[:-1]
         return [msgspec.json.decode(line) for line in lines]
 
 
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -1,6 +1,9 @@
 """An entry daemon whose tables hold rows that other writers have left."""
 
+import copy
 import json
+import random
+from math import inf, nan
 from unittest import mock
 
 import gevent
@@ -8,6 +11,7 @@
 from gevent import select, socket
 
 from amaranthbay.daemon import entry as daemon_entry
+from amaranthbay.fleet.peers import Registration
 from amaranthbay.fleet.reports import PeerStatus
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fixtures import (
@@ -18,6 +22,7 @@
     entry_process,
     request,
     server_entry,
+    stream_request,
 )
 from amaranthbay.platform.tests.standins import (
     Reply,
@@ -67,6 +72,69 @@
 ODD_KEYS = ("", "a\r\nX-Hop: 1", "a\x00b", " a", "n" * 5000)
 
 
+# Values that replace parts of sound rows and datagrams, as JSON text and as values.
+ODD_TEXTS = (
+    *(
+        "0",
+        "-1",
+        "null",
+        "true",
+        "[]",
+        "{}",
+        "[null]",
+        '""',
+        '"x"',
+        '"a\\r\\nb"',
+        "0.5",
+    ),
+    *("1e308", "-1e308", "1e999", "9" * 400, "-" + "9" * 30, str(2**63 - 1)),
+    *(str(-(2**63)), "[" * 3000 + "]" * 3000, '"127.0.0.1:1"', '"127.0.0.1:99999"'),
+)
+ODD_PARTS = (
+    *(0, -1, 2**63, 2**64 - 1, -(2**63), 1e300, nan, inf, -inf, None, True, "x", ""),
+    *(b"\xff", [], {}, [[]], {"": []}, {"a": 1}, ["a"] * 50),
+)
+REPORT = [
+    *(
+        "entry-9",
+        5,
+        1,
+        True,
+        {"dec-1": [1, 2, 3]},
+        {"lm": [100.0, 500.0, 1.0, 40, 0.1]},
+    ),
+    *({"pre-9": "decode"}, 0.2, {"f" * 16: ["a"]}, {"op": 1}, ["pre-9"], 0, 1, False),
+    *(None, 1, {"desk-9": 5}, {"dec-9": [1.0, 2.0]}),
+]
+
+
+def places_of(value):
+    """Yields the container and the key of each part of a value of lists and dicts."""
+    items = value.items() if isinstance(value, dict) else enumerate(value)
+    for key, part in items:
+        yield value, key
+        if isinstance(part, (dict, list)):
+            yield from places_of(part)
+
+
+def spoil_row(document, rng):
+    """Returns a row in which one part of a document has another value."""
+    document = copy.deepcopy(document)
+    container, key = rng.choice(list(places_of(document)))
+    container[key] = "@"
+    return json.dumps(document).replace('"@"', rng.choice(ODD_TEXTS)).encode()
+
+
+def spoil_report(sender, rng):
+    """Returns a datagram in which one part of a report has another value."""
+    report = copy.deepcopy(REPORT)
+    container, key = rng.choice(list(places_of(report)))
+    container[key] = rng.choice(ODD_PARTS)
+    if container is not report or key:
+        report[0] = sender
+    return msgspec.msgpack.encode(report)
+
+
 def odd_entries(service, address):
     """Yields a description and the bytes of each entry that names no server.
 
@@ -120,6 +188,44 @@
         case.assertEqual(failures_of(entry.log_lines()), [])
 
 
+def test_no_part_of_a_row_or_a_report_ends_a_job(case):
+    """Guards against a value anywhere in a row or a datagram of another program that
+    ends a job, or a request as a defect."""
+    rng = random.Random(5)
+    store, server = StoreStandin(), ServerStandin("desk-1")
+    decode_server = ServerStandin("dec-1", stage="decode")
+    store_address = case.enterContext(serve_http(store.answer))
+    address = case.enterContext(serve_http(server.answer))
+    decode_address = case.enterContext(serve_http(decode_server.answer))
+    store.put("op", "config", configuration())
+    store.put("servers", "desk-1", server_entry("desk", address))
+    store.put("servers", "dec-1", server_entry("lm", decode_address, "decode"))
+    sock = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    with entry_process(store_address) as entry:
+        peer_address = split_address(entry.peer_address)
+        member = Registration("", "z", "r", "127.0.0.1:5", entry.peer_address)
+        member = msgspec.to_builtins(member)
+        for number in range(40):
+            for _ in range(15):
+                odd = spoil_row(server_entry("desk", address, "decode"), rng)
+                store.put("servers", f"odd-{rng.randrange(30)}", odd)
+                name = f"entry-{rng.randrange(20, 40)}"
+                odd = spoil_row(member | {"instance": name}, rng)
+                store.put("members", name, odd)
+                sock.sendto(spoil_report(name, rng), peer_address)
+            path = f"/sum/{number}"
+            call_raw(entry.address, stream_request(path, attempt=f"a{number}"))
+            call_raw(entry.address, request(f"/look/{number}", attempt=f"b{number}"))
+        store.put("op", "config", configuration(version=2))
+        in_force = ("configuration_in_force", 2)
+        wait_until(
+            lambda: in_force
+            in ((line["event"], line.get("version")) for line in entry.log_lines())
+        )
+        case.assertIsNone(entry.process.poll())
+        case.assertEqual(failures_of(entry.log_lines()), [])
+
+
 def test_each_odd_entry_leaves_the_others_in_use(case):
     """Guards against an odd entry that gets requests, or keeps later entries out."""
     case.enterContext(mock.patch.object(daemon_entry, "SERVERS_BATCH_DELAY_S", 0.01))
