--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -10,10 +10,10 @@
 
 from dataclasses import dataclass, field
 
-import gevent
 import gevent.event
 import msgspec
 from gevent import socket
+from result import Err
 
 from amaranthbay.fleet.reports import (
     PeerStatus,
@@ -23,7 +23,10 @@
     has_valid_part,
     split_report,
 )
+from amaranthbay.fleet.tables import apply_each
 from amaranthbay.observe import log_event
+from amaranthbay.utils.decoding import decode_json, decode_msgpack
+from amaranthbay.utils.http import is_ip_endpoint, is_valid_address, split_address
 
 __all__ = [
     "MIN_REPORT_INTERVAL_S",
@@ -78,6 +81,30 @@
     link_mbps: float = 0.0
 
 
+def decode_registration(key, body):
+    """Decodes the row of an instance; other programs may have written it.
+
+    Args:
+        key: Key of the row, which is the name of the instance.
+        body: Bytes of the row.
+
+    Returns:
+        ``Result[Registration, str]``.
+    """
+    decoded = decode_json(body, Registration)
+    if decoded.is_err():
+        return decoded
+    registration = decoded.unwrap()
+    if registration.instance != key:
+        return Err("the row is that of another instance")
+    if not is_valid_address(registration.caller_address):
+        return Err("the address for callers is not host:port")
+    # The resolution of a name blocks the whole process.
+    if not is_ip_endpoint(registration.peer_address):
+        return Err("the address for reports is not an IP address and a port")
+    return decoded
+
+
 @dataclass(frozen=True)
 class OwnReport:
     """Content of a full report of this process; see `PeerStatus` for the fields."""
@@ -174,26 +201,28 @@
 
     def apply(self, rows):
         """Applies changed rows."""
-        for row in rows:
-            if row.key == self.own.instance:
-                continue
-            if row.value is None:
-                self._registered.pop(row.key, None)
-                continue
-            try:
-                registration = msgspec.json.decode(row.value, type=Registration)
-            except msgspec.DecodeError as exc:
-                log_event(
-                    "registration_unreadable",
-                    level="warning",
-                    member=row.key,
-                    detail=str(exc),
-                )
-                continue
-            self._registered[row.key] = registration
+        apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row):
+        if row.key == self.own.instance:
+            return
+        if row.value is None:
+            self._registered.pop(row.key, None)
+            return
+        decoded = decode_registration(row.key, row.value)
+        if decoded.is_err():
             log_event(
-                "member_registered", member=row.key, address=registration.caller_address
+                "registration_unreadable",
+                level="warning",
+                member=row.key,
+                detail=decoded.unwrap_err(),
             )
+            return
+        registration = decoded.unwrap()
+        self._registered[row.key] = registration
+        log_event(
+            "member_registered", member=row.key, address=registration.caller_address
+        )
 
     def registrations(self):
         """Returns the `Registration` of each instance that the store names."""
@@ -405,17 +434,17 @@
             blocked_parts=report.blocked_parts,
         )
 
-    def start(self):
+    def start(self, jobs):
         """Opens the socket and starts to send and receive reports.
 
-        Returns:
-            The greenlets that send and receive.
+        Args:
+            jobs: `JobGroup` that runs the jobs which send and receive.
         """
-        host, port = self.own.peer_address.rsplit(":", 1)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, int(port)))
-        return (gevent.spawn(self._receive_loop), gevent.spawn(self._report_loop))
+        self._socket.bind(split_address(self.own.peer_address))
+        jobs.start("receive_reports", self._receive_loop)
+        jobs.start("send_reports", self._report_loop)
 
     def close(self):
         """Closes the socket."""
@@ -440,9 +469,8 @@
                     self._send(frame, registration.peer_address)
 
     def _send(self, frame, address):
-        host, port = address.rsplit(":", 1)
         try:
-            self._socket.sendto(frame, (host, int(port)))
+            self._socket.sendto(frame, split_address(address))
         except OSError as exc:
             log_event("status_not_sent", level="debug", address=address, code=exc.errno)
 
@@ -484,10 +512,13 @@
         while True:
             try:
                 frame, (host, port) = self._socket.recvfrom(MAX_RECEIVE_BYTES)
-                status = msgspec.msgpack.decode(frame, type=PeerStatus)
-                self.receive(status, f"{host}:{port}")
             except OSError as exc:
                 log_event("status_receive_failed", level="warning", code=exc.errno)
                 self._clock.sleep(self.interval_s())
-            except msgspec.DecodeError as exc:
-                log_event("status_unreadable", level="warning", detail=str(exc))
+                continue
+            decoded = decode_msgpack(frame, PeerStatus)
+            if decoded.is_err():
+                detail = decoded.unwrap_err()
+                log_event("status_unreadable", level="warning", detail=detail)
+                continue
+            self.receive(decoded.unwrap(), f"{host}:{port}")
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -1,9 +1,11 @@
 """What instances learn about each other from their reports."""
 
 import random
+from math import inf, nan
 
 import gevent
 import msgspec
+from gevent import socket
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.fleet.peers import (
@@ -23,6 +25,8 @@
 )
 from amaranthbay.fleet.tables import ChangedRow
 from amaranthbay.kernel.clock import SystemClock
+from amaranthbay.utils.http import split_address
+from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.testing import ManualClock, collect, free_port, wait_until
 
 
@@ -202,9 +206,10 @@
     ]
     for view in peers.values():
         view.apply(rows)
-        jobs = view.start()
+        jobs = JobGroup(SystemClock())
+        view.start(jobs)
         case.addCleanup(view.close)
-        case.addCleanup(gevent.killall, jobs)
+        case.addCleanup(jobs.stop)
     wait_until(lambda: len(peers["entry-2"].live()) == 2)
     gevent.sleep(0.1)
     load["dec-1"] = ServerLoad(1, 3000, 0)
@@ -352,6 +357,126 @@
     case.assertEqual((peers.loads(), live_names(peers)), ({}, ["entry-1"]))
 
 
+def receiving_peers(case):
+    """Returns the view of a running ``entry-1`` and a function that sends it bytes."""
+    address = f"127.0.0.1:{free_port()}"
+    own = msgspec.structs.replace(make_registration("entry-1"), peer_address=address)
+    peers = Peers(own, SystemClock(), OwnReport, bool, 1)
+    jobs = JobGroup(SystemClock())
+    peers.start(jobs)
+    case.addCleanup(peers.close)
+    case.addCleanup(jobs.stop)
+    sock = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    return peers, lambda frame: sock.sendto(frame, split_address(address))
+
+
+def test_no_datagram_ends_the_receiver(case):
+    """Guards against an instance that no longer hears the others after a datagram of
+    another program."""
+    peers, send = receiving_peers(case)
+    fields = msgspec.msgpack.encode(status(1))
+    # The array gets one more element, which is an unknown field.
+    count = len(msgspec.structs.fields(PeerStatus))
+    case.assertEqual(fields[:3], bytes((0xDC, 0, count)))
+    unknown_field = bytes((0xDC, 0, count + 1)) + fields[3:]
+    for frame in (
+        b"",
+        b"\xc1",
+        b"GET / HTTP/1.1",
+        fields[:-1],
+        fields.replace(b"entry-2", b"entry\xff\xfe"),
+        b"\x91" * 1500,
+        unknown_field + b"\x91" * 1500 + b"\xc0",
+    ):
+        send(frame)
+    send(msgspec.msgpack.encode(status(2)))
+    wait_until(lambda: peers.fresh_statuses(), timeout_s=2.0)
+
+
+def test_report_with_odd_numbers_is_dropped(case):
+    """Guards against NaN and infinity in what is computed from reports: an instance
+    that counts as live for ever, and a balancer that ends."""
+    peers, send = receiving_peers(case)
+    demand = MeasuredDemand(100.0, 5000.0, 1.0, 30)
+    odd = [{"interval_s": value} for value in (nan, inf, -1.0, 1e9)]
+    for name in ("prompt_tokens", "prefill_speed", "decode_s", "prefill_base_s"):
+        odd += [
+            {"demands": {"lm": msgspec.structs.replace(demand, **{name: value})}}
+            for value in (nan, inf, -1.0)
+        ]
+    odd.append({"demands": {"lm": msgspec.structs.replace(demand, streams=-30)}})
+    odd += [{"limits": {"a": LimitNotice(value, 1.0)}} for value in (nan, inf)]
+    odd += [{"limits": {"a": LimitNotice(1.0, value)}} for value in (nan, inf, -1.0)]
+    odd += [
+        {"loads": {"a": load}}
+        for load in (
+            ServerLoad(1, 2**64 - 1, 0),
+            ServerLoad(-1, 0, 0),
+            ServerLoad(0, -1, 0),
+            ServerLoad(0, 0, -1),
+        )
+    ]
+    for number, fields in enumerate(odd):
+        name = f"odd-{number}"
+        report = msgspec.structs.replace(status(1), instance=name, **fields)
+        send(msgspec.msgpack.encode(report))
+    send(msgspec.msgpack.encode(status(1)))
+    wait_until(lambda: peers.fresh_statuses(), timeout_s=2.0)
+    names = [report.instance for report in peers.fresh_statuses()]
+    case.assertEqual(names, ["entry-2"])
+
+
+def test_nested_row_does_not_hide_other_instances(case):
+    """Guards against a row of another writer that ends the follower of the table."""
+    peers, _ = make_peers()
+    row = msgspec.json.encode(make_registration("entry-3"))
+    nested = row[:-1] + b',"extra":' + b"[" * 10_000 + b"]" * 10_000 + b"}"
+    peers.apply([ChangedRow("entry-3", 2, nested), ChangedRow("entry-4", 3, b"[")])
+    peers.apply([ChangedRow("entry-5", 4, row.replace(b"entry-3", b"entry-5"))])
+    names = {registration.instance for registration in peers.registrations()}
+    case.assertEqual(names, {"entry-1", "entry-2", "entry-5"})
+
+
+def test_odd_row_does_not_end_the_reports(case):
+    """Guards against an address of another writer that ends the greenlet which reports
+    to all instances, and against giving such an address to callers."""
+    peers, _ = receiving_peers(case)
+    other = case.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    other.bind(("127.0.0.1", 0))
+    other.settimeout(2.0)
+    odd = [
+        {"peer_address": text}
+        for text in (
+            "",
+            "127.0.0.1",
+            "127.0.0.1:port",
+            "127.0.0.1:70000",
+            "127.0.0.1:-1",
+            f"127.0.0.1:{10**20}",
+            "127.0.0.1:\u00b2",
+            "a..b:80",
+            "entry-9.example:80",
+        )
+    ]
+    odd += [{"caller_address": text} for text in ("", "entry-9", "127.0.0.1:70000")]
+    odd += [{"instance": "entry-1"}, {"instance": "entry-2"}, {"cores": "1"}]
+    rows = []
+    for number, fields in enumerate(odd):
+        name = f"odd-{number}"
+        row = msgspec.to_builtins(make_registration(name)) | fields
+        rows.append(ChangedRow(name, 1, msgspec.json.encode(row)))
+    port = other.getsockname()[1]
+    sound = make_registration("entry-2")
+    sound = msgspec.structs.replace(sound, peer_address=f"127.0.0.1:{port}")
+    rows.append(ChangedRow("entry-2", 1, msgspec.json.encode(sound)))
+    peers.apply(rows)
+    for _ in range(2):
+        received = msgspec.msgpack.decode(other.recv(2048), type=PeerStatus)
+        case.assertEqual(received.instance, "entry-1")
+    names = {registration.instance for registration in peers.registrations()}
+    case.assertEqual(names, {"entry-1", "entry-2"})
+
+
 def test_change_that_overtakes_a_full_report_stays(case):
     """Guards against an older full report that undoes a newer change."""
     peers, _ = make_peers()
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -1,16 +1,21 @@
 """Decoding of the platform's configuration, server entries, settings and headers."""
 
+import ipaddress
+import json
 import tempfile
 from pathlib import Path
 
 import msgspec
+from hypothesis import given, settings, strategies as st
 
+from amaranthbay.fleet.reports import LimitNotice, ServerLoad
 from amaranthbay.platform.boot import load_boot_settings
 from amaranthbay.platform.calls import PlatformCallCodec
 from amaranthbay.platform.documents import decode_configuration, decode_server
 from amaranthbay.platform.tests.fixtures import configuration
 from amaranthbay.relay.codec import ForwardOptions
 from amaranthbay.routing import CallKind, EntryRevision, Stage
+from amaranthbay.utils.http import split_address
 from amaranthbay.utils.testing import collect
 
 ENTRY = {
@@ -22,6 +27,7 @@
     "Stage": "decode",
     "Sequence": 1,
 }
+DEEP = b"[" * 100_000 + b"]" * 100_000
 BOOT_FILE = """
 NodeName = "n-1"
 Ip = "10.0.0.1"
@@ -49,6 +55,46 @@
     return decode_server("i-1", msgspec.json.encode(ENTRY | changes))
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(10**18, 10**40)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(st.characters(exclude_categories=("Cs",)), max_size=8),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from([*ENTRY, "born", "x"]), inner, max_size=3),
+    max_leaves=6,
+)
+ADDRESSES = st.builds(
+    "{}:{}".format,
+    st.sampled_from(("10.0.0.9", "h", "", "a..b", "\u0663", "::1", "x" * 70)),
+    st.integers(-1, 70_000) | st.sampled_from(("", "80 ", "\u0663", 10**30)),
+)
+CHANGES = st.dictionaries(
+    st.sampled_from([*ENTRY, "born", "x"]), JSON_VALUES | ADDRESSES, max_size=3
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(
+    changes=CHANGES, cut=st.none() | st.integers(0, 300), noise=st.binary(max_size=4)
+)
+def check_any_entry(changes, cut, noise):
+    """Checks that a server which is read can be connected to, named and reported."""
+    body = json.dumps(ENTRY | changes).encode()
+    decoded = decode_server("i-1", body if cut is None else body[:cut] + noise)
+    if decoded.is_err():
+        return
+    server = decoded.unwrap()
+    host, port = split_address(server.address)
+    assert host and 1 <= port <= 65535
+    ipaddress.ip_address(host)
+    assert server.slots >= 1
+    revision = (server.revision.started_ms, server.revision.sequence)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(revision)) == list(revision)
+
+
 def test_server_entry_is_read(case):
     """Guards against a misread stage or state."""
     server = decode_entry().unwrap()
@@ -69,6 +115,32 @@
         {"Stage": "both ends"},
         {"Slots": "many"},
         {"Service": None},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:65536"},
+        {"Address": f"10.0.0.9:{10**20}"},
+        {"Address": f"10.0.0.9:{'9' * 5000}"},
+        {"Address": "10.0.0.9:\u0663"},
+        {"Address": "10.0.0.9:\u00b2"},
+        {"Address": "10.0.0.9:+80"},
+        {"Address": "10.0.0.9: 80"},
+        {"Address": "10.0.0.9:80\n"},
+        {"Address": "10.0.0:80"},
+        {"Address": "10.0.0.999:80"},
+        {"Address": "a..b:80"},
+        {"Address": "a b:80"},
+        {"Address": "a\x00b:80"},
+        {"Address": "a\r\nX-Hop: 1:80"},
+        {"Address": f"{'a' * 64}:80"},
+        {"Address": "[::1]:80"},
+        {"Address": "::1%a\r\nX-Hop: 1:80"},
+        {"Address": "worker.example:80"},
+        {"Address": "localhost:80"},
+        {"Slots": 2**63},
+        {"Slots": -(10**30)},
+        {"Slots": 1.5},
+        {"Sequence": 10**30},
+        {"born": 10**30},
+        {"born": -(2**64)},
     ):
         with case.subTest(changes):
             case.assertTrue(decode_entry(**changes).is_err())
@@ -76,6 +148,46 @@
         case.assertTrue(decode_server("i", raw).is_err())
 
 
+def test_ip_addresses_of_all_forms_are_read(case):
+    """Guards against leaving out a server for the form of its address."""
+    for address in ("10.0.0.9:1", "10.0.0.9:65535", "::1:80", "fd00::1:2:65535"):
+        with case.subTest(address):
+            case.assertEqual(decode_entry(Address=address).unwrap().address, address)
+
+
+def test_key_that_no_header_can_carry_names_no_server(case):
+    """Guards against a key of another writer that adds a header to requests."""
+    body = msgspec.json.encode(ENTRY)
+    for key in ("", "a\r\nX-Hop: 1", "a\nb", "a\x00", "a\x7f", " a", "a ", "n" * 129):
+        with case.subTest(key):
+            case.assertTrue(decode_server(key, body).is_err())
+    for key in ("i-1", "desk/1", "n" * 128, "caf\u00e9 1"):
+        case.assertEqual(decode_server(key, body).unwrap().name, key)
+
+
+def test_any_entry_is_read_or_refused(case):
+    """Guards against an entry of any form that ends the follower of the table."""
+    check_any_entry()
+
+
+def test_deeply_nested_bytes_are_unreadable(case):
+    """Guards against a RecursionError that ends whoever reads a row or an answer."""
+    codec = PlatformCallCodec()
+    decoders = (
+        lambda body: decode_server("i-1", body),
+        decode_configuration,
+        codec.read_prefill,
+        codec.read_hold,
+        codec.read_report,
+    )
+    entry = msgspec.json.encode(ENTRY)
+    for body in (DEEP, b'{"Extra":' + DEEP + b"}", b'{"Extra":' + DEEP + b"," + entry):
+        for decode in decoders:
+            case.assertTrue(decode(body).is_err())
+    nested_entry = entry[:-1] + b',"Extra":' + DEEP + b"}"
+    case.assertTrue(decode_server("i-1", nested_entry).is_err())
+
+
 def test_configuration_is_read(case):
     """Guards against fields that are lost or read in the wrong unit."""
     table = decode_configuration(msgspec.json.encode(configuration(7))).unwrap()
@@ -128,6 +240,41 @@
     case.assertIsNone(head.last_event_id)
 
 
+def test_numbers_of_any_size_fit_into_reports(case):
+    """Guards against a number in a header that can't be reported to other instances,
+    and so ends the greenlet that reports."""
+    codec = PlatformCallCodec()
+    for number in (b"9" * 30, b"-" + b"9" * 30, b"9" * 4000, b"9" * 5000):
+        head = codec.read_call(
+            ((b"x-token-count", number + b"," + number), (b"x-length-hint", number))
+        )
+        load = ServerLoad(1, head.prompt_tokens + head.max_output_tokens, 0)
+        hint = ServerLoad(1, head.expected_tokens or 0, head.prompt_tokens)
+        for each in (load, hint, load + hint):
+            raw = msgspec.msgpack.encode(each)
+            case.assertEqual(msgspec.msgpack.decode(raw, type=ServerLoad), each)
+            case.assertGreaterEqual(each.memory_tokens, 0)
+    for rate in (b"9" * 30, b"1e300", b"0"):
+        notice = LimitNotice(
+            1.0, codec.read_answer(200, ((b"server-limit", rate),)).limit_per_s
+        )
+        raw = msgspec.msgpack.encode(notice)
+        case.assertEqual(msgspec.msgpack.decode(raw, type=LimitNotice), notice)
+
+
+def test_identifier_of_a_server_adds_no_header(case):
+    """Guards against an answer whose identifier ends the line of a header or a path."""
+    codec = PlatformCallCodec()
+    for text in ("a\r\nX-Hop: 1", "a\n", "a b", "a\x00", "\u00e9"):
+        hold = msgspec.json.encode({"Hold": text})
+        handle = msgspec.json.encode({"KvHandle": text, "Tokens": 1})
+        case.assertTrue(codec.read_hold(hold).is_err(), text)
+        case.assertTrue(codec.read_prefill(handle).is_err(), text)
+    case.assertEqual(codec.read_hold(b'{"Hold":"k/1-a.b:2"}').unwrap(), "k/1-a.b:2")
+    huge = msgspec.json.encode({"KvHandle": "a", "Tokens": 10**40})
+    case.assertTrue(codec.read_prefill(huge).is_err())
+
+
 def test_headers_of_one_connection_are_not_forwarded(case):
     """Guards against forwarding hop-by-hop headers, or what ``Connection`` names."""
     codec = PlatformCallCodec()
@@ -147,7 +294,7 @@
 
 def test_revision_of_an_entry_is_read(case):
     """Guards against old entries of a restored store that look like newer ones."""
-    entry = {"Service": "s", "Address": "h:1", "Zone": "z", "State": "ready"}
+    entry = {"Service": "s", "Address": "10.0.0.9:1", "Zone": "z", "State": "ready"}
     plain = decode_server("a", msgspec.json.encode(entry)).unwrap()
     case.assertEqual(plain.revision, EntryRevision())
     revised = entry | {"Sequence": 7, "born": 1_764_806_400_123}
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -114,9 +114,8 @@
         """
         now = self._clock.monotonic()
         for fingerprint, names in crashes.items():
-            crashed_at = self._crashes.setdefault(fingerprint, {})
             for crash in names:
-                crashed_at.setdefault(crash, now)
+                self._crashes.setdefault(fingerprint, {}).setdefault(crash, now)
         while len(self._crashes) > MAX_SUSPECTED_REQUESTS:
             self._crashes.pop(next(iter(self._crashes)))
 
