--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -105,8 +105,8 @@
         crashes: Names of the crashes at which it was present.
     """
 
-    left_s: float
-    block_s: float
+    left_s: Amount
+    block_s: Amount
     crashes: tuple[str, ...]
 
 
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -138,6 +138,9 @@
                 crashes=len(suspicion.crashes),
                 seconds=suspicion.block_s,
             )
+        self._drop_oldest()
+
+    def _drop_oldest(self):
         while len(self._suspicions) > MAX_PARTS:
             self._suspicions.pop(next(iter(self._suspicions)))
 
@@ -158,9 +161,11 @@
                 continue
             for crash in new:
                 suspicion.crashes.setdefault(crash, now)
-            suspicion.block_s = max(suspicion.block_s, block.block_s)
-            until = now + min(block.left_s, block.block_s, MAX_BLOCK_S)
+            block_s = min(block.block_s, MAX_BLOCK_S)
+            suspicion.block_s = max(suspicion.block_s, block_s)
+            until = now + min(block.left_s, block_s)
             suspicion.blocked_until = max(suspicion.blocked_until, until)
+        self._drop_oldest()
 
     def _clear(self, part, suspicion):
         now = self._clock.monotonic()
