Give the takeover of silent servers a module of its own

No change of behaviour: the relay of a stream and its takeovers were one class of 390 lines. The verdict on ended attempts is kept with the attempts.

--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -23,7 +23,7 @@
     pause_between_events,
 )
 from amaranthbay.platform.tests.test_entry_streams import events
-from amaranthbay.relay import streams
+from amaranthbay.relay import streams, takeovers
 from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -37,6 +37,12 @@
     return call_raw(fixture.address, stream_request("/resume/x", headers=headers))
 
 
+def shorten_head_stall(case):
+    """Lets streams look for another server after 0.5 s without a head."""
+    for module in (streams, takeovers):
+        case.enterContext(mock.patch.object(module, "HEAD_STALL_S", 0.5))
+
+
 def late_head(server, seconds):
     """Returns a reply whose head comes after some seconds."""
 
@@ -191,7 +197,7 @@
 def test_stream_leaves_a_second_silent_server(case):
     """Guards against waiting until the deadline for a server that should continue a
     stream and never answers, after the first one has broken off."""
-    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    shorten_head_stall(case)
     fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
     changed = configuration(version=2)
     changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
@@ -225,7 +231,7 @@
 def test_chain_of_takeovers_ends_with_its_stream(case):
     """Guards against a request, or a placement, that outlives its stream if the server
     that should take it over is to be taken over in turn."""
-    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    shorten_head_stall(case)
     fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
     changed = configuration(version=2)
     changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
@@ -243,7 +249,7 @@
 def test_failure_of_a_silent_server_is_withheld_during_a_takeover(case):
     """Guards against a late failure that reaches the caller although another server
     is about to send the stream."""
-    case.enterContext(mock.patch.object(streams, "HEAD_STALL_S", 0.5))
+    shorten_head_stall(case)
     fixture = case.enterContext(entry_fixture(decode=DECODE))
     servers = [fixture.servers[name] for name in DECODE]
 
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -18,6 +18,7 @@
         excluded: Names of servers that are not used again for this stream.
         prefilled: Whether a server has computed the prompt, or may have.
         decode_in_progress: Whether a decode server has the request, or may have.
+        verdict: `Verdict` on the attempts that have ended.
         decode_sent_at: Monotonic time at which the last decode was sent; None if none
             was.
     """
@@ -29,8 +30,14 @@
         self.excluded = set()
         self.prefilled = False
         self.decode_in_progress = False
+        self.verdict = Verdict.NOT_RUN
         self.decode_sent_at = None
 
+    def note_ended(self, refusal):
+        """Records the `Refusal` with which an attempt has ended."""
+        if refusal.verdict is not Verdict.NOT_RUN:
+            self.verdict = refusal.verdict
+
     def note_sent(self):
         """Counts an attempt whose request was sent."""
         self._attempt_count += 1
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -1,29 +1,25 @@
 """Relays streams of model servers, with continuation after failures and silence."""
 
-import sys
 from dataclasses import dataclass
 
 import gevent
-from result import Err, Ok
 
-from amaranthbay.kernel.errors import Reason, Verdict, may_have_run
+from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import Step, current_metrics, log_event
 from amaranthbay.relay.attempts import StreamAttempts
 from amaranthbay.relay.exchange import ExchangeBroken
-from amaranthbay.relay.holds import drop_hold
 from amaranthbay.relay.opening import StreamOpener, decode_failed
 from amaranthbay.relay.output import StreamOutput
 from amaranthbay.relay.placing import memory_need
 from amaranthbay.relay.plain import MAX_ANSWER_BYTES
 from amaranthbay.relay.refusals import timed_out
+from amaranthbay.relay.takeovers import HEAD_STALL_S, Takeovers
 
 __all__ = ["StreamRelay"]
 
-# Silence of a decode server, after and before the head of its answer, after which a
-# resumable stream looks for another server. Callers leave after two seconds without an
-# event, and after four targets without the first one; the target is one second.
+# Silence of a decode server within its answer after which a resumable stream looks for
+# another server. Callers leave after two seconds without an event.
 STALL_S = 1.0
-HEAD_STALL_S = 2.0
 # Interval at which the silence of a decode server is recorded, so that it gets no new
 # streams for a while; events usually come every 50 ms.
 SILENCE_CHECK_S = 0.5
@@ -33,7 +29,6 @@
 TAKEOVER_CHECK_S = 0.1
 # Time after the head of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
-SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
 
 
@@ -82,15 +77,9 @@
         self._attempts = StreamAttempts(ctx, call)
         self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
         self._opener = self._create_opener()
-        # Verdict on the attempts that have ended.
-        self._verdict = Verdict.NOT_RUN
-        self._reader = gevent.getcurrent()
-        # Greenlet that opens the stream at another server while its server is silent.
-        self._takeover = None
-        self._takeover_at = None
-        self._takeover_server = None
-        # Takeover that the stream waits for, as its silent server was left.
-        self._awaited = None
+        self._takeovers = Takeovers(
+            ctx, call, self._attempts, self._output, self._create_opener
+        )
 
     def _create_opener(self, **options):
         return StreamOpener(
@@ -100,14 +89,10 @@
             self._attempts,
             self._output,
             self._watch_head,
-            is_taken_over=lambda: self._other_takeover() is not None,
+            is_taken_over=lambda: self._takeovers.in_progress_elsewhere(),
             **options,
         )
 
-    def _other_takeover(self):
-        """Returns the takeover in progress unless it is the current greenlet."""
-        return None if self._takeover is gevent.getcurrent() else self._takeover
-
     def run(self):
         """Returns None if anything was sent to the caller, else a `Refusal`."""
         limit_s = self._call.left_s(self._ctx.clock.monotonic())
@@ -115,12 +100,13 @@
             with gevent.Timeout(limit_s, False):
                 return self._run_attempts()
         finally:
-            self._cancel_takeover()
+            self._takeovers.cancel()
         # The deadline has passed: a stream that has started stays incomplete.
         if self._output.started:
             return None
-        may_be_running = self._attempts.decode_in_progress
-        return timed_out(Verdict.MAY_HAVE_RUN if may_be_running else self._verdict)
+        if self._attempts.decode_in_progress:
+            return timed_out(Verdict.MAY_HAVE_RUN)
+        return timed_out(self._attempts.verdict)
 
     def _run_attempts(self):
         while True:
@@ -150,15 +136,11 @@
                     return None
             else:
                 refusal = outcome.unwrap_err()
-            self._note_verdict(refusal)
-            outcome = self._finish_takeover()
+            self._attempts.note_ended(refusal)
+            outcome = self._takeovers.finish()
             if outcome is None:
                 return refusal
 
-    def _note_verdict(self, refusal):
-        if refusal.verdict is not Verdict.NOT_RUN:
-            self._verdict = refusal.verdict
-
     def _end(self, refusal):
         """Returns the `Refusal` for the caller; None if its stream has started."""
         if self._output.started:
@@ -170,9 +152,9 @@
                 last_event=self._output.last_id,
             )
             return None
-        if self._verdict is Verdict.NOT_RUN:
+        if self._attempts.verdict is Verdict.NOT_RUN:
             return self._queue.held_back_refusal(self._call) or refusal
-        return refusal.with_verdict(self._verdict)
+        return refusal.with_verdict(self._attempts.verdict)
 
     def _relay_opened(self, opened):
         """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
@@ -195,7 +177,7 @@
         awaits_first_event = placement.prefill is not None
         started_at = self._ctx.clock.monotonic()
         self._note_opened(placement.decode, started_at)
-        self._cancel_takeover()
+        self._takeovers.cancel()
         silence = self._watch_events(opened.exchange, placement.decode)
         service = self._call.service
         memory_share = memory_need(self._call.head) / service.engine.memory_tokens
@@ -203,7 +185,7 @@
         try:
             for data in opened.exchange.chunks():
                 silence.clear()
-                self._cancel_takeover()
+                self._takeovers.cancel()
                 placement.end_prefill()
                 if awaits_first_event:
                     awaits_first_event = False
@@ -244,110 +226,12 @@
             silence.seconds += TAKEOVER_CHECK_S
             if exchange.head is not None and silence.seconds >= SILENCE_CHECK_S:
                 self._ctx.outcomes.note_silent(server.name)
-            if silence.seconds >= stall_s:
-                self._check_takeover(server, silence)
+            if silence.seconds >= stall_s and self._takeovers.check(server):
+                silence.clear()
 
         exchange.watch_silence(TAKEOVER_CHECK_S, note_silence)
         return silence
 
-    def _check_takeover(self, server, silence):
-        """Starts a takeover from a silent server, or completes it.
-
-        The server keeps the stream until another one has answered, as it may go on and
-        no other one may take the stream.
-
-        Raises:
-            ExchangeBroken: If another server has taken over.
-        """
-        if gevent.getcurrent() not in (self._reader, self._awaited):
-            # The server before still has the stream.
-            return
-        takeover = self._takeover
-        if takeover is None:
-            if self._attempts.may_repeat(SILENT):
-                log_event(
-                    "stream_stalled",
-                    level="warning",
-                    request_id=self._call.request_id,
-                    backend_server=server.name,
-                    last_event=self._output.last_id,
-                )
-                self._takeover_at = self._ctx.clock.monotonic()
-                self._takeover = gevent.spawn(self._take_over, server)
-        elif takeover.ready():
-            if takeover.get().is_ok():
-                raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
-            self._takeover = None
-            self._note_verdict(takeover.get().unwrap_err())
-            silence.clear()
-        elif self._takeover_sent_s() >= HEAD_STALL_S:
-            # The other server is silent, too.
-            self._attempts.excluded.add(self._takeover_server)
-            self._ctx.outcomes.note_silent(self._takeover_server)
-            self._takeover = None
-            self._cancel(takeover)
-            silence.clear()
-
-    def _takeover_sent_s(self):
-        """Returns the seconds since the takeover in progress was sent to a server."""
-        sent_at = self._attempts.decode_sent_at
-        if sent_at is None or sent_at < self._takeover_at:
-            return 0.0
-        return self._ctx.clock.monotonic() - sent_at
-
-    def _take_over(self, silent_server):
-        """Returns the ``Result[OpenedStream, Refusal]`` of an attempt elsewhere."""
-        try:
-            return self._open_elsewhere(silent_server)
-        except Exception:
-            request_id = self._call.request_id
-            log_event(
-                "defect", level="error", exc=sys.exc_info(), request_id=request_id
-            )
-            return Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
-
-    def _open_elsewhere(self, silent_server):
-        excluded = frozenset((silent_server.name,))
-        opener = self._create_opener(excluded=excluded, streams_only=True)
-        place_result = opener.place()
-        if place_result.is_err():
-            return place_result
-        placement, hold = place_result.unwrap()
-        if not self._attempts.withdraw_repeat(SILENT):
-            placement.release()
-            drop_hold(self._ctx, placement.decode, hold)
-            return Err(SILENT)
-        self._takeover_server = placement.decode.name
-        return opener.open(placement, hold)
-
-    def _finish_takeover(self):
-        """Waits for a takeover in progress, whose server may be taken over in turn.
-
-        Returns:
-            ``Ok[OpenedStream]``; None if there is none or it has failed.
-        """
-        while self._takeover is not None:
-            self._awaited, self._takeover = self._takeover, None
-            outcome = self._awaited.get()
-            self._awaited = None
-            if outcome.is_ok():
-                return outcome
-            self._note_verdict(outcome.unwrap_err())
-        return None
-
-    def _cancel_takeover(self):
-        takeovers = self._takeover, self._awaited
-        self._takeover = self._awaited = None
-        for takeover in takeovers:
-            if takeover is not None:
-                self._cancel(takeover)
-
-    def _cancel(self, takeover):
-        # Its request may have reached a server.
-        self._verdict = Verdict.MAY_HAVE_RUN
-        takeover.link_value(_close_unused)
-        takeover.kill(block=False)
-
     def _note_opened(self, server, now):
         waited_s = now - self._call.arrived_at
         service = self._call.service.name
@@ -383,9 +267,3 @@
             if len(body) > MAX_ANSWER_BYTES:
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "answer_too_large")
         self._output.send_whole(opened.head, bytes(body))
-
-
-def _close_unused(takeover):
-    """Closes what a takeover has opened although its stream no longer needs it."""
-    if isinstance(takeover.value, Ok):
-        takeover.value.unwrap().close()
