Keep the crashes of parts that were blocked

Requests with a blocked part run again, and crash further servers, after one more crash with the part: one that comes over a minute after the first ones, or once the block has ended. A crash counts for 60 s, so only the new one is left, and a request is refused only if it has all parts that were present there, those of other streams that had just begun on the same server among them.

Parts that were blocked now keep their crashes until the block is forgotten, an hour after its end, so that the parts present at all of them are compared. A part without blocks still forgets its crashes after 60 s.

The test failed before: after three crashes with the part and a fourth one 61 s later, at which another stream had begun beside it, is_blocked returned False.

--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -71,8 +71,13 @@
         return max(self.crashes.values()) - min(self.crashes.values()) >= MIN_SPAN_S
 
     def expire(self, oldest):
-        """Forgets crashes before a monotonic time."""
-        for crashes in (self.crashes, self.cleared):
+        """Forgets crashes before a monotonic time.
+
+        A part that was blocked keeps its crashes: the parts that were present at the
+        latest one alone would include those of other streams on the same server.
+        """
+        expiring = (self.cleared,) if self.block_s else (self.crashes, self.cleared)
+        for crashes in expiring:
             for crash in [name for name, at in crashes.items() if at < oldest]:
                 del crashes[crash]
                 self.own.discard(crash)
@@ -246,9 +251,8 @@
         for part, suspicion in list(self._suspicions.items()):
             if now < suspicion.blocked_until:
                 continue
+            if now >= suspicion.blocked_until + MAX_BLOCK_S:
+                suspicion.block_s = 0.0
             suspicion.expire(now - CRASH_LIFE_S)
-            recently_blocked = now < suspicion.blocked_until + MAX_BLOCK_S
-            if suspicion.block_s and recently_blocked:
-                continue
             if not suspicion.crashes and not suspicion.cleared:
                 del self._suspicions[part]
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -5,6 +5,7 @@
 from amaranthbay.relay.crash_parts import (
     BLOCK_S,
     CRASH_LIFE_S,
+    MAX_BLOCK_S,
     MAX_PARTS,
     MIN_SPAN_S,
     CrashingParts,
@@ -130,6 +131,21 @@
     case.assertFalse(crashing_parts.is_blocked(("bad",)))
 
 
+def test_later_crash_does_not_unblock_requests_without_the_parts_beside_it(case):
+    """Guards against a blocked part whose requests are run again after a later crash,
+    at which a sound stream had also just begun on the server."""
+    for waited_s in (CRASH_LIFE_S + 1, BLOCK_S + 1):
+        crashing_parts, clock = make_parts(("s1", "s2", "s3"), ("bad",))
+        clock.advance(waited_s)
+        crashing_parts.sweep()
+        crashing_parts.note_crash(("beside",), "s4")
+        crashing_parts.note_crash(("bad",), "s4")
+        case.assertTrue(crashing_parts.is_blocked(("first", "bad")), waited_s)
+        clock.advance(2 * BLOCK_S + MAX_BLOCK_S)
+        crashing_parts.sweep()
+        case.assertEqual(crashing_parts._suspicions, {})
+
+
 def test_suspicions_are_swept(case):
     """Guards against memory that grows with each crash."""
     crashing_parts, clock = make_parts(("s1", "s2"))
