Keep blocked parts while many others are suspected

A part that crashes servers is run again after a crash of requests with very many parts: the table holds 1000 parts, and the one suspected first goes first, blocked or not. Three more crashes are needed to find it again.

The oldest part that was never blocked now goes first, so that blocked ones stay; the newest part always stays, so that another one is found beside a table of blocked ones.

The test failed before: is_blocked returned False after a crash with 1000 other parts. The second test passed before; it guards the order that replaces the old one.

--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -11,6 +11,7 @@
 sound, show which part it is.
 """
 
+import itertools
 from dataclasses import dataclass, field
 
 from amaranthbay.fleet.reports import PartBlock
@@ -37,7 +38,8 @@
 # Largest number of blocked parts in a report, and of crashes of each.
 MAX_REPORTED_BLOCKS = 4
 MAX_BLOCK_CRASHES = 6
-# Largest number of parts that are kept; the one suspected longest goes first.
+# Largest number of parts that are kept; the one suspected longest goes first, and
+# blocked ones go last.
 MAX_PARTS = 1000
 
 
@@ -147,7 +149,10 @@
 
     def _drop_oldest(self):
         while len(self._suspicions) > MAX_PARTS:
-            self._suspicions.pop(next(iter(self._suspicions)))
+            known = itertools.islice(self._suspicions.items(), MAX_PARTS)
+            unblocked = (part for part, suspicion in known if not suspicion.block_s)
+            oldest = next(iter(self._suspicions))
+            del self._suspicions[next(unblocked, oldest)]
 
     def merge_blocks(self, blocks):
         """Adopts the parts that another instance refuses.
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -146,6 +146,23 @@
         case.assertEqual(crashing_parts._suspicions, {})
 
 
+def test_blocked_part_is_kept_beside_many_suspected_ones(case):
+    """Guards against new crashes after a request with very many parts."""
+    crashing_parts, _ = make_parts(("s1", "s2", "s3"), ("bad",))
+    crashing_parts.note_crash([f"p{number}" for number in range(MAX_PARTS)], "s4")
+    case.assertTrue(crashing_parts.is_blocked(("bad",)))
+    case.assertEqual(len(crashing_parts._suspicions), MAX_PARTS)
+
+
+def test_part_is_found_beside_very_many_blocked_ones(case):
+    """Guards against a table of blocked parts that has no room for another one."""
+    many = [f"p{number}" for number in range(MAX_PARTS)]
+    crashing_parts, clock = make_parts(("s1", "s2", "s3"), many)
+    note_crashes(crashing_parts, clock, ("s4", "s5", "s6"), ("bad",))
+    case.assertTrue(crashing_parts.is_blocked(("bad",)))
+    case.assertEqual(len(crashing_parts._suspicions), MAX_PARTS)
+
+
 def test_suspicions_are_swept(case):
     """Guards against memory that grows with each crash."""
     crashing_parts, clock = make_parts(("s1", "s2"))
