Compare parts that were present together once per check

Each check of a request with many parts that are blocked together, but for one, took 0.37 s of processor time with 1000 parts and 0.03 s with 300; a request is checked up to four times. Each blocked part was compared with all suspected ones, although they share their crashes.

The parts present at the same crashes are now looked up once. The test failed before: 999 comparisons instead of one.

--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -190,10 +190,16 @@
         if not self._suspicions:
             return False
         now = self._clock.monotonic()
+        checked = set()
         for part in parts:
             suspicion = self._suspicions.get(part)
             if suspicion is None or now >= suspicion.blocked_until:
                 continue
+            # Long prompts have hundreds of parts, most of them present together.
+            crashes = frozenset(suspicion.crashes)
+            if crashes in checked:
+                continue
+            checked.add(crashes)
             if self._present_at(suspicion.crashes) <= set(parts):
                 return True
         return False
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -1,6 +1,7 @@
 """Parts of prompts that crash decode servers, without callers and platform."""
 
 import random
+from unittest import mock
 
 from amaranthbay.relay.crash_parts import (
     BLOCK_S,
@@ -163,6 +164,17 @@
     case.assertEqual(len(crashing_parts._suspicions), MAX_PARTS)
 
 
+def test_parts_that_were_present_together_are_compared_once(case):
+    """Guards against a check of a long prompt that takes a third of a second."""
+    many = [f"p{number}" for number in range(MAX_PARTS)]
+    crashing_parts, _ = make_parts(("s1", "s2", "s3"), many)
+    with mock.patch.object(
+        crashing_parts, "_present_at", wraps=crashing_parts._present_at
+    ) as present_at:
+        case.assertFalse(crashing_parts.is_blocked(many[1:]))
+    case.assertEqual(present_at.call_count, 1)
+
+
 def test_suspicions_are_swept(case):
     """Guards against memory that grows with each crash."""
     crashing_parts, clock = make_parts(("s1", "s2"))
