Report all crashes of suspected parts in turn

A part that crashes servers is found late if many parts are present at each crash and each crash is seen by another instance: a report has room for eight pairs of a part and a crash, and always named the same ones of those with equally many crashes.

Reports now name first the pairs that were reported least often, so that each is reported in turn; new ones still come first, and among them parts with more crashes.

The test failed before: the part was not blocked after four crashes with 20 others each.

--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -50,7 +50,7 @@
     Attributes:
         crashes: Monotonic time by crash that counts.
         cleared: Monotonic time by crash that no longer counts.
-        own: Crashes that this instance has seen.
+        own: Number of reports by crash that this instance has seen.
         sound_at: Monotonic time at which this instance found the part sound; None if it
             hasn't.
         blocked_until: Monotonic time until which the part is blocked.
@@ -59,7 +59,7 @@
 
     crashes: dict = field(default_factory=dict)
     cleared: dict = field(default_factory=dict)
-    own: set = field(default_factory=set)
+    own: dict = field(default_factory=dict)
     sound_at: float | None = None
     blocked_until: float = 0.0
     block_s: float = 0.0
@@ -82,7 +82,7 @@
         for crashes in expiring:
             for crash in [name for name, at in crashes.items() if at < oldest]:
                 del crashes[crash]
-                self.own.discard(crash)
+                self.own.pop(crash, None)
 
 
 class CrashingParts:
@@ -102,7 +102,7 @@
         """
         for part in parts:
             self._add(part, crash)
-            self._suspicions[part].own.add(crash)
+            self._suspicions[part].own.setdefault(crash, 0)
 
     def note_served(self, parts):
         """Clears the parts of a stream that has completed."""
@@ -215,17 +215,19 @@
     def crash_report(self):
         """Returns the crashes that this instance has seen, in the form of `merge`.
 
-        Parts with more crashes come first.
+        Those that were reported least often come first, so that all are reported in
+        turn, and among them those of parts with more crashes.
         """
         oldest = self._clock.monotonic() - CRASH_LIFE_S
-        pairs = [
-            (len(suspicion.crashes), suspicion.crashes[crash], part, crash)
+        entries = [
+            (suspicion.own[crash], -len(suspicion.crashes), part, crash)
             for part, suspicion in self._suspicions.items()
-            for crash in suspicion.own & suspicion.crashes.keys()
+            for crash in suspicion.own.keys() & suspicion.crashes.keys()
             if suspicion.crashes[crash] >= oldest
         ]
         report = {}
-        for _, _, part, crash in sorted(pairs, reverse=True)[:MAX_REPORTED_CRASHES]:
+        for _, _, part, crash in sorted(entries)[:MAX_REPORTED_CRASHES]:
+            self._suspicions[part].own[crash] += 1
             report[part] = (*report.get(part, ()), crash)
         return report
 
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -100,6 +100,24 @@
     case.assertEqual(set(first.crash_report()), {"bad"})
 
 
+def test_part_is_found_beside_many_streams_that_see_their_crash_elsewhere(case):
+    """Guards against a part that no report names, as many other parts were present at
+    each crash and each crash was seen by another instance."""
+    clock = ManualClock()
+    instances = [CrashingParts(clock) for _ in range(9)]
+    for number, witness in enumerate(instances[:4]):
+        beside = [f"z{number}{index}" for index in range(20)]
+        witness.note_crash(("bad", *beside), f"s{number}")
+        for _ in range(5):
+            clock.advance(0.2)
+            for sender in instances:
+                report = sender.crash_report()
+                for receiver in instances:
+                    receiver.merge(report, ())
+    for instance in instances:
+        case.assertTrue(instance.is_blocked(("bad",)))
+
+
 def test_instance_that_starts_after_the_crashes_refuses_their_part(case):
     """Guards against new crashes each time that an instance starts, also after those
     that have seen the crashes are gone."""
