Report all sound parts in turn

An instance may refuse sound requests for up to two minutes although another instance serves requests with the same parts: a report names at most six of the parts on which streams have completed, always those that were suspected last. The parts suspected first, such as popular first parts, and all but six of a long common prompt are never reported.

Reports now name first the parts that were reported longest ago, and among them those that were present at more crashes.

The test failed before: after five reports, the second instance still refused requests with 20 parts on which the first one had completed streams.

--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -12,6 +12,7 @@
 """
 
 import itertools
+import math
 from dataclasses import dataclass, field
 
 from amaranthbay.fleet.reports import PartBlock
@@ -53,6 +54,7 @@
         own: Number of reports by crash that this instance has seen.
         sound_at: Monotonic time at which this instance found the part sound; None if it
             hasn't.
+        sound_reported_at: Monotonic time at which a report last named it as sound.
         blocked_until: Monotonic time until which the part is blocked.
         block_s: Seconds of the last block; 0 if it never was blocked.
     """
@@ -61,6 +63,7 @@
     cleared: dict = field(default_factory=dict)
     own: dict = field(default_factory=dict)
     sound_at: float | None = None
+    sound_reported_at: float = -math.inf
     blocked_until: float = 0.0
     block_s: float = 0.0
 
@@ -249,14 +252,22 @@
         }
 
     def sound_report(self):
-        """Returns the suspected parts that this instance has lately found sound."""
-        oldest = self._clock.monotonic() - SOUND_REPORT_S
+        """Returns the suspected parts that this instance has lately found sound.
+
+        Those reported longest ago come first, so that all are reported in turn, and
+        among them those that have been present at more crashes.
+        """
+        now = self._clock.monotonic()
         sound = [
-            part
+            (suspicion.sound_reported_at, -len(suspicion.cleared), part)
             for part, suspicion in self._suspicions.items()
-            if suspicion.sound_at is not None and suspicion.sound_at >= oldest
+            if suspicion.sound_at is not None
+            and now - suspicion.sound_at <= SOUND_REPORT_S
         ]
-        return tuple(sound[-MAX_REPORTED_PARTS:])
+        report = tuple(part for _, _, part in sorted(sound)[:MAX_REPORTED_PARTS])
+        for part in report:
+            self._suspicions[part].sound_reported_at = now
+        return report
 
     def sweep(self):
         """Forgets crashes and parts that no longer count."""
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -118,6 +118,19 @@
         case.assertTrue(instance.is_blocked(("bad",)))
 
 
+def test_all_sound_parts_are_reported_in_turn(case):
+    """Guards against an instance that refuses sound requests, as the reports of another
+    one that serves them name only some of their many parts."""
+    parts = [f"p{number}" for number in range(20)]
+    first, first_clock = make_parts(("s1", "s2", "s3"), parts)
+    second, _ = make_parts(("s1", "s2", "s3"), parts)
+    for _ in range(5):
+        first.note_served(parts)
+        second.merge({}, first.sound_report())
+        first_clock.advance(0.2)
+    case.assertFalse(second.is_blocked(parts))
+
+
 def test_instance_that_starts_after_the_crashes_refuses_their_part(case):
     """Guards against new crashes each time that an instance starts, also after those
     that have seen the crashes are gone."""
