Suspect parts of streams whose first event comes late

A part is never found if its servers crash more than a second after the head of the answer: one that computes the prompt itself, or fetches a large KV cache, sends the head first and begins to write later. Streams older than a second, counted from the head, were not suspected.

The second now begins with the first bytes of the answer's body, and a stream without any is suspected.

The test failed before: with 1.2 s from the head to the first event, all five servers crashed; now three do.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -21,8 +21,16 @@
             once by one with another name at its address.
     """
 
-    def __init__(self, fixture):
+    def __init__(self, fixture, first_event_s=None):
+        """Makes the servers of a fixture crash.
+
+        Args:
+            fixture: `EntryFixture`.
+            first_event_s: Seconds between the head of an answer and its first event,
+                after which the server crashes; None to crash before the head.
+        """
         self.crashed = []
+        self._first_event_s = first_event_s
         self._fixture = fixture
         self._numbers = itertools.count(1)
         fixture.daemon.ctx.crashes._accepts_connections = (
@@ -36,11 +44,18 @@
         def reply(req):
             if CRASHING not in req.headers["x-prompt-prefix"]:
                 return server.stream_reply(req)
+            if self._first_event_s is not None:
+                events, pauses = self._events(server), (self._first_event_s,)
+                return server.stamped_reply(req, chunks=events, pauses=pauses, cut=True)
             self._crash(server)
             return None
 
         return reply
 
+    def _events(self, server):
+        yield b"id: 1\ndata: piece 1\n\n"
+        self._crash(server)
+
     def _crash(self, server):
         old_name = server.name
         server.name = f"{old_name}-{next(self._numbers)}"
@@ -80,6 +95,17 @@
     case.assertIn("retry-after", answer.headers)
 
 
+def test_part_that_crashes_servers_late_after_the_head_is_refused(case):
+    """Guards against a part that is not suspected, as its servers take over a second
+    from the head of the answer to the first event."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture, first_event_s=1.2)
+    for number in range(5):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 def test_sound_requests_are_served_beside_a_part_that_crashes_servers(case):
     """Guards against refusing requests that share only sound parts with those that
     crash servers."""
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -49,14 +49,12 @@
         exchange: `Exchange` with the decode server.
         head: `AnswerHead` of the answer.
         called_at: Monotonic time at which the request was sent.
-        opened_at: Monotonic time at which the head was read.
     """
 
     placement: object
     exchange: object
     head: object
     called_at: float
-    opened_at: float
 
     def close(self):
         """Ends the exchange and releases the placement."""
@@ -293,9 +291,7 @@
                 ctx.outcomes.note_accepted(server.name)
                 if computed is not None:
                     ctx.handles.note_fetched(computed.server.name)
-            opened = OpenedStream(
-                placement, exchange, head, called_at, ctx.clock.monotonic()
-            )
+            opened = OpenedStream(placement, exchange, head, called_at)
             return Ok(opened)
         except ExchangeBroken as exc:
             sent = exchange is not None
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -31,7 +31,7 @@
 # over. Servers send the head of an answer as they begin to run it, and two of them may
 # run the same stream for 0.4 s.
 TAKEOVER_CHECK_S = 0.1
-# Time after the head of an answer in which its server has just begun it.
+# Time after the first bytes of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
 SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
@@ -84,6 +84,8 @@
         self._opener = self._create_opener()
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
+        # Time at which the current server sent the first bytes of its answer.
+        self._began_at = None
         self._reader = gevent.getcurrent()
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
@@ -176,6 +178,7 @@
 
     def _relay_opened(self, opened):
         """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
+        self._began_at = None
         try:
             if opened.head.status == OK:
                 self._relay(opened)
@@ -183,12 +186,18 @@
                 self._forward_whole(opened)
             return None
         except ExchangeBroken as exc:
-            began = self._ctx.clock.monotonic() - opened.opened_at < BEGINNING_S
-            self._attempts.note_failed(opened.placement.decode, exc, True, began)
+            server, began = opened.placement.decode, self._is_beginning()
+            self._attempts.note_failed(server, exc, True, began)
             return decode_failed(exc).unwrap_err()
         finally:
             opened.close()
 
+    def _is_beginning(self):
+        """Returns whether the current server has just begun its answer, or not yet."""
+        if self._began_at is None:
+            return True
+        return self._ctx.clock.monotonic() - self._began_at < BEGINNING_S
+
     def _relay(self, opened):
         placement, head = opened.placement, opened.head
         self._output.switch_server()
@@ -202,6 +211,8 @@
         run = self._ctx.demand.begin_decode(service.name, memory_share)
         try:
             for data in opened.exchange.chunks():
+                if self._began_at is None:
+                    self._began_at = self._ctx.clock.monotonic()
                 silence.clear()
                 self._cancel_takeover()
                 placement.end_prefill()
