Clear parts only by answers that a server has surely written

A part that crashes servers is run again, and crashes three more, after an answer that looks complete but shows nothing: an empty one, as to a continuation after the last event, or one without length and chunks that ends with its connection, as when the server crashes between two events. Both cleared the part of all crashes.

A part is now cleared only if the server has sent an event that is new to the caller, and the answer has a length or chunks.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -19,6 +19,8 @@
     Attributes:
         crashed: Names of the servers that have crashed. Each of them is replaced at
             once by one with another name at its address.
+        replies: By attempt id, function of a `ServerStandin` and a request that returns
+            its `Reply`. The server doesn't crash on it.
     """
 
     def __init__(self, fixture, first_event_s=None):
@@ -30,6 +32,7 @@
                 after which the server crashes; None to crash before the head.
         """
         self.crashed = []
+        self.replies = {}
         self._first_event_s = first_event_s
         self._fixture = fixture
         self._numbers = itertools.count(1)
@@ -42,6 +45,9 @@
 
     def _reply(self, server):
         def reply(req):
+            special = self.replies.get(req.headers["x-attempt-id"])
+            if special is not None:
+                return special(server, req)
             if CRASHING not in req.headers["x-prompt-prefix"]:
                 return server.stream_reply(req)
             if self._first_event_s is not None:
@@ -106,6 +112,21 @@
     case.assertEqual(len(servers.crashed), 3)
 
 
+def test_answers_that_show_nothing_do_not_clear_a_part(case):
+    """Guards against new crashes after a continuation that had nothing left to write,
+    or after an answer without framing that a crash has ended."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    servers.replies["a1"] = lambda server, req: server.stream_reply(req, last=0)
+    servers.replies["a3"] = lambda server, req: server.stream_reply(
+        req, last=1, unframed=True
+    )
+    for number in range(7):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 def test_sound_requests_are_served_beside_a_part_that_crashes_servers(case):
     """Guards against refusing requests that share only sound parts with those that
     crash servers."""
--- a/amaranthbay/relay/events.py
+++ b/amaranthbay/relay/events.py
@@ -28,12 +28,14 @@
             caller continues; None before the first.
         fault: Why the bytes of the current server can't be passed on, or None.
         caught_up: Whether the current server has sent the last event that was returned.
+        has_new: Whether the current server has sent an event that was returned.
     """
 
     def __init__(self, last_id=None):
         self.last_id = last_id
         self.fault = None
         self.caught_up = False
+        self.has_new = False
         self._buffer = b""
         self._passed_any = False
         # Whether the next event must be the one after `last_id`.
@@ -80,7 +82,7 @@
         if self._awaits_next and not self._is_next(event_id):
             return "not_continued", False
         self.last_id = self.last_id if event_id is None else event_id
-        self.caught_up = self._passed_any = True
+        self.caught_up = self.has_new = self._passed_any = True
         self._awaits_next = False
         return None, True
 
@@ -111,7 +113,7 @@
         without it, the answer isn't the rest of the stream.
         """
         self.fault = None
-        self.caught_up = False
+        self.caught_up = self.has_new = False
         self._buffer = b""
         self._awaits_next = self._passed_any
 
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -75,6 +75,17 @@
         self._write(head, events)
         self._conn.finish_stream()
 
+    def is_surely_complete(self, head):
+        """Returns whether the current server has written the rest of the stream.
+
+        An answer without events may be that to a continuation after the last one, and
+        one without framing may end as its server crashes.
+
+        Args:
+            head: `AnswerHead` of the server's answer, which has ended.
+        """
+        return self._events.has_new and _has_framing(head)
+
     def send_whole(self, head, body):
         """Sends a whole answer that isn't a stream.
 
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -223,7 +223,8 @@
                 self._output.feed(head, data)
             self._output.finish(head)
             run.end()
-            self._ctx.crashes.note_served(self._call)
+            if self._output.is_surely_complete(head):
+                self._ctx.crashes.note_served(self._call)
         finally:
             run.drop()
         self._note_ended(placement.decode, self._ctx.clock.monotonic() - started_at)
