Clear parts of streams that go on after their beginning

Sound requests with a popular part are refused, or requests with a part that crashes servers are run, until a stream with the popular part is complete, which may take a minute: until then, the popular part passes for one that was present at all crashes. That is so after several losses of servers in a row, or for slow streams.

Parts are suspected only if their server crashes within a second after its first new event. A stream whose events still arrive more than two seconds after the first one now clears its parts, and does so again each second. Two reads a second apart are needed, as events that arrived before a crash may be read late after a pause of the process.

The test failed before: the part that crashes servers was refused beside another first part only once the long stream was complete ('True is not false').

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -142,4 +142,23 @@
     case.assertEqual(send(fixture, ("cc", CRASHING), 60).status, 503)
 
 
+def test_stream_that_goes_on_clears_its_parts_before_its_end(case):
+    """Guards against refusing a popular part, or missing the one that crashes servers
+    beside it, until a long stream is complete."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    servers.replies["a9"] = lambda server, req: server.stream_reply(
+        req, last=20, pause_s=0.13
+    )
+    stream = gevent.spawn(send, fixture, ("aa",), 9)
+    for number in range(3):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    wait_until(lambda: fixture.daemon.ctx.crashes.parts.sound_report())
+    case.assertEqual(send(fixture, ("cc", CRASHING), 10, "/sum/x").status, 503)
+    case.assertFalse(stream.ready())
+    case.assertEqual(stream.get().status, 200)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -3,8 +3,8 @@
 Requests share parts of their prompts. If one part crashes each server that begins an
 answer on it, no two of the requests need to be alike. All streams that had just begun
 on a crashed server are suspected, with all their shared parts. A part on which a
-stream has completed is sound, which clears it of all crashes so far. What remains of
-several crashes is blocked.
+stream has completed, or goes on after its beginning, is sound, which clears it of all
+crashes so far. What remains of several crashes is blocked.
 
 Parts that have been present at the same crashes can't be told apart. A request is then
 refused only if it has all of them, so that others with some of them, which may be
@@ -108,7 +108,7 @@
             self._suspicions[part].own.setdefault(crash, 0)
 
     def note_served(self, parts):
-        """Clears the parts of a stream that has completed."""
+        """Clears the parts of a stream that has completed, or goes on for long."""
         for part in parts:
             suspicion = self._suspicions.get(part)
             if suspicion is not None:
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -101,7 +101,7 @@
             self._report_job = gevent.spawn_later(REPORT_DELAY_S, self._on_crash)
 
     def note_served(self, call):
-        """Records that a stream has completed."""
+        """Records that a stream has completed, or goes on after its beginning."""
         self.parts.note_served(_part_names(call))
 
     def merge(self, crashes):
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -37,6 +37,11 @@
         """Id of the last event that was passed on, or None."""
         return self._events.last_id
 
+    @property
+    def has_new(self):
+        """Whether the current server has sent an event that is new to the caller."""
+        return self._events.has_new
+
     def switch_server(self):
         """Drops a partial event of the previous server, whose stream must go on."""
         self._events.switch_server()
@@ -84,7 +89,7 @@
         Args:
             head: `AnswerHead` of the server's answer, which has ended.
         """
-        return self._events.has_new and _has_framing(head)
+        return self.has_new and _has_framing(head)
 
     def send_whole(self, head, body):
         """Sends a whole answer that isn't a stream.
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -31,8 +31,11 @@
 # over. Servers send the head of an answer as they begin to run it, and two of them may
 # run the same stream for 0.4 s.
 TAKEOVER_CHECK_S = 0.1
-# Time after the first bytes of an answer in which its server has just begun it.
+# Time after the first event of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
+# Interval at which a stream that goes on after its beginning clears its parts. What
+# has arrived during a pause of this process, maybe before a crash, is read at once.
+CLEAR_INTERVAL_S = 1.0
 SILENT = may_have_run(Reason.STREAM_BROKEN, "the decode server is silent")
 OK = 200
 
@@ -84,8 +87,11 @@
         self._opener = self._create_opener()
         # Verdict on the attempts that have ended.
         self._verdict = Verdict.NOT_RUN
-        # Time at which the current server sent the first bytes of its answer.
+        # Time at which the first event of the current server was read.
         self._began_at = None
+        # Time at which the parts of the prompt were last cleared, or the stream was
+        # first read after its beginning.
+        self._cleared_at = None
         self._reader = gevent.getcurrent()
         # Greenlet that opens the stream at another server while its server is silent.
         self._takeover = None
@@ -178,7 +184,7 @@
 
     def _relay_opened(self, opened):
         """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
-        self._began_at = None
+        self._began_at = self._cleared_at = None
         try:
             if opened.head.status == OK:
                 self._relay(opened)
@@ -198,6 +204,24 @@
             return True
         return self._ctx.clock.monotonic() - self._began_at < BEGINNING_S
 
+    def _note_progress(self, now):
+        """Clears the parts of a stream whose server goes on after its beginning.
+
+        A part that crashes servers does so as they begin to write. Streams may take a
+        minute, and after a loss of servers it takes long until one is complete.
+
+        Args:
+            now: Monotonic time at which the latest bytes were read.
+        """
+        if self._began_at is None:
+            self._began_at = now
+        elif self._cleared_at is None:
+            if now - self._began_at >= BEGINNING_S:
+                self._cleared_at = now
+        elif now - self._cleared_at >= CLEAR_INTERVAL_S:
+            self._cleared_at = now
+            self._ctx.crashes.note_served(self._call)
+
     def _relay(self, opened):
         placement, head = opened.placement, opened.head
         self._output.switch_server()
@@ -211,8 +235,7 @@
         run = self._ctx.demand.begin_decode(service.name, memory_share)
         try:
             for data in opened.exchange.chunks():
-                if self._began_at is None:
-                    self._began_at = self._ctx.clock.monotonic()
+                read_at = self._ctx.clock.monotonic()
                 silence.clear()
                 self._cancel_takeover()
                 placement.end_prefill()
@@ -221,6 +244,8 @@
                     first_s = self._ctx.clock.monotonic() - opened.called_at
                     self._ctx.demand.note_first_event(service.name, first_s)
                 self._output.feed(head, data)
+                if self._output.has_new:
+                    self._note_progress(read_at)
             self._output.finish(head)
             run.end()
             if self._output.is_surely_complete(head):
