Blame a crash on streams whose end is read late

A part is not suspected if the process that relays its stream pauses for over a second around the crash, or waits for its caller: the age of a stream was taken as the end of its connection was read, and streams older than a second are not suspected.

The age now ends with the last bytes that were read before.

The test failed before: with a pause of 1.1 s of the process before each crash, all five servers crashed; now three do.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -1,6 +1,7 @@
 """Requests that share a part which crashes each decode server that runs them."""
 
 import itertools
+import time
 
 import gevent
 
@@ -23,17 +24,19 @@
             its `Reply`. The server doesn't crash on it.
     """
 
-    def __init__(self, fixture, first_event_s=None):
+    def __init__(self, fixture, first_event_s=None, pause_s=0.0):
         """Makes the servers of a fixture crash.
 
         Args:
             fixture: `EntryFixture`.
             first_event_s: Seconds between the head of an answer and its first event,
                 after which the server crashes; None to crash before the head.
+            pause_s: Seconds for which this process pauses after the event.
         """
         self.crashed = []
         self.replies = {}
         self._first_event_s = first_event_s
+        self._pause_s = pause_s
         self._fixture = fixture
         self._numbers = itertools.count(1)
         fixture.daemon.ctx.crashes._accepts_connections = (
@@ -60,6 +63,9 @@
 
     def _events(self, server):
         yield b"id: 1\ndata: piece 1\n\n"
+        # The relay reads the event before the pause.
+        gevent.sleep(0.05)
+        time.sleep(self._pause_s)
         self._crash(server)
 
     def _crash(self, server):
@@ -112,6 +118,17 @@
     case.assertEqual(len(servers.crashed), 3)
 
 
+def test_part_that_crashes_servers_during_a_pause_of_the_process_is_refused(case):
+    """Guards against a crash that is not blamed on the part, as this process reads the
+    end of the connection late."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture, first_event_s=0.0, pause_s=1.1)
+    for number in range(5):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 def test_answers_that_show_nothing_do_not_clear_a_part(case):
     """Guards against new crashes after a continuation that had nothing left to write,
     or after an answer without framing that a crash has ended."""
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -89,6 +89,8 @@
         self._verdict = Verdict.NOT_RUN
         # Time at which the first event of the current server was read.
         self._began_at = None
+        # Time at which the latest bytes of the current server were read.
+        self._read_at = None
         # Time at which the parts of the prompt were last cleared, or the stream was
         # first read after its beginning.
         self._cleared_at = None
@@ -199,20 +201,21 @@
             opened.close()
 
     def _is_beginning(self):
-        """Returns whether the current server has just begun its answer, or not yet."""
+        """Returns whether the current server had just begun its answer, or not yet.
+
+        The end of its connection may be read late, so the last bytes before count.
+        """
         if self._began_at is None:
             return True
-        return self._ctx.clock.monotonic() - self._began_at < BEGINNING_S
+        return self._read_at - self._began_at < BEGINNING_S
 
-    def _note_progress(self, now):
+    def _note_progress(self):
         """Clears the parts of a stream whose server goes on after its beginning.
 
         A part that crashes servers does so as they begin to write. Streams may take a
         minute, and after a loss of servers it takes long until one is complete.
-
-        Args:
-            now: Monotonic time at which the latest bytes were read.
         """
+        now = self._read_at
         if self._began_at is None:
             self._began_at = now
         elif self._cleared_at is None:
@@ -235,7 +238,7 @@
         run = self._ctx.demand.begin_decode(service.name, memory_share)
         try:
             for data in opened.exchange.chunks():
-                read_at = self._ctx.clock.monotonic()
+                self._read_at = self._ctx.clock.monotonic()
                 silence.clear()
                 self._cancel_takeover()
                 placement.end_prefill()
@@ -245,7 +248,7 @@
                     self._ctx.demand.note_first_event(service.name, first_s)
                 self._output.feed(head, data)
                 if self._output.has_new:
-                    self._note_progress(read_at)
+                    self._note_progress()
             self._output.finish(head)
             run.end()
             if self._output.is_surely_complete(head):
