Report crashes and other details apart if they don't fit together

While about 15 servers leave, instances may learn nothing of each other's crashes, blocked and sound parts, nor of changed tables: the details of a report, all in its first datagram, then take more than 1400 bytes, and all of them are dropped ('status_too_large'). With the most that a report says of crashes, eight names of requests and 1009 bytes, that takes 15 leaving servers.

The details of crashes now go by themselves if the details don't fit into one datagram.

The test failed before: status_too_large with 1519 bytes, and no leaving server was reported.

--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -13,6 +13,7 @@
 from amaranthbay.observe import log_event
 
 __all__ = [
+    "CRASH_FIELDS",
     "MAX_DATAGRAM_BYTES",
     "LimitNotice",
     "MeasuredDemand",
@@ -32,6 +33,8 @@
 LOADS_PER_DATAGRAM = 24
 # A full report of all servers at the target size takes 55 datagrams.
 MAX_DATAGRAMS = 64
+# Fields that go into a datagram of their own if the details don't fit into one.
+CRASH_FIELDS = ("crashes", "crashed_parts", "sound_parts", "blocked_parts")
 # Numbers in datagrams. The bounds are far beyond those of sound reports; they keep out
 # negative work, NaN, infinity and numbers that become infinite in sums and products.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -114,8 +117,8 @@
     """Status of an entry instance, as one datagram of a report.
 
     Each datagram has some of the loads. Only the first one has the other details of a
-    full report. A report of changes has none of them: they are as in the last full
-    report.
+    full report; those of crashes may follow in the second one. A report of changes has
+    none of them: they are as in the last full report.
 
     Attributes:
         instance: Name of the sender.
@@ -207,17 +210,38 @@
         dict(loads[first : first + LOADS_PER_DATAGRAM])
         for first in range(0, len(loads), LOADS_PER_DATAGRAM)
     ] or [{}]
+    plain = _without_details(status)
+    datagrams = [msgspec.structs.replace(plain, loads=chunk) for chunk in chunks]
     first = msgspec.structs.replace(status, loads=chunks[0])
-    if len(msgspec.msgpack.encode(first)) > MAX_DATAGRAM_BYTES:
+    if _fits(first):
+        datagrams[0] = first
+    else:
         # Details that leave no room for loads, as after a crash, go by themselves.
-        chunks.insert(0, {})
-    datagrams = []
-    for part, chunk in enumerate(chunks):
-        datagram = msgspec.structs.replace(
-            status, loads=chunk, part=part, parts=len(chunks)
-        )
-        datagrams.append(datagram if part == 0 else _without_details(datagram))
-    return datagrams
+        details = msgspec.structs.replace(status, loads={})
+        datagrams = [*_split_details(details), *datagrams]
+    return [
+        msgspec.structs.replace(datagram, part=part, parts=len(datagrams))
+        for part, datagram in enumerate(datagrams)
+    ]
+
+
+def _fits(status):
+    return len(msgspec.msgpack.encode(status)) <= MAX_DATAGRAM_BYTES
+
+
+def _split_details(status):
+    """Splits a `PeerStatus` without loads, so that crashes go by themselves if needed.
+
+    Receivers use what a datagram says of crashes at once, whatever its index.
+    """
+    if _fits(status):
+        return [status]
+    crashes = {name: getattr(status, name) for name in CRASH_FIELDS}
+    none = {name: type(value)() for name, value in crashes.items()}
+    return [
+        msgspec.structs.replace(status, **none),
+        msgspec.structs.replace(_without_details(status), **crashes),
+    ]
 
 
 def _without_details(status):
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -15,12 +15,14 @@
     Registration,
 )
 from amaranthbay.fleet.reports import (
+    CRASH_FIELDS,
     MAX_DATAGRAM_BYTES,
     LimitNotice,
     MeasuredDemand,
     PartBlock,
     PeerStatus,
     ServerLoad,
+    encode_datagram,
     split_report,
 )
 from amaranthbay.fleet.tables import ChangedRow
@@ -276,6 +278,37 @@
     case.assertEqual(merged.crashed_parts, status.crashed_parts)
 
 
+def test_details_and_crashes_that_do_not_fit_together_are_both_reported(case):
+    """Guards against instances that learn nothing of crashes, or of changed tables,
+    while many servers leave."""
+    names = [f"{number:010x}" for number in range(8)]
+    crashes = dict.fromkeys(names, ("12345678",))
+    block = PartBlock(119.9, 120.0, ("12345678",) * 6)
+    report = msgspec.structs.replace(
+        status(1, loads={"dec-1": ServerLoad(1, 1, 1)}),
+        crashes={f"{name}123456": ("12345678",) for name in names},
+        versions={"servers": 10**6},
+        leaving={f"decode-server-{number:03d}": 10**12 for number in range(25)},
+        crashed_parts=crashes,
+        sound_parts=tuple(names[:6]),
+        blocked_parts=dict.fromkeys(names[:4], block),
+    )
+    peers, _ = make_peers()
+    received = []
+    peers._on_status = received.append
+    for datagram in split_report(report):
+        peers.receive(
+            msgspec.msgpack.decode(encode_datagram(datagram), type=PeerStatus)
+        )
+    case.assertEqual(peers.loads(), report.loads)
+    (merged,) = peers.fresh_statuses()
+    case.assertEqual(merged.leaving, report.leaving)
+    case.assertEqual(merged.versions, report.versions)
+    for name in CRASH_FIELDS:
+        values = [getattr(datagram, name) for datagram in received]
+        case.assertIn(getattr(report, name), values)
+
+
 def test_report_of_many_servers_fits_into_datagrams(case):
     """Guards against IP fragments, and against dropping loads, which placement needs,
     when many servers are busy."""
