Don't repeat a request that tries a blocked part

Each time that a part is tried again after its block, a resumable request with it crashes two servers: it is repeated at once, and the first crash is known only after a probe, 50 ms later or more.

A request that may have run isn't repeated if its parts were blocked and no stream has cleared them since.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -129,6 +129,22 @@
     case.assertEqual(len(servers.crashed), 3)
 
 
+def test_request_that_tries_a_blocked_part_is_not_repeated(case):
+    """Guards against two crashes each time that a part is tried again."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    for number in range(3):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    parts = fixture.daemon.ctx.crashes.parts
+    for suspicion in parts._suspicions.values():
+        suspicion.blocked_until = fixture.daemon.clock.monotonic()
+    for number in range(2):
+        send(fixture, ("aa", CRASHING), 10 + number)
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 4)
+
+
 def test_answers_that_show_nothing_do_not_clear_a_part(case):
     """Guards against new crashes after a continuation that had nothing left to write,
     or after an answer without framing that a crash has ended."""
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -89,6 +89,8 @@
             may_have_run and not self._call.route.repeatable
         ) or not self.has_attempts_left():
             return False
+        if may_have_run and self._ctx.crashes.may_crash_again(self._call):
+            return False
         return not self._ctx.crashes.is_quarantined(self._call)
 
     def _budget(self):
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -190,13 +190,30 @@
 
     def is_blocked(self, parts):
         """Returns whether requests with these shared parts are refused."""
+        now = self._clock.monotonic()
+        return self._has_all_suspects(parts, lambda known: now < known.blocked_until)
+
+    def was_blocked(self, parts):
+        """Returns whether requests with these shared parts are or were refused.
+
+        Once the block has ended, one of them shows whether the parts are sound.
+        """
+        return self._has_all_suspects(parts, lambda known: known.block_s > 0)
+
+    def _has_all_suspects(self, parts, condition):
+        """Returns whether parts include all that were present at some crashes.
+
+        Args:
+            parts: Names of the parts.
+            condition: Function of the `_Suspicion` of a part that returns whether its
+                crashes are compared.
+        """
         if not self._suspicions:
             return False
-        now = self._clock.monotonic()
         checked = set()
         for part in parts:
             suspicion = self._suspicions.get(part)
-            if suspicion is None or now >= suspicion.blocked_until:
+            if suspicion is None or not condition(suspicion):
                 continue
             # Long prompts have hundreds of parts, most of them present together.
             crashes = frozenset(suspicion.crashes)
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -132,6 +132,13 @@
             sum(timestamp >= oldest for timestamp in crashed_at.values()) >= CRASH_LIMIT
         )
 
+    def may_crash_again(self, call):
+        """Returns whether a request that may have run must not be repeated.
+
+        A part of its prompt was blocked, and is now tried with this request.
+        """
+        return self.parts.was_blocked(_part_names(call))
+
     def report(self):
         """Returns the latest crashes seen by this instance, in the form of `merge`."""
         oldest = self._clock.monotonic() - CRASH_LIFE_S
