Check for blocked parts after the prefill, too

They are now refused after the prefill, and their KV cache and hold are released. No decode server has had the request, so that it has not run.

The test failed before: a decode server crashed.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from unittest import mock
 
 import gevent
 
@@ -145,6 +146,27 @@
     case.assertEqual(len(servers.crashed), 4)
 
 
+def test_part_that_is_blocked_during_the_prefill_reaches_no_decode_server(case):
+    """Guards against crashes by the requests whose prompts are being computed as the
+    part is blocked."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    prefill = fixture.servers["pre-1"]
+
+    def block(req):
+        crashes = fixture.daemon.ctx.crashes
+        patch = mock.patch.object(crashes, "is_quarantined", lambda call: True)
+        case.enterContext(patch)
+        return prefill.prefill_reply()
+
+    prefill.replies.append(block)
+    answer = send(fixture, ("aa", CRASHING), 1)
+    case.assertEqual(servers.crashed, [])
+    case.assertEqual(answer.status, 503)
+    case.assertIn(b"not_run", answer.body)
+    wait_until(lambda: any("/kv-handle/" in call for call in prefill.control_calls))
+
+
 def test_answers_that_show_nothing_do_not_clear_a_part(case):
     """Guards against new crashes after a continuation that had nothing left to write,
     or after an answer without framing that a crash has ended."""
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -170,10 +170,13 @@
             placement.end_prefill()
             if prefill_result.is_err():
                 return prefill_result
+            handle = prefill_result.unwrap()
+            if ctx.crashes.is_quarantined(self._call):
+                # Its crashes became known during the prefill.
+                release_handle(ctx, placement.prefill, handle)
+                return Err(quarantined())
             server_conn, conn = conn, None
-            return self._decode_computed(
-                placement, prefill_result.unwrap(), hold, server_conn
-            )
+            return self._decode_computed(placement, handle, hold, server_conn)
         except ExchangeBroken as exc:
             self._attempts.note_failed(server, exc, sent=False)
             return decode_failed(exc)
