--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -1,6 +1,8 @@
 """Requests that share a part which crashes each decode server that runs them."""
 
 import itertools
+import time
+from unittest import mock
 
 import gevent
 
@@ -19,10 +21,23 @@
     Attributes:
         crashed: Names of the servers that have crashed. Each of them is replaced at
             once by one with another name at its address.
+        replies: By attempt id, function of a `ServerStandin` and a request that returns
+            its `Reply`. The server doesn't crash on it.
     """
 
-    def __init__(self, fixture):
+    def __init__(self, fixture, first_event_s=None, pause_s=0.0):
+        """Makes the servers of a fixture crash.
+
+        Args:
+            fixture: `EntryFixture`.
+            first_event_s: Seconds between the head of an answer and its first event,
+                after which the server crashes; None to crash before the head.
+            pause_s: Seconds for which this process pauses after the event.
+        """
         self.crashed = []
+        self.replies = {}
+        self._first_event_s = first_event_s
+        self._pause_s = pause_s
         self._fixture = fixture
         self._numbers = itertools.count(1)
         fixture.daemon.ctx.crashes._accepts_connections = (
@@ -34,13 +49,26 @@
 
     def _reply(self, server):
         def reply(req):
+            special = self.replies.get(req.headers["x-attempt-id"])
+            if special is not None:
+                return special(server, req)
             if CRASHING not in req.headers["x-prompt-prefix"]:
                 return server.stream_reply(req)
+            if self._first_event_s is not None:
+                events, pauses = self._events(server), (self._first_event_s,)
+                return server.stamped_reply(req, chunks=events, pauses=pauses, cut=True)
             self._crash(server)
             return None
 
         return reply
 
+    def _events(self, server):
+        yield b"id: 1\ndata: piece 1\n\n"
+        # The relay reads the event before the pause.
+        gevent.sleep(0.05)
+        time.sleep(self._pause_s)
+        self._crash(server)
+
     def _crash(self, server):
         old_name = server.name
         server.name = f"{old_name}-{next(self._numbers)}"
@@ -80,6 +108,80 @@
     case.assertIn("retry-after", answer.headers)
 
 
+def test_part_that_crashes_servers_late_after_the_head_is_refused(case):
+    """Guards against a part that is not suspected, as its servers take over a second
+    from the head of the answer to the first event."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture, first_event_s=1.2)
+    for number in range(5):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
+def test_part_that_crashes_servers_during_a_pause_of_the_process_is_refused(case):
+    """Guards against a crash that is not blamed on the part, as this process reads the
+    end of the connection late."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture, first_event_s=0.0, pause_s=1.1)
+    for number in range(5):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
+def test_request_that_tries_a_blocked_part_is_not_repeated(case):
+    """Guards against two crashes each time that a part is tried again."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    for number in range(3):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    parts = fixture.daemon.ctx.crashes.parts
+    for suspicion in parts._suspicions.values():
+        suspicion.blocked_until = fixture.daemon.clock.monotonic()
+    for number in range(2):
+        send(fixture, ("aa", CRASHING), 10 + number)
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 4)
+
+
+def test_part_that_is_blocked_during_the_prefill_reaches_no_decode_server(case):
+    """Guards against crashes by the requests whose prompts are being computed as the
+    part is blocked."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    prefill = fixture.servers["pre-1"]
+
+    def block(req):
+        crashes = fixture.daemon.ctx.crashes
+        patch = mock.patch.object(crashes, "is_quarantined", lambda call: True)
+        case.enterContext(patch)
+        return prefill.prefill_reply()
+
+    prefill.replies.append(block)
+    answer = send(fixture, ("aa", CRASHING), 1)
+    case.assertEqual(servers.crashed, [])
+    case.assertEqual(answer.status, 503)
+    case.assertIn(b"not_run", answer.body)
+    wait_until(lambda: any("/kv-handle/" in call for call in prefill.control_calls))
+
+
+def test_answers_that_show_nothing_do_not_clear_a_part(case):
+    """Guards against new crashes after a continuation that had nothing left to write,
+    or after an answer without framing that a crash has ended."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    servers.replies["a1"] = lambda server, req: server.stream_reply(req, last=0)
+    servers.replies["a3"] = lambda server, req: server.stream_reply(
+        req, last=1, unframed=True
+    )
+    for number in range(7):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 def test_sound_requests_are_served_beside_a_part_that_crashes_servers(case):
     """Guards against refusing requests that share only sound parts with those that
     crash servers."""
@@ -95,4 +197,23 @@
     case.assertEqual(send(fixture, ("cc", CRASHING), 60).status, 503)
 
 
+def test_stream_that_goes_on_clears_its_parts_before_its_end(case):
+    """Guards against refusing a popular part, or missing the one that crashes servers
+    beside it, until a long stream is complete."""
+    fixture = case.enterContext(entry_fixture(decode=DECODE))
+    servers = CrashingServers(fixture)
+    servers.replies["a9"] = lambda server, req: server.stream_reply(
+        req, last=20, pause_s=0.13
+    )
+    stream = gevent.spawn(send, fixture, ("aa",), 9)
+    for number in range(3):
+        send(fixture, ("aa", CRASHING), number, "/sum/x")
+        gevent.sleep(0.3)
+    wait_until(lambda: fixture.daemon.ctx.crashes.parts.sound_report())
+    case.assertEqual(send(fixture, ("cc", CRASHING), 10, "/sum/x").status, 503)
+    case.assertFalse(stream.ready())
+    case.assertEqual(stream.get().status, 200)
+    case.assertEqual(len(servers.crashed), 3)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -3,14 +3,16 @@
 Requests share parts of their prompts. If one part crashes each server that begins an
 answer on it, no two of the requests need to be alike. All streams that had just begun
 on a crashed server are suspected, with all their shared parts. A part on which a
-stream has completed is sound, which clears it of all crashes so far. What remains of
-several crashes is blocked.
+stream has completed, or goes on after its beginning, is sound, which clears it of all
+crashes so far. What remains of several crashes is blocked.
 
 Parts that have been present at the same crashes can't be told apart. A request is then
 refused only if it has all of them, so that others with some of them, which may be
 sound, show which part it is.
 """
 
+import itertools
+import math
 from dataclasses import dataclass, field
 
 from amaranthbay.fleet.reports import PartBlock
@@ -37,7 +39,8 @@
 # Largest number of blocked parts in a report, and of crashes of each.
 MAX_REPORTED_BLOCKS = 4
 MAX_BLOCK_CRASHES = 6
-# Largest number of parts that are kept; the one suspected longest goes first.
+# Largest number of parts that are kept; the one suspected longest goes first, and
+# blocked ones go last.
 MAX_PARTS = 1000
 
 
@@ -48,17 +51,19 @@
     Attributes:
         crashes: Monotonic time by crash that counts.
         cleared: Monotonic time by crash that no longer counts.
-        own: Crashes that this instance has seen.
+        own: Number of reports by crash that this instance has seen.
         sound_at: Monotonic time at which this instance found the part sound; None if it
             hasn't.
+        sound_reported_at: Monotonic time at which a report last named it as sound.
         blocked_until: Monotonic time until which the part is blocked.
         block_s: Seconds of the last block; 0 if it never was blocked.
     """
 
     crashes: dict = field(default_factory=dict)
     cleared: dict = field(default_factory=dict)
-    own: set = field(default_factory=set)
+    own: dict = field(default_factory=dict)
     sound_at: float | None = None
+    sound_reported_at: float = -math.inf
     blocked_until: float = 0.0
     block_s: float = 0.0
 
@@ -71,11 +76,16 @@
         return max(self.crashes.values()) - min(self.crashes.values()) >= MIN_SPAN_S
 
     def expire(self, oldest):
-        """Forgets crashes before a monotonic time."""
-        for crashes in (self.crashes, self.cleared):
+        """Forgets crashes before a monotonic time.
+
+        A part that was blocked keeps its crashes: the parts that were present at the
+        latest one alone would include those of other streams on the same server.
+        """
+        expiring = (self.cleared,) if self.block_s else (self.crashes, self.cleared)
+        for crashes in expiring:
             for crash in [name for name, at in crashes.items() if at < oldest]:
                 del crashes[crash]
-                self.own.discard(crash)
+                self.own.pop(crash, None)
 
 
 class CrashingParts:
@@ -95,10 +105,10 @@
         """
         for part in parts:
             self._add(part, crash)
-            self._suspicions[part].own.add(crash)
+            self._suspicions[part].own.setdefault(crash, 0)
 
     def note_served(self, parts):
-        """Clears the parts of a stream that has completed."""
+        """Clears the parts of a stream that has completed, or goes on for long."""
         for part in parts:
             suspicion = self._suspicions.get(part)
             if suspicion is not None:
@@ -142,7 +152,10 @@
 
     def _drop_oldest(self):
         while len(self._suspicions) > MAX_PARTS:
-            self._suspicions.pop(next(iter(self._suspicions)))
+            known = itertools.islice(self._suspicions.items(), MAX_PARTS)
+            unblocked = (part for part, suspicion in known if not suspicion.block_s)
+            oldest = next(iter(self._suspicions))
+            del self._suspicions[next(unblocked, oldest)]
 
     def merge_blocks(self, blocks):
         """Adopts the parts that another instance refuses.
@@ -177,13 +190,36 @@
 
     def is_blocked(self, parts):
         """Returns whether requests with these shared parts are refused."""
+        now = self._clock.monotonic()
+        return self._has_all_suspects(parts, lambda known: now < known.blocked_until)
+
+    def was_blocked(self, parts):
+        """Returns whether requests with these shared parts are or were refused.
+
+        Once the block has ended, one of them shows whether the parts are sound.
+        """
+        return self._has_all_suspects(parts, lambda known: known.block_s > 0)
+
+    def _has_all_suspects(self, parts, condition):
+        """Returns whether parts include all that were present at some crashes.
+
+        Args:
+            parts: Names of the parts.
+            condition: Function of the `_Suspicion` of a part that returns whether its
+                crashes are compared.
+        """
         if not self._suspicions:
             return False
-        now = self._clock.monotonic()
+        checked = set()
         for part in parts:
             suspicion = self._suspicions.get(part)
-            if suspicion is None or now >= suspicion.blocked_until:
+            if suspicion is None or not condition(suspicion):
+                continue
+            # Long prompts have hundreds of parts, most of them present together.
+            crashes = frozenset(suspicion.crashes)
+            if crashes in checked:
                 continue
+            checked.add(crashes)
             if self._present_at(suspicion.crashes) <= set(parts):
                 return True
         return False
@@ -199,17 +235,19 @@
     def crash_report(self):
         """Returns the crashes that this instance has seen, in the form of `merge`.
 
-        Parts with more crashes come first.
+        Those that were reported least often come first, so that all are reported in
+        turn, and among them those of parts with more crashes.
         """
         oldest = self._clock.monotonic() - CRASH_LIFE_S
-        pairs = [
-            (len(suspicion.crashes), suspicion.crashes[crash], part, crash)
+        entries = [
+            (suspicion.own[crash], -len(suspicion.crashes), part, crash)
             for part, suspicion in self._suspicions.items()
-            for crash in suspicion.own & suspicion.crashes.keys()
+            for crash in suspicion.own.keys() & suspicion.crashes.keys()
             if suspicion.crashes[crash] >= oldest
         ]
         report = {}
-        for _, _, part, crash in sorted(pairs, reverse=True)[:MAX_REPORTED_CRASHES]:
+        for _, _, part, crash in sorted(entries)[:MAX_REPORTED_CRASHES]:
+            self._suspicions[part].own[crash] += 1
             report[part] = (*report.get(part, ()), crash)
         return report
 
@@ -231,14 +269,22 @@
         }
 
     def sound_report(self):
-        """Returns the suspected parts that this instance has lately found sound."""
-        oldest = self._clock.monotonic() - SOUND_REPORT_S
+        """Returns the suspected parts that this instance has lately found sound.
+
+        Those reported longest ago come first, so that all are reported in turn, and
+        among them those that have been present at more crashes.
+        """
+        now = self._clock.monotonic()
         sound = [
-            part
+            (suspicion.sound_reported_at, -len(suspicion.cleared), part)
             for part, suspicion in self._suspicions.items()
-            if suspicion.sound_at is not None and suspicion.sound_at >= oldest
+            if suspicion.sound_at is not None
+            and now - suspicion.sound_at <= SOUND_REPORT_S
         ]
-        return tuple(sound[-MAX_REPORTED_PARTS:])
+        report = tuple(part for _, _, part in sorted(sound)[:MAX_REPORTED_PARTS])
+        for part in report:
+            self._suspicions[part].sound_reported_at = now
+        return report
 
     def sweep(self):
         """Forgets crashes and parts that no longer count."""
@@ -246,9 +292,8 @@
         for part, suspicion in list(self._suspicions.items()):
             if now < suspicion.blocked_until:
                 continue
+            if now >= suspicion.blocked_until + MAX_BLOCK_S:
+                suspicion.block_s = 0.0
             suspicion.expire(now - CRASH_LIFE_S)
-            recently_blocked = now < suspicion.blocked_until + MAX_BLOCK_S
-            if suspicion.block_s and recently_blocked:
-                continue
             if not suspicion.crashes and not suspicion.cleared:
                 del self._suspicions[part]
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -49,14 +49,12 @@
         exchange: `Exchange` with the decode server.
         head: `AnswerHead` of the answer.
         called_at: Monotonic time at which the request was sent.
-        opened_at: Monotonic time at which the head was read.
     """
 
     placement: object
     exchange: object
     head: object
     called_at: float
-    opened_at: float
 
     def close(self):
         """Ends the exchange and releases the placement."""
@@ -172,10 +170,13 @@
             placement.end_prefill()
             if prefill_result.is_err():
                 return prefill_result
+            handle = prefill_result.unwrap()
+            if ctx.crashes.is_quarantined(self._call):
+                # Its crashes became known during the prefill.
+                release_handle(ctx, placement.prefill, handle)
+                return Err(quarantined())
             server_conn, conn = conn, None
-            return self._decode_computed(
-                placement, prefill_result.unwrap(), hold, server_conn
-            )
+            return self._decode_computed(placement, handle, hold, server_conn)
         except ExchangeBroken as exc:
             self._attempts.note_failed(server, exc, sent=False)
             return decode_failed(exc)
@@ -293,9 +294,7 @@
                 ctx.outcomes.note_accepted(server.name)
                 if computed is not None:
                     ctx.handles.note_fetched(computed.server.name)
-            opened = OpenedStream(
-                placement, exchange, head, called_at, ctx.clock.monotonic()
-            )
+            opened = OpenedStream(placement, exchange, head, called_at)
             return Ok(opened)
         except ExchangeBroken as exc:
             sent = exchange is not None
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -37,6 +37,11 @@
         """Id of the last event that was passed on, or None."""
         return self._events.last_id
 
+    @property
+    def has_new(self):
+        """Whether the current server has sent an event that is new to the caller."""
+        return self._events.has_new
+
     def switch_server(self):
         """Drops a partial event of the previous server, whose stream must go on."""
         self._events.switch_server()
@@ -75,6 +80,17 @@
         self._write(head, events)
         self._conn.finish_stream()
 
+    def is_surely_complete(self, head):
+        """Returns whether the current server has written the rest of the stream.
+
+        An answer without events may be that to a continuation after the last one, and
+        one without framing may end as its server crashes.
+
+        Args:
+            head: `AnswerHead` of the server's answer, which has ended.
+        """
+        return self.has_new and _has_framing(head)
+
     def send_whole(self, head, body):
         """Sends a whole answer that isn't a stream.
 
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -27,8 +27,11 @@
 # over. Servers send the head of an answer as they begin to run it, and two of them may
 # run the same stream for 0.4 s.
 TAKEOVER_CHECK_S = 0.1
-# Time after the head of an answer in which its server has just begun it.
+# Time after the first event of an answer in which its server has just begun it.
 BEGINNING_S = 1.0
+# Interval at which a stream that goes on after its beginning clears its parts. What
+# has arrived during a pause of this process, maybe before a crash, is read at once.
+CLEAR_INTERVAL_S = 1.0
 OK = 200
 
 
@@ -47,6 +50,51 @@
         self.seconds = 0.0
 
 
+class _Progress:
+    """Times at which a server's answer was read.
+
+    A part of a prompt that crashes servers does so as they begin to write.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        # Time of the first event, and of the latest bytes.
+        self._began_at = None
+        self._read_at = None
+        # Time at which the stream was last seen to go on, or first after its beginning.
+        self._went_on_at = None
+
+    def note_read(self):
+        """Records that bytes have been read."""
+        self._read_at = self._clock.monotonic()
+
+    def is_beginning(self):
+        """Returns whether the server had just begun its answer, or not yet.
+
+        The end of its connection may be read late, so the last bytes before count.
+        """
+        if self._began_at is None:
+            return True
+        return self._read_at - self._began_at < BEGINNING_S
+
+    def goes_on(self):
+        """Records an event; returns whether it shows that the prompt is sound.
+
+        It does so every `CLEAR_INTERVAL_S` after the beginning. Streams may take a
+        minute, and after a loss of servers it takes long until one is complete.
+        """
+        if self._began_at is None:
+            self._began_at = self._read_at
+        if self.is_beginning():
+            return False
+        if self._went_on_at is None:
+            self._went_on_at = self._read_at
+        if self._read_at - self._went_on_at < CLEAR_INTERVAL_S:
+            return False
+        self._went_on_at = self._read_at
+        return True
+
+
 class StreamRelay:
     """Runs streams on pairs of a prefill and a decode server."""
 
@@ -80,6 +128,7 @@
         self._takeovers = Takeovers(
             ctx, call, self._attempts, self._output, self._create_opener
         )
+        self._progress = _Progress(ctx.clock)
 
     def _create_opener(self, **options):
         return StreamOpener(
@@ -158,6 +207,7 @@
 
     def _relay_opened(self, opened):
         """Relays an `OpenedStream`; returns None once complete, else a `Refusal`."""
+        self._progress = _Progress(self._ctx.clock)
         try:
             if opened.head.status == OK:
                 self._relay(opened)
@@ -165,8 +215,8 @@
                 self._forward_whole(opened)
             return None
         except ExchangeBroken as exc:
-            began = self._ctx.clock.monotonic() - opened.opened_at < BEGINNING_S
-            self._attempts.note_failed(opened.placement.decode, exc, True, began)
+            server, began = opened.placement.decode, self._progress.is_beginning()
+            self._attempts.note_failed(server, exc, True, began)
             return decode_failed(exc).unwrap_err()
         finally:
             opened.close()
@@ -184,6 +234,7 @@
         run = self._ctx.demand.begin_decode(service.name, memory_share)
         try:
             for data in opened.exchange.chunks():
+                self._progress.note_read()
                 silence.clear()
                 self._takeovers.cancel()
                 placement.end_prefill()
@@ -192,9 +243,12 @@
                     first_s = self._ctx.clock.monotonic() - opened.called_at
                     self._ctx.demand.note_first_event(service.name, first_s)
                 self._output.feed(head, data)
+                if self._output.has_new and self._progress.goes_on():
+                    self._ctx.crashes.note_served(self._call)
             self._output.finish(head)
             run.end()
-            self._ctx.crashes.note_served(self._call)
+            if self._output.is_surely_complete(head):
+                self._ctx.crashes.note_served(self._call)
         finally:
             run.drop()
         self._note_ended(placement.decode, self._ctx.clock.monotonic() - started_at)
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -1,10 +1,12 @@
 """Parts of prompts that crash decode servers, without callers and platform."""
 
 import random
+from unittest import mock
 
 from amaranthbay.relay.crash_parts import (
     BLOCK_S,
     CRASH_LIFE_S,
+    MAX_BLOCK_S,
     MAX_PARTS,
     MIN_SPAN_S,
     CrashingParts,
@@ -98,6 +100,37 @@
     case.assertEqual(set(first.crash_report()), {"bad"})
 
 
+def test_part_is_found_beside_many_streams_that_see_their_crash_elsewhere(case):
+    """Guards against a part that no report names, as many other parts were present at
+    each crash and each crash was seen by another instance."""
+    clock = ManualClock()
+    instances = [CrashingParts(clock) for _ in range(9)]
+    for number, witness in enumerate(instances[:4]):
+        beside = [f"z{number}{index}" for index in range(20)]
+        witness.note_crash(("bad", *beside), f"s{number}")
+        for _ in range(5):
+            clock.advance(0.2)
+            for sender in instances:
+                report = sender.crash_report()
+                for receiver in instances:
+                    receiver.merge(report, ())
+    for instance in instances:
+        case.assertTrue(instance.is_blocked(("bad",)))
+
+
+def test_all_sound_parts_are_reported_in_turn(case):
+    """Guards against an instance that refuses sound requests, as the reports of another
+    one that serves them name only some of their many parts."""
+    parts = [f"p{number}" for number in range(20)]
+    first, first_clock = make_parts(("s1", "s2", "s3"), parts)
+    second, _ = make_parts(("s1", "s2", "s3"), parts)
+    for _ in range(5):
+        first.note_served(parts)
+        second.merge({}, first.sound_report())
+        first_clock.advance(0.2)
+    case.assertFalse(second.is_blocked(parts))
+
+
 def test_instance_that_starts_after_the_crashes_refuses_their_part(case):
     """Guards against new crashes each time that an instance starts, also after those
     that have seen the crashes are gone."""
@@ -130,6 +163,49 @@
     case.assertFalse(crashing_parts.is_blocked(("bad",)))
 
 
+def test_later_crash_does_not_unblock_requests_without_the_parts_beside_it(case):
+    """Guards against a blocked part whose requests are run again after a later crash,
+    at which a sound stream had also just begun on the server."""
+    for waited_s in (CRASH_LIFE_S + 1, BLOCK_S + 1):
+        crashing_parts, clock = make_parts(("s1", "s2", "s3"), ("bad",))
+        clock.advance(waited_s)
+        crashing_parts.sweep()
+        crashing_parts.note_crash(("beside",), "s4")
+        crashing_parts.note_crash(("bad",), "s4")
+        case.assertTrue(crashing_parts.is_blocked(("first", "bad")), waited_s)
+        clock.advance(2 * BLOCK_S + MAX_BLOCK_S)
+        crashing_parts.sweep()
+        case.assertEqual(crashing_parts._suspicions, {})
+
+
+def test_blocked_part_is_kept_beside_many_suspected_ones(case):
+    """Guards against new crashes after a request with very many parts."""
+    crashing_parts, _ = make_parts(("s1", "s2", "s3"), ("bad",))
+    crashing_parts.note_crash([f"p{number}" for number in range(MAX_PARTS)], "s4")
+    case.assertTrue(crashing_parts.is_blocked(("bad",)))
+    case.assertEqual(len(crashing_parts._suspicions), MAX_PARTS)
+
+
+def test_part_is_found_beside_very_many_blocked_ones(case):
+    """Guards against a table of blocked parts that has no room for another one."""
+    many = [f"p{number}" for number in range(MAX_PARTS)]
+    crashing_parts, clock = make_parts(("s1", "s2", "s3"), many)
+    note_crashes(crashing_parts, clock, ("s4", "s5", "s6"), ("bad",))
+    case.assertTrue(crashing_parts.is_blocked(("bad",)))
+    case.assertEqual(len(crashing_parts._suspicions), MAX_PARTS)
+
+
+def test_parts_that_were_present_together_are_compared_once(case):
+    """Guards against a check of a long prompt that takes a third of a second."""
+    many = [f"p{number}" for number in range(MAX_PARTS)]
+    crashing_parts, _ = make_parts(("s1", "s2", "s3"), many)
+    with mock.patch.object(
+        crashing_parts, "_present_at", wraps=crashing_parts._present_at
+    ) as present_at:
+        case.assertFalse(crashing_parts.is_blocked(many[1:]))
+    case.assertEqual(present_at.call_count, 1)
+
+
 def test_suspicions_are_swept(case):
     """Guards against memory that grows with each crash."""
     crashing_parts, clock = make_parts(("s1", "s2"))
