--- a/amaranthbay/platform/tests/demo.py
+++ b/amaranthbay/platform/tests/demo.py
@@ -118,7 +118,7 @@
         }
         name = by_address[killed_address]
         started_at = time.monotonic()
-        self._deployment.kill(name)
+        self._deployment.processes[name].kill()
         wait_until(lambda: killed_address not in self._addresses())
         seconds = time.monotonic() - started_at
         other = next(other for other in self._deployment.processes if other != name)
