--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -126,6 +126,9 @@
         """
         if self.parts.is_blocked(_part_names(call)):
             return True
+        if not self._crashes:
+            # The fingerprint takes longer than all other checks of a request.
+            return False
         crashed_at = self._crashes.get(_fingerprint(call), {})
         oldest = self._clock.monotonic() - CRASH_LIFE_S
         return (
--- a/amaranthbay/relay/tests/test_crashes.py
+++ b/amaranthbay/relay/tests/test_crashes.py
@@ -1,10 +1,12 @@
 """Detection of requests that crash their servers, without callers and platform."""
 
 from types import SimpleNamespace
+from unittest import mock
 
 import gevent
 
 from amaranthbay.kernel.errors import Verdict
+from amaranthbay.relay import crashes
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.connections import ConnectionPool
 from amaranthbay.relay.crashes import (
@@ -119,6 +121,14 @@
     case.assertEqual(reports, [1, 1])
 
 
+def test_request_is_not_fingerprinted_without_a_crash(case):
+    """Guards against hashing the body of each request several times for nothing."""
+    crash_record, _ = make_record()
+    with mock.patch.object(crashes, "fingerprint_of") as fingerprint_of:
+        case.assertFalse(crash_record.is_quarantined(make_call()))
+    fingerprint_of.assert_not_called()
+
+
 def test_record_is_swept(case):
     """Guards against memory that grows with each crash."""
     crash_record, clock = make_record()
