Log which request is refused for crashes, and blocks that others report

A refusal as quarantined did not tell which part or request had crashed servers, and an instance that adopted a block from reports wrote no line. The tests check both lines.

--- a/amaranthbay/platform/tests/test_entry_crashing_parts.py
+++ b/amaranthbay/platform/tests/test_entry_crashing_parts.py
@@ -7,6 +7,7 @@
 import gevent
 
 from amaranthbay.platform.tests.fixtures import call_raw, entry_fixture, request
+from amaranthbay.relay import crashes
 from amaranthbay.utils.testing import collect, wait_until
 
 DECODE = ("dec-1", "dec-2", "dec-3", "dec-4")
@@ -101,7 +102,11 @@
         # Longer than the probe of a crash and the read of the new entry.
         gevent.sleep(0.3)
     case.assertLessEqual(len(servers.crashed), MAX_CRASHES)
-    answer = send(fixture, ("aa", CRASHING), 100)
+    with mock.patch.object(crashes, "log_event") as log_event:
+        answer = send(fixture, ("aa", CRASHING), 100)
+    (logged,) = log_event.call_args_list
+    case.assertEqual(logged.args, ("request_quarantined",))
+    case.assertEqual(len(logged.kwargs["parts"]), 2)
     case.assertEqual(answer.status, 503)
     case.assertIn(b"quarantined", answer.body)
     case.assertIn(b"not_run", answer.body)
--- a/amaranthbay/relay/crash_parts.py
+++ b/amaranthbay/relay/crash_parts.py
@@ -147,6 +147,7 @@
                 part=part,
                 crashes=len(suspicion.crashes),
                 seconds=suspicion.block_s,
+                reported=False,
             )
         self._drop_oldest()
 
@@ -177,6 +178,15 @@
             block_s = min(block.block_s, MAX_BLOCK_S)
             suspicion.block_s = max(suspicion.block_s, block_s)
             until = now + min(block.left_s, block_s)
+            if now >= suspicion.blocked_until and now < until:
+                log_event(
+                    "prompt_part_blocked",
+                    level="warning",
+                    part=part,
+                    crashes=len(suspicion.crashes),
+                    seconds=round(until - now, 1),
+                    reported=True,
+                )
             suspicion.blocked_until = max(suspicion.blocked_until, until)
         self._drop_oldest()
 
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -124,16 +124,21 @@
 
         It has crashed too many servers itself, or a part of its prompt has.
         """
-        if self.parts.is_blocked(_part_names(call)):
+        parts = _part_names(call)
+        if self.parts.is_blocked(parts):
+            _log_quarantined(call, "prompt_part", parts=parts)
             return True
         if not self._crashes:
             # The fingerprint takes longer than all other checks of a request.
             return False
-        crashed_at = self._crashes.get(_fingerprint(call), {})
+        fingerprint = _fingerprint(call)
+        crashed_at = self._crashes.get(fingerprint, {})
         oldest = self._clock.monotonic() - CRASH_LIFE_S
-        return (
-            sum(timestamp >= oldest for timestamp in crashed_at.values()) >= CRASH_LIMIT
-        )
+        count = sum(timestamp >= oldest for timestamp in crashed_at.values())
+        if count < CRASH_LIMIT:
+            return False
+        _log_quarantined(call, "request", fingerprint=fingerprint, crashes=count)
+        return True
 
     def may_crash_again(self, call):
         """Returns whether a request that may have run must not be repeated.
@@ -185,6 +190,10 @@
     return fingerprint[:FINGERPRINT_LENGTH]
 
 
+def _log_quarantined(call, cause, **fields):
+    log_event("request_quarantined", request_id=call.request_id, cause=cause, **fields)
+
+
 def _part_names(call):
     """Returns a short name for each shared part of a call's prompt."""
     names = (f"{call.service.name}/{part}" for part in call.head.shared_parts)
--- a/amaranthbay/relay/tests/test_crash_parts.py
+++ b/amaranthbay/relay/tests/test_crash_parts.py
@@ -3,6 +3,7 @@
 import random
 from unittest import mock
 
+from amaranthbay.relay import crash_parts
 from amaranthbay.relay.crash_parts import (
     BLOCK_S,
     CRASH_LIFE_S,
@@ -136,7 +137,11 @@
     that have seen the crashes are gone."""
     witness, clock = make_parts(("s1", "s2", "s3"))
     second, _ = make_parts()
-    second.merge_blocks(witness.block_report())
+    with mock.patch.object(crash_parts, "log_event") as log_event:
+        for _ in range(2):
+            second.merge_blocks(witness.block_report())
+    logged = [call.kwargs["part"] for call in log_event.call_args_list]
+    case.assertEqual(sorted(logged), ["bad", "first"])
     third, third_clock = make_parts()
     third.merge_blocks(second.block_report())
     case.assertTrue(third.is_blocked(("first", "bad")))
