Log how each takeover of a silent server ends

stream_stalled says when another server is tried; whether it took the stream, refused, was silent too or was no longer needed left no line of its own.

--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -106,7 +106,10 @@
             pause_between_events(server, 2.3), refuse_late(server)
         )
         server.replies.append(reply)
-    check_whole(case, call_resumable(fixture))
+    with mock.patch.object(takeovers, "log_event") as log_event:
+        check_whole(case, call_resumable(fixture))
+    logged = [call.args[0] for call in log_event.call_args_list]
+    case.assertEqual(logged, ["stream_stalled", "takeover_ended"])
     case.assertEqual([len(server.received) for server in servers], [1, 1])
 
 
--- a/amaranthbay/relay/takeovers.py
+++ b/amaranthbay/relay/takeovers.py
@@ -77,6 +77,7 @@
             return False
         if takeover.ready():
             outcome = takeover.get()
+            self._log_end("failed" if outcome.is_err() else "taken_over", outcome)
             if outcome.is_ok():
                 raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "stalled")
             self._takeover = None
@@ -85,6 +86,7 @@
         if self._sent_s() < HEAD_STALL_S:
             return False
         # The other server is silent, too.
+        self._log_end("silent")
         self._attempts.excluded.add(self._server)
         self._ctx.outcomes.note_silent(self._server)
         self._takeover = None
@@ -144,6 +146,7 @@
             self._awaited, self._takeover = self._takeover, None
             outcome = self._awaited.get()
             self._awaited = None
+            self._log_end("failed" if outcome.is_err() else "taken_over", outcome)
             if outcome.is_ok():
                 return outcome
             self._attempts.note_ended(outcome.unwrap_err())
@@ -155,8 +158,19 @@
         self._takeover = self._awaited = None
         for takeover in takeovers:
             if takeover is not None:
+                self._log_end("not_needed")
                 self._cancel(takeover)
 
+    def _log_end(self, outcome, result=None):
+        is_failed = result is not None and result.is_err()
+        log_event(
+            "takeover_ended",
+            request_id=self._call.request_id,
+            backend_server=self._server,
+            outcome=outcome,
+            detail=result.unwrap_err().detail if is_failed else None,
+        )
+
     def _cancel(self, takeover):
         # Its request may have reached a server.
         self._attempts.verdict = Verdict.MAY_HAVE_RUN
