--- a/amaranthbay/platform/tests/test_entry_lost.py
+++ b/amaranthbay/platform/tests/test_entry_lost.py
@@ -43,6 +43,17 @@
         case.enterContext(mock.patch.object(module, "HEAD_STALL_S", 0.5))
 
 
+def enter_three_servers(case):
+    """Returns a fixture whose resumable streams have four attempts, and its servers."""
+    names = (*DECODE, "dec-3")
+    fixture = case.enterContext(entry_fixture(decode=names))
+    changed = configuration(version=2)
+    changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    return fixture, [fixture.servers[name] for name in names]
+
+
 def late_head(server, seconds):
     """Returns a reply whose head comes after some seconds."""
 
@@ -201,12 +212,7 @@
     """Guards against waiting until the deadline for a server that should continue a
     stream and never answers, after the first one has broken off."""
     shorten_head_stall(case)
-    fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
-    changed = configuration(version=2)
-    changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
-    fixture.store.put("op", "config", changed)
-    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
-    servers = [fixture.servers[name] for name in (*DECODE, "dec-3")]
+    fixture, servers = enter_three_servers(case)
 
     def break_after_silence(server):
         return lambda req: server.stamped_reply(
@@ -235,12 +241,7 @@
     """Guards against a request, or a placement, that outlives its stream if the server
     that should take it over is to be taken over in turn."""
     shorten_head_stall(case)
-    fixture = case.enterContext(entry_fixture(decode=(*DECODE, "dec-3")))
-    changed = configuration(version=2)
-    changed["Routes"][-1] |= {"MaxAttempts": 4, "TimeoutMs": 9000}
-    fixture.store.put("op", "config", changed)
-    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
-    servers = [fixture.servers[name] for name in (*DECODE, "dec-3")]
+    fixture, servers = enter_three_servers(case)
     for server in servers:
         server.replies.append(hang)
     with connect(fixture.address) as sock:
