Log software versions of servers and which stream a caller takes up

Logs could not tell streams joined within one answer from those joined by their callers. The version in a server's entry and the attempt id under which a stream began are decoded and logged; nothing decides by them yet.

--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -117,6 +117,7 @@
                 address=server.address,
                 service=server.service,
                 stage=server.stage,
+                software_version=server.version,
                 draining=server.draining,
             )
 
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -26,6 +26,8 @@
 PROMPT_PARTS = b"x-prompt-prefix"
 LENGTH_HINT = b"x-length-hint"
 LAST_EVENT_ID = b"last-event-id"
+# Attempt id under which the stream began that a caller wants to continue.
+RESUMES = b"resumes"
 EXPECTED_SERVER = b"x-expect-instance"
 STAGE = b"x-serving-stage"
 KV_SOURCE = b"x-kv-source"
@@ -110,6 +112,7 @@
             attempt_id=values.get(ATTEMPT_ID, b"").decode("latin-1"),
             deadline_s=_parse_milliseconds(values.get(DEADLINE)),
             last_event_id=_parse_int(values.get(LAST_EVENT_ID)),
+            began_as=values.get(RESUMES, b"").decode("latin-1"),
             model=values.get(MODEL, b"").decode("latin-1"),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -33,7 +33,7 @@
 }
 STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
-# Longest name of a server. A report to other instances has room for a few of these.
+# Longest name of a server or a version. A report to other instances has room for a few.
 MAX_NAME_CHARACTERS = 128
 # Longer texts of other writers are cut off in messages.
 MAX_SHOWN = 60
@@ -99,6 +99,8 @@
     Address: str
     Zone: str
     State: str
+    # Version of the server's software; that of the weights is in `Models`.
+    Version: str = ""
     Slots: Int64 = 1
     Stage: str | None = None
     # Sequence number of the entry, counted from the start of the server.
@@ -194,6 +196,8 @@
         return Err(f"address {entry.Address[:MAX_SHOWN]!r} is not an IP address:port")
     if not _is_valid_name(name):
         return Err(f"the key {name[:MAX_SHOWN]!r} can't be the name of a server")
+    if len(entry.Version) > MAX_NAME_CHARACTERS:
+        return Err(f"the version {entry.Version[:MAX_SHOWN]!r}... is too long")
     return Ok(
         BackendServer(
             name=name,
@@ -203,6 +207,7 @@
             slots=max(1, entry.Slots),
             draining=IS_DRAINING_BY_STATE[entry.State],
             stage=STAGES.get(entry.Stage),
+            version=entry.Version,
             revision=EntryRevision(entry.born, entry.Sequence),
         )
     )
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -96,9 +96,10 @@
 
 
 def test_server_entry_is_read(case):
-    """Guards against a misread stage or state."""
-    server = decode_entry().unwrap()
+    """Guards against a misread stage, state or software version."""
+    server = decode_entry(Version="v1.2").unwrap()
     case.assertEqual((server.name, server.stage), ("i-1", Stage.DECODE))
+    case.assertEqual(server.version, "v1.2")
     case.assertFalse(server.draining)
     case.assertTrue(decode_entry(State="draining").unwrap().draining)
     plain = {key: value for key, value in ENTRY.items() if key != "Stage"}
@@ -115,6 +116,8 @@
         {"Stage": "both ends"},
         {"Slots": "many"},
         {"Service": None},
+        {"Version": 1.2},
+        {"Version": "v" * 129},
         {"Address": "10.0.0.9:0"},
         {"Address": "10.0.0.9:65536"},
         {"Address": f"10.0.0.9:{10**20}"},
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -27,6 +27,8 @@
         attempt_id: Id that the caller gave the request; may be empty.
         deadline_s: Seconds for which the caller waits; None if not stated.
         last_event_id: Event after which a stream continues; None for a new stream.
+        began_as: Id of the caller's attempt that brought the first event of the stream
+            to continue; empty if not stated.
         model: Name of the model; empty for a plain call.
         prompt_tokens: Length of the prompt.
         max_output_tokens: Limit on the answer's tokens.
@@ -39,6 +41,7 @@
     attempt_id: str
     deadline_s: float | None = None
     last_event_id: int | None = None
+    began_as: str = ""
     model: str = ""
     prompt_tokens: int = 0
     max_output_tokens: int = 0
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -155,6 +155,8 @@
             service=call.service.name,
             version=self._configuration.table.version,
             left_s=round(call.ends_at - call.arrived_at, 3),
+            last_event=call.head.last_event_id,
+            began_as=call.head.began_as or None,
         )
         try:
             if call.route.kind is CallKind.STREAM:
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -295,6 +295,7 @@
             request_id=self._call.request_id,
             backend_server=server.name,
             seconds=round(waited_s, 4),
+            software_version=server.version,
             continued=self._output.started,
         )
 
--- a/amaranthbay/routing/types.py
+++ b/amaranthbay/routing/types.py
@@ -171,6 +171,7 @@
         slots: Requests that it can run at once.
         draining: Whether it takes no new work.
         stage: Stage that a model server runs; None for a plain service.
+        version: Version of its software, not of the weights.
         revision: `EntryRevision` of the entry that this was read from.
     """
 
@@ -181,4 +182,5 @@
     slots: int = 1
     draining: bool = False
     stage: Stage | None = None
+    version: str = ""
     revision: EntryRevision = field(default=EntryRevision(), compare=False)
