Add failing tests of streams that are joined from two software versions

A broken stream goes on at a server of another version, in one answer, by a takeover, with KV cache of another version, and when its caller takes it up, also after all instances have died.

--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from types import MappingProxyType
 
 import gevent
 import h11
@@ -22,6 +23,7 @@
     StoreStandin,
     serve_http,
 )
+from amaranthbay.routing import Stage
 from amaranthbay.utils.testing import free_port, wait_until
 
 __all__ = [
@@ -176,12 +178,14 @@
 
     Attributes:
         store: The store, in which a test may inject faults.
+        store_address: Address of the store.
         daemon: The `EntryDaemon`.
         servers: `ServerStandin` by name.
         addresses: Address of each server by name.
     """
 
     store: StoreStandin
+    store_address: str = ""
     daemon: EntryDaemon = None
     servers: dict = field(default_factory=dict)
     addresses: dict = field(default_factory=dict)
@@ -198,6 +202,26 @@
         entry = server_entry(service, address, stage, state, **fields)
         self.store.put("servers", name, entry)
 
+    def start_daemon(self):
+        """Starts a new daemon, which knows nothing of an earlier one."""
+        self.daemon = EntryDaemon(
+            make_settings(self.store_address), PlatformAdapter(), rng=random.Random(1)
+        )
+        self.daemon.start()
+
+    def restart_daemon(self):
+        """Ends the daemon as a kill does, and waits until a new one is ready."""
+        count = len(self.daemon.backends.usable("lm"))
+        self.daemon.close()
+        self.start_daemon()
+        self.wait_for_servers("lm", count)
+        wait_until(self.daemon.is_ready)
+
+    def usable_decode(self):
+        """Returns the names of the decode servers that the daemon can use."""
+        servers = self.daemon.backends.usable("lm", Stage.DECODE)
+        return [server.name for server in servers]
+
     def wait_for_servers(self, service, count, stage=None):
         """Waits until the daemon can use ``count`` servers of a service."""
         wait_until(lambda: len(self.daemon.backends.usable(service, stage)) == count)
@@ -235,18 +259,26 @@
 
 
 @contextlib.contextmanager
-def entry_fixture(plain=("desk-1",), prefill=("pre-1",), decode=("dec-1",), **fields):
+def entry_fixture(
+    plain=("desk-1",),
+    prefill=("pre-1",),
+    decode=("dec-1",),
+    versions=MappingProxyType({}),
+    **fields,
+):
     """Runs a daemon with a store and servers; yields its `EntryFixture` when ready.
 
     Args:
         plain: Names of plain servers.
         prefill: Names of prefill servers.
         decode: Names of decode servers.
+        versions: Software version by name of a server; the default is that of
+            `server_entry`.
         **fields: Fields of the route ``look``, whose calls are idempotent.
     """
     with contextlib.ExitStack() as stack:
         fixture = EntryFixture(StoreStandin())
-        store_address = stack.enter_context(serve_http(fixture.store.answer))
+        fixture.store_address = stack.enter_context(serve_http(fixture.store.answer))
         fixture.store.put("op", "config", configuration(**fields))
         stages = [(plain, "desk", None), (prefill, "lm", "prefill")]
         for names, service, stage in [*stages, (decode, "lm", "decode")]:
@@ -255,12 +287,10 @@
                 fixture.servers[name] = server
                 address = stack.enter_context(serve_http(server.answer))
                 fixture.addresses[name] = address
-                fixture.write_entry(name, service, stage)
-        fixture.daemon = EntryDaemon(
-            make_settings(store_address), PlatformAdapter(), rng=random.Random(1)
-        )
-        fixture.daemon.start()
-        stack.callback(fixture.daemon.close)
+                version = versions.get(name, "v1")
+                fixture.write_entry(name, service, stage, Version=version)
+        fixture.start_daemon()
+        stack.callback(lambda: fixture.daemon.close())
         fixture.wait_for_servers("desk", len(plain))
         fixture.wait_for_servers("lm", len(prefill) + len(decode))
         wait_until(fixture.daemon.is_ready)
--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -0,0 +1,219 @@
+"""Streams beside servers of several software versions."""
+
+import gevent
+
+from amaranthbay.platform.tests.fixtures import (
+    call_raw,
+    connect,
+    entry_fixture,
+    stream_request,
+)
+from amaranthbay.platform.tests.test_entry_streams import events
+from amaranthbay.routing import Stage
+from amaranthbay.utils.testing import collect, wait_until
+
+VERSIONS = {
+    f"{stage}-{age}-{number}": version
+    for stage in ("pre", "dec")
+    for age, version in (("old", "v1"), ("new", "v2"))
+    for number in (1, 2)
+}
+DECODE = tuple(name for name in VERSIONS if name.startswith("dec"))
+PREFILL = ("pre-old-1", "pre-new-1")
+# Longer than a daemon takes to record at which version a stream began.
+RECORDED_S = 0.6
+SILENCE_S = 1.6
+STREAMS = 8
+
+
+def two_versions(case, decode=DECODE, prefill=PREFILL):
+    """Returns an `EntryFixture` with servers of two versions."""
+    fixtures = entry_fixture(prefill=prefill, decode=decode, versions=VERSIONS)
+    return case.enterContext(fixtures)
+
+
+def break_off_unless_resumed(server, pause_s=0.0):
+    """Returns a reply that is cut after its first event unless it is a continuation.
+
+    Args:
+        server: `ServerStandin` that replies.
+        pause_s: Seconds of silence before the cut.
+    """
+
+    def reply(req):
+        if "last-event-id" in req.headers:
+            return server.stream_reply(req)
+        chunks = (events(1, 1), b"")
+        return server.stamped_reply(req, chunks=chunks, pauses=(0, pause_s), cut=True)
+
+    return reply
+
+
+def break_off_all(fixture, count=STREAMS, pause_s=0.0):
+    """Lets decode servers cut the next new streams after their first event."""
+    for name, server in fixture.servers.items():
+        if name.startswith("dec"):
+            replies = [break_off_unless_resumed(server, pause_s)] * count
+            server.replies.extend(replies)
+
+
+def decodes_of(fixture, attempt):
+    """Returns the names of the decode servers that have received an attempt."""
+    return {
+        name
+        for name, server in fixture.servers.items()
+        for req in server.received
+        if name.startswith("dec") and req.headers["x-attempt-id"] == attempt
+    }
+
+
+def versions_of(fixture, *attempts):
+    """Returns the versions of the decode servers that have received attempts."""
+    names = set().union(*(decodes_of(fixture, attempt) for attempt in attempts))
+    return {VERSIONS[name] for name in names}
+
+
+def begin_stream(fixture, attempt):
+    """Reads the first event of a stream, whose server then stays silent, and leaves."""
+    for server in fixture.servers.values():
+        server.replies.clear()
+    break_off_all(fixture, 1, pause_s=30.0)
+    sock = connect(fixture.address)
+    sock.sendall(stream_request("/resume/x", attempt))
+    received = b""
+    while b"piece 1" not in received:
+        received += sock.recv(4096)
+    for server in fixture.servers.values():
+        server.replies.clear()
+    return sock
+
+
+def take_up(fixture, attempt, began_as, last_event=1):
+    """Takes up a stream under a new attempt id and returns the `Answer`."""
+    headers = (("Last-Event-Id", str(last_event)),)
+    if began_as:
+        headers += (("Resumes", began_as),)
+    raw_request = stream_request("/resume/x", attempt, headers)
+    return call_raw(fixture.address, raw_request)
+
+
+def test_broken_stream_is_not_joined_from_two_versions_in_one_answer(case):
+    """Guards against an answer whose rest comes from another version."""
+    fixture = two_versions(case)
+    break_off_all(fixture)
+    for number in range(STREAMS):
+        answer = call_raw(fixture.address, stream_request("/resume/x", f"a{number}"))
+        case.assertTrue(answer.complete)
+        case.assertEqual(answer.body, events(1, 3))
+        case.assertEqual(len(versions_of(fixture, f"a{number}")), 1)
+
+
+def test_broken_stream_ends_if_only_another_version_is_left(case):
+    """Guards against a continuation at another version for want of the first one."""
+    fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
+    break_off_all(fixture)
+    answer = call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    case.assertEqual((answer.status, answer.complete), (200, False))
+    case.assertEqual(answer.body, events(1, 1))
+    case.assertEqual(len(decodes_of(fixture, "a1")), 1)
+
+
+def test_stream_of_a_silent_server_is_not_taken_over_by_another_version(case):
+    """Guards against a takeover by another version."""
+    fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
+    for name in ("dec-old-1", "dec-new-1"):
+        server = fixture.servers[name]
+        server.replies.append(
+            lambda req, server=server: server.stamped_reply(
+                req, chunks=(events(1, 1), events(2, 3)), pauses=(0, SILENCE_S)
+            )
+        )
+    answer = call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    case.assertTrue(answer.complete)
+    case.assertEqual(len(decodes_of(fixture, "a1")), 1)
+
+
+def test_prompt_is_computed_at_the_version_that_decodes_it(case):
+    """Guards against KV cache that one version writes and another one reads."""
+    fixture = two_versions(case)
+    for number in range(STREAMS):
+        call_raw(fixture.address, stream_request("/resume/x", f"a{number}"))
+    sources = {
+        (VERSIONS[name], req.headers.get("x-kv-source", "").partition("/")[0])
+        for name in DECODE
+        for req in fixture.servers[name].received
+    }
+    version_by_address = {fixture.addresses[name]: VERSIONS[name] for name in PREFILL}
+    case.assertTrue(sources)
+    for version, address in sources:
+        case.assertEqual(version_by_address[address], version)
+
+
+def test_computed_prompt_is_not_offered_to_another_version(case):
+    """Guards against a second decode server of another version for a prompt."""
+    fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
+    for name in ("dec-old-1", "dec-new-1"):
+        server = fixture.servers[name]
+        server.replies.append(lambda req, server=server: server.refusal())
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    version_by_address = {fixture.addresses[name]: VERSIONS[name] for name in PREFILL}
+    for name in ("dec-old-1", "dec-new-1"):
+        for req in fixture.servers[name].received:
+            source = req.headers.get("x-kv-source", "").partition("/")[0]
+            expected = version_by_address.get(source, VERSIONS[name])
+            case.assertEqual(VERSIONS[name], expected)
+
+
+def test_stream_that_its_caller_takes_up_is_not_joined_from_two_versions(case):
+    """Guards against a take-up at another version than the first event came from."""
+    fixture = two_versions(case)
+    for number in range(STREAMS):
+        begin_stream(fixture, f"a{number}").close()
+        answer = take_up(fixture, f"b{number}", f"a{number}")
+        case.assertEqual((answer.status, answer.complete), (200, True))
+        case.assertEqual(answer.body, events(2, 3))
+        case.assertEqual(len(versions_of(fixture, f"a{number}", f"b{number}")), 1)
+
+
+def test_stream_is_not_joined_from_two_versions_after_all_instances_died(case):
+    """Guards against a version that only the process that began a stream knew."""
+    fixture = two_versions(case)
+    socks = [begin_stream(fixture, f"a{number}") for number in range(STREAMS)]
+    gevent.sleep(RECORDED_S)
+    fixture.restart_daemon()
+    for number, sock in enumerate(socks):
+        sock.close()
+        answer = take_up(fixture, f"b{number}", f"a{number}")
+        case.assertEqual((answer.status, answer.complete), (200, True))
+        case.assertEqual(answer.body, events(2, 3))
+        case.assertEqual(len(versions_of(fixture, f"a{number}", f"b{number}")), 1)
+
+
+def test_take_up_without_a_known_version_is_refused(case):
+    """Guards against a take-up at a guessed version."""
+    fixture = two_versions(case)
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    for attempt, began_as in (("b1", "unknown"), ("b2", "")):
+        answer = take_up(fixture, attempt, began_as)
+        case.assertEqual(answer.status, 503)
+        case.assertIn("retry-after", answer.headers)
+        case.assertFalse(decodes_of(fixture, attempt))
+
+
+def test_take_up_is_refused_after_its_version_has_left(case):
+    """Guards against a take-up at the only version that is left."""
+    fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
+    fixture.store.remove("servers", "dec-new-1")
+    fixture.wait_for_servers("lm", 1, Stage.DECODE)
+    sock = begin_stream(fixture, "a1")
+    fixture.write_entry("dec-new-1", "lm", "decode", Version="v2")
+    fixture.store.remove("servers", "dec-old-1")
+    wait_until(lambda: fixture.usable_decode() == ["dec-new-1"])
+    call_raw(fixture.address, stream_request("/resume/x", "a2"))
+    fixture.restart_daemon()
+    sock.close()
+    answer = take_up(fixture, "b1", "a1")
+    case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
+
+
+load_tests = collect(globals())
