Fail only the stream whose placement fails

An exception in the first pass over the queue left its stream in the queue, as the pass ran before the guarded part of `place`. Each request that ends runs a pass when its load is released, so the same exception then ended the greenlet that had read a whole answer, until another stream came.

A stream leaves the queue now when its greenlet does, and a pass raises an exception only in the stream that it concerns.

--- /dev/null
+++ b/amaranthbay/platform/tests/test_entry_faulty_streams.py
@@ -0,0 +1,46 @@
+"""Streams whose placement fails, beside requests that have nothing to do with them."""
+
+import gevent
+
+from amaranthbay.platform.tests.fixtures import (
+    call,
+    call_raw,
+    entry_fixture,
+    stream_request,
+)
+from amaranthbay.platform.tests.test_entry_streams import events
+from amaranthbay.utils.testing import collect
+
+# Longer than the interval between two passes over the queue of streams.
+NEXT_PASS_S = 0.05
+
+
+def check_others(case, fixture):
+    """Checks that a plain call and a stream get whole answers."""
+    gevent.sleep(NEXT_PASS_S)
+    case.assertEqual(call(fixture, "/look/x", attempt="a2").status, 200)
+    gevent.sleep(NEXT_PASS_S)
+    answer = call_raw(fixture.address, stream_request("/once/x", attempt="a3"))
+    case.assertEqual((answer.status, answer.complete), (200, True))
+    case.assertEqual(answer.body, events(1, 3))
+    case.assertEqual(fixture.daemon.queue.length(), 0)
+    case.assertFalse(fixture.daemon.placed_load.loads())
+
+
+def test_stream_that_fails_to_be_placed_ends_no_other_request(case):
+    """Guards against a failed stream that stays in the queue and fails each request
+    that ends, whose answer its caller then never gets."""
+    fixture = case.enterContext(entry_fixture())
+    queue = fixture.daemon.queue
+    pressure = queue._pressure
+
+    def fail_first(call, *args):
+        return 1 / 0 if call.request_id == "a1" else pressure(call, *args)
+
+    queue._pressure = fail_first
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual(answer.status, 500)
+    check_others(case, fixture)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -1,5 +1,6 @@
 """Places streams on a prefill and a decode server, or queues them."""
 
+import sys
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -91,7 +92,7 @@
         continued: Whether the caller already has events of the stream.
         since: Monotonic time at which the wait began.
         until: Monotonic time at which the wait is given up.
-        ready: Gets the `Placement`.
+        ready: Gets the `Placement`, or the exception that ends the wait.
         taken: Whether the waiting greenlet has taken the `Placement`. If it is killed
             before that, `StreamQueue.place` releases the placement.
     """
@@ -177,13 +178,13 @@
             call, excluded, must_skip_prefill, continued, now, until, AsyncResult()
         )
         self._waiting.append(waiting)
-        self.advance(at_once=len(self._waiting) == 1)
         try:
+            self.advance(at_once=len(self._waiting) == 1)
             return self._wait(waiting)
         finally:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
-            elif waiting.ready.ready() and not waiting.taken:
+            elif waiting.ready.successful() and not waiting.taken:
                 waiting.ready.get().release()
 
     def _no_server_refusal(self, call, excluded, max_wait_s, continued):
@@ -269,6 +270,9 @@
     def advance(self, at_once=False):
         """Places the waiting streams that fit, the most urgent first.
 
+        Other requests run this as they end, so an exception ends only the wait of the
+        stream that it concerns.
+
         Args:
             at_once: Whether to run even if the last pass was a moment ago.
         """
@@ -279,7 +283,13 @@
         candidate_cache = _CandidateCache(self._ctx)
         reserved = frozenset()
         for urgency, _, waiting in self._streams_by_urgency(now, candidate_cache):
-            placement = self._try_to_place(waiting, urgency, candidate_cache, reserved)
+            try:
+                placement = self._try_to_place(
+                    waiting, urgency, candidate_cache, reserved
+                )
+            except Exception:
+                self._end_wait(waiting)
+                continue
             if placement is not None:
                 self._waiting.remove(waiting)
                 waiting.ready.set(placement)
@@ -289,6 +299,12 @@
                 # Smaller streams would otherwise overtake this one forever.
                 reserved |= self._awaited_server(waiting, candidate_cache, reserved)
 
+    def _end_wait(self, waiting):
+        """Raises the current exception in the greenlet of a waiting stream."""
+        self._waiting.remove(waiting)
+        exc_info = sys.exc_info()
+        waiting.ready.set_exception(exc_info[1], exc_info)
+
     def _awaited_server(self, waiting, candidate_cache, reserved):
         """Returns a set with the name of the least loaded decode server, if any."""
         decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
@@ -305,21 +321,26 @@
         order_times = start_order(
             [(stream.call, memory_need(stream.call.head)) for stream in self._waiting]
         )
-        for order_time, waiting in zip(order_times, self._waiting):
-            call = waiting.call
-            wait_s = self._prefill_wait_s(
-                call, self._best_prefill(waiting, candidate_cache)
-            )
-            pressure = self._pressure(call, wait_s, 0.0)
-            first_s = first_event_s(call.head.prompt_tokens, pressure)
-            urgency = urgency_of(call, first_s, now)
-            if waiting.continued:
-                # The gap between events grows while it waits, and the events that
-                # were sent are wasted if the stream fails.
-                urgency = Urgency.IN_TIME
+        for order_time, waiting in zip(order_times, tuple(self._waiting)):
+            try:
+                urgency = self._urgency_of(waiting, now, candidate_cache)
+            except Exception:
+                self._end_wait(waiting)
+                continue
             entries.append((urgency, order_time, waiting))
         return sorted(entries, key=lambda entry: entry[:2])
 
+    def _urgency_of(self, waiting, now, candidate_cache):
+        if waiting.continued:
+            # The gap between events grows while it waits, and the events that were
+            # sent are wasted if the stream fails.
+            return Urgency.IN_TIME
+        call = waiting.call
+        prefill = self._best_prefill(waiting, candidate_cache)
+        pressure = self._pressure(call, self._prefill_wait_s(call, prefill), 0.0)
+        first_s = first_event_s(call.head.prompt_tokens, pressure)
+        return urgency_of(call, first_s, now)
+
     def _speed(self, call):
         return self._ctx.demand.prefill_speed(call.service.name)
 
