Place streams that name no tokens

A stream without `X-Token-Count` got 500 if no other stream waited. Its memory counts as 0, and the order of the waiting streams divides each cost by the mean cost, which was 0.

The mean counts as 1 then; all costs are 0, so the order is that of arrival.

--- a/amaranthbay/platform/tests/test_entry_faulty_streams.py
+++ b/amaranthbay/platform/tests/test_entry_faulty_streams.py
@@ -6,6 +6,7 @@
     call,
     call_raw,
     entry_fixture,
+    request,
     stream_request,
 )
 from amaranthbay.platform.tests.test_entry_streams import events
@@ -43,4 +44,14 @@
     check_others(case, fixture)
 
 
+def test_stream_without_token_counts_is_placed(case):
+    """Guards against a division by zero if all streams that wait name no tokens."""
+    fixture = case.enterContext(entry_fixture())
+    server = fixture.servers["dec-1"]
+    server.replies.append(server.stream_reply)
+    answer = call_raw(fixture.address, request("/once/x", "POST", b"prompt"))
+    case.assertEqual((answer.status, answer.body), (200, events(1, 3)))
+    check_others(case, fixture)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/admission.py
+++ b/amaranthbay/relay/admission.py
@@ -104,7 +104,8 @@
         calls: Pairs of a `Call` and the KV cache tokens that it needs.
     """
     memory_costs = [need * max(1, call.head.likely_tokens) for call, need in calls]
-    mean_cost = sum(memory_costs) / len(memory_costs)
+    # Streams that name no tokens cost nothing.
+    mean_cost = sum(memory_costs) / len(memory_costs) or 1.0
     return [
         call.arrived_at
         + COST_DELAY_SHARE
