Apply the limits in force to requests that arrive

Callers got 413, 408 or 431 for a request that the configuration in force allowed, if a new version raised the limit while its body arrived, or if its head arrived in parts on a connection that was open before.

The limits on a body were read once, after its head, and h11 keeps the limit on incomplete heads that its connection was created with. A connection may live for hours, so the last case was no matter of a moment.

The limits are read anew at each part, and a time limit that has passed is compared with the one in force before the request is given up.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -72,9 +72,8 @@
         self.sock = sock
         self.greenlet = gevent.getcurrent()
         self._listener = listener
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=listener.limits().header_bytes
-        )
+        # The limit of h11 is fixed for the life of the connection; see `_next_event`.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self.started = False
         self.answered = False
         self._method = b""
@@ -131,30 +130,19 @@
         head = self._read_head()
         if head is None:
             return None
-        limits = self._listener.limits()
-        body, size = [], 0
-        with gevent.Timeout(limits.idle_timeout_s, _Rejected(408)):
-            if self._http.they_are_waiting_for_100_continue:
-                continue_response = h11.InformationalResponse(
-                    status_code=100, headers=[]
-                )
-                self.sock.sendall(self._http.send(continue_response))
-            event = self._next_event()
-            while type(event) is h11.Data:
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise _Rejected(413)
-                body.append(bytes(event.data))
-                event = self._next_event()
-            if type(event) is not h11.EndOfMessage:
-                return None
+        if self._http.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._http.send(continue_response))
+        body = bytearray()
+        if not self._within("idle_timeout_s", self._read_body, body):
+            return None
         names = {name for name, _ in head.headers}
         return IncomingRequest(
             bytes(head.method),
             bytes(head.target),
             tuple(head.headers),
             tuple(head.headers.raw_items()),
-            b"".join(body),
+            bytes(body),
             b"content-length" in names or b"transfer-encoding" in names,
         )
 
@@ -165,17 +153,42 @@
             if not data:
                 return None
             self._http.receive_data(data)
-        # The configuration may have changed during the wait.
-        limits = self._listener.limits()
-        with gevent.Timeout(limits.header_timeout_s, _Rejected(408)):
-            event = self._next_event()
+        event = self._within("header_timeout_s", self._next_event)
         if type(event) is not h11.Request:
             return None
         self._method = event.method
-        if _head_bytes(event) > limits.header_bytes:
+        if _head_bytes(event) > self._listener.limits().header_bytes:
             raise _Rejected(431)
         return event
 
+    def _read_body(self, body):
+        """Adds what arrives of the body to the part that has arrived before.
+
+        Returns:
+            Whether the body is complete; otherwise the caller has hung up.
+        """
+        while type(event := self._next_event()) is h11.Data:
+            body += event.data
+            if len(body) > self._listener.limits().body_bytes:
+                raise _Rejected(413)
+        return type(event) is h11.EndOfMessage
+
+    def _within(self, limit_name, read, *args):
+        """Returns what a function has read within a time limit.
+
+        Args:
+            limit_name: Attribute of `ClientLimits` with the limit in seconds. A new
+                configuration may raise it during the wait.
+            read: Function that goes on with its work if it is called again.
+            *args: Arguments of the function.
+        """
+        waited_s = 0.0
+        while waited_s < (limit_s := getattr(self._listener.limits(), limit_name)):
+            left_s, waited_s = limit_s - waited_s, limit_s
+            with gevent.Timeout(left_s, False):
+                return read(*args)
+        raise _Rejected(408)
+
     def _receive_first(self):
         """Waits for the first bytes of a request.
 
@@ -207,6 +220,9 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            incomplete_bytes = len(self._http.trailing_data[0])
+            if incomplete_bytes > self._listener.limits().header_bytes:
+                raise _Rejected(431)
             self._http.receive_data(self.sock.recv(READ_BYTES))
 
     def _answer_rejected(self, status):
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -96,6 +96,56 @@
         case.assertEqual(read_answer(sock).status, 200)
 
 
+def send_part(sock, listener, part):
+    """Sends a part of a request and waits until the listener has read it."""
+    wait_until(lambda: listener.idle)
+    sock.sendall(part)
+    wait_until(lambda: not listener.idle)
+
+
+def test_raised_body_limit_applies_to_a_body_that_arrives(case):
+    """Guards against refusing a body by the limit that was in force as it began."""
+    limits = [ClientLimits(body_bytes=10)]
+    with connection(lambda: limits[-1]) as (sock, listener):
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n"
+        send_part(sock, listener, head + b"x" * 5)
+        limits.append(ClientLimits(body_bytes=100))
+        sock.sendall(b"x" * 45)
+        case.assertEqual(read_answer(sock).status, 200)
+
+
+def test_raised_idle_limit_applies_to_a_body_that_arrives(case):
+    """Guards against giving up a body by the limit that was in force as it began."""
+    limits = [ClientLimits(idle_timeout_s=1.0)]
+    with connection(lambda: limits[-1]) as (sock, listener):
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+        send_part(sock, listener, head + b"a")
+        limits.append(ClientLimits(idle_timeout_s=5.0))
+        gevent.sleep(1.3)
+        sock.sendall(b"b")
+        case.assertEqual(read_answer(sock).status, 200)
+
+
+def test_raised_head_limit_applies_to_open_connections(case):
+    """Guards against refusing a head that arrives in parts by the limit that was in
+    force as its connection was opened."""
+    limits = [ClientLimits(header_bytes=100)]
+    with connection(lambda: limits[-1]) as (sock, listener):
+        sock.sendall(REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+        limits.append(ClientLimits(header_bytes=1000))
+        send_part(sock, listener, b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 200)
+        sock.sendall(b"\r\n\r\n")
+        case.assertEqual(read_answer(sock).status, 200)
+
+
+def test_incomplete_head_beyond_the_limit_is_refused(case):
+    """Guards against a head without an end that fills the memory."""
+    with connection(lambda: ClientLimits(header_bytes=1000)) as (sock, _):
+        sock.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 2000)
+        case.assertEqual(read_answer(sock).status, 431)
+
+
 def test_drain_lets_a_request_arrive_that_has_begun(case):
     """Guards against a reset of a connection whose next request has arrived in part,
     when the idle connections are closed."""
