Answer a slow call while its second copy connects

The answer of a server that was silent for a moment reached its caller late, or after the caller's deadline, if other servers of the service could not be reached.

The greenlet that waits for the answer also connected to the server of the second copy, 0.15 s for each server that can't be reached. It connects in a greenlet of its own now. Calls that aren't idempotent keep the former way: they have one attempt at a time, and a 503 must rule out a later run.

A copy that is about to be sent counts as an attempt of the route. The first test failed on (held back until the test let go); the second one passes there and fails without that count (three servers in place of two).

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -1,6 +1,7 @@
 """Plain calls through an entry daemon: forwarding, retries and refusals."""
 
 import gevent
+import gevent.event
 import gevent.socket
 
 from amaranthbay.fleet.reports import ServerLoad
@@ -150,6 +151,68 @@
         release()
 
 
+def test_answer_does_not_wait_for_the_connection_of_a_second_copy(case):
+    """Guards against an answer that is held back, beyond the deadline of its caller,
+    while other servers can't be reached."""
+    fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
+    servers = [fixture.servers[name] for name in ("desk-1", "desk-2")]
+    connecting, answered = gevent.event.Event(), gevent.event.Event()
+    pool, held_back = fixture.daemon.ctx.connections, []
+    take = pool.take
+
+    def take_slowly(server, *args):
+        if not any(other.received for other in servers):
+            return take(server, *args)
+        connecting.set()
+        if not answered.wait(2.0):
+            held_back.append(server.name)
+        raise OSError
+
+    def answer_late(server):
+        return lambda req: connecting.wait() and server.stamped_reply(req)
+
+    pool.take = take_slowly
+    for server in servers:
+        server.replies.append(answer_late(server))
+    case.assertEqual(call(fixture, "/look/x").status, 200)
+    answered.set()
+    case.assertFalse(held_back)
+
+
+def test_second_copies_stay_within_the_attempts_of_the_route(case):
+    """Guards against a third server that gets a call, if one fails while the second
+    copy is about to be sent."""
+    names = ("desk-1", "desk-2", "desk-3")
+    fixture = case.enterContext(entry_fixture(plain=names))
+    servers = [fixture.servers[name] for name in names]
+    pool = fixture.daemon.ctx.connections
+    take, connecting, failed = pool.take, gevent.event.Event(), gevent.event.Event()
+
+    def take_after_failure(server, *args):
+        if any(other.received for other in servers):
+            connecting.set()
+            failed.wait()
+            gevent.sleep(0.05)
+        return take(server, *args)
+
+    def fail_first(server):
+        def reply(req):
+            if sum(len(other.received) for other in servers) > 1:
+                gevent.sleep(0.1)
+                return server.stamped_reply(req)
+            connecting.wait()
+            failed.set()
+            return server.stamped_reply(req, 500)
+
+        return reply
+
+    pool.take = take_after_failure
+    for server in servers:
+        server.replies.append(fail_first(server))
+    case.assertEqual(call(fixture, "/look/x").status, 200)
+    case.assertEqual(sum(len(server.received) for server in servers), 2)
+
+
 def test_slow_non_idempotent_call_is_not_hedged(case):
     """Guards against a second run although the route allows two attempts."""
     fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -72,6 +72,13 @@
         self._ctx = ctx
         self._call = call
         self._tried = set()
+        # Servers that further attempts are connecting to, and the number of these
+        # attempts.
+        self._connecting = set()
+        self._starting = 0
+        self._ended = False
+        # ``Result[WholeAnswer, Refusal]`` of each attempt; None for a further one that
+        # has reached no server.
         self._attempt_outcomes = Queue()
         self._greenlets = []
         self._server_error = None
@@ -85,6 +92,7 @@
                 return start_result
             return self._await_answer()
         finally:
+            self._ended = True
             gevent.killall(self._greenlets, block=False)
 
     def _await_answer(self):
@@ -100,11 +108,12 @@
                 pending += self._repeat("slow")
                 continue
             pending -= 1
-            if outcome.is_ok() and outcome.unwrap().succeeded:
-                return outcome
-            self._note_failure(outcome)
-            if self._may_repeat(outcome):
-                pending += self._repeat("failed")
+            if outcome is not None:
+                if outcome.is_ok() and outcome.unwrap().succeeded:
+                    return outcome
+                self._note_failure(outcome)
+                if self._may_repeat(outcome):
+                    pending += self._repeat("failed")
             if pending == 0:
                 return self._final_result()
 
@@ -154,17 +163,40 @@
         Returns:
             Number of attempts started, 0 or 1.
         """
-        if len(self._tried) >= self._call.route.max_attempts:
+        if len(self._tried) + self._starting >= self._call.route.max_attempts:
             return 0
         if self._ctx.crashes.is_quarantined(self._call):
             return 0
-        candidates = self._ctx.candidates(self._call.service.name, excluded=self._tried)
+        excluded = self._tried | self._connecting
+        candidates = self._ctx.candidates(self._call.service.name, excluded=excluded)
         if not (has_free_slot(candidates) if cause == "slow" else candidates):
             return 0
         if not self._ctx.budget(self._call.service.name).withdraw():
             log_event("repeat_denied", request_id=self._call.request_id, cause=cause)
             return 0
-        return 1 if self._start().is_ok() else 0
+        if not self._call.route.repeatable:
+            return 1 if self._start().is_ok() else 0
+        # Another attempt may be answered while this one finds no server that it can
+        # connect to.
+        self._starting += 1
+        self._greenlets.append(gevent.spawn(self._start_beside))
+        return 1
+
+    def _start_beside(self):
+        """Starts an attempt while others may be in progress."""
+        started = False
+        try:
+            started = self._start().is_ok()
+        except Exception:
+            self._log_defect()
+        finally:
+            self._starting -= 1
+        if not started:
+            self._attempt_outcomes.put(None)
+
+    def _log_defect(self):
+        request_id = self._call.request_id
+        log_event("defect", level="error", exc=sys.exc_info(), request_id=request_id)
 
     def _start(self):
         """Connects to a server and starts an attempt in the background.
@@ -177,7 +209,7 @@
         """
         unreachable = set()
         while True:
-            server = self._choose(self._tried | unreachable)
+            server = self._choose(self._tried | self._connecting | unreachable)
             now = self._ctx.clock.monotonic()
             if server is None:
                 refusal = self._held_back_refusal(self._tried | unreachable)
@@ -190,6 +222,9 @@
             if exchange is None:
                 unreachable.add(server.name)
                 continue
+            if self._ended:
+                exchange.close()
+                return Ok(None)
             self._tried.add(server.name)
             self._greenlets.append(gevent.spawn(self._attempt, server, exchange, now))
             return Ok(None)
@@ -219,6 +254,7 @@
         """Sends the request; returns its `Exchange`, or None if that failed."""
         ctx, call = self._ctx, self._call
         options = ForwardOptions(server.name, call.left_s(now))
+        self._connecting.add(server.name)
         try:
             return open_exchange(
                 ctx.connections, ctx.codec, server, call, options, CONNECT_TIMEOUT_S
@@ -234,6 +270,8 @@
                 reason=exc.reason,
             )
             return None
+        finally:
+            self._connecting.discard(server.name)
 
     def _attempt(self, server, exchange, started_at):
         release = self._ctx.placed_load.add(server.name, ServerLoad(running=1))
@@ -244,10 +282,7 @@
             self._note_if_slow(server, started_at)
             raise
         except Exception:
-            request_id = self._call.request_id
-            log_event(
-                "defect", level="error", exc=sys.exc_info(), request_id=request_id
-            )
+            self._log_defect()
             outcome = Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
         finally:
             release()
