Forward a server's failure at the deadline of its call

Callers got 504 of the daemon for an idempotent call that a server had answered with a failure, if the server that got the repeat was silent until the deadline.

The failure is kept while a repeat is in progress, and was forwarded only if all attempts ended in time. It is forwarded at the deadline now, too.

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -274,6 +274,26 @@
     case.assertIn("x-response-stamp", answer.headers)
 
 
+def test_server_failure_is_forwarded_if_its_repeat_ends_at_the_deadline(case):
+    """Guards against replacing the failure that a server answered by an answer of the
+    daemon, as the next server is silent until the deadline."""
+    fixture = case.enterContext(entry_fixture(("desk-1", "desk-2"), TimeoutMs=500))
+    servers = [fixture.servers[name] for name in ("desk-1", "desk-2")]
+
+    def fail_first(server):
+        def reply(req):
+            if sum(len(other.received) for other in servers) > 1:
+                gevent.sleep(5.0)
+            return server.stamped_reply(req, 500, b"broken")
+
+        return reply
+
+    for server in servers:
+        server.replies.append(fail_first(server))
+    answer = call(fixture, "/look/x")
+    case.assertEqual((answer.status, answer.body), (500, b"broken"))
+
+
 def test_refusal_status_that_does_not_rule_out_a_run_becomes_a_failure(case):
     """Guards against forwarding a 503 of a server that may have run the call."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -103,7 +103,8 @@
                 outcome = self._attempt_outcomes.get(timeout=self._wait_s(hedge_at))
             except Empty:
                 if self._ctx.clock.monotonic() >= self._call.ends_at:
-                    return Err(timed_out(self._verdict_so_far(pending)))
+                    refusal = timed_out(self._verdict_so_far(pending))
+                    return self._server_error or Err(refusal)
                 hedge_at = None
                 pending += self._repeat("slow")
                 continue
