Refuse streams to a service whose engine is not described

Callers of a stream got 500, with the verdict that it may have run, while a configuration described no engine for a service with model servers.

The placement of a stream reads the memory and the slots of the engine, and failed. Such a stream is refused as not run at its acceptance now, like one whose service is not configured.

--- a/amaranthbay/platform/tests/test_entry_faulty_streams.py
+++ b/amaranthbay/platform/tests/test_entry_faulty_streams.py
@@ -5,12 +5,13 @@
 from amaranthbay.platform.tests.fixtures import (
     call,
     call_raw,
+    configuration,
     entry_fixture,
     request,
     stream_request,
 )
 from amaranthbay.platform.tests.test_entry_streams import events
-from amaranthbay.utils.testing import collect
+from amaranthbay.utils.testing import collect, wait_until
 
 # Longer than the interval between two passes over the queue of streams.
 NEXT_PASS_S = 0.05
@@ -54,4 +55,21 @@
     check_others(case, fixture)
 
 
+def test_stream_to_a_service_without_an_engine_is_refused(case):
+    """Guards against a status that doesn't rule out a run, beside a configuration that
+    doesn't describe the engine of a service."""
+    fixture = case.enterContext(entry_fixture())
+    changed = configuration(version=2)
+    engine = changed["Services"][1].pop("Engine")
+    fixture.store.put("op", "config", changed)
+    wait_until(lambda: fixture.daemon.configuration.table.version == 2)
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual(answer.status, 503)
+    case.assertIn(b"not_run", answer.body)
+    changed["Services"][1]["Engine"] = engine
+    fixture.store.put("op", "config", changed | {"Version": 3})
+    wait_until(lambda: fixture.daemon.configuration.table.version == 3)
+    check_others(case, fixture)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -122,6 +122,9 @@
         if service is None:
             detail = "the route's service is not configured"
             return not_run(Reason.UNKNOWN_SERVICE, detail, 503, NOT_READY_RETRY)
+        if route.kind is CallKind.STREAM and service.engine is None:
+            detail = "the route's service has no model servers"
+            return not_run(Reason.UNKNOWN_SERVICE, detail, 503, NOT_READY_RETRY)
         call = self._build_call(req, head, route, service, arrived_at)
         if self._ctx.crashes.is_quarantined(call):
             return quarantined()
