Keep a stream at the software version that began it

Callers got streams whose first part came from one software version and the rest from another one: in one answer after a failure or from a silent server, with KV cache that another version had computed, and over their own tries.

Nothing knew of versions: any server of the service could go on. A stream has the version of the server that sends its first event now, and placement, repeats, takeovers and computed prompts stay at it. The store names each version of a service before servers of it are used; while it names one, a stream that is taken up began there, without a record of its own. A take-up reads the record; if nobody can know the version it is refused at once. A stream that is taken up starts like one that goes on in its answer, before late new ones: its caller has events that would be wasted.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -18,6 +18,7 @@
 from amaranthbay.fleet.peers import OwnReport
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
+from amaranthbay.fleet.versions import VersionHistory
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import ProcessStops, Reason, not_run
 from amaranthbay.observe import Gauge, current_metrics, log_event
@@ -29,6 +30,7 @@
 from amaranthbay.relay.demand import DemandMeter
 from amaranthbay.relay.handles import HandleRecord
 from amaranthbay.relay.limits import ServerLimits
+from amaranthbay.relay.origins import StreamOrigins, record_interval_s
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.pauses import ServerPauses
 from amaranthbay.relay.placed_load import PlacedLoad
@@ -45,6 +47,8 @@
 __all__ = ["EntryDaemon"]
 
 SWEEP_INTERVAL_S = 1.0
+# Interval at which rows of streams are looked for whose instances have died.
+ORPHAN_INTERVAL_S = 300.0
 # Delays before the next read of a table after a change, so that one call reads several
 # changes; otherwise each change would cost a call of each instance. Standby instances
 # wait longer. In the table of backend servers, they wait for a fraction of the time
@@ -133,6 +137,23 @@
         self._budgets = RepeatBudgets(
             _budget_limits(settings), self._allowance_part, self.clock
         )
+        self.versions = VersionHistory(
+            adapter.open_table(self.store, adapter.versions_table),
+            self.backends.versions,
+            self.clock,
+            self.health.time.now,
+            self.rng,
+            self._is_first_chosen,
+        )
+        self.origins = StreamOrigins(
+            adapter.open_table(self.store, adapter.streams_table),
+            self.versions,
+            self.clock,
+            self.health.time.now,
+            self._record_interval_s,
+            self._are_servers_behind,
+        )
+        self.health.era.on_restored(self._record_again)
         self.ctx = RelayContext(
             clock=self.clock,
             rng=self.rng,
@@ -157,6 +178,8 @@
             switches=SwitchRecord(
                 self.clock, self.backends.stage_of, self._report_to_chosen
             ),
+            versions=self.versions,
+            origins=self.origins,
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
@@ -289,6 +312,23 @@
         """Sends a report to the chosen instances at once."""
         self.peers.report_now(self.peers.chosen_names())
 
+    def _is_first_chosen(self):
+        """Returns whether this is the first of the instances that callers use."""
+        return self.settings.instance == min(self.peers.chosen_names(), default=None)
+
+    def _record_interval_s(self):
+        instances = len(self.peers.chosen_names())
+        return record_interval_s(instances, self.settings.store_writes_per_s)
+
+    def _are_servers_behind(self):
+        """Returns whether other instances know a newer list of servers."""
+        return self._followers[self._adapter.servers_table].is_behind()
+
+    def _record_again(self):
+        """Records versions again that a restored store may lack."""
+        self.versions.forget_records()
+        self.origins.record_again()
+
     def _read_instances(self):
         """Requests a read of the table of instances, as the view may lack some."""
         self._followers[self._adapter.instances_table].request_read()
@@ -346,6 +386,8 @@
             batch_delay_s=self._instances_batch_delay_s,
         )
         self._jobs.start("register", self._registration_writer.run)
+        self._jobs.start("record_streams", self.origins.run)
+        self._jobs.start("delete_orphans", self._delete_orphans_loop)
         self._jobs.start("sweep", self._sweep_loop)
         self._jobs.start("reload", self._reload_loop)
         self._balancer_jobs.start("balance_stages", self.balancer.run)
@@ -433,8 +475,16 @@
             self.ctx.pauses.sweep()
             self.ctx.limits.sweep(self.backends.is_listed)
             self.ctx.switches.sweep()
+            self.versions.sweep()
+            self.origins.sweep()
             self.clock.sleep(SWEEP_INTERVAL_S if serving else CHECK_INTERVAL_S)
 
+    def _delete_orphans_loop(self):
+        while True:
+            self.clock.sleep(ORPHAN_INTERVAL_S)
+            if self._is_first_chosen():
+                self.origins.delete_orphans()
+
     def register_gauges(self, metrics):
         """Registers the gauges of this process."""
         metrics.observe_gauge(Gauge.QUEUE, self.queue.length)
@@ -478,6 +528,7 @@
         """Stops everything at once without draining, as in tests."""
         self._jobs.stop()
         self._balancer_jobs.stop()
+        self.versions.close()
         self.listener.close()
         for follower in self._followers.values():
             follower.stop()
--- a/amaranthbay/fleet/backends.py
+++ b/amaranthbay/fleet/backends.py
@@ -197,6 +197,20 @@
             return False
         return now - health.regained_at < REAPPEAR_GRACE_S
 
+    def versions(self, service):
+        """Returns the software versions of a service's servers, leaving ones included.
+
+        Args:
+            service: Name of the service.
+        """
+        expiry_possible = self._may_have_expired()
+        return {
+            entry.server.version
+            for entry in self._entries.values()
+            if entry.server.service == service
+            and (entry.removed_at is None or expiry_possible)
+        }
+
     def is_listed(self, name):
         """Returns whether the entry of a server is known."""
         return name in self._entries
@@ -206,7 +220,7 @@
         entry = self._entries.get(name)
         return entry.server.stage if entry is not None else None
 
-    def usable(self, service, stage=None):
+    def usable(self, service, stage=None, version=None):
         """Returns the servers that may get new work, sorted by name.
 
         Servers that departed a moment ago are returned only if there are no others.
@@ -214,6 +228,7 @@
         Args:
             service: Name of the service.
             stage: `Stage` whose model servers are wanted; None for any.
+            version: Software version that is wanted; None for any.
         """
         now = self._clock.monotonic()
         present, departed = [], []
@@ -222,6 +237,8 @@
             server = entry.server
             if server.service != service or (stage and server.stage is not stage):
                 continue
+            if version not in (None, server.version):
+                continue
             if server.draining or now < entry.untrusted_until:
                 continue
             left_at = self._departures.announced_at(server)
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -4,7 +4,15 @@
 
 from amaranthbay.fleet.backends import ENTRY_TTL_S
 
-__all__ = ["EntrySettings", "Limits", "changed_fields", "merge"]
+__all__ = [
+    "DEFAULT_WRITES_PER_S",
+    "EntrySettings",
+    "Limits",
+    "changed_fields",
+    "merge",
+]
+
+DEFAULT_WRITES_PER_S = 400.0
 
 # Fields that apply only when a process starts, since its sockets are open and other
 # instances know its names.
@@ -66,6 +74,7 @@
         lookup_ttl_s: Longest time in seconds for which callers cache a lookup's answer.
         entry_life_s: Seconds of silence after which the entry of a backend server is
             removed.
+        store_writes_per_s: Writes per second that the store takes from all instances.
     """
 
     instance: str
@@ -88,6 +97,7 @@
     order_turn_s: float
     lookup_ttl_s: float
     entry_life_s: float = ENTRY_TTL_S
+    store_writes_per_s: float = DEFAULT_WRITES_PER_S
 
 
 def changed_fields(current, loaded):
--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -202,6 +202,8 @@
         self.version = None
         self.era = None
         self.last_change = 0
+        # Last change that another instance has reported, and its era.
+        self._reported = (0, None)
         health.era.on_restored(self._restart)
         if max_poll_wait_s is None:
             health.on_regained(self._restart)
@@ -241,6 +243,8 @@
             last_change: Version of the last change that the other instance has seen.
             era: Era of the version; None if the store reports none.
         """
+        if self._is_newer(last_change, era):
+            self._reported = last_change, era
         # A peer that has seen no newer change proves nothing about this poll.
         if not self._polling or not self._is_newer(last_change, era):
             return
@@ -262,6 +266,10 @@
             )
             self._restart()
 
+    def is_behind(self):
+        """Returns whether another instance has reported a newer change."""
+        return self._is_newer(*self._reported)
+
     def _is_newer(self, last_change, era):
         """Returns whether a change is newer than the last one in the view.
 
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -47,6 +47,8 @@
         QUARANTINED: The request has crashed servers, and is not run any more.
         SUSPECT_WAITING: The request may crash servers, and a chosen server already
             runs another such request.
+        ORIGIN_UNKNOWN: A stream can't go on, as it is not known which software version
+            began it.
     """
 
     BAD_REQUEST = "bad_request"
@@ -73,6 +75,7 @@
     BACKEND_REFUSED = "backend_refused"
     BACKEND_SLOW = "backend_slow"
     STREAM_BROKEN = "stream_broken"
+    ORIGIN_UNKNOWN = "origin_unknown"
     CALLER_GONE = "caller_gone"
     UNAUTHENTICATED = "unauthenticated"
     INTERNAL = "internal"
--- a/amaranthbay/platform/adapter.py
+++ b/amaranthbay/platform/adapter.py
@@ -19,6 +19,8 @@
         servers_table: Table in which backend servers register.
         instances_table: Table in which the entry instances register.
         leases_table: Table of the leases with their fencing tokens.
+        versions_table: Table of the software versions of each service.
+        streams_table: Table of the versions at which streams began.
     """
 
     codec = "platform"
@@ -27,6 +29,8 @@
     servers_table = "servers"
     instances_table = "members"
     leases_table = "leases"
+    versions_table = "versions"
+    streams_table = "streams"
 
     load_settings = staticmethod(load_boot_settings)
     decode_configuration = staticmethod(decode_configuration)
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok
 
-from amaranthbay.fleet.settings import EntrySettings, Limits
+from amaranthbay.fleet.settings import DEFAULT_WRITES_PER_S, EntrySettings, Limits
 
 __all__ = ["load_boot_settings"]
 
@@ -28,6 +28,8 @@
 class _Platform(msgspec.Struct):
     # Host and port of the store.
     Address: str
+    # Writing calls that the store takes from all instances together.
+    WritesPerS: float = DEFAULT_WRITES_PER_S
 
 
 class _Machine(msgspec.Struct):
@@ -113,5 +115,6 @@
         retry_allowance=bounds.BudgetSlack,
         order_turn_s=bounds.LeaseMs / MS_PER_S,
         lookup_ttl_s=bounds.ttl_max_s,
+        store_writes_per_s=boot.Platform.WritesPerS,
         entry_life_s=MISSED_HEARTBEATS * boot.HeartbeatMs / MS_PER_S,
     )
--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -118,7 +118,13 @@
         row["Value"] = base64.b64encode(value).decode()
         return self.transact([], [row])[0]
 
-    def transact(self, expected, put):
+    def row(self, table, key):
+        """Reads one row; returns ``Result[ChangedRow | None, PlatformFailure]``."""
+        query = {"Table": table, "part": "", "From": key, "To": key + "\0", "Limit": 1}
+        reply = self._get("/rows-get", query, CALL_TIMEOUT_S)
+        return reply.map(lambda answer: _find_row(answer[0].Rows, key))
+
+    def transact(self, expected, put, remove=()):
         """Writes rows in one transaction.
 
         Args:
@@ -126,11 +132,14 @@
                 ``Ver`` that each row must have; 0 for an absent row.
             put: List of dicts with ``Table``, ``part``, ``Key`` and ``Value``, the
                 rows to write.
+            remove: List of dicts with ``Table``, ``part`` and ``Key``, the rows to
+                delete.
 
         Returns:
             The `CommitState` and the new version of the rows, which is 0 unless done.
         """
-        body = msgspec.json.encode({"Expected": expected, "Put": put, "Remove": []})
+        body = {"Expected": expected, "Put": put, "Remove": list(remove)}
+        body = msgspec.json.encode(body)
         headers = (("Content-Type", "application/json"),)
         outcome = self._call("POST", "/rows-tx", body, headers, CALL_TIMEOUT_S)
         if outcome.is_err():
@@ -206,21 +215,26 @@
         return self._store.store_era.current()
 
     def commit(self, writes):
-        expected, put = [], []
+        expected, put, remove = [], [], []
         for write in writes:
             row = {"Table": self._table, "part": "", "Key": write.key}
             if write.if_version is not None:
                 expected.append(row | {"Ver": write.if_version})
+            if write.value is None:
+                remove.append(row)
+                continue
             value = base64.b64encode(msgspec.json.encode(write.value)).decode()
             put.append(row | {"Value": value})
-        state, version = self._store.transact(expected, put)
+        state, version = self._store.transact(expected, put, remove)
         if state is not CommitState.DONE:
             return CommitOutcome(state, {})
         return CommitOutcome(state, {write.key: version for write in writes})
 
     def read(self, key):
-        outcome = self._store.snapshot(self._table)
-        return outcome.and_then(lambda snapshot: _find_row(snapshot.rows, key))
+        outcome = self._store.row(self._table, key)
+        return outcome.and_then(
+            lambda row: Ok(None) if row is None else _decode_value(row)
+        )
 
     def scan(self, prefix, after="", limit=1000):
         outcome = self._store.snapshot(self._table)
@@ -249,11 +263,11 @@
 
 
 def _find_row(rows, key):
-    """Returns ``Result[Row | None, PlatformFailure]``: the row with a key."""
+    """Returns the `ChangedRow` with a key from rows in wire format, or None."""
     for row in rows:
-        if row.key == key and row.value is not None:
-            return _decode_value(row)
-    return Ok(None)
+        if row.Key == key and not row.Removed:
+            return _decode_row(row)
+    return None
 
 
 def _decode_value(row):
--- a/amaranthbay/platform/tests/standins.py
+++ b/amaranthbay/platform/tests/standins.py
@@ -307,11 +307,12 @@
 
     def _get(self, req):
         table, start = req.query["Table"], req.query.get("From", "")
+        end = req.query.get("To")
         limit = int(req.query.get("Limit", 500))
         rows = [
             row
             for (name, key), row in sorted(self.rows.items())
-            if name == table and key >= start
+            if name == table and key >= start and (end is None or key < end)
         ]
         version = self.compacted_version if self.stale_snapshots else self.version
         return _json(
@@ -362,6 +363,9 @@
                 return False
         for row in call["Put"]:
             self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]))
+        for row in call["Remove"]:
+            if (row["Table"], row["Key"]) in self.rows:
+                self.remove(row["Table"], row["Key"])
         return True
 
 
--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
     connect,
@@ -216,4 +217,80 @@
     case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
 
 
+def test_take_up_is_not_held_back_like_a_late_new_stream(case):
+    """Guards against streams that are lost midway while servers are nearly full."""
+    fixture = case.enterContext(entry_fixture())
+    begin_stream(fixture, "a1").close()
+    daemon = fixture.daemon
+    wait_until(lambda: not daemon.placed_load.loads())
+    case.addCleanup(daemon.placed_load.add("dec-1", ServerLoad(1, 8500, 0)))
+    case.addCleanup(daemon.placed_load.add("pre-1", ServerLoad(0, 0, 100_000)))
+    deadline = (("X-Deadline-Ms", "1500"),)
+    answer = call_raw(fixture.address, stream_request("/resume/x", "a2", deadline))
+    case.assertEqual(answer.status, 503)
+    answer = take_up(fixture, "b1", "a1")
+    case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+
+
+def test_take_up_without_any_record_goes_on_while_one_version_serves(case):
+    """Guards against losing streams after a death of all instances in calm."""
+    fixture = case.enterContext(entry_fixture())
+    begin_stream(fixture, "a1").close()
+    fixture.restart_daemon()
+    answer = take_up(fixture, "b1", "a1")
+    case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+    case.assertFalse([key for key in fixture.store.rows if key[0] == "streams"])
+
+
+def test_stream_of_calm_times_goes_on_after_all_instances_died_in_a_release(case):
+    """Guards against losing streams that began before a further version appeared."""
+    fixture = two_versions(case, ("dec-old-1", "dec-old-2", "dec-new-1"))
+    fixture.store.remove("servers", "dec-new-1")
+    fixture.store.remove("servers", "pre-new-1")
+    wait_until(lambda: fixture.usable_decode() == ["dec-old-1", "dec-old-2"])
+    sock = begin_stream(fixture, "a1")
+    fixture.write_entry("dec-new-1", "lm", "decode", Version="v2")
+    fixture.wait_for_servers("lm", 3, Stage.DECODE)
+    wait_until(lambda: ("streams", "a1") in fixture.store.rows)
+    fixture.restart_daemon()
+    sock.close()
+    answer = take_up(fixture, "b1", "a1")
+    case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+    case.assertEqual(versions_of(fixture, "b1"), {"v1"})
+
+
+def test_take_up_goes_on_while_the_store_is_away_and_one_version_serves(case):
+    """Guards against losing streams of calm times during an outage of the store."""
+    fixture = case.enterContext(entry_fixture())
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    wait_until(lambda: ("versions", "lm") in fixture.store.rows)
+    fixture.store.error_status = 503
+    answer = take_up(fixture, "b1", "of-another-instance")
+    case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+
+
+def test_take_up_is_refused_while_the_store_is_away_beside_two_versions(case):
+    """Guards against a take-up at a guessed version during an outage of the store."""
+    fixture = two_versions(case)
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    fixture.store.error_status = 503
+    answer = take_up(fixture, "b1", "of-another-instance")
+    case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
+
+
+def test_restored_store_gets_versions_and_streams_again(case):
+    """Guards against a restored store that has lost versions and starts of streams."""
+    fixture = two_versions(case)
+    fixture.store.era = 1
+    copy = fixture.store.copy()
+    sock = begin_stream(fixture, "a1")
+    wait_until(lambda: ("streams", "a1") in fixture.store.rows)
+    fixture.store.restore(copy)
+    wait_until(lambda: ("streams", "a1") in fixture.store.rows, timeout_s=10.0)
+    wait_until(
+        lambda: set(fixture.store.value("versions", "lm")["versions"]) == {"v1", "v2"}
+    )
+    sock.close()
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/attempts.py
+++ b/amaranthbay/relay/attempts.py
@@ -21,11 +21,21 @@
         verdict: `Verdict` on the attempts that have ended.
         decode_sent_at: Monotonic time at which the last decode was sent; None if none
             was.
+        version: Software version at which the stream began, and has to go on; None
+            while it has not begun.
     """
 
-    def __init__(self, ctx, call):
+    def __init__(self, ctx, call, version=None):
+        """Creates the attempts of a stream.
+
+        Args:
+            ctx: `RelayContext` of the process.
+            call: `Call` of the stream.
+            version: Software version at which it began; None for a new stream.
+        """
         self._ctx = ctx
         self._call = call
+        self.version = version
         self._attempt_count = 0
         self.excluded = set()
         self.prefilled = False
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -48,6 +48,11 @@
     expected_tokens: int | None = None
     shared_parts: tuple[str, ...] = ()
 
+    @property
+    def stream_id(self):
+        """Id of the caller's attempt under which its stream began, or begins."""
+        return self.attempt_id if self.last_event_id is None else self.began_as
+
     @property
     def likely_tokens(self):
         """Caller's estimate of the answer's tokens, `max_output_tokens` at most."""
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -45,6 +45,8 @@
         pauses: `ServerPauses` that servers have asked for.
         limits: `ServerLimits` that servers have named.
         switches: `SwitchRecord` of servers that change their pool.
+        versions: `VersionHistory` of the services.
+        origins: `StreamOrigins` with the versions at which streams began.
         availability_zone: Availability zone in which the process runs.
     """
 
@@ -63,37 +65,41 @@
     pauses: object
     limits: object
     switches: object
+    versions: object
+    origins: object
     availability_zone: str
 
-    def candidates(self, service, stage=None, excluded=frozenset()):
+    def candidates(self, service, stage=None, excluded=frozenset(), version=None):
         """Returns a `Candidate` for each server of a service that may get requests.
 
         Args:
             service: Name of the service.
             stage: `Stage` of model servers; None for servers of any kind.
             excluded: Names of servers to leave out.
+            version: Software version of the servers; None for any.
         """
         peer_loads = self.peers.loads()
         return [
             self._candidate(server, peer_loads)
-            for server in self._usable(service, stage, excluded)
+            for server in self._usable(service, stage, excluded, version)
             if not self.pauses.left_s(server.name) and self.limits.has_room(server.name)
         ]
 
-    def held_back(self, service, stage=None, excluded=frozenset()):
+    def held_back(self, service, stage=None, excluded=frozenset(), version=None):
         """Returns when the first server takes requests, if pauses and limits forbid it.
 
         Args:
             service: Name of the service.
             stage: `Stage` of model servers; None for servers of any kind.
             excluded: Names of servers to leave out.
+            version: Software version of the servers; None for any.
 
         Returns:
             `HeldBack`, or None if some server may get a request or there is no server.
         """
         waits = [
             self._server_held_back(server.name)
-            for server in self._usable(service, stage, excluded)
+            for server in self._usable(service, stage, excluded, version)
         ]
         first = min(waits, key=lambda held: held.seconds, default=None)
         return first if first is not None and first.seconds else None
@@ -116,11 +122,13 @@
             return LIMIT_USED_UP
         return None if self.pauses.may_send(server_name) else ASKED_TO_PAUSE
 
-    def _usable(self, service, stage, excluded):
+    def _usable(self, service, stage, excluded, version):
         unusable = (
             excluded | set(self.peers.switching()) | set(self.switches.switching())
         )
-        usable = self.backends.usable(service, stage)
+        usable = self.backends.usable(service, stage, version)
+        if stage is not None and version is None:
+            usable = self.versions.registered_only(service, usable)
         return [server for server in usable if server.name not in unusable]
 
     def _candidate(self, server, peer_loads):
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -115,7 +115,8 @@
                 self._call,
                 self._excluded | self._attempts.excluded,
                 self._attempts.must_skip_prefill(),
-                self._output.started,
+                self._attempts.version is not None,
+                self._attempts.version,
             )
             if place_result.is_err():
                 return place_result
@@ -239,7 +240,9 @@
         if age_s > HANDLE_REUSE_SHARE * self._call.service.engine.handle_ttl_s:
             return None
         excluded = self._excluded | self._attempts.excluded | {first_server.name}
-        other_placement = self._queue.place_on_other_decode(self._call, excluded)
+        other_placement = self._queue.place_on_other_decode(
+            self._call, excluded, computed.server.version
+        )
         if other_placement is None:
             return None
         outcome = None
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -15,7 +15,7 @@
         longest_gap_s: Longest time between two writes of events.
     """
 
-    def __init__(self, conn, codec, clock, last_event_id):
+    def __init__(self, conn, codec, clock, last_event_id, on_start):
         """Creates the output.
 
         Args:
@@ -23,11 +23,13 @@
             codec: `CallCodec` that selects the headers.
             clock: `Clock` for the gaps between events.
             last_event_id: Event after which the caller continues, or None.
+            on_start: Function that is called before anything is sent to the caller.
         """
         self._conn = conn
         self._codec = codec
         self._clock = clock
         self._events = EventSplitter(last_event_id)
+        self._on_start = on_start
         self._sent_at = None
         self.started = False
         self.longest_gap_s = 0.0
@@ -105,6 +107,7 @@
     def _write(self, head, data):
         if not self.started:
             self.started = True
+            self._on_start()
             headers = self._codec.end_to_end(head.headers)
             self._conn.start_stream(head.status, headers)
         if data:
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -90,6 +90,7 @@
         excluded: Names of servers that must not be used.
         must_skip_prefill: Whether the decode server must compute the prompt.
         continued: Whether the caller already has events of the stream.
+        version: Software version of the servers that may be used; None for any.
         since: Monotonic time at which the wait began.
         until: Monotonic time at which the wait is given up.
         ready: Gets the `Placement`, or the exception that ends the wait.
@@ -101,6 +102,7 @@
     excluded: frozenset
     must_skip_prefill: bool
     continued: bool
+    version: str | None
     since: float
     until: float
     ready: AsyncResult
@@ -122,9 +124,10 @@
             stage: `Stage` of the servers.
             reserved: Names of servers that are reserved for other streams.
         """
-        key = waiting.call.service.name, stage
+        key = waiting.call.service.name, stage, waiting.version
         if key not in self._by_stage:
-            self._by_stage[key] = self._ctx.candidates(*key)
+            service, _, version = key
+            self._by_stage[key] = self._ctx.candidates(service, stage, version=version)
         excluded = waiting.excluded | reserved
         if stage is Stage.PREFILL:
             excluded = excluded | self._ctx.handles.distrusted()
@@ -151,7 +154,12 @@
         return len(self._waiting)
 
     def place(
-        self, call, excluded=frozenset(), must_skip_prefill=False, continued=False
+        self,
+        call,
+        excluded=frozenset(),
+        must_skip_prefill=False,
+        continued=False,
+        version=None,
     ):
         """Waits until servers can take a stream.
 
@@ -160,6 +168,7 @@
             excluded: Names of servers that must not be used.
             must_skip_prefill: Whether the decode server must compute the prompt.
             continued: Whether the caller already has events of the stream.
+            version: Software version of the servers that may be used; None for any.
 
         Returns:
             ``Result[Placement, Refusal]``; a refusal is returned without a wait if the
@@ -168,14 +177,24 @@
         now = self._ctx.clock.monotonic()
         since = now if continued else call.arrived_at
         until = min(call.ends_at, since + MAX_WAIT_TARGETS * call.route.target_s)
-        if not self._ctx.candidates(call.service.name, Stage.DECODE, excluded):
-            refusal = self._no_server_refusal(call, excluded, until - now, continued)
+        name = call.service.name
+        if not self._ctx.candidates(name, Stage.DECODE, excluded, version):
+            refusal = self._no_server_refusal(
+                call, excluded, until - now, continued, version
+            )
             if refusal is not None:
                 return Err(refusal)
         if len(self._waiting) >= MAX_QUEUE_LENGTH:
             return Err(self._overloaded("the queue is full"))
         waiting = _WaitingStream(
-            call, excluded, must_skip_prefill, continued, now, until, AsyncResult()
+            call,
+            excluded,
+            must_skip_prefill,
+            continued,
+            version,
+            now,
+            until,
+            AsyncResult(),
         )
         self._waiting.append(waiting)
         try:
@@ -187,7 +206,7 @@
             elif waiting.ready.successful() and not waiting.taken:
                 waiting.ready.get().release()
 
-    def _no_server_refusal(self, call, excluded, max_wait_s, continued):
+    def _no_server_refusal(self, call, excluded, max_wait_s, continued, version):
         """Returns the refusal of a stream that has no decode server now.
 
         Args:
@@ -195,23 +214,31 @@
             excluded: Names of servers that must not be used.
             max_wait_s: Seconds for which the stream may wait.
             continued: Whether the caller already has events of the stream.
+            version: Software version of the servers that may be used; None for any.
 
         Returns:
             `Refusal`, or None if the stream may wait for a server that takes requests
             again within that time.
         """
-        held = self._ctx.held_back(call.service.name, Stage.DECODE, excluded)
+        held = self._ctx.held_back(call.service.name, Stage.DECODE, excluded, version)
         if held is not None and held.seconds < max_wait_s:
             # A limit lets few of the streams that wait for it start in time.
             if continued or not held.by_limit:
                 return None
         detail = "no decode server is known"
+        if version is not None:
+            detail = f"no decode server of the stream's version {version} is known"
         retry = timedelta(seconds=1)
         return not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
 
-    def held_back_refusal(self, call):
-        """Returns a stream's `Refusal` if no decode server may get it, else None."""
-        held = self._ctx.held_back(call.service.name, Stage.DECODE)
+    def held_back_refusal(self, call, version=None):
+        """Returns a stream's `Refusal` if no decode server may get it, else None.
+
+        Args:
+            call: `Call` of the stream.
+            version: Software version of the servers that may be used; None for any.
+        """
+        held = self._ctx.held_back(call.service.name, Stage.DECODE, version=version)
         return None if held is None else all_held_back(held, self._ctx.rng.random())
 
     def _wait(self, waiting):
@@ -239,7 +266,9 @@
         if waiting.continued or not self._ctx.limits.in_force():
             return None
         name = waiting.call.service.name
-        held = self._ctx.held_back(name, Stage.DECODE, waiting.excluded)
+        held = self._ctx.held_back(
+            name, Stage.DECODE, waiting.excluded, waiting.version
+        )
         if held is None or not held.by_limit:
             return None
         return all_held_back(held, self._ctx.rng.random())
@@ -248,7 +277,7 @@
         """Logs the memory in use on the decode servers that a stream has waited for."""
         call = waiting.call
         decode_candidates = self._ctx.candidates(
-            call.service.name, Stage.DECODE, waiting.excluded
+            call.service.name, Stage.DECODE, waiting.excluded, waiting.version
         )
         log_decision(
             "stream_servers",
@@ -348,10 +377,44 @@
         decode_start_s = self._ctx.demand.decode_start_s(call.service.name)
         return Pressure(wait_s, self._speed(call), memory_share, decode_start_s)
 
-    def _best_prefill(self, waiting, candidate_cache):
-        prefill_candidates = candidate_cache.usable_by(waiting, Stage.PREFILL)
+    def _best_prefill(self, waiting, candidate_cache, version=None):
+        """Returns the `Candidate` that should compute a prompt, or None.
+
+        Args:
+            waiting: `_WaitingStream` to place.
+            candidate_cache: `_CandidateCache` of the current pass.
+            version: Software version of the decode server, which must be the same;
+                None while it isn't chosen.
+        """
+        prefill_candidates = [
+            candidate
+            for candidate in candidate_cache.usable_by(waiting, Stage.PREFILL)
+            if version in (None, candidate.server.version)
+        ]
         return choose_prefill(prefill_candidates, self._ctx.rng.random())
 
+    def _best_decode(self, waiting, decode_candidates, candidate_cache):
+        """Returns the `Candidate` that should decode a stream, or None.
+
+        Servers of versions that have a prefill server come first. Others would have to
+        compute the prompt, which delays the streams that they run.
+        """
+        prefill_versions = {
+            candidate.server.version
+            for candidate in candidate_cache.usable_by(waiting, Stage.PREFILL)
+        }
+        paired = [
+            candidate
+            for candidate in decode_candidates
+            if candidate.server.version in prefill_versions
+        ]
+        need_tokens = memory_need(waiting.call.head)
+        memory_tokens = waiting.call.service.engine.memory_tokens
+        draw = self._ctx.rng.random()
+        return choose_decode(paired, need_tokens, memory_tokens, draw) or choose_decode(
+            decode_candidates, need_tokens, memory_tokens, draw
+        )
+
     def _prefill_wait_s(self, call, prefill):
         """Returns the seconds until the prefill `Candidate` starts with the prompt."""
         if prefill is None:
@@ -367,16 +430,14 @@
             candidate_cache: `_CandidateCache` of the current pass.
             reserved: Names of decode servers that are reserved for other streams.
         """
-        ctx, call = self._ctx, waiting.call
+        call = waiting.call
         engine = call.service.engine
         need_tokens = memory_need(call.head)
         decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
-        decode = choose_decode(
-            decode_candidates, need_tokens, engine.memory_tokens, ctx.rng.random()
-        )
+        decode = self._best_decode(waiting, decode_candidates, candidate_cache)
         if decode is None:
             return None
-        prefill = self._best_prefill(waiting, candidate_cache)
+        prefill = self._best_prefill(waiting, candidate_cache, decode.server.version)
         wait_s = self._prefill_wait_s(call, prefill)
         memory_share = (decode.memory_tokens + need_tokens) / engine.memory_tokens
         if not may_start(urgency, self._pressure(call, wait_s, memory_share)):
@@ -393,6 +454,7 @@
             request_id=call.request_id,
             urgency=urgency.name.lower(),
             prefill=prefill and prefill.server.name,
+            software_version=decode.server.version,
             prefill_wait_s=round(wait_s, 3),
             memory_tokens=decode.memory_tokens,
             need_tokens=need_tokens,
@@ -414,7 +476,7 @@
         )
         return prefers_decode_server(prefill, decode, times, call.route.max_gap_s)
 
-    def place_on_other_decode(self, call, excluded):
+    def place_on_other_decode(self, call, excluded, version):
         """Returns a `Placement` for a prompt that is already computed, or None.
 
         Doesn't wait for free memory, as the prefill server keeps the KV cache only for
@@ -423,10 +485,11 @@
         Args:
             call: `Call` of the stream.
             excluded: Names of servers that must not be used.
+            version: Software version of the server that keeps the KV cache.
         """
         need_tokens = memory_need(call.head)
         decode_candidates = self._ctx.candidates(
-            call.service.name, Stage.DECODE, excluded
+            call.service.name, Stage.DECODE, excluded, version
         )
         decode = choose_decode(
             decode_candidates,
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -112,24 +112,41 @@
         Returns:
             `Refusal` if nothing was sent to the caller, else None.
         """
-        return _StreamRun(self._ctx, self._queue, call, conn).run()
+        version = None
+        if call.route.resumable:
+            self._ctx.versions.wait_until_read(call.service.name)
+            if call.head.last_event_id is not None:
+                found = self._ctx.origins.find(call)
+                if found.is_err():
+                    return found.unwrap_err()
+                version = found.unwrap()
+        return _StreamRun(self._ctx, self._queue, call, conn, version).run()
 
 
 class _StreamRun:
     """One stream from its placement to its end."""
 
-    def __init__(self, ctx, queue, call, conn):
+    def __init__(self, ctx, queue, call, conn, version):
         self._ctx = ctx
         self._queue = queue
         self._call = call
-        self._attempts = StreamAttempts(ctx, call)
-        self._output = StreamOutput(conn, ctx.codec, ctx.clock, call.head.last_event_id)
+        self._attempts = StreamAttempts(ctx, call, version)
+        # `BackendServer` whose answer is passed on.
+        self._server = None
+        self._output = StreamOutput(
+            conn, ctx.codec, ctx.clock, call.head.last_event_id, self._note_began
+        )
         self._opener = self._create_opener()
         self._takeovers = Takeovers(
             ctx, call, self._attempts, self._output, self._create_opener
         )
         self._progress = _Progress(ctx.clock)
 
+    def _note_began(self):
+        if self._call.route.resumable:
+            self._attempts.version = self._server.version
+            self._ctx.origins.note_began(self._call, self._server.version)
+
     def _create_opener(self, **options):
         return StreamOpener(
             self._ctx,
@@ -202,7 +219,8 @@
             )
             return None
         if self._attempts.verdict is Verdict.NOT_RUN:
-            return self._queue.held_back_refusal(self._call) or refusal
+            version = self._attempts.version
+            return self._queue.held_back_refusal(self._call, version) or refusal
         return refusal.with_verdict(self._attempts.verdict)
 
     def _relay_opened(self, opened):
@@ -223,6 +241,10 @@
 
     def _relay(self, opened):
         placement, head = opened.placement, opened.head
+        self._server = placement.decode
+        if self._attempts.version not in (None, self._server.version):
+            # The stream began at another version while this one was being opened.
+            raise ExchangeBroken(Verdict.MAY_HAVE_RUN, "other_version")
         self._output.switch_server()
         awaits_first_event = placement.prefill is not None
         started_at = self._ctx.clock.monotonic()
--- /dev/null
+++ b/amaranthbay/relay/tests/test_origins.py
@@ -0,0 +1,132 @@
+"""Starts of streams that are recorded in the store."""
+
+from types import SimpleNamespace
+
+import gevent
+
+from amaranthbay.dispatch.tests.fake_peers import MemoryTable
+from amaranthbay.fleet.versions import STREAM_LIFE_S
+from amaranthbay.relay.codec import CallHead
+from amaranthbay.relay.origins import (
+    MAX_DELETE_DELAY_S,
+    MAX_ROWS,
+    ORPHAN_AGE_S,
+    StreamOrigins,
+    record_interval_s,
+)
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
+
+
+class History:
+    """History of a service with several versions."""
+
+    def __init__(self):
+        self.several = True
+
+    def may_differ(self, service):
+        return self.several
+
+    def on_several(self, callback):
+        pass
+
+
+def origins(case, table):
+    """Returns `StreamOrigins` that write to a table, and their clock."""
+    clock = ManualClock()
+    subject = StreamOrigins(
+        table, History(), clock, clock.monotonic, lambda: 0.1, lambda: False
+    )
+    job = gevent.spawn(subject.run)
+    case.addCleanup(job.kill)
+    return subject, clock
+
+
+def call(attempt="a1", **fields):
+    return SimpleNamespace(
+        request_id=attempt,
+        head=CallHead(attempt, **fields),
+        service=SimpleNamespace(name="lm"),
+    )
+
+
+def test_failed_write_is_repeated(case):
+    """Guards against a stream that is not recorded as the store has failed once."""
+    table = MemoryTable()
+    subject, _ = origins(case, table)
+    table.down = True
+    subject.note_began(call(), "v1")
+    gevent.sleep(0.01)
+    table.down = False
+    wait_until(lambda: "a1" in table.rows)
+    case.assertEqual(table.rows["a1"].value["version"], "v1")
+
+
+def test_more_streams_than_a_transaction_takes_are_recorded(case):
+    """Guards against a transaction that the store refuses for its size."""
+    table = MemoryTable()
+    subject, _ = origins(case, table)
+    sizes, commit = [], table.commit
+    table.commit = lambda writes: (sizes.append(len(writes)), commit(writes))[1]
+    for number in range(2 * MAX_ROWS + 1):
+        subject.note_began(call(f"a{number}"), "v1")
+    wait_until(lambda: len(table.rows) == 2 * MAX_ROWS + 1)
+    case.assertLessEqual(max(sizes), MAX_ROWS)
+
+
+def test_records_of_old_streams_are_deleted(case):
+    """Guards against a table that grows for ever."""
+    table = MemoryTable()
+    subject, clock = origins(case, table)
+    subject.note_began(call(), "v1")
+    wait_until(lambda: "a1" in table.rows)
+    clock.advance(STREAM_LIFE_S + 1)
+    subject.sweep()
+    clock.advance(MAX_DELETE_DELAY_S + 1)
+    subject.sweep()
+    wait_until(lambda: not table.rows)
+
+
+def test_records_of_dead_instances_are_deleted(case):
+    """Guards against rows that nobody deletes after their instance has died."""
+    table = MemoryTable()
+    dead, _ = origins(case, table)
+    dead.note_began(call(), "v1")
+    wait_until(lambda: "a1" in table.rows)
+    subject, clock = origins(case, table)
+    subject.delete_orphans()
+    case.assertTrue(table.rows)
+    clock.advance(ORPHAN_AGE_S + 1)
+    subject.delete_orphans()
+    case.assertFalse(table.rows)
+
+
+def test_stream_that_is_taken_up_keeps_its_id(case):
+    """Guards against a second take-up that finds no record."""
+    table = MemoryTable()
+    subject, _ = origins(case, table)
+    subject.note_began(call("b1", last_event_id=3, began_as="a1"), "v1")
+    wait_until(lambda: "a1" in table.rows)
+    case.assertNotIn("b1", table.rows)
+    found = subject.find(call("c1", last_event_id=5, began_as="a1"))
+    case.assertEqual(found.unwrap(), "v1")
+
+
+def test_id_that_no_row_can_have_is_not_recorded(case):
+    """Guards against a caller's id that makes each write of others fail."""
+    table = MemoryTable()
+    subject, _ = origins(case, table)
+    for attempt in ("", "x" * 129, "a\x00b", "\xe9" * 128):
+        subject.note_began(call(attempt), "v1")
+    subject.note_began(call(), "v1")
+    wait_until(lambda: table.rows)
+    case.assertEqual(set(table.rows), {"a1"})
+
+
+def test_all_instances_together_use_a_part_of_the_stores_writes(case):
+    """Guards against records that use up the writes of the store."""
+    case.assertEqual(record_interval_s(8, 400.0), 0.1)
+    case.assertAlmostEqual(record_interval_s(320, 400.0), 3.2)
+    case.assertEqual(record_interval_s(0, 400.0), 0.1)
+
+
+load_tests = collect(globals())
