Read the body after an interim response to its end

Callers of `exchange_whole` got a success with an empty or short body if a server sent an interim (1xx) response before the final one and the body of the final one arrived in a later read or not at all; streams read by `lines` broke. The relays of plain calls and of engines of the product's own interface use it, as does the client of the platform's store, whose short answers fail to decode.

Cause: geventhttpclient takes the end of the interim response for that of the exchange and releases the socket. Its `read` then returns what has been buffered so far as the whole body.

The socket is now kept until the final response is complete. The client of the relay of the platform's calls, which h11 parses, skips interim responses by itself and has no such fault.

--- a/amaranthbay/utils/http.py
+++ b/amaranthbay/utils/http.py
@@ -11,7 +11,7 @@
 from http.client import HTTPException
 
 from gevent import socket
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPResponse, HTTPSocketResponse
 from result import Err, Ok, Result
 
 from amaranthbay.kernel.errors import Verdict
@@ -34,6 +34,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Statuses below it belong to interim responses.
+FINAL_STATUS = 200
 _HOST_NAME = re.compile(r"(?=.{1,253}$)[\w-]{1,63}(\.[\w-]{1,63})*\.?", re.ASCII)
 _NUMERIC_HOST = re.compile(r"[0-9.]+")
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -58,6 +60,20 @@
     timed_out: bool = False
 
 
+class _Response(HTTPSocketResponse):
+    """Response that keeps its socket after an interim (1xx) response.
+
+    The library releases it then and takes what has been read of the final response for
+    the whole.
+    """
+
+    def _on_message_complete(self):
+        if self.get_code() < FINAL_STATUS:
+            HTTPResponse._on_message_complete(self)
+        else:
+            super()._on_message_complete()
+
+
 class Exchange:
     """An HTTP response whose body is read as it arrives.
 
@@ -207,7 +223,7 @@
     try:
         conn.settimeout(timeout_s)
         conn.sendall(_encode_head(address, method, path, len(body), headers) + body)
-        return Ok(Exchange(conn, HTTPSocketResponse(conn, method=method)))
+        return Ok(Exchange(conn, _Response(conn, method=method)))
     except (OSError, ValueError, HTTPException) as exc:
         conn.close()
         detail = f"exchange with {address} broke: {type(exc).__name__}"
