Reject an answer's head that a bare LF ends

Callers of plain calls got a 200 with an empty body, framed as whole, if a server had broken off after a line of its head that made the answer its own and a lone LF followed. HEAD calls got a success too, and a refusal of a call or a stream that was cut in this way counted as one. No stream became a success, as a head alone is no complete stream.

Cause: h11 accepts an LF alone for the blank line. A part of a head without Content-Length and Transfer-Encoding then is an answer that ends with its connection.

A head now counts only if it ends with CRLF CRLF; otherwise the exchange is broken with the reason `not_http`, and the call may have run. RFC 9112, 2.2, leaves it to the recipient whether an LF ends a line, and section 8 takes an answer without framing for complete only if its head arrived intact. Whole answers whose head ends with a bare LF are rejected too.

--- a/amaranthbay/platform/tests/test_entry_cut_heads.py
+++ b/amaranthbay/platform/tests/test_entry_cut_heads.py
@@ -49,6 +49,7 @@
     "before stamp": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Attempt-Id: a1\r\n",
     "before blank line": HEAD[:-2],
     "CR of blank line": HEAD[:-1],
+    "LF for blank line": b"HTTP/1.1 200 OK\r\n" + STAMP + b"\n",
     "interim head": INTERIM_HEAD,
     "after interim head": INTERIM_HEAD + HEAD[:-2],
 }
@@ -155,6 +156,27 @@
         case.assertEqual(len(server.received), 1)
 
 
+def test_line_end_after_a_cut_does_not_end_the_head(case):
+    """Guards against a success or a refusal that a bare LF or CR makes of a part of a
+    head, also of one whose lines end with LF."""
+    fixture = case.enterContext(entry_fixture(prefill=()))
+    leave_connections(fixture)
+    plain, decode = fixture.servers["desk-1"], fixture.servers["dec-1"]
+    for head in HEADS.values():
+        lines = head.splitlines(keepends=True)
+        for count in range(1, len(lines)):
+            cut = b"".join(lines[:count])
+            for raw in (cut + b"\n", cut + b"\r", cut.replace(b"\r", b"") + b"\n"):
+                for reset in (False, True):
+                    with case.subTest(raw, reset=reset):
+                        reply_in_turn([plain], Reply(raw=raw, reset=reset))
+                        answer = call(fixture, "/pay/x", "POST", b"1")
+                        case.assertEqual(result(answer), FAILED)
+                        reply_in_turn([decode], Reply(raw=raw, reset=reset))
+                        answer = call_raw(fixture.address, stream_request("/once/x"))
+                        case.assertEqual(result(answer), FAILED)
+
+
 def test_safe_call_goes_on_elsewhere_after_a_cut_head(case):
     """Guards against a success without its body, or a failure, of a call that another
     server can answer."""
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -1,5 +1,6 @@
 """Sends one request to a backend server and reads its answer unchanged."""
 
+import re
 from dataclasses import dataclass
 
 import gevent
@@ -24,6 +25,8 @@
 # request; the others are late answers to earlier requests.
 MAX_ANSWERS_READ = 4
 MAX_LATE_ANSWER_BYTES = 2**20
+# Ends of a head that the parser accepts.
+_HEAD_END = re.compile(rb"\n\r?\n")
 
 
 class ExchangeBroken(AmaranthbayError):
@@ -156,6 +159,8 @@
 
     def _next_event(self):
         while True:
+            if self._is_head_cut():
+                raise self._broken("not_http")
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
@@ -176,6 +181,16 @@
             except h11.RemoteProtocolError as exc:
                 raise self._broken("connection_closed") from exc
 
+    def _is_head_cut(self):
+        """Returns whether a bare LF ends the head that is parsed next.
+
+        The parser takes it for the blank line, but the server may have broken off
+        there. An answer without framing would then look whole.
+        """
+        if self._parser.their_state is not h11.SEND_RESPONSE:
+            return False
+        return _is_ended_by_bare_lf(self._parser.trailing_data[0])
+
     def _receive(self):
         # The request may still be being sent, so the socket gets no timeout.
         while self._on_silence is not None:
@@ -360,6 +375,21 @@
     return b"".join(lines) + b"\r\n" + call.body
 
 
+def _is_ended_by_bare_lf(data):
+    r"""Returns whether the first head in some bytes ends with other than CRLF CRLF.
+
+    Examples:
+        >>> _is_ended_by_bare_lf(b"HTTP/1.1 200 OK\r\n\n")
+        True
+        >>> _is_ended_by_bare_lf(b"HTTP/1.1 200 OK\r\n\r\nbody\n\n")
+        False
+        >>> _is_ended_by_bare_lf(b"HTTP/1.1 200 OK\r\n")
+        False
+    """
+    end = _HEAD_END.search(data)
+    return end is not None and not data.endswith(b"\r\n\r\n", 0, end.end())
+
+
 def _send(sock, request_bytes):
     """Sends bytes and returns whether all were sent; the reader reports failures."""
     try:
