Test a stream whose head is cut on a kept connection

The stream gets 502 and runs once; nothing of the whole stream before on the connection completes it.

--- a/amaranthbay/platform/tests/test_entry_cut_heads.py
+++ b/amaranthbay/platform/tests/test_entry_cut_heads.py
@@ -231,6 +231,22 @@
             case.assertEqual(len({req.sock for req in server.received}), 1)
 
 
+def test_stream_whose_head_is_cut_on_a_kept_connection_fails(case):
+    """Guards against a stream that looks complete as the one before on its connection
+    was."""
+    fixture = case.enterContext(entry_fixture(prefill=()))
+    leave_connections(fixture)
+    server = fixture.servers["dec-1"]
+    for name, cut in cut_replies():
+        with case.subTest(name):
+            reply_in_turn([server], stream, cut)
+            answer = call_raw(fixture.address, stream_request("/once/x", "a0"))
+            case.assertEqual(result(answer), (200, True))
+            answer = call_raw(fixture.address, stream_request("/once/x"))
+            case.assertEqual(result(answer), FAILED)
+            case.assertEqual(len({req.sock for req in server.received}), 1)
+
+
 def test_body_that_is_cut_after_an_interim_head_is_no_success(case):
     """Guards against taking the end of an interim head for that of the answer."""
     fixture = case.enterContext(entry_fixture())
