--- a/amaranthbay/dispatch/tests/test_wire.py
+++ b/amaranthbay/dispatch/tests/test_wire.py
@@ -37,6 +37,9 @@
     "not JSON": reply(200, b"hello"),
     "wrong fields": reply(200, b'{"kv_handle": 3}'),
     "short body": reply(200, b'{"kv_handle": "a"', 500),
+    "short body after an interim response": (
+        b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200, b'{"kv_handle": "a"', 500)
+    ),
     "defect": reply(500, b"oops"),
     "not_run with status 500": reply(500, NOT_RUN_BODY),
     "not_run with status 200": reply(200, NOT_RUN_BODY),
