--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -200,7 +200,7 @@
             # A store that is away for all instances names no further version.
             version = self._history.known_sole_version(service)
         if version is None:
-            return None, source
+            return None, "several_versions" if sole.is_ok() else source
         return _Origin(service, version, self._clock.monotonic()), source
 
     def _find_record(self, stream_id, service):
