Wait for a silent prefill server if no repeat is possible

Callers got 503 for a stream whose prefill server was silent for a second, while the repeat budget of the service was used up, although the server went on and computed the prompt.

The prefill was given up after a multiple of its expected time, before it was known whether another attempt might follow. It is given up then only if one may, as a stream leaves a silent decode server, and after 2 s otherwise, the limit that long prompts had before. Other prompts avoid the server for a moment.

--- a/amaranthbay/platform/tests/test_entry_silence.py
+++ b/amaranthbay/platform/tests/test_entry_silence.py
@@ -153,4 +153,20 @@
     wait_until(lambda: not fixture.daemon.placed_load.loads())
 
 
+def test_silent_prefill_is_awaited_without_a_repeat(case):
+    """Guards against refusing a stream whose prefill server is silent for a moment,
+    because the repeat budget is used up."""
+    fixture = case.enterContext(entry_fixture())
+    fixture.daemon._budgets.configure(BudgetLimits(0.0, 0.0, 10.0))
+    server = fixture.servers["pre-1"]
+
+    def compute_late(req):
+        gevent.sleep(SILENCE_S)
+        return server.prefill_reply()
+
+    server.replies.append(compute_late)
+    check_whole(case, call_stream(fixture))
+    case.assertEqual(len(server.received), 1)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -16,10 +16,12 @@
 # Largest timeout of a prefill; one that takes longer misses the targets of all routes.
 PREFILL_TIMEOUT_S = 2.0
 # An answer counts as lost after this multiple of the expected time, plus a constant for
-# the network. Slow servers take up to five times as long as others.
+# the network, if the stream may be repeated. Slow servers take up to five times as long
+# as others.
 TIMEOUT_FACTOR = 5.0
 BASE_TIMEOUT_S = 0.4
 OK = 200
+SILENT = not_run(Reason.BACKEND_FAILED, "the prefill server is silent", 503, RETRY_SOON)
 
 
 def run_prefill(ctx, call, attempts, placement):
@@ -36,9 +38,7 @@
     """
     server = placement.prefill
     started_at = ctx.clock.monotonic()
-    limit_s = min(
-        PREFILL_TIMEOUT_S, BASE_TIMEOUT_S + TIMEOUT_FACTOR * placement.prefill_end_s
-    )
+    limit_s = BASE_TIMEOUT_S + TIMEOUT_FACTOR * placement.prefill_end_s
     placed = server.name in placement.counted
     answer = _request_prefill(ctx, call, attempts, server, limit_s, placed)
     if answer.is_err():
@@ -70,8 +70,15 @@
     options = ForwardOptions(server.name, left_s, prefill_only=True)
     timeout_exc = ExchangeBroken(Verdict.NOT_RUN, "prefill_slow")
     exchange = None
+
+    def check_silent():
+        ctx.outcomes.note_silent(server.name)
+        # Without a repeat, the stream would be refused although the server may go on.
+        if attempts.may_repeat(SILENT):
+            raise timeout_exc
+
     try:
-        with gevent.Timeout(limit_s, timeout_exc):
+        with gevent.Timeout(PREFILL_TIMEOUT_S, timeout_exc):
             exchange = open_exchange(
                 ctx.connections,
                 ctx.codec,
@@ -81,6 +88,7 @@
                 CONNECT_TIMEOUT_S,
                 placed=placed,
             )
+            exchange.watch_silence(limit_s, check_silent)
             head = exchange.read_head()
             return Ok((head, b"".join(exchange.chunks())))
     except ExchangeBroken as exc:
