Refuse requests that come later than 2.9 s after SIGTERM

Callers saw streams, among them some that may not be repeated, that an instance took more than 3 s after its SIGTERM and cut at the end of its grace period. The platform excuses such a cut only for requests that were sent within 3 s. New requests were served for 38% of the grace period: 3.04 s of 8 s, and 11.4 s of 30 s.

The serving time is now 2.9 s at most, and it is compared when a request has been read, not set by the greenlet that drains. Lookups state a third of the same time.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -19,7 +19,7 @@
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.kernel.clock import SystemClock
-from amaranthbay.kernel.errors import ProcessStops, Reason, not_run
+from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.observe import Gauge, current_metrics, log_event
 from amaranthbay.relay import Listener, RelayService, find_codec
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets, allowance_part
@@ -34,7 +34,6 @@
 from amaranthbay.relay.placed_load import PlacedLoad
 from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.relay.plain import PlainRelay
-from amaranthbay.relay.refusals import RETRY_SOON
 from amaranthbay.relay.streams import StreamRelay
 from amaranthbay.relay.switches import SwitchRecord
 from amaranthbay.routing import ClientLimits
@@ -73,6 +72,9 @@
 # Fraction of the grace period in which new requests are still served after SIGTERM,
 # since callers use cached addresses for a while.
 SERVE_FRACTION = 0.38
+# A long request that arrives later must not be cut at the end, however long the grace
+# period is. The platform allows 3 s, and the signal may be handled late.
+MAX_SERVE_S = 2.9
 # Some callers cache the answer of a lookup for up to this many times its TTL.
 MAX_TTL_OVERRUN = 3.0
 # Fraction of the grace period after which the process ends with requests in progress.
@@ -369,8 +371,11 @@
         Callers that exceed it by the factor `MAX_TTL_OVERRUN` still leave this instance
         before it closes its listener in a planned stop.
         """
-        serve_s = SERVE_FRACTION * self.settings.stop_s
-        return min(self.settings.lookup_ttl_s, serve_s / MAX_TTL_OVERRUN)
+        return min(self.settings.lookup_ttl_s, self._serve_s() / MAX_TTL_OVERRUN)
+
+    def _serve_s(self):
+        """Returns for how many seconds new requests are served after SIGTERM."""
+        return min(MAX_SERVE_S, SERVE_FRACTION * self.settings.stop_s)
 
     def _serve_app(self, address, app):
         server = Server(address, app)
@@ -498,6 +503,8 @@
         don't end in time are answered, unless a part of their answer was sent.
         """
         started_at = self.clock.monotonic()
+        serve_s = self._serve_s()
+        self.service.serves_until = started_at + serve_s
         self.draining = True
         self.peers.serving = False
         self.peers.report_now()
@@ -505,11 +512,9 @@
         self.listener.draining = True
         log_event("draining", requests=len(self.listener.busy))
         grace_s = self.settings.stop_s
-        self.clock.sleep(SERVE_FRACTION * grace_s)
+        self.clock.sleep(serve_s)
         self.listener.close()
         self.listener.close_idle()
-        detail = "the daemon is draining"
-        self.service.refusal_of_all = not_run(Reason.DRAINING, detail, 503, RETRY_SOON)
         ends_at = started_at + STOP_FRACTION * grace_s
         while self.listener.busy and self.clock.monotonic() < ends_at:
             self.clock.sleep(CHECK_INTERVAL_S)
--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -54,7 +54,7 @@
 [Platform]
 Address = "{store}"
 [Bounds]
-GraceS = 3
+GraceS = {grace}
 """
 
 
@@ -290,16 +290,18 @@
 
 
 @contextlib.contextmanager
-def entry_process(store_address):
+def entry_process(store_address, grace_s=3):
     """Runs the program as its own process; yields its `EntryProcess` when ready.
 
     Args:
         store_address: Host and port of the store.
+        grace_s: Grace period in seconds.
     """
     ports = {name: free_port() for name in ("peer", "front", "ready", "directory")}
     with TemporaryDirectory() as folder:
         boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
-        boot_path.write_text(BOOT_FILE.format(store=store_address, **ports))
+        boot_text = BOOT_FILE.format(store=store_address, grace=grace_s, **ports)
+        boot_path.write_text(boot_text)
         with open(log_path, "wb") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", "amaranthbay", "entry"],
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -10,6 +10,7 @@
     "RETRY_SOON",
     "all_held_back",
     "body_of",
+    "draining",
     "headers_of",
     "quarantined",
     "timed_out",
@@ -43,6 +44,11 @@
     return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
 
 
+def draining():
+    """Returns the `Refusal` of a request that arrives late in a planned stop."""
+    return not_run(Reason.DRAINING, "the daemon is draining", 503, RETRY_SOON)
+
+
 def all_held_back(held, draw):
     """Returns the `Refusal` of a request that no server of its service may get now.
 
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -15,7 +15,7 @@
 )
 from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.relay.calls import Call
-from amaranthbay.relay.refusals import body_of, headers_of, quarantined
+from amaranthbay.relay.refusals import body_of, draining, headers_of, quarantined
 from amaranthbay.routing import CallKind
 from amaranthbay.routing.table import choose_service
 from amaranthbay.utils.hangup import HangupWatch
@@ -31,7 +31,8 @@
     """Handles the requests that a `Listener` has read.
 
     Attributes:
-        refusal_of_all: `Refusal` of all requests while set, else None.
+        serves_until: Monotonic time from which all requests are refused; None if the
+            daemon isn't draining.
     """
 
     def __init__(self, ctx, configuration, plain, streams):
@@ -47,7 +48,7 @@
         self._configuration = configuration
         self._plain = plain
         self._streams = streams
-        self.refusal_of_all = None
+        self.serves_until = None
 
     def handle(self, conn, req):
         """Answers one request.
@@ -109,8 +110,8 @@
         if table is None:
             detail = "the daemon has no configuration yet"
             return not_run(Reason.NOT_READY, detail, 503, NOT_READY_RETRY)
-        if self.refusal_of_all is not None:
-            return self.refusal_of_all
+        if self.serves_until is not None and arrived_at >= self.serves_until:
+            return draining()
         host = _header(req.headers, b"host").decode("latin-1")
         path = req.target.split(b"?", 1)[0].decode("latin-1")
         route = table.find(host, path)
