Count the grace period from the earliest time of the signal

Callers whose requests were in progress got no answer, also to those that may not be repeated, if the process was paused, or its event loop busy, when SIGTERM came: the grace period was counted from the handling of the signal, so that SIGKILL came before the answers. For as long, requests were taken too late.

A signal doesn't tell when it was sent. The process now records every 0.1 s that its loop runs, and counts from the tick before the latest one, since the latest may already follow the pause. The serving time ends and requests without any part of an answer get 504 by that time; streams that have begun go on until the end by the time of handling, since a cut costs them the same. Lookups state a TTL that is shorter by the 0.2 s.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -13,6 +13,7 @@
 )
 from amaranthbay.daemon.registration import RegistrationWriter
 from amaranthbay.daemon.staging import StageBalancer
+from amaranthbay.daemon.ticks import MAX_REGULAR_AGE_S, LoopTicks
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.health import StoreHealth
 from amaranthbay.fleet.peers import OwnReport
@@ -72,9 +73,9 @@
 # Fraction of the grace period in which new requests are still served after SIGTERM,
 # since callers use cached addresses for a while.
 SERVE_FRACTION = 0.38
-# A long request that arrives later must not be cut at the end, however long the grace
-# period is. The platform allows 3 s, and the signal may be handled late.
-MAX_SERVE_S = 2.9
+# A long request that is sent later must not be cut at the end, however long the grace
+# period is.
+MAX_SERVE_S = 3.0
 # Some callers cache the answer of a lookup for up to this many times its TTL.
 MAX_TTL_OVERRUN = 3.0
 # Fraction of the grace period after which the process ends with requests in progress.
@@ -191,6 +192,7 @@
             settings.order_turn_s,
         )
         self.stop_requested = gevent.event.Event()
+        self._ticks = LoopTicks(self.clock)
         self.draining = False
         self._created_at = self.clock.monotonic()
         self._registration_writer = RegistrationWriter(
@@ -349,6 +351,7 @@
         )
         self._jobs.start("register", self._registration_writer.run)
         self._jobs.start("sweep", self._sweep_loop)
+        self._jobs.start("tick", self._ticks.run)
         self._jobs.start("reload", self._reload_loop)
         self._balancer_jobs.start("balance_stages", self.balancer.run)
         self._serve_app(
@@ -371,7 +374,8 @@
         Callers that exceed it by the factor `MAX_TTL_OVERRUN` still leave this instance
         before it closes its listener in a planned stop.
         """
-        return min(self.settings.lookup_ttl_s, self._serve_s() / MAX_TTL_OVERRUN)
+        serve_s = max(0.0, self._serve_s() - MAX_REGULAR_AGE_S)
+        return min(self.settings.lookup_ttl_s, serve_s / MAX_TTL_OVERRUN)
 
     def _serve_s(self):
         """Returns for how many seconds new requests are served after SIGTERM."""
@@ -501,29 +505,35 @@
 
         New requests are served first, then refused while the others end. Those that
         don't end in time are answered, unless a part of their answer was sent.
+
+        The process may have been paused since the signal was sent. What has to happen
+        before it is killed counts from the earliest time of the signal.
         """
-        started_at = self.clock.monotonic()
-        serve_s = self._serve_s()
-        self.service.serves_until = started_at + serve_s
+        signalled_at, now = self._ticks.earliest_signal(), self.clock.monotonic()
+        self.service.serves_until = signalled_at + self._serve_s()
         self.draining = True
         self.peers.serving = False
         self.peers.report_now()
         self._balancer_jobs.stop()
         self.listener.draining = True
-        log_event("draining", requests=len(self.listener.busy))
-        grace_s = self.settings.stop_s
-        self.clock.sleep(serve_s)
+        age_s = round(now - signalled_at, 3)
+        log_event("draining", requests=len(self.listener.busy), signal_age_s=age_s)
+        self.clock.sleep(max(0.0, self.service.serves_until - now))
         self.listener.close()
         self.listener.close_idle()
-        ends_at = started_at + STOP_FRACTION * grace_s
-        while self.listener.busy and self.clock.monotonic() < ends_at:
-            self.clock.sleep(CHECK_INTERVAL_S)
-            self.listener.close_idle()
+        lasts_s = STOP_FRACTION * self.settings.stop_s
+        self._wait_for_requests(signalled_at + lasts_s)
         if self.listener.busy:
             self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
             self.clock.sleep(CHECK_INTERVAL_S)
+        self._wait_for_requests(now + lasts_s)
         log_event("stopped", requests=len(self.listener.busy))
 
+    def _wait_for_requests(self, ends_at):
+        while self.listener.busy and self.clock.monotonic() < ends_at:
+            self.clock.sleep(CHECK_INTERVAL_S)
+            self.listener.close_idle()
+
 
 def _budget_limits(settings):
     return BudgetLimits(
--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -1,6 +1,7 @@
 """Requests that arrive, or are in progress, late in the grace period of a stop."""
 
 import contextlib
+import os
 import signal
 import time
 
@@ -15,15 +16,17 @@
     server_entry,
 )
 from amaranthbay.platform.tests.standins import ServerStandin, StoreStandin, serve_http
-from amaranthbay.utils.testing import collect
+from amaranthbay.platform.tests.test_entry_silence import hang
+from amaranthbay.utils.testing import collect, wait_until
 
 # Requests that were sent later than this after SIGTERM must be answered.
 LATEST_S = 3.0
+GRACE_S = 3
 ROUTE_TIMEOUT_MS = 30_000
 
 
 @contextlib.contextmanager
-def entry_with_server(grace_s):
+def entry_with_server(grace_s=GRACE_S):
     """Yields an `EntryProcess` and the only server of the service ``desk``."""
     store, server = StoreStandin(), ServerStandin("desk-1")
     document = configuration()
@@ -79,4 +82,23 @@
     check_latest_request(case, 30)
 
 
+def test_process_paused_at_its_signal_answers_before_it_is_killed(case):
+    """Guards against a grace period that is counted from the end of a pause, so that
+    the process is killed before it has answered."""
+    with entry_with_server() as (entry, server):
+        server.replies.append(hang)
+        with connect(entry.address) as sock:
+            sock.sendall(request("/book/x", "POST", b"1"))
+            wait_until(lambda: server.received)
+            os.kill(entry.process.pid, signal.SIGSTOP)
+            gevent.sleep(0.2)
+            entry.process.send_signal(signal.SIGTERM)
+            gevent.sleep(1.0)
+            os.kill(entry.process.pid, signal.SIGCONT)
+            gevent.sleep(GRACE_S - 1.0)
+            entry.process.kill()
+            answer = read_answer(sock)
+        case.assertEqual((answer.status, answer.complete), (504, True))
+
+
 load_tests = collect(globals())
