Reset streams of HTTP/1.0 callers that the end of a process cuts

Callers of HTTP/1.0, whose streams have no chunks, saw a cut stream that looked complete: at the end of a drain the process ended with streams in progress, and the system closed their connections in the usual way. The reset was prepared only when the greenlet of a connection ended, which the end of a process doesn't do.

The socket is now set to reset when such a stream starts, and set back when it is finished, so that it holds for a kill as well. Plain answers state their length, so they need no reset.

--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -14,6 +14,7 @@
     read_answer,
     request,
     server_entry,
+    stream_request,
 )
 from amaranthbay.platform.tests.standins import ServerStandin, StoreStandin, serve_http
 from amaranthbay.platform.tests.test_entry_silence import hang
@@ -27,16 +28,25 @@
 
 @contextlib.contextmanager
 def entry_with_server(grace_s=GRACE_S):
-    """Yields an `EntryProcess` and the only server of the service ``desk``."""
+    """Yields an `EntryProcess` and the only server of the service ``desk``.
+
+    Streams get one event per second for a long time.
+    """
     store, server = StoreStandin(), ServerStandin("desk-1")
+    prefill = ServerStandin("pre-1", stage="prefill")
+    decode = ServerStandin("dec-1", stage="decode")
+    decode.replies.append(lambda req: decode.stream_reply(req, last=30, pause_s=1.0))
     document = configuration()
     for route in document["Routes"]:
         route["TimeoutMs"] = ROUTE_TIMEOUT_MS
     store.put("op", "config", document)
-    with serve_http(store.answer) as store_address, serve_http(server.answer) as desk:
-        store.put("servers", "desk-1", server_entry("desk", desk))
-        with entry_process(store_address, grace_s) as entry:
-            yield entry, server
+    with contextlib.ExitStack() as stack:
+        for standin, service in ((server, "desk"), (prefill, "lm"), (decode, "lm")):
+            address = stack.enter_context(serve_http(standin.answer))
+            entry = server_entry(service, address, standin.stage)
+            store.put("servers", standin.name, entry)
+        store_address = stack.enter_context(serve_http(store.answer))
+        yield stack.enter_context(entry_process(store_address, grace_s)), server
 
 
 def exchange(address, raw_request):
@@ -101,4 +111,17 @@
         case.assertEqual((answer.status, answer.complete), (504, True))
 
 
+def test_stream_that_the_end_of_the_process_cuts_looks_incomplete(case):
+    """Guards against the end of a connection that looks like the end of a stream to a
+    caller of HTTP/1.0."""
+    with entry_with_server() as (entry, server), connect(entry.address) as sock:
+        raw_request = stream_request("/once/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+        sock.sendall(raw_request)
+        case.assertIn(b"200", sock.recv(100))
+        entry.process.send_signal(signal.SIGTERM)
+        with case.assertRaises(ConnectionResetError):
+            while sock.recv(100):
+                pass
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -249,7 +249,12 @@
     def start_stream(self, status, headers):
         """Sends the head of an answer whose length isn't known yet."""
         headers = [h for h in headers if h[0].lower() != b"content-length"]
-        self._write(self._head(status, headers, False))
+        output = self._head(status, headers, False)
+        if not self._sends_chunks():
+            # A close, also by the end of the process, would look like the end of the
+            # stream.
+            self._reset_on_close(True)
+        self._write(output)
 
     def send(self, data):
         """Sends a part of a stream."""
@@ -259,8 +264,13 @@
         """Marks a stream as complete."""
         output = self._http.send(h11.EndOfMessage())
         self._write(output)
+        self._reset_on_close(False)
         self.answered = True
 
+    def _reset_on_close(self, enabled):
+        linger = struct.pack("ii", int(enabled), 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _head(self, status, headers, close):
         if close or self._listener.draining:
             headers = [*headers, (b"Connection", b"close")]
@@ -309,14 +319,10 @@
         self._listener.idle.discard(self)
         if self.answered and self._http.our_state is h11.MUST_CLOSE:
             self._linger()
-        if self.started and not self.answered and not self._sends_chunks():
-            # The end of the connection would look like the end of the stream.
-            linger = struct.pack("ii", 1, 0)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.sock.close()
 
     def _sends_chunks(self):
-        return self._http.their_http_version >= b"1.1"
+        return (self._http.their_http_version or b"") >= b"1.1"
 
 
 def _head_bytes(head):
