Write the last answers of a drain before the process ends

Callers whose requests were still in progress at 92% of the grace period, also those that may not be repeated, could get no answer: each request was interrupted to be answered with 504, and the process ended 50 ms later, whether or not the answers had been written.

It now waits until each interrupted request has an answer, up to 97% of the grace period.

The test delays the answer by 0.3 s.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -80,6 +80,8 @@
 MAX_TTL_OVERRUN = 3.0
 # Fraction of the grace period after which the process ends with requests in progress.
 STOP_FRACTION = 0.92
+# Fraction of the grace period by which the last answers must be written.
+ANSWER_FRACTION = 0.97
 # Interval of checks whether an instance is ready, or its last requests have ended.
 CHECK_INTERVAL_S = 0.05
 # Size of the random number that identifies a process.
@@ -523,10 +525,11 @@
         self.listener.close_idle()
         lasts_s = STOP_FRACTION * self.settings.stop_s
         self._wait_for_requests(signalled_at + lasts_s)
-        if self.listener.busy:
-            self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
-            self.clock.sleep(CHECK_INTERVAL_S)
+        self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
         self._wait_for_requests(now + lasts_s)
+        answers_by = now + ANSWER_FRACTION * self.settings.stop_s
+        while self.listener.has_unanswered() and self.clock.monotonic() < answers_by:
+            self.clock.sleep(CHECK_INTERVAL_S)
         log_event("stopped", requests=len(self.listener.busy))
 
     def _wait_for_requests(self, ends_at):
--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -4,12 +4,15 @@
 import os
 import signal
 import time
+from unittest import mock
 
 import gevent
 
+from amaranthbay.daemon import entry as entry_module
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     connect,
+    entry_fixture,
     entry_process,
     read_answer,
     request,
@@ -111,6 +114,27 @@
         case.assertEqual((answer.status, answer.complete), (504, True))
 
 
+def test_many_requests_at_the_end_of_the_drain_are_answered(case):
+    """Guards against a process that ends before it has written its last answers."""
+    fixture = case.enterContext(entry_fixture())
+    case.enterContext(mock.patch.object(entry_module, "STOP_FRACTION", 0.5))
+    service = fixture.daemon.service
+    refuse = service._refuse
+
+    def refuse_slowly(*args):
+        gevent.sleep(0.3)
+        refuse(*args)
+
+    service._refuse = refuse_slowly
+    fixture.servers["desk-1"].replies.append(hang)
+    sock = case.enterContext(connect(fixture.address))
+    sock.sendall(request("/book/x", "POST", b"1"))
+    wait_until(lambda: fixture.servers["desk-1"].received)
+    fixture.daemon._drain()
+    case.assertFalse(fixture.daemon.listener.busy)
+    case.assertEqual(read_answer(sock).status, 504)
+
+
 def test_stream_that_the_end_of_the_process_cuts_looks_incomplete(case):
     """Guards against the end of a connection that looks like the end of a stream to a
     caller of HTTP/1.0."""
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -380,6 +380,10 @@
         for conn in tuple(self.idle):
             conn.close_idle()
 
+    def has_unanswered(self):
+        """Returns whether the caller of a request in progress has got nothing yet."""
+        return any(not conn.started for conn in self.busy)
+
     def interrupt_busy(self, exc):
         """Raises an exception in each handler whose caller has got nothing yet."""
         for conn in tuple(self.busy):
