Wait for requests that are arriving when a drain stops serving

Callers saw a closed connection, and no answer, if their request was arriving at the end of the serving time and no other was in progress: the process ended at once, since it waited only for requests that had arrived whole. That also held for requests in a socket that no greenlet had begun to read.

The listener now keeps the connections of which a part of a request was read. The drain waits for them as for requests in progress; they get 503, which says that they have not run. Before it looks it lets the event loop run once.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -523,6 +523,9 @@
         self.clock.sleep(max(0.0, self.service.serves_until - now))
         self.listener.close()
         self.listener.close_idle()
+        # Requests may have arrived that no greenlet has begun to read.
+        self.clock.sleep(CHECK_INTERVAL_S)
+        self.listener.close_idle()
         lasts_s = STOP_FRACTION * self.settings.stop_s
         self._wait_for_requests(signalled_at + lasts_s)
         self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
@@ -533,7 +536,7 @@
         log_event("stopped", requests=len(self.listener.busy))
 
     def _wait_for_requests(self, ends_at):
-        while self.listener.busy and self.clock.monotonic() < ends_at:
+        while self.listener.has_requests() and self.clock.monotonic() < ends_at:
             self.clock.sleep(CHECK_INTERVAL_S)
             self.listener.close_idle()
 
--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -9,6 +9,7 @@
 import gevent
 
 from amaranthbay.daemon import entry as entry_module
+from amaranthbay.daemon.entry import SERVE_FRACTION
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     connect,
@@ -114,6 +115,20 @@
         case.assertEqual((answer.status, answer.complete), (504, True))
 
 
+def test_request_that_arrives_across_the_end_of_serving_is_answered(case):
+    """Guards against a process that ends while a request is arriving."""
+    with entry_with_server() as (entry, server), connect(entry.address) as sock:
+        raw_request = request("/book/x", "POST", b"12345678")
+        sock.sendall(raw_request[:-4])
+        entry.process.send_signal(signal.SIGTERM)
+        gevent.sleep(SERVE_FRACTION * GRACE_S + 0.3)
+        sock.sendall(raw_request[-4:])
+        answer = read_answer(sock)
+        case.assertEqual((answer.status, answer.complete), (503, True))
+        case.assertEqual(answer.headers["connection"], "close")
+        case.assertEqual(server.received, [])
+
+
 def test_many_requests_at_the_end_of_the_drain_are_answered(case):
     """Guards against a process that ends before it has written its last answers."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -113,6 +113,8 @@
         except h11.RemoteProtocolError as exc:
             self._answer_rejected(exc.error_status_hint)
             return False
+        finally:
+            self._listener.arriving.discard(self)
         if req is None:
             return False
         self._listener.busy.add(self)
@@ -165,6 +167,7 @@
             if not data:
                 return None
             self._http.receive_data(data)
+        self._listener.arriving.add(self)
         # The configuration may have changed during the wait.
         limits = self._listener.limits()
         with gevent.Timeout(limits.header_timeout_s, _Rejected(408)):
@@ -343,6 +346,7 @@
         draining: Whether each connection ends after its next answer.
         busy: Connections with a request in progress.
         idle: Connections that wait for a request.
+        arriving: Connections of which a part of a request has been read.
     """
 
     def __init__(self, address, handler, limits, max_connections):
@@ -358,6 +362,7 @@
         self.draining = False
         self.busy = set()
         self.idle = set()
+        self.arriving = set()
         self._handler = handler
         self._server = StreamServer(
             _listen(address), self._serve, spawn=Pool(max_connections)
@@ -380,6 +385,10 @@
         for conn in tuple(self.idle):
             conn.close_idle()
 
+    def has_requests(self):
+        """Returns whether a request is in progress or arriving."""
+        return bool(self.busy or self.arriving)
+
     def has_unanswered(self):
         """Returns whether the caller of a request in progress has got nothing yet."""
         return any(not conn.started for conn in self.busy)
