Answer pipelined requests during a drain

Callers that had sent their next request before the answer to the last one got a closed connection for it, although the process had read it: during a drain each answer announced the close of its connection, and further input was dropped.

An answer now announces the close only if no further input has arrived.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -275,13 +275,17 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def _head(self, status, headers, close):
-        if close or self._listener.draining:
+        if close or (self._listener.draining and not self._has_more_input()):
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         output = self._http.send(response)
         self.started = True
         return output
 
+    def _has_more_input(self):
+        """Returns whether the next request has arrived, at least in part."""
+        return bool(self._http.trailing_data[0] or peek(self.sock))
+
     def _write(self, output):
         if not output:
             return
@@ -343,7 +347,8 @@
 
     Attributes:
         limits: Function that returns the `ClientLimits` in force.
-        draining: Whether each connection ends after its next answer.
+        draining: Whether each connection ends after an answer, unless the next request
+            has arrived.
         busy: Connections with a request in progress.
         idle: Connections that wait for a request.
         arriving: Connections of which a part of a request has been read.
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import gevent
+import gevent.event
 from gevent import socket
 
 from amaranthbay.platform.tests.fixtures import read_answer
@@ -112,6 +113,25 @@
         case.assertEqual(read_answer(sock).status, 200)
 
 
+def test_pipelined_request_is_answered_in_a_drain(case):
+    """Guards against a close after an answer although the next request has arrived."""
+    release = gevent.event.Event()
+
+    def answer(conn, req):
+        release.wait()
+        conn.answer(200, [], b"ok")
+
+    with connection(ClientLimits, answer) as (sock, listener):
+        sock.sendall(REQUEST + REQUEST)
+        wait_until(lambda: listener.busy)
+        sock.sendall(REQUEST)
+        listener.draining = True
+        release.set()
+        data = b"".join(iter(lambda: sock.recv(1000), b""))
+        case.assertEqual(data.count(b"HTTP/1.1 200"), 3)
+        case.assertEqual(data.count(b"Connection: close"), 1)
+
+
 def test_caller_that_reads_slowly_gets_its_whole_answer(case):
     """Guards against cutting a large answer that its caller reads all the time."""
     body = b"x" * 30_000_000
