Serve connections in the backlog when a drain closes the listener

Callers saw a reset if their connection, and their request on it, waited to be accepted when a drain closed the listener, as after a burst or with the limit of connections reached. A caller with a request that may not be repeated can't tell from a reset whether it has run.

The listener now accepts what the system has accepted before it closes.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -369,8 +369,9 @@
         self.idle = set()
         self.arriving = set()
         self._handler = handler
+        self._sock = _listen(address)
         self._server = StreamServer(
-            _listen(address), self._serve, spawn=Pool(max_connections)
+            self._sock, self._serve, spawn=Pool(max_connections)
         )
 
     def _serve(self, sock, peer):
@@ -382,7 +383,18 @@
         self._server.start()
 
     def close(self):
-        """Stops accepting connections; open ones continue."""
+        """Stops accepting connections; open ones continue.
+
+        Those that the system has accepted are served, since a close would reset them.
+        """
+        self._server.stop_accepting()
+        try:
+            for _ in range(BACKLOG):
+                sock, peer = self._sock.accept()
+                gevent.spawn(self._serve, sock, peer)
+        except OSError:
+            # None is left, or the listener was closed before.
+            pass
         self._server.close()
 
     def close_idle(self):
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -132,6 +132,20 @@
         case.assertEqual(data.count(b"Connection: close"), 1)
 
 
+def test_connection_that_waits_to_be_accepted_is_served_before_the_close(case):
+    """Guards against a reset of connections that the system has accepted when the
+    listener closes."""
+    with connection(ClientLimits) as (first_sock, listener):
+        first_sock.sendall(REQUEST)
+        case.assertEqual(read_answer(first_sock).status, 200)
+        listener._server.stop_accepting()
+        with socket.create_connection(first_sock.getpeername(), 5.0) as sock:
+            sock.sendall(REQUEST)
+            listener.draining = True
+            listener.close()
+            case.assertEqual(read_answer(sock).status, 200)
+
+
 def test_caller_that_reads_slowly_gets_its_whole_answer(case):
     """Guards against cutting a large answer that its caller reads all the time."""
     body = b"x" * 30_000_000
