Allocate the metrics port of entry processes in tests

Tests that start an entry process failed now and then with "condition did not hold within the timeout": the process had ended with "Address already in use" for its metrics port. That port is the one after the first internal port, and the fixture had allocated only the first.

The fixture allocates both.

--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -22,7 +22,7 @@
     StoreStandin,
     serve_http,
 )
-from amaranthbay.utils.testing import free_port, wait_until
+from amaranthbay.utils.testing import free_port, free_port_pair, wait_until
 
 __all__ = [
     "Answer",
@@ -46,7 +46,7 @@
 Ip = "127.0.0.1"
 Zone = "z"
 Region = "r"
-InternalPorts = [{peer}, {peer}]
+InternalPorts = [{peer}, {metrics}]
 [Listen]
 Front = "127.0.0.1:{front}"
 Ready = "127.0.0.1:{ready}"
@@ -297,7 +297,9 @@
         store_address: Host and port of the store.
         grace_s: Grace period in seconds.
     """
-    ports = {name: free_port() for name in ("peer", "front", "ready", "directory")}
+    ports = {name: free_port() for name in ("front", "ready", "directory")}
+    ports["peer"] = free_port_pair()
+    ports["metrics"] = ports["peer"] + 1
     with TemporaryDirectory() as folder:
         boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
         boot_text = BOOT_FILE.format(store=store_address, grace=grace_s, **ports)
@@ -311,7 +313,7 @@
                 stderr=log,
             )
         try:
-            wait_until(lambda: _status(f"127.0.0.1:{ports['ready']}") == 200)
+            _wait_until_ready(process, f"127.0.0.1:{ports['ready']}", log_path)
             yield EntryProcess(
                 process,
                 f"127.0.0.1:{ports['front']}",
@@ -323,6 +325,14 @@
             process.wait()
 
 
+def _wait_until_ready(process, ready_address, log_path):
+    try:
+        wait_until(lambda: _status(ready_address) == 200)
+    except TimeoutError as exc:
+        log = log_path.read_text()
+        raise AssertionError(f"not ready, exit {process.poll()}, log: {log}") from exc
+
+
 def request(path, method="GET", body=b"", headers=(), host=HOST, attempt="a1"):
     """Returns the bytes of a caller's request."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
