Guard streams in a prefill, a queue or a silence against a planned stop

Streams without any part of an answer get 504 at the end of a drain, and a stream whose server is silent goes on after the serving time. Both held before; nothing tested the prefill, the queue and the silence. In trials without the interruption of requests at the end, or without the wait for those in progress, the tests fail.

--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -10,6 +10,7 @@
 
 from amaranthbay.daemon import entry as entry_module
 from amaranthbay.daemon.entry import SERVE_FRACTION
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     connect,
@@ -21,7 +22,12 @@
     stream_request,
 )
 from amaranthbay.platform.tests.standins import ServerStandin, StoreStandin, serve_http
-from amaranthbay.platform.tests.test_entry_silence import hang
+from amaranthbay.platform.tests.test_entry_silence import (
+    call_stream,
+    check_whole,
+    hang,
+    pause_between_events,
+)
 from amaranthbay.utils.testing import collect, wait_until
 
 # Requests that were sent later than this after SIGTERM must be answered.
@@ -163,4 +169,36 @@
                 pass
 
 
+def test_stream_of_a_silent_server_goes_on_after_the_serving_time(case):
+    """Guards against a stream that a planned stop cuts while its server is silent."""
+    fixture = case.enterContext(entry_fixture())
+    silence_s = SERVE_FRACTION * fixture.daemon.settings.stop_s + 0.7
+    reply = pause_between_events(fixture.servers["dec-1"], silence_s)
+    fixture.servers["dec-1"].replies.append(reply)
+    stream = gevent.spawn(call_stream, fixture, "/once/x")
+    wait_until(lambda: fixture.servers["dec-1"].received)
+    fixture.daemon._drain()
+    # The process ends here.
+    case.assertFalse(fixture.daemon.listener.busy)
+    check_whole(case, stream.get())
+
+
+def test_streams_without_an_answer_at_the_end_of_a_drain_get_one(case):
+    """Guards against a closed connection of a stream that is in its prefill, or waits
+    for a server, when the process ends."""
+    fixture = case.enterContext(entry_fixture())
+    case.enterContext(mock.patch.object(entry_module, "STOP_FRACTION", 0.4))
+    daemon, prefill = fixture.daemon, fixture.servers["pre-1"]
+    prefill.replies.append(hang)
+    in_prefill = gevent.spawn(call_stream, fixture)
+    wait_until(lambda: prefill.received)
+    daemon.placed_load.add("dec-1", ServerLoad(8, 10000, 0))
+    in_queue = gevent.spawn(call_stream, fixture)
+    wait_until(lambda: daemon.queue.length() == 1)
+    daemon._drain()
+    for stream in (in_prefill, in_queue):
+        answer = stream.get()
+        case.assertEqual((answer.status, answer.complete), (504, True))
+
+
 load_tests = collect(globals())
