--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -13,6 +13,7 @@
 )
 from amaranthbay.daemon.registration import RegistrationWriter
 from amaranthbay.daemon.staging import StageBalancer
+from amaranthbay.daemon.ticks import MAX_REGULAR_AGE_S, LoopTicks
 from amaranthbay.fleet import BackendPool, ConfigurationView, Peers, Registration
 from amaranthbay.fleet.health import StoreHealth
 from amaranthbay.fleet.peers import OwnReport
@@ -20,7 +21,7 @@
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.fleet.versions import VersionHistory
 from amaranthbay.kernel.clock import SystemClock
-from amaranthbay.kernel.errors import ProcessStops, Reason, not_run
+from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.observe import Gauge, current_metrics, log_event
 from amaranthbay.relay import Listener, RelayService, find_codec
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudgets, allowance_part
@@ -36,7 +37,6 @@
 from amaranthbay.relay.placed_load import PlacedLoad
 from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.relay.plain import PlainRelay
-from amaranthbay.relay.refusals import RETRY_SOON
 from amaranthbay.relay.streams import StreamRelay
 from amaranthbay.relay.switches import SwitchRecord
 from amaranthbay.routing import ClientLimits
@@ -77,10 +77,15 @@
 # Fraction of the grace period in which new requests are still served after SIGTERM,
 # since callers use cached addresses for a while.
 SERVE_FRACTION = 0.38
+# A long request that is sent later must not be cut at the end, however long the grace
+# period is.
+MAX_SERVE_S = 3.0
 # Some callers cache the answer of a lookup for up to this many times its TTL.
 MAX_TTL_OVERRUN = 3.0
 # Fraction of the grace period after which the process ends with requests in progress.
 STOP_FRACTION = 0.92
+# Fraction of the grace period by which the last answers must be written.
+ANSWER_FRACTION = 0.97
 # Interval of checks whether an instance is ready, or its last requests have ended.
 CHECK_INTERVAL_S = 0.05
 # Size of the random number that identifies a process.
@@ -212,6 +217,7 @@
             settings.order_turn_s,
         )
         self.stop_requested = gevent.event.Event()
+        self._ticks = LoopTicks(self.clock)
         self.draining = False
         self._created_at = self.clock.monotonic()
         self._registration_writer = RegistrationWriter(
@@ -389,6 +395,7 @@
         self._jobs.start("record_streams", self.origins.run)
         self._jobs.start("delete_orphans", self._delete_orphans_loop)
         self._jobs.start("sweep", self._sweep_loop)
+        self._jobs.start("tick", self._ticks.run)
         self._jobs.start("reload", self._reload_loop)
         self._balancer_jobs.start("balance_stages", self.balancer.run)
         self._serve_app(
@@ -411,9 +418,13 @@
         Callers that exceed it by the factor `MAX_TTL_OVERRUN` still leave this instance
         before it closes its listener in a planned stop.
         """
-        serve_s = SERVE_FRACTION * self.settings.stop_s
+        serve_s = max(0.0, self._serve_s() - MAX_REGULAR_AGE_S)
         return min(self.settings.lookup_ttl_s, serve_s / MAX_TTL_OVERRUN)
 
+    def _serve_s(self):
+        """Returns for how many seconds new requests are served after SIGTERM."""
+        return min(MAX_SERVE_S, SERVE_FRACTION * self.settings.stop_s)
+
     def _serve_app(self, address, app):
         server = Server(address, app)
         server.start()
@@ -547,29 +558,39 @@
 
         New requests are served first, then refused while the others end. Those that
         don't end in time are answered, unless a part of their answer was sent.
+
+        The process may have been paused since the signal was sent. What has to happen
+        before it is killed counts from the earliest time of the signal.
         """
-        started_at = self.clock.monotonic()
+        signalled_at, now = self._ticks.earliest_signal(), self.clock.monotonic()
+        self.service.serves_until = signalled_at + self._serve_s()
         self.draining = True
         self.peers.serving = False
         self.peers.report_now()
         self._balancer_jobs.stop()
         self.listener.draining = True
-        log_event("draining", requests=len(self.listener.busy))
-        grace_s = self.settings.stop_s
-        self.clock.sleep(SERVE_FRACTION * grace_s)
+        age_s = round(now - signalled_at, 3)
+        log_event("draining", requests=len(self.listener.busy), signal_age_s=age_s)
+        self.clock.sleep(max(0.0, self.service.serves_until - now))
         self.listener.close()
         self.listener.close_idle()
-        detail = "the daemon is draining"
-        self.service.refusal_of_all = not_run(Reason.DRAINING, detail, 503, RETRY_SOON)
-        ends_at = started_at + STOP_FRACTION * grace_s
-        while self.listener.busy and self.clock.monotonic() < ends_at:
-            self.clock.sleep(CHECK_INTERVAL_S)
-            self.listener.close_idle()
-        if self.listener.busy:
-            self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
+        # Requests may have arrived that no greenlet has begun to read.
+        self.clock.sleep(CHECK_INTERVAL_S)
+        self.listener.close_idle()
+        lasts_s = STOP_FRACTION * self.settings.stop_s
+        self._wait_for_requests(signalled_at + lasts_s)
+        self.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
+        self._wait_for_requests(now + lasts_s)
+        answers_by = now + ANSWER_FRACTION * self.settings.stop_s
+        while self.listener.has_unanswered() and self.clock.monotonic() < answers_by:
             self.clock.sleep(CHECK_INTERVAL_S)
         log_event("stopped", requests=len(self.listener.busy))
 
+    def _wait_for_requests(self, ends_at):
+        while self.listener.has_requests() and self.clock.monotonic() < ends_at:
+            self.clock.sleep(CHECK_INTERVAL_S)
+            self.listener.close_idle()
+
 
 def _budget_limits(settings):
     return BudgetLimits(
--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -24,7 +24,7 @@
     serve_http,
 )
 from amaranthbay.routing import Stage
-from amaranthbay.utils.testing import free_port, wait_until
+from amaranthbay.utils.testing import free_port, free_port_pair, wait_until
 
 __all__ = [
     "Answer",
@@ -48,7 +48,7 @@
 Ip = "127.0.0.1"
 Zone = "z"
 Region = "r"
-InternalPorts = [{peer}, {peer}]
+InternalPorts = [{peer}, {metrics}]
 [Listen]
 Front = "127.0.0.1:{front}"
 Ready = "127.0.0.1:{ready}"
@@ -56,7 +56,7 @@
 [Platform]
 Address = "{store}"
 [Bounds]
-GraceS = 3
+GraceS = {grace}
 """
 
 
@@ -320,16 +320,20 @@
 
 
 @contextlib.contextmanager
-def entry_process(store_address):
+def entry_process(store_address, grace_s=3):
     """Runs the program as its own process; yields its `EntryProcess` when ready.
 
     Args:
         store_address: Host and port of the store.
+        grace_s: Grace period in seconds.
     """
-    ports = {name: free_port() for name in ("peer", "front", "ready", "directory")}
+    ports = {name: free_port() for name in ("front", "ready", "directory")}
+    ports["peer"] = free_port_pair()
+    ports["metrics"] = ports["peer"] + 1
     with TemporaryDirectory() as folder:
         boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
-        boot_path.write_text(BOOT_FILE.format(store=store_address, **ports))
+        boot_text = BOOT_FILE.format(store=store_address, grace=grace_s, **ports)
+        boot_path.write_text(boot_text)
         with open(log_path, "wb") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", "amaranthbay", "entry"],
@@ -339,7 +343,7 @@
                 stderr=log,
             )
         try:
-            wait_until(lambda: _status(f"127.0.0.1:{ports['ready']}") == 200)
+            _wait_until_ready(process, f"127.0.0.1:{ports['ready']}", log_path)
             yield EntryProcess(
                 process,
                 f"127.0.0.1:{ports['front']}",
@@ -351,6 +355,14 @@
             process.wait()
 
 
+def _wait_until_ready(process, ready_address, log_path):
+    try:
+        wait_until(lambda: _status(ready_address) == 200)
+    except TimeoutError as exc:
+        log = log_path.read_text()
+        raise AssertionError(f"not ready, exit {process.poll()}, log: {log}") from exc
+
+
 def request(path, method="GET", body=b"", headers=(), host=HOST, attempt="a1"):
     """Returns the bytes of a caller's request."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -112,6 +112,8 @@
         except h11.RemoteProtocolError as exc:
             self._answer_rejected(exc.error_status_hint)
             return False
+        finally:
+            self._listener.arriving.discard(self)
         if req is None:
             return False
         self._listener.busy.add(self)
@@ -153,6 +155,7 @@
             if not data:
                 return None
             self._http.receive_data(data)
+        self._listener.arriving.add(self)
         event = self._within("header_timeout_s", self._next_event)
         if type(event) is not h11.Request:
             return None
@@ -265,7 +268,12 @@
     def start_stream(self, status, headers):
         """Sends the head of an answer whose length isn't known yet."""
         headers = [h for h in headers if h[0].lower() != b"content-length"]
-        self._write(self._head(status, headers, False))
+        output = self._head(status, headers, False)
+        if not self._sends_chunks():
+            # A close, also by the end of the process, would look like the end of the
+            # stream.
+            self._reset_on_close(True)
+        self._write(output)
 
     def send(self, data):
         """Sends a part of a stream."""
@@ -275,16 +283,25 @@
         """Marks a stream as complete."""
         output = self._http.send(h11.EndOfMessage())
         self._write(output)
+        self._reset_on_close(False)
         self.answered = True
 
+    def _reset_on_close(self, enabled):
+        linger = struct.pack("ii", int(enabled), 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _head(self, status, headers, close):
-        if close or self._listener.draining:
+        if close or (self._listener.draining and not self._has_more_input()):
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         output = self._http.send(response)
         self.started = True
         return output
 
+    def _has_more_input(self):
+        """Returns whether the next request has arrived, at least in part."""
+        return bool(self._http.trailing_data[0] or peek(self.sock))
+
     def _write(self, output):
         if not output:
             return
@@ -325,14 +342,10 @@
         self._listener.idle.discard(self)
         if self.answered and self._http.our_state is h11.MUST_CLOSE:
             self._linger()
-        if self.started and not self.answered and not self._sends_chunks():
-            # The end of the connection would look like the end of the stream.
-            linger = struct.pack("ii", 1, 0)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.sock.close()
 
     def _sends_chunks(self):
-        return self._http.their_http_version >= b"1.1"
+        return (self._http.their_http_version or b"") >= b"1.1"
 
 
 def _head_bytes(head):
@@ -350,9 +363,11 @@
 
     Attributes:
         limits: Function that returns the `ClientLimits` in force.
-        draining: Whether each connection ends after its next answer.
+        draining: Whether each connection ends after an answer, unless the next request
+            has arrived.
         busy: Connections with a request in progress.
         idle: Connections that wait for a request.
+        arriving: Connections of which a part of a request has been read.
     """
 
     def __init__(self, address, handler, limits, max_connections):
@@ -368,9 +383,11 @@
         self.draining = False
         self.busy = set()
         self.idle = set()
+        self.arriving = set()
         self._handler = handler
+        self._sock = _listen(address)
         self._server = StreamServer(
-            _listen(address), self._serve, spawn=Pool(max_connections)
+            self._sock, self._serve, spawn=Pool(max_connections)
         )
 
     def _serve(self, sock, peer):
@@ -382,7 +399,18 @@
         self._server.start()
 
     def close(self):
-        """Stops accepting connections; open ones continue."""
+        """Stops accepting connections; open ones continue.
+
+        Those that the system has accepted are served, since a close would reset them.
+        """
+        self._server.stop_accepting()
+        try:
+            for _ in range(BACKLOG):
+                sock, peer = self._sock.accept()
+                gevent.spawn(self._serve, sock, peer)
+        except OSError:
+            # None is left, or the listener was closed before.
+            pass
         self._server.close()
 
     def close_idle(self):
@@ -390,6 +418,14 @@
         for conn in tuple(self.idle):
             conn.close_idle()
 
+    def has_requests(self):
+        """Returns whether a request is in progress or arriving."""
+        return bool(self.busy or self.arriving)
+
+    def has_unanswered(self):
+        """Returns whether the caller of a request in progress has got nothing yet."""
+        return any(not conn.started for conn in self.busy)
+
     def interrupt_busy(self, exc):
         """Raises an exception in each handler whose caller has got nothing yet."""
         for conn in tuple(self.busy):
