--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -22,6 +22,7 @@
     draw_parts,
     encode_parts,
 )
+from amaranthbay.platform.tests.soak.streams import PROMPT
 
 __all__ = ["KINDS", "Caller", "Exchange", "PartCaller", "look_up", "send"]
 
@@ -86,6 +87,9 @@
         trailing: Bytes that arrived after a complete answer.
         abandoned: Whether the caller left on purpose before the answer.
         parts: Ids of the parts of its prompt; empty if it has none.
+        resumes: Attempt id of the request with which the stream began that this one
+            takes up; empty for any other request.
+        last_event: Id of the last event that the caller holds; 0 if it has none.
     """
 
     attempt: str
@@ -101,6 +105,13 @@
     trailing: bytes = b""
     abandoned: bool = False
     parts: tuple = ()
+    resumes: str = ""
+    last_event: int = 0
+
+    @property
+    def stream(self):
+        """Attempt id of the request with which the stream began."""
+        return self.resumes or self.attempt
 
     @property
     def duration_s(self):
@@ -145,10 +156,16 @@
 
     def _exchange(self, kind):
         self._connect()
-        attempt = f"a{next(self._numbers):07d}"
+        attempt = self._next_attempt()
         abandon = self._rng.random() < ABANDON_SHARE
         parts = self._draw_parts(attempt) if KINDS[kind].stream else ()
         exchange = send(self._sock, self._process, kind, attempt, abandon, parts)
+        self._record(exchange)
+
+    def _next_attempt(self):
+        return f"a{next(self._numbers):07d}"
+
+    def _record(self, exchange):
         self._exchanges.append(exchange)
         self._requests_sent += 1
         closes = (exchange.headers or {}).get("connection") == "close"
@@ -220,7 +237,18 @@
         return []
 
 
-def send(sock, process, kind, attempt, abandon=False, parts=()):
+def send(
+    sock,
+    process,
+    kind,
+    attempt,
+    abandon=False,
+    parts=(),
+    resumes="",
+    last_event=0,
+    events=None,
+    deadline_ms=DEADLINE_MS,
+):
     """Sends one request on a connection and returns the `Exchange`.
 
     Args:
@@ -230,27 +258,37 @@
         attempt: Attempt id of the request.
         abandon: Whether to return shortly after sending, without reading an answer.
         parts: Ids of the parts of the prompt; by default those that the id decides.
+        resumes: Attempt id of the request with which the stream began that this one
+            takes up; empty for none.
+        last_event: Id of the last event of that stream that the caller holds.
+        events: Number of events of the whole stream; by default that of the servers.
+        deadline_ms: Deadline that the request names.
     """
-    target = f"{KINDS[kind].prefix}{attempt}?n=1"
-    headers = [("X-Deadline-Ms", str(DEADLINE_MS))]
+    stream = resumes or attempt
+    query = "n=1" if events is None else f"events={events}"
+    target = f"{KINDS[kind].prefix}{stream}?{query}"
+    headers = [("X-Deadline-Ms", str(deadline_ms))]
     method, body = "GET", b""
     if KINDS[kind].stream:
-        method, body = "POST", b"prompt of " + attempt.encode()
-        parts = parts or draw_parts(attempt)
+        method, body = "POST", PROMPT + stream.encode()
+        parts = parts or draw_parts(stream)
         headers += [
             ("X-Token-Count", "100,40"),
             (PREFIX_HEADER, encode_parts(parts)),
         ]
+    if resumes:
+        headers += [("Last-Event-Id", str(last_event)), ("Resumes", resumes)]
     raw_request = request(target, method, body, headers, HOST, attempt)
     sent_at = time.monotonic()
     identity = (attempt, kind, process, target, sent_at)
+    details = {"parts": parts, "resumes": resumes, "last_event": last_event}
     try:
         sock.sendall(raw_request)
         if abandon:
             gevent.sleep(0.02)
-            return Exchange(*identity, time.monotonic(), abandoned=True, parts=parts)
+            return Exchange(*identity, time.monotonic(), abandoned=True, **details)
         answer = read_answer(sock)
-        return Exchange(*identity, time.monotonic(), parts=parts, **vars(answer))
+        return Exchange(*identity, time.monotonic(), **details, **vars(answer))
     except OSError:
         # The connection ended without an answer.
-        return Exchange(*identity, time.monotonic(), parts=parts)
+        return Exchange(*identity, time.monotonic(), **details)
--- a/amaranthbay/platform/tests/soak/checks.py
+++ b/amaranthbay/platform/tests/soak/checks.py
@@ -4,6 +4,7 @@
     crash_checks,
     request_checks,
     server_checks,
+    version_checks,
 )
 from amaranthbay.platform.tests.soak.history import CHECKS, RunHistory
 
@@ -13,6 +14,7 @@
     "find_violations",
     "request_checks",
     "server_checks",
+    "version_checks",
 ]
 
 
--- a/amaranthbay/platform/tests/soak/crash_checks.py
+++ b/amaranthbay/platform/tests/soak/crash_checks.py
@@ -68,6 +68,7 @@
         and exchange.parts[:1] == FIRST_PARTS[:1]
         and not exchange.crashing
         and not exchange.abandoned
+        and not exchange.resumes
     ]
     beside = [
         exchange
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -27,8 +27,11 @@
 from amaranthbay.utils.testing import free_port, free_port_pair
 
 __all__ = [
+    "DRAIN_S",
     "MODEL_PLACES",
     "SERVERS",
+    "SPARE_PLACES",
+    "VERSIONS",
     "ZONES",
     "ConfigurationVersion",
     "Deployment",
@@ -41,6 +44,7 @@
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
 RETRY_ALLOWANCE = 20
+DRAIN_S = 2.0  # DrainMs
 # Time for which a crashed server is down, and in which the crash may have effects after
 # that.
 MIN_DOWN_S, MAX_DOWN_S = 1.0, 2.0
@@ -60,6 +64,11 @@
     "dec-2": ("lm", "decode"),
 }
 MODEL_PLACES = tuple(place for place, (_, stage) in SERVERS.items() if stage)
+# Stages of the servers at places that are used during a release only.
+SPARE_PLACES = {"pre-3": "prefill", "dec-3": "decode", "dec-4": "decode"}
+# Software versions of servers; those of plain servers don't change.
+VERSIONS = ("v1", "v1.1", "v2")
+FIRST_VERSION = "v1.1"
 
 
 @dataclass(frozen=True)
@@ -104,6 +113,7 @@
         links: `Link` to the server at each place.
         processes: `EntryProcess` by name.
         injected_faults: `InjectedFault` of each fault that has ended.
+        software: Software version of the newest release of the model servers.
         versions: `ConfigurationVersion` of each configuration, in order of writing.
         leaving_since: Monotonic time at which the store acknowledged that a server
             leaves, by name of the server.
@@ -129,6 +139,7 @@
         self.links = {}
         self.processes = {}
         self.injected_faults = []
+        self.software = FIRST_VERSION
         self.versions = []
         self.leaving_since = {}
         self.peaks_mb = {}
@@ -142,6 +153,7 @@
         self._folder = folder
         self._stack = ExitStack()
         self._servers_started = 0
+        self._servers_released = 0
         # Rows as their writers last wrote them; a restore of the store changes none.
         self._intended_rows = {}
 
@@ -157,6 +169,7 @@
             self.configure("desk")
             for place in SERVERS:
                 self._open_place(place)
+                self.start_server(place, *SERVERS[place])
             for number in range(1, self._process_count + 1):
                 self._create_process(f"entry-{number}", list(ZONES)[number % 2])
             return self
@@ -188,30 +201,59 @@
         )
         self.links[place] = Link(address)
         self._stack.callback(self.links[place].close)
-        self.start_server(place, *SERVERS[place])
 
     def start_server(self, place, service, stage):
-        """Starts a server under a new name at a place and writes its entry."""
+        """Starts a server under a new name at a place and writes its entry.
+
+        It has the software version of the one before it.
+        """
         self._servers_started += 1
         name = f"{place}-{self._servers_started}"
+        rng = random.Random(self.rng.random())
+        self._start_server(place, name, service, stage, rng)
+
+    def release_server(self, place, software):
+        """Starts a model server of a software version, as `start_server` does.
+
+        Args:
+            place: One of the `MODEL_PLACES` or `SPARE_PLACES`.
+            software: Software version of the server.
+        """
+        if place not in self.links:
+            self._open_place(place)
+        # Names and generators of their own keep those of other servers as they were.
+        self._servers_released += 1
+        name = f"{place}-r{self._servers_released}"
+        stage = SPARE_PLACES.get(place) or SERVERS[place][1]
+        rng = random.Random(f"release {self._seed} {name}")
+        self._start_server(place, name, "lm", stage, rng, software)
+
+    def _start_server(self, place, name, service, stage, rng, software=None):
+        former = self.servers.get(place)
+        if software is None:
+            software = former.software if former else FIRST_VERSION
         server = SoakServer(
             name,
             stage=stage,
             service=service,
-            rng=random.Random(self.rng.random()),
+            software=software,
+            started_at=time.monotonic(),
+            rng=rng,
             own_rng=random.Random(f"{self._seed} {name}"),
             played=self.played,
             crash=lambda server: self._spawn_crash(place, server),
         )
-        if place in self.servers:
-            self.former_servers.append(self.servers[place])
+        if former is not None:
+            self.former_servers.append(former)
         self.servers[place] = server
         self._write_entry(place)
 
     def _write_entry(self, place, state="ready"):
         server = self.servers[place]
         address = self.links[place].address
-        entry = server_entry(server.service, address, server.stage, state)
+        entry = server_entry(
+            server.service, address, server.stage, state, Version=server.software
+        )
         self._write("servers", server.name, entry)
 
     def _spawn_crash(self, place, server):
@@ -362,20 +404,21 @@
             for fault in self.injected_faults
         )
 
+    def all_servers(self):
+        """Returns each `SoakServer`, replaced ones included."""
+        return [*self.servers.values(), *self.former_servers]
+
     def notices(self):
-        """Returns each `Notice` of all servers, replaced ones included."""
-        servers = [*self.servers.values(), *self.former_servers]
-        return [notice for server in servers for notice in server.notices]
+        """Returns each `Notice` of all servers."""
+        return [notice for server in self.all_servers() for notice in server.notices]
 
     def named_limits(self):
-        """Returns each `NamedLimit` of all servers, replaced ones included."""
-        servers = [*self.servers.values(), *self.former_servers]
-        return [named for server in servers for named in server.named_limits]
+        """Returns each `NamedLimit` of all servers."""
+        return [named for server in self.all_servers() for named in server.named_limits]
 
     def arrivals(self):
-        """Returns each `Arrival` at all servers, replaced ones included."""
-        servers = [*self.servers.values(), *self.former_servers]
-        return [arrival for server in servers for arrival in server.arrivals]
+        """Returns each `Arrival` at all servers."""
+        return [arrival for server in self.all_servers() for arrival in server.arrivals]
 
     def log_lines(self, name):
         """Returns the decoded JSON log lines of a process, and all other lines."""
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -7,10 +7,11 @@
 
 from amaranthbay.platform.tests.soak import (
     process_faults,
+    release_faults,
     server_faults,
     store_faults,
 )
-from amaranthbay.platform.tests.soak.deployment import SERVERS
+from amaranthbay.platform.tests.soak.deployment import MODEL_PLACES, SERVERS
 from amaranthbay.platform.tests.soak.server_faults import LIMIT_S, NameLimit
 from amaranthbay.platform.tests.soak.steps import Step
 
@@ -56,6 +57,7 @@
         server_faults.ContinuationError,
         server_faults.Unframed,
         store_faults.OddEntries,
+        release_faults.Release,
     )
 }
 
@@ -152,7 +154,8 @@
 
 
 def _affected_targets(deployment, step):
-    return list(deployment.processes) if step.target == "all" else [step.target]
+    groups = {"all": list(deployment.processes), "models": list(MODEL_PLACES)}
+    return groups.get(step.target, [step.target])
 
 
 def _exclusive_resources(deployment, step):
@@ -160,7 +163,7 @@
     group = step.kind
     if step.kind in ("Pause", "Kill", "KillAll", "Stop"):
         group = "process"
-    elif step.kind in ("Replace", "Drain", "Leave"):
+    elif step.kind in ("Replace", "Drain", "Leave", "Release"):
         group = "place"
     elif step.kind in ("Store", "Restore"):
         group = "store"
--- a/amaranthbay/platform/tests/soak/processes.py
+++ b/amaranthbay/platform/tests/soak/processes.py
@@ -82,7 +82,9 @@
         return self.popen.poll()
 
     def kill_and_restart(self):
-        """Kills the process and starts it again."""
+        """Kills the process and starts it again, unless another fault does so."""
+        if self.restarted_by_fault:
+            return
         self.restarted_by_fault = True
         self.kill()
         gevent.sleep(RESTART_DELAY_S)
@@ -98,8 +100,11 @@
         """Ends the process with SIGTERM and starts it again.
 
         Its exit code is recorded only if it had begun to serve: before that, the
-        default action of the signal ends it, and no request is lost.
+        default action of the signal ends it, and no request is lost. Nothing happens
+        while another fault starts the process again.
         """
+        if self.restarted_by_fault:
+            return
         self.restarted_by_fault = True
         has_started = self.has_started()
         self.signal(signal.SIGTERM)
--- a/amaranthbay/platform/tests/soak/request_checks.py
+++ b/amaranthbay/platform/tests/soak/request_checks.py
@@ -8,6 +8,7 @@
     RETRY_ALLOWANCE,
     RETRY_RATIO,
     RETRY_WINDOW_S,
+    VERSIONS,
 )
 from amaranthbay.platform.tests.soak.history import (
     CONTACT_S,
@@ -15,7 +16,14 @@
     check,
     count_times,
 )
-from amaranthbay.platform.tests.soak.servers import expected_body, expected_events
+from amaranthbay.platform.tests.soak.servers import expected_body
+from amaranthbay.platform.tests.soak.streams import (
+    PROMPT,
+    Event,
+    encode_event,
+    event_count,
+    read_events,
+)
 
 __all__ = [
     "CONFIGURATION_S",
@@ -95,14 +103,32 @@
 
 @check
 def streams_are_in_order(history):
-    """Events arrive whole, in order and once; a complete stream has all of them."""
+    """Events arrive whole, in order and once, from the first one that the caller lacks
+    on; a complete stream has all of them."""
     for exchange in history.exchanges:
         if exchange.status != 200 or not KINDS[exchange.kind].stream:
             continue
-        expected = expected_events(exchange.attempt)
-        if not expected.startswith(exchange.body):
+        events, rest = read_events(exchange.body)
+        last = exchange.last_event + len(events)
+        expected = [
+            Event(exchange.last_event + number, exchange.stream, event.software)
+            for number, event in enumerate(events, 1)
+        ]
+        following = (
+            encode_event(Event(last + 1, exchange.stream, version))
+            for version in VERSIONS
+        )
+        count = event_count(exchange.target)
+        is_whole = last == count
+        starts_event = any(event.startswith(rest) for event in following)
+        if (
+            events != expected
+            or any(event.software not in VERSIONS for event in events)
+            or last > count
+            or (rest and (is_whole or not starts_event))
+        ):
             yield f"{exchange.attempt}: unexpected events {exchange.body!r}"
-        elif exchange.complete and exchange.body != expected:
+        elif exchange.complete and (rest or not is_whole):
             yield f"{exchange.attempt}: ends as complete after {exchange.body!r}"
 
 
@@ -115,7 +141,7 @@
             # A caller records each request that it begins to send.
             yield f"{attempt!r} arrived, but no caller sent it"
             continue
-        prompt = b"prompt of " + attempt.encode()
+        prompt = PROMPT + exchange.stream.encode()
         body = prompt if KINDS[exchange.kind].stream else b""
         for arrival in arrivals:
             if arrival.target != exchange.target or arrival.body != body:
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -24,6 +24,7 @@
     run_steps,
 )
 from amaranthbay.platform.tests.soak.processes import EXIT_TIMEOUT_S
+from amaranthbay.platform.tests.soak.resuming import ResumingCaller
 from amaranthbay.utils.testing import wait_until
 
 __all__ = ["Outcome", "run_seed"]
@@ -31,15 +32,17 @@
 CALLER_COUNT = 8
 # Further callers of a run in which a part of prompts crashes servers.
 PART_CALLER_COUNT = 3
+# The same of a run with releases of model servers.
+RESUMING_CALLER_COUNT = 6
 START_TIMEOUT_S = 30.0
 # Within this time after the last fault every process serves every kind of request
 # (RecoveryS of the platform).
 RECOVERY_S = 12.0
 # Time without faults in which the callers go on after the check of the recovery.
 QUIET_S = 1.5
-# The same in a run in which a part of prompts crashes servers, as a check compares with
-# this time.
-PART_QUIET_S = 4.0
+# The same in a run in which a part of prompts crashes servers or model servers are
+# released, as checks compare with this time or count streams in it.
+LONG_QUIET_S = 4.0
 ANY_ZONE = "zone-a"
 PROBE_INTERVAL_S = 0.1
 
@@ -96,11 +99,19 @@
                 PartCaller(deployment, random.Random(f"{seed} {number}"), exchanges)
                 for number in range(PART_CALLER_COUNT)
             ]
+        has_releases = any(step.kind == "Release" for step in steps)
+        if has_releases:
+            callers += [
+                ResumingCaller(
+                    deployment, random.Random(f"take up {seed} {n}"), exchanges
+                )
+                for n in range(RESUMING_CALLER_COUNT)
+            ]
         jobs = [gevent.spawn(caller.run) for caller in callers]
         supervisor = gevent.spawn(deployment.supervise)
         run_steps(deployment, steps)
         violations = list(_check_recovery(deployment, exchanges))
-        gevent.sleep(PART_QUIET_S if has_crashing_part else QUIET_S)
+        gevent.sleep(LONG_QUIET_S if has_crashing_part or has_releases else QUIET_S)
         for caller in callers:
             caller.stopping = True
         gevent.joinall(jobs, raise_error=True)
@@ -114,6 +125,7 @@
     )
     played = deployment.played
     played["crashing requests"] = sum(exchange.crashing for exchange in exchanges)
+    played["take-ups"] = sum(bool(exchange.resumes) for exchange in exchanges)
     return Outcome(
         seed, tuple(steps), len(exchanges), answered, tuple(violations), dict(played)
     )
--- a/amaranthbay/platform/tests/soak/server_checks.py
+++ b/amaranthbay/platform/tests/soak/server_checks.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from amaranthbay.platform.tests.soak.deployment import DRAIN_S
 from amaranthbay.platform.tests.soak.history import (
     CONTACT_S,
     FAULT_KINDS,
@@ -10,14 +11,12 @@
 )
 
 __all__ = [
-    "DRAIN_S",
     "leaving_servers_get_nothing",
     "limits_are_kept",
     "pauses_are_kept",
     "servers_that_announce_leaving_get_nothing",
 ]
 
-DRAIN_S = 2.0  # DrainMs
 # At most this many requests may reach a server in its pause. Those that arrive within
 # `IN_TRANSIT_S` after the server asked for the pause don't count, as they may have been
 # on their way.
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -13,6 +13,12 @@
     send_refusal,
 )
 from amaranthbay.platform.tests.soak.parts import CRASHING_PART, PREFIX_HEADER
+from amaranthbay.platform.tests.soak.streams import (
+    PROMPT,
+    Event,
+    encode_event,
+    event_count,
+)
 from amaranthbay.platform.tests.standins import Reply, ServerStandin
 
 __all__ = [
@@ -23,13 +29,11 @@
     "Notice",
     "SoakServer",
     "expected_body",
-    "expected_events",
 ]
 
 # Longer than the timeout of any route, so that the router ends the wait.
 HANG_S = 6.0
 MAX_WORK_S = 0.08
-EVENT_COUNT = 4
 # Faults whose answer says that the request was not run.
 NOT_RUN_FAULTS = ("refuse", "pause", "repeat", "continuation")
 UNFRAMED_FAULTS = ("unframed", "unframed_cut")
@@ -109,21 +113,14 @@
     return f"{server} ran {attempt}".encode()
 
 
-def expected_events(attempt):
-    """Returns the bytes of all events of a stream."""
-    return b"".join(_event(attempt, number) for number in range(1, EVENT_COUNT + 1))
-
-
-def _event(attempt, number):
-    return f"id: {number}\ndata: {attempt} piece {number}\n\n".encode()
-
-
 @dataclass
 class SoakServer(ServerStandin):
     """A backend server that injects faults at random.
 
     Attributes:
         service: Name of its service.
+        software: Its software version, which its events name.
+        started_at: Monotonic time of its start.
         rng: `random.Random` that draws the faults and the time of the work.
         faults: Share of the requests that each fault hits, from 0 to 1. ``refuse`` and
             ``pause`` answer that nothing ran, ``error`` answers 500, ``cut`` closes the
@@ -149,6 +146,8 @@
     """
 
     service: str = ""
+    software: str = "v1"
+    started_at: float = 0.0
     rng: object = None
     faults: dict = field(default_factory=dict)
     arrivals: list = field(default_factory=list)
@@ -282,14 +281,17 @@
         return self.stamped_reply(req, body=body, extra=extra)
 
     def _stream(self, req, fault):
-        attempt = req.headers.get("x-attempt-id", "")
         if f",{CRASHING_PART}:" in req.headers.get(PREFIX_HEADER.lower(), ""):
             if self.own_rng.random() < 0.5:
                 self.crash(self)
                 return None
             gevent.spawn_later(CRASH_DELAY_S, self.crash, self)
+        stream = req.body.removeprefix(PROMPT).decode("latin-1")
         start = int(req.headers.get("last-event-id", 0)) + 1
-        parts = [_event(attempt, number) for number in range(start, EVENT_COUNT + 1)]
+        parts = [
+            encode_event(Event(number, stream, self.software))
+            for number in range(start, event_count(req.target) + 1)
+        ]
         if fault in UNFRAMED_FAULTS:
             return self._unframed(req, parts, fault)
         if fault == "break":
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -11,6 +11,7 @@
     requests_beside_a_crashing_part_begin,
 )
 from amaranthbay.platform.tests.soak.deployment import (
+    DRAIN_S,
     MEMORY_MB,
     RETRY_ALLOWANCE,
     ConfigurationVersion,
@@ -34,7 +35,6 @@
     unrepeatable_requests_run_once,
 )
 from amaranthbay.platform.tests.soak.server_checks import (
-    DRAIN_S,
     leaving_servers_get_nothing,
     limits_are_kept,
     pauses_are_kept,
@@ -45,12 +45,18 @@
     NamedLimit,
     Notice,
     expected_body,
-    expected_events,
+)
+from amaranthbay.platform.tests.soak.streams import expected_events
+from amaranthbay.platform.tests.soak.version_checks import (
+    MIN_TAKEN_UP,
+    streams_stay_at_one_version,
+    taken_up_streams_go_on,
 )
 from amaranthbay.utils.testing import collect
 
 STAMPED = {"x-response-stamp": "stamp-desk-1"}
-PATHS = {"look": "/look/", "book": "/book/", "move": "/move/", "once": "/once/"}
+STREAMS = {"once": "/once/", "resume": "/resume/"}
+PATHS = {"look": "/look/", "book": "/book/", "move": "/move/"} | STREAMS
 
 
 def deployment(arrivals=(), injected_faults=(), **fields):
@@ -62,6 +68,7 @@
         leaving_since={},
         notices=lambda: [],
         named_limits=lambda: [],
+        all_servers=lambda: [],
         crashed_at=[],
         processes={"entry-1": SimpleNamespace(exit_codes=[0])},
         log_lines=lambda name: ([], []),
@@ -76,7 +83,7 @@
     kind="book", status=200, attempt="a1", sent_at=10.0, duration_s=0.1, **fields
 ):
     """Returns an `Exchange` that violates nothing unless a field is given."""
-    stream = kind == "once"
+    stream = kind in STREAMS
     body = expected_events(attempt) if stream else expected_body("desk-1", attempt)
     defaults = {"headers": STAMPED, "body": body, "complete": True}
     target = f"{PATHS[kind]}{attempt}?n=1"
@@ -86,7 +93,7 @@
 
 def arrival(sent, server="desk-1", service="desk", arrived_at=None, ran=True, **fields):
     """Returns the `Arrival` of an `Exchange` at a server."""
-    stream = sent.kind == "once"
+    stream = sent.kind in STREAMS
     body = b"prompt of " + sent.attempt.encode() if stream else b""
     defaults = {"target": sent.target, "body": body, "prefill": False}
     return Arrival(
@@ -404,4 +411,137 @@
         case.assertEqual(bool(violations), is_violation, (len(usual), faulty_place))
 
 
+def take_up(first, last, version="v1", attempt="a2", stream="a1", **fields):
+    """Returns the `Exchange` of a caller that takes up a stream and gets some events.
+
+    Args:
+        first: Id of the first event that it gets.
+        last: Id of the last one.
+        version: Version that writes them.
+        attempt: Attempt id.
+        stream: Attempt id of the request with which the stream began.
+        **fields: Further fields.
+    """
+    body = expected_events(stream, version, first, last)
+    fields = {"body": body, "resumes": stream, "last_event": first - 1} | fields
+    return exchange("resume", attempt=attempt, **fields)
+
+
+def test_streams_of_two_versions_are_detected(case):
+    """Guards against a check that misses a stream joined from two versions, in one
+    answer or over the tries of its caller."""
+    check = streams_stay_at_one_version
+    begun = exchange("resume", body=expected_events("a1", last=2), complete=False)
+    joined = begun.body + expected_events("a1", "v2", 3)
+    case.assertTrue(find(check, [exchange("once", body=joined)]))
+    case.assertTrue(find(check, [begun, take_up(3, 4, "v2")]))
+    case.assertTrue(find(check, [begun, take_up(3, 4, "v2", abandoned=True)]))
+    case.assertFalse(find(check, [begun, take_up(3, 4)]))
+    other = exchange("resume", attempt="a3", body=expected_events("a3", "v2"))
+    case.assertFalse(find(check, [begun, other]))
+
+
+def test_wrong_events_of_a_taken_up_stream_are_detected(case):
+    """Guards against a check that misses events that are lost or repeated where a
+    caller takes up a stream, or that belong to another one."""
+    for body, complete, is_violation in (
+        (expected_events("a1", first=3), True, False),
+        (expected_events("a1", first=3)[:-9], False, False),
+        (expected_events("a1", first=3)[:-9], True, True),
+        (expected_events("a1", first=2), True, True),
+        (expected_events("a1", first=4), True, True),
+        (expected_events("a1"), True, True),
+        (expected_events("a2", first=3), True, True),
+        (expected_events("a1", first=3, last=5), False, True),
+        (expected_events("a1", first=3) + b"id: 5", False, True),
+        (expected_events("a1", "v9", first=3), True, True),
+    ):
+        taken_up = take_up(3, 4, body=body, complete=complete)
+        violations = find(streams_are_in_order, [taken_up])
+        case.assertEqual(bool(violations), is_violation, body)
+
+
+def taken_up(count, failed, sent_at=20.0):
+    """Returns the exchanges of streams of version v2 that callers take up.
+
+    Args:
+        count: Number of streams.
+        failed: Number of those that don't go on.
+        sent_at: Time at which they are taken up.
+    """
+    exchanges = []
+    for n in range(count):
+        first, second = f"a{sent_at}-{n}", f"b{sent_at}-{n}"
+        body = expected_events(first, "v2", last=2)
+        begun = exchange("resume", attempt=first, body=body, complete=False)
+        fields = {"status": 503, "body": b""} if n < failed else {}
+        resumed = take_up(3, 4, "v2", second, first, sent_at=sent_at, **fields)
+        exchanges += [begun, resumed]
+    return exchanges
+
+
+def decode_server(name, software="v2", started_at=0.0, stage="decode"):
+    """Returns a stand-in for a `SoakServer` with the attributes that checks read."""
+    fields = {"software": software, "started_at": started_at, "stage": stage}
+    return SimpleNamespace(name=name, **fields)
+
+
+def test_streams_taken_up_in_vain_are_detected(case):
+    """Guards against a check that misses streams which do not go on at their version,
+    or misses those beside another version among others that go on."""
+    few = MIN_TAKEN_UP // 2
+    for beside, later, is_violation in (
+        ((MIN_TAKEN_UP, few + 1), (0, 0), True),
+        ((MIN_TAKEN_UP, few), (0, 0), False),
+        ((MIN_TAKEN_UP - 1, few + 1), (0, 0), False),
+        ((0, 0), (MIN_TAKEN_UP, few + 1), True),
+        ((MIN_TAKEN_UP, few + 1), (MIN_TAKEN_UP, 0), True),
+        ((MIN_TAKEN_UP, few), (MIN_TAKEN_UP, 0), False),
+    ):
+        violations = find(
+            taken_up_streams_go_on,
+            [*taken_up(*beside), *taken_up(*later, sent_at=30.0)],
+            all_servers=lambda: [
+                decode_server("dec-1-r1"),
+                decode_server("dec-2-r2"),
+                decode_server("dec-3-3", "v1"),
+            ],
+            leaving_since={"dec-3-3": 25.0},
+        )
+        case.assertEqual(bool(violations), is_violation, (beside, later))
+
+
+def test_streams_whose_servers_do_not_serve_are_not_counted(case):
+    """Guards against a check that expects streams to go on without two sound servers of
+    their version, the store or the process, or that accepts harmless faults."""
+    usual = decode_server("dec-2-2")
+    for second, fault, left_at, is_violation in (
+        (usual, ("dec-1", "Silence", 21.0), 20.2, True),
+        (usual, ("dec-1", "Release", 21.0), 20.2, True),
+        (usual, ("dec-3", "ServerLink", 21.0), 20.2, True),
+        (usual, ("entry-1", "Kill", 16.9), 20.2, True),
+        (usual, ("dec-1", "ServerLink", 21.0), 20.2, False),
+        (usual, ("decode", "ContinuationError", 21.0), 20.2, False),
+        (usual, ("entry-1", "Kill", 17.1), 20.2, False),
+        (usual, ("store", "Store", 17.1), 20.2, False),
+        (usual, ("dec-1", "Silence", 21.0), 20.05, False),
+        (decode_server("dec-2-2", "v1"), ("dec-1", "Silence", 21.0), 20.2, False),
+        (
+            decode_server("dec-2-2", "v2", 20.05),
+            ("dec-1", "Silence", 21.0),
+            20.2,
+            False,
+        ),
+        (decode_server("pre-1-2", stage="prefill"), ("x", "Kill", 21.0), 20.2, False),
+    ):
+        violations = find(
+            taken_up_streams_go_on,
+            taken_up(MIN_TAKEN_UP, MIN_TAKEN_UP),
+            all_servers=lambda: [decode_server("dec-1-r1"), second],
+            leaving_since={"dec-1-r1": left_at},
+            injected_faults=[InjectedFault(*fault[:2], 16.0, fault[2])],
+        )
+        case.assertEqual(bool(violations), is_violation, (second, fault, left_at))
+
+
 load_tests = collect(globals())
