Count listed versions before they are recorded

Callers could get a stream joined from two versions while the store was away for one instance only: it had already listed a server of a further version, but a stream that a caller took up went on at the earlier one.

A take-up whose read of the store failed relied on them within that second. The versions of listed servers count at once now, also for the decision whether new streams are recorded.

test_listed_version_counts_before_it_is_recorded fails on ('v1' is not None) and passes now.

--- a/amaranthbay/fleet/tests/test_versions.py
+++ b/amaranthbay/fleet/tests/test_versions.py
@@ -169,4 +169,12 @@
     case.assertIsNone(view.sole())
 
 
+def test_listed_version_counts_before_it_is_recorded(case):
+    """Guards against a take-up at the old version as the store goes away."""
+    view = registered(instance(), "v1")
+    case.assertEqual(view.history.known_sole_version(SERVICE), "v1")
+    view.listed = {"v1", "v2"}
+    case.assertIsNone(view.history.known_sole_version(SERVICE))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/fleet/versions.py
+++ b/amaranthbay/fleet/versions.py
@@ -128,7 +128,11 @@
 
     def may_differ(self, service):
         """Returns whether recent streams may have begun at more than one version."""
-        return service not in self._records or len(self._recent(service)) != 1
+        return service not in self._records or len(self._possible(service)) != 1
+
+    def _possible(self, service):
+        """Returns the versions that this instance knows of, listed ones included."""
+        return self._listed(service).union(self._recent(service))
 
     def _recent(self, service):
         oldest = self._clock.monotonic() - VERSION_LIFE_S
@@ -137,7 +141,7 @@
 
     def known_sole_version(self, service):
         """Returns the only recent version as far as this instance knows, or None."""
-        return None if self.may_differ(service) else self._recent(service)[0]
+        return None if self.may_differ(service) else self._possible(service).pop()
 
     def read_sole_version(self, service):
         """Reads from the store whether all recent streams began at one version.
