Refuse take-ups of unknown streams at an instance that is cut off

Callers could get a stream joined from two versions from an instance that reached neither the store nor the other instances.

While the store doesn't answer, an instance takes the only version that it has seen for the only one there is, unless reports of other instances name a newer list of servers. An instance that hears no reports, as it is cut off or has just woken, took their absence for news that nothing has changed. It has to hear most of the registered instances now.

test_take_up_is_refused_by_an_instance_that_is_cut_off fails on (200 instead of 503) and passes now.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -151,7 +151,7 @@
             self.clock,
             self.health.time.now,
             self._record_interval_s,
-            self._are_servers_behind,
+            self._may_servers_be_behind,
         )
         self.health.era.on_restored(self._record_again)
         self.ctx = RelayContext(
@@ -320,9 +320,10 @@
         instances = len(self.peers.chosen_names())
         return record_interval_s(instances, self.settings.store_writes_per_s)
 
-    def _are_servers_behind(self):
-        """Returns whether other instances know a newer list of servers."""
-        return self._followers[self._adapter.servers_table].is_behind()
+    def _may_servers_be_behind(self):
+        """Returns whether other instances may know a newer list of servers."""
+        follower = self._followers[self._adapter.servers_table]
+        return follower.is_behind() or not self.peers.hears_majority()
 
     def _record_again(self):
         """Records versions again that a restored store may lack."""
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -237,6 +237,12 @@
         reporting = {status.instance for status in self._reporting_statuses()}
         return frozenset(self._registered) | reporting
 
+    def hears_majority(self):
+        """Returns whether reports of most registered instances still arrive."""
+        reporting = {status.instance for status in self._reporting_statuses()}
+        heard = reporting.intersection(self._registered) | {self.own.instance}
+        return 2 * len(heard) > len(self._registered)
+
     def interval_s(self):
         """Returns the seconds between two regular full reports."""
         size_factor = max(1.0, len(self._registered) / SMALL_FLEET_SIZE)
--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -1,6 +1,7 @@
 """Streams beside servers of several software versions."""
 
 import gevent
+import msgspec
 
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.platform.tests.fixtures import (
@@ -269,6 +270,22 @@
     case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
 
 
+def test_take_up_is_refused_by_an_instance_that_is_cut_off(case):
+    """Guards against a take-up by an instance that can't hear of further versions."""
+    fixture = case.enterContext(entry_fixture())
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    wait_until(lambda: ("versions", "lm") in fixture.store.rows)
+    for number in (2, 3):
+        row = msgspec.json.encode(fixture.daemon.peers.own)
+        row = row.replace(b"entry-1", f"entry-{number}".encode())
+        fixture.store.put("members", f"entry-{number}", row)
+    fixture.daemon._read_instances()
+    wait_until(lambda: len(fixture.daemon.peers.registrations()) == 3)
+    fixture.store.error_status = 503
+    answer = take_up(fixture, "b1", "of-another-instance")
+    case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
+
+
 def test_take_up_is_refused_while_the_store_is_away_beside_two_versions(case):
     """Guards against a take-up at a guessed version during an outage of the store."""
     fixture = two_versions(case)
--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -98,8 +98,8 @@
                 None while it is unknown.
             interval_s: Function that returns the seconds over which streams are
                 collected for one write.
-            is_behind: Function that returns whether this instance's list of servers is
-                known to be out of date.
+            is_behind: Function that returns whether this instance's list of servers may
+                be older than that of others.
         """
         self._table = table
         self._clock = clock
