Treat a stream after an unreadable event as one that is taken up

A caller that took up a stream with an event id that the router can't read could get the rest from another version: the request counted as a new stream, but its Last-Event-Id went to the server as it was, and a server may be able to read it.

Such a request now goes to the version at which the stream began, or is refused. What the server gets is unchanged, and a blank id is none, as before.

--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -108,10 +108,13 @@
     def read_call(self, headers):
         values = dict(headers)
         prompt_tokens, max_output_tokens = _parse_token_counts(values.get(TOKENS, b""))
+        last_event = values.get(LAST_EVENT_ID, b"").strip()
+        last_event_id = _parse_int(last_event)
         return CallHead(
             attempt_id=values.get(ATTEMPT_ID, b"").decode("latin-1"),
             deadline_s=_parse_milliseconds(values.get(DEADLINE)),
-            last_event_id=_parse_int(values.get(LAST_EVENT_ID)),
+            last_event_id=last_event_id,
+            has_unreadable_event=bool(last_event) and last_event_id is None,
             began_as=values.get(RESUMES, b"").decode("latin-1"),
             model=values.get(MODEL, b"").decode("latin-1"),
             prompt_tokens=prompt_tokens,
--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -202,6 +202,15 @@
         case.assertFalse(decodes_of(fixture, attempt))
 
 
+def test_take_up_after_an_unreadable_event_is_not_a_new_stream(case):
+    """Guards against a malformed event id that lets a stream go on anywhere."""
+    fixture = two_versions(case)
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    for attempt, last_event in (("b1", "1x"), ("b2", "1.0"), ("b3", "\xb2")):
+        answer = take_up(fixture, attempt, "unknown", last_event)
+        case.assertEqual((answer.status, decodes_of(fixture, attempt)), (503, set()))
+
+
 def test_take_up_is_refused_after_its_version_has_left(case):
     """Guards against a take-up at the only version that is left."""
     fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -26,7 +26,10 @@
     Attributes:
         attempt_id: Id that the caller gave the request; may be empty.
         deadline_s: Seconds for which the caller waits; None if not stated.
-        last_event_id: Event after which a stream continues; None for a new stream.
+        last_event_id: Event after which a stream continues; None for a new stream, and
+            if it can't be read.
+        has_unreadable_event: Whether the caller names an event that can't be read. A
+            server may be able to read it.
         began_as: Id of the caller's attempt that brought the first event of the stream
             to continue; empty if not stated.
         model: Name of the model; empty for a plain call.
@@ -41,6 +44,7 @@
     attempt_id: str
     deadline_s: float | None = None
     last_event_id: int | None = None
+    has_unreadable_event: bool = False
     began_as: str = ""
     model: str = ""
     prompt_tokens: int = 0
@@ -48,10 +52,15 @@
     expected_tokens: int | None = None
     shared_parts: tuple[str, ...] = ()
 
+    @property
+    def continues(self):
+        """Whether the caller continues a stream."""
+        return self.last_event_id is not None or self.has_unreadable_event
+
     @property
     def stream_id(self):
         """Id of the caller's attempt under which its stream began, or begins."""
-        return self.attempt_id if self.last_event_id is None else self.began_as
+        return self.began_as if self.continues else self.attempt_id
 
     @property
     def likely_tokens(self):
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -115,7 +115,7 @@
         version = None
         if call.route.resumable:
             self._ctx.versions.wait_until_read(call.service.name)
-            if call.head.last_event_id is not None:
+            if call.head.continues:
                 found = self._ctx.origins.find(call)
                 if found.is_err():
                     return found.unwrap_err()
