Keep take-ups at their version on routes that lost Resumable

A caller could get a stream joined from two versions if its route had stopped being resumable since the stream began: only requests on resumable routes were looked up, and a server goes on after any Last-Event-Id that it gets.

Each request for a stream with a Last-Event-Id is looked up now. Streams that begin on other routes are still not recorded.

test_take_up_on_a_route_that_is_no_longer_resumable_is_not_joined fails on (two versions) and passes now.

--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -211,6 +211,18 @@
         case.assertEqual((answer.status, decodes_of(fixture, attempt)), (503, set()))
 
 
+def test_take_up_on_a_route_that_is_no_longer_resumable_is_not_joined(case):
+    """Guards against a change of the route that lets a stream go on anywhere."""
+    fixture = two_versions(case)
+    for number in range(STREAMS):
+        begin_stream(fixture, f"a{number}").close()
+        headers = (("Last-Event-Id", "1"), ("Resumes", f"a{number}"))
+        raw_request = stream_request("/once/x", f"b{number}", headers)
+        answer = call_raw(fixture.address, raw_request)
+        case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+        case.assertEqual(len(versions_of(fixture, f"a{number}", f"b{number}")), 1)
+
+
 def test_take_up_is_refused_after_its_version_has_left(case):
     """Guards against a take-up at the only version that is left."""
     fixture = two_versions(case, ("dec-old-1", "dec-new-1"))
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -115,11 +115,12 @@
         version = None
         if call.route.resumable:
             self._ctx.versions.wait_until_read(call.service.name)
-            if call.head.continues:
-                found = self._ctx.origins.find(call)
-                if found.is_err():
-                    return found.unwrap_err()
-                version = found.unwrap()
+        # The route may have been resumable when the stream began.
+        if call.head.continues:
+            found = self._ctx.origins.find(call)
+            if found.is_err():
+                return found.unwrap_err()
+            version = found.unwrap()
         return _StreamRun(self._ctx, self._queue, call, conn, version).run()
 
 
