Read only the rows that a scan of a table returns

A process could run out of memory: a scan of a table of the store read all of it, whatever its limit, and the table of streams holds a row for each stream of about a minute beside several versions. At 5,300 streams a second that is hundreds of thousands of rows, each read by the instance that looks for rows of dead instances, in calls that the other tables need.

--- a/amaranthbay/platform/rows.py
+++ b/amaranthbay/platform/rows.py
@@ -105,6 +105,28 @@
                 return Ok(Snapshot(tuple(rows), version, era))
             start = page.Rows[-1].Key + "\0"
 
+    def page(self, table, start, limit):
+        """Reads rows in key order.
+
+        Args:
+            table: Name of the table.
+            start: First key that may be returned.
+            limit: Largest number of rows, at most `PAGE_ROWS`.
+
+        Returns:
+            ``Result[tuple[tuple[ChangedRow, ...], bool], PlatformFailure]`` with the
+            rows, and whether there are more after them.
+        """
+        query = {"Table": table, "part": "", "Limit": limit}
+        if start:
+            query["From"] = start
+        reply = self._get("/rows-get", query, CALL_TIMEOUT_S)
+        if reply.is_err():
+            return reply
+        answer, _ = reply.unwrap()
+        rows = tuple(_decode_row(row) for row in answer.Rows)
+        return Ok((rows, answer.HasMore and bool(rows)))
+
     def changes(self, table, after, wait_s):
         query = {"Table": table, "after": after, "WaitMs": int(wait_s * 1000)}
         reply = self._get("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
@@ -237,15 +259,19 @@
         )
 
     def scan(self, prefix, after="", limit=1000):
-        outcome = self._store.snapshot(self._table)
-        return outcome.map(
-            lambda snapshot: tuple(
-                decoded.unwrap()
-                for row in snapshot.rows
-                if row.key.startswith(prefix) and row.key > after
-                if (decoded := _decode_value(row)).is_ok()
-            )[:limit]
-        )
+        rows, start = [], max(prefix, after and after + "\0")
+        while True:
+            count = min(PAGE_ROWS, limit - len(rows))
+            reply = self._store.page(self._table, start, count)
+            if reply.is_err():
+                return reply
+            page, has_more = reply.unwrap()
+            in_range = [row for row in page if row.key.startswith(prefix)]
+            decoded = (_decode_value(row) for row in in_range)
+            rows += [row.unwrap() for row in decoded if row.is_ok()]
+            if not has_more or len(in_range) < len(page) or len(rows) >= limit:
+                return Ok(tuple(rows))
+            start = page[-1].key + "\0"
 
 
 def _parse_era(value):
