--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -277,17 +277,24 @@
 
     def delete_orphans(self):
         """Deletes rows that instances have left behind which no longer run."""
-        now = self._store_time()
-        rows = self._table.scan("").unwrap_or(()) if now is not None else ()
-        orphans = [
-            row.key
-            for row in rows
-            if (origin := _decode(row.key, row)) is not None
-            and now - origin.at > ORPHAN_AGE_S
-        ]
-        if orphans:
-            state = self._table.commit([Write(key, None) for key in orphans[:MAX_ROWS]])
-            log_event("stream_rows_deleted", rows=len(orphans), state=state.state)
+        after = ""
+        while (now := self._store_time()) is not None:
+            rows = self._table.scan("", after, MAX_ROWS).unwrap_or(())
+            if not rows:
+                return
+            after = rows[-1].key
+            if not self._delete([row.key for row in rows if _is_orphan(row, now)]):
+                return
+            self._clock.sleep(MIN_RECORD_INTERVAL_S)
+
+    def _delete(self, keys):
+        """Deletes rows; returns whether they are deleted."""
+        if not keys:
+            return True
+        state = self._table.commit([Write(key, None) for key in keys]).state
+        current_metrics().store_called("streams_write", state)
+        log_event("stream_rows_deleted", rows=len(keys), state=state)
+        return state is CommitState.DONE
 
     def _row_value(self, stream_id):
         origin = self._origins[stream_id]
@@ -311,6 +318,17 @@
         return None
 
 
+def _is_orphan(row, now):
+    """Returns whether the instance of a stored `Row` would have deleted it.
+
+    Args:
+        row: `Row` of a stream.
+        now: Time on the store's steady clock.
+    """
+    origin = _decode(row.key, row)
+    return origin is not None and now - origin.at > ORPHAN_AGE_S
+
+
 def _is_valid_id(stream_id):
     is_text = stream_id.isascii() and stream_id.isprintable()
     return is_text and 0 < len(stream_id) <= MAX_ID_CHARACTERS
--- a/amaranthbay/relay/tests/test_origins.py
+++ b/amaranthbay/relay/tests/test_origins.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.dispatch.tests.fake_peers import MemoryTable
 from amaranthbay.fleet.versions import STREAM_LIFE_S
+from amaranthbay.platform.types import Write
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.origins import (
     MAX_DELETE_DELAY_S,
@@ -100,6 +101,22 @@
     case.assertFalse(table.rows)
 
 
+def test_all_records_of_dead_instances_are_deleted_in_parts(case):
+    """Guards against rows that stay for ever, or fill the memory as they are read."""
+    table = MemoryTable()
+    subject, clock = origins(case, table)
+    old = {"service": "lm", "version": "v1", "at": clock.monotonic()}
+    for number in range(5 * MAX_ROWS):
+        table.commit((Write(f"a{number:03}", old),))
+    sizes, scan = [], table.scan
+    table.scan = lambda *args: scan(*args).inspect(lambda rows: sizes.append(len(rows)))
+    clock.advance(ORPHAN_AGE_S + 1)
+    table.commit((Write("a250", old | {"at": clock.monotonic()}),))
+    subject.delete_orphans()
+    case.assertEqual(set(table.rows), {"a250"})
+    case.assertLessEqual(max(sizes), MAX_ROWS)
+
+
 def test_stream_that_is_taken_up_keeps_its_id(case):
     """Guards against a second take-up that finds no record."""
     table = MemoryTable()
