Bound the records of streams by the writes of one part of the store

Records of streams could use up the writes of the part of the store's tables in which all rows of the instances are, so that registrations and leases were refused: the interval of the records followed the writes of the whole store alone. Where the store takes 3,200 writes a second and a part 200, 320 instances would have sent 800 a second.

The interval also keeps to half of the writes of a part now, as the settings name them. With 400 and 200 a second it stays as it was.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -318,7 +318,11 @@
 
     def _record_interval_s(self):
         instances = len(self.peers.chosen_names())
-        return record_interval_s(instances, self.settings.store_writes_per_s)
+        return record_interval_s(
+            instances,
+            self.settings.store_writes_per_s,
+            self.settings.store_part_writes_per_s,
+        )
 
     def _may_servers_be_behind(self):
         """Returns whether other instances may know a newer list of servers."""
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -5,6 +5,7 @@
 from amaranthbay.fleet.backends import ENTRY_TTL_S
 
 __all__ = [
+    "DEFAULT_PART_WRITES_PER_S",
     "DEFAULT_WRITES_PER_S",
     "EntrySettings",
     "Limits",
@@ -13,6 +14,7 @@
 ]
 
 DEFAULT_WRITES_PER_S = 400.0
+DEFAULT_PART_WRITES_PER_S = 200.0
 
 # Fields that apply only when a process starts, since its sockets are open and other
 # instances know its names.
@@ -75,6 +77,7 @@
         entry_life_s: Seconds of silence after which the entry of a backend server is
             removed.
         store_writes_per_s: Writes per second that the store takes from all instances.
+        store_part_writes_per_s: The same for one part of its tables.
     """
 
     instance: str
@@ -98,6 +101,7 @@
     lookup_ttl_s: float
     entry_life_s: float = ENTRY_TTL_S
     store_writes_per_s: float = DEFAULT_WRITES_PER_S
+    store_part_writes_per_s: float = DEFAULT_PART_WRITES_PER_S
 
 
 def changed_fields(current, loaded):
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -6,7 +6,12 @@
 import msgspec
 from result import Err, Ok
 
-from amaranthbay.fleet.settings import DEFAULT_WRITES_PER_S, EntrySettings, Limits
+from amaranthbay.fleet.settings import (
+    DEFAULT_PART_WRITES_PER_S,
+    DEFAULT_WRITES_PER_S,
+    EntrySettings,
+    Limits,
+)
 
 __all__ = ["load_boot_settings"]
 
@@ -30,6 +35,8 @@
     Address: str
     # Writing calls that the store takes from all instances together.
     WritesPerS: float = DEFAULT_WRITES_PER_S
+    # The same for one part of the tables; all rows of the instances are in one.
+    PartWritesS: float = DEFAULT_PART_WRITES_PER_S
 
 
 class _Machine(msgspec.Struct):
@@ -116,5 +123,6 @@
         order_turn_s=bounds.LeaseMs / MS_PER_S,
         lookup_ttl_s=bounds.ttl_max_s,
         store_writes_per_s=boot.Platform.WritesPerS,
+        store_part_writes_per_s=boot.Platform.PartWritesS,
         entry_life_s=MISSED_HEARTBEATS * boot.HeartbeatMs / MS_PER_S,
     )
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -40,6 +40,7 @@
 Ready = "10.0.0.1:82"
 [Platform]
 Address = "10.9.0.1:83"
+PartWritesS = 150
 [Limits]
 CpuShare = 0.5
 Cores = 2
@@ -222,6 +223,7 @@
     settings = load_boot_settings(path).unwrap()
     case.assertEqual((settings.instance, settings.peer_port), ("n-1", 7000))
     case.assertEqual((settings.stop_s, settings.order_turn_s), (8.0, 3.0))
+    case.assertEqual(settings.store_part_writes_per_s, 150.0)
     case.assertEqual((settings.limits.cores, settings.lookup_address), (1.0, ""))
     path.write_text(BOOT_FILE.replace('Zone = "z"', ""))
     case.assertIn("Zone", load_boot_settings(path).unwrap_err())
--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -24,8 +24,10 @@
 # later before the death of its instance is not recorded.
 MIN_RECORD_INTERVAL_S = 0.1
 MAX_RECORD_INTERVAL_S = 5.0
-# Share of the store's write rate that the records of all instances may use.
+# Shares of the write rates of the store, and of one part of its tables, that the
+# records of all instances may use.
 WRITE_SHARE = 0.25
+PART_WRITE_SHARE = 0.5
 RETRY_DELAY_S = 0.3
 # Largest number of rows in one transaction of the store.
 MAX_ROWS = 100
@@ -69,18 +71,22 @@
     began_at: float
 
 
-def record_interval_s(instances, writes_per_s):
+def record_interval_s(instances, writes_per_s, part_writes_per_s):
     """Returns the seconds over which an instance collects streams for one write.
 
     Args:
         instances: Number of instances that record streams.
         writes_per_s: Writes per second that the store takes from all of them.
+        part_writes_per_s: Writes per second that one part of its tables takes.
 
     Examples:
-        >>> record_interval_s(8, 400.0), record_interval_s(320, 400.0)
+        >>> record_interval_s(8, 400.0, 200.0), record_interval_s(320, 400.0, 200.0)
         (0.1, 3.2)
     """
-    shared_s = instances / (WRITE_SHARE * max(1.0, writes_per_s))
+    records_per_s = min(
+        WRITE_SHARE * writes_per_s, PART_WRITE_SHARE * part_writes_per_s
+    )
+    shared_s = instances / max(1.0, records_per_s)
     return min(MAX_RECORD_INTERVAL_S, max(MIN_RECORD_INTERVAL_S, shared_s))
 
 
--- a/amaranthbay/relay/tests/test_origins.py
+++ b/amaranthbay/relay/tests/test_origins.py
@@ -141,9 +141,14 @@
 
 def test_all_instances_together_use_a_part_of_the_stores_writes(case):
     """Guards against records that use up the writes of the store."""
-    case.assertEqual(record_interval_s(8, 400.0), 0.1)
-    case.assertAlmostEqual(record_interval_s(320, 400.0), 3.2)
-    case.assertEqual(record_interval_s(0, 400.0), 0.1)
+    case.assertEqual(record_interval_s(8, 400.0, 200.0), 0.1)
+    case.assertAlmostEqual(record_interval_s(320, 400.0, 200.0), 3.2)
+    case.assertEqual(record_interval_s(0, 400.0, 200.0), 0.1)
+
+
+def test_records_leave_writes_of_their_part_to_other_tables(case):
+    """Guards against records that use up the part of the store that all rows share."""
+    case.assertAlmostEqual(record_interval_s(320, 3200.0, 200.0), 3.2)
 
 
 load_tests = collect(globals())
