Record the newest streams first

Callers whose streams had begun a moment before their instance died were refused although their version served: when a further version appears, an instance records the streams of the last minute, oldest first, and new streams waited behind them, most of which had ended.

The newest streams are in the next write now. test_new_stream_is_recorded_before_those_of_calm_times fails on the parent commit and passes now.

--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import islice
 
 import gevent.event
 import msgspec
@@ -258,8 +259,8 @@
 
     def _flush(self):
         """Writes one transaction of records; returns whether it was written."""
-        ids = [stream_id for stream_id in self._pending if stream_id in self._origins]
-        ids = ids[:MAX_ROWS]
+        # Of many streams, most have ended; the newest ones are still in progress.
+        ids = tuple(islice(reversed(self._pending), MAX_ROWS))
         deletes = self._expired[: MAX_ROWS - len(ids)]
         writes = [Write(stream_id, self._row_value(stream_id)) for stream_id in ids]
         writes += [Write(stream_id, None) for stream_id in deletes]
--- a/amaranthbay/relay/tests/test_origins.py
+++ b/amaranthbay/relay/tests/test_origins.py
@@ -31,11 +31,11 @@
         pass
 
 
-def origins(case, table):
+def origins(case, table, history=None):
     """Returns `StreamOrigins` that write to a table, and their clock."""
     clock = ManualClock()
     subject = StreamOrigins(
-        table, History(), clock, clock.monotonic, lambda: 0.1, lambda: False
+        table, history or History(), clock, clock.monotonic, lambda: 0.1, lambda: False
     )
     job = gevent.spawn(subject.run)
     case.addCleanup(job.kill)
@@ -74,6 +74,23 @@
     case.assertLessEqual(max(sizes), MAX_ROWS)
 
 
+def test_new_stream_is_recorded_before_those_of_calm_times(case):
+    """Guards against new streams that wait for the records of many that have ended."""
+    table, history = MemoryTable(), History()
+    subject, _ = origins(case, table, history)
+    history.several = False
+    for number in range(3 * MAX_ROWS):
+        subject.note_began(call(f"a{number}"), "v1")
+    history.several = True
+    first_writes, commit = [], table.commit
+    table.commit = lambda writes: (first_writes.extend(writes), commit(writes))[1]
+    subject.record_all("lm")
+    subject.note_began(call("b1"), "v2")
+    wait_until(lambda: table.rows)
+    case.assertIn("b1", [write.key for write in first_writes[:MAX_ROWS]])
+    wait_until(lambda: len(table.rows) == 3 * MAX_ROWS + 1)
+
+
 def test_records_of_old_streams_are_deleted(case):
     """Guards against a table that grows for ever."""
     table = MemoryTable()
