Look a version up again before it is used after an absence

Callers could get a stream joined from two versions after a rollback: the instance that records the end of a version knew that a version which came back has to be recorded again, but the others used it at once, as their copies of the record still named it. Until it was recorded, the store named a single version beside which streams began at another one.

Each instance forgets the registration of a version that is not listed for the time after which its end is recorded, so that it reads the record again.

test_version_that_comes_back_is_recorded_before_another_instance_uses_it fails on the parent commit and passes now.

--- a/amaranthbay/fleet/tests/test_versions.py
+++ b/amaranthbay/fleet/tests/test_versions.py
@@ -130,6 +130,25 @@
     case.assertIsNone(view.sole())
 
 
+def test_version_that_comes_back_is_recorded_before_another_instance_uses_it(case):
+    """Guards against streams at a version whose end another instance has recorded."""
+    first = registered(instance(), "v1", "v2")
+    other = registered(instance(first.table, first.clock, first=False), "v1", "v2")
+    other.history.wait_until_read(SERVICE)
+    for view in (first, other):
+        view.use("v2")
+        view.history.sweep()
+    first.clock.advance(END_DELAY_S)
+    for view in (first, other):
+        view.history.sweep()
+    wait_until(lambda: first.recorded() == {"v2"})
+    first.table.down = True
+    case.assertEqual(other.use("v1", "v2"), {"v2"})
+    first.table.down = False
+    wait_until(lambda: first.recorded() == {"v1", "v2"})
+    case.assertEqual(other.use("v1", "v2"), {"v1", "v2"})
+
+
 def test_instances_that_record_at_once_lose_no_version(case):
     """Guards against a record that one instance writes over that of another one."""
     table, clock = MemoryTable(), ManualClock()
--- a/amaranthbay/fleet/versions.py
+++ b/amaranthbay/fleet/versions.py
@@ -173,11 +173,11 @@
         for service in tuple(self._records):
             for version in self._listed(service):
                 self._note_seen(service, version, now)
-            if not self._records_first():
-                continue
             gone = self._gone(service, now)
-            if gone:
+            if gone and self._records_first():
                 self._start(service, self._record_end, gone)
+            elif gone:
+                self._forget_registration(service, gone)
 
     def _gone(self, service, now):
         """Returns the registered versions whose servers left some time ago."""
@@ -187,6 +187,15 @@
         self._unlisted_since[service] = since
         return {version for version in unlisted if now - since[version] >= END_DELAY_S}
 
+    def _forget_registration(self, service, gone):
+        """Lets versions be looked up again before they are used, if they come back.
+
+        Another instance records their end.
+        """
+        row_version, record = self._records[service]
+        kept = {name: at for name, at in record.versions.items() if name not in gone}
+        self._records[service] = row_version, _Record(kept)
+
     def forget_records(self):
         """Reads and writes all records again, as a restored store may lack some."""
         self._records.clear()
