Drop versions that ended long ago from the record

The record of a service's versions grew by one version with each release and would have outgrown a row of the store (65,536 bytes) after some hundred or thousand of them. From then on no version could have been recorded, and callers could have got streams joined from two versions again.

--- a/amaranthbay/fleet/tests/test_versions.py
+++ b/amaranthbay/fleet/tests/test_versions.py
@@ -149,6 +149,20 @@
     case.assertEqual(other.use("v1", "v2"), {"v1", "v2"})
 
 
+def test_record_does_not_grow_with_each_release(case):
+    """Guards against a record that outgrows a row of the store after many releases."""
+    view = instance()
+    for number in range(20):
+        registered(view, f"v{number}")
+        view.history.sweep()
+        view.clock.advance(END_DELAY_S)
+        view.history.sweep()
+        gevent.sleep(0)
+        view.clock.advance(VERSION_LIFE_S)
+    versions = view.table.rows[SERVICE].value["versions"]
+    case.assertLess(len(versions), 5)
+
+
 def test_instances_that_record_at_once_lose_no_version(case):
     """Guards against a record that one instance writes over that of another one."""
     table, clock = MemoryTable(), ManualClock()
--- a/amaranthbay/fleet/versions.py
+++ b/amaranthbay/fleet/versions.py
@@ -22,6 +22,9 @@
 # Time for which this instance counts a version that it no longer sees. The end of a
 # version is recorded later than its servers leave.
 VERSION_LIFE_S = STREAM_LIFE_S + 30.0
+# Time for which the record keeps a version that has ended; longer than any instance
+# counts it.
+RECORD_LIFE_S = 2 * VERSION_LIFE_S
 # Time for which no server of a version is listed before its end is recorded.
 END_DELAY_S = 5.0
 # Longest wait for the first read of a service's versions.
@@ -292,6 +295,11 @@
 
     def _write(self, service, row_version, versions):
         """Writes a service's row if it is unchanged; returns whether it was written."""
+        versions = {
+            version: ended_at
+            for version, ended_at in versions.items()
+            if self._age_s(ended_at) < RECORD_LIFE_S
+        }
         write = Write(service, {"versions": versions}, if_version=row_version)
         outcome = self._table.commit((write,))
         current_metrics().store_called("versions_write", outcome.state)
