Leave each version a decode server when servers switch to prefill

Callers that took up streams of a version were refused although several servers of it served: the balancer of the pools orders the least loaded decode servers to switch, and in a release that is often the last one of the version that is leaving, since its load falls. A prefill server can't go on with a stream.

The last decode server of each version stays. Where versions have one each, no decode server is moved until they have left or grown.

test_last_decode_server_of_a_version_stays fails on the parent commit and passes now.

--- a/amaranthbay/daemon/staging.py
+++ b/amaranthbay/daemon/staging.py
@@ -1,5 +1,7 @@
 """Moves model servers between the prefill and decode pools to fit the load."""
 
+from collections import Counter
+
 import gevent
 
 from amaranthbay.observe import log_decision, log_event
@@ -133,6 +135,8 @@
             self._ctx.candidates(service.name, source),
             key=lambda candidate: (candidate.memory_tokens + candidate.prefill_tokens),
         )
+        if source is Stage.DECODE:
+            candidates = _without_last_of_version(candidates)
         # The prefill pool gives all surplus servers at once. The decode pool, which is
         # the bottleneck, gives half of them at a time, since a server that switches
         # serves neither pool.
@@ -216,3 +220,20 @@
             CALL_TIMEOUT_S,
             (self._ctx.codec.expect_server(server.name),),
         )
+
+
+def _without_last_of_version(candidates):
+    """Returns the candidates without the most loaded one of each software version.
+
+    Streams that began at a version can go on only at a decode server of it.
+
+    Args:
+        candidates: `Candidate` of each decode server, the least loaded first.
+    """
+    left = Counter(candidate.server.version for candidate in candidates)
+    surplus = []
+    for candidate in candidates:
+        if left[candidate.server.version] > 1:
+            left[candidate.server.version] -= 1
+            surplus.append(candidate)
+    return surplus
--- a/amaranthbay/daemon/tests/test_staging.py
+++ b/amaranthbay/daemon/tests/test_staging.py
@@ -1,7 +1,7 @@
 """Orders that move model servers between the pools."""
 
 from amaranthbay.daemon.staging import MIN_UNBALANCED_S, RANK_DELAY_S, StageBalancer
-from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus
+from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus, ServerLoad
 from amaranthbay.platform.tests.fixtures import entry_fixture
 from amaranthbay.relay.pools import StageDemand
 from amaranthbay.relay.switches import LIST_LAG_S, SwitchRecord
@@ -24,13 +24,14 @@
         )
 
 
-def make_balancer(case, prefill_s=0.1, decode_s=0.5):
+def make_balancer(case, prefill_s=0.1, decode_s=0.5, prefill=PREFILL, **fields):
     """Returns a balancer for three prefill servers and one decode server.
 
     It comes with its fixture and its clock. By default, decode takes longer than
-    prefill, so that two prefill servers should switch.
+    prefill, so that two prefill servers should switch. Further fields are arguments of
+    `entry_fixture`.
     """
-    fixture = case.enterContext(entry_fixture(prefill=PREFILL))
+    fixture = case.enterContext(entry_fixture(prefill=prefill, **fields))
     daemon, clock = fixture.daemon, ManualClock()
     daemon._balancer_jobs.stop()
     table = daemon._adapter.open_table(daemon.store, "leases")
@@ -137,6 +138,20 @@
     case.assertEqual(usable, {"pre-3", "dec-1"})
 
 
+def test_last_decode_server_of_a_version_stays(case):
+    """Guards against a switch that leaves the streams of a version no server."""
+    versions = {"dec-1": "v1", "dec-2": "v1", "dec-3": "v2", "dec-4": "v3"}
+    balancer, fixture, clock = make_balancer(
+        case, 1.0, 0.5, ("pre-1",), decode=tuple(versions), versions=versions
+    )
+    fixture.daemon.placed_load.add("dec-1", ServerLoad(1, 100, 0))
+    fixture.daemon.placed_load.add("dec-2", ServerLoad(1, 200, 0))
+    balancer.step()
+    clock.advance(MIN_UNBALANCED_S + 0.1)
+    balancer.step()
+    case.assertEqual(set(balancer._ctx.switches.switching()), {"dec-1"})
+
+
 def test_switch_that_never_shows_is_given_up(case):
     """Guards against a server that gets no work forever after a lost order."""
     balancer, fixture, clock = make_balancer(case)
