Share reads of a service's versions among take-ups of one moment

After the death of all instances, every stream in progress is taken up within moments, and each take-up read the versions of its service from the store. At 5,300 streams a second these are tens of thousands of calls to a store that takes 2,000 reads a second, at the moment at which all instances read their tables from it.

A take-up waits for the next read of its instance now. A read that was sent before the take-up came doesn't count for it, and the wait is at most 0.1 s.

test_take_ups_of_one_moment_share_reads fails on the parent commit (100 reads) and passes now.

--- a/amaranthbay/fleet/tests/test_versions.py
+++ b/amaranthbay/fleet/tests/test_versions.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+import gevent.event
 
 from amaranthbay.dispatch.tests.fake_peers import MemoryTable
 from amaranthbay.fleet.versions import (
@@ -12,6 +13,7 @@
     VERSION_LIFE_S,
     VersionHistory,
 )
+from amaranthbay.platform.types import Write
 from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 SERVICE = "lm"
@@ -149,6 +151,30 @@
     case.assertEqual(other.use("v1", "v2"), {"v1", "v2"})
 
 
+def test_take_ups_of_one_moment_share_reads(case):
+    """Guards against using up the store's calls as all streams are taken up at once,
+    and against an answer from before a take-up came."""
+    view, reads = registered(instance(), "v1"), []
+    read, answered = view.table.read, gevent.event.Event()
+
+    def slow_read(key):
+        reads.append(key)
+        row = read(key)
+        answered.wait()
+        return row
+
+    view.table.read = slow_read
+    early = [gevent.spawn(view.sole) for _ in range(50)]
+    wait_until(lambda: reads)
+    view.table.commit((Write(SERVICE, {"versions": {"v1": None, "v2": None}}),))
+    late = [gevent.spawn(view.sole) for _ in range(50)]
+    gevent.sleep(0)
+    answered.set()
+    case.assertEqual({job.get(timeout=5.0) for job in late}, {None})
+    gevent.joinall(early, timeout=5.0)
+    case.assertLessEqual(len(reads), 3)
+
+
 def test_record_does_not_grow_with_each_release(case):
     """Guards against a record that outgrows a row of the store after many releases."""
     view = instance()
--- a/amaranthbay/fleet/versions.py
+++ b/amaranthbay/fleet/versions.py
@@ -29,6 +29,8 @@
 END_DELAY_S = 5.0
 # Longest wait for the first read of a service's versions.
 FIRST_READ_TIMEOUT_S = 0.5
+# Longest delay of a read that waits for the end of the one before it.
+MAX_READ_DELAY_S = 0.1
 # Delay of the instances that leave the record of a new version to another one.
 MIN_FOLLOWER_DELAY_S, MAX_FOLLOWER_DELAY_S = 0.1, 0.4
 # Delays after a failed read or write; each further failure doubles the delay.
@@ -77,6 +79,8 @@
         # Monotonic time from which a registered version is not listed, by service.
         self._unlisted_since = {}
         self._first_reads = {}
+        # Greenlets that read the row of a service, and that do so after those.
+        self._reads, self._next_reads = {}, {}
         # Greenlets that write the record of a service.
         self._writers = {}
 
@@ -153,10 +157,10 @@
             ``Result[str | None, PlatformFailure]`` with that version, or None if the
             store names several or none.
         """
-        read = self._read(service)
+        read = self._read_shared(service)
         if read.is_err():
             return read
-        _, record = self._records[service]
+        _, record = read.unwrap()
         possible = {
             version
             for version, ended_at in record.versions.items()
@@ -165,6 +169,24 @@
         possible |= self._listed(service)
         return Ok(possible.pop() if len(possible) == 1 else None)
 
+    def _read_shared(self, service):
+        """Reads a service's row once for all that wait for it; see `_read`.
+
+        A read that is in progress may have been answered before this call.
+        """
+        job = self._next_reads.get(service)
+        if job is None:
+            previous = self._reads.get(service)
+            job = gevent.spawn(self._read_after, previous, service)
+            self._next_reads[service] = job
+        return job.get()
+
+    def _read_after(self, previous, service):
+        if previous is not None:
+            previous.join(MAX_READ_DELAY_S)
+        self._reads[service] = self._next_reads.pop(service)
+        return self._read(service)
+
     def _age_s(self, ended_at):
         """Returns the seconds since the end of a version; 0 while it serves."""
         now = self._store_time()
@@ -267,7 +289,11 @@
             self._write(service, row_version, record.versions | ended)
 
     def _read(self, service):
-        """Reads a service's row; returns ``Result[None, PlatformFailure]``."""
+        """Reads a service's row.
+
+        Returns:
+            ``Result[tuple[int, _Record], PlatformFailure]`` with the row's version.
+        """
         reply = self._table.read(service)
         current_metrics().store_called(
             "versions_read", "failed" if reply.err() else "ok"
@@ -284,7 +310,7 @@
                 log_event("versions_unreadable", level="error", detail=str(exc))
                 return Err(PlatformFailure(f"unreadable versions: {exc}"))
         self._adopt(service, row_version, record)
-        return Ok(None)
+        return Ok((row_version, record))
 
     def _adopt(self, service, row_version, record):
         now = self._clock.monotonic()
