Write records of streams less often while the store is down

While the store refused all calls, each instance beside several versions repeated its write every 0.4 s, for as long as the store was away. Such calls are priced, and a store that comes back gets those of all instances at once.

The delay doubles with each failure now, up to 2.4 s. test_writes_are_rare_while_the_store_is_down fails on the parent commit and passes now.

--- a/amaranthbay/relay/origins.py
+++ b/amaranthbay/relay/origins.py
@@ -30,7 +30,8 @@
 # records of all instances may use.
 WRITE_SHARE = 0.25
 PART_WRITE_SHARE = 0.5
-RETRY_DELAY_S = 0.3
+# Delays after a failed write; each further failure doubles the delay.
+RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.3, 2.4
 # Largest number of rows in one transaction of the store.
 MAX_ROWS = 100
 # Longest attempt id that the store can keep as a key.
@@ -268,12 +269,16 @@
 
     def run(self):
         """Writes records; runs until killed."""
+        retry_s = RETRY_DELAY_S
         while True:
             self._wanted.wait()
             self._clock.sleep(self._interval_s())
             self._wanted.clear()
-            if not self._flush():
-                self._clock.sleep(RETRY_DELAY_S)
+            if self._flush():
+                retry_s = RETRY_DELAY_S
+            else:
+                self._clock.sleep(retry_s)
+                retry_s = min(MAX_RETRY_DELAY_S, 2 * retry_s)
             if self._pending:
                 self._wanted.set()
 
--- a/amaranthbay/relay/tests/test_origins.py
+++ b/amaranthbay/relay/tests/test_origins.py
@@ -63,6 +63,20 @@
     case.assertEqual(table.rows["a1"].value["version"], "v1")
 
 
+def test_writes_are_rare_while_the_store_is_down(case):
+    """Guards against instances that load a store which comes back with their calls."""
+    table = MemoryTable()
+    subject, clock = origins(case, table)
+    commits, commit = [], table.commit
+    table.commit = lambda writes: (commits.append(writes), commit(writes))[1]
+    table.down = True
+    subject.note_began(call(), "v1")
+    wait_until(lambda: clock.monotonic() > STREAM_LIFE_S)
+    case.assertLess(len(commits), clock.monotonic())
+    table.down = False
+    wait_until(lambda: "a1" in table.rows)
+
+
 def test_more_streams_than_a_transaction_takes_are_recorded(case):
     """Guards against a transaction that the store refuses for its size."""
     table = MemoryTable()
