Count versions that a restored store lacks at take-ups

Callers could get a stream joined from two versions right after the store was restored from an older copy: until an instance had written the versions again, a take-up read the old record, and the version that it named counted as the only one, although the instance itself had seen a further one.

Versions that the instance has seen within the life of a stream count now, besides those of the record and of listed servers. A process that starts between the restore and the next write of the record is not covered.

test_version_that_a_restored_store_lacks_counts fails on the parent commit and passes now.

--- a/amaranthbay/fleet/tests/test_versions.py
+++ b/amaranthbay/fleet/tests/test_versions.py
@@ -228,6 +228,17 @@
     case.assertIsNone(view.sole())
 
 
+def test_version_that_a_restored_store_lacks_counts(case):
+    """Guards against a take-up at an older version right after a restore."""
+    view = registered(instance(), "v1", "v2")
+    view.table.commit((Write(SERVICE, {"versions": {"v1": None}}),))
+    view.history.forget_records()
+    view.listed = {"v1"}
+    case.assertIsNone(view.sole())
+    view.clock.advance(STREAM_LIFE_S)
+    case.assertEqual(view.sole(), "v1")
+
+
 def test_listed_version_counts_before_it_is_recorded(case):
     """Guards against a take-up at the old version as the store goes away."""
     view = registered(instance(), "v1")
--- a/amaranthbay/fleet/versions.py
+++ b/amaranthbay/fleet/versions.py
@@ -141,10 +141,10 @@
         """Returns the versions that this instance knows of, listed ones included."""
         return self._listed(service).union(self._recent(service))
 
-    def _recent(self, service):
-        oldest = self._clock.monotonic() - VERSION_LIFE_S
+    def _recent(self, service, life_s=VERSION_LIFE_S):
+        oldest = self._clock.monotonic() - life_s
         seen = self._seen.get(service, {})
-        return [version for version, seen_at in seen.items() if seen_at >= oldest]
+        return [version for version, seen_at in seen.items() if seen_at > oldest]
 
     def known_sole_version(self, service):
         """Returns the only recent version as far as this instance knows, or None."""
@@ -166,7 +166,8 @@
             for version, ended_at in record.versions.items()
             if self._age_s(ended_at) < STREAM_LIFE_S
         }
-        possible |= self._listed(service)
+        # A restored store may lack versions that this instance has seen.
+        possible |= self._listed(service).union(self._recent(service, STREAM_LIFE_S))
         return Ok(possible.pop() if len(possible) == 1 else None)
 
     def _read_shared(self, service):
