--- a/amaranthbay/fleet/tables.py
+++ b/amaranthbay/fleet/tables.py
@@ -271,13 +271,15 @@
         return self._is_newer(*self._reported)
 
     def _is_newer(self, last_change, era):
-        """Returns whether a change is newer than the last one in the view.
+        """Returns whether a change is newer than the view.
+
+        A removal leaves no row, so the version of the last change alone may be older.
 
         Versions of different eras can't be compared; the higher era is newer.
         """
         if era != self.era:
             return era is not None and (self.era is None or era > self.era)
-        return last_change > self.last_change
+        return last_change > max(self.last_change, self.version or 0)
 
     def _probe_store(self):
         """Calls the store at once after another follower has reported it lost.
--- a/amaranthbay/fleet/tests/test_tables.py
+++ b/amaranthbay/fleet/tests/test_tables.py
@@ -329,6 +329,16 @@
         follower.note_newer(100)
 
 
+def test_removal_before_the_snapshot_is_no_newer_change(case):
+    """Guards against a table that counts as out of date until its next change."""
+    follower, *_ = make_follower(Ok(Snapshot((row("a", b"1", 95),), 100)))
+    follower.step()
+    follower.note_newer(100)
+    case.assertFalse(follower.is_behind())
+    follower.note_newer(101)
+    case.assertTrue(follower.is_behind())
+
+
 def test_batch_delay_is_determined_after_each_change(case):
     """Guards against a chosen instance that keeps the long batch delay that it had on
     standby."""
