Test take-ups at another instance than the one that began a stream

The tests of versions used one instance at a time. Two instances on one store show that the record carries a version over, and that take-ups go on in an outage of the store while the instances hear each other.

--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -1,15 +1,20 @@
 """Streams beside servers of several software versions."""
 
+import random
+
 import gevent
 import msgspec
 
+from amaranthbay.daemon.entry import EntryDaemon
 from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.platform.adapter import PlatformAdapter
 from amaranthbay.platform.rows import RowStore, RowTable
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
     configuration,
     connect,
     entry_fixture,
+    make_settings,
     stream_request,
 )
 from amaranthbay.platform.tests.standins import ServerStandin, StoreStandin, serve_http
@@ -357,6 +362,44 @@
     case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
 
 
+def second_daemon(case, fixture):
+    """Returns a second daemon on the fixture's store, which hears the first one."""
+    settings = make_settings(fixture.store_address, "entry-2")
+    daemon = EntryDaemon(settings, PlatformAdapter(), rng=random.Random(2))
+    daemon.start()
+    case.addCleanup(daemon.close)
+    daemons = (fixture.daemon, daemon)
+    wait_until(lambda: all(len(each.peers.live()) == 2 for each in daemons), 10.0)
+    return daemon
+
+
+def test_take_up_goes_on_in_an_outage_at_instances_that_hear_each_other(case):
+    """Guards against losing streams of calm times in each outage of the store."""
+    fixture = case.enterContext(entry_fixture())
+    second_daemon(case, fixture)
+    call_raw(fixture.address, stream_request("/resume/x", "a1"))
+    wait_until(lambda: ("versions", "lm") in fixture.store.rows)
+    fixture.store.error_status = 503
+    answer = take_up(fixture, "b1", "of-another-instance")
+    case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+
+
+def test_stream_that_another_instance_takes_up_is_not_joined(case):
+    """Guards against a version that only the instance that began a stream knows."""
+    fixture = two_versions(case)
+    daemon = second_daemon(case, fixture)
+    for number in range(STREAMS):
+        begin_stream(fixture, f"a{number}").close()
+    wait_until(lambda: len(daemon.backends.usable("lm")) == len(VERSIONS) - 2)
+    gevent.sleep(RECORDED_S)
+    for number in range(STREAMS):
+        headers = (("Last-Event-Id", "1"), ("Resumes", f"a{number}"))
+        raw_request = stream_request("/resume/x", f"b{number}", headers)
+        answer = call_raw(daemon.settings.caller_address, raw_request)
+        case.assertEqual((answer.status, answer.body), (200, events(2, 3)))
+        case.assertEqual(len(versions_of(fixture, f"a{number}", f"b{number}")), 1)
+
+
 def test_take_up_is_refused_while_the_store_is_away_beside_two_versions(case):
     """Guards against a take-up at a guessed version during an outage of the store."""
     fixture = two_versions(case)
