--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -27,6 +27,7 @@
 MAX_LIMITED_SERVERS = 5
 MIN_STEPS, MAX_STEPS = 6, 14
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 3.0
+POLL_S = 0.05
 
 # `draw_steps` draws from the sorted names of the kinds that have no generator of their
 # own, so a new name among these would change the schedules of all seeds.
@@ -126,8 +127,8 @@
 def run_steps(deployment, steps):
     """Runs a schedule; returns once the last fault has ended.
 
-    Steps overlap. A step is skipped if a running one uses the same resource, since the
-    end of the first fault would also end the second.
+    Steps overlap. A step is skipped, or waits, if a running one uses the same resource,
+    since the end of the first fault would also end the second.
     """
     started_at = time.monotonic()
     resources_in_use = set()
@@ -141,8 +142,10 @@
 def _run_step(deployment, step, resources_in_use):
     fault = FAULTS[step.kind]
     resources = _exclusive_resources(deployment, step)
-    if resources & resources_in_use:
-        return
+    while resources & resources_in_use:
+        if not fault.waits:
+            return
+        gevent.sleep(POLL_S)
     resources_in_use |= resources
     started_at = time.monotonic()
     try:
--- a/amaranthbay/platform/tests/soak/release_faults.py
+++ b/amaranthbay/platform/tests/soak/release_faults.py
@@ -33,7 +33,8 @@
     the ones at the spare places leave.
     """
 
-    max_steps = 3
+    max_steps = 2
+    waits = True
 
     def targets(self, deployment):
         return ["models"]
--- a/amaranthbay/platform/tests/soak/steps.py
+++ b/amaranthbay/platform/tests/soak/steps.py
@@ -42,11 +42,14 @@
         max_steps: Largest number of its steps in a run, for a kind whose steps are
             drawn by a generator of its own; 0 for any other kind.
         beside: Names of the kinds beside which half of these steps come.
+        waits: Whether a step waits for a running one that uses the same resource,
+            instead of being skipped.
     """
 
     settle_s = SETTLE_S
     max_steps = 0
     beside = ()
+    waits = False
 
     def targets(self, deployment):
         """Returns the names of its possible targets; by default all processes."""
