Interrupt only answers that have not begun at the end of a drain

A caller could get a cut answer as a planned stop ended, although its server had answered in time: the process interrupts each request in progress whose caller has got nothing yet, so that it is answered with 504, but the exception arrived one turn of the event loop after the check. An answer that began in this turn was broken off in its body. If it was already written, the exception ended the read of the connection's next request.

The check is now made as the exception is raised, in the event loop, where no handler can run in between.

The test lets a handler begin a large answer in that turn.

--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -428,9 +428,17 @@
 
     def interrupt_busy(self, exc):
         """Raises an exception in each handler whose caller has got nothing yet."""
+        loop = gevent.get_hub().loop
         for conn in tuple(self.busy):
-            if not conn.started:
-                gevent.kill(conn.greenlet, exc)
+            loop.run_callback(self._interrupt, conn, exc)
+
+    def _interrupt(self, conn, exc):
+        """Raises an exception in a handler; runs in the event loop.
+
+        The answer may have begun since the interruption was scheduled.
+        """
+        if conn in self.busy and not conn.started:
+            conn.greenlet.throw(exc)
 
 
 def _listen(address):
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -7,6 +7,7 @@
 import gevent.event
 from gevent import socket
 
+from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.platform.tests.fixtures import read_answer
 from amaranthbay.relay import listener as listener_module
 from amaranthbay.relay.listener import Listener
@@ -214,4 +215,22 @@
         case.assertGreaterEqual(size, len(body))
 
 
+def test_answer_that_begins_as_its_request_is_interrupted_is_whole(case):
+    """Guards against a cut answer that began just before its handler is interrupted."""
+    body = b"x" * 30_000_000
+    release = gevent.event.Event()
+
+    def answer(conn, req):
+        release.wait()
+        conn.answer(200, [], body)
+
+    with connection(ClientLimits, answer) as (sock, listener):
+        sock.sendall(REQUEST)
+        wait_until(lambda: listener.busy)
+        release.set()
+        listener.interrupt_busy(ProcessStops("the daemon has to stop"))
+        answer = read_answer(sock)
+        case.assertEqual((answer.complete, len(answer.body)), (True, len(body)))
+
+
 load_tests = collect(globals())
