Refuse streams that are looked up as a drain ends

A caller that took a stream up on a route with several services got 500, and the log named a defect, if the planned stop reached its end while the store was asked at which service the stream began. The interruption of requests without an answer was expected only after that step.

Nothing has been sent to a server by then, so the request is refused with 503 like the ones that arrive late in a stop.

The test interrupts such a request beside a silent store. It failed on with 500 and passes now.

--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -11,6 +11,7 @@
 from amaranthbay.daemon import entry as entry_module
 from amaranthbay.daemon.entry import SERVE_FRACTION
 from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.platform.tests.fixtures import (
     configuration,
     connect,
@@ -28,6 +29,7 @@
     hang,
     pause_between_events,
 )
+from amaranthbay.platform.tests.test_entry_versions import split_route, take_up
 from amaranthbay.utils.testing import collect, wait_until
 
 # Requests that were sent later than this after SIGTERM must be answered.
@@ -201,4 +203,15 @@
         case.assertEqual((answer.status, answer.complete), (504, True))
 
 
+def test_take_up_that_is_looked_up_at_the_end_of_a_drain_is_refused(case):
+    """Guards against a failure in place of a refusal for a stream that no server has
+    got, as the store is silent."""
+    fixture = split_route(case)
+    fixture.store.silent = True
+    answer = gevent.spawn(take_up, fixture, "b1", "a1")
+    wait_until(lambda: fixture.daemon.listener.busy)
+    fixture.daemon.listener.interrupt_busy(ProcessStops("the daemon has to stop"))
+    case.assertEqual(answer.get().status, 503)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -68,6 +68,8 @@
             head = self._ctx.codec.read_call(req.headers)
             request_id = head.attempt_id
             call = self._accept(req, head, arrived_at)
+        except ProcessStops:
+            call = draining()
         except Exception as exc:
             call = self._log_defect(conn, request_id, exc).with_verdict(Verdict.NOT_RUN)
         if isinstance(call, Refusal):
