Answer take-ups by their time limit while the store is slow

Callers that took a stream up got their answer after their deadline, or after the time limit of the route, if the store was slow to tell where the stream began: the limit was applied only to what follows this lookup, both that of the service on a route with several and that of the software version.

Both lookups now end at the limit. No server has got the stream by then, so the answer is 503.

The tests let a lookup hang for 30 s beside a deadline of 0.2 s.

--- a/amaranthbay/platform/tests/test_entry_versions.py
+++ b/amaranthbay/platform/tests/test_entry_versions.py
@@ -1,5 +1,7 @@
 """Streams beside servers of several software versions."""
 
+from unittest import mock
+
 import gevent
 import msgspec
 
@@ -357,6 +359,29 @@
     case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
 
 
+def check_answer_by_the_deadline(case, fixture):
+    """Takes a stream up whose deadline ends long before the store answers."""
+    headers = (("Last-Event-Id", "1"), ("Resumes", "a1"), ("X-Deadline-Ms", "200"))
+    answer = call_raw(fixture.address, stream_request("/resume/x", "b1", headers))
+    case.assertEqual((answer.status, decodes_of(fixture, "b1")), (503, set()))
+
+
+def test_take_up_is_answered_by_its_deadline_while_the_store_is_slow(case):
+    """Guards against a take-up that waits for the store beyond its time limit."""
+    fixture = two_versions(case)
+    hang = mock.Mock(side_effect=lambda *args: gevent.sleep(30.0))
+    case.enterContext(mock.patch.object(fixture.daemon.origins, "find", hang))
+    check_answer_by_the_deadline(case, fixture)
+
+
+def test_take_up_on_a_split_route_is_answered_by_its_deadline(case):
+    """Guards against a take-up whose service is looked up beyond its time limit."""
+    fixture = split_route(case)
+    hang = mock.Mock(side_effect=lambda *args: gevent.sleep(30.0))
+    case.enterContext(mock.patch.object(fixture.daemon.origins, "find_service", hang))
+    check_answer_by_the_deadline(case, fixture)
+
+
 def test_take_up_is_refused_while_the_store_is_away_beside_two_versions(case):
     """Guards against a take-up at a guessed version during an outage of the store."""
     fixture = two_versions(case)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -4,6 +4,8 @@
 import uuid
 from datetime import timedelta
 
+import gevent
+
 from amaranthbay.kernel.errors import (
     CallerGone,
     ProcessStops,
@@ -141,15 +143,13 @@
         """
         names = {share.service for share in route.services}
         if len(names) > 1 and route.kind is CallKind.STREAM and head.continues:
-            began_at = self._ctx.origins.find_service(head)
-            if began_at in names:
-                return began_at
+            with gevent.Timeout(_time_limit_s(route, head), False):
+                began_at = self._ctx.origins.find_service(head)
+                if began_at in names:
+                    return began_at
         return choose_service(route, self._ctx.rng.random())
 
     def _build_call(self, req, head, route, service, arrived_at):
-        limit_s = route.timeout_s
-        if head.deadline_s is not None:
-            limit_s = min(limit_s, head.deadline_s)
         self._ctx.budget(service.name).note_request()
         return Call(
             request_id=head.attempt_id or uuid.uuid4().hex,
@@ -162,7 +162,7 @@
             route=route,
             service=service,
             arrived_at=arrived_at,
-            ends_at=arrived_at + limit_s,
+            ends_at=arrived_at + _time_limit_s(route, head),
         )
 
     def _relay(self, conn, call):
@@ -231,6 +231,13 @@
         )
 
 
+def _time_limit_s(route, head):
+    """Returns the seconds within which a request has to be answered."""
+    if head.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, head.deadline_s)
+
+
 def _header(headers, name):
     for header_name, value in headers:
         if header_name == name:
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import gevent
+from result import Err, Ok
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import Step, current_metrics, log_event
@@ -112,16 +113,19 @@
         Returns:
             `Refusal` if nothing was sent to the caller, else None.
         """
-        version = None
+        found = Err(timed_out(Verdict.NOT_RUN))
+        with gevent.Timeout(call.left_s(self._ctx.clock.monotonic()), False):
+            found = self._find_version(call)
+        if found.is_err():
+            return found.unwrap_err()
+        return _StreamRun(self._ctx, self._queue, call, conn, found.unwrap()).run()
+
+    def _find_version(self, call):
+        """Returns ``Result[str | None, Refusal]``: version of a continued stream."""
         if call.route.resumable:
             self._ctx.versions.wait_until_read(call.service.name)
         # The route may have been resumable when the stream began.
-        if call.head.continues:
-            found = self._ctx.origins.find(call)
-            if found.is_err():
-                return found.unwrap_err()
-            version = found.unwrap()
-        return _StreamRun(self._ctx, self._queue, call, conn, version).run()
+        return self._ctx.origins.find(call) if call.head.continues else Ok(None)
 
 
 class _StreamRun:
