Close the connection of a call that ends as its attempt begins

If a caller left, or another copy of its call was answered, in the turn of the event loop in which an attempt had been sent, the connection to its server stayed open until the garbage collector found it, and the server worked on. The greenlet of the attempt was ended before it had begun, so that its own clean-up, which closed the connection, never ran.

The connection is now closed as the greenlet ends, whether or not it has begun.

The test lets the caller leave in that turn. It failed on, with a connection that was still open when the wait for its close ran out, and passes now, as do the other tests of plain calls.

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -1,5 +1,7 @@
 """Plain calls through an entry daemon: forwarding, retries and refusals."""
 
+from unittest import mock
+
 import gevent
 import gevent.event
 import gevent.socket
@@ -15,7 +17,9 @@
     request,
 )
 from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.relay import plain
 from amaranthbay.relay.budget import BudgetLimits
+from amaranthbay.relay.exchange import open_exchange
 from amaranthbay.relay.listener import CallerConnection
 from amaranthbay.utils.testing import collect, wait_until
 
@@ -547,4 +551,22 @@
     case.assertEqual(call(fixture, "/book/x", "POST", b"other").status, 502)
 
 
+def test_connection_is_closed_if_its_call_ends_as_the_attempt_begins(case):
+    """Guards against a connection to a server that stays open for a caller who left in
+    the moment at which the request was sent."""
+    fixture = case.enterContext(entry_fixture())
+    fixture.servers["desk-1"].replies.append(lambda req: gevent.sleep(30.0))
+    exchanges = []
+
+    def open_as_caller_leaves(*args):
+        exchanges.append(open_exchange(*args))
+        gevent.kill(gevent.getcurrent(), CallerGone("the caller has gone"))
+        return exchanges[-1]
+
+    case.enterContext(mock.patch.object(plain, "open_exchange", open_as_caller_leaves))
+    call(fixture, "/look/x")
+    (exchange,) = exchanges
+    wait_until(lambda: exchange._conn.sock.closed)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -227,7 +227,10 @@
                 exchange.close()
                 return Ok(None)
             self._tried.add(server.name)
-            self._greenlets.append(gevent.spawn(self._attempt, server, exchange, now))
+            attempt = gevent.spawn(self._attempt, server, exchange, now)
+            # The call may end before the attempt begins.
+            attempt.link(lambda _: exchange.close())
+            self._greenlets.append(attempt)
             return Ok(None)
 
     def _held_back_refusal(self, excluded=frozenset()):
@@ -287,7 +290,6 @@
             outcome = Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
         finally:
             release()
-            exchange.close()
         self._note_outcome(server, outcome, started_at)
         self._attempt_outcomes.put(outcome)
 
