Count the idle time of decode connections during a prefill

A caller whose stream may not be repeated could get 502 from a sound decode server that closed the connection at the moment of the request. A connection to a decode server is taken before the prompt is computed; after the prefill only its state was checked, not its idle time. It could then have been idle for the 1.5 s after which no such request may use it, and for the prefill besides.

The idle limit is checked again when the request is sent. A new connection counts from its opening.

The test sends a request on a connection that was taken longer ago than the limit.

--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -31,7 +31,7 @@
         server: Name of the server.
         sock: Connected socket.
         idle_limit_s: Idle time after which it isn't used again.
-        idle_since: Monotonic time at which it was given back.
+        idle_since: Monotonic time at which it was opened, or its last answer ended.
         uses: Number of requests that were sent on it.
         for_holds: Whether it carries only calls for holds. Their answers bear no
             attempt id, so that a repeat of one would pass for that to any request.
@@ -107,17 +107,27 @@
         idle = self._idle[_pool_key(server.name, for_holds)]
         while idle:
             conn = idle.pop()
-            limit_s = conn.idle_limit_s
-            if not repeatable:
-                limit_s = min(limit_s, IDLE_LIMIT_NON_IDEMPOTENT_S)
-            fresh = self.clock.monotonic() - conn.idle_since < limit_s
             refused = attempt_id in conn.refused_ids
-            if fresh and not refused and conn.is_quiet():
+            if not refused and self.is_usable(conn, repeatable):
                 return conn
             conn.close()
         self._on_open(server)
         sock = connect(server.address, timeout_s)
-        return ServerConnection(server.name, sock, for_holds=for_holds)
+        now = self.clock.monotonic()
+        return ServerConnection(server.name, sock, idle_since=now, for_holds=for_holds)
+
+    def is_usable(self, conn, repeatable):
+        """Returns whether a request may be sent on an idle connection.
+
+        Args:
+            conn: `ServerConnection` to use.
+            repeatable: Whether the request may be sent again if the connection breaks.
+        """
+        limit_s = conn.idle_limit_s
+        if not repeatable:
+            limit_s = min(limit_s, IDLE_LIMIT_NON_IDEMPOTENT_S)
+        fresh = self.clock.monotonic() - conn.idle_since < limit_s
+        return fresh and conn.is_quiet()
 
     def give_back(self, conn, keep_alive_s):
         """Keeps a connection for reuse, or closes it if there are enough.
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -264,7 +264,7 @@
         call: `Call` to forward.
         options: `ForwardOptions` for the server.
         connect_timeout_s: Longest wait for a connection.
-        conn: `ServerConnection` from `take_connection`, to use if it is still open.
+        conn: `ServerConnection` from `take_connection`, to use if it is still usable.
         placed: Whether placement has counted the request for the server's limit.
 
     Returns:
@@ -277,8 +277,11 @@
     request_bytes = _encode(codec, call, options)
     _check_send(pool, server, placed)
     attempt_id = call.head.attempt_id
-    if conn is None or not conn.is_quiet():
-        repeatable = call.route.repeatable
+    repeatable = call.route.repeatable
+    if conn is not None and not pool.is_usable(conn, repeatable):
+        conn.close()
+        conn = None
+    if conn is None:
         conn = take_connection(pool, server, repeatable, connect_timeout_s, attempt_id)
     # The server may answer before it has read a long body.
     sender = gevent.spawn(_send, conn.sock, request_bytes)
--- a/amaranthbay/relay/tests/test_exchange.py
+++ b/amaranthbay/relay/tests/test_exchange.py
@@ -8,7 +8,11 @@
 
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.relay.codec import AnswerTraits
-from amaranthbay.relay.connections import MAX_REFUSED_IDS, ConnectionPool
+from amaranthbay.relay.connections import (
+    IDLE_LIMIT_NON_IDEMPOTENT_S,
+    MAX_REFUSED_IDS,
+    ConnectionPool,
+)
 from amaranthbay.relay.exchange import ExchangeBroken, control_exchange, open_exchange
 from amaranthbay.utils.testing import ManualClock, collect
 
@@ -56,8 +60,8 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-def send(pool, attempt_id, body=b""):
-    """Sends a call and returns its `Exchange`."""
+def send(pool, attempt_id, body=b"", conn=None):
+    """Sends a call, on a taken connection if any, and returns its `Exchange`."""
     call = SimpleNamespace(
         method=b"POST",
         target=b"/x",
@@ -67,7 +71,7 @@
         head=SimpleNamespace(attempt_id=attempt_id),
         route=SimpleNamespace(repeatable=False),
     )
-    return open_exchange(pool, Codec(), SERVER, call, None, TIMEOUT_S)
+    return open_exchange(pool, Codec(), SERVER, call, None, TIMEOUT_S, conn)
 
 
 def read(exchange):
@@ -220,4 +224,16 @@
     case.assertEqual(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
 
 
+def test_connection_that_was_taken_long_before_its_request_is_not_used(case):
+    """Guards against a request that is lost because the server closes the connection,
+    which was idle during a prefill, at that moment."""
+    pool, ends = make_pool(case)
+    conn = pool.take(SERVER, False, TIMEOUT_S)
+    pool.clock.advance(IDLE_LIMIT_NON_IDEMPOTENT_S + 0.1)
+    exchange = send(pool, "a1", conn=conn)
+    case.addCleanup(exchange.close)
+    case.assertEqual(len(ends), 2)
+    case.assertEqual(ends[0].recv(1), b"")
+
+
 load_tests = collect(globals())
