Keep the age of connections that were taken in vain

A caller whose request may not be repeated could get 502 from a sound server that closed the connection at the moment of the request. A connection that was taken and not used, for a prefill that failed or to probe a server, counted as fresh when it was given back, although the server had seen no request on it.

Such a connection now keeps the time of its last use.

The test probes a server twice within the limit each, beyond it together.

--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -138,12 +138,16 @@
         """
         if keep_alive_s is not None:
             conn.idle_limit_s = max(0.0, keep_alive_s - KEEP_ALIVE_MARGIN_S)
+        conn.idle_since = self.clock.monotonic()
+        self.give_back_unused(conn)
+
+    def give_back_unused(self, conn):
+        """Keeps a connection on which nothing was sent since it was taken."""
         idle = self._idle[_pool_key(conn.server, conn.for_holds)]
         is_used_up = conn.idle_limit_s <= 0 or len(conn.refused_ids) >= MAX_REFUSED_IDS
         if is_used_up or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
             return
-        conn.idle_since = self.clock.monotonic()
         idle.append(conn)
 
     def drop_server(self, name):
--- a/amaranthbay/relay/crashes.py
+++ b/amaranthbay/relay/crashes.py
@@ -181,7 +181,7 @@
     except ExchangeBroken:
         # The process is gone if it refuses the connection or doesn't answer in time.
         return False
-    connections.give_back(conn, None)
+    connections.give_back_unused(conn)
     return True
 
 
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -183,7 +183,7 @@
             return decode_failed(exc)
         finally:
             if conn is not None:
-                ctx.connections.give_back(conn, None)
+                ctx.connections.give_back_unused(conn)
                 drop_hold(ctx, server, hold)
 
     def _decode_computed(self, placement, handle, hold, conn):
--- a/amaranthbay/relay/tests/test_connections.py
+++ b/amaranthbay/relay/tests/test_connections.py
@@ -10,6 +10,7 @@
     IDLE_LIMIT_S,
     ConnectionPool,
 )
+from amaranthbay.relay.crashes import accepts_connections
 from amaranthbay.utils.testing import ManualClock, collect
 
 SERVER = SimpleNamespace(name="desk-1", address="127.0.0.1:1", service="desk")
@@ -52,4 +53,16 @@
     case.assertIsNot(pool.take(SERVER, True, 1.0), conn)
 
 
+def test_connection_that_was_not_used_keeps_its_age(case):
+    """Guards against a call that is lost because its connection, which was taken in
+    vain before, is taken for a fresh one."""
+    pool, clock = make_pool(case)
+    conn = pool.take(SERVER, False, 1.0)
+    pool.give_back(conn, None)
+    for _ in range(2):
+        clock.advance(0.6 * IDLE_LIMIT_NON_IDEMPOTENT_S)
+        case.assertTrue(accepts_connections(pool, SERVER))
+    case.assertIsNot(pool.take(SERVER, False, 1.0), conn)
+
+
 load_tests = collect(globals())
