--- a/amaranthbay/relay/calls.py
+++ b/amaranthbay/relay/calls.py
@@ -4,6 +4,7 @@
 
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.routing import Route, Service
+from amaranthbay.workspaces import Workspace
 
 __all__ = ["Call"]
 
@@ -24,6 +25,7 @@
         service: Service that the route has selected.
         arrived_at: Monotonic time at which the request was read.
         ends_at: Monotonic time of the deadline, at which the relay ends the request.
+        workspace: `Workspace` of the caller's key; None if there is none.
     """
 
     request_id: str
@@ -37,6 +39,14 @@
     service: Service
     arrived_at: float
     ends_at: float
+    workspace: Workspace | None = None
+
+    @property
+    def priority(self):
+        """Rank of the request; 0 is the highest. That of the workspace comes first."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
 
     def left_s(self, now):
         """Returns the seconds until the deadline, at least 0."""
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -1,7 +1,7 @@
 """Interface between the relay and a platform's headers and model server calls."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from amaranthbay.kernel.registry import find, register
 from amaranthbay.routing import Stage
@@ -39,6 +39,8 @@
             off; None if not stated.
         shared_parts: Ids of the parts of the prompt that other requests may share, in
             their order.
+        credentials: Keys that the request carries; left out of the text form, as keys
+            are secret.
     """
 
     attempt_id: str
@@ -51,6 +53,7 @@
     max_output_tokens: int = 0
     expected_tokens: int | None = None
     shared_parts: tuple[str, ...] = ()
+    credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
     @property
     def continues(self):
--- a/amaranthbay/routing/table.py
+++ b/amaranthbay/routing/table.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from amaranthbay.routing.types import ClientLimits, Route, Service
+from amaranthbay.workspaces.keys import KeyTable
 
 __all__ = ["RoutingTable", "choose_service"]
 
@@ -16,12 +17,15 @@
         routes: All routes, in any order.
         services: Services by name.
         limits: Limits on the requests of callers.
+        workspaces: `KeyTable` of the workspaces; None if the deployment has none, so
+            that callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ClientLimits = ClientLimits()
+    workspaces: KeyTable | None = None
     _by_host: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
--- a/amaranthbay/routing/types.py
+++ b/amaranthbay/routing/types.py
@@ -69,6 +69,7 @@
         max_gap_s: Longest gap between events that still counts as on time; None for
             no limit.
         priority: Rank of the route; 0 is the highest.
+        public: Whether callers need no key, although the configuration has workspaces.
     """
 
     name: str
@@ -82,6 +83,7 @@
     resumable: bool = False
     max_gap_s: float | None = None
     priority: int = 1
+    public: bool = False
 
     @property
     def repeatable(self):
--- /dev/null
+++ b/amaranthbay/workspaces/keys.py
@@ -0,0 +1,53 @@
+"""Keys of workspaces, as the configuration names them.
+
+Keys are secrets. The table keeps digests under a random secret of the process, so that
+no text form shows a key, and a look-up takes the same time whatever part of a key
+matches.
+"""
+
+from hashlib import blake2b
+from secrets import token_bytes
+
+__all__ = ["KeyTable"]
+
+_DIGEST_SECRET = token_bytes(32)
+DIGEST_BYTES = 16
+
+
+class KeyTable:
+    """Workspaces by key; immutable."""
+
+    def __init__(self, workspaces=()):
+        """Creates the table.
+
+        Args:
+            workspaces: Pairs of a `Workspace` and its keys, as strings.
+        """
+        self._by_name = {workspace.name: workspace for workspace, _ in workspaces}
+        self._by_digest = {
+            _digest(key.encode()): workspace
+            for workspace, keys in workspaces
+            for key in keys
+        }
+
+    def find(self, key):
+        """Returns the `Workspace` that holds a key in bytes, or None."""
+        return self._by_digest.get(_digest(key))
+
+    def named(self, name):
+        """Returns the `Workspace` of a name, or None."""
+        return self._by_name.get(name)
+
+    def all(self):
+        """Returns all workspaces."""
+        return tuple(self._by_name.values())
+
+    def __len__(self):
+        return len(self._by_name)
+
+    def __repr__(self):
+        return f"KeyTable({len(self._by_name)} workspaces)"
+
+
+def _digest(key):
+    return blake2b(key, digest_size=DIGEST_BYTES, key=_DIGEST_SECRET).digest()
