--- a/amaranthbay/observe/tests/test_metrics.py
+++ b/amaranthbay/observe/tests/test_metrics.py
@@ -98,6 +98,9 @@
     metrics = start_export(case, port)
     metrics.request_ended("summary", Verdict.RAN, "answered")
     metrics.request_ended("summary", Verdict.NOT_RUN, Reason.OVERLOADED)
+    for number in range(52):
+        metrics.workspace_requested(f"w{number}")
+    metrics.workspace_refused("w51", Reason.OVERLOADED)
     metrics.goodput("summary")
     metrics.first_token("summary", 0.3)
     metrics.prefill_wasted(1024)
@@ -109,6 +112,9 @@
     expected = {
         ("amaranthbay.requests", "answered", "ran", "summary"): 1,
         ("amaranthbay.requests", "not_run", "overloaded", "summary"): 1,
+        **{("amaranthbay.workspace.requests", f"w{n}"): 1 for n in range(50)},
+        ("amaranthbay.workspace.requests", "other"): 2,
+        ("amaranthbay.workspace.refusals", "other", "overloaded"): 1,
         ("amaranthbay.requests.goodput", "summary"): 1,
         ("amaranthbay.request.time_to_first_token", "summary"): 1,
         ("amaranthbay.prefill.wasted",): 1024,
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -23,6 +23,7 @@
 )
 from amaranthbay.utils.decoding import Count64, Int64, decode_json
 from amaranthbay.utils.http import is_ip_endpoint
+from amaranthbay.utils.reading import Turn
 from amaranthbay.workspaces import KeyTable, QuotaUnit, Workspace
 
 __all__ = ["decode_configuration", "decode_server"]
@@ -44,7 +45,6 @@
 # Longer texts of other writers are cut off in messages.
 MAX_SHOWN = 60
 
-
 _Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -170,7 +170,7 @@
     if tenants is None:
         return Ok(None)
     names, owners = set(), {}
-    for tenant in tenants:
+    for tenant in _in_turns(tenants):
         shown = repr(tenant.Name[:MAX_SHOWN])
         if not _is_valid_name(tenant.Name):
             return Err(f"{shown} can't be the name of a workspace")
@@ -181,10 +181,21 @@
             if owners.setdefault(key, tenant.Name) != tenant.Name:
                 return Err(f"{shown} and another workspace have the same key")
     return Ok(
-        KeyTable([(_to_workspace(tenant), tenant.ApiKeys or ()) for tenant in tenants])
+        KeyTable(
+            (_to_workspace(tenant), tenant.ApiKeys or ())
+            for tenant in _in_turns(tenants)
+        )
     )
 
 
+def _in_turns(tenants):
+    """Yields each tenant; other greenlets run in between if that takes long."""
+    turn = Turn()
+    for tenant in tenants:
+        turn.give_way()
+        yield tenant
+
+
 def _to_workspace(tenant):
     by_tokens = tenant.Unit == TOKEN_UNIT
     return Workspace(
--- a/amaranthbay/platform/tests/test_documents.py
+++ b/amaranthbay/platform/tests/test_documents.py
@@ -17,6 +17,7 @@
 from amaranthbay.routing import CallKind, EntryRevision, Stage
 from amaranthbay.utils.http import split_address
 from amaranthbay.utils.testing import collect
+from amaranthbay.workspaces import QuotaUnit, Workspace
 
 ENTRY = {
     "Service": "lm",
@@ -207,6 +208,38 @@
     case.assertTrue(decode_configuration(b"\xff").is_err())
 
 
+def test_workspaces_are_read_or_refused_as_a_whole(case):
+    """Guards against misread quotas, names that end a header, two owners of a key, and
+    a secret in the text of an error."""
+    tenant = {"Name": "w", "ApiKeys": ["key-1", "key-2"], "Priority": 0}
+    quota = {"Unit": "token_stream", "PlainTokens": 9, "RatePerS": 8, "Burst": 7.5}
+
+    def decode(*tenants):
+        return decode_configuration(
+            msgspec.json.encode(configuration(Public=True) | {"Tenants": tenants})
+        )
+
+    table = decode(tenant | quota, {"Name": "plain", "ApiKeys": None}).unwrap()
+    expected = Workspace("w", 0, 8.0, 7.5, QuotaUnit.TOKENS, 9)
+    case.assertEqual(table.workspaces.find(b"key-2"), expected)
+    case.assertEqual(table.workspaces.named("plain"), Workspace("plain"))
+    case.assertEqual([each.public for each in table.routes], [True] + [False] * 5)
+    case.assertEqual(len(decode().unwrap().workspaces), 0)
+    document = msgspec.json.encode(configuration() | {"Tenants": None})
+    case.assertIsNone(decode_configuration(document).unwrap().workspaces)
+    names = ("", " w", "a\nb", "a\r\nX-Hop: 1", "n" * 129, "a\x00")
+    for wrong in (
+        *({"Name": name} for name in names),
+        {"Name": "w"},
+        {"Name": "v", "ApiKeys": ["key-3", "key-1"]},
+        {"Name": "v", "ApiKeys": ["key-4", 5]},
+        {"Name": "v", "RatePerS": -1},
+        {"ApiKeys": ["key-4"]},
+    ):
+        with case.subTest(wrong):
+            case.assertNotIn("key-", decode(tenant, wrong).unwrap_err())
+
+
 def test_unknown_kind_is_never_repeated(case):
     """Guards against repeating requests of a kind that this version doesn't know."""
     document = configuration()
--- a/amaranthbay/workspaces/keys.py
+++ b/amaranthbay/workspaces/keys.py
@@ -23,12 +23,11 @@
         Args:
             workspaces: Pairs of a `Workspace` and its keys, as strings.
         """
-        self._by_name = {workspace.name: workspace for workspace, _ in workspaces}
-        self._by_digest = {
-            _digest(key.encode()): workspace
-            for workspace, keys in workspaces
-            for key in keys
-        }
+        self._by_name, self._by_digest = {}, {}
+        for workspace, keys in workspaces:
+            self._by_name[workspace.name] = workspace
+            for key in keys:
+                self._by_digest[_digest(key.encode())] = workspace
 
     def find(self, key):
         """Returns the `Workspace` that holds a key in bytes, or None."""
--- /dev/null
+++ b/amaranthbay/workspaces/tests/test_access.py
@@ -0,0 +1,95 @@
+"""Which requests their keys admit, and under which workspace."""
+
+from types import SimpleNamespace
+
+from amaranthbay.relay.listener import IncomingRequest
+from amaranthbay.utils.testing import collect
+from amaranthbay.workspaces import KeyTable, Workspace
+from amaranthbay.workspaces.access import AccessControl, identify
+
+A, B = Workspace("a", priority=0), Workspace("b")
+KEYS = KeyTable([(A, ["ka", "ka2"]), (B, ["kb"])])
+
+
+def result_of(*credentials, keys=KEYS, public=False, outdated=False):
+    """Returns the name of the workspace, or status and reason of the refusal."""
+    found = identify(keys, credentials, public, lambda: outdated)
+    if found.is_ok():
+        return found.unwrap() and found.unwrap().name
+    refusal = found.unwrap_err()
+    case_fields = refusal.status, str(refusal.reason), str(refusal.verdict)
+    return (*case_fields, refusal.retry_after and refusal.retry_after.total_seconds())
+
+
+def test_one_known_key_is_needed(case):
+    """Guards against a request that runs without a key, with a part of one or with
+    two, and against a key that is unknown only to an outdated instance."""
+    denied = (401, "unauthenticated", "not_run", None)
+    for credentials, expected in (
+        ((b"ka",), "a"),
+        ((b"ka2",), "a"),
+        ((b"kb", b"kb"), "b"),
+        ((), denied),
+        ((b"k",), denied),
+        ((b"ka ",), denied),
+        ((b"KA",), denied),
+        ((b"",), denied),
+        ((b"\xff",), denied),
+        ((b"ka", b"kb"), denied),
+        ((b"ka", b"ka2"), denied),
+    ):
+        with case.subTest(credentials):
+            case.assertEqual(result_of(*credentials), expected)
+            named = expected if expected != denied else None
+            case.assertEqual(result_of(*credentials, public=True), named)
+            case.assertIsNone(result_of(*credentials, keys=None))
+    case.assertEqual(result_of(b"ka", keys=KeyTable()), denied)
+    unknown = (503, "not_ready", "not_run", 0.5)
+    case.assertEqual(result_of(b"k", outdated=True), unknown)
+    case.assertEqual(result_of(outdated=True), denied)
+    case.assertEqual(result_of(b"ka", b"kb", outdated=True), denied)
+
+
+def test_waiting_request_follows_the_configuration(case):
+    """Guards against a removed key that still runs, and against a key that is forwarded
+    since keys came into use or went out of use while the request waited."""
+    view = SimpleNamespace(table=None)
+    control = AccessControl(view, lambda: 0)
+
+    def configure(version, keys):
+        view.table = SimpleNamespace(version=version, workspaces=keys)
+
+    def outcome(access):
+        refusal = access.refusal()
+        return refusal and refusal.status, access.forwarded_name()
+
+    configure(1, KEYS)
+    known = control.admit(False, (b"ka",)).unwrap()
+    public = control.admit(True, ()).unwrap()
+    case.assertEqual((known.workspace, public.workspace), (A, None))
+    for keys, expected in (
+        (KEYS, (None, "a")),
+        (KeyTable([(Workspace("a"), ["ka"])]), (None, "a")),
+        (KeyTable([(A, ["ka2"])]), (401, "a")),
+        (KeyTable([(B, ["ka"])]), (503, "a")),
+        (None, (None, "a")),
+    ):
+        configure(view.table.version + 1, keys)
+        case.assertEqual(outcome(known), expected)
+        case.assertEqual(outcome(public), (None, ""))
+    without_keys = control.admit(False, (b"ka",)).unwrap()
+    case.assertEqual(outcome(without_keys), (None, None))
+    configure(9, KEYS)
+    case.assertEqual(outcome(without_keys), (503, ""))
+
+
+def test_text_forms_have_no_key(case):
+    """Guards against a key in a log line or the text of an exception."""
+    view = SimpleNamespace(table=SimpleNamespace(version=1, workspaces=KEYS))
+    access = AccessControl(view, lambda: 0).admit(False, (b"ka",)).unwrap()
+    headers = ((b"x", b"ka2"),)
+    req = IncomingRequest(b"GET", b"/", headers, headers, b"", False)
+    case.assertNotIn("ka", repr((access, KEYS, req)))
+
+
+load_tests = collect(globals())
