Add quotas of workspaces that hold over all instances

An instance charges at most its share of the level and of half the tolerated excess before its peers have confirmed it. When a peer falls silent, the bucket gives up that peer's share of level and refill.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -45,6 +45,7 @@
 from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.reading import ReadMemory
 from amaranthbay.utils.serving import Server
+from amaranthbay.workspaces.fleet_quotas import create_quotas
 
 __all__ = ["EntryDaemon"]
 
@@ -157,7 +158,9 @@
             self._merge_peer_status,
             self._read_instances,
             crashes.retell,
+            lambda only_changes: self.quotas.report(only_changes),
         )
+        self.quotas = create_quotas(self, process_number, choose_instances)
         self._followers = {}
         self._budgets = RepeatBudgets(
             _budget_limits(settings), self._allowance_part, self.clock
@@ -205,6 +208,7 @@
             ),
             versions=self.versions,
             origins=self.origins,
+            quotas=self.quotas,
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
@@ -301,6 +305,7 @@
 
     def _merge_peer_status(self, status):
         """Merges the knowledge that another instance reports into that of this one."""
+        self.quotas.merge(status)
         requests = self.ctx.crashes.requests
         if status.crashes or status.sound_requests:
             requests.merge(status.crashes, status.sound_requests)
@@ -438,6 +443,7 @@
         self._jobs.start("delete_orphans", self._delete_orphans_loop)
         self._jobs.start("sweep", self._sweep_loop)
         self._jobs.start("tick", self._ticks.run)
+        self._jobs.start("watch_quotas", self.quotas.run)
         self._jobs.start("reload", self._reload_loop)
         self._balancer_jobs.start("balance_stages", self.balancer.run)
         self._serve_app(
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -18,6 +18,7 @@
 from amaranthbay.fleet.reports import (
     PeerStatus,
     ServerLoad,
+    Usage,
     add_datagram,
     encode_datagram,
     has_valid_part,
@@ -156,6 +157,7 @@
         on_status=lambda status: None,
         on_unknown_peer=lambda: None,
         on_heard_anew=lambda: None,
+        own_usage=lambda only_changes: Usage(),
     ):
         """Creates the view.
 
@@ -175,6 +177,8 @@
                 registered one.
             on_heard_anew: Function that is called without arguments when a new process
                 is heard, or one that was silent for `LONG_SILENCE_S`.
+            own_usage: Function that returns the `Usage` of this process. Its argument
+                tells whether only charges that peers have not heard of are needed.
         """
         self.own = own
         self.serving = False
@@ -186,6 +190,7 @@
         self._on_status = on_status
         self._on_unknown_peer = on_unknown_peer
         self._on_heard_anew = on_heard_anew
+        self._own_usage = own_usage
         self._unknown_peers = {}
         self._reported_loads = {}
         self._registered = {own.instance: own}
@@ -290,7 +295,7 @@
 
     def is_busy(self):
         """Returns whether callers are sent to this instance, or it has work left."""
-        return self._has_work() or self.own.instance in self._busy_names()
+        return self._has_work() or self.own.instance in self.busy_names()
 
     def is_chosen(self):
         """Returns whether lookups give callers the address of this instance."""
@@ -317,7 +322,11 @@
             self._choice_cache = (self._choose, live, (chosen, names))
         return self._choice_cache[2]
 
-    def _busy_names(self):
+    def received(self):
+        """Returns the `MergedReport` of each peer by name, whatever its age."""
+        return self._received
+
+    def busy_names(self):
         """Returns the names of the chosen instances and of those that report loads."""
         loaded = {status.instance for status in self.fresh_statuses() if status.loads}
         return self.chosen_names() | loaded
@@ -441,7 +450,7 @@
         self._on_unknown_peer()
 
     def next_changes(self):
-        """Creates the next report, with changed loads only, as a `PeerStatus`."""
+        """Creates the next report as a `PeerStatus`, with changes only."""
         self._sequence += 1
         loads = self._own_report().loads
         changed = {
@@ -461,6 +470,7 @@
             loads=changed | ended,
             interval_s=self.interval_s(),
             only_changes=True,
+            usage=self._own_usage(True),
         )
 
     def next_report(self):
@@ -489,6 +499,7 @@
             blocked_parts=report.blocked_parts,
             sound_requests=report.sound_requests,
             known_crashes=report.known_crashes,
+            usage=self._own_usage(False),
         )
 
     def start(self, jobs):
@@ -545,10 +556,10 @@
             for name, registration in self._registered.items()
             if registration.availability_zone == zone
         }
-        return in_zone | self._busy_names()
+        return in_zone | self.busy_names()
 
     def report_soon(self):
-        """Requests a report of the changed loads; returns at once."""
+        """Requests a report of changes; returns at once."""
         self._report_requested.set()
 
     def _report_loop(self):
@@ -562,7 +573,7 @@
                 self.report_now(self._recipients())
                 reported_at = now
             elif requested:
-                self.report_now(self._busy_names(), only_changes=True)
+                self.report_now(self.busy_names(), only_changes=True)
             self._clock.sleep(MIN_REPORT_INTERVAL_S)
 
     def _receive_loop(self):
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -22,6 +22,8 @@
     "PartBlock",
     "PeerStatus",
     "ServerLoad",
+    "Usage",
+    "WorkspaceUsage",
     "add_datagram",
     "encode_datagram",
     "has_valid_part",
@@ -34,6 +36,16 @@
 LOADS_PER_DATAGRAM = 24
 # A full report of all servers at the target size takes 55 datagrams.
 MAX_DATAGRAMS = 64
+# Bytes of usage in a datagram, and most bytes of one of its entries and of one number
+# of a heard charge. The names of the fields and of a long instance name fit in the
+# rest.
+USAGE_BYTES = 1100
+USAGE_ENTRY_BYTES = 32
+HEARD_BYTES = 18
+# Heard charges of a report; the busy instances at the target size are 60.
+MAX_HEARD = 60
+# Heard charges that leave enough room for entries beside them.
+MAX_HEARD_BESIDE = 20
 # Fields that go into a datagram of their own if the details don't fit into one.
 CRASH_FIELDS = (
     "crashes",
@@ -120,12 +132,48 @@
     crashes: tuple[str, ...]
 
 
+class WorkspaceUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Units of its quota that one process has charged for a workspace.
+
+    Attributes:
+        workspace: Name of the workspace.
+        since: Number of the charge with which the count began.
+        count: Units that the process has charged since then.
+        mark: Number of the last of these charges.
+    """
+
+    workspace: str
+    since: Count64
+    count: Count64
+    mark: Count64
+
+
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """Charges of one process; see `workspaces.quotas`.
+
+    Attributes:
+        after: Number of the charge after which `charged` is complete.
+        upto: Number of the charge up to which it is; 0 if the process has no quotas.
+        charged: `WorkspaceUsage` of each workspace charged in between, by mark.
+        heard: Number of the last charge that the sender has heard of, by the number of
+            the process that charged.
+    """
+
+    after: Count64 = 0
+    upto: Count64 = 0
+    charged: tuple[WorkspaceUsage, ...] = ()
+    heard: dict[int, Count64] = {}
+
+
+_NO_USAGE = Usage()
+
+
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
     """Status of an entry instance, as one datagram of a report.
 
-    Each datagram has some of the loads. Only the first one has the other details of a
-    full report; those of crashes may follow in the second one. A report of changes has
-    none of them: they are as in the last full report.
+    Each datagram has some of the loads and of the usage. Only the first one has the
+    other details of a full report; those of crashes may follow in the second one. A
+    report of changes has none of them: they are as in the last full report.
 
     Attributes:
         instance: Name of the sender.
@@ -159,6 +207,8 @@
         sound_requests: Fingerprints of suspected requests that were answered.
         known_crashes: Seconds since each crash that the sender knows of, by its name,
             by fingerprint; see `relay.crash_requests`.
+        usage: `Usage` of quotas. In a report of changes, it has the charges that not
+            all busy peers are known to have heard of.
     """
 
     instance: str
@@ -184,6 +234,7 @@
     blocked_parts: dict[str, PartBlock] = {}
     sound_requests: tuple[str, ...] = ()
     known_crashes: dict[str, dict[str, Amount]] = {}
+    usage: Usage = _NO_USAGE
 
 
 @dataclass(frozen=True)
@@ -212,11 +263,13 @@
     """Splits a report into datagrams.
 
     Args:
-        status: `PeerStatus` with all loads of the report.
+        status: `PeerStatus` with all loads and the whole usage of the report.
 
     Returns:
         List of the `PeerStatus` of each datagram.
     """
+    usage = status.usage
+    status = msgspec.structs.replace(status, usage=_NO_USAGE)
     loads = sorted(status.loads.items())
     chunks = [
         dict(loads[first : first + LOADS_PER_DATAGRAM])
@@ -231,12 +284,59 @@
         # Details that leave no room for loads, as after a crash, go by themselves.
         details = msgspec.structs.replace(status, loads={})
         datagrams = [*_split_details(details), *datagrams]
+    datagrams = _add_usage(datagrams, usage, plain)
     return [
         msgspec.structs.replace(datagram, part=part, parts=len(datagrams))
         for part, datagram in enumerate(datagrams)
     ]
 
 
+def _add_usage(datagrams, usage, plain):
+    """Adds a `Usage` to the datagrams of a report, and more datagrams if needed.
+
+    What doesn't fit into `MAX_DATAGRAMS` follows in a later report: each datagram
+    states the charges between which it is complete.
+
+    Args:
+        datagrams: `PeerStatus` of each datagram, without usage.
+        usage: `Usage` of the whole report.
+        plain: `PeerStatus` without loads and details for further datagrams.
+    """
+    parts = _split_usage(usage)
+    if parts == [_NO_USAGE]:
+        return datagrams
+    added = []
+    spare = msgspec.structs.replace(plain, loads={})
+    for datagram in datagrams:
+        with_part = msgspec.structs.replace(datagram, usage=parts[0])
+        if parts[0] is not _NO_USAGE and _fits(with_part):
+            datagram = with_part
+            parts = parts[1:] or [_NO_USAGE]
+        added.append(datagram)
+    rest = [part for part in parts if part is not _NO_USAGE]
+    added += [msgspec.structs.replace(spare, usage=part) for part in rest]
+    return added[: max(len(datagrams), MAX_DATAGRAMS)]
+
+
+def _split_usage(usage):
+    """Splits a `Usage` into some that fit into a datagram each."""
+    parts, chunk, size, after = [], [], 0, usage.after
+    heard = dict(list(usage.heard.items())[:MAX_HEARD])
+    if len(heard) > MAX_HEARD_BESIDE:
+        parts.append(Usage(after, after, (), heard))
+        heard = {}
+    room = USAGE_BYTES - HEARD_BYTES * len(heard)
+    for entry in usage.charged:
+        entry_size = len(entry.workspace.encode()) + USAGE_ENTRY_BYTES
+        if chunk and size + entry_size > room:
+            parts.append(Usage(after, chunk[-1].mark, tuple(chunk), heard))
+            after, chunk, size = chunk[-1].mark, [], 0
+            heard, room = {}, USAGE_BYTES
+        chunk.append(entry)
+        size += entry_size
+    return [*parts, Usage(after, usage.upto, tuple(chunk), heard)]
+
+
 def _fits(status):
     return len(msgspec.msgpack.encode(status)) <= MAX_DATAGRAM_BYTES
 
@@ -271,6 +371,7 @@
         blocked_parts={},
         sound_requests=(),
         known_crashes={},
+        usage=_NO_USAGE,
     )
 
 
--- a/amaranthbay/fleet/settings.py
+++ b/amaranthbay/fleet/settings.py
@@ -80,6 +80,9 @@
             removed.
         store_writes_per_s: Writes per second that the store takes from all instances.
         store_part_writes_per_s: The same for one part of its tables.
+        quota_window_s: Window in seconds over which the use of quotas is judged.
+        quota_overshoot: Tolerated excess as a fraction of what the window allows.
+        quota_slack_tokens: Tolerated excess in addition, for quotas in tokens.
     """
 
     instance: str
@@ -104,6 +107,9 @@
     entry_life_s: float = ENTRY_TTL_S
     store_writes_per_s: float = DEFAULT_WRITES_PER_S
     store_part_writes_per_s: float = DEFAULT_PART_WRITES_PER_S
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack_tokens: float = 0.0
 
 
 def changed_fields(current, loaded):
--- a/amaranthbay/kernel/errors.py
+++ b/amaranthbay/kernel/errors.py
@@ -78,6 +78,7 @@
     ORIGIN_UNKNOWN = "origin_unknown"
     CALLER_GONE = "caller_gone"
     UNAUTHENTICATED = "unauthenticated"
+    QUOTA_EXCEEDED = "quota_exceeded"
     INTERNAL = "internal"
 
 
--- a/amaranthbay/observe/metrics.py
+++ b/amaranthbay/observe/metrics.py
@@ -89,6 +89,9 @@
     def repeat_requested(self, service, granted):
         """Counts a request for a repeat, which the retry budget granted or denied."""
 
+    def quota_refused(self, workspace, units):
+        """Counts the units of a request that was refused over its quota."""
+
     def step_ended(self, service, step, seconds):
         """Records the seconds that a request spent in a `Step`."""
 
--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -161,6 +161,9 @@
         self._repeats = create_counter(
             "amaranthbay.repeats", "{attempt}", "Repeats asked of the budget"
         )
+        self._refused_units = create_counter(
+            "amaranthbay.quota.refused", "{unit}", "Units refused over a quota"
+        )
         self._step = self._meter.create_histogram(
             STEP_METRIC, "s", "Time that a request spent in a step"
         )
@@ -199,6 +202,9 @@
         attributes = {"amaranthbay.service": service, "amaranthbay.granted": granted}
         self._repeats.add(1, attributes)
 
+    def quota_refused(self, workspace, units):
+        self._refused_units.add(units, {"amaranthbay.workspace": workspace})
+
     def step_ended(self, service, step, seconds):
         attributes = {"amaranthbay.service": service, "amaranthbay.step": str(step)}
         self._step.record(seconds, attributes)
--- a/amaranthbay/platform/boot.py
+++ b/amaranthbay/platform/boot.py
@@ -58,6 +58,9 @@
     BudgetWindowS: float = 10.0
     BudgetSlack: float = 0.0
     LeaseMs: float = 3000.0
+    QuotaWindowS: float = 8.0
+    QuotaOvershoot: float = 0.1
+    QuotaSlack: float = 0.0
     # Callers cache the answer to a lookup no longer than this, in seconds.
     ttl_max_s: float = 5.0
 
@@ -126,5 +129,8 @@
         lookup_ttl_s=bounds.ttl_max_s,
         store_writes_per_s=boot.Platform.WritesPerS,
         store_part_writes_per_s=boot.Platform.PartWritesS,
+        quota_window_s=bounds.QuotaWindowS,
+        quota_overshoot=bounds.QuotaOvershoot,
+        quota_slack_tokens=bounds.QuotaSlack,
         entry_life_s=MISSED_HEARTBEATS * boot.HeartbeatMs / MS_PER_S,
     )
--- a/amaranthbay/relay/calls.py
+++ b/amaranthbay/relay/calls.py
@@ -5,6 +5,7 @@
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.routing import Route, Service
 from amaranthbay.workspaces import Workspace
+from amaranthbay.workspaces.quotas import Charge
 
 __all__ = ["Call"]
 
@@ -26,6 +27,7 @@
         arrived_at: Monotonic time at which the request was read.
         ends_at: Monotonic time of the deadline, at which the relay ends the request.
         workspace: `Workspace` of the caller's key; None if there is none.
+        charge: `Charge` to its quota; None if there is none.
     """
 
     request_id: str
@@ -40,6 +42,18 @@
     arrived_at: float
     ends_at: float
     workspace: Workspace | None = None
+    charge: Charge | None = None
+
+    @property
+    def units(self):
+        """Units of its workspace's quota that the request counts as."""
+        head = self.head
+        return self.workspace.units_of(head.prompt_tokens, head.max_output_tokens)
+
+    def refund(self):
+        """Gives back what was charged, as the request did not run and never will."""
+        if self.charge is not None:
+            self.charge.refund()
 
     @property
     def priority(self):
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -47,6 +47,7 @@
         switches: `SwitchRecord` of servers that change their pool.
         versions: `VersionHistory` of the services.
         origins: `StreamOrigins` with the versions at which streams began.
+        quotas: `Quotas` of the workspaces.
         availability_zone: Availability zone in which the process runs.
     """
 
@@ -67,6 +68,7 @@
     switches: object
     versions: object
     origins: object
+    quotas: object
     availability_zone: str
 
     def candidates(self, service, stage=None, excluded=frozenset(), version=None):
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -12,6 +12,7 @@
     "body_of",
     "draining",
     "headers_of",
+    "over_quota",
     "quarantined",
     "timed_out",
 ]
@@ -44,6 +45,17 @@
     return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
 
 
+def over_quota(shortage):
+    """Returns the `Refusal` of a request beyond the quota of its workspace.
+
+    Args:
+        shortage: `Shortage` of the quota.
+    """
+    detail = "the workspace has used up its quota"
+    retry = timedelta(seconds=shortage.retry_s)
+    return not_run(Reason.QUOTA_EXCEEDED, detail, 429, retry)
+
+
 def draining():
     """Returns the `Refusal` of a request that arrives late in a planned stop."""
     return not_run(Reason.DRAINING, "the daemon is draining", 503, RETRY_SOON)
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -2,6 +2,7 @@
 
 import sys
 import uuid
+from dataclasses import replace
 from datetime import timedelta
 
 import gevent
@@ -17,7 +18,13 @@
 )
 from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.relay.calls import Call
-from amaranthbay.relay.refusals import body_of, draining, headers_of, quarantined
+from amaranthbay.relay.refusals import (
+    body_of,
+    draining,
+    headers_of,
+    over_quota,
+    quarantined,
+)
 from amaranthbay.routing import CallKind
 from amaranthbay.routing.table import choose_service
 from amaranthbay.utils.hangup import HangupWatch
@@ -79,6 +86,7 @@
             return
         if conn.has_hung_up():
             # The caller has hung up before this process handled the request.
+            call.refund()
             self._log_end(call.request_id, "gone_before", arrived_at)
             return
         watch = HangupWatch(conn.sock, call.request_id)
@@ -93,6 +101,8 @@
         finally:
             watch.stop()
         if refusal is not None:
+            if refusal.verdict is Verdict.NOT_RUN:
+                call.refund()
             name = call.service.name
             self._refuse(conn, call.request_id, refusal, arrived_at, name)
 
@@ -133,7 +143,16 @@
         call = self._build_call(req, head, route, service, arrived_at)
         if self._ctx.crashes.is_quarantined(call):
             return quarantined()
-        return call
+        return self._charge(call)
+
+    def _charge(self, call):
+        """Charges a call to its quota; returns it, or the `Refusal` if it is over."""
+        if call.workspace is None:
+            return call
+        charged = self._ctx.quotas.charge(call.workspace, call.units)
+        if charged.is_err():
+            return over_quota(charged.unwrap_err())
+        return replace(call, charge=charged.unwrap())
 
     def _choose_service(self, route, head):
         """Returns the name of the service that takes a request.
--- /dev/null
+++ b/amaranthbay/workspaces/quotas.py
@@ -0,0 +1,302 @@
+"""Quotas of workspaces, which hold over all instances.
+
+Each process charges its requests to its own replicas of the buckets at once, and tells
+its peers. It numbers its charges; peers tell it up to which number they have heard of
+them. What a process may charge without that is bounded; see `buckets.wait_s`.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from result import Err, Ok
+
+from amaranthbay.fleet.reports import Usage, WorkspaceUsage
+from amaranthbay.observe import current_metrics, log_event
+from amaranthbay.workspaces.buckets import Bucket, Pace, Position, wait_s
+
+__all__ = ["Charge", "Quotas", "Shortage"]
+
+# The process looks at the clock and at its peers this often. A longer time between two
+# looks is a pause, in which others may have charged what this process didn't hear of.
+WATCH_INTERVAL_S = 0.2
+PAUSE_S = 1.0
+# Time for which the fleet that the process hears is not looked up again.
+FLEET_TTL_S = 0.1
+# Full reports name charges for this long; peers that miss all of them are silent.
+REPORTED_S = 3.0
+# A process that has not charged a workspace for this long begins a new count, after
+# its peers have forgotten nothing of the old one.
+COUNT_TTL_S = 10.0
+BUCKET_TTL_S = 20.0
+SWEEP_INTERVAL_S = 1.0
+# Charged units are reported soon from this part of what may be unknown of them.
+REPORTED_PART = 0.25
+# Callers that are refused come back over this part of their wait in addition.
+RETURN_SPREAD = 0.25
+# Workspaces that are named in metrics; the others count as one.
+MAX_LABELS = 50
+OTHER_LABEL = "other"
+
+
+@dataclass(frozen=True)
+class Shortage:
+    """Why a request may not be charged now.
+
+    Attributes:
+        retry_s: Seconds after which it probably may.
+        level: Units in the bucket of the workspace.
+    """
+
+    retry_s: float
+    level: float
+
+
+class Charge:
+    """Units that were charged for one request."""
+
+    def __init__(self, give_back=lambda: None):
+        self._give_back = give_back
+
+    def refund(self):
+        """Gives the units back, as the request did not run and never will."""
+        give_back, self._give_back = self._give_back, lambda: None
+        give_back()
+
+
+class Quotas:
+    """The buckets of all workspaces that are in use, as this process knows them."""
+
+    def __init__(
+        self,
+        clock,
+        fleet,
+        process_number,
+        bounds,
+        find_workspace,
+        rng,
+        shared_time=lambda: 0.0,
+        report_soon=lambda: None,
+    ):
+        """Creates the quotas, with empty buckets.
+
+        Args:
+            clock: `Clock`.
+            fleet: `FleetShares` of this instance.
+            process_number: Number that identifies this process among its peers.
+            bounds: Function that returns the `QuotaBounds` in force.
+            find_workspace: Function of a name that returns the `Workspace` in force;
+                None if there is none.
+            rng: `random.Random` that spreads the retries of callers.
+            shared_time: Function that returns the time in seconds on the clock that the
+                instances share.
+            report_soon: Function that requests a report of changes.
+        """
+        self._clock = clock
+        self._fleet = fleet
+        self._process_number = process_number
+        self._bounds = bounds
+        self._find_workspace = find_workspace
+        self._rng = rng
+        self._shared_time = shared_time
+        self._report_soon = report_soon
+        self._buckets = {}
+        # Number of the last charge. 0 means that a process has no quotas.
+        self._mark = 1
+        # Mark of each workspace that this process has charged, in order of the marks.
+        self._marks = {}
+        # Last charge of each other process that this one has heard of, and last charge
+        # of this process that each of them has.
+        self._heard = {}
+        self._confirmed = {}
+        self._newly_heard = set()
+        self._labels = set()
+        self._looked_at = clock.monotonic()
+        self._wall_offset_s = self._read_wall_offset()
+        self._resumed_at = -inf
+        self._swept_at = self._looked_at
+        self._part = fleet.part(self._resumed_at, self._takes_part)
+        self._part_at = self._looked_at
+        self._pace = Pace(self._looked_at, self._part.part)
+
+    def charge(self, workspace, units):
+        """Charges a request to the quota of its workspace.
+
+        Args:
+            workspace: `Workspace` of the request.
+            units: Units of the request.
+
+        Returns:
+            ``Result[Charge, Shortage]``.
+        """
+        quota = self._bounds().quota_of(workspace)
+        if quota is None or units <= 0:
+            return Ok(Charge())
+        now = self._look()
+        bucket = self._bucket(workspace.name, quota)
+        open_units = bucket.open_units(self._confirmed_mark())
+        position = self._position()
+        needed_s = wait_s(quota, bucket.level, units, open_units, position)
+        if needed_s:
+            return Err(self._refuse(workspace, units, bucket, needed_s))
+        if bucket.charge(units, self._mark + 1, now):
+            self._mark += 1
+            self._marks.pop(workspace.name, None)
+            self._marks[workspace.name] = self._mark
+            if open_units + units >= REPORTED_PART * position.share * quota.unknown:
+                self._report_soon()
+        return Ok(Charge(lambda: bucket.refund(units, self._clock.monotonic())))
+
+    def _refuse(self, workspace, units, bucket, needed_s):
+        current_metrics().quota_refused(self._label(workspace.name), units)
+        retry_s = needed_s * (1.0 + RETURN_SPREAD * self._rng.random())
+        log_event(
+            "quota_exceeded",
+            workspace=workspace.name,
+            units=units,
+            units_left=round(bucket.level, 1),
+            retry_s=round(retry_s, 3),
+        )
+        return Shortage(retry_s, bucket.level)
+
+    def _label(self, name):
+        """Returns the label of a workspace in metrics, of which there are few."""
+        if len(self._labels) < MAX_LABELS:
+            self._labels.add(name)
+        return name if name in self._labels else OTHER_LABEL
+
+    def report(self, only_changes=False):
+        """Returns the `Usage` of this process.
+
+        Args:
+            only_changes: Whether to leave out the charges that all busy peers are known
+                to have heard of.
+        """
+        now = self._look()
+        self._sweep(now)
+        confirmed = self._confirmed_mark()
+        charged = []
+        for name, mark in reversed(self._marks.items()):
+            bucket = self._buckets[name]
+            is_known = mark <= confirmed
+            if is_known and (only_changes or now - bucket.charged_at > REPORTED_S):
+                break
+            charged.append(WorkspaceUsage(name, bucket.since, bucket.count, mark))
+        heard = self._heard
+        if only_changes:
+            heard = {number: self._heard[number] for number in self._newly_heard}
+        self._newly_heard = set()
+        after = min(confirmed, self._mark) if only_changes else 0
+        return Usage(after, self._mark, tuple(reversed(charged)), dict(heard))
+
+    def merge(self, status):
+        """Merges the usage that a `PeerStatus` of a peer reports."""
+        usage, process = status.usage, status.process
+        if not usage.upto:
+            return
+        now = self._look()
+        self._confirmed.setdefault(process, 0)
+        for entry in usage.charged:
+            self._merge_entry(process, entry, now)
+        if usage.after <= self._heard.get(process, 0):
+            self._heard[process] = max(self._heard.get(process, 0), usage.upto)
+        own_mark = usage.heard.get(self._process_number, 0)
+        if self._confirmed[process] < own_mark <= self._mark:
+            self._confirmed[process] = own_mark
+        if usage.charged:
+            self._newly_heard.add(process)
+            if status.only_changes:
+                self._report_soon()
+
+    def _merge_entry(self, process, entry, now):
+        workspace = self._find_workspace(entry.workspace)
+        quota = self._bounds().quota_of(workspace) if workspace is not None else None
+        if quota is not None:
+            bucket = self._bucket(entry.workspace, quota)
+            bucket.note(process, entry.since, entry.count, quota, now)
+
+    def run(self):
+        """Looks at the clock and at the peers regularly, for ever."""
+        while True:
+            self._look()
+            self._clock.sleep(WATCH_INTERVAL_S)
+
+    def _bucket(self, name, quota):
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = Bucket(self._pace)
+        bucket.advance(quota, self._pace)
+        return bucket
+
+    def _look(self):
+        """Applies the time that has passed and what is heard of peers.
+
+        Returns:
+            The monotonic time.
+        """
+        now, wall_offset_s = self._clock.monotonic(), self._read_wall_offset()
+        if (
+            now - self._looked_at > PAUSE_S
+            or abs(wall_offset_s - self._wall_offset_s) > PAUSE_S
+        ):
+            log_event("quota_paused", seconds=round(now - self._looked_at, 3))
+            self._resumed_at = now
+            self._part_at = -inf
+            self._pace.empty(now)
+        self._looked_at, self._wall_offset_s = now, wall_offset_s
+        if now - self._part_at >= FLEET_TTL_S:
+            self._part = self._fleet.part(self._resumed_at, self._takes_part)
+            self._part_at = now
+            self._pace.advance(now, self._part.part)
+        return now
+
+    def _read_wall_offset(self):
+        return self._clock.now().timestamp() - self._clock.monotonic()
+
+    def _takes_part(self, process):
+        return process in self._confirmed
+
+    def _confirmed_mark(self):
+        """Returns the last charge that all busy peers that are heard have heard of."""
+        return min(
+            (self._confirmed[process] for process in self._part.confirming),
+            default=inf,
+        )
+
+    def _position(self):
+        part = self._part
+        return Position(
+            share=part.share,
+            part=part.part,
+            rank=part.rank,
+            instances=len(part.confirming) + 1,
+            shared_s=self._shared_time() or 0.0,
+        )
+
+    def _sweep(self, now):
+        """Drops what is no longer needed."""
+        if now - self._swept_at < SWEEP_INTERVAL_S:
+            return
+        self._swept_at = now
+        for name in list(self._marks):
+            if now - self._buckets[name].charged_at <= COUNT_TTL_S:
+                break
+            del self._marks[name]
+            self._buckets[name].forget_own()
+        self._drop_idle_buckets(now)
+        running = self._fleet.processes()
+        for numbers in (self._heard, self._confirmed):
+            for number in [number for number in numbers if number not in running]:
+                del numbers[number]
+        self._newly_heard &= self._heard.keys()
+
+    def _drop_idle_buckets(self, now):
+        idle = [
+            name
+            for name, bucket in self._buckets.items()
+            if now - bucket.heard_at > BUCKET_TTL_S and name not in self._marks
+        ]
+        for name in idle:
+            workspace = self._find_workspace(name)
+            quota = self._bounds().quota_of(workspace) if workspace else None
+            if quota is None or self._buckets[name].is_full(quota, self._pace):
+                del self._buckets[name]
--- /dev/null
+++ b/amaranthbay/workspaces/shares.py
@@ -0,0 +1,159 @@
+"""The shares of the instances in a quota, and which of them this instance hears."""
+
+from dataclasses import dataclass
+
+__all__ = ["FleetPart", "FleetShares", "shares_of"]
+
+# Share of a quota for the chosen instances. All instances divide the rest, as callers
+# also use addresses from older lookups.
+CHOSEN_SHARE = 0.8
+# A peer is silent if its last report is older than this, and than this many of its own
+# intervals between two reports.
+SILENT_S = 1.0
+SILENT_INTERVALS = 1.5
+# Reports that waited in the socket during a pause of this process are read within this
+# time after it; see `QUEUED_S` in `fleet.peers`.
+QUEUED_S = 0.1
+# A silent peer counts as gone for good after this time, as rows of instances are never
+# deleted. Partitions and replacements end well before.
+GONE_S = 600.0
+# The same for a row whose instance this process has never heard, although it hears
+# others: at a start, most rows may be those of replaced instances.
+NEVER_HEARD_S = 20.0
+
+
+@dataclass(frozen=True)
+class FleetPart:
+    """The part of the fleet that this instance hears.
+
+    Attributes:
+        share: Share of this instance.
+        part: Sum of the shares of all instances but the silent ones.
+        confirming: Number of the process of each busy peer that is heard.
+        rank: Position of this instance among these peers and itself, by name.
+    """
+
+    share: float
+    part: float
+    confirming: tuple[int, ...] = ()
+    rank: int = 0
+
+
+def shares_of(registrations, choose):
+    """Returns the share of each registered instance by name; they add up to 1.
+
+    They depend on the registrations alone, so that instances that can't reach each
+    other agree on them.
+
+    Args:
+        registrations: `Registration` of each instance, live or not.
+        choose: Function of these that returns the chosen ones.
+    """
+    chosen = [registration.instance for registration in choose(registrations)]
+    shares = dict.fromkeys(
+        (registration.instance for registration in registrations),
+        (1 - CHOSEN_SHARE) / len(registrations),
+    )
+    for name in chosen:
+        shares[name] += CHOSEN_SHARE / len(chosen)
+    return shares
+
+
+class FleetShares:
+    """Finds the part of the fleet that this instance hears."""
+
+    def __init__(self, clock, peers, choose):
+        """Creates the view.
+
+        Args:
+            clock: `Clock`.
+            peers: `Peers` with the registrations and the last reports.
+            choose: See `shares_of`.
+        """
+        self._clock = clock
+        self._peers = peers
+        self._choose = choose
+        self._registered = ()
+        self._shares = {}
+        self._first_seen = {}
+        self._busy = frozenset()
+
+    def part(self, resumed_at, confirms):
+        """Returns the `FleetPart` at this time.
+
+        Args:
+            resumed_at: Monotonic time at which the last pause of this process ended.
+                Earlier reports say nothing of what the others know now.
+            confirms: Function that returns whether the process of a number takes part
+                in quotas; a release without quotas doesn't.
+        """
+        now = self._clock.monotonic()
+        self._update_shares(now)
+        own = self._peers.own.instance
+        received = self._peers.received()
+        fresh_from = resumed_at + QUEUED_S
+        heard = {
+            name: merged.status.process
+            for name, merged in received.items()
+            if merged.received_at > fresh_from and _is_fresh(merged, now)
+        }
+        silent = [
+            share
+            for name, share in self._shares.items()
+            if name != own
+            and name not in heard
+            and not self._is_gone(name, received.get(name), now, bool(heard))
+        ]
+        share = self._shares[own]
+        self._busy = self._still_busy(heard, received, now)
+        names = sorted(name for name in self._busy if confirms(heard[name]))
+        return FleetPart(
+            share=share,
+            part=max(share, 1.0 - sum(silent)) if silent else 1.0,
+            confirming=tuple(heard[name] for name in names),
+            rank=sum(1 for name in names if name < own),
+        )
+
+    def _still_busy(self, heard, received, now):
+        """Returns the names of the busy peers that are heard.
+
+        A peer whose report is late is no longer busy for lookups. It may still use the
+        quota, and stays in the set until it is silent.
+        """
+        busy = self._peers.busy_names()
+        return {
+            name
+            for name in heard
+            if name in busy or (name in self._busy and _is_late(received[name], now))
+        }
+
+    def processes(self):
+        """Returns the numbers of all processes whose reports are kept."""
+        return {merged.status.process for merged in self._peers.received().values()}
+
+    def _update_shares(self, now):
+        registered = tuple(self._peers.registrations())
+        if registered == self._registered:
+            return
+        self._registered = registered
+        self._shares = shares_of(registered, self._choose)
+        self._first_seen = {
+            name: self._first_seen.get(name, now) for name in self._shares
+        }
+
+    def _is_gone(self, name, merged, now, hears_others):
+        """Returns whether a silent instance counts as gone for good."""
+        if not hears_others:
+            return False
+        if merged is None:
+            return now - self._first_seen[name] > NEVER_HEARD_S
+        return now - merged.received_at > GONE_S
+
+
+def _is_fresh(merged, now):
+    longest_s = max(SILENT_S, SILENT_INTERVALS * merged.status.interval_s)
+    return now - merged.received_at <= longest_s
+
+
+def _is_late(merged, now):
+    return now - merged.received_at > merged.status.interval_s
