--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -171,6 +171,9 @@
             "amaranthbay.workspace.refusals", "{request}", "Refusals of those requests"
         )
         self._workspaces = BoundedLabels(MAX_WORKSPACE_LABELS)
+        self._refused_units = create_counter(
+            "amaranthbay.quota.refused", "{unit}", "Units refused over a quota"
+        )
         self._step = self._meter.create_histogram(
             STEP_METRIC, "s", "Time that a request spent in a step"
         )
@@ -220,6 +223,9 @@
         attributes = {"amaranthbay.service": service, "amaranthbay.granted": granted}
         self._repeats.add(1, attributes)
 
+    def quota_refused(self, workspace, units):
+        self._refused_units.add(units, {"amaranthbay.workspace": workspace})
+
     def step_ended(self, service, step, seconds):
         attributes = {"amaranthbay.service": service, "amaranthbay.step": str(step)}
         self._step.record(seconds, attributes)
--- a/amaranthbay/relay/calls.py
+++ b/amaranthbay/relay/calls.py
@@ -6,6 +6,7 @@
 from amaranthbay.routing import Route, Service
 from amaranthbay.workspaces import Workspace
 from amaranthbay.workspaces.access import CallerAccess
+from amaranthbay.workspaces.quotas import Charge
 
 __all__ = ["Call"]
 
@@ -30,6 +31,7 @@
         workspace: `Workspace` of the caller's key; None if there is none.
         access: `CallerAccess` with which the request was admitted; None for a request
             that needs none.
+        charge: `Charge` to its quota; None if there is none.
     """
 
     request_id: str
@@ -45,6 +47,18 @@
     ends_at: float
     workspace: Workspace | None = None
     access: CallerAccess | None = None
+    charge: Charge | None = None
+
+    @property
+    def units(self):
+        """Units of its workspace's quota that the request counts as."""
+        head = self.head
+        return self.workspace.units_of(head.prompt_tokens, head.max_output_tokens)
+
+    def refund(self):
+        """Gives back what was charged, as the request did not run and never will."""
+        if self.charge is not None:
+            self.charge.refund()
 
     @property
     def priority(self):
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -2,7 +2,7 @@
 
 import sys
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 
@@ -17,7 +17,13 @@
 )
 from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.relay.calls import Call
-from amaranthbay.relay.refusals import body_of, draining, headers_of, quarantined
+from amaranthbay.relay.refusals import (
+    body_of,
+    draining,
+    headers_of,
+    over_quota,
+    quarantined,
+)
 from amaranthbay.routing import CallKind
 from amaranthbay.routing.table import choose_service
 from amaranthbay.utils.hangup import HangupWatch
@@ -102,6 +108,7 @@
         arrival.request_id, arrival.service = call.request_id, call.service.name
         if conn.has_hung_up():
             # The caller has hung up before this process handled the request.
+            call.refund()
             self._log_end(arrival, "gone_before")
             return
         watch = HangupWatch(conn.sock, call.request_id)
@@ -116,6 +123,8 @@
         finally:
             watch.stop()
         if refusal is not None:
+            if refusal.verdict is Verdict.NOT_RUN:
+                call.refund()
             self._refuse(conn, arrival, refusal)
 
     def _log_defect(self, conn, request_id, exc):
@@ -162,7 +171,16 @@
         call = self._build_call(req, head, route, service, access, arrival.arrived_at)
         if self._ctx.crashes.is_quarantined(call):
             return quarantined()
-        return call
+        return self._charge(call)
+
+    def _charge(self, call):
+        """Charges a call to its quota; returns it, or the `Refusal` if it is over."""
+        if call.workspace is None:
+            return call
+        charged = self._ctx.quotas.charge(call.workspace, call.units)
+        if charged.is_err():
+            return over_quota(charged.unwrap_err())
+        return replace(call, charge=charged.unwrap())
 
     def _choose_service(self, route, head):
         """Returns the name of the service that takes a request.
