Let soak runs have keys, and check what callers and servers see of them

Callers name a workspace of their own and send lasting, changing, removed, unknown and no keys, drawn by generators of their own, so that the traffic and the faults of each seed stay as they were. Configurations remove and add keys, also by the new fault ChangeKeys.

--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -15,6 +15,7 @@
     request,
 )
 from amaranthbay.platform.tests.soak.deployment import ZONES
+from amaranthbay.platform.tests.soak.keys import OWN_WORKSPACE
 from amaranthbay.platform.tests.soak.parts import (
     CRASHING_PART,
     FIRST_PARTS,
@@ -90,6 +91,7 @@
         resumes: Attempt id of the request with which the stream began that this one
             takes up; empty for any other request.
         last_event: Id of the last event that the caller holds; 0 if it has none.
+        key: Key of the request; empty for none, None if the run has no keys.
     """
 
     attempt: str
@@ -107,6 +109,7 @@
     parts: tuple = ()
     resumes: str = ""
     last_event: int = 0
+    key: str | None = None
 
     @property
     def stream(self):
@@ -159,7 +162,10 @@
         attempt = self._next_attempt()
         abandon = self._rng.random() < ABANDON_SHARE
         parts = self._draw_parts(attempt) if KINDS[kind].stream else ()
-        exchange = send(self._sock, self._process, kind, attempt, abandon, parts)
+        key = self._draw_key(attempt)
+        exchange = send(
+            self._sock, self._process, kind, attempt, abandon, parts, key=key
+        )
         self._record(exchange)
 
     def _next_attempt(self):
@@ -175,6 +181,9 @@
     def _draw_parts(self, attempt):
         return draw_parts(attempt)
 
+    def _draw_key(self, attempt):
+        return self._deployment.keys.any(attempt)
+
     def _connect(self):
         if (
             self._requests_sent >= REQUESTS_BEFORE_RECONNECT
@@ -220,6 +229,9 @@
         crashing = is_on and self._rng.random() < CRASHING_SHARE
         return draw_parts(attempt, FIRST_PARTS[0], crashing)
 
+    def _draw_key(self, attempt):
+        return self._deployment.keys.lasting(attempt)
+
 
 def look_up(address, zone):
     """Returns the addresses that a process names to callers; none if it is down.
@@ -248,6 +260,7 @@
     last_event=0,
     events=None,
     deadline_ms=DEADLINE_MS,
+    key=None,
 ):
     """Sends one request on a connection and returns the `Exchange`.
 
@@ -263,6 +276,7 @@
         last_event: Id of the last event of that stream that the caller holds.
         events: Number of events of the whole stream; by default that of the servers.
         deadline_ms: Deadline that the request names.
+        key: Key of a workspace; empty for none, None if the run has no keys.
     """
     stream = resumes or attempt
     query = "n=1" if events is None else f"events={events}"
@@ -278,10 +292,15 @@
         ]
     if resumes:
         headers += [("Last-Event-Id", str(last_event)), ("Resumes", resumes)]
+    if key is not None:
+        headers.append(("X-Tenant-Id", OWN_WORKSPACE))
+    if key:
+        headers.append(("X-Credential", key))
     raw_request = request(target, method, body, headers, HOST, attempt)
     sent_at = time.monotonic()
     identity = (attempt, kind, process, target, sent_at)
     details = {"parts": parts, "resumes": resumes, "last_event": last_event}
+    details["key"] = key
     try:
         sock.sendall(raw_request)
         if abandon:
--- a/amaranthbay/platform/tests/soak/checks.py
+++ b/amaranthbay/platform/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 from amaranthbay.platform.tests.soak import (
     crash_checks,
+    key_checks,
     request_checks,
     server_checks,
     version_checks,
@@ -12,6 +13,7 @@
     "CHECKS",
     "crash_checks",
     "find_violations",
+    "key_checks",
     "request_checks",
     "server_checks",
     "version_checks",
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -16,6 +16,7 @@
     route,
     server_entry,
 )
+from amaranthbay.platform.tests.soak.keys import RunKeys
 from amaranthbay.platform.tests.soak.links import Link
 from amaranthbay.platform.tests.soak.processes import (
     GRACE_S,
@@ -96,11 +97,13 @@
         number: Version number of the configuration.
         service: Service to which the route ``move`` leads.
         written_at: Monotonic time at which the store acknowledged the write.
+        keys: Name of the workspace by key; None without workspaces.
     """
 
     number: int
     service: str
     written_at: float
+    keys: dict | None = None
 
 
 class Deployment:
@@ -126,6 +129,7 @@
         crashed_at: Monotonic time of each crash of a decode server.
         played: Number of times that each kind of fault with an own generator was
             played, by what was counted.
+        keys: `RunKeys` of the run.
     """
 
     def __init__(self, seed, processes=3, folder=None):
@@ -153,6 +157,7 @@
         self.sends_crashing_part = False
         self.crashed_at = []
         self.played = Counter()
+        self.keys = RunKeys(seed, self.played)
         self._seed = seed
         self._crash_jobs = []
         self._process_count = processes
@@ -198,8 +203,16 @@
         for route_fields in document["Routes"]:
             route_fields["TimeoutMs"] = 2000
         document["Services"].append({"Name": "other", "MaxConnections": 50})
+        keys = self.keys.next_keys()
+        if keys is not None:
+            document["Tenants"] = [
+                {"Name": name, "ApiKeys": [key for key in keys if keys[key] == name]}
+                for name in sorted(set(keys.values()))
+            ]
         self._write("op", "config", document)
-        self.versions.append(ConfigurationVersion(number, service, time.monotonic()))
+        self.versions.append(
+            ConfigurationVersion(number, service, time.monotonic(), keys)
+        )
 
     def _open_place(self, place):
         address = self._stack.enter_context(
--- a/amaranthbay/platform/tests/soak/faults.py
+++ b/amaranthbay/platform/tests/soak/faults.py
@@ -57,6 +57,7 @@
         server_faults.RepeatRefusal,
         server_faults.ContinuationError,
         server_faults.Unframed,
+        store_faults.ChangeKeys,
         store_faults.OddEntries,
         release_faults.Release,
         server_faults.Endless,
--- a/amaranthbay/platform/tests/soak/resuming.py
+++ b/amaranthbay/platform/tests/soak/resuming.py
@@ -68,6 +68,7 @@
             last_event=last_event,
             events=EVENT_COUNT,
             deadline_ms=int((ends_at - time.monotonic()) * 1000),
+            key=self._deployment.keys.lasting(stream),
         )
         if loss is not None:
             lost = loss.ready() and not exchange.complete
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -146,10 +146,10 @@
     ends_at = time.monotonic() + RECOVERY_S
     for process in _entry_processes(deployment):
         for kind in sorted(KINDS):
-            exchange = _probe(process, kind, exchanges)
+            exchange = _probe(deployment, process, kind, exchanges)
             while not _is_served(exchange) and time.monotonic() < ends_at:
                 gevent.sleep(PROBE_INTERVAL_S)
-                exchange = _probe(process, kind, exchanges)
+                exchange = _probe(deployment, process, kind, exchanges)
             if not _is_served(exchange):
                 status = exchange.status if exchange else "no connection"
                 yield f"{process.name} does not serve {kind} after the faults: {status}"
@@ -159,14 +159,16 @@
     return exchange is not None and exchange.status == 200 and exchange.complete
 
 
-def _probe(process, kind, exchanges):
+def _probe(deployment, process, kind, exchanges):
     """Sends a request on a new connection; returns the `Exchange`, or None."""
     host, port = process.caller_link.address.split(":")
     _probe.number += 1
     try:
         with socket.create_connection((host, int(port)), 1.0) as sock:
             sock.settimeout(4.0)
-            exchange = send(sock, process.name, kind, f"p{_probe.number:07d}")
+            attempt = f"p{_probe.number:07d}"
+            key = deployment.keys.lasting(attempt)
+            exchange = send(sock, process.name, kind, attempt, key=key)
     except OSError:
         # The process has not started again yet.
         return None
--- a/amaranthbay/platform/tests/soak/server_faults.py
+++ b/amaranthbay/platform/tests/soak/server_faults.py
@@ -282,7 +282,11 @@
             deployment.played["crashing plain requests"] += 1
             attempt = f"x{deployment.played['crashing plain requests']:07d}"
             deployment.crashing_attempts[attempt] = process
-            raw_request = request("/pay/crash", "POST", CRASHING_BODY, attempt=attempt)
+            key = deployment.keys.lasting(attempt)
+            headers = () if key is None else (("X-Credential", key),)
+            raw_request = request(
+                "/pay/crash", "POST", CRASHING_BODY, headers, attempt=attempt
+            )
             with contextlib.suppress(OSError), gevent.Timeout(CRASHING_WAIT_S, False):
                 call_raw(address, raw_request)
             gevent.sleep(CRASHING_GAP_S)
--- a/amaranthbay/platform/tests/soak/servers.py
+++ b/amaranthbay/platform/tests/soak/servers.py
@@ -69,6 +69,8 @@
         ran: Whether the server ran it; a prefill doesn't count as a run.
         prefill: Whether it asked for a prefill only.
         spoiled: Whether the server spoiled or broke off the answer on purpose.
+        credential: Key in its headers; None if it has none.
+        workspace: Name of the workspace in its headers; None if it has none.
     """
 
     attempt: str
@@ -80,6 +82,8 @@
     ran: bool
     prefill: bool
     spoiled: bool = False
+    credential: str | None = None
+    workspace: str | None = None
 
 
 @dataclass(frozen=True)
@@ -279,6 +283,8 @@
                 ran,
                 prefill,
                 spoiled,
+                req.headers.get("x-credential"),
+                req.headers.get("x-tenant-id"),
             )
         )
 
--- a/amaranthbay/platform/tests/soak/store_faults.py
+++ b/amaranthbay/platform/tests/soak/store_faults.py
@@ -86,6 +86,20 @@
             gevent.sleep(0.3)
 
 
+class ChangeKeys(Fault):
+    """A configuration removes and adds keys, in a run with keys."""
+
+    settle_s = 0.0
+    max_steps = 3
+
+    def targets(self, deployment):
+        return ["keys"]
+
+    def inject(self, deployment, step):
+        if deployment.keys.in_use:
+            deployment.configure(deployment.versions[-1].service)
+
+
 class OddEntries(Fault):
     """Another writer adds entries of servers that nobody can read, and removes them."""
 
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -20,6 +20,12 @@
     InjectedFault,
 )
 from amaranthbay.platform.tests.soak.history import RunHistory
+from amaranthbay.platform.tests.soak.key_checks import (
+    REMOVED_S,
+    lasting_keys_are_known,
+    removed_keys_end,
+    requests_run_for_their_workspace,
+)
 from amaranthbay.platform.tests.soak.monitor import Stall
 from amaranthbay.platform.tests.soak.parts import CRASHING_PART, FIRST_PARTS
 from amaranthbay.platform.tests.soak.request_checks import (
@@ -125,6 +131,40 @@
         case.assertEqual(list(check(history)), [], check.__name__)
 
 
+def test_misused_keys_are_detected(case):
+    """Guards against checks that miss a key at a server, the name of another workspace,
+    a key that is unknown or removed and runs, and a valid one that is refused."""
+    versions = [
+        ConfigurationVersion(1, "desk", 0.0, {"kept": "w", "old": "w"}),
+        ConfigurationVersion(2, "desk", 5.0, {"kept": "w"}),
+    ]
+
+    def count(check, key, sent_at=6.0, status=200, **fields):
+        sent = exchange(key=key, sent_at=sent_at, status=status)
+        arrivals = [arrival(sent, **({"workspace": "w"} | fields))]
+        return len(find(check, [sent], arrivals, versions=versions))
+
+    check = requests_run_for_their_workspace
+    case.assertEqual(count(check, "kept"), 0)
+    for key, fields in (
+        ("kept", {"credential": "kept"}),
+        ("kept", {"workspace": "v"}),
+        ("kept", {"workspace": None}),
+        ("", {"workspace": None}),
+        ("never", {}),
+    ):
+        case.assertEqual(count(check, key, **fields), 1, (key, fields))
+    late = 5.0 + REMOVED_S
+    for key, sent_at, found in (("old", late, 1), ("old", 7.9, 0), ("kept", late, 0)):
+        case.assertEqual(count(removed_keys_end, key, sent_at), found)
+    fault = InjectedFault("store", "Store", 6.0, 7.0)
+    sent = exchange(key="old", sent_at=late)
+    excused = {"versions": versions, "injected_faults": [fault]}
+    case.assertEqual(find(removed_keys_end, [sent], [arrival(sent)], **excused), [])
+    for key, status, found in (("kept", 401, 1), ("old", 401, 0), ("kept", 503, 0)):
+        case.assertEqual(count(lasting_keys_are_known, key, status=status), found)
+
+
 def test_second_run_is_detected(case):
     """Guards against a check that misses a request that ran twice."""
     sent = exchange()
