--- a/amaranthbay/workspaces/tests/test_access.py
+++ b/amaranthbay/workspaces/tests/test_access.py
@@ -4,6 +4,8 @@
 from types import SimpleNamespace
 
 from amaranthbay.kernel.errors import Reason, Verdict
+from amaranthbay.relay.calls import Call
+from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.listener import IncomingRequest
 from amaranthbay.utils.testing import collect
 from amaranthbay.workspaces import KeyTable, Workspace
@@ -85,12 +87,17 @@
 
 
 def test_text_forms_have_no_key(case):
-    """Guards against a key in a log line or the text of an exception."""
+    """Guards against a key in a log line or the text of an exception, and against a
+    request that gets the priority of its route in place of its workspace's."""
     view = SimpleNamespace(table=SimpleNamespace(version=1, workspaces=KEYS))
     access = AccessControl(view, lambda: 0).admit(False, (b"ka",)).unwrap()
     headers = ((b"x", b"ka2"),)
     req = IncomingRequest(b"GET", b"/", headers, headers, b"", False)
-    case.assertNotIn("ka", repr((access, KEYS, req)))
+    route = SimpleNamespace(priority=3)
+    rest = (b"GET", b"/", headers, b"", False, CallHead("a1"), route, None, 0.0, 1.0)
+    calls = [Call("a1", *rest, workspace, access) for workspace in (A, B)]
+    case.assertEqual([call.priority for call in calls], [0, 3])
+    case.assertNotIn("ka", repr((access, KEYS, req, calls)))
 
 
 load_tests = collect(globals())
