Refuse a stream for its removed key before for its servers' pauses

Cause: a stream whose key was removed while it waited got 503 if all decode servers had asked for a pause at its end.

Change: the end of a stream asks for its access first, as that of a plain call does. The wait in the opener checks placed streams only.

--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -117,10 +117,10 @@
                 self._attempts.version is not None,
                 self._attempts.version,
             )
-            refusal = self._access_refusal()
             if place_result.is_err():
-                return place_result if refusal is None else Err(refusal)
+                return place_result
             placement = place_result.unwrap()
+            refusal = self._access_refusal()
             if refusal is not None:
                 placement.release()
                 return Err(refusal)
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -226,7 +226,8 @@
             return None
         if self._attempts.verdict is Verdict.NOT_RUN:
             version = self._attempts.version
-            return self._queue.held_back_refusal(self._call, version) or refusal
+            held_back = self._queue.held_back_refusal(self._call, version)
+            return self._call.access_refusal() or held_back or refusal
         return refusal.with_verdict(self._attempts.verdict)
 
     def _relay_opened(self, opened):
