--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -256,9 +256,12 @@
         return process in self._confirmed
 
     def _confirmed_mark(self):
-        """Returns the last charge that all busy peers that are heard have heard of."""
+        """Returns the last charge that all busy peers that are heard have heard of.
+
+        A process that was replaced since the last look is no longer waited for.
+        """
         return min(
-            (self._confirmed[process] for process in self._part.confirming),
+            (self._confirmed.get(process, inf) for process in self._part.confirming),
             default=inf,
         )
 
