--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -33,9 +33,6 @@
 REPORTED_PART = 0.25
 # Callers that are refused come back over this part of their wait in addition.
 RETURN_SPREAD = 0.25
-# Workspaces that are named in metrics; the others count as one.
-MAX_LABELS = 50
-OTHER_LABEL = "other"
 
 
 @dataclass(frozen=True)
@@ -109,7 +106,6 @@
         self._heard = {}
         self._confirmed = {}
         self._newly_heard = set()
-        self._labels = set()
         self._looked_at = clock.monotonic()
         self._wall_offset_s = self._read_wall_offset()
         self._resumed_at = -inf
@@ -147,7 +143,7 @@
         return Ok(Charge(lambda: bucket.refund(units, self._clock.monotonic())))
 
     def _refuse(self, workspace, units, bucket, needed_s):
-        current_metrics().quota_refused(self._label(workspace.name), units)
+        current_metrics().quota_refused(workspace.name, units)
         retry_s = needed_s * (1.0 + RETURN_SPREAD * self._rng.random())
         log_event(
             "quota_exceeded",
@@ -158,12 +154,6 @@
         )
         return Shortage(retry_s, bucket.level)
 
-    def _label(self, name):
-        """Returns the label of a workspace in metrics, of which there are few."""
-        if len(self._labels) < MAX_LABELS:
-            self._labels.add(name)
-        return name if name in self._labels else OTHER_LABEL
-
     def report(self, only_changes=False):
         """Returns the `Usage` of this process.
 
