--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -47,7 +47,7 @@
 
 
 BOOT_FILE = """
-NodeName = "n-1"
+NodeName = "{name}"
 Ip = "127.0.0.1"
 Zone = "z"
 Region = "r"
@@ -364,13 +364,14 @@
 
 
 @contextlib.contextmanager
-def entry_process(store_address, grace_s=3, memory_mb=MEMORY_MB):
+def entry_process(store_address, grace_s=3, memory_mb=MEMORY_MB, name="n-1"):
     """Runs the program as its own process; yields its `EntryProcess` when ready.
 
     Args:
         store_address: Host and port of the store.
         grace_s: Grace period in seconds.
         memory_mb: Memory limit of the instance in MiB.
+        name: Name of the instance.
     """
     ports = {name: free_port() for name in ("front", "ready", "directory")}
     ports["peer"] = free_port_pair()
@@ -378,7 +379,11 @@
     with TemporaryDirectory() as folder:
         boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
         boot_text = BOOT_FILE.format(
-            store=store_address, grace=grace_s, memory_mb=memory_mb, **ports
+            name=name,
+            store=store_address,
+            grace=grace_s,
+            memory_mb=memory_mb,
+            **ports,
         )
         boot_path.write_text(boot_text)
         with open(log_path, "wb") as log:
