Answer charges only to the instances that wait for it

Change: a report of changes that has only such answers goes to those that have reported charges since the last one.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -199,7 +199,9 @@
         self._process_number = process_number
         self._socket = None
         self._report_requested = gevent.event.Event()
-        self._changed = set()
+        self._has_changes = False
+        # Instances whose reports of changes have charges that were not answered yet.
+        self._waiting = set()
 
     def replace(self, rows, restored=False):
         """Applies the whole table.
@@ -421,8 +423,8 @@
         if previous is None or previous.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._received[status.instance] = merged
-        if status.only_changes and status.instance in self._registered:
-            self._changed.add(status.instance)
+        if status.only_changes and status.usage.charged:
+            self._waiting.add(status.instance)
         if len(self._received) > MAX_REPORTING:
             self._forget_silent()
         if previous is None and self._has_work():
@@ -452,10 +454,15 @@
         log_event("stranger_heard", member=name, address=sender)
         self._on_unknown_peer()
 
-    def next_changes(self):
-        """Creates the next report as a `PeerStatus`, with changes only."""
+    def next_changes(self, with_loads=True):
+        """Creates the next report as a `PeerStatus`, with changes only.
+
+        Args:
+            with_loads: Whether it has the changed loads; it must then go to all busy
+                instances.
+        """
         self._sequence += 1
-        loads = self._own_report().loads
+        loads = self._own_report().loads if with_loads else self._reported_loads
         changed = {
             name: load
             for name, load in loads.items()
@@ -523,16 +530,17 @@
             self._socket.close()
             self._socket = None
 
-    def report_now(self, names=None, only_changes=False):
-        """Sends a report at once, as after a change of `serving`.
+    def report_now(self, names=None):
+        """Sends a full report at once, as after a change of `serving`.
 
         Args:
             names: Names of the recipients; all registered instances if None.
-            only_changes: Whether to report changed loads only.
         """
-        if self._socket is None:
-            return
-        status = self.next_changes() if only_changes else self.next_report()
+        if self._socket is not None:
+            self._send_report(names, self.next_report())
+
+    def _send_report(self, names, status):
+        """Sends a report to registered instances; to all if ``names`` is None."""
         frames = [encode_datagram(datagram) for datagram in split_report(status)]
         for name, registration in tuple(self._registered.items()):
             if name != self.own.instance and (names is None or name in names):
@@ -561,18 +569,25 @@
         }
         return in_zone | self.busy_names()
 
-    def change_recipients(self):
-        """Returns the names of the recipients of the next report of changes.
+    def take_changes(self):
+        """Returns the recipients' names and the `PeerStatus` of a report of changes.
 
-        They are the busy instances, and those that have reported changes since the last
-        one: an instance on standby that gets requests waits to be heard.
+        It goes to the busy instances, and to those that wait to hear that their charges
+        are known here. If nothing else was requested, it goes to the latter only.
         """
-        recipients = self.busy_names() | self._changed
-        self._changed = set()
-        return recipients
+        waiting, self._waiting = self._waiting, set()
+        if not self._has_changes:
+            return waiting, self.next_changes(with_loads=False)
+        self._has_changes = False
+        return self.busy_names() | waiting, self.next_changes()
+
+    def report_soon(self, only_answers=False):
+        """Requests a report of changes; returns at once.
 
-    def report_soon(self):
-        """Requests a report of changes; returns at once."""
+        Args:
+            only_answers: Whether only those need it that have reported charges.
+        """
+        self._has_changes |= not only_answers
         self._report_requested.set()
 
     def _report_loop(self):
@@ -586,7 +601,7 @@
                 self.report_now(self._recipients())
                 reported_at = now
             elif requested:
-                self.report_now(self.change_recipients(), only_changes=True)
+                self._send_report(*self.take_changes())
             self._clock.sleep(MIN_REPORT_INTERVAL_S)
 
     def _receive_loop(self):
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -72,7 +72,7 @@
         find_workspace,
         rng,
         shared_time=lambda: 0.0,
-        report_soon=lambda: None,
+        report_soon=lambda only_answers=False: None,
     ):
         """Creates the quotas, with empty buckets.
 
@@ -86,7 +86,8 @@
             rng: `random.Random` that spreads the retries of callers.
             shared_time: Function that returns the time in seconds on the clock that the
                 instances share.
-            report_soon: Function that requests a report of changes.
+            report_soon: Function that requests a report of changes; see
+                `Peers.report_soon`.
         """
         self._clock = clock
         self._fleet = fleet
@@ -200,7 +201,7 @@
         if usage.charged:
             self._heard_at[process] = now
             if status.only_changes:
-                self._report_soon()
+                self._report_soon(only_answers=True)
 
     def _merge_entry(self, process, entry, now):
         workspace = self._find_workspace(entry.workspace)
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -69,7 +69,8 @@
             self._request_report,
         )
 
-    def _request_report(self):
+    def _request_report(self, only_answers=False):
+        self.peers.report_soon(only_answers)
         self.requested = True
 
     def next_datagrams(self, now):
@@ -82,7 +83,8 @@
         if not self.requested:
             return (), []
         self.sent_at, self.requested = now, False
-        return self.peers.change_recipients(), split_report(self.peers.next_changes())
+        recipients, status = self.peers.take_changes()
+        return recipients, split_report(status)
 
 
 class Fleet:
