--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -164,6 +164,9 @@
         self._repeats = create_counter(
             "amaranthbay.repeats", "{attempt}", "Repeats asked of the budget"
         )
+        self._refused_units = create_counter(
+            "amaranthbay.quota.refused", "{unit}", "Units refused over a quota"
+        )
         self._workspace_requests = create_counter(
             "amaranthbay.workspace.requests", "{request}", "Requests with a known key"
         )
@@ -224,7 +227,7 @@
         self._repeats.add(1, attributes)
 
     def quota_refused(self, workspace, units):
-        self._refused_units.add(units, {"amaranthbay.workspace": workspace})
+        self._refused_units.add(units, self._workspace_attributes(workspace))
 
     def step_ended(self, service, step, seconds):
         attributes = {"amaranthbay.service": service, "amaranthbay.step": str(step)}
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -33,9 +33,6 @@
 REPORTED_PART = 0.25
 # Callers that are refused come back over this part of their wait in addition.
 RETURN_SPREAD = 0.25
-# Workspaces that are named in metrics; the others count as one.
-MAX_LABELS = 50
-OTHER_LABEL = "other"
 
 
 @dataclass(frozen=True)
@@ -75,7 +72,7 @@
         find_workspace,
         rng,
         shared_time=lambda: 0.0,
-        report_soon=lambda: None,
+        report_soon=lambda only_answers=False: None,
     ):
         """Creates the quotas, with empty buckets.
 
@@ -89,7 +86,8 @@
             rng: `random.Random` that spreads the retries of callers.
             shared_time: Function that returns the time in seconds on the clock that the
                 instances share.
-            report_soon: Function that requests a report of changes.
+            report_soon: Function that requests a report of changes; see
+                `Peers.report_soon`.
         """
         self._clock = clock
         self._fleet = fleet
@@ -108,8 +106,9 @@
         # of this process that each of them has.
         self._heard = {}
         self._confirmed = {}
-        self._newly_heard = set()
-        self._labels = set()
+        # Time at which each other process reported charges for the last time.
+        self._heard_at = {}
+        self._reported_at = -inf
         self._looked_at = clock.monotonic()
         self._wall_offset_s = self._read_wall_offset()
         self._resumed_at = -inf
@@ -147,7 +146,7 @@
         return Ok(Charge(lambda: bucket.refund(units, self._clock.monotonic())))
 
     def _refuse(self, workspace, units, bucket, needed_s):
-        current_metrics().quota_refused(self._label(workspace.name), units)
+        current_metrics().quota_refused(workspace.name, units)
         retry_s = needed_s * (1.0 + RETURN_SPREAD * self._rng.random())
         log_event(
             "quota_exceeded",
@@ -158,12 +157,6 @@
         )
         return Shortage(retry_s, bucket.level)
 
-    def _label(self, name):
-        """Returns the label of a workspace in metrics, of which there are few."""
-        if len(self._labels) < MAX_LABELS:
-            self._labels.add(name)
-        return name if name in self._labels else OTHER_LABEL
-
     def report(self, only_changes=False):
         """Returns the `Usage` of this process.
 
@@ -181,17 +174,20 @@
             if is_known and (only_changes or now - bucket.charged_at > REPORTED_S):
                 break
             charged.append(WorkspaceUsage(name, bucket.since, bucket.count, mark))
-        heard = self._heard
-        if only_changes:
-            heard = {number: self._heard[number] for number in self._newly_heard}
-        self._newly_heard = set()
+        heard_from = self._reported_at if only_changes else now - REPORTED_S
+        heard = {
+            number: self._heard.get(number, 0)
+            for number, heard_at in self._heard_at.items()
+            if heard_at >= heard_from
+        }
+        self._reported_at = now
         after = min(confirmed, self._mark) if only_changes else 0
-        return Usage(after, self._mark, tuple(reversed(charged)), dict(heard))
+        return Usage(after, self._mark, tuple(reversed(charged)), heard)
 
     def merge(self, status):
         """Merges the usage that a `PeerStatus` of a peer reports."""
         usage, process = status.usage, status.process
-        if not usage.upto:
+        if not usage.upto and not usage.heard:
             return
         now = self._look()
         self._confirmed.setdefault(process, 0)
@@ -203,9 +199,9 @@
         if self._confirmed[process] < own_mark <= self._mark:
             self._confirmed[process] = own_mark
         if usage.charged:
-            self._newly_heard.add(process)
+            self._heard_at[process] = now
             if status.only_changes:
-                self._report_soon()
+                self._report_soon(only_answers=True)
 
     def _merge_entry(self, process, entry, now):
         workspace = self._find_workspace(entry.workspace)
@@ -256,9 +252,12 @@
         return process in self._confirmed
 
     def _confirmed_mark(self):
-        """Returns the last charge that all busy peers that are heard have heard of."""
+        """Returns the last charge that all busy peers that are heard have heard of.
+
+        A process that was replaced since the last look is no longer waited for.
+        """
         return min(
-            (self._confirmed[process] for process in self._part.confirming),
+            (self._confirmed.get(process, inf) for process in self._part.confirming),
             default=inf,
         )
 
@@ -284,10 +283,9 @@
             self._buckets[name].forget_own()
         self._drop_idle_buckets(now)
         running = self._fleet.processes()
-        for numbers in (self._heard, self._confirmed):
+        for numbers in (self._heard, self._heard_at, self._confirmed):
             for number in [number for number in numbers if number not in running]:
                 del numbers[number]
-        self._newly_heard &= self._heard.keys()
 
     def _drop_idle_buckets(self, now):
         idle = [
