--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -174,9 +174,6 @@
             "amaranthbay.workspace.refusals", "{request}", "Refusals of those requests"
         )
         self._workspaces = BoundedLabels(MAX_WORKSPACE_LABELS)
-        self._refused_units = create_counter(
-            "amaranthbay.quota.refused", "{unit}", "Units refused over a quota"
-        )
         self._step = self._meter.create_histogram(
             STEP_METRIC, "s", "Time that a request spent in a step"
         )
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -29,6 +29,7 @@
 from amaranthbay.utils.hangup import HangupWatch
 from amaranthbay.workspaces import Workspace
 from amaranthbay.workspaces.access import NOT_READY_RETRY, AccessControl
+from amaranthbay.workspaces.quota_line import QuotaLine
 
 __all__ = ["RelayService"]
 
@@ -78,6 +79,7 @@
         self._plain = plain
         self._streams = streams
         self._access = AccessControl(configuration, ctx.peers.newest_configuration)
+        self._quota_line = QuotaLine(ctx.quotas, ctx.clock)
         self.serves_until = None
 
     def handle(self, conn, req):
@@ -177,7 +179,7 @@
         """Charges a call to its quota; returns it, or the `Refusal` if it is over."""
         if call.workspace is None:
             return call
-        charged = self._ctx.quotas.charge(call.workspace, call.units)
+        charged = self._quota_line.charge(call)
         if charged.is_err():
             return over_quota(charged.unwrap_err())
         return replace(call, charge=charged.unwrap())
--- a/amaranthbay/workspaces/buckets.py
+++ b/amaranthbay/workspaces/buckets.py
@@ -22,6 +22,9 @@
 # Part of the overshoot that unknown charges may use. The other half covers charges that
 # no process knows any more after a kill, or that a cut left unknown.
 UNKNOWN_FRACTION = 0.5
+# Part of the overshoot by which rate and burst are raised, each, so that what the
+# replicas don't know exactly refuses nothing under the limit.
+LENIENT_FRACTION = 0.15
 # An instance that hears less of the fleet passes no request above the burst.
 MIN_PART_ABOVE_BURST = 0.5
 # Time within which refunded units may be used by other requests of this process.
@@ -68,8 +71,13 @@
         """Returns the `Quota` of a `Workspace`; None if it has no limit."""
         if not workspace.rate_per_s:
             return None
-        unknown = UNKNOWN_FRACTION * self._excess(workspace)
-        return Quota(workspace.rate_per_s, workspace.burst, unknown)
+        excess = self._excess(workspace)
+        lenient = LENIENT_FRACTION * excess
+        return Quota(
+            workspace.rate_per_s + lenient / self.window_s,
+            workspace.burst + lenient,
+            UNKNOWN_FRACTION * excess,
+        )
 
     def _excess(self, workspace):
         allowed = workspace.rate_per_s * self.window_s + workspace.burst
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -33,6 +33,9 @@
 REPORTED_PART = 0.25
 # Callers that are refused come back over this part of their wait in addition.
 RETURN_SPREAD = 0.25
+# Longest time ahead for which refill is promised to refused callers. Those beyond it
+# wait no longer, as most callers give up then.
+MAX_PROMISE_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -102,6 +105,9 @@
         self._mark = 1
         # Mark of each workspace that this process has charged, in order of the marks.
         self._marks = {}
+        # Monotonic time up to which the refill of a workspace is promised to callers
+        # that were refused.
+        self._promised = {}
         # Last charge of each other process that this one has heard of, and last charge
         # of this process that each of them has.
         self._heard = {}
@@ -118,7 +124,7 @@
         self._pace = Pace(self._looked_at, self._part.part)
 
     def charge(self, workspace, units):
-        """Charges a request to the quota of its workspace.
+        """Charges a request to the quota of its workspace, or refuses it.
 
         Args:
             workspace: `Workspace` of the request.
@@ -127,27 +133,56 @@
         Returns:
             ``Result[Charge, Shortage]``.
         """
+        charged = self.try_charge(workspace, units)
+        return charged if charged.is_ok() else Err(self.refuse(workspace, units))
+
+    def try_charge(self, workspace, units):
+        """Charges a request if its quota allows it now; see `charge`.
+
+        The `Shortage` doesn't count as a refusal.
+        """
         quota = self._bounds().quota_of(workspace)
         if quota is None or units <= 0:
             return Ok(Charge())
         now = self._look()
-        bucket = self._bucket(workspace.name, quota)
-        open_units = bucket.open_units(self._confirmed_mark())
-        position = self._position()
-        needed_s = wait_s(quota, bucket.level, units, open_units, position)
+        bucket, needed_s, is_urgent = self._check(workspace, quota, units)
         if needed_s:
-            return Err(self._refuse(workspace, units, bucket, needed_s))
+            return Err(Shortage(needed_s, bucket.level))
         if bucket.charge(units, self._mark + 1, now):
             self._mark += 1
             self._marks.pop(workspace.name, None)
             self._marks[workspace.name] = self._mark
-            if open_units + units >= REPORTED_PART * position.share * quota.unknown:
+            if is_urgent:
                 self._report_soon()
         return Ok(Charge(lambda: bucket.refund(units, self._clock.monotonic())))
 
-    def _refuse(self, workspace, units, bucket, needed_s):
+    def _check(self, workspace, quota, units):
+        """Returns the bucket, the seconds until a charge may be, and its urgency.
+
+        A charge is urgent if peers have to hear of it soon.
+        """
+        bucket = self._bucket(workspace.name, quota)
+        open_units = bucket.open_units(self._confirmed_mark())
+        position = self._position()
+        needed_s = wait_s(quota, bucket.level, units, open_units, position)
+        unreported = REPORTED_PART * position.share * quota.unknown
+        return bucket, needed_s, open_units + units >= unreported
+
+    def refuse(self, workspace, units):
+        """Counts and logs a refusal; returns its `Shortage`.
+
+        What refills is promised to one refused caller after the other, so that they
+        don't all come back for the same units.
+        """
+        quota = self._bounds().quota_of(workspace)
+        now = self._look()
+        bucket, needed_s, _ = self._check(workspace, quota, units)
+        promised_at = max(now, self._promised.get(workspace.name, now))
+        promised_at = min(promised_at + units / quota.rate_per_s, now + MAX_PROMISE_S)
+        self._promised[workspace.name] = promised_at
+        retry_s = max(needed_s, promised_at - now)
+        retry_s *= 1.0 + RETURN_SPREAD * self._rng.random()
         current_metrics().quota_refused(workspace.name, units)
-        retry_s = needed_s * (1.0 + RETURN_SPREAD * self._rng.random())
         log_event(
             "quota_exceeded",
             workspace=workspace.name,
@@ -294,6 +329,7 @@
             if now - bucket.heard_at > BUCKET_TTL_S and name not in self._marks
         ]
         for name in idle:
+            self._promised.pop(name, None)
             workspace = self._find_workspace(name)
             quota = self._bounds().quota_of(workspace) if workspace else None
             if quota is None or self._buckets[name].is_full(quota, self._pace):
