Keep the sums of the loads that peers report

Cause: each decision about servers summed the loads of all peers anew. In a burst an instance decides several hundred times a second, and with nine busy peers and 70 servers one sum takes 630 additions.

Change: LoadSums changes with each report; a load still expires as before.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -15,6 +15,7 @@
 from gevent import socket
 from result import Err
 
+from amaranthbay.fleet.load_sums import LoadSums
 from amaranthbay.fleet.reports import (
     PeerStatus,
     ServerLoad,
@@ -195,6 +196,9 @@
         self._reported_loads = {}
         self._registered = {own.instance: own}
         self._received = {}
+        self._load_sums = LoadSums()
+        # Names of the peers whose last report is not in the sums yet.
+        self._unsummed = set()
         self._sequence = 0
         self._process_number = process_number
         self._socket = None
@@ -361,12 +365,20 @@
         ]
 
     def loads(self):
-        """Returns the sum of the `ServerLoad` of all peers, by server."""
-        total = {}
-        for status in self.fresh_statuses():
-            for server, load in status.loads.items():
-                total[server] = total.get(server, ServerLoad()) + load
-        return total
+        """Returns the sum of the `ServerLoad` of all peers, by server.
+
+        Callers don't change it.
+        """
+        now = self._clock.monotonic()
+        for name in self._unsummed:
+            merged = self._received.get(name)
+            self._load_sums.replace(name, merged.status.loads if merged else {})
+        self._unsummed.clear()
+        for name in tuple(self._load_sums.names()):
+            merged = self._received.get(name)
+            if merged is None or now - merged.received_at > LOAD_TTL_S:
+                self._load_sums.replace(name, {})
+        return self._load_sums.sums()
 
     def switching(self):
         """Returns the target stage of each server that peers have ordered to switch.
@@ -423,6 +435,7 @@
         if previous is None or previous.status.serving != status.serving:
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._received[status.instance] = merged
+        self._unsummed.add(status.instance)
         if status.only_changes and status.usage.charged:
             self._waiting.add(status.instance)
         if len(self._received) > MAX_REPORTING:
