Choose no weak instance beside two strong ones of its zone

Cause: lookups name three instances of each availability zone, and callers use them in equal parts. Where a zone has two instances of 2.1 cores and many of half a core, the third of them gets a third of the zone's callers with a quarter of the processor, and is the first that is overloaded. Each chosen instance also sends its full reports to all others.

Change: with two or more strong instances in a zone only strong ones are chosen, up to three; with fewer, the rest are weak ones as before. The count for the repeat allowance follows.

--- a/amaranthbay/daemon/lookup.py
+++ b/amaranthbay/daemon/lookup.py
@@ -11,6 +11,9 @@
 # are on standby. A few instances learn of each other's work fast enough not to fill the
 # same model server twice.
 CHOSEN_PER_ZONE = 3
+# Number of strong instances in a zone from which on no weak one is chosen. Each chosen
+# instance gets an equal part of the callers, and weak ones are overloaded first.
+ENOUGH_STRONG = 2
 # Up to this number of chosen instances, all of them watch the store. Beyond it, one in
 # each availability zone does, and the others learn of changes from its reports a moment
 # later.
@@ -25,6 +28,7 @@
 def choose_instances(live):
     """Chooses up to `CHOSEN_PER_ZONE` instances in each availability zone.
 
+    Weak instances are chosen only where there are fewer than `ENOUGH_STRONG` others.
     All instances that know the same live instances choose the same ones.
 
     Args:
@@ -50,18 +54,33 @@
     for _, registrations in groupby(
         ordered, key=lambda registration: registration.availability_zone
     ):
-        chosen += list(registrations)[:CHOSEN_PER_ZONE]
+        chosen += _choose_in_zone(list(registrations))
     return chosen
 
 
+def _choose_in_zone(registrations):
+    """Returns the chosen ones of a zone's instances, which are sorted strong first."""
+    strong = sum(1 for registration in registrations if not _is_weak(registration))
+    return registrations[: _count_in_zone(len(registrations), strong)]
+
+
+def _count_in_zone(instances, strong):
+    """Returns how many of a zone's instances are chosen, of which some are strong."""
+    enough = strong if strong >= ENOUGH_STRONG else instances
+    return min(CHOSEN_PER_ZONE, enough)
+
+
 def count_chosen(registered):
     """Returns how many instances are chosen while all are live.
 
     Args:
         registered: `Registration` of each instance, live or not.
     """
-    zones = Counter(registration.availability_zone for registration in registered)
-    return sum(min(CHOSEN_PER_ZONE, count) for count in zones.values())
+    instances, strong = Counter(), Counter()
+    for registration in registered:
+        instances[registration.availability_zone] += 1
+        strong[registration.availability_zone] += not _is_weak(registration)
+    return sum(_count_in_zone(count, strong[zone]) for zone, count in instances.items())
 
 
 def choose_watchers(chosen):
--- a/amaranthbay/daemon/tests/test_lookup_choice.py
+++ b/amaranthbay/daemon/tests/test_lookup_choice.py
@@ -61,6 +61,19 @@
     case.assertEqual(len(only_weak), 2)
 
 
+def test_no_weak_instance_is_chosen_beside_enough_strong_ones(case):
+    """Guards against a third of a zone's callers at an instance with a quarter of the
+    processor of the other two, and against relying on a single strong one."""
+    for strong, expected in ((0, 3), (1, 3), (2, 2), (3, 3), (4, 3)):
+        weak = {(0, number) for number in range(strong, 29)}
+        live = fleet(zones=1, weak=weak)
+        chosen = choose_instances(live)
+        case.assertEqual(len(chosen), expected)
+        case.assertEqual(count_chosen(live), expected)
+        strong_chosen = [each for each in chosen if each.cores == 2.0]
+        case.assertEqual(len(strong_chosen), min(strong, 3))
+
+
 def test_callers_of_an_empty_zone_use_the_region(case):
     """Guards against an empty answer while other zones have instances."""
     case.assertEqual(len(choose_addresses(fleet(), "zone-9", "region-1")), 9)
