Move the decisions on waiting streams to the package scheduling

Cause: decisions on scarce capacity are to take priorities into account, and to be in a package that knows no network. No behaviour changes.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -10,14 +10,6 @@
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Step, current_metrics, log_decision
-from amaranthbay.relay.admission import (
-    Pressure,
-    Urgency,
-    first_event_s,
-    may_start,
-    start_order,
-    urgency_of,
-)
 from amaranthbay.relay.choice import choose_decode, choose_prefill
 from amaranthbay.relay.decode_prefill import (
     FirstEventTimes,
@@ -27,6 +19,14 @@
 )
 from amaranthbay.relay.refusals import all_held_back
 from amaranthbay.routing import Stage
+from amaranthbay.scheduling.streams import (
+    Pressure,
+    Urgency,
+    first_event_s,
+    may_start,
+    start_order,
+    urgency_of,
+)
 
 __all__ = ["Placement", "StreamQueue", "memory_need"]
 
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -7,13 +7,6 @@
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.fleet.reports import MeasuredDemand
-from amaranthbay.relay.admission import (
-    Pressure,
-    Urgency,
-    first_event_s,
-    may_start,
-    urgency_of,
-)
 from amaranthbay.relay.budget import BudgetLimits, RepeatBudget, allowance_part
 from amaranthbay.relay.choice import (
     USABLE_MEMORY_SHARE,
@@ -34,6 +27,13 @@
 from amaranthbay.relay.pools import StageDemand, plan_prefill_servers
 from amaranthbay.relay.speed import PrefillSpeed, fit_speed
 from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
+from amaranthbay.scheduling.streams import (
+    Pressure,
+    Urgency,
+    first_event_s,
+    may_start,
+    urgency_of,
+)
 from amaranthbay.utils.testing import ManualClock, collect
 
 SHARES = (WeightedService("lm", 1.0),)
--- a/amaranthbay/relay/tests/test_load.py
+++ b/amaranthbay/relay/tests/test_load.py
@@ -8,11 +8,11 @@
 from types import SimpleNamespace
 
 from amaranthbay.fleet.peers import MIN_REPORT_INTERVAL_S
-from amaranthbay.relay.admission import start_order
 from amaranthbay.relay.choice import Candidate, choose_decode
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.placing import memory_need
 from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
+from amaranthbay.scheduling.streams import start_order
 from amaranthbay.utils.testing import collect
 
 # The steady load of the enlarged mup-retiros deployment: nine serving instances and
