Order streams by priority, tell servers their urgency, and name measured retry times

Cause: the priority of a request was read by no decision, so that the dearest class lost most in bursts; refused streams were told a random time; servers were overcommitted by placements that other instances had not reported yet. Change: in services with several priorities, streams start by urgency, priority and arrival, less urgent ones leave places free, and no class gets less than a fixed share. Model servers get X-Request-Urgency. Retry times follow the rate at which streams end. A stream that can't be of use any more is refused at once. Memory is reserved at the server from a lower load while instances place much. The queue keeps its candidates for a pass.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -41,6 +41,7 @@
 from amaranthbay.relay.streams import StreamRelay
 from amaranthbay.relay.switches import SwitchRecord
 from amaranthbay.routing import ClientLimits
+from amaranthbay.scheduling.priorities import ServicePriorities
 from amaranthbay.state.leases import LeaseStore
 from amaranthbay.utils.jobs import JobGroup
 from amaranthbay.utils.reading import ReadMemory
@@ -205,6 +206,7 @@
             ),
             versions=self.versions,
             origins=self.origins,
+            priorities=ServicePriorities(lambda: self.configuration.table),
             availability_zone=settings.availability_zone,
         )
         self.queue = StreamQueue(self.ctx)
--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -30,6 +30,7 @@
 RESUMES = b"resumes"
 EXPECTED_SERVER = b"x-expect-instance"
 STAGE = b"x-serving-stage"
+URGENCY = b"x-request-urgency"
 KV_SOURCE = b"x-kv-source"
 KV_HOLD = b"x-kv-hold"
 # Signature by which a backend server marks an answer as its own.
@@ -48,7 +49,7 @@
         STAGE,
         KV_SOURCE,
         b"x-expect-version",
-        b"x-request-urgency",
+        URGENCY,
         b"x-pin-ms",
         KV_HOLD,
         b"x-kv-backup",
@@ -130,6 +131,8 @@
         forwarded.append((DEADLINE, str(remaining_ms).encode()))
         if options.prefill_only:
             forwarded.append((STAGE, b"prefill"))
+        if options.urgency is not None:
+            forwarded.append((URGENCY, str(options.urgency).encode()))
         if options.kv_source:
             forwarded.append((KV_SOURCE, options.kv_source.encode()))
         if options.hold:
--- a/amaranthbay/relay/codec.py
+++ b/amaranthbay/relay/codec.py
@@ -81,6 +81,7 @@
         server: Name of the server that must run the request.
         left_s: Seconds until the deadline.
         prefill_only: Whether the server computes only the KV cache.
+        urgency: Urgency for the server, 0 for the most urgent; None to tell it none.
         kv_source: Text that tells a decode server where to fetch the KV cache; empty
             for none.
         hold: Id of the hold (reserved slot and memory) for the request; empty for none.
@@ -91,6 +92,7 @@
     server: str
     left_s: float
     prefill_only: bool = False
+    urgency: int | None = None
     kv_source: str = ""
     hold: str = ""
     last_event_id: int | None = None
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -4,6 +4,7 @@
 
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.relay.choice import Candidate
+from amaranthbay.scheduling.priorities import request_urgency
 
 __all__ = ["HeldBack", "RelayContext"]
 
@@ -47,6 +48,7 @@
         switches: `SwitchRecord` of servers that change their pool.
         versions: `VersionHistory` of the services.
         origins: `StreamOrigins` with the versions at which streams began.
+        priorities: `ServicePriorities` of the services' requests.
         availability_zone: Availability zone in which the process runs.
     """
 
@@ -67,6 +69,7 @@
     switches: object
     versions: object
     origins: object
+    priorities: object
     availability_zone: str
 
     def candidates(self, service, stage=None, excluded=frozenset(), version=None):
@@ -108,6 +111,10 @@
         pause_s, limit_s = self.pauses.left_s(name), self.limits.wait_s(name)
         return HeldBack(max(pause_s, limit_s), limit_s > pause_s)
 
+    def urgency_of(self, call):
+        """Returns the urgency that model servers are told for a call, or None."""
+        return request_urgency(call.priority, self.priorities.of(call.service.name))
+
     def check_send(self, server_name, placed):
         """Counts a request that is about to be sent to a server.
 
--- a/amaranthbay/relay/demand.py
+++ b/amaranthbay/relay/demand.py
@@ -6,6 +6,7 @@
 from amaranthbay.fleet.reports import MeasuredDemand
 from amaranthbay.relay.pools import StageDemand
 from amaranthbay.relay.speed import PrefillSamples, PrefillSpeed
+from amaranthbay.scheduling.rates import RecentRate
 
 __all__ = ["DemandMeter"]
 
@@ -24,6 +25,10 @@
 # measured, and number of latest streams in its median.
 ASSUMED_DECODE_START_S = 0.12
 FIRST_EVENT_SAMPLES = 30
+# Window over which the memory is measured that complete streams free, and smallest
+# number of such streams. A longer window would show a loss of servers too late.
+FREED_WINDOW_S = 4.0
+MIN_FREED = 3
 
 
 class _DecodeWork:
@@ -38,6 +43,7 @@
         self._server_s = 0.0
         self._started = 0
         self._completed = 0
+        self._freed = RecentRate(FREED_WINDOW_S, MIN_FREED)
         # Time, server-seconds, and the numbers of streams started and completed so far.
         self._checkpoints = deque([(clock.monotonic(), 0.0, 0, 0)])
 
@@ -57,6 +63,15 @@
             self._runs.remove(run)
             self._server_s += run.server_s()
             self._completed += completed
+            if completed:
+                self._freed.note(run.memory_share, self._clock.monotonic())
+
+    def freed_per_s(self):
+        """Returns the memory that complete streams free per second; None if unknown.
+
+        Streams that break off don't count, as their server may be gone.
+        """
+        return self._freed.per_s(self._clock.monotonic())
 
     def measure(self):
         """Returns the mean server-seconds of a stream and the number that completed.
@@ -80,18 +95,22 @@
 
 
 class DecodeRun:
-    """A stream that a decode server runs; over at the first `end` or `drop`."""
+    """A stream that a decode server runs; over at the first `end` or `drop`.
+
+    Attributes:
+        memory_share: Share of the server's memory that it holds.
+    """
 
     def __init__(self, decode_work, clock, memory_share):
         self._decode_work = decode_work
         self._clock = clock
-        self._memory_share = memory_share
+        self.memory_share = memory_share
         self._started_at = clock.monotonic()
         decode_work.add(self)
 
     def server_s(self):
         """Returns the server-seconds that it has used so far."""
-        return self._memory_share * (self._clock.monotonic() - self._started_at)
+        return self.memory_share * (self._clock.monotonic() - self._started_at)
 
     def end(self):
         """Records that the stream is complete."""
@@ -194,6 +213,13 @@
         seconds = self._samples_of(service).first_events
         return median(seconds) if seconds else ASSUMED_DECODE_START_S
 
+    def freed_per_s(self, service):
+        """Returns the memory that streams of this instance free per second.
+
+        It is a share of a server's memory; None before enough streams have ended.
+        """
+        return self._samples_of(service).decode_work.freed_per_s()
+
     def own_demands(self):
         """Returns the `MeasuredDemand` of this instance by service."""
         demands = {}
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -247,8 +247,14 @@
             return None
         outcome = None
         try:
+            hold_result = take_hold(self._ctx, self._call, other_placement)
+            if hold_result.is_err():
+                return None
+            hold = hold_result.unwrap()
             if self._attempts.withdraw_repeat(refusal, prefill_again=False):
-                outcome = self._decode(other_placement, computed, "")
+                outcome = self._decode(other_placement, computed, hold)
+            else:
+                drop_hold(self._ctx, other_placement.decode, hold)
             return outcome
         finally:
             if outcome is None or outcome.is_err():
@@ -270,6 +276,7 @@
         options = ForwardOptions(
             server.name,
             call.left_s(ctx.clock.monotonic()),
+            urgency=ctx.urgency_of(call),
             kv_source=computed.source if computed is not None else "",
             hold=hold,
             last_event_id=self._output.last_id if self._output.started else None,
--- /dev/null
+++ b/amaranthbay/relay/placements.py
@@ -0,0 +1,108 @@
+"""Placements of streams, whose load is counted until they are released."""
+
+from dataclasses import dataclass
+
+from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.scheduling.rates import RecentRate
+from amaranthbay.scheduling.streams import reservation_share
+
+__all__ = ["Placement", "Placements"]
+
+# Window over which the memory that this instance places is measured.
+PLACED_WINDOW_S = 1.0
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Servers of one attempt, whose load is counted until it is released.
+
+    Attributes:
+        prefill: `BackendServer` that computes the prompt; None if the decode server
+            does.
+        prefill_end_s: Expected seconds until the prefill ends, including its wait in
+            the queue.
+        tokens_ahead: Prompt tokens queued at the prefill server.
+        decode: `BackendServer` that decodes.
+        need_tokens: KV cache tokens that the attempt needs on the decode server.
+        may_be_full: Whether the decode server may turn out to be full.
+        counted: Names of the servers whose limit the placement has counted.
+        end_prefill: Function that removes the prompt from the load of the server that
+            computes it.
+        release: Function that removes the attempt from the loads of both servers.
+    """
+
+    prefill: object
+    prefill_end_s: float
+    tokens_ahead: int
+    decode: object
+    need_tokens: int
+    may_be_full: bool
+    counted: frozenset
+    end_prefill: object
+    release: object
+
+
+class Placements:
+    """Counts the load of placed streams."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        # `RecentRate` of the memory placed, by name of the service.
+        self._placed = {}
+
+    def _may_be_full(self, service, decode, need_tokens):
+        placed = self._placed.get(service.name)
+        per_s = placed.per_s(self._ctx.clock.monotonic()) if placed else None
+        others = len(self._ctx.peers.demands(service.name))
+        memory_tokens = service.engine.memory_tokens
+        memory_share = (decode.memory_tokens + need_tokens) / memory_tokens
+        return memory_share > reservation_share(per_s or 0.0, others, memory_tokens)
+
+    def add(self, call, prefill, decode, need_tokens):
+        """Counts the load of an attempt and returns its `Placement`.
+
+        Args:
+            call: `Call` of the stream.
+            prefill: `Candidate` that computes the prompt; None if the decode server
+                does.
+            decode: `Candidate` that decodes.
+            need_tokens: KV cache tokens that the attempt needs.
+        """
+        may_be_full = self._may_be_full(call.service, decode, need_tokens)
+        placed_load = self._ctx.placed_load
+        tokens = call.head.prompt_tokens
+        name, now = call.service.name, self._ctx.clock.monotonic()
+        placed = self._placed.setdefault(name, RecentRate(PLACED_WINDOW_S))
+        placed.note(need_tokens, now)
+        prefill_host = (prefill or decode).server
+        # Counted here, as a computed prompt would be wasted without its decode.
+        limits = self._ctx.limits
+        counted = frozenset(
+            name
+            for name in {decode.server.name, prefill_host.name}
+            if limits.rate_per_s(name) is not None and limits.withdraw(name)
+        )
+        end_decode = placed_load.add(
+            decode.server.name, ServerLoad(running=1, memory_tokens=need_tokens)
+        )
+        end_prefill = placed_load.add(
+            prefill_host.name, ServerLoad(prefill_tokens=tokens)
+        )
+
+        def release():
+            end_prefill()
+            end_decode()
+
+        speed = self._ctx.demand.prefill_speed(name)
+        wait_s = speed.wait_s(prefill.prefill_tokens) if prefill else 0.0
+        return Placement(
+            prefill and prefill.server,
+            wait_s + speed.prompt_s(tokens),
+            prefill.prefill_tokens if prefill else 0,
+            decode.server,
+            need_tokens,
+            may_be_full,
+            counted,
+            end_prefill,
+            release,
+        )
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -1,34 +1,45 @@
 """Places streams on a prefill and a decode server, or queues them."""
 
 import sys
-from dataclasses import dataclass
 from datetime import timedelta
 
 from gevent.event import AsyncResult
 from result import Err, Ok
 
-from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.observe import Step, current_metrics, log_decision
-from amaranthbay.relay.choice import choose_decode, choose_prefill
+from amaranthbay.relay.choice import (
+    USABLE_MEMORY_SHARE,
+    choose_decode,
+    choose_prefill,
+)
 from amaranthbay.relay.decode_prefill import (
     FirstEventTimes,
     decode_prefill_s,
     decode_prefill_stall_s,
     prefers_decode_server,
 )
+from amaranthbay.relay.placements import Placements
 from amaranthbay.relay.refusals import all_held_back
+from amaranthbay.relay.waiting import CandidateCache, WaitingStream
 from amaranthbay.routing import Stage
+from amaranthbay.scheduling.priorities import ClassCredits, priority_rank
+from amaranthbay.scheduling.retries import ReturnTimes, longest_retry_s
 from amaranthbay.scheduling.streams import (
     Pressure,
     Urgency,
+    WaitingStart,
     first_event_s,
+    latest_start_at,
     may_start,
+    memory_need,
     start_order,
+    start_sequence,
+    stream_to_drop,
     urgency_of,
 )
 
-__all__ = ["Placement", "StreamQueue", "memory_need"]
+__all__ = ["StreamQueue"]
 
 # Interval at which a waiting stream checks the queue, as memory is also freed by other
 # instances.
@@ -38,116 +49,25 @@
 MIN_PASS_INTERVAL_S = 0.01
 # Each waiting request holds its body and a connection.
 MAX_QUEUE_LENGTH = 200
-MIN_RETRY_S = 0.5
-# Memory that an answer holds on average during its run, as a share of its expected
-# length.
-MEAN_ANSWER_SHARE = 0.75
-# Share of a decode server's memory above which it may be full. Placements that other
-# instances have not reported yet then matter, and their last reports are too old to be
-# relied on.
-UNCERTAIN_MEMORY_SHARE = 0.6
 # Longest wait in the queue, in targets of the route. A caller gives up a stream without
 # an event after about four targets.
 MAX_WAIT_TARGETS = 3.0
 
 
-@dataclass(frozen=True)
-class Placement:
-    """Servers of one attempt, whose load is counted until it is released.
-
-    Attributes:
-        prefill: `BackendServer` that computes the prompt; None if the decode server
-            does.
-        prefill_end_s: Expected seconds until the prefill ends, including its wait in
-            the queue.
-        tokens_ahead: Prompt tokens queued at the prefill server.
-        decode: `BackendServer` that decodes.
-        need_tokens: KV cache tokens that the attempt needs on the decode server.
-        may_be_full: Whether the decode server may turn out to be full.
-        counted: Names of the servers whose limit the placement has counted.
-        end_prefill: Function that removes the prompt from the load of the server that
-            computes it.
-        release: Function that removes the attempt from the loads of both servers.
-    """
-
-    prefill: object
-    prefill_end_s: float
-    tokens_ahead: int
-    decode: object
-    need_tokens: int
-    may_be_full: bool
-    counted: frozenset
-    end_prefill: object
-    release: object
-
-
-@dataclass(eq=False)
-class _WaitingStream:
-    """A stream in the queue.
-
-    Attributes:
-        call: `Call` of the stream.
-        excluded: Names of servers that must not be used.
-        must_skip_prefill: Whether the decode server must compute the prompt.
-        continued: Whether the caller already has events of the stream.
-        version: Software version of the servers that may be used; None for any.
-        since: Monotonic time at which the wait began.
-        until: Monotonic time at which the wait is given up.
-        ready: Gets the `Placement`, or the exception that ends the wait.
-        taken: Whether the waiting greenlet has taken the `Placement`. If it is killed
-            before that, `StreamQueue.place` releases the placement.
-    """
-
-    call: object
-    excluded: frozenset
-    must_skip_prefill: bool
-    continued: bool
-    version: str | None
-    since: float
-    until: float
-    ready: AsyncResult
-    taken: bool = False
-
-
-class _CandidateCache:
-    """Candidates by service and stage; valid until a stream is placed."""
-
-    def __init__(self, ctx):
-        self._ctx = ctx
-        self._by_stage = {}
-
-    def usable_by(self, waiting, stage, reserved=frozenset()):
-        """Returns the candidates that a waiting stream may use.
-
-        Args:
-            waiting: `_WaitingStream` to place.
-            stage: `Stage` of the servers.
-            reserved: Names of servers that are reserved for other streams.
-        """
-        key = waiting.call.service.name, stage, waiting.version
-        if key not in self._by_stage:
-            service, _, version = key
-            self._by_stage[key] = self._ctx.candidates(service, stage, version=version)
-        excluded = waiting.excluded | reserved
-        if stage is Stage.PREFILL:
-            excluded = excluded | self._ctx.handles.distrusted()
-        return [
-            candidate
-            for candidate in self._by_stage[key]
-            if candidate.server.name not in excluded
-        ]
-
-
 class StreamQueue:
     """Streams that wait for memory of a decode server.
 
-    `relay.admission` decides the order in which they start.
+    `scheduling.streams` decides the order in which they start.
     """
 
     def __init__(self, ctx):
         self._ctx = ctx
         self._waiting = []
         self._next_pass_at = 0.0
+        self._credits = ClassCredits()
+        self._placements = Placements(ctx)
+        # `ReturnTimes` by name of the service.
+        self._returns = {}
 
     def length(self):
         """Returns the number of streams that wait."""
@@ -175,8 +95,7 @@
             queue is full or no server can take the stream before the wait would end.
         """
         now = self._ctx.clock.monotonic()
-        since = now if continued else call.arrived_at
-        until = min(call.ends_at, since + MAX_WAIT_TARGETS * call.route.target_s)
+        until = self._longest_wait_end(call, continued, now)
         name = call.service.name
         if not self._ctx.candidates(name, Stage.DECODE, excluded, version):
             refusal = self._no_server_refusal(
@@ -184,18 +103,22 @@
             )
             if refusal is not None:
                 return Err(refusal)
-        if len(self._waiting) >= MAX_QUEUE_LENGTH:
-            return Err(self._overloaded("the queue is full"))
-        waiting = _WaitingStream(
+        waiting = WaitingStream(
             call,
-            excluded,
+            frozenset(excluded),
             must_skip_prefill,
             continued,
             version,
+            memory_need(call.head),
             now,
             until,
             AsyncResult(),
         )
+        if not continued:
+            self._credits.note_arrived(name, call.priority, now)
+        refusal = self._refusal_at_once(waiting, now)
+        if refusal is not None:
+            return Err(refusal)
         self._waiting.append(waiting)
         try:
             self.advance(at_once=len(self._waiting) == 1)
@@ -204,7 +127,40 @@
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
             elif waiting.ready.successful() and not waiting.taken:
-                waiting.ready.get().release()
+                waiting.ready.get().map(lambda placement: placement.release())
+
+    def _longest_wait_end(self, call, continued, now):
+        """Returns the monotonic time at which the wait of a stream is given up."""
+        max_wait_s = MAX_WAIT_TARGETS * call.route.target_s
+        if continued:
+            return min(call.ends_at, now + max_wait_s)
+        pressure = self._pressure(CandidateCache(self._ctx), call, 0.0, 0.0)
+        first_s = first_event_s(call.head.prompt_tokens, pressure)
+        return min(call.arrived_at + max_wait_s, latest_start_at(call, first_s))
+
+    def _refusal_at_once(self, waiting, now):
+        """Returns the `Refusal` of a stream that can't be served, else None.
+
+        A less urgent stream makes way if the queue is full.
+        """
+        call = waiting.call
+        usable_tokens = USABLE_MEMORY_SHARE * call.service.engine.memory_tokens
+        if waiting.need_tokens > usable_tokens:
+            return self._overloaded("no decode server can hold the stream", call)
+        if now > waiting.until:
+            return self._overloaded("no server can answer in time", call)
+        if len(self._waiting) < MAX_QUEUE_LENGTH:
+            return None
+        dropped = stream_to_drop(self._waiting, call, now)
+        if dropped is None:
+            return self._overloaded("the queue is full", call)
+        self._refuse(dropped, "the queue is full of more urgent streams")
+        return None
+
+    def _refuse(self, waiting, detail):
+        """Ends the wait of a stream with a refusal."""
+        self._waiting.remove(waiting)
+        waiting.ready.set(Err(self._overloaded(detail, waiting.call)))
 
     def _no_server_refusal(self, call, excluded, max_wait_s, continued, version):
         """Returns the refusal of a stream that has no decode server now.
@@ -249,11 +205,13 @@
                 current_metrics().step_ended(
                     waiting.call.service.name, Step.QUEUE, now - waiting.since
                 )
-                return Ok(waiting.ready.get())
+                return waiting.ready.get()
             now = self._ctx.clock.monotonic()
             if now >= waiting.until:
                 self._log_no_memory(waiting)
-                return Err(self._overloaded("no decode server had room in time"))
+                return Err(
+                    self._overloaded("no decode server had room in time", waiting.call)
+                )
             waiting.ready.wait(min(RECHECK_INTERVAL_S, waiting.until - now))
             if not waiting.ready.ready():
                 self.advance()
@@ -291,8 +249,23 @@
             waiting=len(self._waiting),
         )
 
-    def _overloaded(self, detail):
-        seconds = MIN_RETRY_S + self._ctx.rng.uniform(0.0, 3.0)
+    def _overloaded(self, detail, call):
+        """Returns the `Refusal` of a stream that is told when to come back."""
+        name, now = call.service.name, self._ctx.clock.monotonic()
+        memory_tokens = call.service.engine.memory_tokens
+        ahead = sum(
+            waiting.need_tokens
+            for waiting in self._waiting
+            if waiting.call is not call and waiting.call.service.name == name
+        )
+        seconds = self._returns.setdefault(name, ReturnTimes()).retry_s(
+            now,
+            ahead / memory_tokens,
+            memory_need(call.head) / memory_tokens,
+            self._ctx.demand.freed_per_s(name),
+            longest_retry_s(call.left_s(now)),
+            self._ctx.rng.random(),
+        )
         retry = timedelta(seconds=seconds)
         return not_run(Reason.OVERLOADED, detail, 503, retry)
 
@@ -309,21 +282,20 @@
         if not self._waiting or (now < self._next_pass_at and not at_once):
             return
         self._next_pass_at = now + MIN_PASS_INTERVAL_S
-        candidate_cache = _CandidateCache(self._ctx)
+        candidate_cache = CandidateCache(self._ctx)
         reserved = frozenset()
-        for urgency, _, waiting in self._streams_by_urgency(now, candidate_cache):
+        for start in self._start_sequence(now, candidate_cache):
+            waiting = start.stream
             try:
-                placement = self._try_to_place(
-                    waiting, urgency, candidate_cache, reserved
-                )
+                placement = self._try_to_place(start, candidate_cache, reserved, now)
             except Exception:
                 self._end_wait(waiting)
                 continue
             if placement is not None:
                 self._waiting.remove(waiting)
-                waiting.ready.set(placement)
-                candidate_cache = _CandidateCache(self._ctx)
-            elif urgency is Urgency.IN_TIME:
+                waiting.ready.set(Ok(placement))
+                candidate_cache = CandidateCache(self._ctx)
+            elif start.urgency is Urgency.IN_TIME and candidate_cache.is_unfit(waiting):
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
                 reserved |= self._awaited_server(waiting, candidate_cache, reserved)
@@ -344,11 +316,11 @@
         )
         return frozenset() if emptiest is None else frozenset((emptiest.server.name,))
 
-    def _streams_by_urgency(self, now, candidate_cache):
-        """Returns ``(urgency, order time, waiting stream)`` of each stream, sorted."""
-        entries = []
+    def _start_sequence(self, now, candidate_cache):
+        """Returns the `WaitingStart` of each stream in the order of starts."""
+        starts = []
         order_times = start_order(
-            [(stream.call, memory_need(stream.call.head)) for stream in self._waiting]
+            [(stream.call, stream.need_tokens) for stream in self._waiting]
         )
         for order_time, waiting in zip(order_times, tuple(self._waiting)):
             try:
@@ -356,8 +328,16 @@
             except Exception:
                 self._end_wait(waiting)
                 continue
-            entries.append((urgency, order_time, waiting))
-        return sorted(entries, key=lambda entry: entry[:2])
+            call = waiting.call
+            rank = priority_rank(
+                call.priority, self._ctx.priorities.of(call.service.name)
+            )
+            starts.append(
+                WaitingStart(
+                    waiting, call, urgency, order_time, waiting.continued, rank
+                )
+            )
+        return start_sequence(starts, self._credits.owed)
 
     def _urgency_of(self, waiting, now, candidate_cache):
         if waiting.continued:
@@ -365,24 +345,21 @@
             # sent are wasted if the stream fails.
             return Urgency.IN_TIME
         call = waiting.call
-        prefill = self._best_prefill(waiting, candidate_cache)
-        pressure = self._pressure(call, self._prefill_wait_s(call, prefill), 0.0)
+        wait_s = candidate_cache.prefill_wait_s(waiting)
+        pressure = self._pressure(candidate_cache, call, wait_s, 0.0)
         first_s = first_event_s(call.head.prompt_tokens, pressure)
         return urgency_of(call, first_s, now)
 
-    def _speed(self, call):
-        return self._ctx.demand.prefill_speed(call.service.name)
-
-    def _pressure(self, call, wait_s, memory_share):
-        decode_start_s = self._ctx.demand.decode_start_s(call.service.name)
-        return Pressure(wait_s, self._speed(call), memory_share, decode_start_s)
+    def _pressure(self, candidate_cache, call, wait_s, memory_share, places=()):
+        speed, decode_start_s = candidate_cache.timing(call.service.name)
+        return Pressure(wait_s, speed, memory_share, decode_start_s, *places)
 
     def _best_prefill(self, waiting, candidate_cache, version=None):
         """Returns the `Candidate` that should compute a prompt, or None.
 
         Args:
-            waiting: `_WaitingStream` to place.
-            candidate_cache: `_CandidateCache` of the current pass.
+            waiting: `WaitingStream` to place.
+            candidate_cache: `CandidateCache` of the current pass.
             version: Software version of the decode server, which must be the same;
                 None while it isn't chosen.
         """
@@ -408,42 +385,45 @@
             for candidate in decode_candidates
             if candidate.server.version in prefill_versions
         ]
-        need_tokens = memory_need(waiting.call.head)
+        need_tokens = waiting.need_tokens
         memory_tokens = waiting.call.service.engine.memory_tokens
         draw = self._ctx.rng.random()
         return choose_decode(paired, need_tokens, memory_tokens, draw) or choose_decode(
             decode_candidates, need_tokens, memory_tokens, draw
         )
 
-    def _prefill_wait_s(self, call, prefill):
-        """Returns the seconds until the prefill `Candidate` starts with the prompt."""
-        if prefill is None:
-            return 0.0
-        return self._speed(call).wait_s(prefill.prefill_tokens)
-
-    def _try_to_place(self, waiting, urgency, candidate_cache, reserved):
+    def _try_to_place(self, start, candidate_cache, reserved, now):
         """Returns the `Placement` of a waiting stream, or None if it must keep waiting.
 
         Args:
-            waiting: `_WaitingStream` to place.
-            urgency: `Urgency` of the stream.
-            candidate_cache: `_CandidateCache` of the current pass.
+            start: `WaitingStart` of the stream to place.
+            candidate_cache: `CandidateCache` of the current pass.
             reserved: Names of decode servers that are reserved for other streams.
+            now: Monotonic time.
         """
-        call = waiting.call
-        engine = call.service.engine
-        need_tokens = memory_need(call.head)
+        waiting, call = start.stream, start.call
+        if candidate_cache.is_unfit(waiting):
+            return None
+        need_tokens = waiting.need_tokens
         decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
         decode = self._best_decode(waiting, decode_candidates, candidate_cache)
         if decode is None:
+            candidate_cache.note_unfit(waiting)
             return None
         prefill = self._best_prefill(waiting, candidate_cache, decode.server.version)
-        wait_s = self._prefill_wait_s(call, prefill)
-        memory_share = (decode.memory_tokens + need_tokens) / engine.memory_tokens
-        if not may_start(urgency, self._pressure(call, wait_s, memory_share)):
+        speed, _ = candidate_cache.timing(call.service.name)
+        wait_s = speed.wait_s(prefill.prefill_tokens) if prefill else 0.0
+        memory_used = decode.memory_tokens + need_tokens
+        memory_share = memory_used / call.service.engine.memory_tokens
+        places = candidate_cache.places(waiting) if start.rank else ()
+        pressure = self._pressure(candidate_cache, call, wait_s, memory_share, places)
+        if not may_start(start.urgency, pressure, start.rank):
+            return None
+        first_s = first_event_s(call.head.prompt_tokens, pressure)
+        if not waiting.continued and now > latest_start_at(call, first_s):
             return None
         if waiting.must_skip_prefill or self._prefers_decode_server(
-            call, prefill, decode
+            call, prefill, decode, pressure
         ):
             prefill = None
         log_decision(
@@ -452,7 +432,8 @@
             (candidate.server.name for candidate in decode_candidates),
             "most free memory",
             request_id=call.request_id,
-            urgency=urgency.name.lower(),
+            urgency=start.urgency.name.lower(),
+            priority=call.priority,
             prefill=prefill and prefill.server.name,
             software_version=decode.server.version,
             prefill_wait_s=round(wait_s, 3),
@@ -460,18 +441,16 @@
             need_tokens=need_tokens,
             waiting=len(self._waiting),
         )
-        return self._add_placement(
-            call, prefill, decode, need_tokens, memory_share > UNCERTAIN_MEMORY_SHARE
-        )
+        if not waiting.continued:
+            self._credits.note_started(call.service.name, call.priority, now)
+        return self._placements.add(call, prefill, decode, need_tokens)
 
-    def _prefers_decode_server(self, call, prefill, decode):
+    def _prefers_decode_server(self, call, prefill, decode, pressure):
         """Returns whether the decode server should compute the prompt of a call."""
-        tokens, speed = call.head.prompt_tokens, self._speed(call)
-        decode_start_s = self._ctx.demand.decode_start_s(call.service.name)
-        pressure = self._pressure(call, self._prefill_wait_s(call, prefill), 0.0)
+        tokens, speed = call.head.prompt_tokens, pressure.prefill_speed
         times = FirstEventTimes(
             prefill_server_s=first_event_s(tokens, pressure),
-            decode_server_s=decode_prefill_s(tokens, speed) + decode_start_s,
+            decode_server_s=decode_prefill_s(tokens, speed) + pressure.decode_start_s,
             stall_s=decode_prefill_stall_s(tokens, speed),
         )
         return prefers_decode_server(prefill, decode, times, call.route.max_gap_s)
@@ -506,51 +485,4 @@
             "the first decode server did not run the request",
             request_id=call.request_id,
         )
-        return self._add_placement(call, None, decode, need_tokens, False)
-
-    def _add_placement(self, call, prefill, decode, need_tokens, may_be_full):
-        placed_load = self._ctx.placed_load
-        tokens = call.head.prompt_tokens
-        prefill_host = (prefill or decode).server
-        # Counted here, as a computed prompt would be wasted without its decode.
-        limits = self._ctx.limits
-        counted = frozenset(
-            name
-            for name in {decode.server.name, prefill_host.name}
-            if limits.rate_per_s(name) is not None and limits.withdraw(name)
-        )
-        end_decode = placed_load.add(
-            decode.server.name, ServerLoad(running=1, memory_tokens=need_tokens)
-        )
-        end_prefill = placed_load.add(
-            prefill_host.name, ServerLoad(prefill_tokens=tokens)
-        )
-
-        def release():
-            end_prefill()
-            end_decode()
-
-        wait_s = self._prefill_wait_s(call, prefill)
-        return Placement(
-            prefill and prefill.server,
-            wait_s + self._speed(call).prompt_s(tokens),
-            prefill.prefill_tokens if prefill else 0,
-            decode.server,
-            need_tokens,
-            may_be_full,
-            counted,
-            end_prefill,
-            release,
-        )
-
-
-def memory_need(head):
-    """Returns the tokens of KV cache that a stream holds on average over its run.
-
-    Counting memory for the longest answer would leave much of a server unused: answers
-    in progress are at different points and most stay below their limit.
-
-    Args:
-        head: `CallHead` of the stream.
-    """
-    return head.prompt_tokens + int(MEAN_ANSWER_SHARE * head.likely_tokens)
+        return self._placements.add(call, None, decode, need_tokens)
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -67,7 +67,9 @@
 def _request_prefill(ctx, call, attempts, server, limit_s, placed):
     """Returns ``Result[tuple[AnswerHead, bytes], Refusal]``."""
     left_s = call.left_s(ctx.clock.monotonic())
-    options = ForwardOptions(server.name, left_s, prefill_only=True)
+    options = ForwardOptions(
+        server.name, left_s, prefill_only=True, urgency=ctx.urgency_of(call)
+    )
     timeout_exc = ExchangeBroken(Verdict.NOT_RUN, "prefill_slow")
     exchange = None
 
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -11,9 +11,9 @@
 from amaranthbay.relay.exchange import ExchangeBroken
 from amaranthbay.relay.opening import StreamOpener, decode_failed
 from amaranthbay.relay.output import StreamOutput
-from amaranthbay.relay.placing import memory_need
 from amaranthbay.relay.refusals import timed_out
 from amaranthbay.relay.takeovers import HEAD_STALL_S, Takeovers
+from amaranthbay.scheduling.streams import memory_need
 
 __all__ = ["StreamRelay"]
 
--- a/amaranthbay/relay/tests/test_load.py
+++ b/amaranthbay/relay/tests/test_load.py
@@ -10,9 +10,8 @@
 from amaranthbay.fleet.peers import MIN_REPORT_INTERVAL_S
 from amaranthbay.relay.choice import Candidate, choose_decode
 from amaranthbay.relay.codec import CallHead
-from amaranthbay.relay.placing import memory_need
 from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
-from amaranthbay.scheduling.streams import start_order
+from amaranthbay.scheduling.streams import memory_need, start_order
 from amaranthbay.utils.testing import collect
 
 # The steady load of the enlarged mup-retiros deployment: nine serving instances and
--- /dev/null
+++ b/amaranthbay/relay/waiting.py
@@ -0,0 +1,145 @@
+"""Waiting streams, and the servers that one pass over them sees."""
+
+import math
+from dataclasses import dataclass
+
+from gevent.event import AsyncResult
+
+from amaranthbay.relay.choice import USABLE_MEMORY_SHARE, choose_prefill
+from amaranthbay.routing import Stage
+from amaranthbay.scheduling.streams import free_places
+
+__all__ = ["CandidateCache", "WaitingStream"]
+
+
+@dataclass(eq=False)
+class WaitingStream:
+    """A stream in the queue.
+
+    Attributes:
+        call: `Call` of the stream.
+        excluded: Names of servers that must not be used.
+        must_skip_prefill: Whether the decode server must compute the prompt.
+        continued: Whether the caller already has events of the stream.
+        version: Software version of the servers that may be used; None for any.
+        need_tokens: KV cache tokens that it needs on the decode server.
+        since: Monotonic time at which the wait began.
+        until: Monotonic time at which the wait is given up.
+        ready: Gets the ``Result[Placement, Refusal]`` or the exception that ends the
+            wait.
+        taken: Whether the waiting greenlet has taken the `Placement`. If it is killed
+            before that, `StreamQueue.place` releases the placement.
+    """
+
+    call: object
+    excluded: frozenset
+    must_skip_prefill: bool
+    continued: bool
+    version: str | None
+    need_tokens: int
+    since: float
+    until: float
+    ready: AsyncResult
+    taken: bool = False
+
+    @property
+    def servers_key(self):
+        """Streams of the same service with the same key may use the same servers."""
+        return self.call.service.name, self.version, self.excluded
+
+
+class CandidateCache:
+    """Candidates by service and stage; valid until a stream is placed."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        self._by_stage = {}
+        self._usable = {}
+        self._prefill_waits = {}
+        self._timings = {}
+        self._unfit = {}
+        self._places = {}
+        self._distrusted = None
+
+    def usable_by(self, waiting, stage, reserved=frozenset()):
+        """Returns the candidates that a waiting stream may use.
+
+        Args:
+            waiting: `WaitingStream` to place.
+            stage: `Stage` of the servers.
+            reserved: Names of servers that are reserved for other streams.
+        """
+        key = stage, waiting.servers_key
+        if key not in self._usable:
+            excluded = waiting.excluded
+            if stage is Stage.PREFILL:
+                excluded = excluded | self._distrusted_servers()
+            self._usable[key] = [
+                candidate
+                for candidate in self._candidates(waiting, stage)
+                if candidate.server.name not in excluded
+            ]
+        usable = self._usable[key]
+        if not reserved:
+            return usable
+        return [
+            candidate for candidate in usable if candidate.server.name not in reserved
+        ]
+
+    def _candidates(self, waiting, stage):
+        key = waiting.call.service.name, stage, waiting.version
+        if key not in self._by_stage:
+            service, _, version = key
+            self._by_stage[key] = self._ctx.candidates(service, stage, version=version)
+        return self._by_stage[key]
+
+    def _distrusted_servers(self):
+        if self._distrusted is None:
+            self._distrusted = frozenset(self._ctx.handles.distrusted())
+        return self._distrusted
+
+    def timing(self, service):
+        """Returns the `PrefillSpeed` of a service and the start time of its decodes."""
+        if service not in self._timings:
+            demand = self._ctx.demand
+            self._timings[service] = (
+                demand.prefill_speed(service),
+                demand.decode_start_s(service),
+            )
+        return self._timings[service]
+
+    def prefill_wait_s(self, waiting):
+        """Returns the seconds until the best prefill server starts with a prompt."""
+        key = waiting.servers_key
+        if key not in self._prefill_waits:
+            candidates = self.usable_by(waiting, Stage.PREFILL)
+            best = choose_prefill(candidates, self._ctx.rng.random())
+            speed, _ = self.timing(waiting.call.service.name)
+            wait_s = 0.0 if best is None else speed.wait_s(best.prefill_tokens)
+            self._prefill_waits[key] = wait_s
+        return self._prefill_waits[key]
+
+    def places(self, waiting):
+        """Returns how many such streams the decode servers could take, now and empty.
+
+        The size is that of the first stream with the same servers.
+        """
+        key = waiting.servers_key
+        if key not in self._places:
+            candidates = self.usable_by(waiting, Stage.DECODE)
+            used = [candidate.memory_tokens for candidate in candidates]
+            limit = USABLE_MEMORY_SHARE * waiting.call.service.engine.memory_tokens
+            self._places[key] = (
+                free_places(used, waiting.need_tokens, limit),
+                free_places([0] * len(used), waiting.need_tokens, limit),
+            )
+        return self._places[key]
+
+    def note_unfit(self, waiting):
+        """Records that no decode server has memory for a stream in this pass."""
+        key = waiting.servers_key
+        self._unfit[key] = min(self._unfit.get(key, math.inf), waiting.need_tokens)
+
+    def is_unfit(self, waiting):
+        """Returns whether a stream of this size or a smaller one did not fit."""
+        return waiting.need_tokens >= self._unfit.get(waiting.servers_key, math.inf)
--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -2,10 +2,13 @@
 
 During a burst, more streams arrive than the model servers can start in time. A late
 stream would take the place of one that could still start in time. Late streams
-therefore use spare capacity only.
+therefore use spare capacity only. In a service whose requests have more than one
+priority, less urgent streams leave room for more urgent ones.
 """
 
-from dataclasses import dataclass
+import math
+from collections import Counter
+from dataclasses import dataclass, replace
 from enum import IntEnum
 
 from amaranthbay.relay.speed import PrefillSpeed
@@ -13,18 +16,29 @@
 __all__ = [
     "Pressure",
     "Urgency",
+    "WaitingStart",
     "first_event_s",
+    "free_places",
+    "latest_start_at",
     "may_start",
+    "memory_need",
+    "reservation_share",
     "start_order",
+    "start_sequence",
+    "stream_to_drop",
     "urgency_of",
 ]
 
 # A stream still counts as in time if its estimate exceeds the target by this.
 ESTIMATE_ERROR_S = 0.05
 # Limits for late streams: the share of a decode server's memory that may be in use with
-# them, and the wait at the prefill server.
+# them, and the wait at the prefill server. The latter holds for less urgent streams
+# too: a longer one would make more urgent streams with short targets late.
 LATE_MEMORY_SHARE = 0.75
 LATE_PREFILL_WAIT_S = 0.25
+# Places on the decode servers that each step of priority leaves free for the more
+# urgent ones, as a share of all places.
+RESERVED_PLACE_SHARE = 0.04
 # Streams of equal urgency start in the order of their arrival plus a delay that grows
 # with their cost. This is the delay at mean cost, as a share of the target. Cheap
 # streams go first because more callers then start in time; the limit on the relative
@@ -34,6 +48,22 @@
 # Callers that retry after a refusal state a deadline below this share of the route's
 # timeout.
 RETURNED_DEADLINE_SHARE = 0.8
+# Lead of a returned stream over new ones of its priority, as a share of the target. In
+# bursts of twice the capacity a lead of 0.2 serves no more callers, and fewer in time:
+# a returned stream is late already. Costly ones go after cheap new ones all the same.
+RETURNED_LEAD_SHARE = 0.05
+# Time after which callers give up a stream without an event, in targets.
+GIVE_UP_TARGETS = 4.0
+# Memory that an answer holds on average during its run, as a share of its expected
+# length.
+MEAN_ANSWER_SHARE = 0.75
+# Share of a decode server's memory above which it may be full, so that memory is
+# reserved at the server. Placements that others have not reported yet lower it.
+MAX_RESERVATION_SHARE, MIN_RESERVATION_SHARE = 0.6, 0.2
+# Time until the placement of another instance is known here.
+REPORT_DELAY_S = 0.05
+# Ranks that precede those of all priorities.
+CONTINUED_RANK, OWED_RANK = -2, -1
 
 
 class Urgency(IntEnum):
@@ -60,12 +90,50 @@
         memory_share: Share of the decode server's memory in use, with the stream.
         decode_start_s: Seconds from the call of the decode server to the first event:
             transfer of the KV cache and the first decode step.
+        free_places: Streams like this one that the decode servers could take.
+        all_places: Streams like this one that they could take if they were empty.
     """
 
     prefill_wait_s: float
     prefill_speed: PrefillSpeed
     memory_share: float
     decode_start_s: float
+    free_places: float = math.inf
+    all_places: float = 0.0
+
+
+@dataclass(frozen=True)
+class WaitingStart:
+    """A waiting stream in the order of starts.
+
+    Attributes:
+        stream: The stream as the queue knows it.
+        call: `Call` of the stream.
+        urgency: `Urgency` of the stream.
+        order_time: Time by which streams of equal rank are ordered; see `start_order`.
+        continued: Whether the caller already has events of the stream.
+        rank: Position of its priority among those of its service, 0 for the highest;
+            None if the service has only one.
+    """
+
+    stream: object
+    call: object
+    urgency: Urgency
+    order_time: float
+    continued: bool = False
+    rank: int | None = None
+
+
+def memory_need(head):
+    """Returns the tokens of KV cache that a stream holds on average over its run.
+
+    Counting memory for the longest answer would leave much of a server unused: answers
+    in progress are at different points and most stay below their limit.
+
+    Args:
+        head: `CallHead` of the stream.
+    """
+    return head.prompt_tokens + int(MEAN_ANSWER_SHARE * head.likely_tokens)
 
 
 def first_event_s(prompt_tokens, pressure):
@@ -89,10 +157,28 @@
     """
     if now + first_s <= call.target_at + ESTIMATE_ERROR_S:
         return Urgency.IN_TIME
+    return Urgency.RETURNED if _has_returned(call) else Urgency.LATE
+
+
+def _has_returned(call):
+    """Returns whether the caller of a stream has probably come back after a refusal."""
     left_s = call.head.deadline_s
-    if left_s is not None and left_s < RETURNED_DEADLINE_SHARE * call.route.timeout_s:
-        return Urgency.RETURNED
-    return Urgency.LATE
+    return (
+        left_s is not None and left_s < RETURNED_DEADLINE_SHARE * call.route.timeout_s
+    )
+
+
+def latest_start_at(call, first_s):
+    """Returns the monotonic time until which it is of use to start a stream.
+
+    Its first event can then still come while its caller waits.
+
+    Args:
+        call: `Call` of the stream.
+        first_s: Seconds from its start to its first event.
+    """
+    gives_up_at = call.arrived_at + GIVE_UP_TARGETS * call.route.target_s
+    return min(call.ends_at, gives_up_at) + ESTIMATE_ERROR_S - first_s
 
 
 def start_order(calls):
@@ -115,15 +201,118 @@
     ]
 
 
-def may_start(urgency, pressure):
+def start_sequence(starts, owed):
+    """Returns waiting streams in the order in which they start.
+
+    Args:
+        starts: `WaitingStart` of each stream.
+        owed: Function of the name of a service and a priority that returns the number
+            of starts that the priority is owed; see `ClassCredits`.
+
+    Returns:
+        The `WaitingStart` of each stream; those that are owed a start, and those whose
+        callers have events, have a rank below 0.
+    """
+    ordered = sorted((_with_lead(start) for start in starts), key=_sort_key)
+    granted = Counter()
+    sequence = []
+    for start in ordered:
+        if start.rank is not None and start.rank >= 0:
+            key = start.call.service.name, start.call.priority
+            if start.urgency is Urgency.IN_TIME and granted[key] < owed(*key):
+                granted[key] += 1
+                start = replace(start, rank=OWED_RANK)
+        sequence.append(start)
+    return sorted(sequence, key=_sort_key) if granted else sequence
+
+
+def _with_lead(start):
+    if start.rank is None:
+        return start
+    if start.continued:
+        return replace(start, rank=CONTINUED_RANK)
+    if not _has_returned(start.call):
+        return start
+    lead_s = RETURNED_LEAD_SHARE * start.call.route.target_s
+    return replace(start, order_time=start.order_time - lead_s)
+
+
+def _sort_key(start):
+    urgency = start.urgency
+    if start.rank is not None and urgency is Urgency.RETURNED:
+        # If it is refused again, its caller is lost. More callers are served if it is
+        # ordered by its priority, before less urgent streams that may still come back.
+        urgency = Urgency.IN_TIME
+    return urgency, start.rank or 0, start.order_time
+
+
+def may_start(urgency, pressure, rank=None):
     """Returns whether a stream may start.
 
     Args:
         urgency: `Urgency` of the stream.
         pressure: `Pressure` of the servers that it would use.
+        rank: Its `WaitingStart.rank`.
     """
-    if urgency is Urgency.IN_TIME:
+    if urgency is Urgency.IN_TIME and (rank or 0) <= 0:
         return True
     if pressure.prefill_wait_s > LATE_PREFILL_WAIT_S:
         return False
+    if urgency is Urgency.IN_TIME:
+        reserved = RESERVED_PLACE_SHARE * rank * pressure.all_places
+        return pressure.free_places - 1 >= reserved
     return pressure.memory_share <= LATE_MEMORY_SHARE
+
+
+def free_places(used_tokens, need_tokens, limit_tokens):
+    """Returns the number of equal streams that servers could take.
+
+    Args:
+        used_tokens: Memory in use on each server.
+        need_tokens: Memory that one stream needs.
+        limit_tokens: Usable memory of a server.
+    """
+    need_tokens = max(1, need_tokens)
+    return sum(max(0, limit_tokens - used) // need_tokens for used in used_tokens)
+
+
+def stream_to_drop(waiting, call, now):
+    """Returns the stream that makes way for a more urgent one in a full queue, or None.
+
+    Among those of the lowest priority, callers who have come back are spared, and late
+    streams go first.
+
+    Args:
+        waiting: Waiting streams, with `call` and whether they are `continued`.
+        call: `Call` of the new stream.
+        now: Monotonic time.
+    """
+    less_urgent = [
+        stream
+        for stream in waiting
+        if stream.call.service.name == call.service.name
+        and stream.call.priority > call.priority
+        and not stream.continued
+    ]
+    return max(
+        less_urgent, key=lambda stream: _drop_key(stream.call, now), default=None
+    )
+
+
+def _drop_key(call, now):
+    is_late = now > call.target_at
+    return call.priority, not _has_returned(call), is_late, call.arrived_at
+
+
+def reservation_share(own_tokens_per_s, others, memory_tokens):
+    """Returns the share of a server's memory from which memory is reserved there.
+
+    The other instances are assumed to place as much as this one.
+
+    Args:
+        own_tokens_per_s: Memory that this instance places per second.
+        others: Number of other instances that place streams.
+        memory_tokens: Memory of a decode server.
+    """
+    unreported_share = own_tokens_per_s * others * REPORT_DELAY_S / memory_tokens
+    return max(MIN_RESERVATION_SHARE, min(MAX_RESERVATION_SHARE, 1 - unreported_share))
