--- a/amaranthbay/platform/calls.py
+++ b/amaranthbay/platform/calls.py
@@ -33,6 +33,7 @@
 WORKSPACE = b"x-tenant-id"
 EXPECTED_SERVER = b"x-expect-instance"
 STAGE = b"x-serving-stage"
+URGENCY = b"x-request-urgency"
 KV_SOURCE = b"x-kv-source"
 KV_HOLD = b"x-kv-hold"
 # Signature by which a backend server marks an answer as its own.
@@ -51,7 +52,7 @@
         STAGE,
         KV_SOURCE,
         b"x-expect-version",
-        b"x-request-urgency",
+        URGENCY,
         b"x-pin-ms",
         KV_HOLD,
         b"x-kv-backup",
@@ -141,6 +142,8 @@
             forwarded.append((WORKSPACE, options.workspace.encode()))
         if options.prefill_only:
             forwarded.append((STAGE, b"prefill"))
+        if options.urgency is not None:
+            forwarded.append((URGENCY, str(options.urgency).encode()))
         if options.kv_source:
             forwarded.append((KV_SOURCE, options.kv_source.encode()))
         if options.hold:
--- a/amaranthbay/relay/calls.py
+++ b/amaranthbay/relay/calls.py
@@ -62,10 +62,15 @@
 
     @property
     def priority(self):
-        """Rank of the request; 0 is the highest. That of the workspace comes first."""
+        """Rank of the request as a pair; a lower one comes first.
+
+        That of its workspace, if it has one, comes before that of its route, which
+        ranks the requests of workspaces of equal rank.
+        """
+        rank = self.route.priority
         if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
+            return self.workspace.priority, rank
+        return rank, rank
 
     def access_refusal(self):
         """Returns the `Refusal` if the caller's key no longer holds, else None."""
--- a/amaranthbay/relay/prefill.py
+++ b/amaranthbay/relay/prefill.py
@@ -65,8 +65,8 @@
 
 def _request_prefill(ctx, call, attempts, server, limit_s, placed):
     """Returns ``Result[tuple[AnswerHead, bytes], Refusal]``."""
-    now = ctx.clock.monotonic()
-    options = call.forward_options(server.name, now, prefill_only=True)
+    now, urgency = ctx.clock.monotonic(), ctx.urgency_of(call)
+    options = call.forward_options(server.name, now, prefill_only=True, urgency=urgency)
     timeout_exc = ExchangeBroken(Verdict.NOT_RUN, "prefill_slow")
     exchange = None
 
