Choose plain servers by expected time, and bound their queues

Cause: each instance placed plain calls by its own calls, by reports of the others that were up to 0.6 s old, and by a mean latency that contained the queueing of others. A refusal for a full queue counted as a failure, so that all instances left a server at the same time.

A server is chosen by the measured time of one call and what is ahead of the call. A call is placed on a free slot, or where it spends at most half of its target; others wait at the instance by priority (relay/plain_queue.py) or are refused with a retry time. A refusal as not run marks the queue as full for 0.15 s and is no failure. Reports of changes without any are not sent.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -519,6 +519,9 @@
         if self._socket is None:
             return
         status = self.next_changes() if only_changes else self.next_report()
+        if only_changes and not status.loads:
+            # What was placed since the last report has ended already.
+            return
         frames = [encode_datagram(datagram) for datagram in split_report(status)]
         for name, registration in tuple(self._registered.items()):
             if name != self.own.instance and (names is None or name in names):
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -4,23 +4,15 @@
 
 __all__ = [
     "Candidate",
+    "choose_cheapest",
     "choose_decode",
-    "choose_plain",
     "choose_prefill",
-    "has_free_slot",
+    "failure_factor",
 ]
 
 # Extra cost of a server that fails all requests, as a multiple of its own cost. It
 # grows with the square of the failure share.
 FAILURE_FACTOR = 30.0
-# Latency of all servers until one is measured. From then on, an unmeasured server
-# counts as fast as the fastest measured one, so it gets requests too.
-ASSUMED_LATENCY_S = 0.025
-# Delay and traffic cost of another availability zone, expressed as time.
-ZONE_PENALTY_S = 0.012
-# Each request that a plain server runs or queues raises its expected time by this share
-# of its latency.
-BUSY_FACTOR = 0.5
 # Extra load of a server in another availability zone, since prompts, KV cache and
 # events that cross zones cost money: KV cache tokens of a decode server, and prompt
 # tokens of a prefill server (30 ms of its work).
@@ -41,54 +33,30 @@
         server: `BackendServer`.
         same_zone: Whether it is in the instance's availability zone.
         running: Requests placed on it.
+        own: Those of them that this instance has placed.
         memory_tokens: Tokens of KV cache placed on it.
         prefill_tokens: Prompt tokens placed on it that are not computed yet.
         failure_share: Share of recent requests that failed, from 0 to 1.
         latency_s: Mean seconds to an answer; 0 if unknown.
+        service_s: Seconds of one plain call that doesn't queue; 0 if unknown.
         avoided: Whether it was unreachable or silent a moment ago.
-        full: Whether it refused a request a moment ago, usually because its memory was
-            full.
+        full: Whether it refused a request a moment ago, usually because its memory or
+            its queue was full.
+        full_s: Seconds for which it still counts as full.
     """
 
     server: object
     same_zone: bool
     running: int = 0
+    own: int = 0
     memory_tokens: int = 0
     prefill_tokens: int = 0
     failure_share: float = 0.0
     latency_s: float = 0.0
+    service_s: float = 0.0
     avoided: bool = False
     full: bool = False
-
-
-def choose_plain(candidates, draw):
-    """Returns the candidate with the shortest expected time, or None.
-
-    Args:
-        candidates: `Candidate` of each server that may be used.
-        draw: Random number from 0 to 1 that breaks ties.
-    """
-    measured = [candidate.latency_s for candidate in candidates if candidate.latency_s]
-    assumed_s = min(measured, default=ASSUMED_LATENCY_S)
-    return _choose_cheapest(
-        candidates, lambda candidate: _plain_cost(candidate, assumed_s), draw
-    )
-
-
-def _plain_cost(candidate, assumed_s):
-    latency_s = candidate.latency_s or assumed_s
-    load_factor = 1 + BUSY_FACTOR * candidate.running
-    cost_s = latency_s * load_factor * (1 + FAILURE_FACTOR * candidate.failure_share**2)
-    return cost_s + (0.0 if candidate.same_zone else ZONE_PENALTY_S)
-
-
-def has_free_slot(candidates):
-    """Returns whether any candidate can start a request without queueing it.
-
-    A hedged request is sent only in this case. During a burst, its second copy would
-    wait at a full server and displace another caller's call.
-    """
-    return any(candidate.running < candidate.server.slots for candidate in candidates)
+    full_s: float = 0.0
 
 
 def choose_prefill(candidates, draw):
@@ -98,13 +66,13 @@
         candidates: `Candidate` of each prefill server.
         draw: Random number from 0 to 1 that breaks ties.
     """
-    return _choose_cheapest(candidates, _prefill_cost, draw)
+    return choose_cheapest(candidates, _prefill_cost, draw)
 
 
 def _prefill_cost(candidate):
     cost = PROMPT_BASE_TOKENS + candidate.prefill_tokens
     zone_tokens = 0 if candidate.same_zone else ZONE_PENALTY_PROMPT_TOKENS
-    return cost * (1 + FAILURE_FACTOR * candidate.failure_share**2) + zone_tokens
+    return cost * failure_factor(candidate) + zone_tokens
 
 
 def choose_decode(candidates, need_tokens, memory_tokens, draw):
@@ -124,20 +92,31 @@
         and candidate.running < candidate.server.slots
         and not candidate.full
     ]
-    return _choose_cheapest(fitting, _decode_cost, draw)
+    return choose_cheapest(fitting, _decode_cost, draw)
 
 
 def _decode_cost(candidate):
     cost = 2000 + candidate.memory_tokens
-    return cost * (1 + FAILURE_FACTOR * candidate.failure_share**2) + (
+    return cost * failure_factor(candidate) + (
         0 if candidate.same_zone else ZONE_PENALTY_TOKENS
     )
 
 
-def _choose_cheapest(candidates, cost, draw):
-    """Returns a candidate within 2 % of the lowest cost, or None.
+def failure_factor(candidate):
+    """Returns by how much recent failures raise the cost of a candidate."""
+    return 1 + FAILURE_FACTOR * candidate.failure_share**2
+
+
+def choose_cheapest(candidates, cost, draw, tie_share=0.02):
+    """Returns one of the candidates of about the lowest cost, or None.
 
     Avoided candidates are eligible only if there are no others.
+
+    Args:
+        candidates: `Candidate` of each server.
+        cost: Function of a `Candidate` that returns its cost.
+        draw: Random number from 0 to 1 that breaks ties.
+        tie_share: Excess over the lowest cost, as a share of it, that counts as a tie.
     """
     eligible = [candidate for candidate in candidates if not candidate.avoided] or list(
         candidates
@@ -147,6 +126,8 @@
     costs = [cost(candidate) for candidate in eligible]
     lowest = min(costs)
     cheapest = [
-        candidate for candidate, value in zip(eligible, costs) if value <= lowest * 1.02
+        candidate
+        for candidate, value in zip(eligible, costs)
+        if value <= lowest * (1 + tie_share)
     ]
     return cheapest[min(len(cheapest) - 1, int(draw * len(cheapest)))]
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -132,16 +132,19 @@
         return [server for server in usable if server.name not in unusable]
 
     def _candidate(self, server, peer_loads):
-        load = self.placed_load.loads().get(server.name, ServerLoad())
-        load += peer_loads.get(server.name, ServerLoad())
+        own_load = self.placed_load.loads().get(server.name, ServerLoad())
+        load = own_load + peer_loads.get(server.name, ServerLoad())
         return Candidate(
             server=server,
             same_zone=server.availability_zone == self.availability_zone,
             running=load.running,
+            own=own_load.running,
             memory_tokens=load.memory_tokens,
             prefill_tokens=load.prefill_tokens,
             failure_share=self.outcomes.failure_share(server.name),
             latency_s=self.outcomes.latency_s(server.name),
+            service_s=self.outcomes.service_s(server.name),
             avoided=self.outcomes.is_avoided(server.name),
             full=self.outcomes.is_full(server.name),
+            full_s=self.outcomes.full_s(server.name),
         )
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -7,6 +7,10 @@
 # Weights of the newest observation in the moving averages.
 FAILURE_WEIGHT = 0.25
 LATENCY_WEIGHT = 0.2
+# The time of one call falls fast and rises slowly. Calls that other instances have
+# placed meanwhile make an answer look slower than its server, but never faster.
+SERVICE_FALL_WEIGHT = 0.2
+SERVICE_RISE_WEIGHT = 0.05
 # Half-life of the failure share. As the share decays, a server that gets no work after
 # failures is tried again.
 FAILURE_HALF_LIFE_S = 3.0
@@ -16,14 +20,17 @@
 UNREACHABLE_MAX_S = 4.0
 # Time for which a silent server is avoided.
 SILENT_AVOIDED_S = 0.8
-# Time for which a full server gets no streams; about one of its requests ends within
-# this time and frees its memory.
+# Time for which a full server gets no streams or calls; about one of its streams ends
+# within this time and frees its memory.
 FULL_AVOIDED_S = 0.15
 # Time for which a server gets no streams after it refused one that should fit; it
 # doubles with each further refusal in a row, up to the maximum. The server may be
 # switching to the other pool, which takes seconds.
 REFUSED_BASE_S = 0.3
 REFUSED_MAX_S = 4.0
+# Longest time for which a plain server that refuses although it should have a free slot
+# gets no calls. The time begins at that for a full server, and doubles.
+QUEUE_FULL_MAX_S = 1.2
 
 
 @dataclass
@@ -34,6 +41,8 @@
         failure_share: Moving average of failures, from 0 to 1, at `failure_at`.
         failure_at: Monotonic time of the last update of the share.
         latency_s: Moving average of the seconds to an answer; 0 if unknown.
+        service_s: Moving average of the seconds of one plain call that doesn't queue; 0
+            if unknown.
         consecutive_unreachable: Failed connections in a row, 8 at most.
         avoid_until: Monotonic time until which an unreachable or silent server is
             avoided.
@@ -44,6 +53,7 @@
     failure_share: float = 0.0
     failure_at: float = 0.0
     latency_s: float = 0.0
+    service_s: float = 0.0
     consecutive_unreachable: int = 0
     avoid_until: float = 0.0
     full_until: float = 0.0
@@ -70,6 +80,24 @@
             seconds = record.latency_s + LATENCY_WEIGHT * (seconds - record.latency_s)
         record.latency_s = seconds
 
+    def note_call(self, server, seconds, load_factor):
+        """Records the time of a plain call that was answered.
+
+        Args:
+            server: Name of the server.
+            seconds: Seconds from the request to the answer.
+            load_factor: By how much the calls ahead of it have lengthened its time.
+        """
+        record = self._record(server)
+        record.consecutive_refusals = 0
+        sample_s = seconds / load_factor
+        if not record.service_s:
+            record.service_s = sample_s
+            return
+        rises = sample_s > record.service_s
+        weight = SERVICE_RISE_WEIGHT if rises else SERVICE_FALL_WEIGHT
+        record.service_s += weight * (sample_s - record.service_s)
+
     def note_failed(self, server):
         """Records a failed request."""
         record = self._record(server)
@@ -104,6 +132,11 @@
         record = self._records.get(server)
         return record.latency_s if record else 0.0
 
+    def service_s(self, server):
+        """Returns the seconds of one plain call that doesn't queue; 0 if unknown."""
+        record = self._records.get(server)
+        return record.service_s if record else 0.0
+
     def is_avoided(self, server):
         """Returns whether the server was unreachable or silent a moment ago."""
         record = self._records.get(server)
@@ -113,6 +146,23 @@
         """Records that the server refused a request because its memory was full."""
         self._record(server).full_until = self._clock.monotonic() + FULL_AVOIDED_S
 
+    def note_queue_full(self, server, expected_free):
+        """Records that a plain server refused a call as not run.
+
+        Its queue is full, which is no failure: it answers the calls that it has taken.
+
+        Args:
+            server: Name of the server.
+            expected_free: Whether the server should have had a free slot.
+        """
+        record = self._record(server)
+        if not expected_free:
+            record.consecutive_refusals = 0
+        avoided_s = FULL_AVOIDED_S * 2**record.consecutive_refusals
+        avoided_s = min(QUEUE_FULL_MAX_S, avoided_s)
+        record.consecutive_refusals = min(record.consecutive_refusals + 1, 8)
+        record.full_until = self._clock.monotonic() + avoided_s
+
     def note_refused(self, server):
         """Records that the server refused a request that should fit."""
         record = self._record(server)
@@ -126,5 +176,10 @@
 
     def is_full(self, server):
         """Returns whether the server refused a request a moment ago."""
+        return self.full_s(server) > 0
+
+    def full_s(self, server):
+        """Returns the seconds for which the server still counts as full."""
         record = self._records.get(server)
-        return record is not None and self._clock.monotonic() < record.full_until
+        full_until = record.full_until if record else 0.0
+        return max(0.0, full_until - self._clock.monotonic())
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -2,15 +2,14 @@
 
 import sys
 from dataclasses import dataclass
+from datetime import timedelta
 
 import gevent
 from gevent.queue import Empty, Queue
 from result import Err, Ok
 
-from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import Reason, Verdict, may_have_run, not_run
-from amaranthbay.observe import Step, current_metrics, log_decision, log_event
-from amaranthbay.relay.choice import choose_plain, has_free_slot
+from amaranthbay.observe import Step, current_metrics, log_event
 from amaranthbay.relay.codec import ForwardOptions
 from amaranthbay.relay.exchange import (
     AnswerBody,
@@ -19,7 +18,9 @@
     SendForbidden,
     open_exchange,
 )
+from amaranthbay.relay.plain_queue import PlainQueue
 from amaranthbay.relay.refusals import RETRY_SOON, all_held_back, timed_out
+from amaranthbay.scheduling.plain import has_free_slot, retry_s
 
 __all__ = ["PlainRelay", "WholeAnswer"]
 
@@ -59,17 +60,19 @@
 
     def __init__(self, ctx):
         self._ctx = ctx
+        self._queue = PlainQueue(ctx)
 
     def serve(self, call):
         """Relays a `Call` and returns ``Result[WholeAnswer, Refusal]``."""
-        return _PlainRun(self._ctx, call).run()
+        return _PlainRun(self._ctx, self._queue, call).run()
 
 
 class _PlainRun:
     """The attempts of one call."""
 
-    def __init__(self, ctx, call):
+    def __init__(self, ctx, queue, call):
         self._ctx = ctx
+        self._queue = queue
         self._call = call
         self._tried = set()
         # Servers that further attempts are connecting to, and the number of these
@@ -87,7 +90,10 @@
     def run(self):
         """Returns ``Result[WholeAnswer, Refusal]``."""
         try:
-            start_result = self._start()
+            placed = self._queue.place(self._call)
+            if placed.is_err():
+                return placed
+            start_result = self._start(placed.unwrap())
             if start_result.is_err():
                 return start_result
             return self._await_answer()
@@ -150,7 +156,13 @@
             return self._server_error
         if self._verdict is Verdict.NOT_RUN:
             detail = "no backend server took the request"
-            refusal = not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON)
+            seconds = retry_s(
+                RETRY_SOON.total_seconds(),
+                self._call.route.target_s,
+                self._ctx.rng.random(),
+            )
+            retry = timedelta(seconds=seconds)
+            refusal = not_run(Reason.NO_BACKEND_SERVER, detail, 503, retry)
             return Err(self._held_back_refusal() or refusal)
         detail = "the backend server gave no answer"
         return Err(may_have_run(Reason.BACKEND_FAILED, detail))
@@ -181,14 +193,14 @@
         # Another attempt may be answered while this one finds no server that it can
         # connect to.
         self._starting += 1
-        self._greenlets.append(gevent.spawn(self._start_beside))
+        self._greenlets.append(gevent.spawn(self._start_beside, cause == "slow"))
         return 1
 
-    def _start_beside(self):
+    def _start_beside(self, only_free):
         """Starts an attempt while others may be in progress."""
         started = False
         try:
-            started = self._start().is_ok()
+            started = self._start(only_free=only_free).is_ok()
         except Exception:
             self._log_defect()
         finally:
@@ -200,68 +212,72 @@
         request_id = self._call.request_id
         log_event("defect", level="error", exc=sys.exc_info(), request_id=request_id)
 
-    def _start(self):
+    def _start(self, placement=None, only_free=False):
         """Connects to a server and starts an attempt in the background.
 
         Unreachable servers are skipped and don't count as attempts, as nothing was sent
         to them.
 
+        Args:
+            placement: `PlainPlacement` on the first server; None to choose it now.
+            only_free: Whether only servers with a free slot are used.
+
         Returns:
             ``Result[None, Refusal]``.
         """
         unreachable = set()
         while True:
-            server = self._choose(self._tried | self._connecting | unreachable)
+            excluded = self._tried | self._connecting | unreachable
+            placement = placement or self._queue.place_again(
+                self._call, excluded, only_free
+            )
             now = self._ctx.clock.monotonic()
-            if server is None:
+            if placement is None:
                 refusal = self._held_back_refusal(self._tried | unreachable)
                 if refusal is not None:
                     return Err(refusal)
-            if server is None or now >= self._call.ends_at:
+            if placement is None or now >= self._call.ends_at:
+                if placement is not None:
+                    placement.release()
                 detail = "no backend server can be reached"
                 return Err(not_run(Reason.NO_BACKEND_SERVER, detail, 503, RETRY_SOON))
-            exchange = self._connect(server, now)
-            if exchange is None:
-                unreachable.add(server.name)
-                continue
-            if self._ended:
-                exchange.close()
+            exchange = self._connect(placement, now)
+            if exchange is not None:
+                self._begin_attempt(placement, exchange, now)
                 return Ok(None)
-            self._tried.add(server.name)
-            attempt = gevent.spawn(self._attempt, server, exchange, now)
-            # The call may end before the attempt begins.
-            attempt.link(lambda _: exchange.close())
-            self._greenlets.append(attempt)
-            return Ok(None)
+            unreachable.add(placement.server.name)
+            placement = None
+
+    def _begin_attempt(self, placement, exchange, now):
+        """Starts to read the answer in the background, unless the call has ended."""
+        if self._ended:
+            exchange.close()
+            placement.release()
+            return
+        self._tried.add(placement.server.name)
+        attempt = gevent.spawn(self._attempt, placement, exchange, now)
+
+        def end(_):
+            exchange.close()
+            placement.release()
+
+        # The call may end before the attempt begins.
+        attempt.link(end)
+        self._greenlets.append(attempt)
 
     def _held_back_refusal(self, excluded=frozenset()):
         """Returns the `Refusal` if no server may get the call now, else None."""
         held = self._ctx.held_back(self._call.service.name, excluded=excluded)
         return None if held is None else all_held_back(held, self._ctx.rng.random())
 
-    def _choose(self, excluded):
-        """Returns the `BackendServer` for the next attempt, or None."""
-        ctx, call = self._ctx, self._call
-        candidates = ctx.candidates(call.service.name, excluded=excluded)
-        chosen = choose_plain(candidates, ctx.rng.random())
-        log_decision(
-            "plain_server",
-            chosen and chosen.server.name,
-            (candidate.server.name for candidate in candidates),
-            "shortest expected time",
-            request_id=call.request_id,
-            failure=chosen and round(chosen.failure_share, 2),
-            running=chosen and chosen.running,
-        )
-        return chosen and chosen.server
-
-    def _connect(self, server, now):
+    def _connect(self, placement, now):
         """Sends the request; returns its `Exchange`, or None if that failed."""
-        ctx, call = self._ctx, self._call
+        ctx, call, server = self._ctx, self._call, placement.server
+        exchange = None
         options = ForwardOptions(server.name, call.left_s(now))
         self._connecting.add(server.name)
         try:
-            return open_exchange(
+            exchange = open_exchange(
                 ctx.connections, ctx.codec, server, call, options, CONNECT_TIMEOUT_S
             )
         except ExchangeBroken as exc:
@@ -274,12 +290,14 @@
                 backend_server=server.name,
                 reason=exc.reason,
             )
-            return None
         finally:
             self._connecting.discard(server.name)
+            if exchange is None:
+                placement.release()
+        return exchange
 
-    def _attempt(self, server, exchange, started_at):
-        release = self._ctx.placed_load.add(server.name, ServerLoad(running=1))
+    def _attempt(self, placement, exchange, started_at):
+        server = placement.server
         try:
             outcome = self._read(server, exchange)
         except gevent.GreenletExit:
@@ -290,8 +308,8 @@
             self._log_defect()
             outcome = Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
         finally:
-            release()
-        self._note_outcome(server, outcome, started_at)
+            placement.release()
+        self._note_outcome(placement, outcome, started_at)
         self._attempt_outcomes.put(outcome)
 
     def _note_if_slow(self, server, started_at):
@@ -300,7 +318,8 @@
         if seconds > self._call.route.target_s:
             self._ctx.outcomes.note_failed(server.name)
 
-    def _note_outcome(self, server, outcome, started_at):
+    def _note_outcome(self, placement, outcome, started_at):
+        server, outcomes = placement.server, self._ctx.outcomes
         seconds = self._ctx.clock.monotonic() - started_at
         service = self._call.service.name
         current_metrics().step_ended(service, Step.ATTEMPT, seconds)
@@ -308,9 +327,12 @@
         if outcome.is_ok():
             self._ctx.crashes.note_served(self._call)
         if succeeded:
-            self._ctx.outcomes.note_answered(server.name, seconds)
+            outcomes.note_answered(server.name, seconds)
+            outcomes.note_call(server.name, seconds, placement.load_factor)
+        elif _was_refused(outcome):
+            outcomes.note_queue_full(server.name, placement.expected_free)
         else:
-            self._ctx.outcomes.note_failed(server.name)
+            outcomes.note_failed(server.name)
         log_event(
             "attempt_ended",
             request_id=self._call.request_id,
@@ -353,6 +375,11 @@
         return None
 
 
+def _was_refused(outcome):
+    """Returns whether the server has refused the request as not run."""
+    return outcome.is_err() and outcome.unwrap_err().reason is Reason.BACKEND_REFUSED
+
+
 def _describe(outcome):
     if outcome.is_ok():
         return str(outcome.unwrap().head.status)
--- /dev/null
+++ b/amaranthbay/relay/plain_queue.py
@@ -0,0 +1,180 @@
+"""Plain calls that wait at this instance until a server has room for them."""
+
+from dataclasses import dataclass
+
+from gevent.event import AsyncResult
+from result import Err, Ok
+
+from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.observe import log_decision, log_event
+from amaranthbay.relay.refusals import no_room
+from amaranthbay.routing import BackendServer
+from amaranthbay.scheduling.plain import (
+    PlainLine,
+    WaitingCall,
+    choose_plain,
+    has_returned,
+    is_free,
+    load_factor,
+    retry_s,
+)
+
+__all__ = ["PlainPlacement", "PlainQueue"]
+
+# Interval at which waiting calls are looked at again. Slots that calls of other
+# instances leave are known from reports, which come at about this interval.
+ADVANCE_INTERVAL_S = 0.01
+# Digits of the seconds in log lines.
+SECONDS_DIGITS = 4
+
+
+@dataclass(frozen=True)
+class PlainPlacement:
+    """A server that was chosen for a call, which counts in its load until `release`.
+
+    Attributes:
+        server: `BackendServer` that gets the call.
+        load_factor: By how much the calls ahead of it lengthen its time there.
+        expected_free: Whether the server should have a free slot.
+        release: Function that takes the call out of the load; further calls do nothing.
+    """
+
+    server: BackendServer
+    load_factor: float
+    expected_free: bool
+    release: object
+
+
+class PlainQueue:
+    """Places the plain calls of this instance on servers, or refuses them."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+        # `PlainLine` by name of a service, and the ``AsyncResult`` of each waiting call
+        # with the `Call`.
+        self._lines = {}
+        self._results = {}
+        # Monotonic time at which the calls of a service were last looked at.
+        self._advanced_at = {}
+        ctx.placed_load.on_release(self._advance_all)
+
+    def place(self, call):
+        """Waits until a `Call` is placed on its first server, or is refused.
+
+        Returns:
+            ``Result[PlainPlacement | None, Refusal]``; None if there is no server that
+            may get requests.
+        """
+        service = call.service.name
+        waiting = self._waiting_call(call)
+        line = self._lines.setdefault(service, PlainLine())
+        result = AsyncResult()
+        self._results[waiting] = (call, result)
+        line.add(waiting)
+        try:
+            self._advance(service)
+            if not result.ready():
+                log_event("plain_call_waits", request_id=call.request_id)
+                self._advance_regularly(service, result)
+            return result.get()
+        except BaseException:
+            # The caller has hung up.
+            line.discard(waiting)
+            if result.ready() and result.value.is_ok() and result.value.unwrap():
+                result.value.unwrap().release()
+            raise
+        finally:
+            self._results.pop(waiting, None)
+
+    def place_again(self, call, excluded, only_free=False):
+        """Places a further attempt of a call at once.
+
+        Args:
+            call: `Call` to place.
+            excluded: Names of servers to leave out.
+            only_free: Whether only servers with a free slot are used.
+
+        Returns:
+            `PlainPlacement`, or None if there is no such server.
+        """
+        ctx = self._ctx
+        candidates = ctx.candidates(call.service.name, excluded=excluded)
+        usable = [
+            candidate for candidate in candidates if not only_free or is_free(candidate)
+        ]
+        chosen = choose_plain(usable, ctx.rng.random())
+        return self._place(call, chosen, candidates)
+
+    def _waiting_call(self, call):
+        return WaitingCall(
+            arrived_at=call.arrived_at,
+            target_s=min(call.route.target_s, call.ends_at - call.arrived_at),
+            priority=call.priority,
+            returned=has_returned(call.head.deadline_s, call.route.timeout_s),
+            draw=self._ctx.rng.random(),
+        )
+
+    def _advance_regularly(self, service, result):
+        """Looks at the waiting calls at intervals until one of them has its result."""
+        while not result.ready():
+            result.wait(ADVANCE_INTERVAL_S)
+            elapsed_s = self._ctx.clock.monotonic() - self._advanced_at[service]
+            # Each waiting call does this, and one look serves all of them.
+            if not result.ready() and elapsed_s >= ADVANCE_INTERVAL_S / 2:
+                self._advance(service)
+
+    def _advance_all(self):
+        """Looks at all waiting calls, since the load of a server has become less."""
+        for service, line in self._lines.items():
+            if len(line):
+                self._advance(service)
+
+    def _advance(self, service):
+        ctx, line = self._ctx, self._lines[service]
+        now = self._advanced_at[service] = ctx.clock.monotonic()
+        candidates = ctx.candidates(service)
+        for outcome in line.advance(now, candidates, ctx.rng):
+            call, result = self._results[outcome.waiting]
+            if not candidates:
+                result.set(Ok(None))
+            elif outcome.chosen is not None:
+                result.set(Ok(self._place(call, outcome.chosen, candidates)))
+            else:
+                result.set(Err(self._refuse(call, outcome, candidates)))
+
+    def _place(self, call, chosen, candidates):
+        """Logs the choice and returns the `PlainPlacement`; None if there is none."""
+        log_decision(
+            "plain_server",
+            chosen and chosen.server.name,
+            (candidate.server.name for candidate in candidates),
+            "shortest expected time",
+            request_id=call.request_id,
+            failure=chosen and round(chosen.failure_share, 2),
+            running=chosen and chosen.running,
+            service_s=chosen and round(chosen.service_s, SECONDS_DIGITS),
+        )
+        if chosen is None:
+            return None
+        name, slots = chosen.server.name, chosen.server.slots
+        return PlainPlacement(
+            chosen.server,
+            load_factor(chosen.running, slots),
+            chosen.running < slots,
+            self._ctx.placed_load.add(name, ServerLoad(running=1)),
+        )
+
+    def _refuse(self, call, outcome, candidates):
+        """Logs and returns the `Refusal` of a call that would be late."""
+        target_s = call.route.target_s
+        seconds = retry_s(outcome.wait_s, target_s, self._ctx.rng.random())
+        log_event(
+            "plain_call_refused",
+            request_id=call.request_id,
+            running={each.server.name: each.running for each in candidates},
+            service_s=[round(each.service_s, SECONDS_DIGITS) for each in candidates],
+            waited_s=round(outcome.waited_s, SECONDS_DIGITS),
+            wait_s=round(outcome.wait_s, SECONDS_DIGITS),
+            retry_s=round(seconds, SECONDS_DIGITS),
+        )
+        return no_room(seconds)
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -12,6 +12,7 @@
     "body_of",
     "draining",
     "headers_of",
+    "no_room",
     "quarantined",
     "timed_out",
 ]
@@ -44,6 +45,16 @@
     return not_run(Reason.QUARANTINED, detail, 503, QUARANTINE_RETRY)
 
 
+def no_room(seconds):
+    """Returns the `Refusal` of a plain call that no server could answer in time.
+
+    Args:
+        seconds: Seconds after which the caller should retry.
+    """
+    detail = "no backend server can answer the request in time"
+    return not_run(Reason.OVERLOADED, detail, 503, timedelta(seconds=seconds))
+
+
 def draining():
     """Returns the `Refusal` of a request that arrives late in a planned stop."""
     return not_run(Reason.DRAINING, "the daemon is draining", 503, RETRY_SOON)
