Count the target of a plain call from the caller's first try

Cause: callers that came back after a refusal went before new ones although their answer was late in any case.

Change: the time since the first try is estimated from the deadline that the caller states and the longest deadline of the route. Returned calls go before new ones of their priority while they can be in time; late ones get free slots and short queues.

--- a/amaranthbay/relay/plain_queue.py
+++ b/amaranthbay/relay/plain_queue.py
@@ -10,10 +10,10 @@
 from amaranthbay.relay.refusals import no_room
 from amaranthbay.routing import BackendServer
 from amaranthbay.scheduling.plain import (
+    FirstDeadlines,
     PlainLine,
     WaitingCall,
     choose_plain,
-    has_returned,
     is_free,
     load_factor,
     retry_s,
@@ -54,6 +54,7 @@
         # with the `Call`.
         self._lines = {}
         self._results = {}
+        self._deadlines = FirstDeadlines()
         # Monotonic time at which the calls of a service were last looked at.
         self._advanced_at = {}
         ctx.placed_load.on_release(self._advance_all)
@@ -110,8 +111,11 @@
             arrived_at=call.arrived_at,
             target_s=min(call.route.target_s, call.ends_at - call.arrived_at),
             priority=call.priority,
-            returned=has_returned(call.head.deadline_s, call.route.timeout_s),
+            elapsed_s=self._deadlines.elapsed_s(
+                call.route.name, call.head.deadline_s, call.arrived_at
+            ),
             draw=self._ctx.rng.random(),
+            ends_at=call.ends_at,
         )
 
     def _advance_regularly(self, service, result):
--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -5,17 +5,18 @@
 """
 
 from dataclasses import dataclass, replace
+from math import inf
 
 from amaranthbay.relay.choice import Candidate, choose_cheapest, failure_factor
 
 __all__ = [
+    "FirstDeadlines",
     "LineOutcome",
     "PlainLine",
     "WaitingCall",
     "choose_plain",
     "expected_s",
     "has_free_slot",
-    "has_returned",
     "is_free",
     "load_factor",
     "retry_s",
@@ -37,6 +38,11 @@
 QUEUE_SHARE = 0.5
 # The same for calls that are less urgent than others of the service.
 LESS_URGENT_QUEUE_SHARE = 0.3
+# The same for calls of callers that have come back, whose answer is late in any case.
+LATE_QUEUE_SHARE = 0.3
+# Late calls wait for as long as their target is, or this many calls take at a server
+# that can't meet the target.
+LATE_WAIT_CALLS = 4
 # Share of the less urgent calls that count as urgent, so that none starve.
 PROMOTED_SHARE = 0.25
 # Time for which the most urgent priority of a service is remembered.
@@ -46,9 +52,14 @@
 MIN_RETRY_S = 0.05
 # Time over which refused callers come back, as a share of the target.
 RETURN_SPREAD = 0.5
-# Callers that retry after a refusal state a deadline below this share of the route's
-# timeout.
-RETURNED_DEADLINE_SHARE = 0.8
+# A caller whose deadline is shorter than that of others by this has come back after a
+# refusal. It is less than `MIN_RETRY_S`, and more than the time of a connection.
+RETURNED_AFTER_S = 0.04
+# Time for which the longest deadline of a route is remembered.
+DEADLINE_MEMORY_S = 10.0
+# Callers whose deadline is shorter than that of others by a larger share haven't come
+# back, but have another deadline: retries wait for at most a third of the time left.
+MAX_ELAPSED_SHARE = 0.5
 
 
 @dataclass(frozen=True, eq=False)
@@ -59,20 +70,23 @@
         arrived_at: Monotonic time of its arrival.
         target_s: Target for the seconds to its answer.
         priority: Rank of the call; 0 is the highest.
-        returned: Whether its caller has come back after a refusal.
+        elapsed_s: Seconds since the first try of a caller that has come back after a
+            refusal; 0 for a first try.
         draw: Random number from 0 to 1 that decides whether it is promoted.
+        ends_at: Monotonic time of its deadline.
     """
 
     arrived_at: float
     target_s: float
     priority: int = 0
-    returned: bool = False
+    elapsed_s: float = 0.0
     draw: float = 1.0
+    ends_at: float = inf
 
     @property
     def target_at(self):
         """Monotonic time until which an answer is on time."""
-        return self.arrived_at + self.target_s
+        return self.arrived_at + self.target_s - self.elapsed_s
 
 
 @dataclass(frozen=True)
@@ -155,16 +169,6 @@
     return candidate.running < candidate.server.slots and not candidate.full_s
 
 
-def has_returned(deadline_s, timeout_s):
-    """Returns whether a caller has probably come back after a refusal.
-
-    Args:
-        deadline_s: Seconds for which the caller waits; None if not stated.
-        timeout_s: Timeout of the route in seconds.
-    """
-    return deadline_s is not None and deadline_s < RETURNED_DEADLINE_SHARE * timeout_s
-
-
 def retry_s(wait_s, target_s, draw):
     """Returns the seconds after which the caller of a refused call should retry.
 
@@ -176,12 +180,42 @@
     return max(MIN_RETRY_S, wait_s) + RETURN_SPREAD * target_s * draw
 
 
+class FirstDeadlines:
+    """Estimates how long ago callers made their first try, from their deadlines.
+
+    Callers state the time that they have left. At the first try, this is about the same
+    for all callers of a route.
+    """
+
+    def __init__(self):
+        # Longest deadline of each route, and the time at which it was stated.
+        self._longest = {}
+
+    def elapsed_s(self, route, deadline_s, now):
+        """Returns the seconds since a caller's first try; 0 if this is the first.
+
+        Args:
+            route: Name of the route.
+            deadline_s: Seconds for which the caller waits; None if not stated.
+            now: Monotonic time.
+        """
+        if deadline_s is None:
+            return 0.0
+        longest_s, stated_at = self._longest.get(route, (0.0, now))
+        if deadline_s >= longest_s or now - stated_at > DEADLINE_MEMORY_S:
+            self._longest[route] = (deadline_s, now)
+            return 0.0
+        elapsed_s = longest_s - deadline_s
+        has_returned = RETURNED_AFTER_S <= elapsed_s <= MAX_ELAPSED_SHARE * longest_s
+        return elapsed_s if has_returned else 0.0
+
+
 class PlainLine:
     """The calls of one service that wait at this instance."""
 
     def __init__(self):
         self._waiting = []
-        # Time at which a call of each priority was last seen.
+        # Time at which a call of each priority last came.
         self._seen_at = {}
 
     def __len__(self):
@@ -215,27 +249,29 @@
             return outcomes
         urgent = self._most_urgent(now)
         loads = {candidate.server.name: candidate for candidate in candidates}
-        outcomes, still_waiting = [], []
-        for waiting in sorted(self._waiting, key=lambda each: _rank(each, urgent)):
+        service_s = min(map(_service_s, candidates))
+        ordered = sorted(
+            (_terms(waiting, urgent, service_s, now) for waiting in self._waiting),
+            key=lambda terms: terms.rank,
+        )
+        outcomes, self._waiting = [], []
+        for terms in ordered:
+            waiting, calls_before = terms.waiting, len(self._waiting)
             usable = _preferred(loads.values())
             # A call doesn't overtake the ones before it.
-            fitting = [] if still_waiting else _fitting(waiting, usable, urgent, now)
+            fitting = [] if calls_before else _fitting(usable, terms.limit_s)
             chosen = choose_plain(fitting, rng.random())
+            wait_s, at_server_s = _estimate(usable, terms.limit_s, calls_before)
             if chosen is not None:
                 loads[chosen.server.name] = replace(
                     chosen, running=chosen.running + 1, own=chosen.own + 1
                 )
                 outcomes.append(LineOutcome(waiting, chosen))
-                continue
-            wait_s, at_server_s = _estimate(
-                usable, _limit_s(waiting, urgent), len(still_waiting)
-            )
-            if now + wait_s + at_server_s > waiting.target_at:
+            elif now + wait_s + at_server_s > terms.ends_at:
                 waited_s = now - waiting.arrived_at
                 outcomes.append(LineOutcome(waiting, None, wait_s, waited_s))
             else:
-                still_waiting.append(waiting)
-        self._waiting = still_waiting
+                self._waiting.append(waiting)
         return outcomes
 
     def _most_urgent(self, now):
@@ -248,20 +284,47 @@
         return min(self._seen_at, default=0)
 
 
-def _is_urgent(waiting, urgent):
-    return waiting.priority <= urgent or waiting.draw < PROMOTED_SHARE
+@dataclass(frozen=True)
+class _Terms:
+    """On which terms a call waits.
+
+    Attributes:
+        waiting: The `WaitingCall`.
+        rank: Key by which waiting calls are ordered.
+        limit_s: Seconds that it may spend at a server, queueing included.
+        ends_at: Monotonic time until which an answer must be expected.
+    """
 
+    waiting: WaitingCall
+    rank: tuple
+    limit_s: float
+    ends_at: float
 
-def _rank(waiting, urgent):
-    """Returns the key by which waiting calls are ordered."""
-    priority = urgent if _is_urgent(waiting, urgent) else waiting.priority
-    return priority, not waiting.returned, waiting.target_at
 
+def _terms(waiting, urgent, service_s, now):
+    """Returns the `_Terms` of a call.
 
-def _limit_s(waiting, urgent):
-    """Returns the seconds that a call may spend at a server, queueing included."""
-    share = QUEUE_SHARE if _is_urgent(waiting, urgent) else LESS_URGENT_QUEUE_SHARE
-    return share * waiting.target_s
+    Args:
+        waiting: `WaitingCall`.
+        urgent: Most urgent priority of the service.
+        service_s: Seconds of one call at the fastest server.
+        now: Monotonic time.
+    """
+    is_urgent = waiting.priority <= urgent or waiting.draw < PROMOTED_SHARE
+    priority = urgent if is_urgent else waiting.priority
+    share = QUEUE_SHARE if is_urgent else LESS_URGENT_QUEUE_SHARE
+    ends_at = waiting.target_at
+    late = now + service_s > ends_at
+    if late:
+        share = min(share, LATE_QUEUE_SHARE)
+        patience_s = max(waiting.target_s, LATE_WAIT_CALLS * service_s)
+        ends_at = min(waiting.arrived_at + patience_s, waiting.ends_at)
+    return _Terms(
+        waiting,
+        (priority, late, not waiting.elapsed_s, ends_at),
+        min(share * waiting.target_s, ends_at - now),
+        ends_at,
+    )
 
 
 def _preferred(candidates):
@@ -270,9 +333,8 @@
     return usable or list(candidates)
 
 
-def _fitting(waiting, candidates, urgent, now):
+def _fitting(candidates, limit_s):
     """Returns the candidates on which a call may be placed."""
-    limit_s = min(_limit_s(waiting, urgent), waiting.target_at - now)
     return [
         candidate
         for candidate in candidates
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -177,7 +177,7 @@
             self.now(),
             self.load.target_s,
             call.priority,
-            call.tries > 1,
+            self.now() - call.first_at,
             self.rng.random(),
         )
         self.waits[waiting] = call
