Play loads of plain calls in tests

Cause: no test showed what callers get when instances with old views share servers.

Change: a player of callers, instances and servers without a network, with today's choice as the baseline.

--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -9,19 +9,23 @@
 import itertools
 import random
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from statistics import median
 
+from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.relay.choice import Candidate, choose_cheapest, failure_factor
 from amaranthbay.relay.outcomes import ServerOutcomes
+from amaranthbay.relay.placed_load import PacedCallback, PlacedLoad
 from amaranthbay.routing import BackendServer
 from amaranthbay.scheduling.plain import (
+    FirstDeadlines,
     PlainLine,
     WaitingCall,
     choose_plain,
     load_factor,
     retry_s,
 )
-from amaranthbay.utils.testing import ManualClock, collect
+from amaranthbay.utils.testing import ManualClock, collect, wait_until
 
 QUEUE_LIMIT = 24
 REPORT_DELAY_S = 0.005
@@ -298,4 +302,131 @@
     return choose_cheapest(candidates, cost, draw)
 
 
+def compare(load):
+    """Plays a load with the baseline, whose reports are older, and the new choice."""
+    baseline = Player(replace(load, report_s=0.4), baseline=True).play()
+    return baseline, Player(load, baseline=False).play()
+
+
+def test_servers_with_room_refuse_nothing_and_delay_nothing(case):
+    """Guards against refusals and waiting within the capacity, at servers of even and
+    uneven speed, after the loss of a server, and in the first second after a start."""
+    loads = (
+        Load([116, 116, 232, 232, 116]),
+        Load([116, 116, 232, 232, 232], lost=1),
+        Load([300] * 4, speeds=(0.7, 0.7, 1.7)),
+        Load([360] * 2),
+        Load([250] * 4, lost=1),
+    )
+    for load in loads:
+        baseline, player = compare(load)
+        case.assertEqual(player.refusals + player.own_refusals, 0, load)
+        case.assertEqual(player.share("in_time"), 1.0, load)
+        medians = median(player.latencies), median(baseline.latencies)
+        case.assertLessEqual(medians[0], medians[1] * 1.05, load)
+
+
+def test_overload_is_refused_before_queues_make_answers_late(case):
+    """Guards against queues at the servers in which all calls become late."""
+    for load in (Load([200, 700, 230, 230], lost=1), Load([600] * 4)):
+        baseline, player = compare(load)
+        case.assertLess(player.refusals, baseline.refusals / 50)
+        case.assertGreater(player.share("in_time"), baseline.share("in_time") + 0.05)
+        served = 1 - player.share("refused")
+        case.assertGreater(served, 1 - baseline.share("refused") - 0.05)
+
+
+def test_urgent_calls_come_first_and_none_starve(case):
+    """Guards against priorities that change nothing in overload, and against a class
+    that is served less than a quarter as often as all calls."""
+    player = Player(Load([700] * 4, priorities=(0, 1, 2)), baseline=False).play()
+    served = [1 - player.share("refused", priority) for priority in (0, 1, 2)]
+    case.assertGreater(served[0], 0.95)
+    case.assertEqual(served, sorted(served, reverse=True))
+    case.assertGreater(served[2], (1 - player.share("refused")) / 4)
+
+
+def test_noise_of_even_servers_costs_nothing(case):
+    """Guards against instances that flee from a server in each slow spell."""
+    load = Load(
+        [700] * 5, (1.0,) * 4, 0.022, target_s=0.153, deadline_s=0.632, noisy=True
+    )
+    baseline, player = compare(load)
+    case.assertGreaterEqual(player.share("in_time"), baseline.share("in_time") - 0.005)
+
+
+def test_instances_that_hear_nobody_still_serve(case):
+    """Guards against a deployment that stops while reports are lost."""
+    player = Player(Load([250] * 4, report_s=60.0), baseline=False).play()
+    case.assertGreater(player.share("in_time"), 0.95)
+
+
+def make_candidate(name="a", **fields):
+    server = BackendServer(name, "desk", "127.0.0.1:1", "z", slots=6)
+    return Candidate(server, True, **{"service_s": 0.045} | fields)
+
+
+def test_full_server_gets_no_call_while_another_has_room(case):
+    """Guards against calls that a server refuses at once."""
+    full, busy = make_candidate(full_s=0.1), make_candidate("b", running=20)
+    case.assertIs(choose_plain([full, busy], 0.0), busy)
+    line, rng = PlainLine(), random.Random(1)
+    line.add(WaitingCall(0.0, 0.258))
+    case.assertEqual(line.advance(0.0, [full], rng), [])
+    case.assertEqual(len(line), 1)
+    case.assertIsNotNone(line.advance(0.1, [make_candidate()], rng)[0].chosen)
+
+
+def test_slow_server_that_misses_the_target_still_serves(case):
+    """Guards against refusing all calls of a service whose servers miss the target."""
+    line, rng = PlainLine(), random.Random(1)
+    line.add(WaitingCall(0.0, 0.258))
+    line.add(WaitingCall(0.0, 0.258))
+    slow = make_candidate(running=5, service_s=0.5)
+    case.assertEqual(len(line.advance(0.0, [slow], rng)), 1)
+    case.assertEqual(len(line), 1)
+
+
+def test_time_of_one_call_does_not_contain_queueing(case):
+    """Guards against taking a queue for a slow server, and a refusal for a failure."""
+    clock = ManualClock()
+    outcomes = ServerOutcomes(clock)
+    for ahead in (0, 11, 17, 5) * 5:
+        factor = load_factor(ahead, 6)
+        outcomes.note_call("a", 0.045 * factor, factor)
+    outcomes.note_call("a", 0.3, 1.0)
+    case.assertLess(outcomes.service_s("a"), 0.06)
+    outcomes.note_queue_full("a", expected_free=False)
+    case.assertEqual(outcomes.failure_share("a"), 0.0)
+    case.assertTrue(outcomes.is_full("a"))
+    clock.advance(0.2)
+    case.assertFalse(outcomes.is_full("a"))
+    for _ in range(3):
+        outcomes.note_queue_full("a", expected_free=True)
+    clock.advance(0.5)
+    case.assertTrue(outcomes.is_full("a"))
+
+
+def test_first_try_is_known_from_the_deadline(case):
+    """Guards against new calls that count as returned, since callers have several
+    deadlines or lose milliseconds on the way."""
+    deadlines = FirstDeadlines()
+    stated = (2.5, 2.49, 2.1, 0.6, None)
+    elapsed = [deadlines.elapsed_s("r", deadline_s, 0.0) for deadline_s in stated]
+    case.assertEqual([round(each, 3) for each in elapsed], [0.0, 0.0, 0.4, 0.0, 0.0])
+    case.assertEqual(deadlines.elapsed_s("r", 2.1, 20.0), 0.0)
+
+
+def test_reports_of_changes_have_a_bounded_rate(case):
+    """Guards against a datagram to each instance for each call, and against a last
+    change that is never reported."""
+    clock, reports = ManualClock(), []
+    load = PlacedLoad()
+    load.on_plain_change(PacedCallback(lambda: reports.append(1), clock))
+    for _ in range(20):
+        load.add("a", ServerLoad(running=1))()
+    case.assertEqual(len(reports), 1)
+    wait_until(lambda: len(reports) == 2)
+
+
 load_tests = collect(globals())
