Split the line of waiting plain calls from the choice of servers

A defect while calls are placed could have left a waiting call without an end.

Change: scheduling/plain_line.py holds the line.

--- a/amaranthbay/platform/tests/test_entry_plain.py
+++ b/amaranthbay/platform/tests/test_entry_plain.py
@@ -120,6 +120,24 @@
     case.assertEqual(answer.status, 200)
 
 
+def test_call_waits_for_a_full_server_or_is_refused(case):
+    """Guards against calls to a server whose queue is full, and against a refusal if
+    the server has room soon."""
+    fixture = case.enterContext(entry_fixture())
+    daemon, received = fixture.daemon, fixture.servers["desk-1"].received
+    case.assertEqual(call(fixture, "/look/x").status, 200)
+    daemon.ctx.outcomes.note_queue_full("desk-1", expected_free=False)
+    case.assertEqual(call(fixture, "/look/x", attempt="a2").status, 200)
+    case.assertFalse(daemon.ctx.outcomes.is_full("desk-1"))
+    release = daemon.placed_load.add("desk-1", ServerLoad(running=100_000))
+    answer = call(fixture, "/look/x", attempt="a3")
+    case.assertEqual((answer.status, len(received)), (503, 2))
+    case.assertGreater(float(answer.headers["retry-after"]), 1.0)
+    release()
+    case.assertEqual(call(fixture, "/look/x", attempt="a4").status, 200)
+    wait_until(lambda: not daemon.placed_load.loads())
+
+
 def test_slow_call_is_hedged_only_to_a_free_slot(case):
     """Guards against a late answer while another server is idle, and against a second
     copy of a slow call that takes the slot of another call while all servers are
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -20,7 +20,8 @@
 )
 from amaranthbay.relay.plain_queue import PlainQueue
 from amaranthbay.relay.refusals import RETRY_SOON, all_held_back, timed_out
-from amaranthbay.scheduling.plain import has_free_slot, retry_s
+from amaranthbay.scheduling.plain import has_free_slot
+from amaranthbay.scheduling.plain_line import retry_s
 
 __all__ = ["PlainRelay", "WholeAnswer"]
 
--- a/amaranthbay/relay/plain_queue.py
+++ b/amaranthbay/relay/plain_queue.py
@@ -6,16 +6,15 @@
 from result import Err, Ok
 
 from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.kernel.errors import Verdict
 from amaranthbay.observe import log_decision, log_event
-from amaranthbay.relay.refusals import no_room
+from amaranthbay.relay.refusals import no_room, timed_out
 from amaranthbay.routing import BackendServer
-from amaranthbay.scheduling.plain import (
+from amaranthbay.scheduling.plain import choose_plain, is_free, load_factor
+from amaranthbay.scheduling.plain_line import (
     FirstDeadlines,
     PlainLine,
     WaitingCall,
-    choose_plain,
-    is_free,
-    load_factor,
     retry_s,
 )
 
@@ -76,7 +75,10 @@
             self._advance(service)
             if not result.ready():
                 log_event("plain_call_waits", request_id=call.request_id)
-                self._advance_regularly(service, result)
+                self._advance_regularly(call, result)
+            if not result.ready():
+                line.discard(waiting)
+                return Err(timed_out(Verdict.NOT_RUN))
             return result.get()
         except BaseException:
             # The caller has hung up.
@@ -118,11 +120,12 @@
             ends_at=call.ends_at,
         )
 
-    def _advance_regularly(self, service, result):
-        """Looks at the waiting calls at intervals until one of them has its result."""
-        while not result.ready():
+    def _advance_regularly(self, call, result):
+        """Looks at the waiting calls at intervals until one has its result or ends."""
+        service, clock = call.service.name, self._ctx.clock
+        while not result.ready() and clock.monotonic() < call.ends_at:
             result.wait(ADVANCE_INTERVAL_S)
-            elapsed_s = self._ctx.clock.monotonic() - self._advanced_at[service]
+            elapsed_s = clock.monotonic() - self._advanced_at[service]
             # Each waiting call does this, and one look serves all of them.
             if not result.ready() and elapsed_s >= ADVANCE_INTERVAL_S / 2:
                 self._advance(service)
--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -1,25 +1,18 @@
-"""Decides where plain calls go, which wait at the instance and which are refused.
+"""Chooses the servers of plain calls; pure functions of what an instance knows.
 
 A plain server runs some calls at once and queues a few more. Several instances place
 calls on it, and each knows the calls of the others from reports that are a little old.
 """
 
-from dataclasses import dataclass, replace
-from math import inf
-
-from amaranthbay.relay.choice import Candidate, choose_cheapest, failure_factor
+from amaranthbay.relay.choice import choose_cheapest, failure_factor
 
 __all__ = [
-    "FirstDeadlines",
-    "LineOutcome",
-    "PlainLine",
-    "WaitingCall",
     "choose_plain",
     "expected_s",
     "has_free_slot",
     "is_free",
     "load_factor",
-    "retry_s",
+    "service_s_of",
 ]
 
 # Time of one call at all servers until one is measured. From then on, an unmeasured
@@ -33,77 +26,6 @@
 # Servers whose cost is within this share of the lowest are chosen at random. Instances
 # with the same outdated view would otherwise all choose the same server.
 TIE_SHARE = 0.15
-# Share of the target that a call may spend at a server, queueing included. The rest
-# covers outdated views, and is left for waiting at the instance.
-QUEUE_SHARE = 0.5
-# The same for calls that are less urgent than others of the service.
-LESS_URGENT_QUEUE_SHARE = 0.3
-# The same for calls of callers that have come back, whose answer is late in any case.
-LATE_QUEUE_SHARE = 0.3
-# Late calls wait for as long as their target is, or this many calls take at a server
-# that can't meet the target.
-LATE_WAIT_CALLS = 4
-# Share of the less urgent calls that count as urgent, so that none starve.
-PROMOTED_SHARE = 0.25
-# Time for which the most urgent priority of a service is remembered.
-PRIORITY_MEMORY_S = 10.0
-# Calls per slot that an unmeasured server may hold.
-UNMEASURED_CALLS_PER_SLOT = 2
-MIN_RETRY_S = 0.05
-# Time over which refused callers come back, as a share of the target.
-RETURN_SPREAD = 0.5
-# A caller whose deadline is shorter than that of others by this has come back after a
-# refusal. It is less than `MIN_RETRY_S`, and more than the time of a connection.
-RETURNED_AFTER_S = 0.04
-# Time for which the longest deadline of a route is remembered.
-DEADLINE_MEMORY_S = 10.0
-# Callers whose deadline is shorter than that of others by a larger share haven't come
-# back, but have another deadline: retries wait for at most a third of the time left.
-MAX_ELAPSED_SHARE = 0.5
-
-
-@dataclass(frozen=True, eq=False)
-class WaitingCall:
-    """A call that waits for a server.
-
-    Attributes:
-        arrived_at: Monotonic time of its arrival.
-        target_s: Target for the seconds to its answer.
-        priority: Rank of the call; 0 is the highest.
-        elapsed_s: Seconds since the first try of a caller that has come back after a
-            refusal; 0 for a first try.
-        draw: Random number from 0 to 1 that decides whether it is promoted.
-        ends_at: Monotonic time of its deadline.
-    """
-
-    arrived_at: float
-    target_s: float
-    priority: int = 0
-    elapsed_s: float = 0.0
-    draw: float = 1.0
-    ends_at: float = inf
-
-    @property
-    def target_at(self):
-        """Monotonic time until which an answer is on time."""
-        return self.arrived_at + self.target_s - self.elapsed_s
-
-
-@dataclass(frozen=True)
-class LineOutcome:
-    """What is decided for a waiting call.
-
-    Attributes:
-        waiting: The `WaitingCall`.
-        chosen: `Candidate` that gets the call; None if the call is refused.
-        wait_s: Expected seconds until a server has room for such a call.
-        waited_s: Seconds for which it has waited.
-    """
-
-    waiting: WaitingCall
-    chosen: Candidate | None = None
-    wait_s: float = 0.0
-    waited_s: float = 0.0
 
 
 def load_factor(ahead, slots):
@@ -169,218 +91,6 @@
     return candidate.running < candidate.server.slots and not candidate.full_s
 
 
-def retry_s(wait_s, target_s, draw):
-    """Returns the seconds after which the caller of a refused call should retry.
-
-    Args:
-        wait_s: Expected seconds until a server has room.
-        target_s: Target of the call in seconds.
-        draw: Random number from 0 to 1 that spreads the retries.
-    """
-    return max(MIN_RETRY_S, wait_s) + RETURN_SPREAD * target_s * draw
-
-
-class FirstDeadlines:
-    """Estimates how long ago callers made their first try, from their deadlines.
-
-    Callers state the time that they have left. At the first try, this is about the same
-    for all callers of a route.
-    """
-
-    def __init__(self):
-        # Longest deadline of each route, and the time at which it was stated.
-        self._longest = {}
-
-    def elapsed_s(self, route, deadline_s, now):
-        """Returns the seconds since a caller's first try; 0 if this is the first.
-
-        Args:
-            route: Name of the route.
-            deadline_s: Seconds for which the caller waits; None if not stated.
-            now: Monotonic time.
-        """
-        if deadline_s is None:
-            return 0.0
-        longest_s, stated_at = self._longest.get(route, (0.0, now))
-        if deadline_s >= longest_s or now - stated_at > DEADLINE_MEMORY_S:
-            self._longest[route] = (deadline_s, now)
-            return 0.0
-        elapsed_s = longest_s - deadline_s
-        has_returned = RETURNED_AFTER_S <= elapsed_s <= MAX_ELAPSED_SHARE * longest_s
-        return elapsed_s if has_returned else 0.0
-
-
-class PlainLine:
-    """The calls of one service that wait at this instance."""
-
-    def __init__(self):
-        self._waiting = []
-        # Time at which a call of each priority last came.
-        self._seen_at = {}
-
-    def __len__(self):
-        return len(self._waiting)
-
-    def add(self, waiting):
-        """Adds a `WaitingCall`."""
-        self._seen_at[waiting.priority] = waiting.arrived_at
-        self._waiting.append(waiting)
-
-    def discard(self, waiting):
-        """Removes a `WaitingCall`, if it still waits."""
-        if waiting in self._waiting:
-            self._waiting.remove(waiting)
-
-    def advance(self, now, candidates, rng):
-        """Decides which of the waiting calls are placed or refused now.
-
-        Args:
-            now: Monotonic time.
-            candidates: `Candidate` of each server that may be used.
-            rng: `random.Random` that breaks ties.
-
-        Returns:
-            List of a `LineOutcome` for each call that waits no longer. No call waits if
-            there is no server.
-        """
-        if not candidates:
-            outcomes = [LineOutcome(waiting) for waiting in self._waiting]
-            self._waiting = []
-            return outcomes
-        urgent = self._most_urgent(now)
-        loads = {candidate.server.name: candidate for candidate in candidates}
-        service_s = min(map(_service_s, candidates))
-        ordered = sorted(
-            (_terms(waiting, urgent, service_s, now) for waiting in self._waiting),
-            key=lambda terms: terms.rank,
-        )
-        outcomes, self._waiting = [], []
-        for terms in ordered:
-            waiting, calls_before = terms.waiting, len(self._waiting)
-            usable = _preferred(loads.values())
-            # A call doesn't overtake the ones before it.
-            fitting = [] if calls_before else _fitting(usable, terms.limit_s)
-            chosen = choose_plain(fitting, rng.random())
-            wait_s, at_server_s = _estimate(usable, terms.limit_s, calls_before)
-            if chosen is not None:
-                loads[chosen.server.name] = replace(
-                    chosen, running=chosen.running + 1, own=chosen.own + 1
-                )
-                outcomes.append(LineOutcome(waiting, chosen))
-            elif now + wait_s + at_server_s > terms.ends_at:
-                waited_s = now - waiting.arrived_at
-                outcomes.append(LineOutcome(waiting, None, wait_s, waited_s))
-            else:
-                self._waiting.append(waiting)
-        return outcomes
-
-    def _most_urgent(self, now):
-        """Returns the most urgent priority that was seen lately."""
-        self._seen_at = {
-            priority: seen_at
-            for priority, seen_at in self._seen_at.items()
-            if now - seen_at < PRIORITY_MEMORY_S
-        }
-        return min(self._seen_at, default=0)
-
-
-@dataclass(frozen=True)
-class _Terms:
-    """On which terms a call waits.
-
-    Attributes:
-        waiting: The `WaitingCall`.
-        rank: Key by which waiting calls are ordered.
-        limit_s: Seconds that it may spend at a server, queueing included.
-        ends_at: Monotonic time until which an answer must be expected.
-    """
-
-    waiting: WaitingCall
-    rank: tuple
-    limit_s: float
-    ends_at: float
-
-
-def _terms(waiting, urgent, service_s, now):
-    """Returns the `_Terms` of a call.
-
-    Args:
-        waiting: `WaitingCall`.
-        urgent: Most urgent priority of the service.
-        service_s: Seconds of one call at the fastest server.
-        now: Monotonic time.
-    """
-    is_urgent = waiting.priority <= urgent or waiting.draw < PROMOTED_SHARE
-    priority = urgent if is_urgent else waiting.priority
-    share = QUEUE_SHARE if is_urgent else LESS_URGENT_QUEUE_SHARE
-    ends_at = waiting.target_at
-    late = now + service_s > ends_at
-    if late:
-        share = min(share, LATE_QUEUE_SHARE)
-        patience_s = max(waiting.target_s, LATE_WAIT_CALLS * service_s)
-        ends_at = min(waiting.arrived_at + patience_s, waiting.ends_at)
-    return _Terms(
-        waiting,
-        (priority, late, not waiting.elapsed_s, ends_at),
-        min(share * waiting.target_s, ends_at - now),
-        ends_at,
-    )
-
-
-def _preferred(candidates):
-    """Returns the candidates that aren't avoided, or all if there are no others."""
-    usable = [candidate for candidate in candidates if not candidate.avoided]
-    return usable or list(candidates)
-
-
-def _fitting(candidates, limit_s):
-    """Returns the candidates on which a call may be placed."""
-    return [
-        candidate
-        for candidate in candidates
-        if is_free(candidate) or _has_short_queue(candidate, limit_s)
-    ]
-
-
-def _has_short_queue(candidate, limit_s):
-    if candidate.full_s:
-        return False
-    if not candidate.service_s:
-        calls = UNMEASURED_CALLS_PER_SLOT * candidate.server.slots
-        return candidate.running < calls
-    return expected_s(candidate, candidate.service_s) <= limit_s
-
-
-def _estimate(candidates, limit_s, calls_before):
-    """Returns when a call in the line can be placed, and how long it takes then.
-
-    The instance's share of the running calls is taken as its share of the capacity.
-
-    Args:
-        candidates: `Candidate` of each server that may be used.
-        limit_s: Seconds that the call may spend at a server.
-        calls_before: Calls of this instance that wait before it.
-
-    Returns:
-        Expected seconds until it is placed, and those from then on until its answer.
-    """
-    calls_per_s = sum(
-        candidate.server.slots / _service_s(candidate) for candidate in candidates
-    )
-    own = max(1, sum(candidate.own for candidate in candidates))
-    running = max(own, sum(candidate.running for candidate in candidates))
-    room_s, at_server_s = min(
-        (_estimate_at(candidate, limit_s) for candidate in candidates), key=sum
-    )
-    return room_s + calls_before * running / own / calls_per_s, at_server_s
-
-
-def _estimate_at(candidate, limit_s):
-    """Returns the seconds until a server has room, and those of a call from then on."""
-    total_s = expected_s(candidate, _service_s(candidate))
-    at_server_s = min(total_s, max(limit_s, _service_s(candidate)))
-    return max(candidate.full_s, total_s - at_server_s), at_server_s
-
-
-def _service_s(candidate):
+def service_s_of(candidate):
+    """Returns the seconds of one call that doesn't queue, assumed if not measured."""
     return candidate.service_s or ASSUMED_SERVICE_S
