Report loads of plain servers at a change of two calls, and document plain calls

Change: a report is requested when the calls at a server differ by two from the last one, at most every 50 ms.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -35,7 +35,7 @@
 from amaranthbay.relay.origins import StreamOrigins, record_interval_s
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.pauses import ServerPauses
-from amaranthbay.relay.placed_load import PacedCallback, PlacedLoad
+from amaranthbay.relay.placed_load import PlacedLoad, PlainReporter
 from amaranthbay.relay.placing import StreamQueue
 from amaranthbay.relay.plain import PlainRelay
 from amaranthbay.relay.streams import StreamRelay
@@ -211,7 +211,9 @@
         self.placed_load.on_release(self.queue.advance)
         self.placed_load.on_memory_change(self.peers.report_soon)
         self.placed_load.on_plain_change(
-            PacedCallback(self.peers.report_soon, self.clock)
+            PlainReporter(
+                self.placed_load.loads, self.peers.report_soon, self.clock
+            ).note_change
         )
         self.service = RelayService(
             self.ctx,
--- a/amaranthbay/relay/placed_load.py
+++ b/amaranthbay/relay/placed_load.py
@@ -4,37 +4,61 @@
 
 from amaranthbay.fleet.reports import ServerLoad
 
-__all__ = ["PLAIN_REPORT_INTERVAL_S", "PacedCallback", "PlacedLoad"]
+__all__ = ["PLAIN_REPORT_INTERVAL_S", "PlacedLoad", "PlainReporter"]
 
 # Shortest interval between reports of the loads of plain servers, about the time of one
-# call. Most of the calls that end before the next report then cost no datagram.
+# call.
 PLAIN_REPORT_INTERVAL_S = 0.05
+# Change of the calls at one server that is reported before the next full report. With a
+# change of 1, instances with little load send several times as many reports, and calls
+# are answered no sooner.
+MIN_PLAIN_CHANGE = 2
 
 
-class PacedCallback:
-    """Function that calls another one soon, but not more often than at an interval."""
+class PlainReporter:
+    """Requests reports of the loads of plain servers, at a bounded rate."""
 
-    def __init__(self, callback, clock, interval_s=PLAIN_REPORT_INTERVAL_S):
-        self._callback = callback
+    def __init__(self, loads, report_soon, clock):
+        """Creates the reporter.
+
+        Args:
+            loads: Function that returns the `ServerLoad` by name of the server.
+            report_soon: Function that requests a report of changed loads.
+            clock: `Clock`.
+        """
+        self._loads = loads
+        self._report_soon = report_soon
         self._clock = clock
-        self._interval_s = interval_s
+        self._reported = {}
         self._next_at = clock.monotonic()
         self._pending = False
 
-    def __call__(self):
-        if self._pending:
+    def note_change(self, server):
+        """Requests a report, now or later, if the calls at a server differ."""
+        if self._pending or not self._differs(server):
             return
         wait_s = self._next_at - self._clock.monotonic()
         if wait_s <= 0:
-            self._call()
+            self._report()
             return
         self._pending = True
-        gevent.spawn_later(wait_s, self._call)
+        gevent.spawn_later(wait_s, self._report_later)
+
+    def _differs(self, server):
+        load = self._loads().get(server, ServerLoad())
+        return abs(load.running - self._reported.get(server, 0)) >= MIN_PLAIN_CHANGE
 
-    def _call(self):
+    def _report_later(self):
         self._pending = False
-        self._next_at = self._clock.monotonic() + self._interval_s
-        self._callback()
+        if any(self._differs(server) for server in {*self._loads(), *self._reported}):
+            self._report()
+
+    def _report(self):
+        self._next_at = self._clock.monotonic() + PLAIN_REPORT_INTERVAL_S
+        self._reported = {
+            server: load.running for server, load in self._loads().items()
+        }
+        self._report_soon()
 
 
 class PlacedLoad:
@@ -55,7 +79,7 @@
         self._memory_callbacks.append(callback)
 
     def on_plain_change(self, callback):
-        """Calls ``callback()`` after load without KV cache was added or removed."""
+        """Calls ``callback(server)`` after a plain call was added or removed."""
         self._plain_callbacks.append(callback)
 
     def add(self, server, load):
@@ -69,7 +93,7 @@
             Function that removes the load; further calls do nothing.
         """
         self._loads[server] = self._loads.get(server, ServerLoad()) + load
-        self._notify_change(load)
+        self._notify_change(server, load)
         unreleased = [load]
 
         def release():
@@ -85,18 +109,18 @@
             del self._loads[server]
         else:
             self._loads[server] = remaining
-        self._notify_change(load)
+        self._notify_change(server, load)
         for callback in self._release_callbacks:
             callback()
 
-    def _notify_change(self, load):
+    def _notify_change(self, server, load):
         if load.memory_tokens:
-            callbacks = self._memory_callbacks
-        else:
+            for callback in self._memory_callbacks:
+                callback()
+        elif load.running:
             # Prompts without running requests are those of prefill servers.
-            callbacks = self._plain_callbacks if load.running else ()
-        for callback in callbacks:
-            callback()
+            for callback in self._plain_callbacks:
+                callback(server)
 
     def loads(self):
         """Returns the `ServerLoad` by name of the server."""
