--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -554,6 +554,10 @@
 
     def _send_report(self, names, status):
         """Sends a report to registered instances; to all if ``names`` is None."""
+        usage = status.usage
+        if status.only_changes and not (status.loads or usage.charged or usage.heard):
+            # What was placed since the last report has ended already.
+            return
         frames = [encode_datagram(datagram) for datagram in split_report(status)]
         for name, registration in tuple(self._registered.items()):
             if name != self.own.instance and (names is None or name in names):
--- a/amaranthbay/relay/refusals.py
+++ b/amaranthbay/relay/refusals.py
@@ -12,6 +12,7 @@
     "body_of",
     "draining",
     "headers_of",
+    "no_room",
     "over_quota",
     "quarantined",
     "timed_out",
@@ -56,6 +57,16 @@
     return not_run(Reason.QUOTA_EXCEEDED, detail, 429, retry)
 
 
+def no_room(seconds):
+    """Returns the `Refusal` of a plain call that no server could answer in time.
+
+    Args:
+        seconds: Seconds after which the caller should retry.
+    """
+    detail = "no backend server can answer the request in time"
+    return not_run(Reason.OVERLOADED, detail, 503, timedelta(seconds=seconds))
+
+
 def draining():
     """Returns the `Refusal` of a request that arrives late in a planned stop."""
     return not_run(Reason.DRAINING, "the daemon is draining", 503, RETRY_SOON)
