Check quotas in the soak, and the use of full buckets after a cut

Change: runs with keys have a workspace of ten requests a second and callers that ask for more; quotas_hold counts what is sent and begins to run in each window. A test cuts nine full instances late in a window.

--- a/amaranthbay/platform/tests/soak/callers.py
+++ b/amaranthbay/platform/tests/soak/callers.py
@@ -15,7 +15,7 @@
     request,
 )
 from amaranthbay.platform.tests.soak.deployment import ZONES
-from amaranthbay.platform.tests.soak.keys import OWN_WORKSPACE
+from amaranthbay.platform.tests.soak.keys import LIMITED_KEY, OWN_WORKSPACE
 from amaranthbay.platform.tests.soak.parts import (
     CRASHING_PART,
     FIRST_PARTS,
@@ -233,6 +233,15 @@
         return self._deployment.keys.lasting(attempt)
 
 
+class LimitedCaller(Caller):
+    """A caller of short calls whose workspace has a quota."""
+
+    kinds = ("look",)
+
+    def _draw_key(self, attempt):
+        return LIMITED_KEY
+
+
 def look_up(address, zone):
     """Returns the addresses that a process names to callers; none if it is down.
 
--- a/amaranthbay/platform/tests/soak/checks.py
+++ b/amaranthbay/platform/tests/soak/checks.py
@@ -3,6 +3,7 @@
 from amaranthbay.platform.tests.soak import (
     crash_checks,
     key_checks,
+    quota_checks,
     request_checks,
     server_checks,
     version_checks,
@@ -14,6 +15,7 @@
     "crash_checks",
     "find_violations",
     "key_checks",
+    "quota_checks",
     "request_checks",
     "server_checks",
     "version_checks",
--- a/amaranthbay/platform/tests/soak/deployment.py
+++ b/amaranthbay/platform/tests/soak/deployment.py
@@ -206,8 +206,7 @@
         keys = self.keys.next_keys()
         if keys is not None:
             document["Tenants"] = [
-                {"Name": name, "ApiKeys": [key for key in keys if keys[key] == name]}
-                for name in sorted(set(keys.values()))
+                self.keys.tenant(name, keys) for name in sorted(set(keys.values()))
             ]
         self._write("op", "config", document)
         self.versions.append(
--- a/amaranthbay/platform/tests/soak/keys.py
+++ b/amaranthbay/platform/tests/soak/keys.py
@@ -2,7 +2,7 @@
 
 import random
 
-__all__ = ["OWN_WORKSPACE", "RunKeys"]
+__all__ = ["LIMITED_KEY", "OWN_WORKSPACE", "QUOTA", "RunKeys"]
 
 # Share of the seeds whose configurations have workspaces.
 KEYED_SHARE = 0.5
@@ -10,6 +10,10 @@
 # Shares of the requests with the newest changing key, with an earlier one, and with
 # one that no configuration has; half of the last have no key at all.
 NEW_SHARE, FORMER_SHARE, UNKNOWN_SHARE = 0.1, 0.1, 0.05
+# Workspace with a quota, its key and its quota in requests. Its callers ask for more,
+# and processes that know nothing of each other would allow more.
+LIMITED_WORKSPACE, LIMITED_KEY = "w-limited", "limited-k8nbk"
+QUOTA = {"RatePerS": 10, "Burst": 10}
 # Workspace that callers name themselves.
 OWN_WORKSPACE = "named-by-caller"
 
@@ -43,8 +47,21 @@
         self._played["changes of keys"] += 1
         workspaces = range(WORKSPACE_COUNT)
         lasting = {_lasting_key(n): f"w-{n}" for n in workspaces}
+        lasting[LIMITED_KEY] = LIMITED_WORKSPACE
         return lasting | {_changing_key(n, self._changes): f"w-{n}" for n in workspaces}
 
+    @staticmethod
+    def tenant(name, keys):
+        """Returns the document of a workspace.
+
+        Args:
+            name: Name of the workspace.
+            keys: Name of the workspace by key.
+        """
+        quota = QUOTA if name == LIMITED_WORKSPACE else {}
+        own = [key for key in keys if keys[key] == name]
+        return {"Name": name, "ApiKeys": own, **quota}
+
     def lasting(self, attempt):
         """Returns a key that all configurations have, or None if keys aren't in use."""
         number = random.Random(f"workspace {attempt}").randrange(WORKSPACE_COUNT)
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -11,6 +11,7 @@
 from amaranthbay.platform.tests.soak.callers import (
     KINDS,
     Caller,
+    LimitedCaller,
     PartCaller,
     look_up,
     send,
@@ -23,6 +24,7 @@
     draw_steps,
     run_steps,
 )
+from amaranthbay.platform.tests.soak.keys import LIMITED_KEY
 from amaranthbay.platform.tests.soak.monitor import ProcessMonitor
 from amaranthbay.platform.tests.soak.processes import EXIT_TIMEOUT_S
 from amaranthbay.platform.tests.soak.resuming import ResumingCaller
@@ -35,6 +37,8 @@
 PART_CALLER_COUNT = 3
 # The same of a run with releases of model servers.
 RESUMING_CALLER_COUNT = 6
+# The same of a run with a quota.
+LIMITED_CALLER_COUNT = 4
 START_TIMEOUT_S = 30.0
 # Within this time after the last fault every process serves every kind of request
 # (RecoveryS of the platform).
@@ -100,6 +104,13 @@
                 PartCaller(deployment, random.Random(f"{seed} {number}"), exchanges)
                 for number in range(PART_CALLER_COUNT)
             ]
+        if deployment.keys.in_use:
+            callers += [
+                LimitedCaller(
+                    deployment, random.Random(f"limited {seed} {n}"), exchanges
+                )
+                for n in range(LIMITED_CALLER_COUNT)
+            ]
         has_releases = any(step.kind == "Release" for step in steps)
         if has_releases:
             callers += [
@@ -127,6 +138,9 @@
     )
     played = deployment.played
     played["crashing requests"] = sum(exchange.crashing for exchange in exchanges)
+    played["refusals over a quota"] = sum(
+        exchange.status == 429 and exchange.key == LIMITED_KEY for exchange in exchanges
+    )
     played["take-ups"] = sum(bool(exchange.resumes) for exchange in exchanges)
     return Outcome(
         seed, tuple(steps), len(exchanges), answered, tuple(violations), dict(played)
--- a/amaranthbay/platform/tests/test_soak_checks.py
+++ b/amaranthbay/platform/tests/test_soak_checks.py
@@ -26,8 +26,10 @@
     removed_keys_end,
     requests_run_for_their_workspace,
 )
+from amaranthbay.platform.tests.soak.keys import LIMITED_KEY
 from amaranthbay.platform.tests.soak.monitor import Stall
 from amaranthbay.platform.tests.soak.parts import CRASHING_PART, FIRST_PARTS
+from amaranthbay.platform.tests.soak.quota_checks import MAX_IN_WINDOW, quotas_hold
 from amaranthbay.platform.tests.soak.request_checks import (
     CONFIGURATION_S,
     answers_come_in_time,
@@ -165,6 +167,26 @@
         case.assertEqual(count(lasting_keys_are_known, key, status=status), found)
 
 
+def test_exceeded_quota_is_detected(case):
+    """Guards against a check that misses requests beyond a quota in one window, or that
+    counts those of other windows, of other keys and without a run."""
+
+    def count(requests, gap_s, key=LIMITED_KEY, ran=True):
+        sent = [
+            exchange(attempt=f"a{number}", key=key, sent_at=number * gap_s)
+            for number in range(requests)
+        ]
+        arrivals = [arrival(one, arrived_at=one.sent_at, ran=ran) for one in sent]
+        return len(find(quotas_hold, sent, arrivals))
+
+    many = int(MAX_IN_WINDOW) + 1
+    case.assertEqual(count(many, 0.01), 1)
+    case.assertEqual(count(many - 1, 0.01), 0)
+    case.assertEqual(count(2 * many, 0.1), 0)
+    case.assertEqual(count(many, 0.01, key="other"), 0)
+    case.assertEqual(count(many, 0.01, ran=False), 0)
+
+
 def test_second_run_is_detected(case):
     """Guards against a check that misses a request that ran twice."""
     sent = exchange()
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -1,5 +1,7 @@
 """Quotas of a simulated fleet, with the real buckets and reports."""
 
+from dataclasses import replace
+
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.fleet.reports import (
@@ -86,9 +88,8 @@
         demand.load = value
     elif kind == "lower":
         limit = fleet.workspaces["north"]
-        lower = limit.__class__("north", None, limit.rate_per_s / 2, limit.burst / 2)
-        fleet.workspaces["north"] = Workspace(
-            "north", None, lower.rate_per_s, lower.burst, limit.unit
+        fleet.workspaces["north"] = replace(
+            limit, rate_per_s=limit.rate_per_s / 2, burst=limit.burst / 2
         )
 
 
@@ -225,6 +226,20 @@
     case.assertLess(len(fleet.refused), 0.1 * len(fleet.passed))
 
 
+def test_full_buckets_are_not_used_by_each_part(case):
+    """Guards against parts of a fleet that each use the level of before the cut, late
+    in a window that has seen most of its units."""
+    fleet = Fleet(9)
+    fleet.run(2)
+    demand = Demand(fleet, load=0.9)
+    fleet.run(6, demand)
+    fleet.run(0.5)
+    fleet.cut([[name] for name in fleet.nodes])
+    demand.load = FLOOD
+    fleet.run(4, demand)
+    case.assertLessEqual(used(fleet, 0.0), 1.0)
+
+
 def test_lowered_limit_binds_and_raised_one_is_usable_at_once(case):
     """Guards against buckets that keep what an earlier configuration allowed; the
     configuration in force decides, whether or not the store answers."""
