--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -179,7 +179,16 @@
             return call
         charged = self._ctx.quotas.charge(call.workspace, call.units)
         if charged.is_err():
-            return over_quota(charged.unwrap_err())
+            shortage = charged.unwrap_err()
+            log_event(
+                "quota_exceeded",
+                request_id=call.request_id,
+                workspace=call.workspace.name,
+                units=call.units,
+                units_left=round(shortage.level, 1),
+                retry_s=round(shortage.retry_s, 3),
+            )
+            return over_quota(shortage)
         return replace(call, charge=charged.unwrap())
 
     def _choose_service(self, route, head):
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -148,13 +148,6 @@
     def _refuse(self, workspace, units, bucket, needed_s):
         current_metrics().quota_refused(workspace.name, units)
         retry_s = needed_s * (1.0 + RETURN_SPREAD * self._rng.random())
-        log_event(
-            "quota_exceeded",
-            workspace=workspace.name,
-            units=units,
-            units_left=round(bucket.level, 1),
-            retry_s=round(retry_s, 3),
-        )
         return Shortage(retry_s, bucket.level)
 
     def report(self, only_changes=False):
