--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -169,7 +169,7 @@
         return bucket, needed_s, open_units + units >= unreported
 
     def refuse(self, workspace, units):
-        """Counts and logs a refusal; returns its `Shortage`.
+        """Counts a refusal; returns its `Shortage`.
 
         What refills is promised to one refused caller after the other, so that they
         don't all come back for the same units.
@@ -183,13 +183,6 @@
         retry_s = max(needed_s, promised_at - now)
         retry_s *= 1.0 + RETURN_SPREAD * self._rng.random()
         current_metrics().quota_refused(workspace.name, units)
-        log_event(
-            "quota_exceeded",
-            workspace=workspace.name,
-            units=units,
-            units_left=round(bucket.level, 1),
-            retry_s=round(retry_s, 3),
-        )
         return Shortage(retry_s, bucket.level)
 
     def report(self, only_changes=False):
