Add tests of clients that nobody controls

Change: a module of tests with an entry process of its own, MemoryMb 128 (the smallest machine) and MaxFds 1024 or 512, which the system enforces. The clients hold twice the memory, or one and a half times the descriptors. Each test checks the peak of the resident memory, the open descriptors and an ordinary request while the clients stay. The module runs by itself at the end of a whole run.

--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import random
+import resource
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -44,6 +45,8 @@
 ANSWER_TIMEOUT_S = 10.0
 # Memory limit of the smallest instances.
 MEMORY_MB = 150
+# Limit of file descriptors that the settings assume if they name none.
+MAX_FDS = 1024
 
 
 BOOT_FILE = """
@@ -60,6 +63,7 @@
 Address = "{store}"
 [Limits]
 MemoryMb = {memory_mb}
+MaxFds = {max_fds}
 [Bounds]
 GraceS = {grace}
 """
@@ -233,13 +237,17 @@
 
 
 @contextlib.contextmanager
-def process_fixture(plain=("desk-1",), prefill=("pre-1",), decode=("dec-1",)):
+def process_fixture(
+    plain=("desk-1",), prefill=("pre-1",), decode=("dec-1",), config=None, **limits
+):
     """Runs the program as its own process, with a store and servers in this one.
 
     Args:
         plain: Names of plain servers.
         prefill: Names of prefill servers.
         decode: Names of decode servers.
+        config: Configuration in wire format; `configuration` if None.
+        **limits: Limits of the instance, see `entry_process`.
 
     Yields:
         The `EntryProcess`, the `StoreStandin` and the `ServerStandin` by name.
@@ -247,7 +255,7 @@
     with contextlib.ExitStack() as stack:
         store, servers = StoreStandin(), {}
         store_address = stack.enter_context(serve_http(store.answer))
-        store.put("op", "config", configuration())
+        store.put("op", "config", config or configuration())
         stages = [(plain, "desk", None), (prefill, "lm", "prefill")]
         for names, service, stage in [*stages, (decode, "lm", "decode")]:
             for name in names:
@@ -255,7 +263,7 @@
                 address = stack.enter_context(serve_http(servers[name].answer))
                 entry = server_entry(service, address, stage)
                 store.put("servers", name, entry)
-        process = stack.enter_context(entry_process(store_address))
+        process = stack.enter_context(entry_process(store_address, **limits))
         yield process, store, servers
 
 
@@ -337,6 +345,7 @@
         process: `subprocess.Popen` of it.
         address: Address to which callers connect.
         ready_address: Address at which its readiness is asked.
+        lookup_address: Address at which callers look up instances.
         peer_address: UDP address for the reports of other instances.
         log_path: Path of its log.
     """
@@ -344,6 +353,7 @@
     process: subprocess.Popen
     address: str
     ready_address: str
+    lookup_address: str
     peer_address: str
     log_path: Path
 
@@ -353,6 +363,16 @@
         (line,) = [line for line in status.splitlines() if line.startswith("VmRSS")]
         return int(line.split()[1]) / 1024
 
+    def peak_memory_mb(self):
+        """Returns the largest resident memory in MiB since its start."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+        return int(line.split()[1]) / 1024
+
+    def descriptors(self):
+        """Returns the number of its open file descriptors."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def events(self, name):
         """Returns the decoded lines of its log with an event."""
         return [line for line in self.log_lines() if line.get("event") == name]
@@ -364,13 +384,14 @@
 
 
 @contextlib.contextmanager
-def entry_process(store_address, grace_s=3, memory_mb=MEMORY_MB):
+def entry_process(store_address, grace_s=3, memory_mb=MEMORY_MB, max_fds=MAX_FDS):
     """Runs the program as its own process; yields its `EntryProcess` when ready.
 
     Args:
         store_address: Host and port of the store.
         grace_s: Grace period in seconds.
         memory_mb: Memory limit of the instance in MiB.
+        max_fds: Limit of its open file descriptors, which the system enforces.
     """
     ports = {name: free_port() for name in ("front", "ready", "directory")}
     ports["peer"] = free_port_pair()
@@ -378,7 +399,11 @@
     with TemporaryDirectory() as folder:
         boot_path, log_path = Path(folder) / "node.toml", Path(folder) / "log"
         boot_text = BOOT_FILE.format(
-            store=store_address, grace=grace_s, memory_mb=memory_mb, **ports
+            store=store_address,
+            grace=grace_s,
+            memory_mb=memory_mb,
+            max_fds=max_fds,
+            **ports,
         )
         boot_path.write_text(boot_text)
         with open(log_path, "wb") as log:
@@ -389,12 +414,14 @@
                 stdout=log,
                 stderr=log,
             )
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max_fds, max_fds))
         try:
             _wait_until_ready(process, f"127.0.0.1:{ports['ready']}", log_path)
             yield EntryProcess(
                 process,
                 f"127.0.0.1:{ports['front']}",
                 f"127.0.0.1:{ports['ready']}",
+                f"127.0.0.1:{ports['directory']}",
                 f"127.0.0.1:{ports['peer']}",
                 log_path,
             )
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,9 +1,9 @@
 """Runs test modules and prints the numbers of passed and failed tests at the end.
 
 Runs the modules named as arguments, or all modules, in parallel, each in a process of
-its own; a single named module runs in this process. Tests listed in KNOWN-RED.txt are
-run and reported, but their failure doesn't fail the run. An entry of that file is a
-line with ``test:`` and the id of the test.
+its own, and some of them alone at the end; a single named module runs in this process.
+Tests listed in KNOWN-RED.txt are run and reported, but their failure doesn't fail the
+run. An entry of that file is a line with ``test:`` and the id of the test.
 """
 
 import sys
@@ -17,6 +17,7 @@
 select_event_loop()
 
 import argparse  # noqa: E402
+import itertools  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import time  # noqa: E402
@@ -30,6 +31,9 @@
 # Many tests start processes and wait for them. More modules at once would only make
 # these processes late.
 PARALLEL_MODULES = max(1, min(3, (os.cpu_count() or 1) // 2))
+# Modules that run by themselves: their many clients would slow down the tests beside
+# them, which would slow down the clients.
+ALONE = ("amaranthbay.platform.tests.test_entry_untrusted_clients",)
 # A module that takes longer is considered hung; the slowest takes a minute on a busy
 # machine.
 MODULE_TIMEOUT_S = 400
@@ -158,9 +162,16 @@
 
 
 def run_in_parallel(names):
-    """Runs modules in several processes and returns the sum of their reports."""
+    """Runs modules in several processes and returns the sum of their reports.
+
+    Those of `ALONE` run one after the other once the others have ended.
+    """
     total = {"run": 0, "bad": [], "skipped": 0, "durations": []}
-    for report in Pool(PARALLEL_MODULES).imap_unordered(run_module, names):
+    together = [name for name in names if name not in ALONE]
+    for report in itertools.chain(
+        Pool(PARALLEL_MODULES).imap_unordered(run_module, together),
+        map(run_module, [name for name in names if name in ALONE]),
+    ):
         for key, value in report.items():
             total[key] += value
     return total
