Drop the slowest clients when memory or connections run short

Cause: idle senders held all places, so that ordinary callers waited in the kernel's queue; the memory of evicted messages was not freed. Where it went, as measured: the traceback of the exception kept body, parsed head and partial answers for as long as the refusal was written or the rest of the body was read; each waiting reader held its latest 64 KiB twice; bytearrays that grow side by side left holes in the heap; parsed headers (174 bytes each, 3,000 in a legal head) did not count; a head of 3,000 lines takes 6 ms to parse. Change: the package ingress chooses who loses: in a shortage of memory what holds most bytes for the longest expected time, then the largest answers of servers, last what is soon done; in a shortage of places the longest expected time, times the places of the address. Connections beyond the limit are accepted and take the place of the slowest. The account of memory counts connections and parsed heads, and is derived from MemoryMb and the resident memory at the start. Slow readers of plain responses can lose theirs. Lookups and readiness have a limit of places, too. Large blocks are returned to the system. Heads of more than 100 lines are parsed in turns. Drops are counted (amaranthbay.callers.dropped) and logged once a second. An evicted body can no longer pass as an empty one.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -20,6 +20,7 @@
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.fleet.versions import VersionHistory
+from amaranthbay.ingress.capacity import split_descriptors
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.observe import Gauge, current_metrics, log_event
@@ -73,11 +74,6 @@
 # have in force. After a restore, the store may lack it until the operator writes it
 # again.
 CATCH_UP_TIMEOUT_S = 3.0
-# File descriptors reserved for files, the store, the platform and backend servers.
-RESERVED_DESCRIPTORS = 700
-# Limits of caller connections. A small instance accepts at least the minimum; each
-# connection costs memory.
-MIN_CALLER_CONNECTIONS, MAX_CALLER_CONNECTIONS = 64, 2000
 # Fraction of the grace period in which new requests are still served after SIGTERM,
 # since callers use cached addresses for a while.
 SERVE_FRACTION = 0.38
@@ -113,7 +109,7 @@
         self.rng = rng or random.Random()
         self._adapter = adapter
         self.health = StoreHealth(self.clock)
-        self.memory = ReadMemory.of_process(settings.limits.memory_mb)
+        self.memory = ReadMemory.of_measured_process(settings.limits.memory_mb)
         self.store = adapter.open_store(
             settings.store_address,
             self.health.era,
@@ -216,12 +212,12 @@
             PlainRelay(self.ctx),
             StreamRelay(self.ctx, self.queue),
         )
-        spare_descriptors = settings.limits.descriptors - RESERVED_DESCRIPTORS
+        self._places = split_descriptors(settings.limits.descriptors)
         self.listener = Listener(
             settings.caller_address,
             self.service.handle,
             self._client_limits,
-            max(MIN_CALLER_CONNECTIONS, min(MAX_CALLER_CONNECTIONS, spare_descriptors)),
+            self._places.callers,
             self.memory,
         )
         leases = LeaseStore(
@@ -469,7 +465,11 @@
 
     def _serve_app(self, address, app):
         server = Server(
-            address, app, reads_bodies=False, read_timeout_s=LOOKUP_READ_TIMEOUT_S
+            address,
+            app,
+            reads_bodies=False,
+            read_timeout_s=LOOKUP_READ_TIMEOUT_S,
+            places=self._places.services,
         )
         server.start()
         self._servers.append(server)
--- a/amaranthbay/daemon/entry_process.py
+++ b/amaranthbay/daemon/entry_process.py
@@ -15,6 +15,7 @@
 )
 from amaranthbay.observe.bounds import LineLimiter, standard_output
 from amaranthbay.observe.logs import limit_lines
+from amaranthbay.utils.allocator import return_large_blocks
 from amaranthbay.utils.runtime import check_event_loop
 from amaranthbay.utils.serving import Server
 
@@ -34,6 +35,7 @@
         The exit code: 0, or `EXIT_UNUSABLE_SETTINGS`.
     """
     check_event_loop()
+    return_large_blocks()
     loaded = adapter.load_settings()
     if loaded.is_err():
         configure_logs("info", sys.stdout)
--- /dev/null
+++ b/amaranthbay/ingress/drops.py
@@ -0,0 +1,34 @@
+"""Counts and logs the callers that are dropped, in few lines however many they are."""
+
+from collections import Counter
+
+from amaranthbay.kernel.clock import SystemClock
+from amaranthbay.observe import current_metrics, log_event
+
+__all__ = ["DropLog"]
+
+LOG_INTERVAL_S = 1.0
+
+
+class DropLog:
+    """Logs one line for each interval and reason."""
+
+    def __init__(self, clock=None):
+        self._clock = clock or SystemClock()
+        self._counts = Counter()
+        self._logged_at = {}
+
+    def note(self, reason):
+        """Counts a dropped caller.
+
+        Args:
+            reason: ``memory_full`` or ``places_full``.
+        """
+        current_metrics().caller_dropped(reason)
+        self._counts[reason] += 1
+        now = self._clock.monotonic()
+        if now - self._logged_at.get(reason, now - LOG_INTERVAL_S) < LOG_INTERVAL_S:
+            return
+        self._logged_at[reason] = now
+        count = self._counts.pop(reason)
+        log_event("callers_dropped", level="warning", reason=reason, count=count)
--- /dev/null
+++ b/amaranthbay/ingress/heads.py
@@ -0,0 +1,43 @@
+"""Turns of request heads that take long to parse."""
+
+from gevent.lock import Semaphore
+
+from amaranthbay.kernel.clock import SystemClock
+
+__all__ = ["ParseTurns"]
+
+# Lines from which a head waits for its turn. Parsing 3,000 lines, which fit into a
+# legal head, takes 6 ms. Without turns, an ordinary request waited 10 s beside 900 of
+# them.
+MANY_LINES = 100
+# Time for which others run after a long parse, as a multiple of its own.
+PAUSE_FACTOR = 3.0
+
+
+class ParseTurns:
+    """Lets heads of many lines be parsed one at a time, with pauses for the others."""
+
+    def __init__(self, clock=None):
+        self._clock = clock or SystemClock()
+        self._lock = Semaphore()
+        self._free_at = 0.0
+
+    def parse(self, lines, parse):
+        """Returns the result of a function that parses a head.
+
+        Args:
+            lines: Number of lines that have been received.
+            parse: Function without arguments.
+        """
+        if lines <= MANY_LINES:
+            return parse()
+        with self._lock:
+            wait_s = self._free_at - self._clock.monotonic()
+            if wait_s > 0:
+                self._clock.sleep(wait_s)
+            started_at = self._clock.monotonic()
+            try:
+                return parse()
+            finally:
+                ended_at = self._clock.monotonic()
+                self._free_at = ended_at + PAUSE_FACTOR * (ended_at - started_at)
--- /dev/null
+++ b/amaranthbay/ingress/tests/test_decisions.py
@@ -0,0 +1,122 @@
+"""Which callers lose when memory or places run short, without a network."""
+
+from amaranthbay.ingress.capacity import memory_for_callers, split_descriptors
+from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
+from amaranthbay.ingress.progress import Progress
+from amaranthbay.ingress.shortage import Holder, choose_for_memory
+from amaranthbay.utils.testing import ManualClock, collect
+
+
+def test_sender_that_stops_short_waits_longer_than_one_that_goes_on(case):
+    """Guards against taking a sender that stopped three bytes short for one that is
+    nearly done, and a steady slow one for one that has stopped."""
+    stopped, steady = Progress(0.0, 500_000), Progress(0.0, 500_000)
+    stopped.note(0.5, 499_997)
+    for tenth in range(1, 101):
+        steady.note(tenth / 10, 4500)
+    case.assertGreater(stopped.wait_s(10.0), 9.0)
+    case.assertLess(steady.wait_s(10.0), 2.0)
+
+
+def test_dripping_sender_waits_long(case):
+    """Guards against crediting a sender of single bytes with its quick beginning."""
+    dripping = Progress(0.0, 500_000)
+    dripping.note(0.5, 499_900)
+    for second in range(1, 15):
+        dripping.note(float(second), 1)
+    case.assertGreater(dripping.wait_s(14.0), 30.0)
+
+
+def test_idle_caller_loses_before_a_quick_one_and_a_forwarded_request(case):
+    """Guards against dropping what would soon be complete, and against aborting a
+    forwarded request, while a cheaper one holds memory."""
+    holders = [
+        Holder("answer of a server", 900_000),
+        Holder("quick", 800_000, 0.2),
+        Holder("idle", 1000, 9.0),
+        Holder("idle and large", 100_000, 9.0),
+        Holder("slow reader", 100_000, 9.0, is_response=True),
+    ]
+
+    def names(needed, spare=0):
+        chosen = choose_for_memory(holders, needed, spare)
+        return [holder.owner for holder in chosen]
+
+    case.assertEqual(names(1), ["idle and large"])
+    case.assertEqual(names(1, 150_000), ["idle and large", "slow reader"])
+    slow = ["idle and large", "slow reader", "idle"]
+    case.assertEqual(names(300_000), [*slow, "answer of a server"])
+    case.assertEqual(names(10**7), [*slow, "answer of a server", "quick"])
+
+
+class FakeConnection(PlaceHolder):
+    """Connection with a fixed wait."""
+
+    def __init__(self, address, wait_s):
+        self.address = address
+        self.dropped = False
+        self._wait_s = wait_s
+
+    def wait_s(self, now):
+        return self._wait_s
+
+    def drop(self):
+        self.dropped = True
+
+
+def enter(account, address, wait_s):
+    """Returns a connection, and whether it has got a place."""
+    conn = FakeConnection(address, wait_s)
+    return conn, account.enter(conn)
+
+
+def test_new_connection_takes_the_place_of_the_slowest(case):
+    """Guards against callers who wait behind idle connections, and against closing
+    connections that are in use."""
+    account = PlaceAccount(8, ManualClock())
+    busy = [enter(account, f"b{number}", None)[0] for number in range(6)]
+    slow, slower = (enter(account, "c", wait_s)[0] for wait_s in (2.0, 3.0))
+    case.assertTrue(enter(account, "d", None)[1])
+    case.assertEqual((slow.dropped, slower.dropped), (False, True))
+    case.assertTrue(enter(account, "e", None)[1])
+    case.assertFalse(enter(account, "f", None)[1])
+    case.assertEqual((len(account), any(conn.dropped for conn in busy)), (8, False))
+
+
+def test_one_address_leaves_places_to_others(case):
+    """Guards against one address whose busy connections hold all places, and against
+    one that displaces the callers of others."""
+    account = PlaceAccount(16, ManualClock())
+    quiet, _ = enter(account, "other", 4.0)
+    crowd = [enter(account, "crowd", 1.0) for _ in range(40)]
+    case.assertFalse(quiet.dropped)
+    case.assertTrue(all(entered for _, entered in crowd))
+    account = PlaceAccount(16, ManualClock())
+    enter(account, "other", None)
+    crowd = [enter(account, "crowd", None)[1] for _ in range(40)]
+    case.assertEqual(sum(crowd), 15)
+    case.assertLessEqual(len(account), 16)
+
+
+def test_left_places_are_free(case):
+    """Guards against places that stay taken after their connection has closed."""
+    account = PlaceAccount(1, ManualClock())
+    for _ in range(3):
+        conn, entered = enter(account, "a", None)
+        case.assertTrue(entered)
+        account.leave(conn)
+        account.leave(conn)
+    case.assertEqual(len(account), 0)
+
+
+def test_capacity_fits_the_smallest_and_the_largest_machine(case):
+    """Guards against accounts that leave the program no memory, or callers none."""
+    for memory_mb in (48, 128, 552):
+        share = memory_for_callers(memory_mb, 50 * 2**20) / 2**20
+        case.assertGreaterEqual(share, memory_mb / 8)
+        case.assertLess(50 + share, max(64, memory_mb))
+    case.assertEqual(split_descriptors(100).callers, 64)
+    case.assertEqual(split_descriptors(10**6).callers, 2000)
+
+
+load_tests = collect(globals())
--- a/amaranthbay/observe/metrics.py
+++ b/amaranthbay/observe/metrics.py
@@ -83,6 +83,9 @@
     def connection_opened(self, service):
         """Counts a new connection to a backend server of a service."""
 
+    def caller_dropped(self, reason):
+        """Counts a caller who loses memory or a place to others, by the reason."""
+
     def store_called(self, call, outcome):
         """Counts a call to the platform's store by its name and its outcome."""
 
--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -155,6 +155,9 @@
         self._connections = create_counter(
             "amaranthbay.backend.connections", "{connection}", "Connections opened"
         )
+        self._dropped = create_counter(
+            "amaranthbay.callers.dropped", "{caller}", "Callers that lost to others"
+        )
         self._store_calls = create_counter(
             "amaranthbay.store.calls", "{call}", "Calls to the platform's store"
         )
@@ -191,6 +194,9 @@
     def connection_opened(self, service):
         self._connections.add(1, {"amaranthbay.service": service})
 
+    def caller_dropped(self, reason):
+        self._dropped.add(1, {"amaranthbay.reason": reason})
+
     def store_called(self, call, outcome):
         attributes = {"amaranthbay.call": call, "amaranthbay.outcome": outcome}
         self._store_calls.add(1, attributes)
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -187,9 +187,13 @@
         """
         event = self._next_event()
         while type(event) is h11.Data:
-            for start in range(0, len(event.data), max_bytes):
-                yield bytes(event.data[start : start + max_bytes])
+            data = memoryview(event.data)
+            # Each exchange that waits would hold its latest bytes twice.
+            del event
+            for start in range(0, len(data), max_bytes):
+                yield bytes(data[start : start + max_bytes])
                 self._reader.give_way()
+            del data
             event = self._next_event()
         if type(event) is not h11.EndOfMessage:
             raise self._broken("answer_cut")
@@ -206,9 +210,14 @@
             for part in self.chunks():
                 self._reader.hold(len(part), data.clear)
                 data += part
+                del part
+            return AnswerBody(data, self._reader.take_message())
         except ReadLimitExceeded as exc:
             raise self._broken(exc.reason) from exc
-        return AnswerBody(data, self._reader.take_message())
+        finally:
+            if not self._complete:
+                # The traceback of the failure keeps the part that has arrived.
+                data.clear()
 
     def note_kept(self, count, drop):
         """Counts the bytes of the body that wait for the rest of an event.
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -4,13 +4,20 @@
 import struct
 import sys
 from dataclasses import dataclass
+from enum import Enum, auto
+from functools import partial
 
 import gevent
 import h11
 from gevent import socket
-from gevent.pool import Pool
 from gevent.server import StreamServer
 
+from amaranthbay.ingress.capacity import CONNECTION_BYTES, CONNECTION_HEADERS
+from amaranthbay.ingress.drops import DropLog
+from amaranthbay.ingress.heads import ParseTurns
+from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
+from amaranthbay.ingress.progress import Progress
+from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import log_event
 from amaranthbay.utils.http import split_address
@@ -26,9 +33,25 @@
 # Time for which input is read before a close. Unread input would turn the close into a
 # reset, which may discard the answer before the caller reads it.
 LINGER_S = 0.5
-# Time after which a caller may send a request again whose body found no memory.
-MEMORY_RETRY_S = 0.5
+# Time after which a caller may send a request again that found no memory or place.
+SHORTAGE_RETRY_S = 0.5
+# Connections that linger at the same time after they have lost their place. Further
+# ones are closed at once, as each still has a descriptor.
+MAX_LINGERING = 32
+# Bytes that each parsed header takes, besides its own.
+HEADER_OBJECT_BYTES = 400
+# Bytes of an incomplete head that don't count, as almost all heads have fewer.
+SMALL_HEAD_BYTES = 2048
+# Connections that are accepted in one turn; more than that would get a descriptor
+# before those that lose their place have given theirs back.
+MAX_ACCEPTS = 16
+MEMORY_FULL, PLACES_FULL = "memory_full", "places_full"
 BACKLOG = 512
+# Answer to a connection that finds no place.
+NO_PLACE_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %g\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n" % SHORTAGE_RETRY_S
+)
 
 
 @dataclass(frozen=True)
@@ -60,17 +83,41 @@
         self.status = status
 
 
-class CallerConnection:
+class _PlaceLost(Exception):
+    """Raised in a connection that has lost its place to a new one."""
+
+
+class _Phase(Enum):
+    """What a connection does, as far as it matters in a shortage.
+
+    Attributes:
+        BUSY: It handles a request, or closes.
+        IDLE: It waits for a request.
+        READING: It reads a request.
+        DISCARDING: It reads the rest of a refused request.
+        WRITING: It waits for the caller to read a response.
+    """
+
+    BUSY = auto()
+    IDLE = auto()
+    READING = auto()
+    DISCARDING = auto()
+    WRITING = auto()
+
+
+class CallerConnection(PlaceHolder):
     """One connection of a caller, which serves one request at a time.
 
     Attributes:
+        address: Address of the caller.
         sock: Socket of the connection.
         greenlet: Greenlet that serves the connection.
         started: Whether any part of the answer to the current request was sent.
         answered: Whether all of it was sent.
     """
 
-    def __init__(self, sock, listener):
+    def __init__(self, sock, listener, address=""):
+        self.address = address
         self.sock = sock
         self.greenlet = gevent.getcurrent()
         self._listener = listener
@@ -80,6 +127,48 @@
         self.started = False
         self.answered = False
         self._method = b""
+        # Lines that have been received of the head that is being read.
+        self._head_lines = 0
+        self._phase = _Phase.IDLE
+        self._progress = Progress(self._reader.read_at)
+
+    @property
+    def reads_response(self):
+        """Whether the caller reads a response."""
+        return self._phase is _Phase.WRITING
+
+    def wait_s(self, now):
+        """Returns the seconds until the caller is expected to be done; None if busy."""
+        if self._phase is _Phase.BUSY:
+            return None
+        if self._phase is _Phase.IDLE and peek(self.sock):
+            # Its next request has arrived.
+            return None
+        return self._progress.wait_s(now)
+
+    def drop(self):
+        """Ends the connection in the next turn of the event loop."""
+        gevent.get_hub().loop.run_callback(self._raise_place_lost)
+
+    def _raise_place_lost(self):
+        """Interrupts the connection unless it has become busy; runs in the loop."""
+        if self._phase is _Phase.WRITING:
+            self._listener.drops.note(PLACES_FULL)
+            self._raise_dropped()
+        elif self._phase is not _Phase.BUSY:
+            self._listener.drops.note(PLACES_FULL)
+            self.greenlet.throw(_PlaceLost())
+
+    def _raise_dropped(self):
+        """Interrupts a response that the caller reads too slowly; runs in the loop."""
+        if self._phase is _Phase.WRITING:
+            self._reset_on_close(True)
+            self.greenlet.throw(CallerGone("the caller reads too slowly in a shortage"))
+
+    def _raise_evicted(self):
+        """Interrupts the read of a request without memory; runs in the loop."""
+        if self._phase is _Phase.READING and self._reader.evicted:
+            self.greenlet.throw(ReadLimitExceeded(MEMORY_FULL))
 
     def serve(self, handler):
         """Serves requests until the connection ends.
@@ -87,12 +176,15 @@
         Args:
             handler: Called with this connection and each `IncomingRequest`.
         """
+        has_place = True
         try:
             while self._serve_one(handler):
                 pass
         except (OSError, CallerGone):
             # The caller has hung up or doesn't read, so no answer is possible.
             pass
+        except _PlaceLost:
+            has_place = False
         except Exception:
             log_event(
                 "defect",
@@ -100,26 +192,59 @@
                 exc=sys.exc_info(),
                 message="the connection of a caller failed",
             )
+        # The exception, whose traceback holds the request, is freed by now.
+        try:
+            if not has_place:
+                self._end_without_place()
         finally:
+            self._phase = _Phase.BUSY
             self._reader.release()
             self._close()
 
+    def _end_without_place(self):
+        """Refuses a request that is arriving, as its connection has lost its place."""
+        is_arriving = self._phase is _Phase.READING
+        self._phase = _Phase.BUSY
+        self._reader.release()
+        if not is_arriving or self._http.our_state is not h11.SEND_RESPONSE:
+            return
+        listener = self._listener
+        retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
+        try:
+            self.answer(503, [retry], b"", close=True)
+            if listener.lingering < MAX_LINGERING:
+                listener.lingering += 1
+                try:
+                    self._linger()
+                finally:
+                    listener.lingering -= 1
+        except (OSError, CallerGone):
+            pass
+        finally:
+            # The close must not linger once more.
+            self.answered = False
+
     def _serve_one(self, handler):
         self.started = False
         self.answered = False
         self._method = b""
+        self._phase = _Phase.IDLE
+        self._progress.begin(self._reader.read_at)
+        refuse = None
         try:
             req = self._read_request()
+            self._phase = _Phase.BUSY
         except _Rejected as exc:
-            self._answer_rejected(exc.status)
-            return False
+            refuse = partial(self._answer_rejected, exc.status)
         except h11.RemoteProtocolError as exc:
-            self._answer_rejected(exc.error_status_hint)
-            return False
+            refuse = partial(self._answer_rejected, exc.error_status_hint)
         except ReadLimitExceeded:
-            return self._refuse_unread()
+            refuse = self._refuse_unread
         finally:
             self._listener.arriving.discard(self)
+        if refuse is not None:
+            # The exception, whose traceback holds the request, is freed by now.
+            return refuse()
         if req is None:
             return False
         self._listener.busy.add(self)
@@ -146,14 +271,16 @@
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(continue_response))
+        names = {name for name, _ in head.headers}
         body = bytearray()
+        self._begin_body(head, body)
         try:
             if not self._within("idle_timeout_s", self._read_body, body):
                 return None
-        except ReadLimitExceeded:
+        except BaseException:
+            # The traceback keeps the body for as long as the refusal is written.
             body.clear()
             raise
-        names = {name for name, _ in head.headers}
         return IncomingRequest(
             bytes(head.method),
             bytes(head.target),
@@ -163,14 +290,42 @@
             b"content-length" in names or b"transfer-encoding" in names,
         )
 
+    def _begin_body(self, head, body):
+        """Begins to count a body, and what the head takes beyond that of most."""
+        lengths = [value for name, value in head.headers if name == b"content-length"]
+        left_bytes = int(lengths[0]) if lengths else None
+        self._progress.begin(self._reader.read_at, left_bytes)
+        self._reader.release()
+        extra_headers = len(head.headers) - CONNECTION_HEADERS
+        if extra_headers > 0:
+            head_bytes = HEADER_OBJECT_BYTES * extra_headers + _head_bytes(head)
+            self._hold(head_bytes, body)
+
+    def _hold(self, count, body):
+        """Counts bytes of the request that is being read.
+
+        Raises:
+            ReadLimitExceeded: If there is no memory for them.
+        """
+
+        def drop():
+            body.clear()
+            gevent.get_hub().loop.run_callback(self._raise_evicted)
+
+        self._reader.hold(count, drop, sys.maxsize, self._progress)
+
     def _read_head(self):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
-        if not self._http.trailing_data[0]:
+        pipelined = self._http.trailing_data[0]
+        self._head_lines = pipelined.count(b"\n")
+        if not pipelined:
             data = self._receive_first()
             if not data:
                 return None
-            self._http.receive_data(data)
+            self._receive_head(data)
         self._listener.arriving.add(self)
+        self._phase = _Phase.READING
+        self._progress.begin(self._reader.read_at)
         event = self._within("header_timeout_s", self._next_event)
         if type(event) is not h11.Request:
             return None
@@ -186,11 +341,14 @@
             Whether the body is complete; otherwise the caller has hung up.
         """
         while type(event := self._next_event()) is h11.Data:
+            count = len(event.data)
             body += event.data
-            limit_bytes = self._listener.limits().body_bytes
-            if len(body) > limit_bytes:
+            # Each connection that waits would hold its latest bytes twice.
+            del event
+            if len(body) > self._listener.limits().body_bytes:
                 raise _Rejected(413)
-            self._reader.hold(len(event.data), body.clear, sys.maxsize)
+            self._progress.note(self._reader.read_at, count)
+            self._hold(count, body)
         self._reader.complete()
         return type(event) is h11.EndOfMessage
 
@@ -200,10 +358,16 @@
         Returns:
             Whether the connection may carry another request.
         """
+        self._phase = _Phase.BUSY
         self._reader.release()
-        log_event("request_rejected", level="warning", status=503, reason="memory_full")
-        retry = (b"Retry-After", str(MEMORY_RETRY_S).encode())
+        self._listener.drops.note(MEMORY_FULL)
+        log_event("request_rejected", level="warning", status=503, reason=MEMORY_FULL)
+        retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
+        if self._http.our_state is not h11.SEND_RESPONSE:
+            # The head is incomplete, so there is no request to answer.
+            return False
         self.answer(503, [retry], b"")
+        self._phase = _Phase.DISCARDING
         try:
             dropped = self._within("idle_timeout_s", self._drop_body)
         except (_Rejected, h11.RemoteProtocolError):
@@ -214,7 +378,9 @@
         """Reads the rest of a body; returns whether it is complete."""
         size = 0
         while type(event := self._next_event()) is h11.Data:
+            self._progress.note(self._reader.read_at, len(event.data))
             size += len(event.data)
+            del event
             if size > self._listener.limits().body_bytes:
                 raise _Rejected(413)
         return type(event) is h11.EndOfMessage
@@ -264,26 +430,44 @@
     def _next_event(self):
         while True:
             self._reader.give_way()
-            event = self._http.next_event()
+            if self._method:
+                event = self._http.next_event()
+            else:
+                turns = self._listener.parse_turns
+                event = turns.parse(self._head_lines, self._http.next_event)
             if event is not h11.NEED_DATA:
                 return event
             incomplete_bytes = len(self._http.trailing_data[0])
             if incomplete_bytes > self._listener.limits().header_bytes:
                 raise _Rejected(431)
-            self._http.receive_data(self._reader.recv())
+            if self._method:
+                self._http.receive_data(self._reader.recv())
+                continue
+            if incomplete_bytes > SMALL_HEAD_BYTES:
+                self._reader.release()
+                self._hold(incomplete_bytes, bytearray())
+            self._receive_head(self._reader.recv())
+
+    def _receive_head(self, data):
+        # Lines of a body that follows may count, too.
+        self._head_lines += data.count(b"\n")
+        self._http.receive_data(data)
 
     def _answer_rejected(self, status):
+        """Refuses a request for its form; the connection ends then."""
+        self._phase = _Phase.BUSY
+        self._reader.release()
         log_event("request_rejected", level="warning", status=status)
-        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        self.answer(status, [], b"", close=True)
-        self._linger()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.answer(status, [], b"", close=True)
+            self._linger()
+        return False
 
     def has_hung_up(self):
         """Returns whether the caller has closed the connection already."""
         return peek(self.sock) == b""
 
-    def answer(self, status, headers, body, close=False):
+    def answer(self, status, headers, body, close=False, message=None):
         """Sends a whole answer.
 
         Args:
@@ -291,6 +475,8 @@
             headers: Pairs of name and value in bytes; Content-Length is added.
             body: Bytes of the body, which an answer to HEAD leaves out.
             close: Whether the connection ends after the answer.
+            message: `HeldMessage` of the body, which the caller loses in a shortage of
+                memory if it reads slowly; None if the body must stay.
         """
         headers = [h for h in headers if h[0].lower() != b"content-length"]
         if _may_have_body(status):
@@ -301,6 +487,11 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         if len(body) <= WRITE_BYTES:
             parts = [b"".join(parts)]
+        elif message is not None:
+            loop = gevent.get_hub().loop
+            message.yield_as_response(
+                self._progress, lambda: loop.run_callback(self._raise_dropped)
+            )
         # The parts of a long answer are not joined, which would copy its body.
         for part in parts:
             self._write(part)
@@ -355,12 +546,22 @@
             return
         parts = memoryview(output)
         gone = CallerGone("the caller does not read its answer")
+        phase, self._phase = self._phase, _Phase.WRITING
+        clock = self._listener.clock
+        self._progress.begin(clock.monotonic(), len(parts))
         try:
             for start in range(0, len(parts), WRITE_BYTES):
+                part = parts[start : start + WRITE_BYTES]
                 with gevent.Timeout(WRITE_TIMEOUT_S, gone):
-                    self.sock.sendall(parts[start : start + WRITE_BYTES])
+                    self.sock.sendall(part)
+                if len(parts) > WRITE_BYTES:
+                    self._progress.note(clock.monotonic(), len(part))
         except OSError as exc:
             raise CallerGone("the caller has closed the connection") from exc
+        finally:
+            self._phase = phase
+            # A traceback that refers to itself would keep the response.
+            del gone
 
     def close_idle(self):
         """Ends a connection that waits for its next request.
@@ -417,6 +618,10 @@
         busy: Connections with a request in progress.
         idle: Connections that wait for a request.
         arriving: Connections of which a part of a request has been read.
+        parse_turns: `ParseTurns` of the heads.
+        drops: `DropLog` of the callers that lost memory or their place.
+        lingering: Number of connections that linger after they lost their place.
+        clock: `Clock`.
     """
 
     def __init__(self, address, handler, limits, max_connections, memory=None):
@@ -435,15 +640,40 @@
         self.busy = set()
         self.idle = set()
         self.arriving = set()
+        self.parse_turns = ParseTurns()
+        self.drops = DropLog()
+        self.lingering = 0
+        self.clock = SystemClock()
         self._handler = handler
+        self._places = PlaceAccount(max_connections, self.clock)
         self._sock = _listen(address)
-        self._server = StreamServer(
-            self._sock, self._serve, spawn=Pool(max_connections)
-        )
+        self._server = StreamServer(self._sock, self._serve)
+        self._server.max_accept = MAX_ACCEPTS
 
     def _serve(self, sock, peer):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        CallerConnection(sock, self).serve(self._handler)
+        conn = CallerConnection(sock, self, peer[0])
+        if not self._places.enter(conn):
+            self._refuse(sock)
+            return
+        self.memory.add_fixed(CONNECTION_BYTES)
+        try:
+            conn.serve(self._handler)
+        finally:
+            self.memory.remove_fixed(CONNECTION_BYTES)
+            self._places.leave(conn)
+
+    def _refuse(self, sock):
+        """Refuses a connection as all others are busy, without waiting."""
+        self.drops.note(PLACES_FULL)
+        sock.settimeout(0)
+        try:
+            # Unread input would turn the close into a reset.
+            peek(sock) and sock.recv(WRITE_BYTES)
+            sock.sendall(NO_PLACE_ANSWER)
+        except OSError:
+            pass
+        sock.close()
 
     def start(self):
         """Starts to accept connections."""
--- a/amaranthbay/relay/service.py
+++ b/amaranthbay/relay/service.py
@@ -201,7 +201,10 @@
             if call.method == b"HEAD":
                 conn.answer_head_request(answer.head.status, headers)
             else:
-                conn.answer(answer.head.status, headers, answer.body.data)
+                body = answer.body
+                conn.answer(
+                    answer.head.status, headers, body.data, message=body.message
+                )
         finally:
             answer.body.release()
         return None
--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -8,6 +8,8 @@
 
 from weakref import WeakSet
 
+from amaranthbay.ingress.capacity import memory_for_callers, resident_bytes
+from amaranthbay.ingress.shortage import Holder, choose_for_memory
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import AmaranthbayError
 
@@ -33,6 +35,9 @@
 MEMORY_SHARE = 1 / 6
 # Share of that memory which a single message may hold.
 MESSAGE_SHARE = 1 / 2
+# Share of the memory which slow callers free in a shortage beyond the need, so that
+# the next read doesn't look for another caller to drop.
+SPARE_SHARE = 1 / 32
 BYTES_PER_MB = 2**20
 # Memory limit that is assumed if the settings name none.
 DEFAULT_MEMORY_MB = 512.0
@@ -56,17 +61,25 @@
 class ReadMemory:
     """Memory for the messages that a process holds, shared by all its connections.
 
-    If it is used up, the largest message that is still being read has to yield, so that
-    a peer that sends without end does not displace the small messages of others.
+    If it is used up, messages that are still being read have to yield, and responses
+    that their callers read slowly; see `choose_for_memory`.
 
     Attributes:
         total_bytes: Bytes that all messages may hold together.
         message_bytes: Bytes that one message may hold.
     """
 
-    def __init__(self, total_bytes):
+    def __init__(self, total_bytes, message_bytes=None, clock=None):
+        """Creates the memory.
+
+        Args:
+            total_bytes: Bytes that all messages and connections may hold together.
+            message_bytes: Bytes that one message may hold; half of the total if None.
+            clock: `Clock`; the system's clock if None.
+        """
         self.total_bytes = int(total_bytes)
-        self.message_bytes = int(MESSAGE_SHARE * total_bytes)
+        self.message_bytes = int(message_bytes or MESSAGE_SHARE * total_bytes)
+        self._clock = clock or SystemClock()
         self._used = 0
         # A message whose reader is dropped without a release must not stay.
         self._reading = WeakSet()
@@ -85,30 +98,69 @@
         memory_mb = memory_mb or DEFAULT_MEMORY_MB
         return cls(MEMORY_SHARE * BYTES_PER_MB * memory_mb)
 
+    @classmethod
+    def of_measured_process(cls, memory_mb):
+        """Returns the memory that this process has beside what it needs itself.
+
+        A single message may be as large as in `of_process`.
+
+        Args:
+            memory_mb: Memory limit of the process in MiB; 0 if unknown.
+        """
+        total_bytes = memory_for_callers(memory_mb, resident_bytes())
+        return cls(total_bytes, cls.of_process(memory_mb).message_bytes)
+
     @property
     def used_bytes(self):
-        """Bytes that messages hold now."""
+        """Bytes that messages and connections hold now."""
         return self._used
 
-    def begin(self, limit_bytes=None, on_evicted=lambda: None):
+    def begin(self, limit_bytes=None, on_evicted=lambda: None, progress=None):
         """Returns a new `HeldMessage` that is being read.
 
         Args:
             limit_bytes: Bytes that it may hold; `message_bytes` if None.
             on_evicted: Function that is called when it has to yield to others.
+            progress: `Progress` of the caller who sends it; None for an answer of a
+                backend server or of the store.
         """
         limit_bytes = self.message_bytes if limit_bytes is None else limit_bytes
-        return HeldMessage(self, limit_bytes, on_evicted)
+        return HeldMessage(self, limit_bytes, on_evicted, progress)
+
+    def add_fixed(self, count):
+        """Counts bytes of a new connection, for which messages may have to yield."""
+        self._used += count
+        if self._used > self.total_bytes:
+            self._make_room(None)
+
+    def remove_fixed(self, count):
+        """Removes the bytes of a connection that has ended."""
+        self._used -= count
 
     def add(self, message, count):
         """Adds bytes to a message; see `HeldMessage.add`."""
         self._reading.add(message)
         self._used += count
-        while self._used > self.total_bytes:
-            largest = max(self._reading, key=lambda each: each.held_bytes)
-            if largest is message:
+        if self._used > self.total_bytes:
+            self._make_room(message)
+            if self._used > self.total_bytes:
                 raise ReadLimitExceeded(MEMORY_FULL)
-            largest.evict()
+
+    def _make_room(self, message):
+        """Evicts messages until the others fit, or until a message is one of them."""
+        now = self._clock.monotonic()
+        needed_bytes = self._used - self.total_bytes
+        spare_bytes = SPARE_SHARE * self.total_bytes
+        holders = [each.as_holder(now) for each in self._reading if each.held_bytes]
+        for holder in choose_for_memory(holders, needed_bytes, spare_bytes):
+            if holder.owner is not message:
+                holder.owner.evict()
+            elif self._used > self.total_bytes:
+                return
+
+    def resume(self, message):
+        """Lets a message that has been read yield to others again."""
+        self._reading.add(message)
 
     def end_reading(self, message):
         """Keeps the bytes of a message that has been read and can't yield any more."""
@@ -128,9 +180,11 @@
         evicted: Whether it had to yield to other messages.
     """
 
-    def __init__(self, memory, limit_bytes, on_evicted):
+    def __init__(self, memory, limit_bytes, on_evicted, progress=None):
         self.held_bytes = 0
         self.evicted = False
+        self._progress = progress
+        self._is_response = False
         self._memory = memory
         self._limit_bytes = limit_bytes
         self._on_evicted = on_evicted
@@ -161,10 +215,31 @@
         if self.evicted:
             raise ReadLimitExceeded(MEMORY_FULL)
 
+    def as_holder(self, now):
+        """Returns the message as a `Holder` for the choice of those that yield."""
+        wait_s = self._progress.wait_s(now) if self._progress is not None else None
+        return Holder(self, self.held_bytes, wait_s, self._is_response)
+
     def complete(self):
-        """Marks the message as read; it keeps its bytes until `release`."""
+        """Marks the message as read; it keeps its bytes until `release`.
+
+        Raises:
+            ReadLimitExceeded: If it has been evicted before its end was seen.
+        """
+        self.check()
         self._memory.end_reading(self)
 
+    def yield_as_response(self, progress, on_evicted):
+        """Lets the message yield to others again while its caller reads it.
+
+        Args:
+            progress: `Progress` of the caller.
+            on_evicted: Function that ends the response.
+        """
+        self._progress, self._is_response = progress, True
+        self._on_evicted = on_evicted
+        self._memory.resume(self)
+
     def evict(self):
         """Takes the bytes of the message away for others."""
         self.release()
@@ -182,11 +257,15 @@
 
 
 class Turn:
-    """Interrupts the work of one greenlet, so that others get their turn."""
+    """Interrupts the work of one greenlet, so that others get their turn.
+
+    Attributes:
+        read_at: Monotonic time at which the latest read ended.
+    """
 
     def __init__(self, clock=None):
         self._clock = clock or SystemClock()
-        self._began_at = self._clock.monotonic()
+        self._began_at = self.read_at = self._clock.monotonic()
 
     def give_way(self):
         """Lets others run if this greenlet has run for `TURN_S`."""
@@ -198,7 +277,7 @@
         """Returns the result of a read, which may wait and so let others run."""
         started_at = self._clock.monotonic()
         result = read(*args)
-        ended_at = self._clock.monotonic()
+        self.read_at = ended_at = self._clock.monotonic()
         if ended_at - started_at > WAITED_S:
             self._began_at = ended_at
         return result
@@ -210,6 +289,7 @@
     Attributes:
         sock: Connected socket.
         received_bytes: Bytes that have been read so far.
+        evicted: Whether the current message had to yield to others.
     """
 
     def __init__(self, sock, memory, clock=None):
@@ -226,6 +306,15 @@
         self._turn = Turn(clock)
         self._message = None
 
+    @property
+    def read_at(self):
+        """Monotonic time at which the latest read ended."""
+        return self._turn.read_at
+
+    @property
+    def evicted(self):
+        return self._message is not None and self._message.evicted
+
     def give_way(self):
         """Lets other greenlets run if this one has run for long."""
         self._turn.give_way()
@@ -244,7 +333,7 @@
         self.received_bytes += len(data)
         return data
 
-    def hold(self, count, on_evicted=lambda: None, limit_bytes=None):
+    def hold(self, count, on_evicted=lambda: None, limit_bytes=None, progress=None):
         """Counts bytes of the current message that are about to be kept.
 
         Args:
@@ -252,13 +341,15 @@
             on_evicted: Function that drops the message, as it has to yield to others;
                 the next read then fails.
             limit_bytes: Bytes that the message may hold; that of the `ReadMemory` if
-                None. Both apply from the first call for a message on.
+                None.
+            progress: `Progress` of a caller who sends the message, else None. All three
+                apply from the first call for a message on.
 
         Raises:
             ReadLimitExceeded: If the message may not hold them.
         """
         if self._message is None:
-            self._message = self._memory.begin(limit_bytes, on_evicted)
+            self._message = self._memory.begin(limit_bytes, on_evicted, progress)
         self._message.add(count)
 
     def hold_exactly(self, count, on_evicted=lambda: None):
@@ -275,14 +366,20 @@
         """Returns the `HeldMessage` that has been read, or None if it holds nothing.
 
         Its new owner releases it.
+
+        Raises:
+            ReadLimitExceeded: If it had to yield to others.
         """
+        self.complete()
         message, self._message = self._message, None
-        if message is not None:
-            message.complete()
         return message
 
     def complete(self):
-        """Marks the current message as read; it stays until `release`."""
+        """Marks the current message as read; it stays until `release`.
+
+        Raises:
+            ReadLimitExceeded: If it had to yield to others.
+        """
         if self._message is not None:
             self._message.complete()
 
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -4,6 +4,9 @@
 import gevent.pool
 from gevent import pywsgi, socket
 
+from amaranthbay.ingress.drops import DropLog
+from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
+from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
 
@@ -20,6 +23,8 @@
 # response. A lingering close reads input first, up to these bounds.
 LINGER_S = 1.0
 LINGER_BYTES = 2**20
+# Connections that are accepted in one turn, if the number of connections is limited.
+MAX_ACCEPTS = 16
 
 
 class _HeaderTooLarge(ValueError):
@@ -46,11 +51,45 @@
         return line
 
 
+class _PlacedConnection(PlaceHolder):
+    """A connection that has a place while it waits for a request or reads one.
+
+    Attributes:
+        responding: Whether a response is in progress.
+    """
+
+    def __init__(self, sock, address, server):
+        self.address = address
+        self.responding = False
+        self._sock = sock
+        self._server = server
+        self._began_at = server.clock.monotonic()
+
+    def wait_s(self, now):
+        return None if self.responding else now - self._began_at
+
+    def note_response(self, in_progress):
+        """Records the beginning or the end of a response."""
+        self.responding = in_progress
+        self._began_at = self._server.clock.monotonic()
+
+    def drop(self):
+        """Ends the connection; its greenlet reads the end of the input."""
+        self._server.drops.note("places_full")
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer has closed the connection already.
+            pass
+
+
 class _Handler(pywsgi.WSGIHandler):
     """Handles the requests of one connection."""
 
     # Whether the connection closes after the response to the current request.
     _closes = False
+    # `_PlacedConnection` of the connection, if their number is limited.
+    place = None
 
     def MessageClass(self, rfile, *args):
         """Returns the parsed headers; gevent prescribes the method's name."""
@@ -88,10 +127,14 @@
     def handle_one_response(self):
         token = object()
         self.server.responding.add(token)
+        if self.place is not None:
+            self.place.note_response(True)
         try:
             super().handle_one_response()
         finally:
             self.server.responding.discard(token)
+            if self.place is not None:
+                self.place.note_response(False)
         if self.server.draining or self._closes:
             self.close_connection = True
         if self.environ.get(LINGER_KEY):
@@ -157,14 +200,41 @@
         read_timeout_s: Timeout of each read, in seconds; None for none.
         describe_malformed: Function that takes a status line and returns the media
             type and the body of the response to a request that can't be parsed.
+        places: `PlaceAccount` of the connections; None if their number has no limit.
+        drops: `DropLog` of the connections that lost their place.
+        clock: `Clock` of the account.
     """
 
+    places = None
     draining = False
     reads_bodies = True
     read_timeout_s = None
     header_bytes = DEFAULT_MAX_HEADER_BYTES
     describe_malformed = staticmethod(lambda status: ("text/plain", b""))
 
+    def limit_places(self, total):
+        """Limits the number of connections; the slowest one yields to a new one."""
+        self.clock, self.drops = SystemClock(), DropLog()
+        self.places = PlaceAccount(total, self.clock)
+        self.max_accept = MAX_ACCEPTS
+
+    def handle(self, sock, address):
+        """Handles a connection; gevent prescribes the method's name."""
+        if self.places is None:
+            super().handle(sock, address)
+            return
+        place = _PlacedConnection(sock, address[0], self)
+        if not self.places.enter(place):
+            # All others are being answered.
+            self.drops.note("places_full")
+            return
+        try:
+            handler = self.handler_class(sock, address, self)
+            handler.place = place
+            handler.handle()
+        finally:
+            self.places.leave(place)
+
     def malformed_reply(self, status):
         """Returns the HTTP response to a request that can't be parsed."""
         media_type, body = self.describe_malformed(status)
@@ -189,6 +259,7 @@
         describe_malformed=None,
         reads_bodies=True,
         read_timeout_s=None,
+        places=None,
     ):
         """Creates the server.
 
@@ -205,6 +276,8 @@
                 doesn't, a connection closes after a request with a body.
             read_timeout_s: Timeout of each read of a request, in seconds; None for
                 none.
+            places: Number of connections beyond which the slowest one yields to a new
+                one; None for no limit.
         """
         pool = gevent.pool.Pool(connections) if connections else None
         self._server = _WsgiServer(
@@ -218,6 +291,8 @@
         self._server.responding = set()
         self._server.reads_bodies = reads_bodies
         self._server.read_timeout_s = read_timeout_s
+        if places:
+            self._server.limit_places(places)
         if header_bytes:
             self._server.header_bytes = header_bytes
         if describe_malformed:
