Add tests of lost places, evicted bodies and turns of long heads

Change: tests of the listener with one or two places and a small memory, of an evicted message that must not count as complete, of connections in the account of memory, and of turns of long heads. The copy of the project in test_run_tests has the package ingress, which utils needs.

--- a/amaranthbay/ingress/tests/test_decisions.py
+++ b/amaranthbay/ingress/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Which callers lose when memory or places run short, without a network."""
 
 from amaranthbay.ingress.capacity import memory_for_callers, split_descriptors
+from amaranthbay.ingress.heads import MANY_LINES, PAUSE_FACTOR, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.ingress.shortage import Holder, choose_for_memory
@@ -119,4 +120,18 @@
     case.assertEqual(split_descriptors(10**6).callers, 2000)
 
 
+def test_long_heads_leave_time_to_others(case):
+    """Guards against legal heads of many lines that keep ordinary requests waiting."""
+    clock = ManualClock()
+    turns, started_at = ParseTurns(clock), []
+
+    def parse():
+        started_at.append(clock.monotonic())
+        clock.advance(1.0)
+
+    for lines in (MANY_LINES + 1, MANY_LINES, MANY_LINES + 1):
+        turns.parse(lines, parse)
+    case.assertEqual(started_at, [0.0, 1.0, 1.0 + PAUSE_FACTOR])
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -12,16 +12,22 @@
 from amaranthbay.relay import listener as listener_module
 from amaranthbay.relay.listener import Listener
 from amaranthbay.routing import ClientLimits
+from amaranthbay.utils.reading import ReadMemory
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 @contextlib.contextmanager
-def connection(limits, handler=lambda conn, req: conn.answer(200, [], b"ok")):
+def connection(
+    limits,
+    handler=lambda conn, req: conn.answer(200, [], b"ok"),
+    places=10,
+    memory=None,
+):
     """Yields a socket that is connected to a `Listener`, and the `Listener`."""
     address = f"127.0.0.1:{free_port()}"
-    listener = Listener(address, handler, limits, 10)
+    listener = Listener(address, handler, limits, places, memory)
     listener.start()
     host, port = address.split(":")
     sock = socket.create_connection((host, int(port)), 5.0)
@@ -233,4 +239,62 @@
         case.assertEqual((answer.complete, len(answer.body)), (True, len(body)))
 
 
+PARTIAL_REQUEST = (
+    b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + b"x" * 900
+)
+
+
+def test_new_connection_is_served_while_senders_idle(case):
+    """Guards against callers who wait in the system's queue behind idle senders, and
+    against a sender who loses his place without a refusal."""
+    with connection(ClientLimits, places=2) as (sock, listener):
+        with socket.create_connection(sock.getpeername(), 5.0) as idle:
+            sock.sendall(PARTIAL_REQUEST)
+            wait_until(lambda: listener.arriving)
+            idle.sendall(PARTIAL_REQUEST)
+            wait_until(lambda: len(listener.arriving) == 2)
+            with socket.create_connection(sock.getpeername(), 5.0) as ordinary:
+                ordinary.sendall(REQUEST)
+                case.assertEqual(read_answer(ordinary).status, 200)
+            refused = read_answer(sock)
+            case.assertEqual(refused.status, 503)
+            case.assertIn("retry-after", refused.headers)
+
+
+def test_connection_is_refused_while_all_others_are_busy(case):
+    """Guards against a request in progress that is dropped for a new connection, and
+    against a new one that gets no answer."""
+    release = gevent.event.Event()
+
+    def answer(conn, req):
+        release.wait()
+        conn.answer(200, [], b"ok")
+
+    with connection(ClientLimits, answer, places=1) as (sock, listener):
+        sock.sendall(REQUEST)
+        wait_until(lambda: listener.busy)
+        with socket.create_connection(sock.getpeername(), 5.0) as other:
+            case.assertEqual(read_answer(other).status, 503)
+        release.set()
+        case.assertEqual(read_answer(sock).status, 200)
+
+
+def test_sender_that_idles_is_refused_for_memory_at_once(case):
+    """Guards against an idle sender whose memory others need and who is told so only
+    when more of the body arrives."""
+    memory = ReadMemory(50_000, 25_000)
+    with connection(ClientLimits, places=2, memory=memory) as (sock, listener):
+        sock.sendall(PARTIAL_REQUEST)
+        wait_until(lambda: memory.used_bytes > 20_900)
+        with socket.create_connection(sock.getpeername(), 5.0) as other:
+            head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 8900\r\n\r\n"
+            wait_until(lambda: memory.used_bytes > 41_000)
+            other.sendall(head + b"y" * 8900)
+            case.assertEqual(read_answer(sock).status, 503)
+            case.assertEqual(read_answer(other).status, 200)
+        # The rest of the refused body is read, and the connection goes on.
+        sock.sendall(b"x" * 100 + REQUEST)
+        case.assertEqual(read_answer(sock).status, 200)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/utils/tests/test_reading.py
+++ b/amaranthbay/utils/tests/test_reading.py
@@ -71,6 +71,35 @@
         case.assertEqual(memory.used_bytes, 0)
 
 
+def test_evicted_message_is_not_complete(case):
+    """Guards against a request that is forwarded with an empty body, as its body was
+    evicted after its last bytes had arrived."""
+    memory = ReadMemory(TOTAL)
+    ours, theirs = socket.socketpair()
+    case.addCleanup(ours.close)
+    case.addCleanup(theirs.close)
+    reader = BoundedReader(ours, memory)
+    reader.hold(400)
+    others = [memory.begin() for _ in range(7)]
+    for other in others:
+        other.add(100)
+    case.assertTrue(reader.evicted)
+    with case.assertRaises(ReadLimitExceeded):
+        reader.complete()
+
+
+def test_connections_count(case):
+    """Guards against connections that take the memory that the account still gives to
+    messages."""
+    memory, dropped = ReadMemory(TOTAL), []
+    message = memory.begin(on_evicted=lambda: dropped.append(1))
+    message.add(MESSAGE)
+    memory.add_fixed(TOTAL - MESSAGE + 1)
+    case.assertEqual((dropped, memory.used_bytes), ([1], TOTAL - MESSAGE + 1))
+    memory.remove_fixed(TOTAL - MESSAGE + 1)
+    memory.begin().add(MESSAGE)
+
+
 def test_reader_gives_way_only_after_long_work(case):
     """Guards against a reader that stops all others, and against one that pauses after
     each read."""
--- a/amaranthbay/utils/tests/test_run_tests.py
+++ b/amaranthbay/utils/tests/test_run_tests.py
@@ -35,7 +35,7 @@
     """
     root = Path(case.enterContext(TemporaryDirectory()))
     shutil.copytree(RUNNER.parent, root / "tools")
-    for package in ("observe", "utils", "kernel"):
+    for package in ("observe", "utils", "kernel", "ingress"):
         (root / "amaranthbay").mkdir(exist_ok=True)
         ignore = shutil.ignore_patterns("tests", "__pycache__")
         shutil.copytree(
