--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -212,7 +212,9 @@
             PlainRelay(self.ctx),
             StreamRelay(self.ctx, self.queue),
         )
-        self._places = split_descriptors(settings.limits.descriptors)
+        self._places = split_descriptors(
+            settings.limits.descriptors, self.memory.total_bytes
+        )
         self.listener = Listener(
             settings.caller_address,
             self.service.handle,
--- a/amaranthbay/ingress/capacity.py
+++ b/amaranthbay/ingress/capacity.py
@@ -20,6 +20,9 @@
 CONNECTION_BYTES = 20 * 1024
 # Headers of a request that this includes.
 CONNECTION_HEADERS = 24
+# Share of the memory of callers that their connections may take; the rest is for
+# messages.
+CONNECTIONS_SHARE = 1 / 2
 # Share of the memory that is left for tables of servers, metrics, logs, and the buffers
 # of exchanges with servers (about 200 KiB each). With a quarter, 300 mixed clients took
 # a process of 128 MiB to 134.
@@ -75,14 +78,19 @@
     return 0
 
 
-def split_descriptors(descriptors):
-    """Returns the `Places` of a process with a limit of file descriptors.
+def split_descriptors(descriptors, memory_bytes):
+    """Returns the `Places` of a process.
+
+    Args:
+        descriptors: Limit of its file descriptors.
+        memory_bytes: What `memory_for_callers` returns.
 
     Examples:
-        >>> split_descriptors(1024)
+        >>> split_descriptors(1024, 30 * 2**20)
         Places(callers=324, services=64)
     """
-    spare = descriptors - RESERVED_DESCRIPTORS
+    for_memory = int(CONNECTIONS_SHARE * memory_bytes / CONNECTION_BYTES)
+    spare = min(descriptors - RESERVED_DESCRIPTORS, for_memory)
     callers = max(MIN_CALLER_CONNECTIONS, min(MAX_CALLER_CONNECTIONS, spare))
     services = int(SERVICE_SHARE * descriptors)
     services = max(MIN_SERVICE_CONNECTIONS, min(MAX_SERVICE_CONNECTIONS, services))
--- a/amaranthbay/ingress/tests/test_decisions.py
+++ b/amaranthbay/ingress/tests/test_decisions.py
@@ -1,6 +1,10 @@
 """Which callers lose when memory or places run short, without a network."""
 
-from amaranthbay.ingress.capacity import memory_for_callers, split_descriptors
+from amaranthbay.ingress.capacity import (
+    CONNECTION_BYTES,
+    memory_for_callers,
+    split_descriptors,
+)
 from amaranthbay.ingress.heads import MANY_LINES, PAUSE_FACTOR, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
@@ -116,8 +120,11 @@
         share = memory_for_callers(memory_mb, 50 * 2**20) / 2**20
         case.assertGreaterEqual(share, memory_mb / 8)
         case.assertLess(50 + share, max(64, memory_mb))
-    case.assertEqual(split_descriptors(100).callers, 64)
-    case.assertEqual(split_descriptors(10**6).callers, 2000)
+    case.assertEqual(split_descriptors(100, 2**30).callers, 64)
+    case.assertEqual(split_descriptors(10**6, 2**30).callers, 2000)
+    small_bytes = memory_for_callers(128, 50 * 2**20)
+    callers = split_descriptors(10**6, small_bytes).callers
+    case.assertLessEqual(callers * CONNECTION_BYTES, small_bytes / 2)
 
 
 def test_long_heads_leave_time_to_others(case):
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -129,6 +129,7 @@
         self._method = b""
         # Lines that have been received of the head that is being read.
         self._head_lines = 0
+        self._has_place = True
         self._phase = _Phase.IDLE
         self._progress = Progress(self._reader.read_at)
 
@@ -147,21 +148,25 @@
         return self._progress.wait_s(now)
 
     def drop(self):
-        """Ends the connection in the next turn of the event loop."""
+        """Ends the connection in the next turn of the event loop.
+
+        One that has become busy by then ends after its answer.
+        """
+        self._has_place = False
         gevent.get_hub().loop.run_callback(self._raise_place_lost)
 
     def _raise_place_lost(self):
         """Interrupts the connection unless it has become busy; runs in the loop."""
         if self._phase is _Phase.WRITING:
-            self._listener.drops.note(PLACES_FULL)
-            self._raise_dropped()
+            self._raise_dropped(PLACES_FULL)
         elif self._phase is not _Phase.BUSY:
             self._listener.drops.note(PLACES_FULL)
             self.greenlet.throw(_PlaceLost())
 
-    def _raise_dropped(self):
+    def _raise_dropped(self, reason):
         """Interrupts a response that the caller reads too slowly; runs in the loop."""
         if self._phase is _Phase.WRITING:
+            self._listener.drops.note(reason)
             self._reset_on_close(True)
             self.greenlet.throw(CallerGone("the caller reads too slowly in a shortage"))
 
@@ -176,7 +181,7 @@
         Args:
             handler: Called with this connection and each `IncomingRequest`.
         """
-        has_place = True
+        is_dropped = False
         try:
             while self._serve_one(handler):
                 pass
@@ -184,7 +189,7 @@
             # The caller has hung up or doesn't read, so no answer is possible.
             pass
         except _PlaceLost:
-            has_place = False
+            is_dropped = True
         except Exception:
             log_event(
                 "defect",
@@ -194,7 +199,7 @@
             )
         # The exception, whose traceback holds the request, is freed by now.
         try:
-            if not has_place:
+            if is_dropped:
                 self._end_without_place()
         finally:
             self._phase = _Phase.BUSY
@@ -229,22 +234,14 @@
         self.answered = False
         self._method = b""
         self._phase = _Phase.IDLE
-        self._progress.begin(self._reader.read_at)
-        refuse = None
+        self._progress.begin(self._listener.clock.monotonic())
         try:
-            req = self._read_request()
-            self._phase = _Phase.BUSY
-        except _Rejected as exc:
-            refuse = partial(self._answer_rejected, exc.status)
-        except h11.RemoteProtocolError as exc:
-            refuse = partial(self._answer_rejected, exc.error_status_hint)
-        except ReadLimitExceeded:
-            refuse = self._refuse_unread
+            req, refuse = self._try_read_request()
+            # The exception, whose traceback holds the request, is freed by now.
+            if refuse is not None:
+                return refuse()
         finally:
             self._listener.arriving.discard(self)
-        if refuse is not None:
-            # The exception, whose traceback holds the request, is freed by now.
-            return refuse()
         if req is None:
             return False
         self._listener.busy.add(self)
@@ -255,9 +252,26 @@
             self._reader.release()
         return self._start_next_cycle()
 
+    def _try_read_request(self):
+        """Returns the `IncomingRequest`, and the function that refuses it or None."""
+        try:
+            req = self._read_request()
+            self._phase = _Phase.BUSY
+            return req, None
+        except _Rejected as exc:
+            return None, partial(self._answer_rejected, exc.status)
+        except h11.RemoteProtocolError as exc:
+            return None, partial(self._answer_rejected, exc.error_status_hint)
+        except ReadLimitExceeded:
+            return None, self._refuse_unread
+
     def _start_next_cycle(self):
         """Returns whether the connection may carry another request."""
-        if not self.answered or self._http.our_state is not h11.DONE:
+        if (
+            not self._has_place
+            or not self.answered
+            or self._http.our_state is not h11.DONE
+        ):
             return False
         if self._http.their_state is not h11.DONE:
             return False
@@ -367,6 +381,8 @@
             # The head is incomplete, so there is no request to answer.
             return False
         self.answer(503, [retry], b"")
+        if not self._has_place:
+            return False
         self._phase = _Phase.DISCARDING
         try:
             dropped = self._within("idle_timeout_s", self._drop_body)
@@ -489,9 +505,8 @@
             parts = [b"".join(parts)]
         elif message is not None:
             loop = gevent.get_hub().loop
-            message.yield_as_response(
-                self._progress, lambda: loop.run_callback(self._raise_dropped)
-            )
+            drop = partial(loop.run_callback, self._raise_dropped, MEMORY_FULL)
+            message.yield_as_response(self._progress, drop)
         # The parts of a long answer are not joined, which would copy its body.
         for part in parts:
             self._write(part)
