Add gauges of held memory and connections, and log the last drops

Cause: operators could not see how near the limits for callers are; the last drops of a burst were counted but not logged; complete heads that wait for their turn did not count. Change: gauges amaranthbay.memory.held and amaranthbay.callers.connections; the drop log is flushed once a second; such heads count.

--- a/amaranthbay/daemon/entry.py
+++ b/amaranthbay/daemon/entry.py
@@ -20,7 +20,7 @@
 from amaranthbay.fleet.settings import FIXED_FIELDS, changed_fields, merge
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, OnDemandFollower, TableFollower
 from amaranthbay.fleet.versions import VersionHistory
-from amaranthbay.ingress.capacity import split_descriptors
+from amaranthbay.ingress.capacity import split_places
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.observe import Gauge, current_metrics, log_event
@@ -212,7 +212,7 @@
             PlainRelay(self.ctx),
             StreamRelay(self.ctx, self.queue),
         )
-        self._places = split_descriptors(
+        self._places = split_places(
             settings.limits.descriptors, self.memory.total_bytes
         )
         self.listener = Listener(
@@ -527,6 +527,7 @@
                 self.peers.serving = serving
                 self.peers.report_now()
             self.ctx.connections.sweep()
+            self.listener.drops.flush()
             self.ctx.crashes.sweep()
             self.ctx.handles.sweep()
             self.ctx.pauses.sweep()
@@ -548,6 +549,7 @@
         metrics.observe_gauge(Gauge.QUEUE, self.queue.length)
         metrics.observe_gauge(Gauge.STORE_SILENCE, self.health.silence_s)
         metrics.observe_gauge(Gauge.CONFIGURATION, self._configuration_version)
+        self.listener.register_gauges(metrics)
 
     def _configuration_version(self):
         table = self.configuration.table
--- a/amaranthbay/ingress/capacity.py
+++ b/amaranthbay/ingress/capacity.py
@@ -9,7 +9,7 @@
     "Places",
     "memory_for_callers",
     "resident_bytes",
-    "split_descriptors",
+    "split_places",
 ]
 
 BYTES_PER_MB = 2**20
@@ -78,7 +78,7 @@
     return 0
 
 
-def split_descriptors(descriptors, memory_bytes):
+def split_places(descriptors, memory_bytes):
     """Returns the `Places` of a process.
 
     Args:
@@ -86,7 +86,7 @@
         memory_bytes: What `memory_for_callers` returns.
 
     Examples:
-        >>> split_descriptors(1024, 30 * 2**20)
+        >>> split_places(1024, 30 * 2**20)
         Places(callers=324, services=64)
     """
     for_memory = int(CONNECTIONS_SHARE * memory_bytes / CONNECTION_BYTES)
--- a/amaranthbay/ingress/drops.py
+++ b/amaranthbay/ingress/drops.py
@@ -26,9 +26,18 @@
         """
         current_metrics().caller_dropped(reason)
         self._counts[reason] += 1
+        self.flush()
+
+    def flush(self):
+        """Logs what has been counted, unless the last line was written just now.
+
+        It is also called regularly, so that the last callers of a burst are logged.
+        """
         now = self._clock.monotonic()
-        if now - self._logged_at.get(reason, now - LOG_INTERVAL_S) < LOG_INTERVAL_S:
-            return
-        self._logged_at[reason] = now
-        count = self._counts.pop(reason)
-        log_event("callers_dropped", level="warning", reason=reason, count=count)
+        for reason, count in list(self._counts.items()):
+            logged_at = self._logged_at.get(reason)
+            if logged_at is not None and now - logged_at < LOG_INTERVAL_S:
+                continue
+            self._logged_at[reason] = now
+            del self._counts[reason]
+            log_event("callers_dropped", level="warning", reason=reason, count=count)
--- a/amaranthbay/ingress/heads.py
+++ b/amaranthbay/ingress/heads.py
@@ -4,7 +4,7 @@
 
 from amaranthbay.kernel.clock import SystemClock
 
-__all__ = ["ParseTurns"]
+__all__ = ["MANY_LINES", "ParseTurns"]
 
 # Lines from which a head waits for its turn. Parsing 3,000 lines, which fit into a
 # legal head, takes 6 ms. Without turns, an ordinary request waited 10 s beside 900 of
@@ -22,15 +22,8 @@
         self._lock = Semaphore()
         self._free_at = 0.0
 
-    def parse(self, lines, parse):
-        """Returns the result of a function that parses a head.
-
-        Args:
-            lines: Number of lines that have been received.
-            parse: Function without arguments.
-        """
-        if lines <= MANY_LINES:
-            return parse()
+    def parse(self, parse):
+        """Returns the result of a function that parses a head of `MANY_LINES`."""
         with self._lock:
             wait_s = self._free_at - self._clock.monotonic()
             if wait_s > 0:
--- a/amaranthbay/observe/metrics.py
+++ b/amaranthbay/observe/metrics.py
@@ -27,6 +27,8 @@
         CANCELS: Number of cancels that no backend server has acknowledged.
         CONFIGURATION: Version of the configuration in force; 0 before the first.
         STORE_SILENCE: Seconds since the store last answered.
+        CALLERS: Number of connections of callers that have a place.
+        MEMORY: Bytes that messages and connections hold.
     """
 
     QUEUE = "queue"
@@ -34,6 +36,8 @@
     CANCELS = "cancels"
     CONFIGURATION = "configuration"
     STORE_SILENCE = "store_silence"
+    CALLERS = "callers"
+    MEMORY = "memory"
 
 
 class Step(StrEnum):
--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -54,6 +54,16 @@
         "{version}",
         "Version of the configuration in force",
     ),
+    Gauge.CALLERS: (
+        "amaranthbay.callers.connections",
+        "{connection}",
+        "Connections of callers that have a place",
+    ),
+    Gauge.MEMORY: (
+        "amaranthbay.memory.held",
+        "By",
+        "Memory that messages and connections hold",
+    ),
 }
 
 
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -14,12 +14,12 @@
 
 from amaranthbay.ingress.capacity import CONNECTION_BYTES, CONNECTION_HEADERS
 from amaranthbay.ingress.drops import DropLog
-from amaranthbay.ingress.heads import ParseTurns
+from amaranthbay.ingress.heads import MANY_LINES, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
-from amaranthbay.observe import log_event
+from amaranthbay.observe import Gauge, log_event
 from amaranthbay.utils.http import split_address
 from amaranthbay.utils.reading import BoundedReader, ReadLimitExceeded, ReadMemory
 from amaranthbay.utils.sockets import peek
@@ -446,11 +446,7 @@
     def _next_event(self):
         while True:
             self._reader.give_way()
-            if self._method:
-                event = self._http.next_event()
-            else:
-                turns = self._listener.parse_turns
-                event = turns.parse(self._head_lines, self._http.next_event)
+            event = self._http.next_event() if self._method else self._parse_head()
             if event is not h11.NEED_DATA:
                 return event
             incomplete_bytes = len(self._http.trailing_data[0])
@@ -464,6 +460,15 @@
                 self._hold(incomplete_bytes, bytearray())
             self._receive_head(self._reader.recv())
 
+    def _parse_head(self):
+        """Returns the next event while the head is not complete or not parsed."""
+        if self._head_lines <= MANY_LINES:
+            return self._http.next_event()
+        # The head may be complete and wait for its turn.
+        self._reader.release()
+        self._hold(len(self._http.trailing_data[0]), bytearray())
+        return self._listener.parse_turns.parse(self._http.next_event)
+
     def _receive_head(self, data):
         # Lines of a body that follows may count, too.
         self._head_lines += data.count(b"\n")
@@ -690,6 +695,11 @@
             pass
         sock.close()
 
+    def register_gauges(self, metrics):
+        """Registers the gauges of connections and memory."""
+        metrics.observe_gauge(Gauge.CALLERS, lambda: len(self._places))
+        metrics.observe_gauge(Gauge.MEMORY, lambda: self.memory.used_bytes)
+
     def start(self):
         """Starts to accept connections."""
         self._server.start()
