--- a/amaranthbay/ingress/tests/test_decisions.py
+++ b/amaranthbay/ingress/tests/test_decisions.py
@@ -1,10 +1,6 @@
 """Which callers lose when memory or places run short, without a network."""
 
-from amaranthbay.ingress.capacity import (
-    CONNECTION_BYTES,
-    memory_for_callers,
-    split_places,
-)
+from amaranthbay.ingress import capacity
 from amaranthbay.ingress.heads import PAUSE_FACTOR, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
@@ -43,9 +39,8 @@
         Holder("slow reader", 100_000, 9.0, is_response=True),
     ]
 
-    def names(needed, spare=0):
-        chosen = choose_for_memory(holders, needed, spare)
-        return [holder.owner for holder in chosen]
+    def names(*args):
+        return [holder.owner for holder in choose_for_memory(holders, *args)]
 
     case.assertEqual(names(1), ["idle and large"])
     case.assertEqual(names(1, 150_000), ["idle and large", "slow reader"])
@@ -116,27 +111,22 @@
 def test_capacity_fits_the_smallest_and_the_largest_machine(case):
     """Guards against accounts that leave the program no memory, or callers none."""
     for memory_mb in (48, 128, 552):
-        share = memory_for_callers(memory_mb, 50 * 2**20) / 2**20
+        share = capacity.memory_for_callers(memory_mb, 50 * 2**20) / 2**20
         case.assertGreaterEqual(share, memory_mb / 8)
         case.assertLess(50 + share, max(64, memory_mb))
-    case.assertEqual(split_places(100, 2**30).callers, 64)
-    case.assertEqual(split_places(10**6, 2**30).callers, 2000)
-    small_bytes = memory_for_callers(128, 50 * 2**20)
-    callers = split_places(10**6, small_bytes).callers
-    case.assertLessEqual(callers * CONNECTION_BYTES, small_bytes / 2)
+    case.assertEqual(capacity.split_places(100, 2**30).callers, 64)
+    case.assertEqual(capacity.split_places(10**6, 2**30).callers, 2000)
+    small_bytes = capacity.memory_for_callers(128, 50 * 2**20)
+    callers = capacity.split_places(10**6, small_bytes).callers
+    case.assertLessEqual(callers * capacity.CONNECTION_BYTES, small_bytes / 2)
 
 
 def test_long_heads_leave_time_to_others(case):
     """Guards against legal heads of many lines that keep ordinary requests waiting."""
     clock = ManualClock()
     turns, started_at = ParseTurns(clock), []
-
-    def parse():
-        started_at.append(clock.monotonic())
-        clock.advance(1.0)
-
     for _ in range(2):
-        turns.parse(parse)
+        turns.parse(lambda: started_at.append(clock.monotonic()) or clock.advance(1.0))
     case.assertEqual(started_at, [0.0, 1.0 + PAUSE_FACTOR])
 
 
