--- a/amaranthbay/observe/otel.py
+++ b/amaranthbay/observe/otel.py
@@ -57,6 +57,16 @@
         "{version}",
         "Version of the configuration in force",
     ),
+    Gauge.CALLERS: (
+        "amaranthbay.callers.connections",
+        "{connection}",
+        "Connections of callers that have a place",
+    ),
+    Gauge.MEMORY: (
+        "amaranthbay.memory.held",
+        "By",
+        "Memory that messages and connections hold",
+    ),
 }
 
 
@@ -158,6 +168,9 @@
         self._connections = create_counter(
             "amaranthbay.backend.connections", "{connection}", "Connections opened"
         )
+        self._dropped = create_counter(
+            "amaranthbay.callers.dropped", "{caller}", "Callers that lost to others"
+        )
         self._store_calls = create_counter(
             "amaranthbay.store.calls", "{call}", "Calls to the platform's store"
         )
@@ -215,6 +228,9 @@
     def connection_opened(self, service):
         self._connections.add(1, {"amaranthbay.service": service})
 
+    def caller_dropped(self, reason):
+        self._dropped.add(1, {"amaranthbay.reason": reason})
+
     def store_called(self, call, outcome):
         attributes = {"amaranthbay.call": call, "amaranthbay.outcome": outcome}
         self._store_calls.add(1, attributes)
