Hear known charges at less cost, and repeat them less often

Cause: at the target, full reports would repeat each charge five times, and a repeated one cost as much as a new one.

Change: a known count is skipped before its quota is looked up; confirmed charges are repeated for 1.5 s; datagrams are filled by the real size of the entries.

--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -36,11 +36,9 @@
 LOADS_PER_DATAGRAM = 24
 # A full report of all servers at the target size takes 55 datagrams.
 MAX_DATAGRAMS = 64
-# Bytes of usage in a datagram, and most bytes of one of its entries and of one number
-# of a heard charge. The names of the fields and of a long instance name fit in the
-# rest.
+# Bytes of usage in a datagram, and most bytes of one heard charge. The other fields fit
+# in the rest.
 USAGE_BYTES = 1100
-USAGE_ENTRY_BYTES = 32
 HEARD_BYTES = 18
 # Heard charges of a datagram that has nothing else of the usage.
 MAX_HEARD = 60
@@ -328,7 +326,7 @@
         heard = {number: heard[number] for number in heard if number not in first}
     room = USAGE_BYTES - HEARD_BYTES * len(heard)
     for entry in usage.charged:
-        entry_size = len(entry.workspace.encode()) + USAGE_ENTRY_BYTES
+        entry_size = len(msgspec.msgpack.encode(entry))
         if chunk and size + entry_size > room:
             parts.append(Usage(after, chunk[-1].mark, tuple(chunk), heard))
             after, chunk, size = chunk[-1].mark, [], 0
--- a/amaranthbay/workspaces/buckets.py
+++ b/amaranthbay/workspaces/buckets.py
@@ -218,6 +218,10 @@
         self._credit = 0
         self._open.clear()
 
+    def knows(self, process, since, count):
+        """Returns whether a count of a peer is known, or an older one; see `note`."""
+        return (since, count) <= self._counts.get(process, (0, 0))
+
     def note(self, process, since, count, quota, now):
         """Charges what a peer reports beyond what is known of it.
 
@@ -228,9 +232,9 @@
             quota: `Quota` of the workspace.
             now: Monotonic time.
         """
-        known_since, known = self._counts.get(process, (0, 0))
-        if since < known_since or (since == known_since and count <= known):
+        if self.knows(process, since, count):
             return
+        known_since, known = self._counts.get(process, (0, 0))
         units = count - known if since == known_since else count
         self._counts[process] = (since, count)
         self.heard_at = now
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -22,8 +22,9 @@
 PAUSE_S = 1.0
 # Time for which the fleet that the process hears is not looked up again.
 FLEET_TTL_S = 0.1
-# Full reports name charges for this long; peers that miss all of them are silent.
-REPORTED_S = 3.0
+# Full reports name charges for this long after the last one, and longer until busy peers
+# have confirmed them. Instances on standby get two or three such reports.
+REPORTED_S = 1.5
 # A process that has not charged a workspace for this long begins a new count, after
 # its peers have forgotten nothing of the old one.
 COUNT_TTL_S = 10.0
@@ -197,6 +198,9 @@
                 self._report_soon(only_answers=True)
 
     def _merge_entry(self, process, entry, now):
+        known = self._buckets.get(entry.workspace)
+        if known is not None and known.knows(process, entry.since, entry.count):
+            return
         workspace = self._find_workspace(entry.workspace)
         quota = self._bounds().quota_of(workspace) if workspace is not None else None
         if quota is not None:
