--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -22,7 +22,7 @@
 PAUSE_S = 1.0
 # Time for which the fleet that the process hears is not looked up again.
 FLEET_TTL_S = 0.1
-# Full reports name charges for this long after the last one, and longer until busy peers
+# Full reports name charges for this long after the last one, and until busy peers
 # have confirmed them. Instances on standby get two or three such reports.
 REPORTED_S = 1.5
 # A process that has not charged a workspace for this long begins a new count, after
