Take an unframed answer that ends during the upload, or has no valid status, for broken

Cause: a server answers a long upload at once with a 200 without a length, sends a part of the body and ends the connection while the upload is still being written. If the read met the end of the connection before the send had met the reset, the part passed as a complete answer: only a send that had failed already counted. A status of three digits above 599 (tried: 600, 999) was passed on to the caller; 000 and 099 were broken answers already.

Change: the end of a connection ends an answer only once the whole request was sent. A status above 599 is no answer (not_http); the request may have run, so it becomes a 502 or a retry as its route allows.

--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -32,6 +32,8 @@
 MAX_BYTES_TO_HEAD = 2**18 + MAX_ANSWERS_READ * MAX_LATE_ANSWER_BYTES
 # Bodies up to this size are sent with their head; larger ones would be copied for it.
 MAX_JOINED_BODY_BYTES = 65536
+# Highest status of HTTP. The parser accepts any of three digits from 200 on.
+MAX_STATUS = 599
 # Ends of a head that the parser accepts.
 _HEAD_END = re.compile(rb"\n\r?\n")
 
@@ -145,6 +147,8 @@
                 event = self._next_event()
             if type(event) is not h11.Response:
                 raise self._broken("connection_closed")
+            if event.status_code > MAX_STATUS:
+                raise self._broken("not_http")
             headers = [(name, value) for name, value in event.headers]
             self._headers = headers
             traits = self._codec.read_answer(event.status_code, headers)
@@ -249,8 +253,10 @@
             except OSError as exc:
                 raise self._broken("connection_reset") from exc
             self._peer_closed = not data
-            if self._peer_closed and self._send_failed():
-                # The send has met a reset, so the read does not get the error.
+            if self._peer_closed and not self._sent_whole():
+                # The send has met a reset, so that the read does not get the error, or
+                # will meet one, as the server reads no more. An answer without framing
+                # would look complete.
                 raise self._broken("connection_reset")
             try:
                 self._parser.receive_data(data)
@@ -275,15 +281,16 @@
             self._on_silence()
         return self._reader.recv()
 
-    def _send_failed(self):
-        return self._sender.ready() and self._sender.value is not True
+    def _sent_whole(self):
+        """Returns whether all of the request was sent."""
+        return self._sender.ready() and self._sender.value is True
 
     def _broken(self, reason):
         return ExchangeBroken(Verdict.MAY_HAVE_RUN, reason)
 
     def close(self):
         """Gives the connection back to the pool, or closes it if it can't be reused."""
-        sent = self._sender.ready() and self._sender.value is True
+        sent = self._sent_whole()
         self._sender.kill(block=False)
         self._reader.release()
         if not (self._complete and sent and self._may_reuse()):
--- a/amaranthbay/relay/tests/test_exchange.py
+++ b/amaranthbay/relay/tests/test_exchange.py
@@ -224,6 +224,72 @@
     case.assertEqual(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
 
 
+def answer_early(pool, ends, case, end):
+    """Sends a large body that is answered by a part of an unframed answer.
+
+    Args:
+        pool: `ConnectionPool` of the call.
+        ends: Servers' ends of the connections so far.
+        case: Test case.
+        end: Function of the server's end that ends the connection while the body is
+            still being written.
+
+    Returns:
+        The `ExchangeBroken` with which the answer ends.
+    """
+    exchange = send(pool, "a1", LARGE_BODY)
+    case.addCleanup(exchange.close)
+    ends[-1].sendall(b"HTTP/1.1 200 OK\r\nid: a1\r\n\r\nfirst part")
+    case.assertEqual(exchange.read_head().status, 200)
+    gevent.spawn(end, ends[-1])
+    with case.assertRaises(ExchangeBroken) as raised:
+        exchange.read_body()
+    return raised.exception
+
+
+def test_unframed_answer_that_is_reset_during_the_upload_is_incomplete(case):
+    """Guards against a part of an answer that passes as complete, as the send has met
+    the reset and the read only sees the end of the connection."""
+    pool, ends = make_pool(case)
+    for _ in range(20):
+        # A close with unread input resets the connection.
+        exc = answer_early(pool, ends, case, lambda sock: sock.close())
+        case.assertEqual(exc.verdict, Verdict.MAY_HAVE_RUN)
+
+
+def test_unframed_answer_that_ends_during_the_upload_is_incomplete(case):
+    """Guards against a part of an answer that passes as complete, as its server closes
+    its side first and resets the connection a moment later."""
+    pool, ends = make_pool(case)
+    exc = answer_early(pool, ends, case, lambda sock: sock.shutdown(socket.SHUT_WR))
+    case.assertEqual(exc.reason, "connection_reset")
+    case.assertEqual(exc.verdict, Verdict.MAY_HAVE_RUN)
+
+
+def test_unframed_answer_after_the_upload_is_complete(case):
+    """Guards against taking each answer without a length for a broken one."""
+    pool, ends = make_pool(case)
+    exchange = send(pool, "a1", b"small")
+    case.addCleanup(exchange.close)
+    while b"small" not in ends[-1].recv(2**16):
+        pass
+    ends[-1].sendall(b"HTTP/1.1 200 OK\r\nid: a1\r\n\r\nwhole")
+    ends[-1].close()
+    case.assertEqual(exchange.read_head().status, 200)
+    case.assertEqual(exchange.read_body().data, b"whole")
+
+
+def test_answer_with_an_invalid_status_is_none(case):
+    """Guards against passing on a status of a server in trouble that HTTP lacks."""
+    for status in ("000", "099", "600", "999"):
+        pool, ends = make_pool(case)
+        with case.subTest(status):
+            with case.assertRaises(ExchangeBroken) as raised:
+                exchange_once(pool, ends, "a1", answer("a1", status))
+            case.assertEqual(raised.exception.reason, "not_http")
+            case.assertEqual(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+
 def test_connection_that_was_taken_long_before_its_request_is_not_used(case):
     """Guards against a request that is lost because the server closes the connection,
     which was idle during a prefill, at that moment."""
