--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -298,7 +298,7 @@
             elif start.urgency is Urgency.IN_TIME and candidate_cache.is_unfit(waiting):
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
-                reserved |= self._awaited_server(waiting, candidate_cache, reserved)
+                reserved |= candidate_cache.awaited_server(waiting, reserved)
 
     def _end_wait(self, waiting):
         """Raises the current exception in the greenlet of a waiting stream."""
@@ -306,16 +306,6 @@
         exc_info = sys.exc_info()
         waiting.ready.set_exception(exc_info[1], exc_info)
 
-    def _awaited_server(self, waiting, candidate_cache, reserved):
-        """Returns a set with the name of the least loaded decode server, if any."""
-        decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
-        emptiest = min(
-            decode_candidates,
-            key=lambda candidate: candidate.memory_tokens,
-            default=None,
-        )
-        return frozenset() if emptiest is None else frozenset((emptiest.server.name,))
-
     def _start_sequence(self, now, candidate_cache):
         """Returns the `WaitingStart` of each stream in the order of starts."""
         starts = []
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -59,6 +59,7 @@
         self._timings = {}
         self._unfit = {}
         self._places = {}
+        self._emptiest_first = {}
         self._distrusted = None
 
     def usable_by(self, waiting, stage, reserved=frozenset()):
@@ -86,6 +87,25 @@
             candidate for candidate in usable if candidate.server.name not in reserved
         ]
 
+    def awaited_server(self, waiting, reserved):
+        """Returns a set with the name of the least loaded decode server, if any.
+
+        Args:
+            waiting: `WaitingStream` that waits for memory.
+            reserved: Names of servers that are reserved for other streams.
+        """
+        key = waiting.servers_key
+        if key not in self._emptiest_first:
+            by_memory = sorted(
+                self.usable_by(waiting, Stage.DECODE),
+                key=lambda candidate: candidate.memory_tokens,
+            )
+            self._emptiest_first[key] = [entry.server.name for entry in by_memory]
+        for name in self._emptiest_first[key]:
+            if name not in reserved:
+                return frozenset((name,))
+        return frozenset()
+
     def _candidates(self, waiting, stage):
         key = waiting.call.service.name, stage, waiting.version
         if key not in self._by_stage:
--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -213,7 +213,7 @@
         The `WaitingStart` of each stream; those that are owed a start, and those whose
         callers have events, have a rank below 0.
     """
-    ordered = sorted((_with_lead(start) for start in starts), key=_sort_key)
+    ordered = sorted((_as_of_mixed_service(start) for start in starts), key=_sort_key)
     granted = Counter()
     sequence = []
     for start in ordered:
@@ -226,24 +226,21 @@
     return sorted(sequence, key=_sort_key) if granted else sequence
 
 
-def _with_lead(start):
+def _as_of_mixed_service(start):
     if start.rank is None:
         return start
     if start.continued:
         return replace(start, rank=CONTINUED_RANK)
     if not _has_returned(start.call):
         return start
+    # If it is refused again, its caller is lost. More callers are served if it starts
+    # as if it were in time, before less urgent streams that may still come back.
     lead_s = RETURNED_LEAD_SHARE * start.call.route.target_s
-    return replace(start, order_time=start.order_time - lead_s)
+    return replace(start, urgency=Urgency.IN_TIME, order_time=start.order_time - lead_s)
 
 
 def _sort_key(start):
-    urgency = start.urgency
-    if start.rank is not None and urgency is Urgency.RETURNED:
-        # If it is refused again, its caller is lost. More callers are served if it is
-        # ordered by its priority, before less urgent streams that may still come back.
-        urgency = Urgency.IN_TIME
-    return urgency, start.rank or 0, start.order_time
+    return start.urgency, start.rank or 0, start.order_time
 
 
 def may_start(urgency, pressure, rank=None):
--- a/amaranthbay/scheduling/tests/player.py
+++ b/amaranthbay/scheduling/tests/player.py
@@ -7,30 +7,17 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 
 from amaranthbay.relay.calls import Call
 from amaranthbay.relay.codec import CallHead
 from amaranthbay.relay.speed import PrefillSpeed
 from amaranthbay.routing import CallKind, Engine, Route, Service, WeightedService
-from amaranthbay.scheduling.priorities import ClassCredits
+from amaranthbay.scheduling import streams
+from amaranthbay.scheduling.priorities import ClassCredits, priority_rank
 from amaranthbay.scheduling.rates import RecentRate
 from amaranthbay.scheduling.retries import ReturnTimes, longest_retry_s
-from amaranthbay.scheduling.streams import (
-    GIVE_UP_TARGETS,
-    Pressure,
-    Urgency,
-    WaitingStart,
-    first_event_s,
-    free_places,
-    latest_start_at,
-    may_start,
-    memory_need,
-    start_order,
-    start_sequence,
-    urgency_of,
-)
 
 STEP_S = 0.02
 MEMORY_TOKENS = 26_000
@@ -38,7 +25,11 @@
 TIMEOUT_S = 14.0
 MAX_WAIT_TARGETS = 3.0
 DECODE_START_S = 0.12
-SERVICE = Service("lm", 64, Engine(slots=64, memory_tokens=MEMORY_TOKENS))
+END_S, BURST_START_S, BURST_END_S, CALM_PER_S = 16.0, 3.0, 13.0, 20.0
+SHARES = (WeightedService("lm", 1.0),)
+ROUTE = Route("r", "h", "/", CallKind.STREAM, SHARES, TIMEOUT_S, target_s=1.0)
+HEAD = CallHead("a", max_output_tokens=900)
+LM = Service("lm", 64, Engine(slots=64, memory_tokens=MEMORY_TOKENS))
 
 
 @dataclass(frozen=True)
@@ -47,21 +38,17 @@
 
     Attributes:
         classes: Target in seconds and share of the streams, by priority.
-        rate_per_s: Streams per second, before and after the burst.
-        burst_per_s: Streams per second from 3 to 13 s.
+        burst_per_s: Streams per second in the burst.
         decode_servers: Number of decode servers.
         prefill_speeds: Prompt tokens per second of each prefill server.
         lost_at: Time at which half of the decode servers stop; None for never.
-        returns: Whether refused callers come back once.
     """
 
     classes: dict
-    rate_per_s: float = 20.0
     burst_per_s: float = 60.0
     decode_servers: int = 12
     prefill_speeds: tuple = (50_000.0,) * 3
     lost_at: float | None = None
-    returns: bool = True
 
 
 @dataclass(eq=False)
@@ -72,34 +59,62 @@
         priority: Priority of the stream.
         sent_at: Time of the first attempt.
         seconds: Time for which the decode server runs the stream.
+        prompt_tokens: Length of the prompt.
         call: `Call` of the latest attempt.
         tries: Number of attempts.
         first_event_at: Time of the first event; None without one.
-        wasted_tokens: Prompt tokens that were computed although the caller had left.
     """
 
     priority: int
     sent_at: float
     seconds: float
+    prompt_tokens: int
     call: object = None
     tries: int = 0
     first_event_at: float | None = None
-    wasted_tokens: int = 0
-    need_tokens: int = 0
-    until: float = 0.0
-    continued: bool = False
 
     @property
-    def in_time(self):
-        """Whether the first event came within the target, from the first attempt."""
-        target_s = self.call.route.target_s
-        return self.served and self.first_event_at <= self.sent_at + target_s
+    def need_tokens(self):
+        """Memory that the stream needs."""
+        return streams.memory_need(self.call.head)
+
+    @property
+    def until(self):
+        """End of the wait of the latest attempt."""
+        return self.call.arrived_at + MAX_WAIT_TARGETS * self.call.route.target_s
 
     @property
     def served(self):
         """Whether there was a first event."""
         return self.first_event_at is not None
 
+    @property
+    def in_time(self):
+        """Whether the first event came within the target, from the first attempt."""
+        target_s = self.call.route.target_s
+        return self.served and self.first_event_at <= self.sent_at + target_s
+
+    def send(self, now, target_s):
+        """Sends an attempt."""
+        self.tries += 1
+        ends_at = self.sent_at + TIMEOUT_S
+        head = replace(HEAD, deadline_s=ends_at - now, prompt_tokens=self.prompt_tokens)
+        route = replace(ROUTE, target_s=target_s, priority=self.priority)
+        self.call = Call("a", b"", b"", (), b"", False, head, route, LM, now, ends_at)
+
+
+def arrivals(load, rng):
+    """Returns the `Caller` of each stream of a load."""
+    callers, now = [], 0.0
+    weights = [share for _, share in load.classes.values()]
+    while now < END_S:
+        in_burst = BURST_START_S <= now < BURST_END_S
+        now += rng.expovariate(load.burst_per_s if in_burst else CALM_PER_S)
+        priority = rng.choices(list(load.classes), weights)[0]
+        prompt_tokens = int(min(6600, max(400, rng.lognormvariate(7.9, 0.45))))
+        callers.append(Caller(priority, now, rng.uniform(1.0, 2.6), prompt_tokens))
+    return callers
+
 
 def shares(callers):
     """Returns the shares of callers served, and served in time, by priority."""
@@ -112,39 +127,6 @@
     return result
 
 
-def arrivals(load, rng, end_s=16.0):
-    """Returns the `Caller` of each stream of a load."""
-    callers, now = [], 0.0
-    while now < end_s:
-        now += rng.expovariate(
-            load.burst_per_s if 3.0 <= now < 13.0 else load.rate_per_s
-        )
-        weights = [share for _, share in load.classes.values()]
-        priority = rng.choices(list(load.classes), weights)[0]
-        caller = Caller(priority, now, rng.uniform(1.0, 2.6))
-        prompt = int(min(6600, max(400, rng.lognormvariate(7.9, 0.45))))
-        head = CallHead("a", TIMEOUT_S, prompt_tokens=prompt, max_output_tokens=900)
-        caller.call = build_call(head, load, priority, now)
-        callers.append(caller)
-    return callers
-
-
-def build_call(head, load, priority, now):
-    """Returns the `Call` of an attempt that is sent at a time."""
-    route = Route(
-        f"r{priority}",
-        "h",
-        "/",
-        CallKind.STREAM,
-        (WeightedService("lm", 1.0),),
-        TIMEOUT_S,
-        load.classes[priority][0],
-        priority=priority,
-    )
-    ends_at = now + head.deadline_s
-    return Call("a", b"", b"", (), b"", False, head, route, SERVICE, now, ends_at)
-
-
 @dataclass
 class Player:
     """Plays a load; subclasses decide on order, starts and retry times.
@@ -165,6 +147,7 @@
         self.free_at = [0.0] * len(self.load.prefill_speeds)
         self.mean_speed = sum(self.load.prefill_speeds) / len(self.free_at)
         self._events, self._order = [], itertools.count()
+        self.credits, self.returns = ClassCredits(), ReturnTimes()
 
     def run(self):
         """Returns the `Caller` of each stream after the end of the load."""
@@ -179,7 +162,7 @@
                 _, _, function, arguments = heapq.heappop(self._events)
                 function(*arguments)
             for caller in [c for c in self.waiting if self.now >= c.until]:
-                self.refuse(caller)
+                self._refuse(caller)
             if self.waiting:
                 self.run_pass()
         return callers
@@ -188,32 +171,18 @@
         heapq.heappush(self._events, (moment, next(self._order), function, arguments))
 
     def _arrive(self, caller):
-        caller.tries += 1
-        if caller.tries > 1:
-            left_s = caller.sent_at + TIMEOUT_S - self.now
-            head = CallHead(
-                "a",
-                left_s,
-                prompt_tokens=caller.call.head.prompt_tokens,
-                max_output_tokens=900,
-            )
-            caller.call = build_call(head, self.load, caller.priority, self.now)
-        caller.need_tokens = memory_need(caller.call.head)
-        caller.until = self.now + MAX_WAIT_TARGETS * caller.call.route.target_s
+        caller.send(self.now, self.load.classes[caller.priority][0])
         self.waiting.append(caller)
-        self.arrived(caller)
-
-    def arrived(self, caller):
-        """Called after a stream has arrived."""
+        self.credits.note_arrived("lm", caller.priority, self.now)
 
     def _lose_servers(self):
         for server in range(self.load.decode_servers // 2):
             self.used[server] = MEMORY_TOKENS * 1000
 
-    def refuse(self, caller):
+    def _refuse(self, caller):
         """Refuses a waiting stream, whose caller may come back."""
         self.waiting.remove(caller)
-        if caller.tries > 1 or not self.load.returns:
+        if caller.tries > 1:
             return
         longest_s = longest_retry_s(caller.call.left_s(self.now))
         retry_s = min(longest_s, self.retry_s(caller, longest_s))
@@ -239,15 +208,11 @@
         self.free_at[server] = ready_at
         first_at = ready_at + 0.1 + DECODE_START_S
         self.used[decode] += caller.need_tokens
-        ends_at = first_at + caller.seconds
-        gives_up_at = (
-            caller.call.arrived_at + GIVE_UP_TARGETS * caller.call.route.target_s
-        )
-        if first_at > gives_up_at:
-            caller.wasted_tokens += tokens
-            ends_at = gives_up_at
-        else:
-            caller.first_event_at = first_at
+        target_s = caller.call.route.target_s
+        gives_up_at = caller.call.arrived_at + streams.GIVE_UP_TARGETS * target_s
+        ends_at = gives_up_at
+        if first_at <= gives_up_at:
+            caller.first_event_at, ends_at = first_at, first_at + caller.seconds
         self._at(ends_at, self._end, caller, decode)
 
     def _end(self, caller, decode):
@@ -274,34 +239,25 @@
 class Scheduled(Player):
     """Uses the decisions of the package `scheduling`."""
 
-    def __post_init__(self):
-        super().__post_init__()
-        self.credits, self.returns = ClassCredits(), ReturnTimes()
-        self.mixed = len(self.load.classes) > 1
-
-    def arrived(self, caller):
-        self.credits.note_arrived("lm", caller.priority, self.now)
-
     def run_pass(self):
         speed, (_, wait_s) = PrefillSpeed(self.mean_speed, 0.1), self.prefill()
-        idle = Pressure(wait_s, speed, 0.0, DECODE_START_S)
-        orders = start_order([(c.call, c.need_tokens) for c in self.waiting])
+        idle = streams.Pressure(wait_s, speed, 0.0, DECODE_START_S)
+        orders = streams.start_order([(c.call, c.need_tokens) for c in self.waiting])
         starts = []
         for order_time, caller in zip(orders, self.waiting):
-            first_s = first_event_s(caller.call.head.prompt_tokens, idle)
-            urgency = urgency_of(caller.call, first_s, self.now)
-            rank = list(self.load.classes).index(caller.priority)
-            rank = rank if self.mixed else None
+            first_s = streams.first_event_s(caller.call.head.prompt_tokens, idle)
+            urgency = streams.urgency_of(caller.call, first_s, self.now)
+            rank = priority_rank(caller.priority, tuple(self.load.classes))
             starts.append(
-                WaitingStart(
-                    caller, caller.call, urgency, order_time, caller.continued, rank
+                streams.WaitingStart(
+                    caller, caller.call, urgency, order_time, rank=rank
                 )
             )
         blocked = False
-        for start in start_sequence(starts, self.credits.owed):
+        for start in streams.start_sequence(starts, self.credits.owed):
             decode = None if blocked else self.fits(start.stream)
             if decode is None or not self.may_start(start, decode, speed):
-                blocked |= decode is None and start.urgency is Urgency.IN_TIME
+                blocked |= decode is None and start.urgency is streams.Urgency.IN_TIME
                 continue
             self.credits.note_started("lm", start.stream.priority, self.now)
             self.start(start.stream, decode)
@@ -310,15 +266,15 @@
         """Returns whether a stream may start on a decode server."""
         need = start.stream.need_tokens
         places = (
-            free_places(self.used, need, USABLE_TOKENS),
-            free_places([0] * len(self.used), need, USABLE_TOKENS),
+            streams.free_places(self.used, need, USABLE_TOKENS),
+            streams.free_places([0] * len(self.used), need, USABLE_TOKENS),
         )
         share = (self.used[decode] + need) / MEMORY_TOKENS
         _, wait_s = self.prefill()
-        pressure = Pressure(wait_s, speed, share, DECODE_START_S, *places)
-        first_s = first_event_s(start.call.head.prompt_tokens, pressure)
-        is_useful = self.now <= latest_start_at(start.call, first_s)
-        return is_useful and may_start(start.urgency, pressure, start.rank)
+        pressure = streams.Pressure(wait_s, speed, share, DECODE_START_S, *places)
+        first_s = streams.first_event_s(start.call.head.prompt_tokens, pressure)
+        is_useful = self.now <= streams.latest_start_at(start.call, first_s)
+        return is_useful and streams.may_start(start.urgency, pressure, start.rank)
 
     def retry_s(self, caller, longest_s):
         """Returns a retry time from the rate at which streams end."""
--- /dev/null
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -0,0 +1,170 @@
+"""Decisions on waiting streams, priorities and retry times."""
+
+import itertools
+from dataclasses import replace
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies as st
+
+from amaranthbay.relay.codec import CallHead
+from amaranthbay.relay.speed import PrefillSpeed
+from amaranthbay.routing import CallKind, Route, Service, WeightedService
+from amaranthbay.routing.table import RoutingTable
+from amaranthbay.scheduling.priorities import ClassCredits, ServicePriorities
+from amaranthbay.scheduling.rates import RecentRate
+from amaranthbay.scheduling.retries import ReturnTimes
+from amaranthbay.scheduling.streams import (
+    LATE_MEMORY_SHARE,
+    LATE_PREFILL_WAIT_S,
+    Pressure,
+    Urgency,
+    WaitingStart,
+    may_start,
+    reservation_share,
+    start_sequence,
+    stream_to_drop,
+)
+from amaranthbay.utils.testing import collect
+from amaranthbay.workspaces import Workspace
+from amaranthbay.workspaces.keys import KeyTable
+
+SHARES = (WeightedService("lm", 1.0),)
+ROUTE = Route("r", "h", "/", CallKind.STREAM, SHARES, timeout_s=14.0, target_s=1.0)
+
+
+def make_call(priority=1, arrived_at=0.0, deadline_s=14.0):
+    return SimpleNamespace(
+        priority=priority,
+        service=SimpleNamespace(name="lm"),
+        route=ROUTE,
+        head=CallHead("a", deadline_s=deadline_s),
+        arrived_at=arrived_at,
+        target_at=arrived_at + ROUTE.target_s,
+    )
+
+
+def make_start(urgency, order_time, rank=None, **fields):
+    call = make_call(rank or 0, **fields)
+    return WaitingStart(None, call, Urgency(urgency), order_time, rank=rank)
+
+
+STARTS = st.builds(
+    make_start,
+    st.sampled_from(list(Urgency)),
+    st.floats(0, 99),
+    deadline_s=st.sampled_from((14.0, 5.0)),
+)
+SHARE = st.floats(0, 1)
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.lists(STARTS, max_size=20), st.floats(0, 1), SHARE, st.integers(0, 9))
+def test_equal_priorities_change_neither_order_nor_starts(
+    case, starts, wait_s, share, places
+):
+    """Guards against other orders and starts in a service with a single priority."""
+    before = sorted(starts, key=lambda start: (start.urgency, start.order_time))
+    case.assertEqual(start_sequence(starts, lambda *key: 3), before)
+    pressure = Pressure(wait_s, PrefillSpeed(), share, 0.1, places, 9)
+    spare = wait_s <= LATE_PREFILL_WAIT_S and share <= LATE_MEMORY_SHARE
+    for start in starts:
+        expected = start.urgency is Urgency.IN_TIME or spare
+        case.assertEqual(may_start(start.urgency, pressure, None), expected)
+
+
+def test_order_by_urgency_priority_and_arrival(case):
+    """Guards against late or less urgent streams that start first, and against new
+    streams that overtake those whose callers have events or were refused before."""
+    began = replace(make_start(0, 5.0, rank=2), continued=True)
+    returned = make_start(1, 1.02, rank=0, deadline_s=5.0)
+    new, owed = make_start(0, 1.0, rank=0), make_start(0, 3.0, rank=2)
+    other = make_start(0, 0.0, rank=1)
+    late = make_start(2, 0.0, rank=0)
+    expected = [began, owed, returned, new, other, late]
+    for starts in itertools.permutations(expected):
+        sequence = start_sequence(starts, lambda service, priority: priority == 2)
+        case.assertEqual([s.call for s in sequence], [s.call for s in expected])
+
+
+def test_less_urgent_streams_leave_places(case):
+    """Guards against urgent streams that find all servers full, and against a reserve
+    that keeps a class from its least share."""
+    full = Pressure(0.0, PrefillSpeed(), 0.9, 0.1, free_places=2, all_places=100)
+    queued = replace(full, prefill_wait_s=0.6, free_places=50)
+    for pressure in (full, queued):
+        starts = [may_start(Urgency.IN_TIME, pressure, rank) for rank in (-1, 0, 1)]
+        case.assertEqual(starts, [True, True, False])
+
+
+def test_class_that_never_starts_is_owed_its_share(case):
+    """Guards against a class that starves, also one with few streams."""
+    credits, owed = ClassCredits(), 0
+    for number in range(200):
+        now = 0.1 * number
+        credits.note_arrived("lm", 0, now)
+        if number % 2:
+            credits.note_started("lm", 0, now)
+        if number % 20 == 0:
+            credits.note_arrived("lm", 2, now)
+            if credits.owed("lm", 2):
+                credits.note_started("lm", 2, now)
+                owed += 1
+    case.assertIn(owed, (1, 2))
+
+
+def test_full_queue_drops_a_less_urgent_stream(case):
+    """Guards against urgent streams that are refused while others wait, and against
+    dropping streams of equal priority, with events or of returned callers."""
+    first, second = make_call(2, 0.0), make_call(2, 0.1)
+    calls = (make_call(1), first, second, make_call(2, 0.2, deadline_s=5.0))
+    waiting = [SimpleNamespace(call=call, continued=False) for call in calls]
+    waiting.append(SimpleNamespace(call=make_call(3), continued=True))
+    case.assertIs(stream_to_drop(waiting, make_call(0), 0.5).call, second)
+    case.assertIs(stream_to_drop(waiting, make_call(0), 1.05).call, first)
+    case.assertIsNone(stream_to_drop(waiting, make_call(2), 0.5))
+
+
+def test_retry_times_follow_the_rate_of_ends(case):
+    """Guards against refused callers who all come back at once, and against times that
+    callers don't wait for."""
+    rate = RecentRate(4.0, 3)
+    for number in range(20):
+        rate.note(0.1, 0.2 * number)
+    freed_per_s = rate.per_s(3.99)
+    case.assertAlmostEqual(freed_per_s, 0.5)
+    case.assertIsNone(rate.per_s(20.0))
+    returns = ReturnTimes()
+    times = [returns.retry_s(4.0, 0.4, 0.1, freed_per_s, 4.0, 0.0) for _ in range(4)]
+    case.assertEqual([round(seconds, 6) for seconds in times], [1.0, 1.4, 1.8, 2.2])
+    for _ in range(50):
+        seconds = returns.retry_s(4.0, 9.0, 0.1, freed_per_s, 4.0, 0.5)
+        case.assertLessEqual(seconds, 4.0)
+
+
+def test_priorities_of_a_service_follow_the_table(case):
+    """Guards against an urgency that is told in services with a single priority, or not
+    told as soon as a workspace brings a second one."""
+    other = replace(ROUTE, services=(WeightedService("other", 1.0),), priority=4)
+    services = {name: Service(name, 9) for name in ("lm", "other")}
+    table = RoutingTable(1, (ROUTE, other), services)
+    tables = [None, table]
+    priorities = ServicePriorities(lambda: tables[-1])
+    case.assertEqual((priorities.of("lm"), priorities.of("other")), ((1,), (4,)))
+    workspaces = [(Workspace("a", 0), ()), (Workspace("b"), ())]
+    tables.append(replace(table, version=2, workspaces=KeyTable(workspaces)))
+    case.assertEqual((priorities.of("lm"), priorities.of("other")), ((0, 1), (0, 4)))
+    tables.append(None)
+    case.assertEqual(priorities.of("lm"), ())
+
+
+def test_memory_is_reserved_sooner_while_instances_place_much(case):
+    """Guards against servers that are overcommitted by placements which instances make
+    within the delay of their reports."""
+    case.assertEqual(reservation_share(0.0, 11, 26_000), 0.6)
+    case.assertEqual(reservation_share(500_000.0, 0, 26_000), 0.6)
+    busy = [reservation_share(rate, 11, 26_000) for rate in (2e4, 3e4, 4e4)]
+    case.assertEqual(busy, sorted(busy, reverse=True))
+    case.assertLess(busy[-1], 0.3)
+
+
+load_tests = collect(globals())
