Measure placements without a jump after a calm time, and test holds of moved prompts

Cause: one placement after a second of calm looked like sixteen a second, so that memory was reserved at servers although nothing was placed. Change: the rate of placements comes from a decaying sum, and a rate over a window takes at least a quarter of it. A test covers the hold of a prompt that moves to another decode server.

--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -391,6 +391,18 @@
     case.assertEqual(len(fixture.servers["pre-1"].received), 4)
 
 
+def test_computed_prompt_reserves_memory_at_another_decode_server(case):
+    """Guards against overcommitting a server with the prompts that others refuse."""
+    fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
+    release = fixture.daemon.placed_load.add("dec-2", ServerLoad(1, 8000, 0))
+    case.addCleanup(release)
+    first, second = fixture.servers["dec-1"], fixture.servers["dec-2"]
+    first.replies.append(first.refusal())
+    answer = call_raw(fixture.address, stream_request("/once/x"))
+    case.assertEqual(answer.status, 200)
+    case.assertEqual(second.received[0].headers["x-kv-hold"], "k1")
+
+
 def test_caller_that_leaves_before_the_first_event_releases_everything(case):
     """Guards against engine memory that stays reserved for a caller who has left."""
     fixture = case.enterContext(entry_fixture())
--- a/amaranthbay/relay/placements.py
+++ b/amaranthbay/relay/placements.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 
 from amaranthbay.fleet.reports import ServerLoad
-from amaranthbay.scheduling.rates import RecentRate
+from amaranthbay.scheduling.rates import DecayingSum
 from amaranthbay.scheduling.streams import reservation_share
 
 __all__ = ["Placement", "Placements"]
 
-# Window over which the memory that this instance places is measured.
-PLACED_WINDOW_S = 1.0
+# Half-life of the placed memory from which the rate of placements is measured.
+PLACED_HALF_LIFE_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -47,16 +47,16 @@
 
     def __init__(self, ctx):
         self._ctx = ctx
-        # `RecentRate` of the memory placed, by name of the service.
+        # `DecayingSum` of the memory placed, by name of the service.
         self._placed = {}
 
     def _may_be_full(self, service, decode, need_tokens):
         placed = self._placed.get(service.name)
-        per_s = placed.per_s(self._ctx.clock.monotonic()) if placed else None
+        per_s = placed.per_s(self._ctx.clock.monotonic()) if placed else 0.0
         others = len(self._ctx.peers.demands(service.name))
         memory_tokens = service.engine.memory_tokens
         memory_share = (decode.memory_tokens + need_tokens) / memory_tokens
-        return memory_share > reservation_share(per_s or 0.0, others, memory_tokens)
+        return memory_share > reservation_share(per_s, others, memory_tokens)
 
     def add(self, call, prefill, decode, need_tokens):
         """Counts the load of an attempt and returns its `Placement`.
@@ -72,8 +72,8 @@
         placed_load = self._ctx.placed_load
         tokens = call.head.prompt_tokens
         name, now = call.service.name, self._ctx.clock.monotonic()
-        placed = self._placed.setdefault(name, RecentRate(PLACED_WINDOW_S))
-        placed.note(need_tokens, now)
+        placed = self._placed.setdefault(name, DecayingSum(PLACED_HALF_LIFE_S))
+        placed.add(need_tokens, now)
         prefill_host = (prefill or decode).server
         # Counted here, as a computed prompt would be wasted without its decode.
         limits = self._ctx.limits
--- a/amaranthbay/scheduling/rates.py
+++ b/amaranthbay/scheduling/rates.py
@@ -1,11 +1,15 @@
 """Sums and rates over the last seconds; times are passed in."""
 
+import math
 from collections import deque
 
 __all__ = ["DecayingSum", "RecentRate"]
 
 # Parts into which the window of a rate is divided.
 PARTS = 16
+# Smallest number of parts over which a rate is taken, so that a few amounts at once
+# after a calm time don't look like a high rate.
+MIN_PARTS = 4
 
 
 class DecayingSum:
@@ -25,6 +29,10 @@
         """Returns the sum at a monotonic time."""
         return self._value * 0.5 ** ((now - self._at) / self._half_life_s)
 
+    def per_s(self, now):
+        """Returns the amount per second that would keep the sum at its value."""
+        return self.value(now) * math.log(2) / self._half_life_s
+
 
 class RecentRate:
     """Amount per second over a moving window, in memory that doesn't grow."""
@@ -62,7 +70,7 @@
         self._forget(part)
         if not self._parts or sum(p[2] for p in self._parts) < self._min_count:
             return None
-        parts = min(PARTS, part - self._since + 1)
+        parts = max(MIN_PARTS, min(PARTS, part - self._since + 1))
         return sum(p[1] for p in self._parts) / (parts * self._part_s)
 
     def _forget(self, part):
