Let a late repeat start if there is room at once

Cause: a repeat that begins after the longest wait was refused without a look at the servers, although it started before if one had room. Change: only streams whose first event can't be of use any more are refused at once. Result: test_entry_priorities, test_entry_streams, test_entry_lost, test_entry_drain, test_entry_limits, test_entry_pauses, relay test_decisions and observe test_logs pass. In test_entry_silence, test_server_that_goes_on_keeps_its_stream failed once beside a load average of 12 to 15, and passed in three further runs of the module.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -134,9 +134,13 @@
         max_wait_s = MAX_WAIT_TARGETS * call.route.target_s
         if continued:
             return min(call.ends_at, now + max_wait_s)
+        return min(call.arrived_at + max_wait_s, self._latest_start_at(call))
+
+    def _latest_start_at(self, call):
+        """Returns until when a start is of use if no prompt is queued ahead."""
         pressure = self._pressure(CandidateCache(self._ctx), call, 0.0, 0.0)
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        return min(call.arrived_at + max_wait_s, latest_start_at(call, first_s))
+        return latest_start_at(call, first_s)
 
     def _refusal_at_once(self, waiting, now):
         """Returns the `Refusal` of a stream that can't be served, else None.
@@ -147,7 +151,8 @@
         usable_tokens = USABLE_MEMORY_SHARE * call.service.engine.memory_tokens
         if waiting.need_tokens > usable_tokens:
             return self._overloaded("no decode server can hold the stream", call)
-        if now > waiting.until:
+        # A repeat may begin after the longest wait; it starts if there is room at once.
+        if not waiting.continued and now > self._latest_start_at(call):
             return self._overloaded("no server can answer in time", call)
         if len(self._waiting) < MAX_QUEUE_LENGTH:
             return None
