--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -8,7 +8,7 @@
 FAILURE_WEIGHT = 0.25
 LATENCY_WEIGHT = 0.2
 # The time of one call falls fast and rises slowly. Calls that other instances have
-# placed meanwhile make an answer look slower than its server, but never faster.
+# placed meanwhile make an answer look slower than its server.
 SERVICE_FALL_WEIGHT = 0.2
 SERVICE_RISE_WEIGHT = 0.05
 # Half-life of the failure share. As the share decays, a server that gets no work after
@@ -28,6 +28,9 @@
 # switching to the other pool, which takes seconds.
 REFUSED_BASE_S = 0.3
 REFUSED_MAX_S = 4.0
+# Time for which a plain server whose queue is full gets no calls. A longer one would
+# let a server of short calls idle.
+QUEUE_FULL_S = 0.03
 # Longest time for which a plain server that refuses although it should have a free slot
 # gets no calls. The time begins at that for a full server, and doubles.
 QUEUE_FULL_MAX_S = 1.2
@@ -156,11 +159,12 @@
             expected_free: Whether the server should have had a free slot.
         """
         record = self._record(server)
-        if not expected_free:
-            record.consecutive_refusals = 0
-        avoided_s = FULL_AVOIDED_S * 2**record.consecutive_refusals
-        avoided_s = min(QUEUE_FULL_MAX_S, avoided_s)
-        record.consecutive_refusals = min(record.consecutive_refusals + 1, 8)
+        if expected_free:
+            avoided_s = FULL_AVOIDED_S * 2**record.consecutive_refusals
+            avoided_s = min(QUEUE_FULL_MAX_S, avoided_s)
+            record.consecutive_refusals = min(record.consecutive_refusals + 1, 8)
+        else:
+            avoided_s, record.consecutive_refusals = QUEUE_FULL_S, 0
         record.full_until = self._clock.monotonic() + avoided_s
 
     def note_refused(self, server):
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from amaranthbay.kernel.errors import Reason, not_run
-from amaranthbay.observe import Step, current_metrics, log_decision
+from amaranthbay.observe import Step, current_metrics, log_decision, log_event
 from amaranthbay.relay.choice import (
     USABLE_MEMORY_SHARE,
     choose_decode,
@@ -134,9 +134,13 @@
         max_wait_s = MAX_WAIT_TARGETS * call.route.target_s
         if continued:
             return min(call.ends_at, now + max_wait_s)
+        return min(call.arrived_at + max_wait_s, self._latest_start_at(call))
+
+    def _latest_start_at(self, call):
+        """Returns until when a start is of use if no prompt is queued ahead."""
         pressure = self._pressure(CandidateCache(self._ctx), call, 0.0, 0.0)
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        return min(call.arrived_at + max_wait_s, latest_start_at(call, first_s))
+        return latest_start_at(call, first_s)
 
     def _refusal_at_once(self, waiting, now):
         """Returns the `Refusal` of a stream that can't be served, else None.
@@ -147,7 +151,8 @@
         usable_tokens = USABLE_MEMORY_SHARE * call.service.engine.memory_tokens
         if waiting.need_tokens > usable_tokens:
             return self._overloaded("no decode server can hold the stream", call)
-        if now > waiting.until:
+        # A repeat may begin after the longest wait; it starts if there is room at once.
+        if not waiting.continued and now > self._latest_start_at(call):
             return self._overloaded("no server can answer in time", call)
         if len(self._waiting) < MAX_QUEUE_LENGTH:
             return None
@@ -258,14 +263,25 @@
             for waiting in self._waiting
             if waiting.call is not call and waiting.call.service.name == name
         )
+        freed_per_s = self._ctx.demand.freed_per_s(name)
         seconds = self._returns.setdefault(name, ReturnTimes()).retry_s(
             now,
             ahead / memory_tokens,
             memory_need(call.head) / memory_tokens,
-            self._ctx.demand.freed_per_s(name),
+            freed_per_s,
             longest_retry_s(call.left_s(now)),
             self._ctx.rng.random(),
         )
+        log_event(
+            "stream_refused",
+            request_id=call.request_id,
+            priority=call.priority,
+            detail=detail,
+            waiting=len(self._waiting),
+            tokens_ahead=ahead,
+            freed_tokens_per_s=freed_per_s and round(freed_per_s * memory_tokens),
+            retry_s=round(seconds, 3),
+        )
         retry = timedelta(seconds=seconds)
         return not_run(Reason.OVERLOADED, detail, 503, retry)
 
@@ -298,7 +314,7 @@
             elif start.urgency is Urgency.IN_TIME and candidate_cache.is_unfit(waiting):
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
-                reserved |= self._awaited_server(waiting, candidate_cache, reserved)
+                reserved |= candidate_cache.awaited_server(waiting, reserved)
 
     def _end_wait(self, waiting):
         """Raises the current exception in the greenlet of a waiting stream."""
@@ -306,16 +322,6 @@
         exc_info = sys.exc_info()
         waiting.ready.set_exception(exc_info[1], exc_info)
 
-    def _awaited_server(self, waiting, candidate_cache, reserved):
-        """Returns a set with the name of the least loaded decode server, if any."""
-        decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
-        emptiest = min(
-            decode_candidates,
-            key=lambda candidate: candidate.memory_tokens,
-            default=None,
-        )
-        return frozenset() if emptiest is None else frozenset((emptiest.server.name,))
-
     def _start_sequence(self, now, candidate_cache):
         """Returns the `WaitingStart` of each stream in the order of starts."""
         starts = []
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -29,6 +29,8 @@
 CONNECT_TIMEOUT_S = 0.15
 # Share of the target after which a repeatable request is also sent to another server.
 HEDGE_SHARE = 0.55
+# Least time from the placement of a call to its hedge, as a share of the target.
+MIN_HEDGE_SHARE = 0.3
 SERVER_ERROR = 500
 # Statuses that tell a caller that the request did not run, although the server has not
 # stated it.
@@ -129,7 +131,10 @@
         """Returns the monotonic time of a hedged request; None if none is allowed."""
         if not self._call.route.repeatable:
             return None
-        return self._call.arrived_at + HEDGE_SHARE * self._call.route.target_s
+        target_s, now = self._call.route.target_s, self._ctx.clock.monotonic()
+        # A call that has waited for its server is not slow for that.
+        least_at = now + MIN_HEDGE_SHARE * target_s
+        return max(self._call.arrived_at + HEDGE_SHARE * target_s, least_at)
 
     def _wait_s(self, hedge_at):
         now = self._ctx.clock.monotonic()
@@ -281,9 +286,9 @@
         """Sends the request; returns its `Exchange`, or None if that failed."""
         ctx, call, server = self._ctx, self._call, placement.server
         exchange = None
-        options = call.forward_options(server.name, now)
         self._connecting.add(server.name)
         try:
+            options = call.forward_options(server.name, now)
             exchange = open_exchange(
                 ctx.connections, ctx.codec, server, call, options, CONNECT_TIMEOUT_S
             )
@@ -314,10 +319,10 @@
         except Exception:
             self._log_defect()
             outcome = Err(may_have_run(Reason.INTERNAL, "the daemon has failed", 500))
-        finally:
-            placement.release()
+        # Waiting calls are placed as the load is released, so they see the outcome.
         self._note_outcome(placement, outcome, started_at)
         self._attempt_outcomes.put(outcome)
+        placement.release()
 
     def _note_if_slow(self, server, started_at):
         """Counts a cancelled attempt as failed if it ran for longer than the target."""
--- a/amaranthbay/relay/plain_queue.py
+++ b/amaranthbay/relay/plain_queue.py
@@ -83,8 +83,9 @@
         except BaseException:
             # The caller has hung up.
             line.discard(waiting)
-            if result.ready() and result.value.is_ok() and result.value.unwrap():
-                result.value.unwrap().release()
+            placed = result.value.ok() if result.successful() else None
+            if placed is not None:
+                placed.release()
             raise
         finally:
             self._results.pop(waiting, None)
@@ -132,7 +133,7 @@
 
     def _advance_all(self):
         """Looks at all waiting calls, since the load of a server has become less."""
-        for service, line in self._lines.items():
+        for service, line in tuple(self._lines.items()):
             if len(line):
                 self._advance(service)
 
@@ -142,12 +143,19 @@
         candidates = ctx.candidates(service)
         for outcome in line.advance(now, candidates, ctx.rng):
             call, result = self._results[outcome.waiting]
-            if not candidates:
-                result.set(Ok(None))
-            elif outcome.chosen is not None:
-                result.set(Ok(self._place(call, outcome.chosen, candidates)))
-            else:
-                result.set(Err(self._refuse(call, outcome, candidates)))
+            try:
+                result.set(self._apply(call, outcome, candidates))
+            except Exception as exc:
+                # Other calls run this, so an exception ends only the wait of its own.
+                result.set_exception(exc)
+
+    def _apply(self, call, outcome, candidates):
+        """Returns the ``Result`` of a call that waits no longer; see `place`."""
+        if not candidates:
+            return Ok(None)
+        if outcome.chosen is not None:
+            return Ok(self._place(call, outcome.chosen, candidates))
+        return Err(self._refuse(call, outcome, candidates))
 
     def _place(self, call, chosen, candidates):
         """Logs the choice and returns the `PlainPlacement`; None if there is none."""
--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -3,6 +3,7 @@
 The queues at the servers stay so short that calls are answered within their target.
 """
 
+from collections import Counter
 from dataclasses import dataclass, replace
 from math import inf
 
@@ -34,10 +35,25 @@
 LATE_WAIT_CALLS = 4
 # Share of the less urgent calls that count as urgent, so that none starve.
 PROMOTED_SHARE = 0.25
-# Time for which the most urgent priority of a service is remembered.
-PRIORITY_MEMORY_S = 10.0
+# Share of a service's latest calls from which on a priority counts as its most urgent
+# one. Rare calls, such as probes, don't make all others less urgent.
+MIN_URGENT_SHARE = 0.05
+# Number of calls, or of deadlines of a route, after which older ones count half.
+MAX_COUNTED = 200
 # Calls per slot that an unmeasured server may hold.
 UNMEASURED_CALLS_PER_SLOT = 2
+# Calls per slot that a server may hold, whatever the target. Its queue takes 4 per
+# slot, and other instances place calls before they hear of these.
+MAX_CALLS_PER_SLOT = 3
+# Calls that a call may wait for at a server, whatever the share of its target, as long
+# as it leaves time for outdated views.
+MIN_QUEUE_CALLS = 2
+MAX_QUEUE_SHARE = 0.8
+# An instance without a call at a server may exceed the bound by this factor. The
+# instances whose calls end there know of a free place first and would take all.
+FIRST_CALL_FACTOR = 1.2
+# Servers that fail more often get calls only if no other one may get them.
+MAX_FAILURE_SHARE = 0.5
 # Bounds of the retry time. Reported loads lapse within a second, so that a longer one
 # would rest on nothing.
 MIN_RETRY_S = 0.05
@@ -47,8 +63,10 @@
 # A caller whose deadline is shorter than that of others by this has come back after a
 # refusal. It is less than `MIN_RETRY_S`, and more than the time of a connection.
 RETURNED_AFTER_S = 0.04
-# Time for which the longest deadline of a route is remembered.
-DEADLINE_MEMORY_S = 10.0
+# Deadlines of first tries differ by less. Those that this share of a route's callers
+# state are of first tries, as returned callers have spread deadlines.
+DEADLINE_STEP_S = 0.04
+MIN_FIRST_SHARE = 0.25
 # Callers whose deadline is shorter than that of others by a larger share haven't come
 # back, but have another deadline: retries wait for at most a third of the time left.
 MAX_ELAPSED_SHARE = 0.5
@@ -61,7 +79,7 @@
     Attributes:
         arrived_at: Monotonic time of its arrival.
         target_s: Target for the seconds to its answer.
-        priority: Rank of the call; 0 is the highest.
+        priority: Rank of the call, see `Call.priority`; a lower one comes first.
         elapsed_s: Seconds since the first try of a caller that has come back after a
             refusal; 0 for a first try.
         draw: Random number from 0 to 1 that decides whether it is promoted.
@@ -113,13 +131,13 @@
 class FirstDeadlines:
     """Estimates how long ago callers made their first try, from their deadlines.
 
-    Callers state the time that they have left. At the first try, this is about the same
-    for all callers of a route.
+    Callers state the time that they have left. At the first try, many callers of a
+    route state the same.
     """
 
     def __init__(self):
-        # Longest deadline of each route, and the time at which it was stated.
-        self._longest = {}
+        # Number of callers by deadline in steps, by route.
+        self._counts = {}
 
     def elapsed_s(self, route, deadline_s, now):
         """Returns the seconds since a caller's first try; 0 if this is the first.
@@ -131,29 +149,47 @@
         """
         if deadline_s is None:
             return 0.0
-        longest_s, stated_at = self._longest.get(route, (0.0, now))
-        if deadline_s >= longest_s or now - stated_at > DEADLINE_MEMORY_S:
-            self._longest[route] = (deadline_s, now)
+        counts = self._counts.setdefault(route, Counter())
+        step = int(deadline_s / DEADLINE_STEP_S)
+        _count(counts, step)
+        least = MIN_FIRST_SHARE * counts.total()
+        first_tries = [
+            other * DEADLINE_STEP_S
+            for other, count in counts.items()
+            if other >= step and count >= least
+        ]
+        if not first_tries or counts[step] >= least:
             return 0.0
-        elapsed_s = longest_s - deadline_s
-        has_returned = RETURNED_AFTER_S <= elapsed_s <= MAX_ELAPSED_SHARE * longest_s
+        first_s = min(first_tries)
+        elapsed_s = first_s - deadline_s
+        has_returned = RETURNED_AFTER_S <= elapsed_s <= MAX_ELAPSED_SHARE * first_s
         return elapsed_s if has_returned else 0.0
 
 
+def _count(counts, key):
+    """Adds one to a counter, in which older entries count less and less."""
+    counts[key] += 1
+    if counts.total() > MAX_COUNTED:
+        for other in list(counts):
+            counts[other] //= 2
+            if not counts[other]:
+                del counts[other]
+
+
 class PlainLine:
     """The calls of one service that wait at this instance."""
 
     def __init__(self):
         self._waiting = []
-        # Time at which a call of each priority last came.
-        self._seen_at = {}
+        # Number of the latest calls by priority.
+        self._counts = Counter()
 
     def __len__(self):
         return len(self._waiting)
 
     def add(self, waiting):
         """Adds a `WaitingCall`."""
-        self._seen_at[waiting.priority] = waiting.arrived_at
+        _count(self._counts, waiting.priority)
         self._waiting.append(waiting)
 
     def discard(self, waiting):
@@ -177,16 +213,16 @@
             outcomes = [LineOutcome(waiting) for waiting in self._waiting]
             self._waiting = []
             return outcomes
-        urgent = self._most_urgent(now)
+        urgent = self._most_urgent()
         loads = {candidate.server.name: candidate for candidate in candidates}
         service_s = min(map(service_s_of, candidates))
         ordered = sorted(
             (_terms(waiting, urgent, service_s, now) for waiting in self._waiting),
             key=lambda terms: terms.rank,
         )
-        outcomes, self._waiting = [], []
+        outcomes, still_waiting = [], []
         for terms in ordered:
-            waiting, calls_before = terms.waiting, len(self._waiting)
+            waiting, calls_before = terms.waiting, len(still_waiting)
             usable = _preferred(loads.values())
             # A call doesn't overtake the ones before it.
             fitting = [] if calls_before else _fitting(usable, terms.limit_s)
@@ -201,17 +237,17 @@
                 waited_s = now - waiting.arrived_at
                 outcomes.append(LineOutcome(waiting, None, wait_s, waited_s))
             else:
-                self._waiting.append(waiting)
+                still_waiting.append(waiting)
+        self._waiting = still_waiting
         return outcomes
 
-    def _most_urgent(self, now):
-        """Returns the most urgent priority that was seen lately."""
-        self._seen_at = {
-            priority: seen_at
-            for priority, seen_at in self._seen_at.items()
-            if now - seen_at < PRIORITY_MEMORY_S
-        }
-        return min(self._seen_at, default=0)
+    def _most_urgent(self):
+        """Returns the most urgent priority that is not rare."""
+        least = MIN_URGENT_SHARE * self._counts.total()
+        return min(
+            (priority for priority, count in self._counts.items() if count >= least),
+            default=0,
+        )
 
 
 @dataclass(frozen=True)
@@ -249,18 +285,29 @@
         share = min(share, LATE_QUEUE_SHARE)
         patience_s = max(waiting.target_s, LATE_WAIT_CALLS * service_s)
         ends_at = min(waiting.arrived_at + patience_s, waiting.ends_at)
+    limit_s = max(
+        share * waiting.target_s,
+        min(MIN_QUEUE_CALLS * service_s, MAX_QUEUE_SHARE * waiting.target_s),
+    )
     return _Terms(
         waiting,
         (priority, late, not waiting.elapsed_s, ends_at),
-        min(share * waiting.target_s, ends_at - now),
+        min(limit_s, ends_at - now),
         ends_at,
     )
 
 
 def _preferred(candidates):
-    """Returns the candidates that aren't avoided, or all if there are no others."""
+    """Returns the candidates that neither are avoided nor fail most calls.
+
+    If there are none, returns all of them.
+    """
+    candidates = list(candidates)
     usable = [candidate for candidate in candidates if not candidate.avoided]
-    return usable or list(candidates)
+    sound = [
+        candidate for candidate in usable if candidate.failure_share < MAX_FAILURE_SHARE
+    ]
+    return sound or usable or candidates
 
 
 def _fitting(candidates, limit_s):
@@ -278,6 +325,10 @@
     if not candidate.service_s:
         calls = UNMEASURED_CALLS_PER_SLOT * candidate.server.slots
         return candidate.running < calls
+    if candidate.running >= MAX_CALLS_PER_SLOT * candidate.server.slots:
+        return False
+    if not candidate.own:
+        limit_s *= FIRST_CALL_FACTOR
     return expected_s(candidate, candidate.service_s) <= limit_s
 
 
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -398,12 +398,16 @@
 
 def test_first_try_is_known_from_the_deadline(case):
     """Guards against new calls that count as returned, since callers have several
-    deadlines or lose milliseconds on the way."""
+    deadlines, one of them states a long one, or some lose milliseconds on the way."""
     deadlines = FirstDeadlines()
-    stated = (2.5, 2.49, 2.1, 0.6, None)
-    elapsed = [deadlines.elapsed_s("r", deadline_s, 0.0) for deadline_s in stated]
-    case.assertEqual([round(each, 3) for each in elapsed], [0.0, 0.0, 0.4, 0.0, 0.0])
-    case.assertEqual(deadlines.elapsed_s("r", 2.1, 20.0), 0.0)
+
+    def elapsed(*stated):
+        return [round(deadlines.elapsed_s("r", each, 0.0), 1) for each in stated]
+
+    case.assertEqual(elapsed(*(2.5, 2.49) * 10, 4.5, None, 2.5), [0.0] * 23)
+    case.assertEqual(elapsed(2.1, 0.6, 2.5), [0.4, 0.0, 0.0])
+    elapsed(*(1.3,) * 20)
+    case.assertEqual(elapsed(1.3, 2.5, 1.0, 2.1), [0.0, 0.0, 0.3, 0.4])
 
 
 def test_reports_of_changes_have_a_bounded_rate(case):
