Tell decode servers no urgency, and mend what the review of the quotas found

Change: X-Request-Urgency goes out with prefill calls only. A refund raises the own level only; peers go on counting the units until they refill. Unknown charges may use 0.35 of the tolerated excess in place of 0.5, since rate and burst are raised by 0.3 of it in sum. The last places of a full line are refused, and a request behind a larger one of its priority tries once before it is refused.

--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -288,7 +288,6 @@
         options = call.forward_options(
             server.name,
             ctx.clock.monotonic(),
-            urgency=ctx.urgency_of(call),
             kv_source=computed.source if computed is not None else "",
             hold=hold,
             last_event_id=self._output.last_id if self._output.started else None,
--- a/amaranthbay/workspaces/buckets.py
+++ b/amaranthbay/workspaces/buckets.py
@@ -19,16 +19,14 @@
 # the end of it that is left out, in which the charges of the turn become known.
 TURN_S = 0.25
 TURN_END_S = 0.1
-# Part of the overshoot that unknown charges may use. The other half covers charges that
-# no process knows any more after a kill, or that a cut left unknown.
-UNKNOWN_FRACTION = 0.5
+# Part of the overshoot that unknown charges may use. As much covers charges that no
+# process knows any more after a kill, or that a cut left unknown.
+UNKNOWN_FRACTION = 0.35
 # Part of the overshoot by which rate and burst are raised, each, so that what the
 # replicas don't know exactly refuses nothing under the limit.
 LENIENT_FRACTION = 0.15
 # An instance that hears less of the fleet passes no request above the burst.
 MIN_PART_ABOVE_BURST = 0.5
-# Time within which refunded units may be used by other requests of this process.
-CREDIT_S = 1.0
 ROUNDING = 1e-6
 
 
@@ -142,8 +140,6 @@
         "mark",
         "charged_at",
         "heard_at",
-        "_credit",
-        "_credit_until",
         "_counts",
         "_open",
         "_largest",
@@ -156,8 +152,6 @@
         self.level = 0.0
         self.count = self.since = self.mark = 0
         self.charged_at = self.heard_at = -inf
-        self._credit = 0
-        self._credit_until = -inf
         self._counts = {}
         self._open = []
         self._largest = 0
@@ -191,39 +185,26 @@
         return sum(units for _, units in self._open)
 
     def charge(self, units, mark, now):
-        """Charges a request of this process.
-
-        Returns:
-            Whether peers have to be told; units that they know as charged and that
-            were refunded here come first.
-        """
+        """Charges a request of this process, which its peers have to be told."""
         self.level -= units
         self._largest = max(self._largest, units)
         self.heard_at = now
-        known = min(self._credit, units) if now <= self._credit_until else 0
-        self._credit = self._credit - known if known else 0
-        if known == units:
-            return False
-        self.count += units - known
+        self.count += units
         self.since = self.since or mark
         self.mark, self.charged_at = mark, now
-        self._open.append((mark, units - known))
-        return True
+        self._open.append((mark, units))
 
-    def refund(self, units, now):
+    def refund(self, units):
         """Gives back the units of a request that did not run.
 
-        Peers know them as charged, so that the next charges here take them. They lapse
-        after `CREDIT_S`, when the buckets of peers may be full without them.
+        Peers go on counting them as charged: their buckets may have refilled since, and
+        units that were charged long ago must not be usable everywhere at once.
         """
         self.level += units
-        self._credit += units
-        self._credit_until = now + CREDIT_S
 
     def forget_own(self):
         """Drops the own count; the next charge begins a new one."""
         self.count = self.since = self.mark = 0
-        self._credit = 0
         self._open.clear()
 
     def knows(self, process, since, count):
--- a/amaranthbay/workspaces/quota_line.py
+++ b/amaranthbay/workspaces/quota_line.py
@@ -86,7 +86,12 @@
                 shortage = charged.unwrap_err()
             left_s = until - self._clock.monotonic()
             retry_s = LOOK_INTERVAL_S if shortage is None else shortage.retry_s
-            if retry_s > left_s or len(places) > MAX_WAITING:
+            if retry_s > left_s or place not in places[:MAX_WAITING]:
+                if shortage is None and places[0].priority == place.priority:
+                    # A large request may wait before this one, which fits.
+                    charged = self._quotas.try_charge(workspace, units)
+                    if charged.is_ok():
+                        return charged
                 return Err(self._quotas.refuse(workspace, units))
             self._clock.sleep(max(LOOK_INTERVAL_S, min(retry_s, left_s)))
 
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -151,13 +151,13 @@
         bucket, needed_s, is_urgent = self._check(workspace, quota, units)
         if needed_s:
             return Err(Shortage(needed_s, bucket.level))
-        if bucket.charge(units, self._mark + 1, now):
-            self._mark += 1
-            self._marks.pop(workspace.name, None)
-            self._marks[workspace.name] = self._mark
-            if is_urgent:
-                self._report_soon()
-        return Ok(Charge(lambda: bucket.refund(units, self._clock.monotonic())))
+        self._mark += 1
+        bucket.charge(units, self._mark, now)
+        self._marks.pop(workspace.name, None)
+        self._marks[workspace.name] = self._mark
+        if is_urgent:
+            self._report_soon()
+        return Ok(Charge(lambda: bucket.refund(units)))
 
     def _check(self, workspace, quota, units):
         """Returns the bucket, the seconds until a charge may be, and its urgency.
--- a/amaranthbay/workspaces/tests/test_quota_line.py
+++ b/amaranthbay/workspaces/tests/test_quota_line.py
@@ -77,6 +77,33 @@
     case.assertGreater(times[-1], 1.5)
 
 
+def test_urgent_request_finds_a_place_in_a_full_line(case):
+    """Guards against a full line that refuses whoever comes last, however urgent."""
+    line, clock = make_line(case)
+    jobs = [
+        gevent.spawn(line.charge, make_call(clock, RATE // 50, 2, name=f"r{number:03}"))
+        for number in range(MAX_WAITING)
+    ]
+    gevent.sleep(0)
+    urgent = gevent.spawn(line.charge, make_call(clock, RATE // 50, 0, name="urgent"))
+    gevent.joinall([*jobs, urgent])
+    case.assertTrue(urgent.get().is_ok())
+
+
+def test_small_request_is_not_refused_behind_a_large_one(case):
+    """Guards against a refusal below the quota, since a request that waits for more
+    units than the bucket has is the first one of the line."""
+    line, clock = make_line(case)
+    for _ in range(2):
+        clock.advance(0.1)
+        line._quotas.report()
+    large = gevent.spawn(line.charge, make_call(clock, RATE // 3, name="large"))
+    gevent.sleep(0)
+    small = make_call(clock, RATE // 1000, target_s=0.05, name="small")
+    case.assertTrue(line.charge(small).is_ok())
+    large.join()
+
+
 def test_line_is_bounded(case):
     """Guards against requests that pile up behind a quota that is used up."""
     line, clock = make_line(case)
