Scale places for lookups, and mend turns of heads and the choice for a place

Places for lookups and readiness were at most 64 each, so callers that keep a connection lost theirs while descriptors were left. They now get a quarter of the descriptors beyond callers and the reserve. A connection of the WSGI server with unread input keeps its place, and one that finds none gets a 503 with Retry-After in place of a plain close.

Newlines of a body counted as lines of its head, so ordinary bodies of many lines waited for a turn; the count now ends with the head. The pause after a parse is at most 30 ms, as the measured time includes a freeze of the process.

A choice for a place looked at each idle socket with three system calls. It now looks only at chosen connections, with one call. An address that may have no more places replaces its connections one at a time, and is refused for 20 ms without a new choice if all of them are busy.

--- a/amaranthbay/ingress/capacity.py
+++ b/amaranthbay/ingress/capacity.py
@@ -35,10 +35,13 @@
 RESERVED_DESCRIPTORS = 700
 # Limits of caller connections. A small instance accepts at least the minimum.
 MIN_CALLER_CONNECTIONS, MAX_CALLER_CONNECTIONS = 64, 2000
-# Limits of the connections for lookups, and of those for readiness. They last for one
-# short request, and are a part of the reserved descriptors.
-MIN_SERVICE_CONNECTIONS, MAX_SERVICE_CONNECTIONS = 16, 64
+# Least number and share of the descriptors for lookups, and as many for readiness. They
+# are a part of the reserved descriptors.
+MIN_SERVICE_CONNECTIONS = 16
 SERVICE_SHARE = 1 / 16
+# Share of the descriptors that are left for each of both. With a fixed limit of 64,
+# 100 callers that kept a connection open for lookups lost 36 of them.
+LEFT_SHARE = 1 / 4
 
 
 @dataclass(frozen=True)
@@ -88,10 +91,16 @@
     Examples:
         >>> split_places(1024, 30 * 2**20)
         Places(callers=324, services=64)
+        >>> split_places(8192, 30 * 2**20)
+        Places(callers=768, services=1681)
     """
     for_memory = int(CONNECTIONS_SHARE * memory_bytes / CONNECTION_BYTES)
     spare = min(descriptors - RESERVED_DESCRIPTORS, for_memory)
     callers = max(MIN_CALLER_CONNECTIONS, min(MAX_CALLER_CONNECTIONS, spare))
-    services = int(SERVICE_SHARE * descriptors)
-    services = max(MIN_SERVICE_CONNECTIONS, min(MAX_SERVICE_CONNECTIONS, services))
-    return Places(callers, services)
+    left = max(0, descriptors - RESERVED_DESCRIPTORS - callers)
+    services = max(
+        MIN_SERVICE_CONNECTIONS,
+        int(SERVICE_SHARE * descriptors),
+        int(LEFT_SHARE * left),
+    )
+    return Places(callers, min(MAX_CALLER_CONNECTIONS, services))
--- a/amaranthbay/ingress/heads.py
+++ b/amaranthbay/ingress/heads.py
@@ -12,6 +12,9 @@
 MANY_LINES = 100
 # Time for which others run after a long parse, as a multiple of its own.
 PAUSE_FACTOR = 3.0
+# Longest pause. The time of a parse includes that for which the process was frozen:
+# after a freeze of 1.5 s, the next request waited until its head timed out.
+MAX_PAUSE_S = 0.03
 
 
 class ParseTurns:
@@ -33,4 +36,5 @@
                 return parse()
             finally:
                 ended_at = self._clock.monotonic()
-                self._free_at = ended_at + PAUSE_FACTOR * (ended_at - started_at)
+                pause_s = min(MAX_PAUSE_S, PAUSE_FACTOR * (ended_at - started_at))
+                self._free_at = ended_at + pause_s
--- a/amaranthbay/ingress/places.py
+++ b/amaranthbay/ingress/places.py
@@ -32,7 +32,14 @@
 
     @abstractmethod
     def wait_s(self, now):
-        """Returns the seconds until it is expected to be done; None if it is busy."""
+        """Returns the seconds until it is expected to be done; None if it is busy.
+
+        Called for each connection in a choice, so it must not make system calls.
+        """
+
+    def has_input(self):
+        """Returns whether it must not be dropped, as a request has arrived."""
+        return False
 
     @abstractmethod
     def drop(self):
@@ -52,6 +59,8 @@
         self._addresses = {}
         self._counts = Counter()
         self._busy_until = 0.0
+        # At most one address has so many places that it must drop its own.
+        self._busy_address, self._busy_address_until = None, 0.0
         self._refused_address, self._refused_at = None, 0.0
 
     def __len__(self):
@@ -65,14 +74,16 @@
         """
         now, address = self._clock.monotonic(), holder.address
         if len(self._addresses) >= self.total:
-            has_room = now >= self._busy_until and self._make_room(self._addresses, now)
+            most = max(1, int(BATCH_SHARE * self.total))
+            has_room = now >= self._busy_until and self._make_room(
+                self._addresses, now, most
+            )
             if not has_room:
                 self._busy_until = max(self._busy_until, now + BUSY_S)
                 self._refused_address, self._refused_at = address, now
         else:
-            has_room = not self._has_too_many(address, now) or self._make_room(
-                [each for each, where in self._addresses.items() if where == address],
-                now,
+            has_room = not self._has_too_many(address, now) or self._replace_own(
+                address, now
             )
         if not has_room:
             return False
@@ -89,15 +100,24 @@
         is_refused = now - self._refused_at < REFUSED_S
         return is_refused and self._refused_address != address
 
-    def _make_room(self, candidates, now):
+    def _replace_own(self, address, now):
+        """Drops the slowest holder of an address; returns whether one was dropped."""
+        if self._busy_address == address and now < self._busy_address_until:
+            return False
+        own = [each for each, where in self._addresses.items() if where == address]
+        has_room = self._make_room(own, now, 1)
+        if not has_room:
+            self._busy_address, self._busy_address_until = address, now + BUSY_S
+        return has_room
+
+    def _make_room(self, candidates, now, most):
         """Drops the slowest of some holders; returns whether any could be dropped."""
         holders = [
             Holder(each, 0, wait_s, each.reads_response, self._counts[each.address])
             for each in candidates
             if (wait_s := each.wait_s(now)) is not None
         ]
-        most = max(1, int(BATCH_SHARE * self.total))
-        chosen = choose_for_place(holders, most)
+        chosen = choose_for_place(holders, most, lambda owner: owner.has_input())
         for holder in chosen:
             self.leave(holder.owner)
             holder.owner.drop()
--- a/amaranthbay/ingress/shortage.py
+++ b/amaranthbay/ingress/shortage.py
@@ -73,7 +73,7 @@
     return holder.wait_s * (RESPONSE_WEIGHT if holder.is_response else 1.0)
 
 
-def choose_for_place(holders, most):
+def choose_for_place(holders, most, is_spared=lambda owner: False):
     """Returns the holders that lose their place, the first of them first.
 
     The expected time of a holder counts as often as its address has places, so that one
@@ -82,14 +82,21 @@
     Args:
         holders: Sequence of `Holder`.
         most: Largest number that is chosen. Only the first may be soon done.
+        is_spared: Function that tells for an owner whether it must not be chosen. It is
+            called only for those that would be chosen, as it may be expensive.
 
     Examples:
         >>> holders = [Holder("a", 0, 3.0), Holder("b", 0, 2.0, address_places=9)]
         >>> [each.owner for each in choose_for_place(holders, 1)]
         ['b']
     """
-    ordered = sorted(holders, key=_place_cost, reverse=True)[:most]
-    return ordered[:1] + [holder for holder in ordered[1:] if _is_slow(holder)]
+    chosen = []
+    for holder in sorted(holders, key=_place_cost, reverse=True):
+        if len(chosen) >= most:
+            break
+        if (not chosen or _is_slow(holder)) and not is_spared(holder.owner):
+            chosen.append(holder)
+    return chosen
 
 
 def _place_cost(holder):
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers, with limits and graceful shutdown."""
 
+import re
 import socket as std_socket
 import struct
 import sys
@@ -17,12 +18,13 @@
 from amaranthbay.ingress.heads import MANY_LINES, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
+from amaranthbay.ingress.refusals import SHORTAGE_RETRY_S, refuse_connection
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import Gauge, log_event
 from amaranthbay.utils.http import split_address
 from amaranthbay.utils.reading import BoundedReader, ReadLimitExceeded, ReadMemory
-from amaranthbay.utils.sockets import peek
+from amaranthbay.utils.sockets import has_input, peek
 
 __all__ = ["CallerConnection", "IncomingRequest", "Listener"]
 
@@ -33,8 +35,6 @@
 # Time for which input is read before a close. Unread input would turn the close into a
 # reset, which may discard the answer before the caller reads it.
 LINGER_S = 0.5
-# Time after which a caller may send a request again that found no memory or place.
-SHORTAGE_RETRY_S = 0.5
 # Connections that linger at the same time after they have lost their place. Further
 # ones are closed at once, as each still has a descriptor.
 MAX_LINGERING = 32
@@ -47,11 +47,8 @@
 MAX_ACCEPTS = 16
 MEMORY_FULL, PLACES_FULL = "memory_full", "places_full"
 BACKLOG = 512
-# Answer to a connection that finds no place.
-NO_PLACE_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %g\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n" % SHORTAGE_RETRY_S
-)
+# End of a request head, as h11 finds it.
+HEAD_END = re.compile(rb"\n\r?\n")
 
 
 @dataclass(frozen=True)
@@ -128,8 +125,10 @@
         self.started = False
         self.answered = False
         self._method = b""
-        # Lines that have been received of the head that is being read.
+        # Lines that have been received of the head that is being read, and the latest
+        # bytes, which may be a part of its end.
         self._head_lines = 0
+        self._head_tail = b""
         self._has_place = True
         self._phase = _Phase.IDLE
         self._progress = Progress(self._reader.read_at)
@@ -141,12 +140,11 @@
 
     def wait_s(self, now):
         """Returns the seconds until the caller is expected to be done; None if busy."""
-        if self._phase is _Phase.BUSY:
-            return None
-        if self._phase is _Phase.IDLE and peek(self.sock):
-            # Its next request has arrived.
-            return None
-        return self._progress.wait_s(now)
+        return None if self._phase is _Phase.BUSY else self._progress.wait_s(now)
+
+    def has_input(self):
+        """Returns whether the connection was idle and its next request has arrived."""
+        return self._phase is _Phase.IDLE and has_input(self.sock)
 
     def drop(self):
         """Ends the connection in the next turn of the event loop.
@@ -332,7 +330,8 @@
     def _read_head(self):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
         pipelined = self._http.trailing_data[0]
-        self._head_lines = pipelined.count(b"\n")
+        self._head_lines, self._head_tail = 0, b""
+        self._count_head_lines(pipelined)
         if not pipelined:
             data = self._receive_first()
             if not data:
@@ -471,10 +470,17 @@
         return self._listener.parse_turns.parse(self._http.next_event)
 
     def _receive_head(self, data):
-        # Lines of a body that follows may count, too.
-        self._head_lines += data.count(b"\n")
+        self._count_head_lines(data)
         self._http.receive_data(data)
 
+    def _count_head_lines(self, data):
+        """Counts the lines of a head, but not those of a body that follows."""
+        joined = self._head_tail + data
+        end = HEAD_END.search(joined)
+        lines = joined.count(b"\n", 0, end.end() if end else len(joined))
+        self._head_lines += lines - self._head_tail.count(b"\n")
+        self._head_tail = joined[-2:]
+
     def _answer_rejected(self, status):
         """Refuses a request for its form; the connection ends then."""
         self._phase = _Phase.BUSY
@@ -687,14 +693,7 @@
     def _refuse(self, sock):
         """Refuses a connection as all others are busy, without waiting."""
         self.drops.note(PLACES_FULL)
-        sock.settimeout(0)
-        try:
-            # Unread input would turn the close into a reset.
-            peek(sock) and sock.recv(WRITE_BYTES)
-            sock.sendall(NO_PLACE_ANSWER)
-        except OSError:
-            pass
-        sock.close()
+        refuse_connection(sock)
 
     def register_gauges(self, metrics):
         """Registers the gauges of connections and memory."""
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -297,4 +297,22 @@
         case.assertEqual(read_answer(sock).status, 200)
 
 
+def test_lines_of_a_body_are_no_lines_of_its_head(case):
+    """Guards against ordinary bodies of many lines that wait for a turn to parse."""
+    body = b"line\n" * 300
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % len(body)
+    with connection(ClientLimits) as (sock, listener):
+        turns = mock.Mock(wraps=listener.parse_turns)
+        listener.parse_turns = turns
+        for parts in ((head + b"\r\n" + body,), (head + b"\r", b"\n" + body)):
+            for part in parts:
+                sock.sendall(part)
+                gevent.sleep(0.05)
+            case.assertEqual(read_answer(sock).status, 200)
+        turns.parse.assert_not_called()
+        sock.sendall(head + b"a: b\r\n" * 150 + b"\r\n" + body)
+        case.assertEqual(read_answer(sock).status, 200)
+        turns.parse.assert_called()
+
+
 load_tests = collect(globals())
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -6,9 +6,11 @@
 
 from amaranthbay.ingress.drops import DropLog
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
+from amaranthbay.ingress.refusals import refuse_connection
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
+from amaranthbay.utils.sockets import has_input
 
 __all__ = ["CONNECTION_KEY", "INPUT_KEY", "LINGER_KEY", "Server"]
 
@@ -68,6 +70,9 @@
     def wait_s(self, now):
         return None if self.responding else now - self._began_at
 
+    def has_input(self):
+        return has_input(self._sock)
+
     def note_response(self, in_progress):
         """Records the beginning or the end of a response."""
         self.responding = in_progress
@@ -227,6 +232,7 @@
         if not self.places.enter(place):
             # All others are being answered.
             self.drops.note("places_full")
+            refuse_connection(sock)
             return
         try:
             handler = self.handler_class(sock, address, self)
--- a/amaranthbay/utils/sockets.py
+++ b/amaranthbay/utils/sockets.py
@@ -2,7 +2,7 @@
 
 import socket
 
-__all__ = ["peek"]
+__all__ = ["has_input", "peek"]
 
 
 def peek(sock):
@@ -22,3 +22,14 @@
         return b""
     finally:
         sock.settimeout(None)
+
+
+def has_input(sock):
+    """Returns whether a gevent socket has unread input.
+
+    Unlike `peek`, this costs one system call and keeps the timeout of the socket.
+    """
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
