Answer callers that lose their place or memory early, and stop late interruptions

A task that had just begun had no rate, so a fresh upload or an event of a stream looked slower than a stuck sender and lost its place first. It is now credited with its size, which fades, and a part written at once has no size. Memory is still chosen by the measured rate: with the credit, a flood of fresh uploads would look soon done and displace the answers of servers.

A request that arrived on an idle connection just chosen was reset. A connection without a place sends Connection: close and lingers, within the bound that refused ones had. A request that loses its place or memory while its head is read gets a 503 with Retry-After; it was closed without an answer.

HangupWatch scheduled an exception that could arrive after stop(), and escaped from a lingering close. It is now raised from a callback that checks the watch, and the close doesn't fail. A whole answer on a stream route passes its message on, so that it can yield its memory.

--- a/amaranthbay/ingress/progress.py
+++ b/amaranthbay/ingress/progress.py
@@ -19,7 +19,13 @@
 class Progress:
     """Progress of a caller that sends a request, reads a response or waits."""
 
-    __slots__ = ("_began_at", "_noted_at", "_recent_bytes", "_left_bytes")
+    __slots__ = (
+        "_began_at",
+        "_noted_at",
+        "_recent_bytes",
+        "_left_bytes",
+        "_credit_bytes",
+    )
 
     def __init__(self, now, left_bytes=None):
         self.begin(now, left_bytes)
@@ -34,6 +40,7 @@
         self._began_at = self._noted_at = now
         self._recent_bytes = 0.0
         self._left_bytes = left_bytes
+        self._credit_bytes = left_bytes or 0
 
     def note(self, now, count):
         """Records that bytes were transferred."""
@@ -55,6 +62,19 @@
             >>> progress.wait_s(1.0)
             2.0
         """
+        return self._wait_s(now, 0.0)
+
+    def wait_for_place_s(self, now):
+        """Returns `wait_s`, but credits a task that has just begun with its whole size.
+
+        Without the credit, which fades like the rate, a fresh upload looks slower than
+        a sender that has been stuck for long. Memory is chosen without it, as a flood
+        of uploads that all look soon done would displace the answers of servers.
+        """
+        fading = math.exp((self._began_at - now) / RATE_SPAN_S)
+        return self._wait_s(now, self._credit_bytes * fading)
+
+    def _wait_s(self, now, credit_bytes):
         silence_s = now - self._noted_at
         if self._left_bytes is None:
             return now - self._began_at
@@ -62,6 +82,5 @@
             return silence_s
         span_s = min(RATE_SPAN_S, max(MIN_RATE_S, now - self._began_at))
         recent_bytes = self._recent_bytes * math.exp(-silence_s / RATE_SPAN_S)
-        return silence_s + self._left_bytes / max(
-            MIN_BYTES_PER_S, recent_bytes / span_s
-        )
+        bytes_per_s = (recent_bytes + credit_bytes) / span_s
+        return silence_s + self._left_bytes / max(MIN_BYTES_PER_S, bytes_per_s)
--- a/amaranthbay/ingress/tests/test_decisions.py
+++ b/amaranthbay/ingress/tests/test_decisions.py
@@ -49,6 +49,27 @@
     case.assertEqual(names(10**7), [*slow, "answer of a server", "quick"])
 
 
+def test_fresh_upload_is_better_than_a_stuck_sender_and_an_idle_connection(case):
+    """Guards against dropping first, in a shortage of places, what has just begun, and
+    against a lasting credit for a sender that sends nothing."""
+    fresh, stuck, idle = (
+        Progress(10.0, 4_000_000),
+        Progress(0.0, 500_000),
+        Progress(5.0),
+    )
+    stuck.note(0.5, 499_997)
+
+    def waits(now):
+        return [each.wait_for_place_s(now) for each in (fresh, idle, stuck)]
+
+    case.assertEqual(waits(10.0), sorted(waits(10.0)))
+    fresh.note(10.2, 1460)
+    case.assertEqual(waits(10.3), sorted(waits(10.3)))
+    case.assertGreater(fresh.wait_for_place_s(14.0), stuck.wait_for_place_s(14.0))
+    # The order of memory is that of measured rates.
+    case.assertGreater(Progress(10.0, 4_000_000).wait_s(10.0), stuck.wait_s(10.0))
+
+
 class FakeConnection(PlaceHolder):
     """Connection with a fixed wait."""
 
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -140,7 +140,9 @@
 
     def wait_s(self, now):
         """Returns the seconds until the caller is expected to be done; None if busy."""
-        return None if self._phase is _Phase.BUSY else self._progress.wait_s(now)
+        if self._phase is _Phase.BUSY:
+            return None
+        return self._progress.wait_for_place_s(now)
 
     def has_input(self):
         """Returns whether the connection was idle and its next request has arrived."""
@@ -158,10 +160,22 @@
         """Interrupts the connection unless it has become busy; runs in the loop."""
         if self._phase is _Phase.WRITING:
             self._raise_dropped(PLACES_FULL)
-        elif self._phase is not _Phase.BUSY:
+        elif self._phase is not _Phase.BUSY and not self._is_spared():
             self._listener.drops.note(PLACES_FULL)
             self.greenlet.throw(_PlaceLost())
 
+    def _is_spared(self):
+        """Returns whether a request has arrived since the choice, and is answered.
+
+        A close would reset the connection. Their number is bounded, as they have no
+        place but a descriptor.
+        """
+        spared = self._listener.spared
+        if not self.has_input() or len(spared) >= MAX_LINGERING:
+            return False
+        spared.add(self)
+        return True
+
     def _raise_dropped(self, reason):
         """Interrupts a response that the caller reads too slowly; runs in the loop."""
         if self._phase is _Phase.WRITING:
@@ -202,6 +216,7 @@
                 self._end_without_place()
         finally:
             self._phase = _Phase.BUSY
+            self._listener.spared.discard(self)
             self._reader.release()
             self._close()
 
@@ -210,18 +225,15 @@
         is_arriving = self._phase is _Phase.READING
         self._phase = _Phase.BUSY
         self._reader.release()
-        if not is_arriving or self._http.our_state is not h11.SEND_RESPONSE:
+        if not is_arriving or self._http.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
             return
-        listener = self._listener
         retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
         try:
             self.answer(503, [retry], b"", close=True)
-            if listener.lingering < MAX_LINGERING:
-                listener.lingering += 1
-                try:
-                    self._linger()
-                finally:
-                    listener.lingering -= 1
+            self._linger()
         except (OSError, CallerGone):
             pass
         finally:
@@ -377,8 +389,11 @@
         self._listener.drops.note(MEMORY_FULL)
         log_event("request_rejected", level="warning", status=503, reason=MEMORY_FULL)
         retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
+        if self._http.our_state is h11.IDLE:
+            # The end of the request is unknown, as its head is incomplete.
+            self.answer(503, [retry], b"", close=True)
+            return False
         if self._http.our_state is not h11.SEND_RESPONSE:
-            # The head is incomplete, so there is no request to answer.
             return False
         self.answer(503, [retry], b"")
         if not self._has_place:
@@ -557,7 +572,8 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def _head(self, status, headers, close):
-        if close or (self._listener.draining and not self._has_more_input()):
+        is_last = self._listener.draining and not self._has_more_input()
+        if close or is_last or not self._has_place:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         output = self._http.send(response)
@@ -575,13 +591,15 @@
         gone = CallerGone("the caller does not read its answer")
         phase, self._phase = self._phase, _Phase.WRITING
         clock = self._listener.clock
-        self._progress.begin(clock.monotonic(), len(parts))
+        # The rate is noted for each part, so that of a single one is never known.
+        size = len(parts) if len(parts) > WRITE_BYTES else None
+        self._progress.begin(clock.monotonic(), size)
         try:
             for start in range(0, len(parts), WRITE_BYTES):
                 part = parts[start : start + WRITE_BYTES]
                 with gevent.Timeout(WRITE_TIMEOUT_S, gone):
                     self.sock.sendall(part)
-                if len(parts) > WRITE_BYTES:
+                if size is not None:
                     self._progress.note(clock.monotonic(), len(part))
         except OSError as exc:
             raise CallerGone("the caller has closed the connection") from exc
@@ -605,6 +623,16 @@
 
     def _linger(self):
         """Reads and drops input for a short time before the close; see `LINGER_S`."""
+        if self._has_place:
+            self._drop_input()
+        elif self._listener.lingering < MAX_LINGERING:
+            self._listener.lingering += 1
+            try:
+                self._drop_input()
+            finally:
+                self._listener.lingering -= 1
+
+    def _drop_input(self):
         try:
             self.sock.shutdown(std_socket.SHUT_WR)
             with gevent.Timeout(LINGER_S, False):
@@ -616,9 +644,14 @@
 
     def _close(self):
         self._listener.idle.discard(self)
-        if self.answered and self._http.our_state is h11.MUST_CLOSE:
-            self._linger()
-        self.sock.close()
+        try:
+            if self.answered and self._http.our_state is h11.MUST_CLOSE:
+                self._linger()
+        except CallerGone:
+            # The answer has been sent.
+            pass
+        finally:
+            self.sock.close()
 
     def _sends_chunks(self):
         return (self._http.their_http_version or b"") >= b"1.1"
@@ -648,6 +681,7 @@
         parse_turns: `ParseTurns` of the heads.
         drops: `DropLog` of the callers that lost memory or their place.
         lingering: Number of connections that linger after they lost their place.
+        spared: Connections that lost their place, but have a request to answer.
         clock: `Clock`.
     """
 
@@ -670,6 +704,7 @@
         self.parse_turns = ParseTurns()
         self.drops = DropLog()
         self.lingering = 0
+        self.spared = set()
         self.clock = SystemClock()
         self._handler = handler
         self._places = PlaceAccount(max_connections, self.clock)
--- a/amaranthbay/relay/output.py
+++ b/amaranthbay/relay/output.py
@@ -107,11 +107,11 @@
 
         Args:
             head: `AnswerHead` of the server's answer.
-            body: The whole body.
+            body: `AnswerBody`, which may yield its memory if the caller reads slowly.
         """
         self.started = True
         headers = self._codec.end_to_end(head.headers)
-        self._conn.answer(head.status, headers, body)
+        self._conn.answer(head.status, headers, body.data, message=body.message)
 
     def _write(self, head, data):
         if not self.started:
--- a/amaranthbay/relay/streams.py
+++ b/amaranthbay/relay/streams.py
@@ -350,6 +350,6 @@
         """
         body = opened.exchange.read_body()
         try:
-            self._output.send_whole(opened.head, body.data)
+            self._output.send_whole(opened.head, body)
         finally:
             body.release()
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -7,12 +7,14 @@
 import gevent.event
 from gevent import socket
 
-from amaranthbay.kernel.errors import ProcessStops
+from amaranthbay.ingress.progress import Progress
+from amaranthbay.kernel.errors import CallerGone, ProcessStops
 from amaranthbay.platform.tests.fixtures import read_answer
 from amaranthbay.relay import listener as listener_module
 from amaranthbay.relay.listener import Listener
 from amaranthbay.routing import ClientLimits
-from amaranthbay.utils.reading import ReadMemory
+from amaranthbay.utils.hangup import HangupWatch
+from amaranthbay.utils.reading import ReadLimitExceeded, ReadMemory
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -315,4 +317,86 @@
         turns.parse.assert_called()
 
 
+def test_event_that_has_just_begun_is_not_slow(case):
+    """Guards against dropping the reader of a stream because no rate is known yet."""
+    waits = []
+
+    def answer(conn, req):
+        conn._progress = mock.Mock(wraps=Progress(0.0))
+        conn.start_stream(200, [])
+        conn.send(b"data: x\n\n")
+        conn.send(b"x" * 100_000)
+        conn.finish_stream()
+        waits.extend(call.args[1] for call in conn._progress.begin.call_args_list)
+
+    with connection(ClientLimits, answer) as (sock, _):
+        sock.sendall(REQUEST)
+        case.assertEqual(len(read_answer(sock).body), 100_009)
+    sizes = [size for size in waits if size is not None]
+    case.assertEqual([size // 100_000 for size in sizes], [1])
+
+
+def test_request_that_arrives_as_its_connection_is_chosen_is_answered(case):
+    """Guards against a reset in place of an answer, and against a caller that sends
+    its next request on a connection without a place."""
+    with connection(ClientLimits) as (sock, listener):
+        wait_until(lambda: listener.idle)
+        (conn,) = listener.idle
+        sock.sendall(REQUEST)
+        conn.drop()
+        answer = read_answer(sock)
+        case.assertEqual((answer.status, answer.headers["connection"]), (200, "close"))
+        case.assertEqual(sock.recv(1), b"")
+        sock.close()
+        wait_until(lambda: not listener.spared)
+
+
+def test_incomplete_head_that_loses_its_place_or_memory_is_refused(case):
+    """Guards against a close without an answer while a head is read."""
+
+    def lose_memory(conn):
+        exc = ReadLimitExceeded("memory_full")
+        gevent.get_hub().loop.run_callback(conn.greenlet.throw, exc)
+
+    for lose in (listener_module.CallerConnection.drop, lose_memory):
+        with connection(ClientLimits) as (sock, listener):
+            sock.sendall(REQUEST[:-2])
+            wait_until(lambda listener=listener: listener.arriving)
+            lose(*listener.arriving)
+            refused = read_answer(sock)
+            case.assertEqual(refused.status, 503)
+            case.assertIn("retry-after", refused.headers)
+            case.assertEqual(refused.headers["connection"], "close")
+
+
+def test_stopped_watch_does_not_interrupt(case):
+    """Guards against an interruption that was scheduled before the watch stopped and
+    hits the greenlet in its next task."""
+    near, far = socket.socketpair()
+    watch = HangupWatch(near, "r")
+    far.close()
+    watch._interrupt_on_hangup()
+    watch.stop()
+    gevent.sleep(0.01)
+    watch = HangupWatch(near, "r")
+    with case.assertRaises(CallerGone):
+        gevent.sleep(5.0)
+    watch.stop()
+    near.close()
+
+
+def test_interrupted_close_closes_the_socket(case):
+    """Guards against a defect that is logged, and a descriptor that stays open, if the
+    caller leaves during a lingering close."""
+    with connection(ClientLimits) as (sock, listener):
+        wait_until(lambda: listener.idle)
+        (conn,) = listener.idle
+        lost = CallerGone("gone")
+        with mock.patch.object(conn, "_linger", side_effect=lost):
+            sock.sendall(REQUEST.replace(b"h\r\n", b"h\r\nConnection: close\r\n"))
+            case.assertEqual(read_answer(sock).status, 200)
+            wait_until(lambda: conn.greenlet.dead)
+        case.assertEqual((conn.sock.fileno(), conn.greenlet.exception), (-1, None))
+
+
 load_tests = collect(globals())
--- a/amaranthbay/utils/hangup.py
+++ b/amaranthbay/utils/hangup.py
@@ -33,6 +33,7 @@
         self._serving_greenlet = gevent.getcurrent()
         self._hangup_greenlet = None
         self._read_watcher = None
+        self._is_stopped = False
         if conn is not None:
             loop = gevent.get_hub().loop
             self._read_watcher = loop.io(conn.fileno(), READ_EVENT)
@@ -52,7 +53,15 @@
         except OSError:
             pass
         log_event("caller_gone", request_id=self._request_id)
-        gevent.kill(self._serving_greenlet, CallerGone("the caller has gone"))
+        gevent.get_hub().loop.run_callback(self._raise_gone)
+
+    def _raise_gone(self):
+        """Interrupts the serving greenlet; runs in the event loop.
+
+        The watch may have stopped since the interruption was scheduled.
+        """
+        if not self._is_stopped:
+            self._serving_greenlet.throw(CallerGone("the caller has gone"))
 
     def _is_established(self):
         tcp_info = self._conn.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
@@ -64,6 +73,7 @@
         Must be called before the socket is closed: a remaining watcher of the event
         loop would hide the events of the next socket with the same file descriptor.
         """
+        self._is_stopped = True
         if self._read_watcher is not None:
             self._read_watcher.stop()
             self._read_watcher.close()
