--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers, with limits and graceful shutdown."""
 
+import re
 import socket as std_socket
 import struct
 import sys
@@ -17,12 +18,13 @@
 from amaranthbay.ingress.heads import MANY_LINES, ParseTurns
 from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
 from amaranthbay.ingress.progress import Progress
+from amaranthbay.ingress.refusals import SHORTAGE_RETRY_S, refuse_connection
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.observe import Gauge, log_event
 from amaranthbay.utils.http import split_address
 from amaranthbay.utils.reading import BoundedReader, ReadLimitExceeded, ReadMemory
-from amaranthbay.utils.sockets import peek
+from amaranthbay.utils.sockets import has_input, peek
 
 __all__ = ["CallerConnection", "IncomingRequest", "Listener"]
 
@@ -33,8 +35,6 @@
 # Time for which input is read before a close. Unread input would turn the close into a
 # reset, which may discard the answer before the caller reads it.
 LINGER_S = 0.5
-# Time after which a caller may send a request again that found no memory or place.
-SHORTAGE_RETRY_S = 0.5
 # Connections that linger at the same time after they have lost their place. Further
 # ones are closed at once, as each still has a descriptor.
 MAX_LINGERING = 32
@@ -47,11 +47,8 @@
 MAX_ACCEPTS = 16
 MEMORY_FULL, PLACES_FULL = "memory_full", "places_full"
 BACKLOG = 512
-# Answer to a connection that finds no place.
-NO_PLACE_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %g\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n" % SHORTAGE_RETRY_S
-)
+# End of a request head, as h11 finds it.
+HEAD_END = re.compile(rb"\n\r?\n")
 
 
 @dataclass(frozen=True)
@@ -128,8 +125,10 @@
         self.started = False
         self.answered = False
         self._method = b""
-        # Lines that have been received of the head that is being read.
+        # Lines that have been received of the head that is being read, and the latest
+        # bytes, which may be a part of its end.
         self._head_lines = 0
+        self._head_tail = b""
         self._has_place = True
         self._phase = _Phase.IDLE
         self._progress = Progress(self._reader.read_at)
@@ -143,10 +142,11 @@
         """Returns the seconds until the caller is expected to be done; None if busy."""
         if self._phase is _Phase.BUSY:
             return None
-        if self._phase is _Phase.IDLE and peek(self.sock):
-            # Its next request has arrived.
-            return None
-        return self._progress.wait_s(now)
+        return self._progress.wait_for_place_s(now)
+
+    def has_input(self):
+        """Returns whether the connection was idle and its next request has arrived."""
+        return self._phase is _Phase.IDLE and has_input(self.sock)
 
     def drop(self):
         """Ends the connection in the next turn of the event loop.
@@ -160,10 +160,22 @@
         """Interrupts the connection unless it has become busy; runs in the loop."""
         if self._phase is _Phase.WRITING:
             self._raise_dropped(PLACES_FULL)
-        elif self._phase is not _Phase.BUSY:
+        elif self._phase is not _Phase.BUSY and not self._is_spared():
             self._listener.drops.note(PLACES_FULL)
             self.greenlet.throw(_PlaceLost())
 
+    def _is_spared(self):
+        """Returns whether a request has arrived since the choice, and is answered.
+
+        A close would reset the connection. Their number is bounded, as they have no
+        place but a descriptor.
+        """
+        spared = self._listener.spared
+        if not self.has_input() or len(spared) >= MAX_LINGERING:
+            return False
+        spared.add(self)
+        return True
+
     def _raise_dropped(self, reason):
         """Interrupts a response that the caller reads too slowly; runs in the loop."""
         if self._phase is _Phase.WRITING:
@@ -204,6 +216,7 @@
                 self._end_without_place()
         finally:
             self._phase = _Phase.BUSY
+            self._listener.spared.discard(self)
             self._reader.release()
             self._close()
 
@@ -212,18 +225,15 @@
         is_arriving = self._phase is _Phase.READING
         self._phase = _Phase.BUSY
         self._reader.release()
-        if not is_arriving or self._http.our_state is not h11.SEND_RESPONSE:
+        if not is_arriving or self._http.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
             return
-        listener = self._listener
         retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
         try:
             self.answer(503, [retry], b"", close=True)
-            if listener.lingering < MAX_LINGERING:
-                listener.lingering += 1
-                try:
-                    self._linger()
-                finally:
-                    listener.lingering -= 1
+            self._linger()
         except (OSError, CallerGone):
             pass
         finally:
@@ -332,7 +342,8 @@
     def _read_head(self):
         """Returns the `h11.Request`, or None if the caller is idle or has hung up."""
         pipelined = self._http.trailing_data[0]
-        self._head_lines = pipelined.count(b"\n")
+        self._head_lines, self._head_tail = 0, b""
+        self._count_head_lines(pipelined)
         if not pipelined:
             data = self._receive_first()
             if not data:
@@ -378,8 +389,11 @@
         self._listener.drops.note(MEMORY_FULL)
         log_event("request_rejected", level="warning", status=503, reason=MEMORY_FULL)
         retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
+        if self._http.our_state is h11.IDLE:
+            # The end of the request is unknown, as its head is incomplete.
+            self.answer(503, [retry], b"", close=True)
+            return False
         if self._http.our_state is not h11.SEND_RESPONSE:
-            # The head is incomplete, so there is no request to answer.
             return False
         self.answer(503, [retry], b"")
         if not self._has_place:
@@ -471,10 +485,17 @@
         return self._listener.parse_turns.parse(self._http.next_event)
 
     def _receive_head(self, data):
-        # Lines of a body that follows may count, too.
-        self._head_lines += data.count(b"\n")
+        self._count_head_lines(data)
         self._http.receive_data(data)
 
+    def _count_head_lines(self, data):
+        """Counts the lines of a head, but not those of a body that follows."""
+        joined = self._head_tail + data
+        end = HEAD_END.search(joined)
+        lines = joined.count(b"\n", 0, end.end() if end else len(joined))
+        self._head_lines += lines - self._head_tail.count(b"\n")
+        self._head_tail = joined[-2:]
+
     def _answer_rejected(self, status):
         """Refuses a request for its form; the connection ends then."""
         self._phase = _Phase.BUSY
@@ -551,7 +572,8 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def _head(self, status, headers, close):
-        if close or (self._listener.draining and not self._has_more_input()):
+        is_last = self._listener.draining and not self._has_more_input()
+        if close or is_last or not self._has_place:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         output = self._http.send(response)
@@ -569,13 +591,15 @@
         gone = CallerGone("the caller does not read its answer")
         phase, self._phase = self._phase, _Phase.WRITING
         clock = self._listener.clock
-        self._progress.begin(clock.monotonic(), len(parts))
+        # The rate is noted for each part, so that of a single one is never known.
+        size = len(parts) if len(parts) > WRITE_BYTES else None
+        self._progress.begin(clock.monotonic(), size)
         try:
             for start in range(0, len(parts), WRITE_BYTES):
                 part = parts[start : start + WRITE_BYTES]
                 with gevent.Timeout(WRITE_TIMEOUT_S, gone):
                     self.sock.sendall(part)
-                if len(parts) > WRITE_BYTES:
+                if size is not None:
                     self._progress.note(clock.monotonic(), len(part))
         except OSError as exc:
             raise CallerGone("the caller has closed the connection") from exc
@@ -599,6 +623,16 @@
 
     def _linger(self):
         """Reads and drops input for a short time before the close; see `LINGER_S`."""
+        if self._has_place:
+            self._drop_input()
+        elif self._listener.lingering < MAX_LINGERING:
+            self._listener.lingering += 1
+            try:
+                self._drop_input()
+            finally:
+                self._listener.lingering -= 1
+
+    def _drop_input(self):
         try:
             self.sock.shutdown(std_socket.SHUT_WR)
             with gevent.Timeout(LINGER_S, False):
@@ -610,9 +644,14 @@
 
     def _close(self):
         self._listener.idle.discard(self)
-        if self.answered and self._http.our_state is h11.MUST_CLOSE:
-            self._linger()
-        self.sock.close()
+        try:
+            if self.answered and self._http.our_state is h11.MUST_CLOSE:
+                self._linger()
+        except CallerGone:
+            # The answer has been sent.
+            pass
+        finally:
+            self.sock.close()
 
     def _sends_chunks(self):
         return (self._http.their_http_version or b"") >= b"1.1"
@@ -642,6 +681,7 @@
         parse_turns: `ParseTurns` of the heads.
         drops: `DropLog` of the callers that lost memory or their place.
         lingering: Number of connections that linger after they lost their place.
+        spared: Connections that lost their place, but have a request to answer.
         clock: `Clock`.
     """
 
@@ -664,6 +704,7 @@
         self.parse_turns = ParseTurns()
         self.drops = DropLog()
         self.lingering = 0
+        self.spared = set()
         self.clock = SystemClock()
         self._handler = handler
         self._places = PlaceAccount(max_connections, self.clock)
@@ -687,14 +728,7 @@
     def _refuse(self, sock):
         """Refuses a connection as all others are busy, without waiting."""
         self.drops.note(PLACES_FULL)
-        sock.settimeout(0)
-        try:
-            # Unread input would turn the close into a reset.
-            peek(sock) and sock.recv(WRITE_BYTES)
-            sock.sendall(NO_PLACE_ANSWER)
-        except OSError:
-            pass
-        sock.close()
+        refuse_connection(sock)
 
     def register_gauges(self, metrics):
         """Registers the gauges of connections and memory."""
