--- a/amaranthbay/scheduling/tests/player.py
+++ b/amaranthbay/scheduling/tests/player.py
@@ -263,47 +263,6 @@
         is_useful = self.now <= streams.latest_start_at(start.call, first_s)
         return is_useful and streams.may_start(start.urgency, pressure, start.rank)
 
-    def _retry_s(self, caller, longest_s):
-        return 0.5 + self.rng.uniform(0.0, 3.0)
-
-
-class Scheduled(Player):
-    """Uses the decisions of the package `scheduling`."""
-
-    def _run_pass(self):
-        speed = PrefillSpeed(self.mean_speed, 0.1)
-        idle = streams.Pressure(self._prefill_wait_s(), speed, 0.0, DECODE_START_S)
-        orders = streams.start_order([(c.call, c.need_tokens) for c in self.waiting])
-        starts = []
-        for order_time, caller in zip(orders, self.waiting):
-            call = caller.call
-            rank = priority_rank(call.priority, self.priorities)
-            first_s = streams.first_event_s(call.head.prompt_tokens, idle)
-            urgency = streams.urgency_of(call, first_s, self.now)
-            start = streams.WaitingStart(caller, call, urgency, order_time, False, rank)
-            starts.append(start)
-        blocked = False
-        for start in streams.start_sequence(starts, self.credits.owed):
-            decode = None if blocked else self._fits(start.stream)
-            if decode is None or not self._may_start(start, decode, speed):
-                blocked |= decode is None and start.urgency is streams.Urgency.IN_TIME
-                continue
-            self.credits.note_started("lm", start.call.priority, self.now)
-            self._start(start.stream, decode)
-
-    def _may_start(self, start, decode, speed):
-        need = start.stream.need_tokens
-        servers = (self.used, [0] * len(self.used))
-        places = [streams.free_places(used, need, USABLE_TOKENS) for used in servers]
-        share = (self.used[decode] + need) / MEMORY_TOKENS
-        wait_s = self._prefill_wait_s()
-        pressure = streams.Pressure(wait_s, speed, share, DECODE_START_S, *places)
-        first_s = streams.first_event_s(start.call.head.prompt_tokens, pressure)
-        is_useful = self.now <= streams.latest_start_at(start.call, first_s)
-        target_s = start.call.route.target_s
-        may_start = streams.may_start(start.urgency, pressure, start.rank, target_s)
-        return is_useful and may_start
-
     def _retry_s(self, caller, longest_s):
         ahead = sum(other.need_tokens for other in self.waiting)
         need, rate = caller.need_tokens, self.freed.per_s(self.now)
