Let instances on standby join before they charge a quota

Busy instances did not wait for instances on standby, and these don't report to each other.

An instance that is not chosen now reports a join to all registered instances before its first charge and again after 2 s without one. Its requests wait SETTLE_S until all instances that take part have confirmed the join. Instances that have charged in the last 3 s take part like the busy ones: they get the reports of changes, are waited for and count in the turns.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -59,6 +59,9 @@
 MAX_MISSED_REPORTS = 4
 # Time for which the reported loads of an instance count.
 LOAD_TTL_S = 1.0
+# Time for which an instance takes part in quotas after its last reported charge. Full
+# reports repeat charges, so that one lost report doesn't end it.
+CHARGING_S = 3.0
 # Silence of an instance after which it may lack what others have reported.
 LONG_SILENCE_S = 5.0
 # Shortest time between two reads of the table of instances for the same unknown peer.
@@ -206,6 +209,9 @@
         self._has_changes = False
         # Instances whose reports of changes have charges that were not answered yet.
         self._waiting = set()
+        # Time of the last report with charges of each instance, this one included.
+        self._charging = {}
+        self._joins = False
 
     def replace(self, rows, restored=False):
         """Applies the whole table.
@@ -302,7 +308,8 @@
 
     def is_busy(self):
         """Returns whether callers are sent to this instance, or it has work left."""
-        return self._has_work() or self.own.instance in self.busy_names()
+        own = self.own.instance
+        return self._has_work() or own in self.busy_names() | self.charging_names()
 
     def is_chosen(self):
         """Returns whether lookups give callers the address of this instance."""
@@ -338,6 +345,15 @@
         loaded = {status.instance for status in self.fresh_statuses() if status.loads}
         return self.chosen_names() | loaded
 
+    def charging_names(self):
+        """Returns the names of the instances that have charged quotas lately."""
+        now = self._clock.monotonic()
+        return {
+            name
+            for name, charged_at in self._charging.items()
+            if now - charged_at <= CHARGING_S
+        }
+
     def live(self):
         """Returns the `Registration` of each instance that callers may use."""
         registrations = [self.own] if self.serving else []
@@ -438,6 +454,10 @@
         self._unsummed.add(status.instance)
         if status.only_changes and status.usage.charged:
             self._waiting.add(status.instance)
+        if status.usage.joins and self.is_busy():
+            self._waiting.add(status.instance)
+            self.report_soon(only_answers=True)
+        self._note_charging(status.instance, status.usage, now)
         if len(self._received) > MAX_REPORTING:
             self._forget_silent()
         if previous is None and self._has_work():
@@ -449,6 +469,16 @@
         """Forgets the instance that has been silent for longest."""
         silent = min(self._received, key=lambda name: self._received[name].received_at)
         del self._received[silent]
+        self._charging.pop(silent, None)
+
+    def _note_charging(self, name, usage, now):
+        if usage.charged or usage.joins:
+            self._charging[name] = now
+
+    def _next_usage(self, only_changes):
+        usage = self._own_usage(only_changes)
+        self._note_charging(self.own.instance, usage, self._clock.monotonic())
+        return usage
 
     def _check_registration(self, name, sender):
         """Calls ``on_unknown_peer`` if no instance has registered with this address.
@@ -493,7 +523,7 @@
             loads=changed | ended,
             interval_s=self.interval_s(),
             only_changes=True,
-            usage=self._own_usage(True),
+            usage=self._next_usage(True),
         )
 
     def next_report(self):
@@ -522,7 +552,7 @@
             blocked_parts=report.blocked_parts,
             sound_requests=report.sound_requests,
             known_crashes=report.known_crashes,
-            usage=self._own_usage(False),
+            usage=self._next_usage(False),
         )
 
     def start(self, jobs):
@@ -589,14 +619,16 @@
     def take_changes(self):
         """Returns the recipients' names and the `PeerStatus` of a report of changes.
 
-        It goes to the busy instances, and to those that wait to hear that their charges
-        are known here. If nothing else was requested, it goes to the latter only.
+        It goes to the busy instances, to those that charge, and to those that wait to
+        hear that their charges are known here. If nothing else was requested, it goes
+        to the latter only.
         """
         waiting, self._waiting = self._waiting, set()
         if not self._has_changes:
             return waiting, self.next_changes(with_loads=False)
         self._has_changes = False
-        return self.busy_names() | waiting, self.next_changes()
+        recipients = self.busy_names() | self.charging_names() | waiting
+        return recipients, self.next_changes()
 
     def report_soon(self, only_answers=False):
         """Requests a report of changes; returns at once.
@@ -607,6 +639,20 @@
         self._has_changes |= not only_answers
         self._report_requested.set()
 
+    def join(self):
+        """Requests a full report to all; returns at once.
+
+        Instances on standby in different availability zones have no reports of each
+        other, and a report of changes alone would be dropped.
+        """
+        self._joins = True
+        self._report_requested.set()
+
+    def take_join(self):
+        """Returns whether a full report to all was requested since the last call."""
+        joins, self._joins = self._joins, False
+        return joins
+
     def _report_loop(self):
         reported_at = self._clock.monotonic()
         while True:
@@ -614,8 +660,9 @@
             requested = self._report_requested.is_set()
             self._report_requested.clear()
             now = self._clock.monotonic()
-            if now - reported_at >= self.interval_s():
-                self.report_now(self._recipients())
+            joins = self.take_join()
+            if joins or now - reported_at >= self.interval_s():
+                self.report_now(None if joins else self._recipients())
                 reported_at = now
             elif requested:
                 self._send_report(*self.take_changes())
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -155,12 +155,15 @@
         charged: `WorkspaceUsage` of each workspace charged in between, by mark.
         heard: Number of the last charge that the sender has heard of, by the number of
             the process that charged.
+        joins: Whether the sender is not known as busy yet and waits to hear that the
+            busy instances know that it charges.
     """
 
     after: Count64 = 0
     upto: Count64 = 0
     charged: tuple[WorkspaceUsage, ...] = ()
     heard: dict[int, Count64] = {}
+    joins: bool = False
 
 
 _NO_USAGE = Usage()
@@ -333,7 +336,7 @@
             heard, room = {}, USAGE_BYTES
         chunk.append(entry)
         size += entry_size
-    return [*parts, Usage(after, usage.upto, tuple(chunk), heard)]
+    return [*parts, Usage(after, usage.upto, tuple(chunk), heard, usage.joins)]
 
 
 def _fits(status):
--- a/amaranthbay/workspaces/fleet_quotas.py
+++ b/amaranthbay/workspaces/fleet_quotas.py
@@ -39,4 +39,5 @@
         daemon.rng,
         daemon.health.time.now,
         daemon.peers.report_soon,
+        daemon.peers.join,
     )
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -12,7 +12,7 @@
 
 from amaranthbay.fleet.reports import Usage, WorkspaceUsage
 from amaranthbay.observe import current_metrics, log_event
-from amaranthbay.workspaces.buckets import Bucket, Pace, Position, wait_s
+from amaranthbay.workspaces.buckets import SETTLE_S, Bucket, Pace, Position, wait_s
 
 __all__ = ["Charge", "Quotas", "Shortage"]
 
@@ -29,6 +29,11 @@
 # its peers have forgotten nothing of the old one.
 COUNT_TTL_S = 10.0
 BUCKET_TTL_S = 20.0
+# An instance on standby joins the busy ones again if it has not charged for this long.
+# Its peers wait for its confirmations for longer; see `CHARGING_S` in `fleet.peers`.
+JOINED_S = 2.0
+# Time after which a join that was not confirmed is reported again.
+JOIN_RETRY_S = 0.2
 SWEEP_INTERVAL_S = 1.0
 # Charged units are reported soon from this part of what may be unknown of them.
 REPORTED_PART = 0.25
@@ -79,6 +84,7 @@
         rng,
         shared_time=lambda: 0.0,
         report_soon=lambda only_answers=False: None,
+        join=lambda: None,
     ):
         """Creates the quotas, with empty buckets.
 
@@ -94,6 +100,7 @@
                 instances share.
             report_soon: Function that requests a report of changes; see
                 `Peers.report_soon`.
+            join: Function that requests a full report to all; see `Peers.join`.
         """
         self._clock = clock
         self._fleet = fleet
@@ -103,6 +110,11 @@
         self._rng = rng
         self._shared_time = shared_time
         self._report_soon = report_soon
+        self._join = join
+        # Mark from after which busy peers know that this process charges, and the times
+        # of its last join or charge, and of the last report of the join.
+        self._join_mark = 0
+        self._joined_at = self._join_sent_at = -inf
         self._buckets = {}
         # Number of the last charge. 0 means that a process has no quotas.
         self._mark = 1
@@ -153,6 +165,7 @@
             return Err(Shortage(needed_s, bucket.level))
         if bucket.charge(units, self._mark + 1, now):
             self._mark += 1
+            self._joined_at = now
             self._marks.pop(workspace.name, None)
             self._marks[workspace.name] = self._mark
             if is_urgent:
@@ -171,9 +184,35 @@
             # It would exceed the window by itself, whenever it came.
             return bucket, MAX_RETRY_S, False
         needed_s = wait_s(quota, bucket.level, units, open_units, position)
+        if not needed_s and not self._is_joined():
+            return bucket, SETTLE_S, False
         unreported = REPORTED_PART * position.share * quota.unknown
         return bucket, needed_s, open_units + units >= unreported
 
+    def _is_joined(self):
+        """Returns whether the busy peers know that this process charges.
+
+        Instances on standby don't report their charges to each other, and busy ones
+        don't wait for them. Each would use what one instance may charge ahead of
+        its share. It first joins the busy ones, which then expect its reports.
+        """
+        if self._part.is_chosen:
+            return True
+        now = self._looked_at
+        if now - self._joined_at > JOINED_S:
+            self._mark += 1
+            self._join_mark, self._joined_at = self._mark, now
+            self._send_join()
+        if self._join_mark <= self._confirmed_mark():
+            return True
+        if now - self._join_sent_at > JOIN_RETRY_S:
+            self._send_join()
+        return False
+
+    def _send_join(self):
+        self._join_sent_at = self._looked_at
+        self._join()
+
     def refuse(self, workspace, units):
         """Counts a refusal; returns its `Shortage`.
 
@@ -216,7 +255,8 @@
         }
         self._reported_at = now
         after = min(confirmed, self._mark) if only_changes else 0
-        return Usage(after, self._mark, tuple(reversed(charged)), heard)
+        joins = self._join_mark > confirmed and now - self._joined_at <= JOINED_S
+        return Usage(after, self._mark, tuple(reversed(charged)), heard, joins)
 
     def merge(self, status):
         """Merges the usage that a `PeerStatus` of a peer reports."""
@@ -232,6 +272,10 @@
         own_mark = usage.heard.get(self._process_number, 0)
         if self._confirmed[process] < own_mark <= self._mark:
             self._confirmed[process] = own_mark
+        if usage.joins:
+            # The peers to wait for include the sender from now on.
+            self._heard_at[process] = now
+            self._part_at = -inf
         if usage.charged:
             self._heard_at[process] = now
             if status.only_changes:
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -31,12 +31,14 @@
         part: Sum of the shares of all instances but the silent ones.
         confirming: Number of the process of each busy peer that is heard.
         rank: Position of this instance among these peers and itself, by name.
+        is_chosen: Whether its peers expect it to charge, as lookups name it.
     """
 
     share: float
     part: float
     confirming: tuple[int, ...] = ()
     rank: int = 0
+    is_chosen: bool = True
 
 
 def shares_of(registrations, choose):
@@ -112,15 +114,17 @@
             part=max(share, 1.0 - sum(silent)) if silent else 1.0,
             confirming=tuple(heard[name] for name in names),
             rank=sum(1 for name in names if name < own),
+            is_chosen=self._peers.is_chosen(),
         )
 
     def _still_busy(self, heard, received, now):
-        """Returns the names of the busy peers that are heard.
+        """Returns the names of the peers that are heard and may use the quota.
 
+        These are the busy ones, and those on standby that have charged lately.
         A peer whose report is late is no longer busy for lookups. It may still use the
         quota, and stays in the set until it is silent.
         """
-        busy = self._peers.busy_names()
+        busy = self._peers.busy_names() | self._peers.charging_names()
         return {
             name
             for name in heard
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -67,6 +67,7 @@
             fleet.rng,
             fleet.clock.monotonic,
             self._request_report,
+            self.peers.join,
         )
 
     def _request_report(self, only_answers=False):
@@ -77,12 +78,15 @@
         """Returns the recipients (None for all) and the datagrams that are due."""
         if now - self.sent_at < MIN_REPORT_INTERVAL_S:
             return (), []
-        if now - self.full_at >= self.peers.interval_s():
+        joins = self.peers.take_join()
+        if joins or now - self.full_at >= self.peers.interval_s():
             self.sent_at = self.full_at = now
-            return self.peers._recipients(), split_report(self.peers.next_report())
-        if not self.requested:
+            recipients = None if joins else self.peers._recipients()
+            return recipients, split_report(self.peers.next_report())
+        if not self.requested and not self.peers._report_requested.is_set():
             return (), []
         self.sent_at, self.requested = now, False
+        self.peers._report_requested.clear()
         recipients, status = self.peers.take_changes()
         return recipients, split_report(status)
 
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -230,6 +230,16 @@
     case.assertLessEqual(used(fleet, 0.0), 1.0)
 
 
+def test_instances_on_standby_keep_the_bound(case):
+    """Guards against instances on standby that each pass requests ahead of their share,
+    as busy instances don't wait for them and they don't hear each other."""
+    fleet = Fleet(24, seed=3)
+    fleet.run(4)
+    fleet.run(8, Demand(fleet, load=FLOOD))
+    case.assertLessEqual(used(fleet, 0.0), 1.0)
+    case.assertGreater(sum(units for _, units in fleet.passed), 7 * RATE)
+
+
 def test_lowered_limit_binds_and_raised_one_is_usable_at_once(case):
     """Guards against buckets that keep what an earlier configuration allowed; the
     configuration in force decides, whether or not the store answers."""
