Give a process without the table of instances a small share of quotas

A process that had not read the table of instances knew only itself and took the whole quota.

Peers now records that the table was read. Until then FleetShares returns half of a share at the target size of 320 instances, as share and as part, and the four processes pass at most four requests.

test_request_that_did_not_run_costs_no_quota set the level of a bucket before the part was up to date. It now waits for that first; its checks are the same.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -148,6 +148,8 @@
     Attributes:
         own: `Registration` of this process.
         serving: Whether callers may be sent to this process.
+        is_table_read: Whether the table of instances has been read. Before, this
+            process is the only registered instance.
     """
 
     def __init__(
@@ -186,6 +188,7 @@
         """
         self.own = own
         self.serving = False
+        self.is_table_read = False
         self._clock = clock
         self._own_report = own_report
         self._has_work = has_work
@@ -230,6 +233,7 @@
             if name in reporting
         }
         self._registered[self.own.instance] = self.own
+        self.is_table_read = True
         self.apply(rows)
 
     def apply(self, rows):
--- a/amaranthbay/platform/tests/test_entry_quotas.py
+++ b/amaranthbay/platform/tests/test_entry_quotas.py
@@ -85,6 +85,8 @@
     configure(fixture, 2, tenants(RatePerS=0.01, Burst=1))
     workspace = fixture.daemon.configuration.table.workspaces.named("w-1")
     quotas = fixture.daemon.quotas
+    # Before the table of instances is read, a bucket holds a fraction of the burst.
+    wait_until(lambda: quotas._part.part == 1.0)
     # The buckets of a new process are empty for long at this rate.
     bucket = quotas._bucket("w-1", quotas._bounds().quota_of(workspace))
     bucket.level = 1.0
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -1,6 +1,6 @@
 """The shares of the instances in a quota, and which of them this instance hears."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["FleetPart", "FleetShares", "shares_of"]
 
@@ -20,6 +20,9 @@
 # The same for a row whose instance this process has never heard, although it hears
 # others: at a start, most rows may be those of replaced instances.
 NEVER_HEARD_S = 20.0
+# Share of a process that has not read the table of instances. The fleet may have the
+# target size of 320, and registered instances use the whole quota meanwhile.
+UNREAD_SHARE = 0.5 / 320
 
 
 @dataclass(frozen=True)
@@ -109,13 +112,16 @@
         share = self._shares[own]
         self._busy = self._still_busy(heard, received, now)
         names = sorted(name for name in self._busy if confirms(heard[name]))
-        return FleetPart(
+        found = FleetPart(
             share=share,
             part=max(share, 1.0 - sum(silent)) if silent else 1.0,
             confirming=tuple(heard[name] for name in names),
             rank=sum(1 for name in names if name < own),
             is_chosen=self._peers.is_chosen(),
         )
+        if self._peers.is_table_read:
+            return found
+        return replace(found, share=UNREAD_SHARE, part=UNREAD_SHARE)
 
     def _still_busy(self, heard, received, now):
         """Returns the names of the peers that are heard and may use the quota.
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -57,7 +57,7 @@
         )
         for row in registrations:
             self.peers._registered[row.instance] = row
-        self.peers.serving = True
+        self.peers.is_table_read = self.peers.serving = True
         self.quotas = Quotas(
             fleet.clock,
             FleetShares(fleet.clock, self.peers, choose_instances),
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -240,6 +240,24 @@
     case.assertGreater(sum(units for _, units in fleet.passed), 7 * RATE)
 
 
+def test_process_without_the_table_uses_a_small_share(case):
+    """Guards against processes that each take themselves for the whole fleet, as none
+    has read the table of instances."""
+    fleet = Fleet(4, seed=3, limits=(REQUESTS,))
+    fleet.cut([[name] for name in NAMES])
+    for node in fleet.nodes.values():
+        node.peers._registered = {node.name: node.peers.own}
+        node.peers.is_table_read = False
+    fleet.run(8, Demand(fleet, 1, load=FLOOD))
+    case.assertLessEqual(len(fleet.passed), 4)
+    for node in fleet.nodes.values():
+        node.peers.replace([])
+        case.assertTrue(node.peers.is_table_read)
+    fleet.passed.clear()
+    fleet.run(1, Demand(fleet, 1, load=FLOOD, names=NAMES[:1]))
+    case.assertGreater(len(fleet.passed), 15)
+
+
 def test_lowered_limit_binds_and_raised_one_is_usable_at_once(case):
     """Guards against buckets that keep what an earlier configuration allowed; the
     configuration in force decides, whether or not the store answers."""
