Take shares off for one-way links, and give those of stopped instances back

One-way links: if a peer was heard but did not hear this instance, its confirmations never came, and the instance was held to single charges in its share. A peer that has confirmed nothing new for max(1 s, 1.5 report intervals) and one interval more, while charges are open, is now left out of the peers to wait for, and its share is taken off the part. It counts again with its next confirmation.

Replacements: rows of replaced instances stay in the table, and each cost its share for ten minutes. A silent instance whose last status says that it doesn't serve is now gone after the grace period of a stop.

--- a/amaranthbay/workspaces/fleet_quotas.py
+++ b/amaranthbay/workspaces/fleet_quotas.py
@@ -32,7 +32,7 @@
 
     return Quotas(
         daemon.clock,
-        FleetShares(daemon.clock, daemon.peers, choose),
+        FleetShares(daemon.clock, daemon.peers, choose, lambda: daemon.settings.stop_s),
         process_number,
         bounds,
         find_workspace,
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -127,6 +127,9 @@
         # of this process that each of them has.
         self._heard = {}
         self._confirmed = {}
+        # What each process that is waited for has confirmed, and the time since which
+        # that has not grown.
+        self._unconfirmed = {}
         # Time at which each other process reported charges for the last time.
         self._heard_at = {}
         self._reported_at = -inf
@@ -318,14 +321,35 @@
             log_event("quota_paused", seconds=round(now - self._looked_at, 3))
             self._resumed_at = now
             self._part_at = -inf
+            self._unconfirmed.clear()
             self._pace.empty(now)
         self._looked_at, self._wall_offset_s = now, wall_offset_s
         if now - self._part_at >= FLEET_TTL_S:
-            self._part = self._fleet.part(self._resumed_at, self._takes_part)
+            self._part = self._find_part(now)
             self._part_at = now
             self._pace.advance(now, self._part.part)
         return now
 
+    def _find_part(self, now):
+        previous, self._unconfirmed = self._unconfirmed, {}
+        open_mark = next(reversed(self._marks.values()), 0)
+        if now - self._joined_at <= JOINED_S:
+            open_mark = max(open_mark, self._join_mark)
+
+        def unconfirmed_since(process):
+            confirmed = self._confirmed[process]
+            known, since = previous.get(process, (None, now))
+            if known != confirmed:
+                if confirmed >= open_mark:
+                    return None
+                since = now
+            # Without progress it stays, also when the charges are no longer reported:
+            # the next ones would be held up in the same way.
+            self._unconfirmed[process] = (confirmed, since)
+            return since
+
+        return self._fleet.part(self._resumed_at, self._takes_part, unconfirmed_since)
+
     def _read_wall_offset(self):
         return self._clock.now().timestamp() - self._clock.monotonic()
 
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -1,6 +1,7 @@
 """The shares of the instances in a quota, and which of them this instance hears."""
 
 from dataclasses import dataclass, replace
+from math import inf
 
 __all__ = ["FleetPart", "FleetShares", "shares_of"]
 
@@ -67,23 +68,26 @@
 class FleetShares:
     """Finds the part of the fleet that this instance hears."""
 
-    def __init__(self, clock, peers, choose):
+    def __init__(self, clock, peers, choose, stop_s=lambda: inf):
         """Creates the view.
 
         Args:
             clock: `Clock`.
             peers: `Peers` with the registrations and the last reports.
             choose: See `shares_of`.
+            stop_s: Function that returns the longest time in seconds that a planned
+                stop of an instance takes.
         """
         self._clock = clock
         self._peers = peers
         self._choose = choose
+        self._stop_s = stop_s
         self._registered = ()
         self._shares = {}
         self._first_seen = {}
         self._busy = frozenset()
 
-    def part(self, resumed_at, confirms):
+    def part(self, resumed_at, confirms, unconfirmed_since=lambda process: None):
         """Returns the `FleetPart` at this time.
 
         Args:
@@ -91,6 +95,9 @@
                 Earlier reports say nothing of what the others know now.
             confirms: Function that returns whether the process of a number takes part
                 in quotas; a release without quotas doesn't.
+            unconfirmed_since: Function of the number of a process that returns the time
+                since which it has confirmed none of the open charges; None if none
+                are open.
         """
         now = self._clock.monotonic()
         self._update_shares(now)
@@ -102,6 +109,14 @@
             for name, merged in received.items()
             if merged.received_at > fresh_from and _is_fresh(merged, now)
         }
+        self._busy = self._still_busy(heard, received, now)
+        # A link that loses all that this process sends would hold its charges up for
+        # ever. Such a peer doesn't know of them, like one that is silent.
+        limit_s = self._confirm_limit_s()
+        for name in self._busy:
+            since = unconfirmed_since(heard[name]) if confirms(heard[name]) else None
+            if since is not None and now - since > limit_s:
+                del heard[name]
         silent = [
             share
             for name, share in self._shares.items()
@@ -110,8 +125,9 @@
             and not self._is_gone(name, received.get(name), now, bool(heard))
         ]
         share = self._shares[own]
-        self._busy = self._still_busy(heard, received, now)
-        names = sorted(name for name in self._busy if confirms(heard[name]))
+        names = sorted(
+            name for name in self._busy if name in heard and confirms(heard[name])
+        )
         found = FleetPart(
             share=share,
             part=max(share, 1.0 - sum(silent)) if silent else 1.0,
@@ -123,6 +139,11 @@
             return found
         return replace(found, share=UNREAD_SHARE, part=UNREAD_SHARE)
 
+    def _confirm_limit_s(self):
+        """Returns the seconds after which a missing confirmation is no late one."""
+        interval_s = self._peers.interval_s()
+        return max(SILENT_S, SILENT_INTERVALS * interval_s) + interval_s
+
     def _still_busy(self, heard, received, now):
         """Returns the names of the peers that are heard and may use the quota.
 
@@ -157,7 +178,11 @@
             return False
         if merged is None:
             return now - self._first_seen[name] > NEVER_HEARD_S
-        return now - merged.received_at > GONE_S
+        silent_s = now - merged.received_at
+        # An instance that is replaced says first that it no longer serves.
+        return silent_s > (
+            GONE_S if merged.status.serving else min(GONE_S, self._stop_s())
+        )
 
 
 def _is_fresh(merged, now):
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -19,10 +19,19 @@
 from amaranthbay.workspaces.quotas import Quotas
 from amaranthbay.workspaces.shares import FleetShares
 
-__all__ = ["BOUNDS", "RATE", "REQUEST", "Fleet", "largest_window", "workspace"]
+__all__ = [
+    "BOUNDS",
+    "RATE",
+    "REQUEST",
+    "STOP_S",
+    "Fleet",
+    "largest_window",
+    "workspace",
+]
 
 STEP_S = 0.005
 LATENCY_S = 0.005
+STOP_S = 5.0
 ZONES = 3
 RATE = 280_000
 # One second of the rate is some 20 requests.
@@ -60,7 +69,7 @@
         self.peers.is_table_read = self.peers.serving = True
         self.quotas = Quotas(
             fleet.clock,
-            FleetShares(fleet.clock, self.peers, choose_instances),
+            FleetShares(fleet.clock, self.peers, choose_instances, lambda: STOP_S),
             number,
             lambda: BOUNDS,
             fleet.workspaces.get,
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -21,6 +21,7 @@
     RATE,
     REQUEST,
     STEP_S,
+    STOP_S,
     Fleet,
     largest_window,
     workspace,
@@ -258,6 +259,24 @@
     case.assertGreater(len(fleet.passed), 15)
 
 
+def test_link_that_works_one_way_does_not_stop_an_instance(case):
+    """Guards against an instance that waits for ever for the confirmations of a peer
+    that it hears, but that doesn't hear it."""
+    fleet = Fleet(9, seed=3)
+    fleet.run(3)
+    fleet._linked = lambda sender, name: (sender, name) != ("entry-0", "entry-1")
+    fleet.run(3, Demand(fleet, load=0.1, names=["entry-0"]))
+    fleet.passed.clear()
+    fleet.refused.clear()
+    fleet.run(20, Demand(fleet, load=0.1, names=["entry-0"]))
+    case.assertGreater(len(fleet.passed), 20)
+    case.assertLess(len(fleet.refused), 0.1 * len(fleet.passed))
+    fleet._linked = lambda sender, name: True
+    fleet.run(3, Demand(fleet, load=0.1))
+    quotas = fleet.nodes["entry-0"].quotas
+    case.assertEqual((quotas._part.part, len(quotas._part.confirming)), (1.0, 8))
+
+
 def test_lowered_limit_binds_and_raised_one_is_usable_at_once(case):
     """Guards against buckets that keep what an earlier configuration allowed; the
     configuration in force decides, whether or not the store answers."""
@@ -290,6 +309,23 @@
     case.assertEqual(part._part.part, 1.0)
 
 
+def test_replaced_instances_cost_no_quota_after_their_stop(case):
+    """Guards against a quota that is halved after a replacement of all instances under
+    new names, and against a share that is freed while an instance may still stop."""
+    fleet = Fleet(6)
+    fleet.run(3)
+    for name in ("entry-0", "entry-1", "entry-2"):
+        fleet.nodes[name].peers.serving = False
+    fleet.run(1)
+    for name in ("entry-0", "entry-1", "entry-2"):
+        del fleet.nodes[name]
+    fleet.run(STOP_S - 1)
+    quotas = fleet.nodes["entry-3"].quotas
+    case.assertLess(quotas._part.part, 0.6)
+    fleet.run(2)
+    case.assertEqual(quotas._part.part, 1.0)
+
+
 def _aged(merged):
     fields = merged.__dict__ | {"received_at": merged.received_at - GONE_S}
     return type(merged)(**fields)
