Send usage that doesn't fit beside a full report as changes

Usage changed the number of datagrams of a full report, and a receiver that got another one than the first forgot the loads and versions of the sender until the first arrived.

Datagrams of usage alone are now reports of changes with the same sequence, and don't count as parts. Receivers that have a part of that full report don't answer them. Peers requests the answers to charges, as Quotas can't tell.

The new test fails before: one datagram of usage left no loads. test_quotas, test_quota_line, test_peers and test_entry_quotas pass (58 tests).

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -456,9 +456,12 @@
             log_event("member_heard", member=status.instance, serving=status.serving)
         self._received[status.instance] = merged
         self._unsummed.add(status.instance)
-        if status.only_changes and status.usage.charged:
-            self._waiting.add(status.instance)
-        if status.usage.joins and self.is_busy():
+        # Usage that did not fit beside a full report is no report of changes, and its
+        # sender doesn't wait.
+        has_changes = status.only_changes and not merged.has_report(status.sequence)
+        if (has_changes and status.usage.charged) or (
+            status.usage.joins and self.is_busy()
+        ):
             self._waiting.add(status.instance)
             self.report_soon(only_answers=True)
         self._note_charging(status.instance, status.usage, now)
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -259,6 +259,12 @@
         """Returns the number of datagrams of the last full report."""
         return next(iter(self.datagrams.values())).parts
 
+    def has_report(self, sequence):
+        """Returns whether the last full report has this sequence number."""
+        return any(
+            datagram.sequence == sequence for datagram in self.datagrams.values()
+        )
+
 
 def split_report(status):
     """Splits a report into datagrams.
@@ -285,11 +291,12 @@
         # Details that leave no room for loads, as after a crash, go by themselves.
         details = msgspec.structs.replace(status, loads={})
         datagrams = [*_split_details(details), *datagrams]
+    count = len(datagrams)
     datagrams = _add_usage(datagrams, usage, plain)
     return [
-        msgspec.structs.replace(datagram, part=part, parts=len(datagrams))
-        for part, datagram in enumerate(datagrams)
-    ]
+        msgspec.structs.replace(datagram, part=part, parts=count)
+        for part, datagram in enumerate(datagrams[:count])
+    ] + datagrams[count:]
 
 
 def _add_usage(datagrams, usage, plain):
@@ -307,7 +314,9 @@
     if parts == [_NO_USAGE]:
         return datagrams
     added = []
-    spare = msgspec.structs.replace(plain, loads={})
+    # Receivers forget loads and versions when the number of datagrams of a full report
+    # changes, so that those of usage alone don't count.
+    spare = msgspec.structs.replace(plain, loads={}, only_changes=True)
     for datagram in datagrams:
         with_part = msgspec.structs.replace(datagram, usage=parts[0])
         if parts[0] is not _NO_USAGE and _fits(with_part):
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -83,7 +83,7 @@
         find_workspace,
         rng,
         shared_time=lambda: 0.0,
-        report_soon=lambda only_answers=False: None,
+        report_soon=lambda: None,
         join=lambda: None,
     ):
         """Creates the quotas, with empty buckets.
@@ -281,8 +281,6 @@
             self._part_at = -inf
         if usage.charged:
             self._heard_at[process] = now
-            if status.only_changes:
-                self._report_soon(only_answers=True)
 
     def _merge_entry(self, process, entry, now):
         known = self._buckets.get(entry.workspace)
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -79,8 +79,8 @@
             self.peers.join,
         )
 
-    def _request_report(self, only_answers=False):
-        self.peers.report_soon(only_answers)
+    def _request_report(self):
+        self.peers.report_soon()
         self.requested = True
 
     def next_datagrams(self, now):
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
+from msgspec.structs import replace as replace_status
 
 from amaranthbay.fleet.reports import (
     MAX_DATAGRAM_BYTES,
@@ -394,4 +395,34 @@
         case.assertEqual(after, usages + 1)
 
 
+def test_lost_datagram_of_usage_costs_no_loads(case):
+    """Guards against receivers that forget loads and versions when usage changes the
+    number of datagrams, and against answers to the usage of full reports."""
+    fleet = Fleet(2)
+    peers = fleet.nodes["entry-0"].peers
+    all_loads = {f"server-{index}": ServerLoad(1, 1000, 10) for index in range(20)}
+    first = PeerStatus("entry-1", 9, 1, True, all_loads, versions={"table": 5})
+    charged = tuple(
+        WorkspaceUsage(f"workspace-{index:03}", 1, 10**5, index + 1)
+        for index in range(1, 120)
+    )
+    second = replace_status(first, sequence=2, usage=Usage(0, 120, charged))
+    for datagram in split_report(first):
+        peers.receive(datagram)
+    full, *spilled = split_report(second)
+    case.assertGreater(len(spilled), 1)
+    peers._report_requested.clear()
+    for lost in (True, False):
+        if not lost:
+            peers.receive(full)
+            peers._report_requested.clear()
+            peers._waiting.clear()
+        for datagram in spilled:
+            peers.receive(datagram)
+        merged = peers.received()["entry-1"].status
+        case.assertEqual((len(merged.loads), merged.versions), (20, {"table": 5}))
+    case.assertEqual(peers._waiting, set())
+    case.assertFalse(peers._report_requested.is_set())
+
+
 load_tests = collect(globals())
