Send confirmations of charges only where they are waited for

Full reports carried the confirmations to all registered instances, of which only the few that take part in quotas wait for them. Standbys sent them as well, which nobody waits for. Bytes between availability zones cost money.

Full reports of instances that don't take part now leave them out, and those of others have them for recipients that take part. Bytes were not measured.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -595,11 +595,33 @@
         if status.only_changes and not (status.loads or usage.charged or usage.heard):
             # What was placed since the last report has ended already.
             return
-        frames = [encode_datagram(datagram) for datagram in split_report(status)]
-        for name, registration in tuple(self._registered.items()):
-            if name != self.own.instance and (names is None or name in names):
-                for frame in frames:
-                    self._send(frame, registration.peer_address)
+        names = self._registered if names is None else names
+        for recipients, datagrams in self.split_by_recipients(names, status):
+            frames = [encode_datagram(datagram) for datagram in datagrams]
+            for name, registration in tuple(self._registered.items()):
+                if name != self.own.instance and name in recipients:
+                    for frame in frames:
+                        self._send(frame, registration.peer_address)
+
+    def split_by_recipients(self, names, status):
+        """Returns pairs of recipients and the datagrams of a report for them.
+
+        Only instances that take part in quotas wait to hear that their charges are
+        known, and only those that take part are waited for. Full reports to or from
+        others leave out the confirmations, as bytes between availability zones cost
+        money.
+        """
+        usage = status.usage
+        if status.only_changes or not usage.heard:
+            return [(names, split_report(status))]
+        taking_part = self.busy_names() | self.charging_names()
+        waiting = taking_part.intersection(names) if self.is_busy() else set()
+        usage = msgspec.structs.replace(usage, heard={})
+        pairs = [
+            (waiting, status),
+            (set(names) - waiting, msgspec.structs.replace(status, usage=usage)),
+        ]
+        return [(group, split_report(report)) for group, report in pairs if group]
 
     def _send(self, frame, address):
         try:
--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -84,20 +84,21 @@
         self.requested = True
 
     def next_datagrams(self, now):
-        """Returns the recipients (None for all) and the datagrams that are due."""
+        """Returns pairs of recipients and the datagrams for them that are due."""
         if now - self.sent_at < MIN_REPORT_INTERVAL_S:
-            return (), []
+            return []
         joins = self.peers.take_join()
         if joins or now - self.full_at >= self.peers.interval_s():
             self.sent_at = self.full_at = now
             recipients = None if joins else self.peers._recipients()
-            return recipients, split_report(self.peers.next_report())
+            names = self.peers._registered if recipients is None else recipients
+            return self.peers.split_by_recipients(names, self.peers.next_report())
         if not self.requested and not self.peers._report_requested.is_set():
-            return (), []
+            return []
         self.sent_at, self.requested = now, False
         self.peers._report_requested.clear()
         recipients, status = self.peers.take_changes()
-        return recipients, split_report(status)
+        return [(recipients, split_report(status))]
 
 
 class Fleet:
@@ -153,10 +154,12 @@
 
     def _send(self, node):
         now = self.clock.monotonic()
-        recipients, datagrams = node.next_datagrams(now)
-        frames = [encode_datagram(datagram) for datagram in datagrams]
-        names = list(self.nodes) if recipients is None else recipients
-        for name in names:
+        for recipients, datagrams in node.next_datagrams(now):
+            frames = [encode_datagram(datagram) for datagram in datagrams]
+            self._send_frames(node, recipients, frames, now)
+
+    def _send_frames(self, node, recipients, frames, now):
+        for name in sorted(recipients):
             for frame in frames if name != node.name else ():
                 self.datagrams += 1
                 self.sent_bytes += len(frame)
--- a/amaranthbay/workspaces/tests/test_quotas.py
+++ b/amaranthbay/workspaces/tests/test_quotas.py
@@ -425,4 +425,26 @@
     case.assertFalse(peers._report_requested.is_set())
 
 
+def test_confirmations_go_only_to_instances_that_wait(case):
+    """Guards against bytes between availability zones for confirmations that nobody
+    waits for."""
+    fleet = Fleet(24)
+    fleet.run(3)
+    fleet.run(0.5, Demand(fleet, load=0.9, names=["entry-0", "entry-1"]))
+    nodes, names = fleet.nodes, set(fleet.nodes)
+    waiting = nodes["entry-0"].peers.chosen_names() | {"entry-0", "entry-1"}
+    standby = min(names - waiting)
+    for name, informed in (("entry-0", set(waiting)), (standby, set())):
+        peers = nodes[name].peers
+        report = peers.next_report()
+        case.assertNotEqual(report.usage.heard, {})
+        told = {
+            recipient
+            for recipients, datagrams in peers.split_by_recipients(names, report)
+            for recipient in recipients
+            if any(datagram.usage.heard for datagram in datagrams)
+        }
+        case.assertEqual(told, informed)
+
+
 load_tests = collect(globals())
