--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -283,8 +283,8 @@
     late = now + service_s > ends_at
     if late:
         share = min(share, LATE_QUEUE_SHARE)
-        patience_s = max(waiting.target_s, LATE_WAIT_CALLS * service_s)
-        ends_at = min(waiting.arrived_at + patience_s, waiting.ends_at)
+        longest_wait_s = max(waiting.target_s, LATE_WAIT_CALLS * service_s)
+        ends_at = min(waiting.arrived_at + longest_wait_s, waiting.ends_at)
     limit_s = max(
         share * waiting.target_s,
         min(MIN_QUEUE_CALLS * service_s, MAX_QUEUE_SHARE * waiting.target_s),
--- a/amaranthbay/workspaces/quota_line.py
+++ b/amaranthbay/workspaces/quota_line.py
@@ -8,7 +8,7 @@
 """
 
 from bisect import insort
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from result import Err
 
@@ -36,7 +36,7 @@
 
     priority: object
     arrived_at: float
-    request_id: str = field(compare=True)
+    request_id: str
 
 
 class QuotaLine:
