Don't place streams on unreachable servers while others are full

Cause: a decode server that has just crashed has all its memory free. Candidates that are avoided were left out only if another one had room, so in a burst all waiting streams were placed on the crashed servers, failed to reserve memory there, and were placed again at once.

Change: avoided servers are used only if all usable ones are. They don't count as free places either, and no stream waits for their memory.

Measured: the two new tests fail without the change; relay.tests.test_decisions passes.

--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -8,6 +8,7 @@
     "choose_decode",
     "choose_prefill",
     "failure_factor",
+    "reachable",
 ]
 
 # Extra cost of a server that fails all requests, as a multiple of its own cost. It
@@ -78,6 +79,9 @@
 def choose_decode(candidates, need_tokens, memory_tokens, draw):
     """Returns the candidate with the most free memory that fits the request, or None.
 
+    Avoided candidates are eligible only if there are no others, even if the others are
+    full. A server that has just crashed has all its memory free.
+
     Args:
         candidates: `Candidate` of each decode server.
         need_tokens: KV cache tokens that the request needs; see `memory_need`.
@@ -87,7 +91,7 @@
     limit = USABLE_MEMORY_SHARE * memory_tokens
     fitting = [
         candidate
-        for candidate in candidates
+        for candidate in reachable(candidates)
         if candidate.memory_tokens + need_tokens <= limit
         and candidate.running < candidate.server.slots
         and not candidate.full
@@ -107,6 +111,18 @@
     return 1 + FAILURE_FACTOR * candidate.failure_share**2
 
 
+def reachable(candidates):
+    """Returns the candidates that aren't avoided; all if there are no others.
+
+    Args:
+        candidates: Iterable of the `Candidate` of each server.
+    """
+    candidates = list(candidates)
+    return [
+        candidate for candidate in candidates if not candidate.avoided
+    ] or candidates
+
+
 def choose_cheapest(candidates, cost, draw, tie_share=0.02):
     """Returns one of the candidates of about the lowest cost, or None.
 
@@ -118,9 +134,7 @@
         draw: Random number from 0 to 1 that breaks ties.
         tie_share: Excess over the lowest cost, as a share of it, that counts as a tie.
     """
-    eligible = [candidate for candidate in candidates if not candidate.avoided] or list(
-        candidates
-    )
+    eligible = reachable(candidates)
     if not eligible:
         return None
     costs = [cost(candidate) for candidate in eligible]
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -25,7 +25,8 @@
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.pools import StageDemand, plan_prefill_servers
 from amaranthbay.relay.speed import PrefillSpeed, fit_speed
-from amaranthbay.routing import BackendServer, CallKind, Route, WeightedService
+from amaranthbay.relay.waiting import CandidateCache
+from amaranthbay.routing import BackendServer, CallKind, Route, Stage, WeightedService
 from amaranthbay.scheduling.plain import choose_plain
 from amaranthbay.scheduling.streams import (
     Pressure,
@@ -82,6 +83,40 @@
     case.assertIsNone(choose_prefill([], 0.0))
 
 
+def test_crashed_decode_server_is_no_room_for_a_burst(case):
+    """Guards against streams that are placed again and again on servers that have just
+    crashed, because these are empty and all others are full."""
+    crashed = candidate("crashed", avoided=True)
+    full = candidate("full", memory_tokens=42000)
+    case.assertIsNone(choose_decode([crashed, full], 3000, 42000, 0.0))
+    case.assertIs(choose_decode([crashed], 3000, 42000, 0.0), crashed)
+
+
+def test_crashed_servers_are_no_free_places(case):
+    """Guards against a reserve for urgent streams that counts crashed servers as free,
+    and against a large stream that waits for the memory of a crashed server."""
+    servers = [
+        candidate("crashed", avoided=True),
+        candidate("busy", memory_tokens=20000),
+        candidate("excluded", memory_tokens=10000),
+    ]
+    ctx = SimpleNamespace(candidates=lambda service, stage, version: servers)
+    waiting = SimpleNamespace(
+        call=SimpleNamespace(service=SimpleNamespace(name="lm")),
+        version=None,
+        excluded=frozenset(("excluded",)),
+        need_tokens=3000,
+        servers_key="any",
+    )
+    cache = CandidateCache(ctx)
+    usable = cache.usable_by(waiting, Stage.DECODE)
+    case.assertEqual([entry.server.name for entry in usable], ["busy"])
+    case.assertEqual(cache.awaited_server(waiting, frozenset()), {"busy"})
+    del servers[1:]
+    usable = CandidateCache(ctx).usable_by(waiting, Stage.DECODE)
+    case.assertEqual([entry.server.name for entry in usable], ["crashed"])
+
+
 def test_prompt_stays_in_its_zone_unless_that_delays_it(case):
     """Guards against prompts and KV cache that cross availability zones to save a few
     milliseconds, and against queues in one zone while servers in others are idle."""
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -5,7 +5,7 @@
 
 from gevent.event import AsyncResult
 
-from amaranthbay.relay.choice import USABLE_MEMORY_SHARE, choose_prefill
+from amaranthbay.relay.choice import USABLE_MEMORY_SHARE, choose_prefill, reachable
 from amaranthbay.routing import Stage
 from amaranthbay.scheduling.streams import free_places
 
@@ -75,11 +75,11 @@
             excluded = waiting.excluded
             if stage is Stage.PREFILL:
                 excluded = excluded | self._distrusted_servers()
-            self._usable[key] = [
+            self._usable[key] = reachable(
                 candidate
                 for candidate in self._candidates(waiting, stage)
                 if candidate.server.name not in excluded
-            ]
+            )
         usable = self._usable[key]
         if not reserved:
             return usable
