Start an entry process in three quarters of the processor time

Cause: for each module that it patches, gevent reads the metadata of all installed packages twice to look for plug-ins, and the garbage collector scans the growing set of imported objects again and again.

Change: an entry process hides the entry points while gevent patches its modules, pauses the collector while modules are imported, and leaves imported objects out of later collections.

Ruled out: starting Python without its site module (0.399 s in place of 0.406 s, within the noise).

Measured: processor time up to the first line of run_entry, from compiled copies, median of six starts side by side at load 16: 0.543 s before, 0.441 s without the search for plug-ins, 0.405 s with all. Resident memory at that point 42.6 MB before, 43.0 MB after. utils.tests.test_runtime passes with a new test, which fails without the change (it imports a new function).

--- a/amaranthbay/__main__.py
+++ b/amaranthbay/__main__.py
@@ -5,6 +5,9 @@
 from amaranthbay.utils.runtime import (
     UNUSED_BY_ENTRY,
     ignore_early_reload,
+    no_entry_points,
+    pause_collection,
+    resume_collection,
     select_event_loop,
 )
 
@@ -13,7 +16,12 @@
 IS_ENTRY = sys.argv[1:] == ["entry"]
 
 ignore_early_reload(sys.argv)
-select_event_loop(UNUSED_BY_ENTRY if IS_ENTRY else ())
+if IS_ENTRY:
+    pause_collection()
+    with no_entry_points():
+        select_event_loop(UNUSED_BY_ENTRY)
+else:
+    select_event_loop()
 
 
 def main():
@@ -22,6 +30,7 @@
         from amaranthbay.daemon.entry_process import run_entry
         from amaranthbay.platform.adapter import PlatformAdapter
 
+        resume_collection()
         sys.exit(run_entry(PlatformAdapter()))
     from amaranthbay.cli import app
 
--- a/amaranthbay/utils/runtime.py
+++ b/amaranthbay/utils/runtime.py
@@ -1,11 +1,17 @@
 """Event loop selection, monkey patching and signals during process start."""
 
+import gc
 import signal
+from contextlib import contextmanager
+from importlib import metadata
 
 __all__ = [
     "UNUSED_BY_ENTRY",
     "check_event_loop",
     "ignore_early_reload",
+    "no_entry_points",
+    "pause_collection",
+    "resume_collection",
     "select_event_loop",
 ]
 
@@ -21,8 +27,7 @@
 
 
 # Modules that an entry process leaves unpatched: it starts no processes, opens no TLS
-# connections and resolves no names. For each patched module, gevent reads the metadata
-# of all installed packages twice, which would dominate the start time.
+# connections and resolves no names.
 UNUSED_BY_ENTRY = ("dns", "os", "ssl", "subprocess", "sys", "signal", "queue")
 
 
@@ -44,6 +49,39 @@
     monkey.patch_all(**dict.fromkeys(unpatched, False))
 
 
+@contextmanager
+def no_entry_points():
+    """Hides the entry points of installed packages.
+
+    For each module that it patches, gevent reads the metadata of all installed packages
+    twice, to find plug-ins. None is installed, and the search takes a sixth of the
+    processor time in which an entry process starts.
+    """
+    saved = metadata.entry_points
+    metadata.entry_points = lambda **params: metadata.EntryPoints()
+    try:
+        yield
+    finally:
+        metadata.entry_points = saved
+
+
+def pause_collection():
+    """Stops the garbage collector while the modules of the program are imported.
+
+    An import creates many objects and hardly any garbage.
+    """
+    gc.disable()
+
+
+def resume_collection():
+    """Starts the garbage collector; it leaves out the objects that exist already.
+
+    Imported modules live as long as the process.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 def ignore_early_reload(arguments):
     """Ignores SIGHUP until the process installs its handler.
 
--- a/amaranthbay/utils/tests/test_runtime.py
+++ b/amaranthbay/utils/tests/test_runtime.py
@@ -62,4 +62,27 @@
     case.assertEqual(modules.intersection(OTHER_COMMANDS_MODULES), set())
 
 
+ENTRY_START = """
+import sys
+sys.argv[1:] = ["entry"]
+from importlib import metadata
+entry_points, reads = metadata.entry_points, []
+metadata.entry_points = lambda **params: reads.append(params) or entry_points(**params)
+import amaranthbay.__main__
+import gc, gevent.monkey, socket
+print(len(reads), gevent.monkey.is_object_patched("socket", "socket"), gc.isenabled())
+from amaranthbay.utils.runtime import resume_collection
+resume_collection()
+print(gc.isenabled(), gc.get_freeze_count() > 0)
+"""
+
+
+def test_entry_process_starts_without_reading_all_packages(case):
+    """Guards against a start that reads the metadata of all packages for each patched
+    module, and against a process that stays without garbage collection."""
+    program = [sys.executable, "-c", ENTRY_START]
+    output = subprocess.run(program, capture_output=True, check=True).stdout.decode()
+    case.assertEqual(output.split(), ["0", "True", "False", "True", "True"])
+
+
 load_tests = collect(globals())
