Update only the servers that a pass over the queue has used

Cause: each start in a pass read the state of all servers again. A stream whose caller has events was refused if the queue was full, and a repeat after its longest wait was refused without a look at the servers if others waited.

Change: a start updates the two servers that it uses. In a service with several priorities, a stream with events takes the place of one that has not begun; with one priority refusals are as before. A late repeat gets a pass at once.

--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -87,9 +87,28 @@
         return [
             self._candidate(server, peer_loads)
             for server in self._usable(service, stage, excluded, version)
-            if not self.pauses.left_s(server.name) and self.limits.has_room(server.name)
+            if self._takes_requests(server)
         ]
 
+    def _takes_requests(self, server):
+        return not self.pauses.left_s(server.name) and self.limits.has_room(server.name)
+
+    def updated(self, candidates, names):
+        """Returns candidates with the present loads of some servers.
+
+        Args:
+            candidates: `Candidate` of each server, as `candidates` returned them.
+            names: Names of the servers to which requests were placed since.
+        """
+        peer_loads = self.peers.loads()
+        result = []
+        for candidate in candidates:
+            if candidate.server.name not in names:
+                result.append(candidate)
+            elif self._takes_requests(candidate.server):
+                result.append(self._candidate(candidate.server, peer_loads))
+        return result
+
     def held_back(self, service, stage=None, excluded=frozenset(), version=None):
         """Returns when the first server takes requests, if pauses and limits forbid it.
 
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -123,7 +123,8 @@
             return Err(refusal)
         self._waiting.append(waiting)
         try:
-            self.advance(at_once=len(self._waiting) == 1)
+            # A repeat after the longest wait has no other pass.
+            self.advance(at_once=len(self._waiting) == 1 or now >= until)
             return self._wait(waiting)
         finally:
             if waiting in self._waiting:
@@ -162,7 +163,9 @@
             return self._overloaded("no server can answer in time", call)
         if len(self._waiting) < MAX_QUEUE_LENGTH:
             return None
-        dropped = stream_to_drop(self._waiting, call, now)
+        is_mixed = self._rank_of(call) is not None
+        has_events = waiting.continued and is_mixed
+        dropped = stream_to_drop(self._waiting, call, now, has_events)
         if dropped is None:
             return self._overloaded("the queue is full", call)
         self._refuse(dropped, "the queue is full of more urgent streams")
@@ -316,7 +319,7 @@
             if placement is not None:
                 self._waiting.remove(waiting)
                 waiting.ready.set(Ok(placement))
-                candidate_cache = CandidateCache(self._ctx)
+                candidate_cache.note_placed(placement)
             elif start.urgency is Urgency.IN_TIME and candidate_cache.is_unfit(waiting):
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -51,7 +51,7 @@
 
 
 class CandidateCache:
-    """Candidates by service and stage; valid until a stream is placed."""
+    """Candidates by service and stage during one pass."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -64,6 +64,25 @@
         self._emptiest_first = {}
         self._distrusted = None
 
+    def note_placed(self, placement):
+        """Updates the servers of a `Placement`.
+
+        What did not fit before doesn't fit afterwards either.
+        """
+        hosts = placement.prefill, placement.decode
+        names = {server.name for server in hosts if server is not None}
+        self._by_stage = {
+            key: self._ctx.updated(candidates, names)
+            for key, candidates in self._by_stage.items()
+        }
+        for derived in (
+            self._usable,
+            self._prefill_waits,
+            self._places,
+            self._emptiest_first,
+        ):
+            derived.clear()
+
     def usable_by(self, waiting, stage, reserved=frozenset()):
         """Returns the candidates that a waiting stream may use.
 
--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -54,7 +54,7 @@
 GIVE_UP_TARGETS = 4.0
 # Late streams of a service with several priorities start in the order of their arrival
 # plus this number of targets. With the time at which callers give up (4), the least
-# urgent class, whose callers wait for longest, is served more often than the middle one.
+# urgent class, whose callers stay longest, is served more often than the middle one.
 LATE_ORDER_TARGETS = 5.0
 # Longest wait in the queue, in targets. With several priorities, the wait is almost as
 # long as callers wait: a class whose callers leave sooner is otherwise refused while
@@ -315,7 +315,7 @@
     return sum(max(0, limit_tokens - used) // need_tokens for used in used_tokens)
 
 
-def stream_to_drop(waiting, call, now):
+def stream_to_drop(waiting, call, now, has_events=False):
     """Returns the stream that makes way for a more urgent one in a full queue, or None.
 
     Among those of the lowest priority, callers who have come back are spared, and late
@@ -325,12 +325,14 @@
         waiting: Waiting streams, with `call` and whether they are `continued`.
         call: `Call` of the new stream.
         now: Monotonic time.
+        has_events: Whether the caller of the new stream has events of it, so that it is
+            more urgent than all streams that have not begun.
     """
     less_urgent = [
         stream
         for stream in waiting
         if stream.call.service.name == call.service.name
-        and stream.call.priority > call.priority
+        and (has_events or stream.call.priority > call.priority)
         and not stream.continued
     ]
     return max(
