Compute no prompt for a lost server or a caller who leaves before it

Cause: a decode server that was silent or unreachable a moment ago looks empty, and got streams as soon as the others were full; the prompt was computed in vain. With several priorities, streams started up to 50 ms after their own estimate said that the caller gives up. A less urgent stream that was held back in time could start once it was late, as only the memory of the best server counted then.

Change: such a server gets streams only if all are like it, in services with one priority too. The estimate must be met with several priorities. Late streams leave the same room as those in time.

--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -78,6 +78,10 @@
 def choose_decode(candidates, need_tokens, memory_tokens, draw):
     """Returns the candidate with the most free memory that fits the request, or None.
 
+    A server that was unreachable or silent looks empty once its streams have broken
+    off. It isn't used while there are others, even if these are full: a prompt for it
+    would be computed in vain.
+
     Args:
         candidates: `Candidate` of each decode server.
         need_tokens: KV cache tokens that the request needs; see `memory_need`.
@@ -85,9 +89,10 @@
         draw: Random number from 0 to 1 that breaks ties.
     """
     limit = USABLE_MEMORY_SHARE * memory_tokens
+    sound = [candidate for candidate in candidates if not candidate.avoided]
     fitting = [
         candidate
-        for candidate in candidates
+        for candidate in sound or candidates
         if candidate.memory_tokens + need_tokens <= limit
         and candidate.running < candidate.server.slots
         and not candidate.full
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -147,7 +147,7 @@
         """Returns until when a start is of use if no prompt is queued ahead."""
         pressure = self._pressure(CandidateCache(self._ctx), call, 0.0, 0.0)
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        return latest_start_at(call, first_s)
+        return latest_start_at(call, first_s, self._rank_of(call))
 
     def _refusal_at_once(self, waiting, now):
         """Returns the `Refusal` of a stream that can't be served, else None.
@@ -454,7 +454,7 @@
         if not may_start(start.urgency, pressure, start.rank):
             return None
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        if not waiting.continued and now > latest_start_at(call, first_s):
+        if not waiting.continued and now > latest_start_at(call, first_s, start.rank):
             return None
         if waiting.must_skip_prefill or self._prefers_decode_server(
             call, prefill, decode, pressure
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -82,6 +82,13 @@
     case.assertIsNone(choose_prefill([], 0.0))
 
 
+def test_silent_decode_server_gets_no_stream_while_others_are_full(case):
+    """Guards against prompts that are computed for a lost server, which looks empty."""
+    lost, full = candidate("lost", avoided=True), candidate("full", memory_tokens=42000)
+    case.assertIsNone(choose_decode([lost, full], 3000, 42000, 0.0))
+    case.assertIs(choose_decode([lost], 3000, 42000, 0.0), lost)
+
+
 def test_prompt_stays_in_its_zone_unless_that_delays_it(case):
     """Guards against prompts and KV cache that cross availability zones to save a few
     milliseconds, and against queues in one zone while servers in others are idle."""
--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -182,17 +182,20 @@
     )
 
 
-def latest_start_at(call, first_s):
+def latest_start_at(call, first_s, rank=None):
     """Returns the monotonic time until which it is of use to start a stream.
 
-    Its first event can then still come while its caller waits.
+    Its first event can then still come while its caller waits. With several priorities,
+    others can use the servers, so that an error of the estimate isn't allowed for.
 
     Args:
         call: `Call` of the stream.
         first_s: Seconds from its start to its first event.
+        rank: Its `WaitingStart.rank`.
     """
     gives_up_at = call.arrived_at + GIVE_UP_TARGETS * call.route.target_s
-    return min(call.ends_at, gives_up_at) + ESTIMATE_ERROR_S - first_s
+    error_s = ESTIMATE_ERROR_S if rank is None else 0.0
+    return min(call.ends_at, gives_up_at) + error_s - first_s
 
 
 def longest_wait_s(call, rank):
@@ -291,6 +294,9 @@
     # before it, and memory that they leave would be unused.
     if urgency is Urgency.RETURNED and rank is not None:
         return True
+    # A stream that was held back while it could be in time is so once it is late.
+    if rank and not _leaves_room(pressure, rank):
+        return False
     return pressure.memory_share <= LATE_MEMORY_SHARE
 
 
--- a/amaranthbay/scheduling/tests/player.py
+++ b/amaranthbay/scheduling/tests/player.py
@@ -273,7 +273,7 @@
         )
         pressure = streams.Pressure(wait_s, speed, share, DECODE_START_S, *places, need)
         first_s = streams.first_event_s(start.call.head.prompt_tokens, pressure)
-        is_useful = self.now <= streams.latest_start_at(start.call, first_s)
+        is_useful = self.now <= streams.latest_start_at(start.call, first_s, start.rank)
         return is_useful and streams.may_start(start.urgency, pressure, start.rank)
 
     def _retry_s(self, caller, longest_s):
--- a/amaranthbay/scheduling/tests/test_decisions.py
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -124,6 +124,15 @@
     case.assertTrue(starts(9.0, 9.0))
 
 
+def test_stream_does_not_start_more_easily_once_it_is_late(case):
+    """Guards against less urgent streams that are held back until they are late, and
+    then take the places that were kept for more urgent ones."""
+    full = Pressure(0.0, PrefillSpeed(), 0.7, 0.1, free_places=2, all_places=100)
+    for urgency, rank in itertools.product((Urgency.IN_TIME, Urgency.LATE), (0, 1)):
+        starts = streams.may_start(urgency, full, rank)
+        case.assertEqual(starts, rank == 0, (urgency, rank))
+
+
 def test_returned_streams_are_known_by_the_usual_deadline(case):
     """Guards against new streams that start last as their callers state less than the
     route's timeout, and against returned ones that count as new."""
