Log the cause of each wasted prefill

Cause: a prompt that was computed and not decoded left no line that names the cause. In a full queue, the server that the first stream awaits could be a lost one.

Change: the event prefill_wasted has the cause: server_refused, server_unreachable, server_lost, kv_cache_expired, caller_left, deadline_passed, quarantined or interrupted. The awaited server is one that was not silent, if there is one.

--- a/amaranthbay/platform/tests/test_entry_streams.py
+++ b/amaranthbay/platform/tests/test_entry_streams.py
@@ -1,15 +1,19 @@
 """Streams through an entry daemon: prefill, decode, queue and resumption."""
 
+from unittest import mock
+
 import gevent
 
 from amaranthbay.fleet.reports import PeerStatus, ServerLoad, encode_datagram
+from amaranthbay.kernel.errors import CallerGone, Reason, not_run
 from amaranthbay.platform.tests.fixtures import (
     call_raw,
     connect,
     entry_fixture,
     stream_request,
 )
-from amaranthbay.platform.tests.standins import Reply
+from amaranthbay.platform.tests.standins import Reply, ServerStandin
+from amaranthbay.relay import wasted
 from amaranthbay.relay.budget import BudgetLimits
 from amaranthbay.relay.calls import Call
 from amaranthbay.relay.codec import CallHead
@@ -271,6 +275,31 @@
     case.assertEqual(fixture.daemon.ctx.handles.distrusted(), frozenset())
 
 
+def test_causes_of_wasted_prefills_are_told_apart(case):
+    """Guards against prompts that are computed in vain without a trace of the cause,
+    and against counting those that are decoded."""
+    logged = case.enterContext(mock.patch.object(wasted, "log_event"))
+    refusal = ServerStandin("dec-1").refusal()
+    for replies, causes in (
+        ([], []),
+        ([refusal], ["server_refused"]),
+        ([None], ["server_lost"]),
+    ):
+        fixture = case.enterContext(entry_fixture())
+        fixture.servers["dec-1"].replies.extend(replies)
+        logged.reset_mock()
+        call_raw(fixture.address, stream_request("/once/x"))
+        found = [entry.kwargs["cause"] for entry in logged.call_args_list]
+        case.assertEqual(found, causes)
+    refused = not_run(Reason.BACKEND_REFUSED, "", 503)
+    for refusal, exc, age_s, cause in (
+        (None, CallerGone("gone"), 0.1, "caller_left"),
+        (None, gevent.Timeout(), 0.1, "deadline_passed"),
+        (refused, None, 0.6, "kv_cache_expired"),
+    ):
+        case.assertEqual(wasted.waste_cause(refusal, exc, age_s, 0.5), cause)
+
+
 def test_suspect_handle_is_not_offered_to_another_server(case):
     """Guards against using up the attempts of a stream on KV cache that is gone."""
     fixture = case.enterContext(entry_fixture(decode=("dec-1", "dec-2")))
--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -14,6 +14,7 @@
 from amaranthbay.relay.plain import AMBIGUOUS_STATUSES
 from amaranthbay.relay.prefill import CONNECT_TIMEOUT_S, run_prefill
 from amaranthbay.relay.refusals import RETRY_SOON, quarantined
+from amaranthbay.relay.wasted import log_wasted_prefill
 
 __all__ = ["OpenedStream", "StreamOpener", "decode_failed"]
 
@@ -187,6 +188,7 @@
             if ctx.crashes.is_quarantined(self._call):
                 # Its crashes became known during the prefill.
                 release_handle(ctx, placement.prefill, handle)
+                log_wasted_prefill(self._call, 0.0, quarantined())
                 return Err(quarantined())
             server_conn, conn = conn, None
             return self._decode_computed(placement, handle, hold, server_conn)
@@ -229,11 +231,20 @@
                 )
                 outcome = other_outcome or outcome
             taken = not _is_not_run(outcome)
+            if outcome.is_err():
+                age_s = self._age_s(computed)
+                log_wasted_prefill(self._call, age_s, outcome.unwrap_err())
             return outcome
+        except BaseException as exc:
+            log_wasted_prefill(self._call, self._age_s(computed), exc=exc)
+            raise
         finally:
             if not taken:
                 release_handle(self._ctx, server, handle)
 
+    def _age_s(self, computed):
+        return self._ctx.clock.monotonic() - computed.computed_at
+
     def _decode_elsewhere(self, refusal, first_server, computed):
         """Offers a computed prompt to another decode server.
 
@@ -248,7 +259,7 @@
         """
         if self._is_taken_over():
             return None
-        age_s = self._ctx.clock.monotonic() - computed.computed_at
+        age_s = self._age_s(computed)
         if age_s > HANDLE_REUSE_SHARE * self._call.service.engine.handle_ttl_s:
             return None
         excluded = self._excluded | self._attempts.excluded | {first_server.name}
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -119,7 +119,7 @@
         if key not in self._emptiest_first:
             by_memory = sorted(
                 self.usable_by(waiting, Stage.DECODE),
-                key=lambda candidate: candidate.memory_tokens,
+                key=lambda candidate: (candidate.avoided, candidate.memory_tokens),
             )
             self._emptiest_first[key] = [entry.server.name for entry in by_memory]
         for name in self._emptiest_first[key]:
