Reserve memory at decode servers until the others have reported

Cause: after a restart of all instances each one placed streams by its own loads alone, and counted no other instance as placing streams until these had measured a demand, which takes the length of a stream.

Change: scheduling/starting.py decides how long unknown load is assumed: 2 s from the first stream, at most until half of the other registered instances have reported. Meanwhile each placement reserves memory first, so that the server itself says whether there is room and nothing waits for reports. Afterwards instances that report loads count as placing streams if none has measured a demand.

--- a/amaranthbay/relay/placements.py
+++ b/amaranthbay/relay/placements.py
@@ -4,6 +4,7 @@
 
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.scheduling.rates import DecayingSum
+from amaranthbay.scheduling.starting import expects_unknown_load
 from amaranthbay.scheduling.streams import reservation_share
 
 __all__ = ["Placement", "Placements"]
@@ -49,15 +50,39 @@
         self._ctx = ctx
         # `DecayingSum` of the memory placed, by name of the service.
         self._placed = {}
+        # Time of the first placement of this process.
+        self._since = None
 
     def _may_be_full(self, service, decode, need_tokens):
+        now = self._ctx.clock.monotonic()
+        if self._expects_unknown_load(now):
+            return True
         placed = self._placed.get(service.name)
-        per_s = placed.per_s(self._ctx.clock.monotonic()) if placed else 0.0
-        others = len(self._ctx.peers.demands(service.name))
+        per_s = placed.per_s(now) if placed else 0.0
+        others = self._placing_others(service)
         memory_tokens = service.engine.memory_tokens
         memory_share = (decode.memory_tokens + need_tokens) / memory_tokens
         return memory_share > reservation_share(per_s, others, memory_tokens)
 
+    def _expects_unknown_load(self, now):
+        if self._since is None:
+            self._since = now
+        peers = self._ctx.peers
+        registered = {entry.instance for entry in peers.registrations()}
+        registered.discard(peers.own.instance)
+        return expects_unknown_load(now - self._since, registered, peers.received())
+
+    def _placing_others(self, service):
+        """Returns the number of other instances that place streams.
+
+        Those that have not measured a demand yet, as after a restart of all instances,
+        are known by their loads.
+        """
+        measured = len(self._ctx.peers.demands(service.name))
+        if measured:
+            return measured
+        return sum(bool(status.loads) for status in self._ctx.peers.fresh_statuses())
+
     def add(self, call, prefill, decode, need_tokens):
         """Counts the load of an attempt and returns its `Placement`.
 
--- a/amaranthbay/relay/tests/placing_fixture.py
+++ b/amaranthbay/relay/tests/placing_fixture.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from types import SimpleNamespace
 
+import msgspec
 from result import Ok
 
 from amaranthbay.fleet.backends import BackendPool
@@ -85,6 +86,21 @@
         self.clock.advance(100.0)
         own = Registration("entry-0", "zone-0", "region", "entry-0:80", "")
         self.peers = Peers(own, self.clock, OwnReport, bool, 1)
+        names = [f"entry-{number}" for number in range(1, self.peers_count + 1)]
+        self.peers.apply(
+            [
+                ChangedRow(
+                    name,
+                    1,
+                    msgspec.json.encode(
+                        Registration(
+                            name, "zone-0", "region", f"{name}:80", "127.0.0.1:9"
+                        )
+                    ),
+                )
+                for name in names
+            ]
+        )
         health = StoreHealth(self.clock)
         self.backends = BackendPool(_decode, self.clock, health)
         prefill = min(PREFILL_SERVERS, self.servers // 2)
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -78,4 +78,40 @@
     case.assertLessEqual(len(read), 20 + 2 * 60)
 
 
+def test_memory_is_reserved_until_the_others_have_reported(case):
+    """Guards against instances that fill the same decode servers after a restart of all
+    of them, and against reserving memory for long as some of them never come back."""
+
+    def may_be_full(fixture):
+        call = make_call(0, fixture.clock.monotonic(), 400)
+        placement = place_soon(case, fixture, call).value.unwrap()
+        placement.release()
+        return placement.may_be_full
+
+    fixture = QueueFixture(8, peers_count=4)
+    case.assertTrue(may_be_full(fixture))
+    fixture.report(ServerLoad(1, 100, 0))
+    case.assertFalse(may_be_full(fixture))
+    silent = QueueFixture(8, peers_count=4)
+    case.assertTrue(may_be_full(silent))
+    silent.clock.advance(2.1)
+    case.assertFalse(may_be_full(silent))
+    case.assertFalse(may_be_full(QueueFixture(8)))
+
+
+def test_placements_of_others_count_before_they_measure_a_demand(case):
+    """Guards against servers that are overcommitted within the delay of reports in the
+    seconds after a restart of all instances, as no stream has ended yet."""
+    shares = []
+    for loads in (ServerLoad(), ServerLoad(1, 100, 0)):
+        fixture = QueueFixture(4, peers_count=11)
+        fixture.report(loads)
+        placed = []
+        for _ in range(6):
+            call = make_call(0, fixture.clock.monotonic(), 2900)
+            placed.append(place_soon(case, fixture, call).value.unwrap())
+        shares.append(placed[-1].may_be_full)
+    case.assertEqual(shares, [False, True])
+
+
 load_tests = collect(globals())
