Lower the cost of passes over the queue

Cause: passes over 100 waiting streams took 2.3 ms and may follow each other by 10 ms, which is a fifth of a core.

Change: passes take at most 0.15 of the time; the interval grows up to the interval at which waiting streams check the queue. The rank of a priority, the key of a stream's servers and the time for which a server is full are computed once.

--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -160,6 +160,7 @@
         return [server for server in usable if server.name not in unusable]
 
     def _candidate(self, server, peer_loads):
+        full_s = self.outcomes.full_s(server.name)
         own_load = self.placed_load.loads().get(server.name, ServerLoad())
         load = own_load + peer_loads.get(server.name, ServerLoad())
         return Candidate(
@@ -173,6 +174,6 @@
             latency_s=self.outcomes.latency_s(server.name),
             service_s=self.outcomes.service_s(server.name),
             avoided=self.outcomes.is_avoided(server.name),
-            full=self.outcomes.is_full(server.name),
-            full_s=self.outcomes.full_s(server.name),
+            full=full_s > 0,
+            full_s=full_s,
         )
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -50,6 +50,9 @@
 # Shortest interval between passes over the queue; the cost of a pass grows with the
 # number of requests and servers.
 MIN_PASS_INTERVAL_S = 0.01
+# Share of the time that passes may take; above it the interval grows, up to
+# `RECHECK_INTERVAL_S`. Passes over 100 streams every 10 ms take a fifth of a core.
+MAX_PASS_TIME_SHARE = 0.15
 # Each waiting request holds its body and a connection.
 MAX_QUEUE_LENGTH = 200
 
@@ -324,6 +327,9 @@
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
                 reserved |= candidate_cache.awaited_server(waiting, reserved)
+        pass_s = self._ctx.clock.monotonic() - now
+        interval_s = min(RECHECK_INTERVAL_S, pass_s / MAX_PASS_TIME_SHARE)
+        self._next_pass_at = now + max(MIN_PASS_INTERVAL_S, interval_s)
 
     def _end_wait(self, waiting):
         """Raises the current exception in the greenlet of a waiting stream."""
@@ -333,7 +339,7 @@
 
     def _start_sequence(self, now, candidate_cache):
         """Returns the `WaitingStart` of each stream in the order of starts."""
-        starts = []
+        starts, ranks = [], {}
         order_times = start_order(
             [(stream.call, stream.need_tokens) for stream in self._waiting]
         )
@@ -344,6 +350,9 @@
                 self._end_wait(waiting)
                 continue
             call = waiting.call
+            key = call.service.name, call.priority
+            if key not in ranks:
+                ranks[key] = self._rank_of(call)
             starts.append(
                 WaitingStart(
                     waiting,
@@ -351,7 +360,7 @@
                     urgency,
                     order_time,
                     waiting.continued,
-                    self._rank_of(call),
+                    ranks[key],
                     waiting.returned,
                 )
             )
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -78,6 +78,27 @@
     case.assertLessEqual(len(read), 20 + 2 * 60)
 
 
+def test_slow_passes_are_run_less_often(case):
+    """Guards against passes over a long queue that use up a small machine's core."""
+    fixture = QueueFixture()
+    fixture.fill(FULL)
+    place_soon(case, fixture, make_call(0, 100.0))
+    passes = []
+
+    def run_slowly(*arguments):
+        passes.append(fixture.clock.monotonic())
+        fixture.clock.advance(0.003)
+        return []
+
+    with mock.patch.object(fixture.queue, "_start_sequence", run_slowly):
+        for _ in range(60):
+            fixture.clock.advance(0.001)
+            fixture.queue.advance()
+    gaps = [later - first for first, later in zip(passes, passes[1:])]
+    case.assertGreaterEqual(min(gaps), 0.02 - 1e-9)
+    case.assertLessEqual(max(gaps), placing.RECHECK_INTERVAL_S)
+
+
 def test_memory_is_reserved_until_the_others_have_reported(case):
     """Guards against instances that fill the same decode servers after a restart of all
     of them, and against reserving memory for long as some of them never come back."""
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -44,10 +44,9 @@
     taken: bool = False
     returned: bool = False
 
-    @property
-    def servers_key(self):
-        """Streams of the same service with the same key may use the same servers."""
-        return self.call.service.name, self.version, self.excluded
+    def __post_init__(self):
+        # Streams with the same key may use the same servers.
+        self.servers_key = self.call.service.name, self.version, self.excluded
 
 
 class CandidateCache:
@@ -61,7 +60,7 @@
         self._timings = {}
         self._unfit = {}
         self._places = {}
-        self._emptiest_first = {}
+        self._emptiest_last = {}
         self._distrusted = None
 
     def note_placed(self, placement):
@@ -79,7 +78,7 @@
             self._usable,
             self._prefill_waits,
             self._places,
-            self._emptiest_first,
+            self._emptiest_last,
         ):
             derived.clear()
 
@@ -116,16 +115,18 @@
             reserved: Names of servers that are reserved for other streams.
         """
         key = waiting.servers_key
-        if key not in self._emptiest_first:
+        if key not in self._emptiest_last:
             by_memory = sorted(
                 self.usable_by(waiting, Stage.DECODE),
                 key=lambda candidate: (candidate.avoided, candidate.memory_tokens),
+                reverse=True,
             )
-            self._emptiest_first[key] = [entry.server.name for entry in by_memory]
-        for name in self._emptiest_first[key]:
-            if name not in reserved:
-                return frozenset((name,))
-        return frozenset()
+            self._emptiest_last[key] = [entry.server.name for entry in by_memory]
+        # Reserved servers stay so until the end of the pass.
+        names = self._emptiest_last[key]
+        while names and names[-1] in reserved:
+            names.pop()
+        return frozenset(names[-1:])
 
     def _candidates(self, waiting, stage):
         key = waiting.call.service.name, stage, waiting.version
