Take back the start of a stream whose server refuses to reserve memory

Cause: each refused reservation counted as a start and as another arrival, so that a class whose streams find full servers lost the credit of its least share, and the measured rate of more urgent streams was too high.

Change: the credit is given back, and the stream is counted once.

--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -110,6 +110,7 @@
             ``Result[tuple[Placement, str], Refusal]`` with the id of the hold at the
             decode server, which is empty for none.
         """
+        counted = False
         while True:
             place_result = self._queue.place(
                 self._call,
@@ -117,6 +118,7 @@
                 self._attempts.must_skip_prefill(),
                 self._attempts.version is not None,
                 self._attempts.version,
+                counted,
             )
             if place_result.is_err():
                 return place_result
@@ -137,6 +139,9 @@
                     placement.release()
             if hold_result.is_ok():
                 return Ok((placement, hold_result.unwrap()))
+            if self._attempts.version is None:
+                self._queue.note_not_started(self._call)
+                counted = True
 
     def _access_refusal(self):
         """Returns the `Refusal` if the caller's key was removed during the wait.
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -84,6 +84,7 @@
         must_skip_prefill=False,
         continued=False,
         version=None,
+        counted=False,
     ):
         """Waits until servers can take a stream.
 
@@ -93,6 +94,7 @@
             must_skip_prefill: Whether the decode server must compute the prompt.
             continued: Whether the caller already has events of the stream.
             version: Software version of the servers that may be used; None for any.
+            counted: Whether the stream was counted as a new one before.
 
         Returns:
             ``Result[Placement, Refusal]``; a refusal is returned without a wait if the
@@ -119,8 +121,10 @@
             AsyncResult(),
         )
         if not continued:
-            self._credits.note_arrived(name, call.priority, now)
-            waiting.returned = self._arrivals.note(call, now)
+            if not counted:
+                self._credits.note_arrived(name, call.priority, now)
+                self._arrivals.note(call, now)
+            waiting.returned = self._arrivals.has_returned(call)
         refusal = self._refusal_at_once(waiting, now)
         if refusal is not None:
             return Err(refusal)
@@ -135,6 +139,11 @@
             elif waiting.ready.successful() and not waiting.taken:
                 waiting.ready.get().map(lambda placement: placement.release())
 
+    def note_not_started(self, call):
+        """Records that the server of a new stream had no room after all."""
+        now = self._ctx.clock.monotonic()
+        self._credits.note_not_started(call.service.name, call.priority, now)
+
     def _longest_wait_end(self, call, continued, now):
         """Returns the monotonic time at which the wait of a stream is given up."""
         max_wait_s = longest_wait_s(call, self._rank_of(call))
--- a/amaranthbay/scheduling/arrivals.py
+++ b/amaranthbay/scheduling/arrivals.py
@@ -69,11 +69,14 @@
         self._previous = self._current = 0.0
 
     def add(self, value, now):
-        """Adds a value and returns the maximum."""
+        """Adds a value at a monotonic time."""
         if now - self._began_at > DEADLINE_LIFE_S:
             self._previous, self._current = self._current, 0.0
             self._began_at = now
         self._current = max(self._current, value)
+
+    def value(self):
+        """Returns the maximum as of the latest value."""
         return max(self._previous, self._current)
 
 
@@ -91,9 +94,6 @@
         Args:
             call: `Call` of the stream.
             now: Monotonic time.
-
-        Returns:
-            Whether its caller has probably come back after a refusal.
         """
         service, route = call.service.name, call.route
         self._since.setdefault(service, now)
@@ -102,10 +102,20 @@
         arrived.count.add(1.0, now)
         arrived.tokens.add(call.head.prompt_tokens, now)
         arrived.target_s, arrived.last_at = route.target_s, now
+        if call.head.deadline_s is not None:
+            arrived.longest.add(call.head.deadline_s, now)
+
+    def has_returned(self, call):
+        """Returns whether the caller of a noted stream has probably come back.
+
+        Args:
+            call: `Call` of the stream.
+        """
         deadline_s = call.head.deadline_s
         if deadline_s is None:
             return False
-        longest_s = min(route.timeout_s, arrived.longest.add(deadline_s, now))
+        arrived = self._classes[call.service.name][call.priority]
+        longest_s = min(call.route.timeout_s, arrived.longest.value())
         return deadline_s < RETURNED_DEADLINE_SHARE * longest_s
 
     def urgent_need(self, service, priority, instances, first_event_s, now):
--- a/amaranthbay/scheduling/priorities.py
+++ b/amaranthbay/scheduling/priorities.py
@@ -122,6 +122,12 @@
         credit = self._credits.get((service, priority), 0.0)
         self._credits[service, priority] = max(0.0, credit - 1.0)
 
+    def note_not_started(self, service, priority, now):
+        """Records that a stream waits again, as its server had no room after all."""
+        self._sum_of(self._started, service).add(-1.0, now)
+        credit = self._credits.get((service, priority), 0.0)
+        self._credits[service, priority] = min(MAX_CREDIT, credit + 1.0)
+
     def owed(self, service, priority):
         """Returns the number of whole starts that a priority is owed."""
         return int(self._credits.get((service, priority), 0.0))
@@ -132,4 +138,5 @@
     def _started_share(self, service, now):
         arrived = self._sum_of(self._arrived, service).value(now)
         started = self._sum_of(self._started, service).value(now)
-        return min(1.0, started / arrived)
+        # More starts may be taken back than are still counted.
+        return max(0.0, min(1.0, started / arrived))
--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -126,7 +126,7 @@
         rank: Position of its priority among those of its service, 0 for the highest;
             None if the service has only one.
         returned: Whether the caller has probably come back after a refusal; see
-            `ClassArrivals.note`. Only read with a rank.
+            `ClassArrivals.has_returned`. Only read with a rank.
     """
 
     stream: object
--- a/amaranthbay/scheduling/tests/player.py
+++ b/amaranthbay/scheduling/tests/player.py
@@ -174,7 +174,8 @@
         self.waiting.append(caller)
         call, now = caller.call, self.now
         self.credits.note_arrived("lm", call.priority, now)
-        caller.returned = self.arrivals.note(call, now)
+        self.arrivals.note(call, now)
+        caller.returned = self.arrivals.has_returned(call)
         rank = priority_rank(call.priority, self.priorities)
         caller.until = now + streams.longest_wait_s(call, rank)
 
--- a/amaranthbay/scheduling/tests/test_decisions.py
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -137,12 +137,16 @@
     """Guards against new streams that start last as their callers state less than the
     route's timeout, and against returned ones that count as new."""
     arrivals = ClassArrivals()
-    deadlines = (5.0, 5.0, 14.0, 9.0, 12.0, None)
-    returned = [arrivals.note(make_call(0, deadline_s=d), 0.0) for d in deadlines]
+
+    def has_returned(deadline_s, now=0.0):
+        call = make_call(0, deadline_s=deadline_s)
+        arrivals.note(call, now)
+        return arrivals.has_returned(call)
+
+    returned = [has_returned(d) for d in (5.0, 5.0, 14.0, 9.0, 12.0, None)]
     case.assertEqual(returned, [False, False, False, True, False, False])
-    case.assertTrue(arrivals.note(make_call(0, deadline_s=5.0), 14.0))
-    case.assertTrue(arrivals.note(make_call(0, deadline_s=5.0), 16.0))
-    case.assertFalse(arrivals.note(make_call(0, deadline_s=5.0), 32.0))
+    later = [has_returned(5.0, now) for now in (14.0, 16.0, 32.0)]
+    case.assertEqual(later, [True, True, False])
 
 
 def test_class_that_never_starts_is_owed_its_share(case):
@@ -161,6 +165,26 @@
     case.assertIn(owed, (1, 2))
 
 
+def test_start_that_a_server_refuses_uses_up_no_credit(case):
+    """Guards against a class that starves as its streams find full servers, and against
+    a share of starts below 0 after they are taken back late."""
+    credits = ClassCredits()
+    for _ in range(10):
+        credits.note_arrived("lm", 2, 0.0)
+        credits.note_started("lm", 2, 0.0)
+    for _ in range(4):
+        credits.note_arrived("lm", 2, 0.0)
+    owed = credits.owed("lm", 2)
+    case.assertGreaterEqual(owed, 1)
+    credits.note_started("lm", 2, 0.0)
+    credits.note_not_started("lm", 2, 0.0)
+    case.assertEqual(credits.owed("lm", 2), owed)
+    for _ in range(3):
+        credits.note_not_started("lm", 2, 99.0)
+        credits.note_arrived("lm", 2, 99.0)
+    case.assertGreaterEqual(credits.owed("lm", 2), owed)
+
+
 def test_full_queue_drops_a_less_urgent_stream(case):
     """Guards against urgent streams that are refused while others wait, and against
     dropping streams of equal priority, with events or of returned callers."""
