Count standby instances by the streams that they have measured

Cause: the rate of more urgent streams was the own rate times the number of instances that have measured any stream. Standby instances, which get a few callers, counted in full, so that too many places were kept free.

Change: an instance counts by its streams, relative to the busiest one. The sum is taken once in a pass.

Result: test_standby_instances_count_by_the_streams_that_they_measure.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -398,7 +398,7 @@
         return self._arrivals.urgent_need(
             name,
             call.priority,
-            1 + len(self._ctx.peers.demands(name)),
+            candidate_cache.placing_instances(name),
             lambda tokens: first_event_s(tokens, idle),
             now,
         )
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from amaranthbay.fleet.reports import ServerLoad
+from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus, ServerLoad
 from amaranthbay.relay import placing
 from amaranthbay.relay.context import RelayContext
 from amaranthbay.relay.tests.placing_fixture import (
@@ -12,6 +12,7 @@
     QueueFixture,
     make_call,
 )
+from amaranthbay.relay.waiting import CandidateCache
 from amaranthbay.utils.testing import collect
 
 FULL = ServerLoad(1, MEMORY_TOKENS, 0)
@@ -78,6 +79,18 @@
     case.assertLessEqual(len(read), 20 + 2 * 60)
 
 
+def test_standby_instances_count_by_the_streams_that_they_measure(case):
+    """Guards against places that are kept for instances that place few streams."""
+    fixture = QueueFixture(peers_count=3)
+    for number, streams in enumerate((60, 60, 3), 1):
+        demand = MeasuredDemand(2900, 30_000, 1.8, streams)
+        demands = {"lm": demand}
+        fixture.peers.receive(PeerStatus(f"entry-{number}", 5, 1, True, {}, demands))
+    cache = CandidateCache(fixture.ctx)
+    case.assertAlmostEqual(cache.placing_instances("lm"), 1 + 2 + 3 / 60)
+    case.assertEqual(cache.placing_instances("other"), 1)
+
+
 def test_slow_passes_are_run_less_often(case):
     """Guards against passes over a long queue that use up a small machine's core."""
     fixture = QueueFixture()
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -62,6 +62,7 @@
         self._places = {}
         self._emptiest_last = {}
         self._distrusted = None
+        self._instances = {}
 
     def note_placed(self, placement):
         """Updates the servers of a `Placement`.
@@ -150,6 +151,18 @@
             )
         return self._timings[service]
 
+    def placing_instances(self, service):
+        """Returns by how much all instances place more streams than a busy one.
+
+        Instances on standby place few, and count by the number that they have measured.
+        """
+        if service not in self._instances:
+            demands = self._ctx.peers.demands(service)
+            most = max((demand.streams for demand in demands), default=0) or 1
+            others = sum(demand.streams for demand in demands) / most
+            self._instances[service] = 1 + others
+        return self._instances[service]
+
     def prefill_wait_s(self, waiting):
         """Returns the seconds until the best prefill server starts with a prompt."""
         key = waiting.servers_key
