Check held back streams of a pass together

Change: in a service with several priorities, a stream is passed over if one of its urgency and rank that is no larger may not start. Services with one priority are as before, since a larger stream may fit only on a server with less load.

--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -451,7 +451,7 @@
             now: Monotonic time.
         """
         waiting, call = start.stream, start.call
-        if candidate_cache.is_unfit(waiting):
+        if candidate_cache.is_unfit(waiting) or candidate_cache.is_held(start):
             return None
         need_tokens = waiting.need_tokens
         decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
@@ -470,6 +470,7 @@
             need = self._urgent_need(call, candidate_cache, now)
             pressure = replace(pressure, urgent_need=need)
         if not may_start(start.urgency, pressure, start.rank):
+            candidate_cache.note_held(start)
             return None
         first_s = first_event_s(call.head.prompt_tokens, pressure)
         if not waiting.continued and now > latest_start_at(call, first_s, start.rank):
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -48,8 +48,7 @@
     place_soon(case, fixture, make_call(0, 100.0, 20_000))
     fixture.clock.advance(3.6)
     fixture.queue.advance(at_once=True)
-    with mock.patch.object(fixture.queue, "advance"):
-        ends[0]()
+    ends[0]()
     repeat = place_soon(case, fixture, make_call(1, 100.0), must_skip_prefill=True)
     case.assertTrue(repeat.ready() and repeat.value.is_ok())
 
@@ -60,9 +59,8 @@
     fixture = QueueFixture(20)
     ends = fixture.fill(FULL)
     waiting = [place_soon(case, fixture, make_call(0, 100.0)) for _ in range(60)]
-    with mock.patch.object(fixture.queue, "advance"):
-        for end in ends:
-            end()
+    for end in ends:
+        end()
     read, candidate = [], RelayContext._candidate
 
     def note_read(*arguments):
@@ -79,6 +77,31 @@
     case.assertLessEqual(len(read), 20 + 2 * 60)
 
 
+def test_held_back_streams_are_not_looked_at_one_by_one(case):
+    """Guards against passes that choose servers for each stream of a long queue, none
+    of which may start, and against holding back a smaller stream for a larger one."""
+    fixture = QueueFixture(20)
+    ends = fixture.fill(FULL)
+    for size in (3100, 3000, *range(3001, 3031)):
+        place_soon(case, fixture, make_call(1, 100.0, size))
+    fixture.clock.advance(1.5)
+    # The next pass is due later, so that none runs as the loads change.
+    fixture.queue.advance(at_once=True)
+    for end in ends:
+        end()
+    fixture.fill(ServerLoad(1, 19_000, 0))
+    chosen, choose = [], placing.choose_decode
+
+    def note_chosen(candidates, need_tokens, *arguments):
+        chosen.append(need_tokens)
+        return choose(candidates, need_tokens, *arguments)
+
+    with mock.patch.object(placing, "choose_decode", note_chosen):
+        fixture.queue.advance(at_once=True)
+    case.assertEqual(fixture.queue.length(), 32)
+    case.assertLessEqual(len(chosen), 2)
+
+
 def test_standby_instances_count_by_the_streams_that_they_measure(case):
     """Guards against places that are kept for instances that place few streams."""
     fixture = QueueFixture(peers_count=3)
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -63,6 +63,7 @@
         self._emptiest_last = {}
         self._distrusted = None
         self._instances = {}
+        self._held = {}
 
     def note_placed(self, placement):
         """Updates the servers of a `Placement`.
@@ -198,3 +199,23 @@
     def is_unfit(self, waiting):
         """Returns whether a stream of this size or a smaller one did not fit."""
         return waiting.need_tokens >= self._unfit.get(waiting.servers_key, math.inf)
+
+    def note_held(self, start):
+        """Records that a `WaitingStart` may not start in this pass."""
+        key = self._held_key(start)
+        need_tokens = start.stream.need_tokens
+        self._held[key] = min(self._held.get(key, math.inf), need_tokens)
+
+    def is_held(self, start):
+        """Returns whether one of the same urgency and rank, no larger, may not start.
+
+        With a single priority each stream is checked, as a larger one may fit only on a
+        server that has less load.
+        """
+        if start.rank is None:
+            return False
+        held_tokens = self._held.get(self._held_key(start), math.inf)
+        return start.stream.need_tokens >= held_tokens
+
+    def _held_key(self, start):
+        return start.stream.servers_key, start.urgency, start.rank
