Test that priorities which hardly arrive keep no capacity

Cause: each step of priority kept 0.04 of all places free and limited the wait at the prefill servers, also for priorities of which hardly any stream arrives.

--- a/amaranthbay/scheduling/tests/test_loads.py
+++ b/amaranthbay/scheduling/tests/test_loads.py
@@ -84,6 +84,18 @@
     case.assertGreater(by_class[0].in_time, 0.9)
 
 
+def test_priorities_that_hardly_arrive_keep_no_capacity(case):
+    """Guards against streams that wait until they are late beside free servers, since
+    workspaces with few streams have more urgent priorities."""
+    rare = {0: (0.8, 0.01), 1: (1.0, 0.01), 2: (2.0, 0.01)}
+    usual = {3: (0.8, 1.0), 4: (1.0, 1.0), 5: (2.0, 1.0)}
+    loads = [Load(classes, burst_per_s=40.0) for classes in (usual, rare | usual)]
+    alone, beside_rare = (shares(play(Scheduled, load)) for load in loads)
+    for priority in usual:
+        least = alone[priority].in_time - 0.05
+        case.assertGreater(beside_rare[priority].in_time, least)
+
+
 def test_lost_decode_servers_and_uneven_prefill_servers(case):
     """Guards against urgent streams that wait behind others after a loss, or at slow
     prefill servers."""
