Don't treat a late stream with a usual deadline as returned

Cause: a late stream whose caller stated less than 0.8 of the route's timeout could use all memory, as those of refused callers do, although its priority usually states that deadline.

Change: with several priorities, only what the arrivals tell counts.

--- a/amaranthbay/scheduling/streams.py
+++ b/amaranthbay/scheduling/streams.py
@@ -259,9 +259,10 @@
         return start
     if start.continued:
         return replace(start, rank=CONTINUED_RANK)
-    urgency = Urgency.RETURNED if start.returned else start.urgency
-    if urgency is Urgency.IN_TIME:
+    if start.urgency is Urgency.IN_TIME and not start.returned:
         return start
+    # `urgency_of` doesn't know which deadlines are usual.
+    urgency = Urgency.RETURNED if start.returned else Urgency.LATE
     call = start.call
     order_time = call.arrived_at + LATE_ORDER_TARGETS * call.route.target_s
     return replace(start, urgency=urgency, order_time=order_time)
--- a/amaranthbay/scheduling/tests/test_decisions.py
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -86,6 +86,16 @@
         case.assertEqual([s.call for s in sequence], [s.call for s in expected])
 
 
+def test_late_stream_with_a_usual_short_deadline_has_not_returned(case):
+    """Guards against late streams that take all memory, as those of callers who were
+    refused do, since their callers usually state less than the route's timeout."""
+    new = replace(make_start(1, 0.0, rank=0, deadline_s=5.0), returned=False)
+    returned = make_start(1, 0.0, rank=0, deadline_s=5.0)
+    sequence = streams.start_sequence([new, returned], lambda *key: 0)
+    urgencies = [start.urgency for start in sequence]
+    case.assertEqual(urgencies, [Urgency.RETURNED, Urgency.LATE])
+
+
 def test_less_urgent_streams_leave_places(case):
     """Guards against urgent streams that find all servers full, and against a reserve
     that keeps a class from its least share."""
