--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -79,8 +79,9 @@
 def choose_decode(candidates, need_tokens, memory_tokens, draw):
     """Returns the candidate with the most free memory that fits the request, or None.
 
-    Avoided candidates are eligible only if there are no others, even if the others are
-    full. A server that has just crashed has all its memory free.
+    A server that was unreachable or silent looks empty once its streams have broken
+    off. It isn't used while there are others, even if these are full: a prompt for it
+    would be computed in vain.
 
     Args:
         candidates: `Candidate` of each decode server.
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -1,6 +1,7 @@
 """Places streams on a prefill and a decode server, or queues them."""
 
 import sys
+from dataclasses import replace
 from datetime import timedelta
 
 from gevent.event import AsyncResult
@@ -23,6 +24,7 @@
 from amaranthbay.relay.refusals import all_held_back
 from amaranthbay.relay.waiting import CandidateCache, WaitingStream
 from amaranthbay.routing import Stage
+from amaranthbay.scheduling.arrivals import ClassArrivals
 from amaranthbay.scheduling.priorities import ClassCredits, priority_rank
 from amaranthbay.scheduling.retries import ReturnTimes, longest_retry_s
 from amaranthbay.scheduling.streams import (
@@ -31,6 +33,7 @@
     WaitingStart,
     first_event_s,
     latest_start_at,
+    longest_wait_s,
     may_start,
     memory_need,
     start_order,
@@ -47,11 +50,11 @@
 # Shortest interval between passes over the queue; the cost of a pass grows with the
 # number of requests and servers.
 MIN_PASS_INTERVAL_S = 0.01
+# Share of the time that passes may take; above it the interval grows, up to
+# `RECHECK_INTERVAL_S`. Passes over 100 streams every 10 ms take a fifth of a core.
+MAX_PASS_TIME_SHARE = 0.15
 # Each waiting request holds its body and a connection.
 MAX_QUEUE_LENGTH = 200
-# Longest wait in the queue, in targets of the route. A caller gives up a stream without
-# an event after about four targets.
-MAX_WAIT_TARGETS = 3.0
 
 
 class StreamQueue:
@@ -65,6 +68,7 @@
         self._waiting = []
         self._next_pass_at = 0.0
         self._credits = ClassCredits()
+        self._arrivals = ClassArrivals()
         self._placements = Placements(ctx)
         # `ReturnTimes` by name of the service.
         self._returns = {}
@@ -80,6 +84,7 @@
         must_skip_prefill=False,
         continued=False,
         version=None,
+        counted=False,
     ):
         """Waits until servers can take a stream.
 
@@ -89,6 +94,7 @@
             must_skip_prefill: Whether the decode server must compute the prompt.
             continued: Whether the caller already has events of the stream.
             version: Software version of the servers that may be used; None for any.
+            counted: Whether the stream was counted as a new one before.
 
         Returns:
             ``Result[Placement, Refusal]``; a refusal is returned without a wait if the
@@ -115,13 +121,17 @@
             AsyncResult(),
         )
         if not continued:
-            self._credits.note_arrived(name, call.priority, now)
+            if not counted:
+                self._credits.note_arrived(name, call.priority, now)
+                self._arrivals.note(call, now)
+            waiting.returned = self._arrivals.has_returned(call)
         refusal = self._refusal_at_once(waiting, now)
         if refusal is not None:
             return Err(refusal)
         self._waiting.append(waiting)
         try:
-            self.advance(at_once=len(self._waiting) == 1)
+            # A repeat after the longest wait has no other pass.
+            self.advance(at_once=len(self._waiting) == 1 or now >= until)
             return self._wait(waiting)
         finally:
             if waiting in self._waiting:
@@ -129,18 +139,27 @@
             elif waiting.ready.successful() and not waiting.taken:
                 waiting.ready.get().map(lambda placement: placement.release())
 
+    def note_not_started(self, call):
+        """Records that the server of a new stream had no room after all."""
+        now = self._ctx.clock.monotonic()
+        self._credits.note_not_started(call.service.name, call.priority, now)
+
     def _longest_wait_end(self, call, continued, now):
         """Returns the monotonic time at which the wait of a stream is given up."""
-        max_wait_s = MAX_WAIT_TARGETS * call.route.target_s
+        max_wait_s = longest_wait_s(call, self._rank_of(call))
         if continued:
             return min(call.ends_at, now + max_wait_s)
         return min(call.arrived_at + max_wait_s, self._latest_start_at(call))
 
+    def _rank_of(self, call):
+        """Returns the `WaitingStart.rank` of a stream."""
+        return priority_rank(call.priority, self._ctx.priorities.of(call.service.name))
+
     def _latest_start_at(self, call):
         """Returns until when a start is of use if no prompt is queued ahead."""
         pressure = self._pressure(CandidateCache(self._ctx), call, 0.0, 0.0)
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        return latest_start_at(call, first_s)
+        return latest_start_at(call, first_s, self._rank_of(call))
 
     def _refusal_at_once(self, waiting, now):
         """Returns the `Refusal` of a stream that can't be served, else None.
@@ -156,7 +175,9 @@
             return self._overloaded("no server can answer in time", call)
         if len(self._waiting) < MAX_QUEUE_LENGTH:
             return None
-        dropped = stream_to_drop(self._waiting, call, now)
+        is_mixed = self._rank_of(call) is not None
+        has_events = waiting.continued and is_mixed
+        dropped = stream_to_drop(self._waiting, call, now, has_events)
         if dropped is None:
             return self._overloaded("the queue is full", call)
         self._refuse(dropped, "the queue is full of more urgent streams")
@@ -310,11 +331,14 @@
             if placement is not None:
                 self._waiting.remove(waiting)
                 waiting.ready.set(Ok(placement))
-                candidate_cache = CandidateCache(self._ctx)
+                candidate_cache.note_placed(placement)
             elif start.urgency is Urgency.IN_TIME and candidate_cache.is_unfit(waiting):
                 # Reserves the server that should be the first with enough free memory.
                 # Smaller streams would otherwise overtake this one forever.
                 reserved |= candidate_cache.awaited_server(waiting, reserved)
+        pass_s = self._ctx.clock.monotonic() - now
+        interval_s = min(RECHECK_INTERVAL_S, pass_s / MAX_PASS_TIME_SHARE)
+        self._next_pass_at = now + max(MIN_PASS_INTERVAL_S, interval_s)
 
     def _end_wait(self, waiting):
         """Raises the current exception in the greenlet of a waiting stream."""
@@ -324,7 +348,7 @@
 
     def _start_sequence(self, now, candidate_cache):
         """Returns the `WaitingStart` of each stream in the order of starts."""
-        starts = []
+        starts, ranks = [], {}
         order_times = start_order(
             [(stream.call, stream.need_tokens) for stream in self._waiting]
         )
@@ -335,12 +359,18 @@
                 self._end_wait(waiting)
                 continue
             call = waiting.call
-            rank = priority_rank(
-                call.priority, self._ctx.priorities.of(call.service.name)
-            )
+            key = call.service.name, call.priority
+            if key not in ranks:
+                ranks[key] = self._rank_of(call)
             starts.append(
                 WaitingStart(
-                    waiting, call, urgency, order_time, waiting.continued, rank
+                    waiting,
+                    call,
+                    urgency,
+                    order_time,
+                    waiting.continued,
+                    ranks[key],
+                    waiting.returned,
                 )
             )
         return start_sequence(starts, self._credits.owed)
@@ -360,6 +390,19 @@
         speed, decode_start_s = candidate_cache.timing(call.service.name)
         return Pressure(wait_s, speed, memory_share, decode_start_s, *places)
 
+    def _urgent_need(self, call, candidate_cache, now):
+        """Returns the `UrgentNeed` of the streams that are more urgent than a call."""
+        name = call.service.name
+        speed, decode_start_s = candidate_cache.timing(name)
+        idle = Pressure(0.0, speed, 0.0, decode_start_s)
+        return self._arrivals.urgent_need(
+            name,
+            call.priority,
+            candidate_cache.placing_instances(name),
+            lambda tokens: first_event_s(tokens, idle),
+            now,
+        )
+
     def _best_prefill(self, waiting, candidate_cache, version=None):
         """Returns the `Candidate` that should compute a prompt, or None.
 
@@ -408,7 +451,7 @@
             now: Monotonic time.
         """
         waiting, call = start.stream, start.call
-        if candidate_cache.is_unfit(waiting):
+        if candidate_cache.is_unfit(waiting) or candidate_cache.is_held(start):
             return None
         need_tokens = waiting.need_tokens
         decode_candidates = candidate_cache.usable_by(waiting, Stage.DECODE, reserved)
@@ -423,10 +466,14 @@
         memory_share = memory_used / call.service.engine.memory_tokens
         places = candidate_cache.places(waiting) if start.rank else ()
         pressure = self._pressure(candidate_cache, call, wait_s, memory_share, places)
+        if start.rank:
+            need = self._urgent_need(call, candidate_cache, now)
+            pressure = replace(pressure, urgent_need=need)
         if not may_start(start.urgency, pressure, start.rank):
+            candidate_cache.note_held(start)
             return None
         first_s = first_event_s(call.head.prompt_tokens, pressure)
-        if not waiting.continued and now > latest_start_at(call, first_s):
+        if not waiting.continued and now > latest_start_at(call, first_s, start.rank):
             return None
         if waiting.must_skip_prefill or self._prefers_decode_server(
             call, prefill, decode, pressure
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -83,13 +83,11 @@
     case.assertIsNone(choose_prefill([], 0.0))
 
 
-def test_crashed_decode_server_is_no_room_for_a_burst(case):
-    """Guards against streams that are placed again and again on servers that have just
-    crashed, because these are empty and all others are full."""
-    crashed = candidate("crashed", avoided=True)
-    full = candidate("full", memory_tokens=42000)
-    case.assertIsNone(choose_decode([crashed, full], 3000, 42000, 0.0))
-    case.assertIs(choose_decode([crashed], 3000, 42000, 0.0), crashed)
+def test_silent_decode_server_gets_no_stream_while_others_are_full(case):
+    """Guards against prompts that are computed for a lost server, which looks empty."""
+    lost, full = candidate("lost", avoided=True), candidate("full", memory_tokens=42000)
+    case.assertIsNone(choose_decode([lost, full], 3000, 42000, 0.0))
+    case.assertIs(choose_decode([lost], 3000, 42000, 0.0), lost)
 
 
 def test_crashed_servers_are_no_free_places(case):
--- /dev/null
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -0,0 +1,174 @@
+"""Which waiting streams the queue places, and what a pass over it costs."""
+
+from unittest import mock
+
+import gevent
+
+from amaranthbay.fleet.reports import MeasuredDemand, PeerStatus, ServerLoad
+from amaranthbay.relay import placing
+from amaranthbay.relay.context import RelayContext
+from amaranthbay.relay.tests.placing_fixture import (
+    MEMORY_TOKENS,
+    QueueFixture,
+    make_call,
+)
+from amaranthbay.relay.waiting import CandidateCache
+from amaranthbay.utils.testing import collect
+
+FULL = ServerLoad(1, MEMORY_TOKENS, 0)
+
+
+def place_soon(case, fixture, call, **options):
+    """Returns the greenlet in which a stream is placed or waits."""
+    greenlet = gevent.spawn(fixture.queue.place, call, **options)
+    case.addCleanup(greenlet.kill)
+    gevent.sleep(0)
+    return greenlet
+
+
+def test_stream_with_events_enters_a_full_queue(case):
+    """Guards against breaking off a stream that the caller has events of while streams
+    that have not begun wait, and against other refusals with a single priority."""
+    case.enterContext(mock.patch.object(placing, "MAX_QUEUE_LENGTH", 1))
+    for priorities, is_kept in (((0, 1, 2), True), ((1,), False)):
+        fixture = QueueFixture(priorities=priorities)
+        fixture.fill(FULL)
+        new = place_soon(case, fixture, make_call(1, 100.0))
+        began = place_soon(case, fixture, make_call(1, 100.0), continued=True)
+        refused, other = (new, began) if is_kept else (began, new)
+        case.assertTrue(refused.get(timeout=5).is_err())
+        case.assertFalse(other.ready())
+
+
+def test_repeat_after_the_longest_wait_starts_if_there_is_room(case):
+    """Guards against refusing a repeat without a look at the servers as other streams
+    wait and a pass was a moment ago."""
+    fixture = QueueFixture()
+    ends = fixture.fill(FULL)
+    place_soon(case, fixture, make_call(0, 100.0, 20_000))
+    fixture.clock.advance(3.6)
+    fixture.queue.advance(at_once=True)
+    ends[0]()
+    repeat = place_soon(case, fixture, make_call(1, 100.0), must_skip_prefill=True)
+    case.assertTrue(repeat.ready() and repeat.value.is_ok())
+
+
+def test_pass_sees_what_it_has_placed(case):
+    """Guards against a pass that fills a server beyond its memory, and against one that
+    reads the state of all servers again for each stream."""
+    fixture = QueueFixture(20)
+    ends = fixture.fill(FULL)
+    waiting = [place_soon(case, fixture, make_call(0, 100.0)) for _ in range(60)]
+    for end in ends:
+        end()
+    read, candidate = [], RelayContext._candidate
+
+    def note_read(*arguments):
+        read.append(1)
+        return candidate(*arguments)
+
+    with mock.patch.object(RelayContext, "_candidate", note_read):
+        fixture.queue.advance(at_once=True)
+    gevent.sleep(0)
+    placed = [greenlet.value.unwrap() for greenlet in waiting if greenlet.ready()]
+    case.assertEqual(len(placed), 60)
+    for load in fixture.placed_load.loads().values():
+        case.assertLessEqual(load.memory_tokens, MEMORY_TOKENS)
+    case.assertLessEqual(len(read), 20 + 2 * 60)
+
+
+def test_held_back_streams_are_not_looked_at_one_by_one(case):
+    """Guards against passes that choose servers for each stream of a long queue, none
+    of which may start, and against holding back a smaller stream for a larger one."""
+    fixture = QueueFixture(20)
+    ends = fixture.fill(FULL)
+    for size in (3100, 3000, *range(3001, 3031)):
+        place_soon(case, fixture, make_call(1, 100.0, size))
+    fixture.clock.advance(1.5)
+    # The next pass is due later, so that none runs as the loads change.
+    fixture.queue.advance(at_once=True)
+    for end in ends:
+        end()
+    fixture.fill(ServerLoad(1, 19_000, 0))
+    chosen, choose = [], placing.choose_decode
+
+    def note_chosen(candidates, need_tokens, *arguments):
+        chosen.append(need_tokens)
+        return choose(candidates, need_tokens, *arguments)
+
+    with mock.patch.object(placing, "choose_decode", note_chosen):
+        fixture.queue.advance(at_once=True)
+    case.assertEqual(fixture.queue.length(), 32)
+    case.assertLessEqual(len(chosen), 2)
+
+
+def test_standby_instances_count_by_the_streams_that_they_measure(case):
+    """Guards against places that are kept for instances that place few streams."""
+    fixture = QueueFixture(peers_count=3)
+    for number, streams in enumerate((60, 60, 3), 1):
+        demand = MeasuredDemand(2900, 30_000, 1.8, streams)
+        demands = {"lm": demand}
+        fixture.peers.receive(PeerStatus(f"entry-{number}", 5, 1, True, {}, demands))
+    cache = CandidateCache(fixture.ctx)
+    case.assertAlmostEqual(cache.placing_instances("lm"), 1 + 2 + 3 / 60)
+    case.assertEqual(cache.placing_instances("other"), 1)
+
+
+def test_slow_passes_are_run_less_often(case):
+    """Guards against passes over a long queue that use up a small machine's core."""
+    fixture = QueueFixture()
+    fixture.fill(FULL)
+    place_soon(case, fixture, make_call(0, 100.0))
+    passes = []
+
+    def run_slowly(*arguments):
+        passes.append(fixture.clock.monotonic())
+        fixture.clock.advance(0.003)
+        return []
+
+    with mock.patch.object(fixture.queue, "_start_sequence", run_slowly):
+        for _ in range(60):
+            fixture.clock.advance(0.001)
+            fixture.queue.advance()
+    gaps = [later - first for first, later in zip(passes, passes[1:])]
+    case.assertGreaterEqual(min(gaps), 0.02 - 1e-9)
+    case.assertLessEqual(max(gaps), placing.RECHECK_INTERVAL_S)
+
+
+def test_memory_is_reserved_until_the_others_have_reported(case):
+    """Guards against instances that fill the same decode servers after a restart of all
+    of them, and against reserving memory for long as some of them never come back."""
+
+    def may_be_full(fixture):
+        call = make_call(0, fixture.clock.monotonic(), 400)
+        placement = place_soon(case, fixture, call).value.unwrap()
+        placement.release()
+        return placement.may_be_full
+
+    fixture = QueueFixture(8, peers_count=4)
+    case.assertTrue(may_be_full(fixture))
+    fixture.report(ServerLoad(1, 100, 0))
+    case.assertFalse(may_be_full(fixture))
+    silent = QueueFixture(8, peers_count=4)
+    case.assertTrue(may_be_full(silent))
+    silent.clock.advance(2.1)
+    case.assertFalse(may_be_full(silent))
+    case.assertFalse(may_be_full(QueueFixture(8)))
+
+
+def test_placements_of_others_count_before_they_measure_a_demand(case):
+    """Guards against servers that are overcommitted within the delay of reports in the
+    seconds after a restart of all instances, as no stream has ended yet."""
+    shares = []
+    for loads in (ServerLoad(), ServerLoad(1, 100, 0)):
+        fixture = QueueFixture(4, peers_count=11)
+        fixture.report(loads)
+        placed = []
+        for _ in range(6):
+            call = make_call(0, fixture.clock.monotonic(), 2900)
+            placed.append(place_soon(case, fixture, call).value.unwrap())
+        shares.append(placed[-1].may_be_full)
+    case.assertEqual(shares, [False, True])
+
+
+load_tests = collect(globals())
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -29,6 +29,7 @@
             wait.
         taken: Whether the waiting greenlet has taken the `Placement`. If it is killed
             before that, `StreamQueue.place` releases the placement.
+        returned: Whether its caller has probably come back after a refusal.
     """
 
     call: object
@@ -41,15 +42,15 @@
     until: float
     ready: AsyncResult
     taken: bool = False
+    returned: bool = False
 
-    @property
-    def servers_key(self):
-        """Streams of the same service with the same key may use the same servers."""
-        return self.call.service.name, self.version, self.excluded
+    def __post_init__(self):
+        # Streams with the same key may use the same servers.
+        self.servers_key = self.call.service.name, self.version, self.excluded
 
 
 class CandidateCache:
-    """Candidates by service and stage; valid until a stream is placed."""
+    """Candidates by service and stage during one pass."""
 
     def __init__(self, ctx):
         self._ctx = ctx
@@ -59,8 +60,29 @@
         self._timings = {}
         self._unfit = {}
         self._places = {}
-        self._emptiest_first = {}
+        self._emptiest_last = {}
         self._distrusted = None
+        self._instances = {}
+        self._held = {}
+
+    def note_placed(self, placement):
+        """Updates the servers of a `Placement`.
+
+        What did not fit before doesn't fit afterwards either.
+        """
+        hosts = placement.prefill, placement.decode
+        names = {server.name for server in hosts if server is not None}
+        self._by_stage = {
+            key: self._ctx.updated(candidates, names)
+            for key, candidates in self._by_stage.items()
+        }
+        for derived in (
+            self._usable,
+            self._prefill_waits,
+            self._places,
+            self._emptiest_last,
+        ):
+            derived.clear()
 
     def usable_by(self, waiting, stage, reserved=frozenset()):
         """Returns the candidates that a waiting stream may use.
@@ -95,16 +117,18 @@
             reserved: Names of servers that are reserved for other streams.
         """
         key = waiting.servers_key
-        if key not in self._emptiest_first:
+        if key not in self._emptiest_last:
             by_memory = sorted(
                 self.usable_by(waiting, Stage.DECODE),
                 key=lambda candidate: candidate.memory_tokens,
+                reverse=True,
             )
-            self._emptiest_first[key] = [entry.server.name for entry in by_memory]
-        for name in self._emptiest_first[key]:
-            if name not in reserved:
-                return frozenset((name,))
-        return frozenset()
+            self._emptiest_last[key] = [entry.server.name for entry in by_memory]
+        # Reserved servers stay so until the end of the pass.
+        names = self._emptiest_last[key]
+        while names and names[-1] in reserved:
+            names.pop()
+        return frozenset(names[-1:])
 
     def _candidates(self, waiting, stage):
         key = waiting.call.service.name, stage, waiting.version
@@ -128,6 +152,18 @@
             )
         return self._timings[service]
 
+    def placing_instances(self, service):
+        """Returns by how much all instances place more streams than a busy one.
+
+        Instances on standby place few, and count by the number that they have measured.
+        """
+        if service not in self._instances:
+            demands = self._ctx.peers.demands(service)
+            most = max((demand.streams for demand in demands), default=0) or 1
+            others = sum(demand.streams for demand in demands) / most
+            self._instances[service] = 1 + others
+        return self._instances[service]
+
     def prefill_wait_s(self, waiting):
         """Returns the seconds until the best prefill server starts with a prompt."""
         key = waiting.servers_key
@@ -163,3 +199,23 @@
     def is_unfit(self, waiting):
         """Returns whether a stream of this size or a smaller one did not fit."""
         return waiting.need_tokens >= self._unfit.get(waiting.servers_key, math.inf)
+
+    def note_held(self, start):
+        """Records that a `WaitingStart` may not start in this pass."""
+        key = self._held_key(start)
+        need_tokens = start.stream.need_tokens
+        self._held[key] = min(self._held.get(key, math.inf), need_tokens)
+
+    def is_held(self, start):
+        """Returns whether one of the same urgency and rank, no larger, may not start.
+
+        With a single priority each stream is checked, as a larger one may fit only on a
+        server that has less load.
+        """
+        if start.rank is None:
+            return False
+        held_tokens = self._held.get(self._held_key(start), math.inf)
+        return start.stream.need_tokens >= held_tokens
+
+    def _held_key(self, start):
+        return start.stream.servers_key, start.urgency, start.rank
