--- a/amaranthbay/workspaces/tests/fleets.py
+++ b/amaranthbay/workspaces/tests/fleets.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from dataclasses import dataclass
 
 import msgspec
 
@@ -45,6 +46,15 @@
     return Workspace(name, rate_per_s=rate, burst=burst, unit=QuotaUnit.TOKENS)
 
 
+@dataclass(frozen=True)
+class Passed:
+    """A request that passed its quota."""
+
+    at: float
+    name: str
+    units: int
+
+
 class Node:
     """One process of an instance."""
 
@@ -114,10 +124,13 @@
         ]
         self.nodes = {}
         self.groups = {}
+        self.cut_directions = frozenset()
         self.loss = 0.0
         self.late_s = 0.0
         self.passed = []
         self.refused = []
+        # `Passed` of each request that passed, with the instance that served it.
+        self.charges = []
         self.datagrams = self.sent_bytes = 0
         self._on_way = deque()
         for row in self.registrations[:count]:
@@ -134,11 +147,17 @@
             name: index for index, names in enumerate(groups) for name in names
         }
 
+    def cut_links(self, directions):
+        """Cuts links in some directions only, each a pair of sender and recipient."""
+        self.cut_directions = frozenset(directions)
+
     def charge(self, name, units=REQUEST, limit="north"):
         """Sends a request to an instance; returns its ``Result``."""
         result = self.nodes[name].quotas.charge(self.workspaces[limit], units)
         kind = self.passed if result.is_ok() else self.refused
         kind.append((self.clock.monotonic(), units))
+        if result.is_ok():
+            self.charges.append(Passed(self.clock.monotonic(), name, units))
         return result
 
     def run(self, seconds, act=lambda: None):
@@ -179,6 +198,8 @@
         self._on_way = waiting
 
     def _linked(self, one, other):
+        if (one, other) in self.cut_directions:
+            return False
         return self.groups.get(one) == self.groups.get(other)
 
 
