Keep quotas within the bound while single links are cut

Cause: two instances that can't reach each other while others hear both each gave up the other's share only, and used what the other used as well. If a link works in one direction only, the end that isn't heard waited for confirmations or gave up a share, and got nothing while all were flooded.

Change: an instance that misses a busy peer asks a third one to pass on what this peer reports (workspaces/relays.py, two fields at the end of Usage). It merges that like a direct report; counts are cumulative, so nothing is charged twice. If others have heard charges that nobody passes on, the instance keeps its own share.

--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -62,6 +62,9 @@
 # Time for which an instance takes part in quotas after its last reported charge. Full
 # reports repeat charges, so that one lost report doesn't end it.
 CHARGING_S = 3.0
+# Time for which an instance gets what it asked this one to pass on; its full reports
+# repeat the request.
+ASKING_S = 1.5
 # Silence of an instance after which it may lack what others have reported.
 LONG_SILENCE_S = 5.0
 # Shortest time between two reads of the table of instances for the same unknown peer.
@@ -214,6 +217,11 @@
         self._waiting = set()
         # Time of the last report with charges of each instance, this one included.
         self._charging = {}
+        # Time of the last request of each instance to pass on the usage of others.
+        self._asking = {}
+        # Instance that passes on the usage of this one to each that doesn't hear it,
+        # and the time of the request.
+        self._passing_on = {}
         self._joins = False
 
     def replace(self, rows, restored=False):
@@ -465,6 +473,7 @@
             self._waiting.add(status.instance)
             self.report_soon(only_answers=True)
         self._note_charging(status.instance, status.usage, now)
+        self._note_relayed(status, now)
         if len(self._received) > MAX_REPORTING:
             self._forget_silent()
         if previous is None and self._has_work():
@@ -477,11 +486,63 @@
         silent = min(self._received, key=lambda name: self._received[name].received_at)
         del self._received[silent]
         self._charging.pop(silent, None)
+        self._asking.pop(silent, None)
+        self._passing_on.pop(silent, None)
 
     def _note_charging(self, name, usage, now):
         if usage.charged or usage.joins:
             self._charging[name] = now
 
+    def _note_relayed(self, status, now):
+        """Notes who asks for the usage of others, and whose usage is passed on.
+
+        The latter take part in quotas, although this instance doesn't hear them.
+        """
+        if self._process_number in status.usage.missing.values():
+            self._asking[status.instance] = now
+        self._note_helper(status.instance, status.usage, now)
+        for relayed in status.usage.relayed:
+            if relayed.instance not in self._registered:
+                continue
+            self._note_helper(relayed.instance, relayed, now)
+            self._charging[relayed.instance] = now
+            if relayed.charged:
+                self._waiting |= {status.instance, relayed.instance}
+                self.report_soon(only_answers=True)
+
+    def _note_helper(self, name, usage, now):
+        """Notes who passes on the usage of this instance to one that doesn't hear it.
+
+        Answers for the latter go there too.
+        """
+        helper = usage.missing.get(self._process_number)
+        if helper is not None:
+            self._passing_on[name] = (self._name_of(helper), now)
+
+    def _name_of(self, process):
+        """Returns the name of the peer with this process; None if unknown."""
+        for name, merged in self._received.items():
+            if merged.status.process == process:
+                return name
+        return None
+
+    def _helpers_for(self, names):
+        """Returns the names of those that pass on the usage of this instance."""
+        now = self._clock.monotonic()
+        return {
+            helper
+            for name, (helper, asked_at) in self._passing_on.items()
+            if name in names and helper is not None and now - asked_at <= ASKING_S
+        }
+
+    def _asking_names(self):
+        now = self._clock.monotonic()
+        return {
+            name
+            for name, asked_at in self._asking.items()
+            if now - asked_at <= ASKING_S
+        }
+
     def _next_usage(self, only_changes):
         usage = self._own_usage(only_changes)
         self._note_charging(self.own.instance, usage, self._clock.monotonic())
@@ -591,8 +652,7 @@
 
     def _send_report(self, names, status):
         """Sends a report to registered instances; to all if ``names`` is None."""
-        usage = status.usage
-        if status.only_changes and not (status.loads or usage.charged or usage.heard):
+        if status.only_changes and not (status.loads or status.usage.has_news()):
             # What was placed since the last report has ended already.
             return
         names = self._registered if names is None else names
@@ -611,7 +671,20 @@
         others leave out the confirmations, as bytes between availability zones cost
         money.
         """
+        if status.usage.relayed:
+            asking = self._asking_names().intersection(names)
+            usage = msgspec.structs.replace(status.usage, relayed=())
+            rest = msgspec.structs.replace(status, usage=usage)
+            return [
+                *self._split_by_confirmations(asking, status),
+                *self._split_by_confirmations(set(names) - asking, rest),
+            ]
+        return self._split_by_confirmations(names, status)
+
+    def _split_by_confirmations(self, names, status):
         usage = status.usage
+        if status.only_changes and not (status.loads or usage.has_news()):
+            return []
         if status.only_changes or not usage.heard:
             return [(names, split_report(status))]
         taking_part = self.busy_names() | self.charging_names()
@@ -652,7 +725,9 @@
         hear that their charges are known here. If nothing else was requested, it goes
         to the latter only.
         """
-        waiting, self._waiting = self._waiting, set()
+        waiting = self._waiting | self._asking_names()
+        waiting |= self._helpers_for(waiting)
+        self._waiting = set()
         if not self._has_changes:
             return waiting, self.next_changes(with_loads=False)
         self._has_changes = False
--- a/amaranthbay/fleet/reports.py
+++ b/amaranthbay/fleet/reports.py
@@ -21,6 +21,7 @@
     "MergedReport",
     "PartBlock",
     "PeerStatus",
+    "RelayedUsage",
     "ServerLoad",
     "Usage",
     "WorkspaceUsage",
@@ -146,6 +147,28 @@
     mark: Count64
 
 
+class RelayedUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Usage of a process that another one passes on; see `workspaces.relays`.
+
+    Attributes:
+        instance: Name of the instance that charged.
+        process: Number of its process.
+        after: As in its `Usage`, like the fields below.
+        upto: See `Usage`.
+        charged: See `Usage`.
+        heard: See `Usage`.
+        missing: See `Usage`.
+    """
+
+    instance: str
+    process: int
+    after: Count64 = 0
+    upto: Count64 = 0
+    charged: tuple[WorkspaceUsage, ...] = ()
+    heard: dict[int, Count64] = {}
+    missing: dict[int, int] = {}
+
+
 class Usage(msgspec.Struct, frozen=True, array_like=True):
     """Charges of one process; see `workspaces.quotas`.
 
@@ -157,6 +180,9 @@
             the process that charged.
         joins: Whether the sender is not known as busy yet and waits to hear that the
             busy instances know that it charges.
+        missing: Number of the process that is asked to pass on the usage of another
+            one, by the number of the latter, which the sender doesn't hear.
+        relayed: `RelayedUsage` for recipients that have asked for it.
     """
 
     after: Count64 = 0
@@ -164,6 +190,12 @@
     charged: tuple[WorkspaceUsage, ...] = ()
     heard: dict[int, Count64] = {}
     joins: bool = False
+    missing: dict[int, int] = {}
+    relayed: tuple[RelayedUsage, ...] = ()
+
+    def has_news(self):
+        """Returns whether recipients need it although no load has changed."""
+        return bool(self.charged or self.heard or self.missing or self.relayed)
 
 
 _NO_USAGE = Usage()
@@ -330,7 +362,7 @@
 
 def _split_usage(usage):
     """Splits a `Usage` into some that fit into a datagram each."""
-    parts, chunk, size, after = [], [], 0, usage.after
+    parts, chunk, size, after = _split_relayed(usage), [], 0, usage.after
     heard = dict(usage.heard)
     while len(heard) > MAX_HEARD_BESIDE:
         first = dict(list(heard.items())[:MAX_HEARD])
@@ -348,6 +380,23 @@
     return [*parts, Usage(after, usage.upto, tuple(chunk), heard, usage.joins)]
 
 
+def _split_relayed(usage):
+    """Returns what a `Usage` has for single instances, as some that fit each."""
+    parts, chunk, size = [], [], 0
+    if usage.missing:
+        parts.append(Usage(usage.after, usage.after, missing=usage.missing))
+    for relayed in usage.relayed:
+        relayed_size = len(msgspec.msgpack.encode(relayed))
+        if chunk and size + relayed_size > USAGE_BYTES:
+            parts.append(Usage(usage.after, usage.after, relayed=tuple(chunk)))
+            chunk, size = [], 0
+        chunk.append(relayed)
+        size += relayed_size
+    if chunk:
+        parts.append(Usage(usage.after, usage.after, relayed=tuple(chunk)))
+    return parts
+
+
 def _fits(status):
     return len(msgspec.msgpack.encode(status)) <= MAX_DATAGRAM_BYTES
 
--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -5,7 +5,7 @@
 them. What a process may charge without that is bounded; see `buckets.wait_s`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from result import Err, Ok
@@ -13,6 +13,7 @@
 from amaranthbay.fleet.reports import Usage, WorkspaceUsage
 from amaranthbay.observe import current_metrics, log_event
 from amaranthbay.workspaces.buckets import SETTLE_S, Bucket, Pace, Position, wait_s
+from amaranthbay.workspaces.relays import Relays
 
 __all__ = ["Charge", "Quotas", "Shortage"]
 
@@ -130,6 +131,7 @@
         # What each process that is waited for has confirmed, and the time since which
         # that has not grown.
         self._unconfirmed = {}
+        self._relays = Relays(process_number)
         # Time at which each other process reported charges for the last time.
         self._heard_at = {}
         self._reported_at = -inf
@@ -259,14 +261,32 @@
         self._reported_at = now
         after = min(confirmed, self._mark) if only_changes else 0
         joins = self._join_mark > confirmed and now - self._joined_at <= JOINED_S
-        return Usage(after, self._mark, tuple(reversed(charged)), heard, joins)
+        relays = self._relays
+        missing = relays.changed_missing(now) if only_changes else relays.missing()
+        relayed = relays.take_pending()
+        charged = tuple(reversed(charged))
+        return Usage(after, self._mark, charged, heard, joins, missing, relayed)
 
     def merge(self, status):
         """Merges the usage that a `PeerStatus` of a peer reports."""
         usage, process = status.usage, status.process
-        if not usage.upto and not usage.heard:
+        if not usage.upto and not usage.has_news():
             return
         now = self._look()
+        if self._relays.note(status, now):
+            self._report_soon()
+        self._merge_usage(process, usage, now)
+        for relayed in usage.relayed:
+            if relayed.process != self._process_number:
+                self._relays.note_relayed(relayed, now)
+                self._merge_usage(relayed.process, relayed, now)
+        if usage.joins:
+            # The peers to wait for include the sender from now on.
+            self._heard_at[process] = now
+            self._part_at = -inf
+
+    def _merge_usage(self, process, usage, now):
+        """Merges the `Usage` of a process, or its `RelayedUsage`."""
         self._confirmed.setdefault(process, 0)
         for entry in usage.charged:
             self._merge_entry(process, entry, now)
@@ -275,10 +295,6 @@
         own_mark = usage.heard.get(self._process_number, 0)
         if self._confirmed[process] < own_mark <= self._mark:
             self._confirmed[process] = own_mark
-        if usage.joins:
-            # The peers to wait for include the sender from now on.
-            self._heard_at[process] = now
-            self._part_at = -inf
         if usage.charged:
             self._heard_at[process] = now
 
@@ -326,6 +342,9 @@
             self._part = self._find_part(now)
             self._part_at = now
             self._pace.advance(now, self._part.part)
+            confirming = self._part.confirming
+            if self._relays.look(now, confirming, self._resumed_at):
+                self._report_soon()
         return now
 
     def _find_part(self, now):
@@ -346,7 +365,17 @@
             self._unconfirmed[process] = (confirmed, since)
             return since
 
-        return self._fleet.part(self._resumed_at, self._takes_part, unconfirmed_since)
+        part = self._fleet.part(
+            self._resumed_at,
+            self._takes_part,
+            unconfirmed_since,
+            self._relays.heard(now),
+        )
+        if self._relays.has_unheard(now, lambda process: self._heard.get(process, 0)):
+            # What the unheard process charges is known to those that hear it, and they
+            # leave this one its share.
+            return replace(part, part=part.share)
+        return part
 
     def _read_wall_offset(self):
         return self._clock.now().timestamp() - self._clock.monotonic()
@@ -386,6 +415,8 @@
             self._buckets[name].forget_own()
         self._drop_idle_buckets(now)
         running = self._fleet.processes()
+        self._relays.sweep(now, running)
+        running = running | self._relays.processes()
         for numbers in (self._heard, self._heard_at, self._confirmed):
             for number in [number for number in numbers if number not in running]:
                 del numbers[number]
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from math import inf
+from types import MappingProxyType
 
 __all__ = ["FleetPart", "FleetShares", "shares_of"]
 
@@ -24,6 +25,7 @@
 # Share of a process that has not read the table of instances. The fleet may have the
 # target size of 320, and registered instances use the whole quota meanwhile.
 UNREAD_SHARE = 0.5 / 320
+NOTHING_RELAYED = MappingProxyType({})
 
 
 @dataclass(frozen=True)
@@ -87,7 +89,13 @@
         self._first_seen = {}
         self._busy = frozenset()
 
-    def part(self, resumed_at, confirms, unconfirmed_since=lambda process: None):
+    def part(
+        self,
+        resumed_at,
+        confirms,
+        unconfirmed_since=lambda process: None,
+        relayed=NOTHING_RELAYED,
+    ):
         """Returns the `FleetPart` at this time.
 
         Args:
@@ -98,10 +106,14 @@
             unconfirmed_since: Function of the number of a process that returns the time
                 since which it has confirmed none of the open charges; None if none
                 are open.
+            relayed: Number of the process of each instance that is heard through
+                others, by name.
         """
         now = self._clock.monotonic()
         self._update_shares(now)
         own = self._peers.own.instance
+        # An earlier process of this instance may still be passed on.
+        relayed = {name: number for name, number in relayed.items() if name != own}
         received = self._peers.received()
         fresh_from = resumed_at + QUEUED_S
         heard = {
@@ -109,7 +121,8 @@
             for name, merged in received.items()
             if merged.received_at > fresh_from and _is_fresh(merged, now)
         }
-        self._busy = self._still_busy(heard, received, now)
+        heard = relayed | heard
+        self._busy = self._still_busy(heard, received, now) | relayed.keys()
         # A link that loses all that this process sends would hold its charges up for
         # ever. Such a peer doesn't know of them, like one that is silent.
         limit_s = self._confirm_limit_s()
@@ -155,7 +168,12 @@
         return {
             name
             for name in heard
-            if name in busy or (name in self._busy and _is_late(received[name], now))
+            if name in busy
+            or (
+                name in self._busy
+                and name in received
+                and _is_late(received[name], now)
+            )
         }
 
     def processes(self):
