--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -31,7 +31,8 @@
 COUNT_TTL_S = 10.0
 BUCKET_TTL_S = 20.0
 # An instance on standby joins the busy ones again if it has not charged for this long.
-# Its peers wait for its confirmations for longer; see `CHARGING_S` in `fleet.peers`.
+# Its peers wait for its confirmations for longer; see `CHARGING_S` in
+# `fleet.peer_view`.
 JOINED_S = 2.0
 # Time after which a join that was not confirmed is reported again.
 JOIN_RETRY_S = 0.2
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -14,7 +14,7 @@
 SILENT_S = 1.0
 SILENT_INTERVALS = 1.5
 # Reports that waited in the socket during a pause of this process are read within this
-# time after it; see `QUEUED_S` in `fleet.peers`.
+# time after it; see `QUEUED_S` in `fleet.peer_view`.
 QUEUED_S = 0.1
 # A silent peer counts as gone for good after this time, as rows of instances are never
 # deleted. Partitions and replacements end well before.
