Count served requests of the soak by time, not by number of refusals

Cause: test_reload_while_processes_start requires that more than half of all requests are answered. Seed 302 kills all entry processes twice, and stops or kills them once more one after the other. A caller whose connection ends without an answer tries again within 0.15 s, so the number of requests without an answer grows with the time in which processes start and with the speed of the callers.

Without requests that crash servers or are abandoned, a run has:

* 534 to 1,482 requests of all kinds without a byte of an answer. 488 to 1,467 of them reached no process, 9 to 17 were in progress at the end of one, 2 to 33 met a process that drains after SIGTERM and takes no new connection, and up to 8 met a faulty link of the caller.
None met a process that served.
* 41 to 132 with 503, in all kinds: no configuration yet (processes that start, also beside the outage of the store), no decode server known (all had crashed by the part that crashes them), no plain server with room (two of three had crashed, the third allows 3.7 requests a second).
* 5 to 15 with 502 or 504 and 13 to 23 streams that ended early, beside faults of their servers.

So the product stays as it is.

Change: the test requires instead that more than 0.75 of the requests to serving processes are answered, as the mean over slots of 0.5 s and kinds of requests, and that there are answers in more than half of the slots. A process counts as serving until it gets SIGTERM or SIGKILL, so that requests that are lost by its own exit still count. This is stricter than half about what a serving process refuses, and doesn't depend on how fast callers repeat. The check that each process serves each kind after the faults is unchanged.

--- a/amaranthbay/platform/tests/soak/__main__.py
+++ b/amaranthbay/platform/tests/soak/__main__.py
@@ -31,7 +31,9 @@
         outcome = run_seed(number, seconds, processes, folder)
         typer.echo(
             f"seed {number}: {len(outcome.steps)} faults, {outcome.requests} requests, "
-            f"{outcome.answered} answered, {len(outcome.violations)} violations"
+            f"{outcome.answered} answered, {len(outcome.violations)} violations, "
+            f"served share {outcome.served_share:.3f}, "
+            f"answers in {outcome.answering_share:.3f} of the time"
         )
         played = ", ".join(f"{n} {name}" for name, n in outcome.played.items() if n)
         typer.echo(f"  played: {played or 'none with an own generator'}")
--- a/amaranthbay/platform/tests/soak/monitor.py
+++ b/amaranthbay/platform/tests/soak/monitor.py
@@ -58,6 +58,7 @@
             self._record_memory(name, popen)
             if started is not popen and process.has_started():
                 started = popen
+                process.note_start()
             if started is popen:
                 self._look_up(name, process, popen)
 
--- a/amaranthbay/platform/tests/soak/processes.py
+++ b/amaranthbay/platform/tests/soak/processes.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
 import gevent
@@ -19,6 +20,21 @@
 GRACE_S = 4.0
 RESTART_DELAY_S = 0.3
 EXIT_TIMEOUT_S = GRACE_S + 2.0
+ENDING_SIGNALS = frozenset((signal.SIGTERM, signal.SIGKILL))
+
+
+@dataclass
+class UpTime:
+    """Time in which a process served.
+
+    Attributes:
+        started_at: Monotonic time at which it was seen to serve.
+        ended_at: Monotonic time at which it was told to end. An end for any other
+            reason doesn't count: requests that it costs were to be served.
+    """
+
+    started_at: float
+    ended_at: float = inf
 
 
 @dataclass
@@ -38,6 +54,7 @@
             that `Deployment.supervise` must not.
         exit_codes: Exit codes of processes that had begun to serve and weren't killed;
             None for one that did not end in time.
+        up_times: Each `UpTime`.
     """
 
     name: str
@@ -50,6 +67,7 @@
     log_offset: int = 0
     restarted_by_fault: bool = False
     exit_codes: list = field(default_factory=list)
+    up_times: list = field(default_factory=list)
 
     def has_started(self):
         """Returns whether the last process has logged that it serves."""
@@ -69,8 +87,23 @@
             self.log_offset = log.tell()
             self.popen = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
 
+    def note_start(self):
+        """Notes that the process has begun to serve, unless it was told to end."""
+        if not self.up_times or self.up_times[-1].ended_at < inf:
+            self.up_times.append(UpTime(time.monotonic()))
+
+    def was_up(self, start, end):
+        """Returns whether the process served all the time between two times."""
+        return any(
+            up_time.started_at <= start and end <= up_time.ended_at
+            for up_time in self.up_times
+        )
+
     def signal(self, signum):
         """Sends a signal if the process still runs."""
+        if signum in ENDING_SIGNALS and self.up_times:
+            last = self.up_times[-1]
+            last.ended_at = min(last.ended_at, time.monotonic())
         if self.popen.poll() is None:
             self.popen.send_signal(signum)
 
--- a/amaranthbay/platform/tests/soak/run.py
+++ b/amaranthbay/platform/tests/soak/run.py
@@ -28,6 +28,7 @@
 from amaranthbay.platform.tests.soak.monitor import ProcessMonitor
 from amaranthbay.platform.tests.soak.processes import EXIT_TIMEOUT_S
 from amaranthbay.platform.tests.soak.resuming import ResumingCaller
+from amaranthbay.platform.tests.soak.shares import answering_share, served_share
 from amaranthbay.utils.testing import wait_until
 
 __all__ = ["Outcome", "run_seed"]
@@ -61,6 +62,8 @@
         steps: Each `Step` of the schedule, by time; some may have been skipped.
         requests: Number of requests.
         answered: Number of requests with a complete answer of status 200.
+        served_share: Share of the requests to serving processes that were answered.
+        answering_share: Share of the time in which requests were answered.
         violations: A sentence for each violation that a check found.
         played: Number of times that the faults with own generators were played, by
             what was counted.
@@ -70,6 +73,8 @@
     steps: tuple
     requests: int
     answered: int
+    served_share: float
+    answering_share: float
     violations: tuple
     played: dict
 
@@ -132,6 +137,7 @@
         monitor.kill()
         violations += _stop_processes(deployment)
         violations += find_violations(deployment, exchanges)
+        served = served_share(exchanges, deployment.processes)
     answered = sum(
         exchange.status == 200 and exchange.complete and not exchange.crashing
         for exchange in exchanges
@@ -143,7 +149,14 @@
     )
     played["take-ups"] = sum(bool(exchange.resumes) for exchange in exchanges)
     return Outcome(
-        seed, tuple(steps), len(exchanges), answered, tuple(violations), dict(played)
+        seed,
+        tuple(steps),
+        len(exchanges),
+        answered,
+        served,
+        answering_share(exchanges),
+        tuple(violations),
+        dict(played),
     )
 
 
--- a/amaranthbay/platform/tests/test_soak.py
+++ b/amaranthbay/platform/tests/test_soak.py
@@ -4,6 +4,12 @@
 from amaranthbay.utils.testing import collect
 
 TRAFFIC_S = 12.0
+# The processes of this seed are killed together twice. On seven cores at load averages
+# of 18 to 25, 0.92 to 0.95 of the requests to serving processes were answered, and
+# there were answers in 0.77 to 0.93 of the time. A router that refuses 30% of its
+# requests at random reaches a served share of 0.67.
+MIN_SERVED_SHARE = 0.75
+MIN_ANSWERING_SHARE = 0.5
 
 
 def test_reload_while_processes_start(case):
@@ -11,7 +17,8 @@
     begun to serve, and no other test noticed."""
     outcome = run_seed(302, TRAFFIC_S)
     case.assertEqual(outcome.violations, ())
-    case.assertGreater(outcome.answered, outcome.requests // 2)
+    case.assertGreater(outcome.served_share, MIN_SERVED_SHARE)
+    case.assertGreater(outcome.answering_share, MIN_ANSWERING_SHARE)
 
 
 load_tests = collect(globals())
