Separate the platform's row types, and the sentences about differences

Cause: the command that checks a configuration needs the rows of the platform as they were written, all faults of workspaces instead of the first one, and the sentences of `config diff` for other types.

No behaviour changes.

Measured: platform.tests.test_documents, test_entry_keys and test_boundary, workspaces.tests.test_access, config.tests.test_generate and cli.tests.test_config pass.

--- a/amaranthbay/config/diff.py
+++ b/amaranthbay/config/diff.py
@@ -2,6 +2,12 @@
 
 from dataclasses import fields
 
+from amaranthbay.utils.differences import (
+    capitalize,
+    entry_differences,
+    value_difference,
+)
+
 __all__ = ["diff"]
 
 # Fields of a configuration that hold named entries, and the noun for an entry.
@@ -43,19 +49,14 @@
     for group, noun in ENTRY_NOUNS.items():
         before = {each.name: each for each in getattr(old, group)}
         after = {each.name: each for each in getattr(new, group)}
-        for name in sorted(before.keys() | after.keys()):
-            if name not in after:
-                sentences.append(f"The {noun} {name} is gone.")
-            elif name not in before:
-                sentences.append(f"The {noun} {name} is new.")
-            else:
-                prefix = f"{noun} {name}: "
-                sentences.extend(
-                    _field_differences(prefix, before[name], after[name], {"name"})
-                )
+        sentences.extend(entry_differences(noun, before, after, _entry_differences))
     return sentences
 
 
+def _entry_differences(prefix, old, new):
+    return _field_differences(prefix, old, new, {"name"})
+
+
 def _field_differences(prefix, old, new, skip):
     """Returns a sentence for each field that differs.
 
@@ -72,12 +73,10 @@
             continue
         if field.name in ITEM_NOUNS:
             clauses = _list_differences(ITEM_NOUNS[field.name], before, after)
+            sentences.extend(capitalize(prefix + each) for each in clauses)
         else:
             label = LABELS.get(field.name, field.name)
-            clauses = [
-                f"{label} changes from {_value_text(before)} to {_value_text(after)}."
-            ]
-        sentences.extend(_capitalize(prefix + each) for each in clauses)
+            sentences.append(value_difference(prefix, label, before, after))
     return sentences
 
 
@@ -94,15 +93,3 @@
     if isinstance(value, str):
         return value
     return f"{value.method} {value.path_prefix}"
-
-
-def _value_text(value):
-    if value is None:
-        return "none"
-    if isinstance(value, bool):
-        return "yes" if value else "no"
-    return str(value)
-
-
-def _capitalize(text):
-    return text[0].upper() + text[1:]
--- a/amaranthbay/platform/documents.py
+++ b/amaranthbay/platform/documents.py
@@ -1,14 +1,12 @@
 """Decodes rows of the platform's store into the types of `amaranthbay.routing`.
 
-The rows are the operator's configuration and the entries of the backend servers. No
-other module uses their field names.
+The rows are the operator's configuration and the entries of the backend servers. Only
+the adapter uses their field names.
 """
 
-from typing import Annotated
-
-import msgspec
 from result import Err, Ok
 
+from amaranthbay.platform.document_types import ConfigurationRow, ServerRow
 from amaranthbay.routing import (
     BackendServer,
     CallKind,
@@ -21,12 +19,12 @@
     Stage,
     WeightedService,
 )
-from amaranthbay.utils.decoding import Count64, Int64, decode_json
+from amaranthbay.utils.decoding import decode_json
 from amaranthbay.utils.http import is_ip_endpoint
 from amaranthbay.utils.reading import Turn
 from amaranthbay.workspaces import KeyTable, QuotaUnit, Workspace
 
-__all__ = ["decode_configuration", "decode_server"]
+__all__ = ["decode_configuration", "decode_server", "tenant_faults"]
 
 MS_PER_S = 1000.0
 
@@ -49,96 +47,6 @@
 # Longer texts of other writers are cut off in messages.
 MAX_SHOWN = 60
 
-_Amount = Annotated[float, msgspec.Meta(ge=0)]
-
-
-class _Share(msgspec.Struct):
-    Service: str
-    Weight: float
-
-
-class _Route(msgspec.Struct):
-    Name: str
-    Host: str
-    PathPrefix: str
-    Kind: str
-    TimeoutMs: float
-    TargetLatencyMs: float
-    Priority: Int64 = 1
-    Service: str = ""
-    # Weighted services, which replace `Service` if there are any.
-    Split: list[_Share] = []
-    MaxAttempts: Int64 = 1
-    Resumable: bool = False
-    # Longest intended time between two events of a stream.
-    GapAimMs: float | None = None
-    # Whether callers need no key.
-    Public: bool | None = None
-
-
-class _Engine(msgspec.Struct):
-    Slots: Int64
-    # Size of the KV cache in tokens, not bytes.
-    KvCapacity: Int64
-    # Seconds for which the KV handle of a prefill is valid; not a hold, see `HoldMs`.
-    KvHoldS: float = 0.5
-    # Seconds that an engine needs to switch between prefill and decode.
-    RoleSwitchS: float = 0.0
-    # Longest time in milliseconds for which a hold, a reservation of a slot and of KV
-    # cache, is kept.
-    HoldMs: float = 0.0
-
-
-class _Service(msgspec.Struct):
-    Name: str
-    MaxConnections: Int64 = 100
-    Engine: _Engine | None = None
-
-
-class _Tenant(msgspec.Struct):
-    Name: str
-    ApiKeys: list[str] | None = None
-    Priority: Int64 | None = None
-    Unit: str | None = None
-    PlainTokens: Count64 | None = None
-    RatePerS: _Amount | None = None
-    Burst: _Amount | None = None
-
-    def __repr__(self):
-        # Its keys are secret.
-        return f"_Tenant({self.Name!r})"
-
-
-class _Limits(msgspec.Struct):
-    MaxHeaderBytes: Int64 = 16384
-    MaxBodyBytes: Int64 = 4194304
-    HeaderTimeoutMs: float = 3000.0
-    IdleTimeoutMs: float = 15000.0
-
-
-class _Configuration(msgspec.Struct):
-    Version: Int64
-    Routes: list[_Route]
-    Services: list[_Service]
-    Limits: _Limits = msgspec.field(default_factory=_Limits)
-    # None if callers need no keys.
-    Tenants: list[_Tenant] | None = None
-
-
-class _Server(msgspec.Struct):
-    Service: str
-    Address: str
-    Zone: str
-    State: str
-    # Version of the server's software; that of the weights is in `Models`.
-    Version: str = ""
-    Slots: Int64 = 1
-    Stage: str | None = None
-    # Sequence number of the entry, counted from the start of the server.
-    Sequence: Int64 = 0
-    # Unix time in milliseconds at which the server started.
-    born: Int64 = 0
-
 
 def decode_configuration(body):
     """Decodes the operator's configuration.
@@ -149,7 +57,7 @@
     Returns:
         ``Result[RoutingTable, str]``.
     """
-    decoded = decode_json(body, _Configuration)
+    decoded = decode_json(body, ConfigurationRow)
     if decoded.is_err():
         return decoded
     document = decoded.unwrap()
@@ -173,18 +81,8 @@
     """Returns ``Result[KeyTable | None, str]``; an error names no key."""
     if tenants is None:
         return Ok(None)
-    names, owners = set(), {}
-    for tenant in _in_turns(tenants):
-        shown = repr(tenant.Name[:MAX_SHOWN])
-        if not _is_valid_name(tenant.Name):
-            return Err(f"{shown} can't be the name of a workspace")
-        if tenant.Name in names:
-            return Err(f"two workspaces have the name {shown}")
-        names.add(tenant.Name)
-        # No request carries an empty key.
-        for key in filter(None, tenant.ApiKeys or ()):
-            if owners.setdefault(key, tenant.Name) != tenant.Name:
-                return Err(f"{shown} and another workspace have the same key")
+    for _, detail in tenant_faults(tenants):
+        return Err(detail)
     return Ok(
         KeyTable(
             (_to_workspace(tenant), tenant.ApiKeys or ())
@@ -193,6 +91,31 @@
     )
 
 
+def tenant_faults(tenants):
+    """Yields what is wrong with the names and the keys of workspaces.
+
+    Args:
+        tenants: Sequence of `TenantRow`.
+
+    Yields:
+        Pairs of the path of the field, as in ``Tenants[0].Name``, and a text, which
+        names no key.
+    """
+    names, owners = set(), {}
+    for index, tenant in enumerate(_in_turns(tenants)):
+        path, shown = f"Tenants[{index}]", repr(tenant.Name[:MAX_SHOWN])
+        if not _is_valid_name(tenant.Name):
+            yield f"{path}.Name", f"{shown} can't be the name of a workspace"
+        elif tenant.Name in names:
+            yield f"{path}.Name", f"two workspaces have the name {shown}"
+        names.add(tenant.Name)
+        # No request carries an empty key.
+        for key in filter(None, tenant.ApiKeys or ()):
+            if owners.setdefault(key, index) != index:
+                text = f"{shown} and another workspace have the same key"
+                yield f"{path}.ApiKeys", text
+
+
 def _in_turns(tenants):
     """Yields each tenant; other greenlets run in between if that takes long."""
     turn = Turn()
@@ -264,7 +187,7 @@
     Returns:
         ``Result[BackendServer, str]``.
     """
-    decoded = decode_json(body, _Server)
+    decoded = decode_json(body, ServerRow)
     if decoded.is_err():
         return decoded
     entry = decoded.unwrap()
