Add a command that checks an operator's configuration

Cause: operators of the users' platform write the configuration as JSON to its store. What instances can't decode is found in their logs only, and what they decode but can't mean, such as a route behind another one or a split to a service that doesn't exist, is found when requests fail.

It exits with 2 for errors, with 1 for other findings and with 0 otherwise; differences alone are no failure, as each new configuration has some. The checks and the sentences (routing/checks.py, routing/changes.py) are functions of the decoded tables; platform/document_checks.py supplies the field names, and the findings on values that decoding loses. KeyTable.digests compares the keys of two tables without showing them. Decided: an unknown `Unit` is no finding, as any other one counts requests by design; a route is hidden only by one of the same host and prefix, as the longest prefix decides; attempts are too many if the last one begins after the timeout when each takes the target; a version that is not above the one in force is an error unless nothing differs.

--- a/amaranthbay/cli/main.py
+++ b/amaranthbay/cli/main.py
@@ -2,7 +2,8 @@
 
 ``daemon`` and ``entry`` both run the router. A daemon uses a platform through this
 project's own HTTP interface. An entry process uses the users' platform through a
-`PlatformAdapter`; ``fleet`` shows what the store of that platform holds.
+`PlatformAdapter`; ``fleet`` shows what the store of that platform holds, and ``check``
+checks a configuration before an operator writes it there.
 """
 
 from pathlib import Path
@@ -10,6 +11,7 @@
 import typer
 
 from amaranthbay.cli import config, operate, requests
+from amaranthbay.cli.check import check_operator_configuration
 from amaranthbay.cli.output import ExitCode, fail, print_json, stop_on_faults
 from amaranthbay.cli.store import show_fleet
 from amaranthbay.loadtool.command import bench_command
@@ -72,6 +74,7 @@
 
 
 app.command("fleet")(show_fleet)
+app.command("check")(check_operator_configuration)
 
 
 @settings_app.command("check")
--- a/amaranthbay/cli/output.py
+++ b/amaranthbay/cli/output.py
@@ -15,6 +15,8 @@
         OK: The command succeeded.
         FAILED: The command failed, or a daemon lags.
         DIFFERS: ``config diff`` found a difference; other diff programs use 1 as well.
+        QUESTIONABLE: ``check`` found no error, but unused entries or limits that
+            contradict each other.
         FAULTY_INPUT: A file, setting or option has a value that is not allowed.
         CONFLICT: Another operator's change came first.
         REFUSED: The platform or a daemon refused.
@@ -24,6 +26,7 @@
     OK = 0
     FAILED = 1
     DIFFERS = 1
+    QUESTIONABLE = 1
     FAULTY_INPUT = 2
     CONFLICT = 3
     REFUSED = 4
--- a/amaranthbay/platform/adapter.py
+++ b/amaranthbay/platform/adapter.py
@@ -2,6 +2,7 @@
 
 from amaranthbay.platform import calls  # noqa: F401  (registers the codec)
 from amaranthbay.platform.boot import load_boot_settings
+from amaranthbay.platform.document_checks import check_configuration
 from amaranthbay.platform.documents import decode_configuration, decode_server
 from amaranthbay.platform.lookup import create_lookup_app, create_ready_app
 from amaranthbay.platform.rows import RowStore, RowTable
@@ -35,6 +36,7 @@
     crashes_table = "crashes"
 
     load_settings = staticmethod(load_boot_settings)
+    check_configuration = staticmethod(check_configuration)
     decode_configuration = staticmethod(decode_configuration)
     decode_server = staticmethod(decode_server)
     create_ready_app = staticmethod(create_ready_app)
--- a/amaranthbay/workspaces/keys.py
+++ b/amaranthbay/workspaces/keys.py
@@ -41,6 +41,18 @@
         """Returns all workspaces."""
         return tuple(self._by_name.values())
 
+    def digests(self):
+        """Returns the digests of each workspace's keys, as a set by its name.
+
+        They can be compared with those of other tables of this process only.
+        """
+        by_name = {name: set() for name in self._by_name}
+        for digest, workspace in self._by_digest.items():
+            # No request carries an empty key.
+            if digest != _digest(b""):
+                by_name[workspace.name].add(digest)
+        return by_name
+
     def __len__(self):
         return len(self._by_name)
 
