Describe a changed order of routes with one host and prefix

Cause: of such routes the first takes all requests. Two configurations with another order had no difference, so a version that is not above the one in force was no error either, although instances would ignore the change.

Change: a sentence names the route that now takes precedence.

Measured: test_order_of_routes_with_one_prefix_is_described fails before this change.

--- a/amaranthbay/routing/changes.py
+++ b/amaranthbay/routing/changes.py
@@ -46,6 +46,7 @@
     """
     sentences = [
         *entry_differences("route", _by_name(old.routes), _by_name(new.routes), _route),
+        *_precedence(old.routes, new.routes),
         *entry_differences("service", old.services, new.services, _service),
         *_field_differences("requests of callers: ", old.limits, new.limits),
     ]
@@ -57,6 +58,24 @@
     return {each.name: each for each in entries}
 
 
+def _precedence(old, new):
+    """Yields a sentence if another of the routes with one host and prefix is used."""
+    before, after = _first_routes(old), _first_routes(new)
+    old_names, new_names = set(_by_name(old)), set(_by_name(new))
+    for match in sorted(before.keys() & after.keys()):
+        first, second = before[match], after[match]
+        if first != second and first in new_names and second in old_names:
+            yield f"The route {second} takes precedence over the route {first}."
+
+
+def _first_routes(routes):
+    """Returns the name of the first route by host and prefix."""
+    first = {}
+    for route in routes:
+        first.setdefault((route.host, route.prefix), route.name)
+    return first
+
+
 def _field_differences(prefix, old, new, skip=("name",)):
     """Yields a sentence for each field of two data classes that differs."""
     for field in fields(old):
--- a/amaranthbay/routing/tests/test_changes.py
+++ b/amaranthbay/routing/tests/test_changes.py
@@ -76,6 +76,17 @@
     case.assertIn("Callers need no keys any more.", describe_changes(OLD, open_table))
 
 
+def test_order_of_routes_with_one_prefix_is_described(case):
+    """Guards against a change of the order, by which another route takes requests,
+    that is reported as no difference."""
+    swapped = replace(OLD, routes=OLD.routes[::-1])
+    sentence = "The route b takes precedence over the route a."
+    case.assertEqual(describe_changes(OLD, swapped), [sentence])
+    apart = (ROUTE, replace(ROUTE, name="b", prefix="/b/"))
+    old = replace(OLD, routes=apart)
+    case.assertEqual(describe_changes(old, replace(OLD, routes=apart[::-1])), [])
+
+
 def test_every_field_has_a_label(case):
     """Guards against a new field whose change can't be described."""
     classes = (Route, Service, Engine, ClientLimits, Workspace)
