Escape control characters in the differences that the check prints

Cause: names of routes and services come from the store and may hold any character, such as a terminal's control sequence or the end of a line. Findings show names with repr; the differences printed them as they are.

Change: characters that can't be printed are escaped in the text output.

Measured: test_control_characters_are_escaped fails before this change.

--- a/amaranthbay/cli/check.py
+++ b/amaranthbay/cli/check.py
@@ -112,6 +112,13 @@
 def _print_differences(current, differences):
     if differences:
         heading = f"differences from version {current.version}, which is in force:"
-        typer.echo("\n  ".join([heading, *differences]))
+        # Names of routes and services may hold control characters.
+        texts = [_escape(text) for text in differences]
+        typer.echo("\n  ".join([heading, *texts]))
     else:
         typer.echo(f"no difference from version {current.version}, which is in force")
+
+
+def _escape(text):
+    """Returns a text with escapes in place of characters that can't be printed."""
+    return "".join(char if char.isprintable() else repr(char)[1:-1] for char in text)
--- a/amaranthbay/cli/tests/test_check.py
+++ b/amaranthbay/cli/tests/test_check.py
@@ -68,6 +68,16 @@
     case.assertEqual(run("check", new, "--store", "127.0.0.1:9").exit_code, 1)
 
 
+def test_control_characters_are_escaped(case):
+    """Guards against names in the store that write to the operator's terminal."""
+    folder = temporary_folder(case)
+    document = configuration()
+    document["Routes"][0]["Name"] = "é\x1b[2J\nx"
+    new = write(folder, "new.json", Version=2, Routes=document["Routes"])
+    result = run("check", new, "--in-force", write(folder, "old.json"))
+    case.assertIn("  The route é\\x1b[2J\\nx is new.\n", result.output)
+
+
 def test_example_of_the_operations_page_is_what_the_command_prints(case):
     """Guards against a page that describes another output."""
     page = (DOCS / "OPERATIONS.md").read_text()
