Let configurations list workspaces with keys and priorities

Cause: only the platform's interface knows keys and priorities of workspaces. The configuration of the product's own interface has a list of names only.

Change: `keyed_workspaces` in answers and configurations, with keys, priority and the fields of a quota. Generated and accepted configurations hold digests of the keys, so that neither the platform, `config show`, `config diff` nor messages between daemons carry a key. Faults of files that can hold keys show no values of misspelt fields. A rate is a fault, as quotas are not enforced yet. Configurations without the new field have the same bytes as before; one that uses it can't be decoded by an earlier release, which then keeps its version and refuses new work instead of admitting anybody.

--- a/amaranthbay/config/__init__.py
+++ b/amaranthbay/config/__init__.py
@@ -12,3 +12,4 @@
     decode_configuration,
     encode_configuration,
 )
+from amaranthbay.config.workspaces import KeyedWorkspace
--- a/amaranthbay/config/answers.py
+++ b/amaranthbay/config/answers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from amaranthbay.config.types import Count, Name
+from amaranthbay.config.workspaces import KeyedWorkspace
 from amaranthbay.utils.checking import load_checked
 
 __all__ = [
@@ -108,6 +109,7 @@
         services: Services of the deployment.
         pools: Pools of backend servers.
         workspaces: Names of the admitted workspaces; empty admits any.
+        keyed_workspaces: Workspaces with keys; None if callers need no key.
     """
 
     deployment: Name
@@ -117,6 +119,7 @@
     services: tuple[ServiceAnswer, ...]
     pools: tuple[PoolAnswer, ...]
     workspaces: tuple[Name, ...] = ()
+    keyed_workspaces: tuple[KeyedWorkspace, ...] | None = None
 
 
 def load_answers(path):
--- a/amaranthbay/config/diff.py
+++ b/amaranthbay/config/diff.py
@@ -2,6 +2,8 @@
 
 from dataclasses import fields
 
+from amaranthbay.config.workspaces import without_keys
+
 __all__ = ["diff"]
 
 # Fields of a configuration that hold named entries, and the noun for an entry.
@@ -9,6 +11,7 @@
     "services": "service",
     "callers": "kind of caller",
     "pools": "pool",
+    "keyed_workspaces": "workspace with keys",
 }
 # Descriptions of fields that hold a single value.
 LABELS = {
@@ -24,6 +27,11 @@
     "checks_fence": "whether its servers refuse old fencing numbers",
     "checks_sender": "whether its servers check who gives an order",
     "kind": "the kind",
+    "priority": "the priority",
+    "unit": "the unit of the quota",
+    "rate_per_s": "the rate of the quota in units per second",
+    "burst": "the burst of the quota in units",
+    "plain_tokens": "the number of tokens of a request that names none",
 }
 # Fields that hold a list of names or calls, and the noun for an item.
 ITEM_NOUNS = {
@@ -37,12 +45,13 @@
 def diff(old, new):
     """Returns a sentence for each difference between two configurations.
 
-    Versions are not compared.
+    Versions are not compared. No sentence names a key or its digest.
     """
+    old, new = without_keys(old), without_keys(new)
     sentences = _field_differences("", old, new, skip={"version", *ENTRY_NOUNS})
     for group, noun in ENTRY_NOUNS.items():
-        before = {each.name: each for each in getattr(old, group)}
-        after = {each.name: each for each in getattr(new, group)}
+        before = {each.name: each for each in getattr(old, group) or ()}
+        after = {each.name: each for each in getattr(new, group) or ()}
         for name in sorted(before.keys() | after.keys()):
             if name not in after:
                 sentences.append(f"The {noun} {name} is gone.")
@@ -53,6 +62,9 @@
                 sentences.extend(
                     _field_differences(prefix, before[name], after[name], {"name"})
                 )
+    if bool(old.keyed_workspaces) != bool(new.keyed_workspaces):
+        need = "a key" if new.keyed_workspaces else "no key"
+        sentences.append(f"Callers need {need} from now on.")
     return sentences
 
 
@@ -70,7 +82,9 @@
         before, after = getattr(old, field.name), getattr(new, field.name)
         if field.name in skip or before == after:
             continue
-        if field.name in ITEM_NOUNS:
+        if field.name == "key_digests":
+            clauses = _key_differences(before, after)
+        elif field.name in ITEM_NOUNS:
             clauses = _list_differences(ITEM_NOUNS[field.name], before, after)
         else:
             label = LABELS.get(field.name, field.name)
@@ -90,6 +104,17 @@
     return [f"the order of each {noun} changes to {', '.join(new)}."]
 
 
+def _key_differences(before, after):
+    """Returns sentences with the numbers of removed and added keys."""
+    removed, added = set(before) - set(after), set(after) - set(before)
+    changes = (("removed", len(removed)), ("added", len(added)))
+    return [
+        f"{count} key{'s are' if count > 1 else ' is'} {change}."
+        for change, count in changes
+        if count
+    ]
+
+
 def _item(value):
     if isinstance(value, str):
         return value
--- a/amaranthbay/config/generate.py
+++ b/amaranthbay/config/generate.py
@@ -9,6 +9,7 @@
     Pool,
     Service,
 )
+from amaranthbay.config.workspaces import without_keys
 from amaranthbay.utils.toml_text import to_toml
 
 __all__ = ["Generated", "generate", "render_configuration"]
@@ -49,10 +50,15 @@
         goodput_weight=_goodput_weight(answers, reasons),
         lookup_ttl_s=_lookup_ttl(answers, reasons),
         crash_limit=_crash_limit(answers, reasons),
+        keyed_workspaces=_keyed_workspaces(answers, reasons),
     )
     reasons["version"] = "0 until it is accepted; the platform gives the version"
     if not answers.workspaces:
-        reasons["workspaces"] = "none named, so any name of a workspace is admitted"
+        reasons["workspaces"] = (
+            "none named, so each workspace that has a key is admitted"
+            if answers.keyed_workspaces
+            else "none named, so any name of a workspace is admitted"
+        )
     return Generated(cfg, reasons)
 
 
@@ -105,6 +111,17 @@
     return CRASH_LIMIT
 
 
+def _keyed_workspaces(answers, reasons):
+    workspaces = without_keys(answers).keyed_workspaces
+    for workspace in workspaces or ():
+        reasons[f"keyed_workspaces.{workspace.name}.key_digests"] = (
+            "digests of its keys, as the keys are secret"
+            if workspace.key_digests
+            else "it has no key, so none of its requests is admitted"
+        )
+    return workspaces
+
+
 def _to_caller(answer, reasons):
     interactive = answer.waits == "with_target"
     reasons[f"callers.{answer.name}.interactive"] = (
--- a/amaranthbay/config/rules.py
+++ b/amaranthbay/config/rules.py
@@ -77,6 +77,7 @@
             yield TreeFault(f"{key}.non_idempotent", value, allowed)
     yield from _unused_entry_faults("callers", document)
     yield from _unused_entry_faults("pools", document)
+    yield from _keyed_workspace_faults(document)
 
 
 def _duplicate_name_faults(group, entries):
@@ -116,3 +117,33 @@
         if entry.name not in used:
             allowed = f"an entry that a service names in its {group}"
             yield TreeFault(f"{group}[{index}].name", entry.name, allowed)
+
+
+def _keyed_workspace_faults(document):
+    """Yields the contradictions of the workspaces with keys; names no key."""
+    entries = document.keyed_workspaces
+    if entries is None:
+        return
+    if not entries:
+        # An empty list could be read as "no key is valid" or as "no key is needed".
+        allowed = "at least one entry; without the list callers need no key"
+        yield TreeFault("keyed_workspaces", None, allowed)
+    yield from _duplicate_name_faults("keyed_workspaces", entries)
+    counts = Counter(digest for each in entries for digest in each.all_digests())
+    for index, entry in enumerate(entries):
+        key = f"keyed_workspaces[{index}]"
+        if not entry.name.isprintable() or entry.name != entry.name.strip():
+            allowed = "printable characters without a blank at the beginning or end"
+            yield TreeFault(f"{key}.name", entry.name, allowed)
+        if document.workspaces and entry.name not in document.workspaces:
+            allowed = (
+                "one of the names in workspaces, or any name if that list is empty"
+            )
+            yield TreeFault(f"{key}.name", entry.name, allowed)
+        if any(counts[digest] > 1 for digest in entry.all_digests()):
+            allowed = "keys that no other workspace has"
+            yield TreeFault(f"{key}.keys", None, allowed)
+        if entry.rate_per_s:
+            # A quota that is accepted and not enforced would be taken for a limit.
+            allowed = "0, since quotas are not enforced yet"
+            yield TreeFault(f"{key}.rate_per_s", entry.rate_per_s, allowed)
--- a/amaranthbay/config/template.py
+++ b/amaranthbay/config/template.py
@@ -20,6 +20,18 @@
 # Names of the workspaces that are admitted; an empty list admits any name.
 workspaces = []
 
+# A workspace whose requests need a key. As soon as one is listed, each request needs
+# the key of a workspace ("Authorization: Bearer KEY"), and X-Workspace counts no more.
+# A key has 16 to 128 characters; list the old and the new one to replace it. The
+# generated configuration holds only digests of the keys, but this file holds the keys:
+# keep it secret. `priority` is from 0 (first) to 9, 5 if left out. `unit` ("requests"
+# or "tokens"), `rate_per_s`, `burst` and `plain_tokens` describe a quota; quotas are
+# not enforced yet, so the check refuses a rate.
+# [[keyed_workspaces]]
+# name = "shop"
+# keys = ["replace-this-by-a-long-random-key"]
+# priority = 2
+
 # A kind of caller. `waits` is "with_target" or "as_long_as_it_takes". A caller with
 # a target states in milliseconds how soon it needs the first token (of a plain
 # service: the answer) and, for models, the longest time between tokens.
--- a/amaranthbay/config/types.py
+++ b/amaranthbay/config/types.py
@@ -6,6 +6,13 @@
 
 import msgspec
 
+from amaranthbay.config.workspaces import (
+    KeyedWorkspace,
+    Name,
+    WorkspaceKeys,
+    key_table,
+)
+
 __all__ = [
     "CallPattern",
     "CallerKind",
@@ -16,7 +23,6 @@
     "encode_configuration",
 ]
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
@@ -107,6 +113,8 @@
             returns, in seconds.
         crash_limit: Number of backend servers that one request may crash before it
             is refused; 1 has the effect of 2.
+        keyed_workspaces: Workspaces with keys. If there are any, each request needs
+            a key; None if callers need no key.
     """
 
     version: Annotated[int, msgspec.Meta(ge=0)]
@@ -118,6 +126,13 @@
     goodput_weight: Share = 0.5
     lookup_ttl_s: Seconds = 30.0
     crash_limit: Count = 2
+    keyed_workspaces: tuple[KeyedWorkspace, ...] | None = None
+
+    @cached_property
+    def workspace_keys(self):
+        """`WorkspaceKeys` of this version, made at the first use."""
+        entries = self.keyed_workspaces
+        return WorkspaceKeys(self.version, key_table(entries) if entries else None)
 
     @cached_property
     def _workspace_names(self):
@@ -141,8 +156,14 @@
 
 
 def encode_configuration(cfg):
-    """Returns the configuration as canonical JSON bytes."""
-    return msgspec.json.encode(cfg, order="deterministic")
+    """Returns the configuration as canonical JSON bytes.
+
+    Without workspaces with keys the bytes are those of releases that don't know them.
+    """
+    document = msgspec.to_builtins(cfg)
+    if cfg.keyed_workspaces is None:
+        del document["keyed_workspaces"]
+    return msgspec.json.encode(document, order="deterministic")
 
 
 def decode_configuration(body):
--- a/amaranthbay/state/config_fetch.py
+++ b/amaranthbay/state/config_fetch.py
@@ -144,6 +144,8 @@
         if len(bodies) < len(set(names)) or manifest.version != pointer.version:
             return None
         configuration = assemble(manifest, bodies)
+        # Made before the adoption, so that no request has to wait for it.
+        configuration.workspace_keys
     except msgspec.DecodeError as exc:
         log_event("configuration_unreadable", level="error", detail=str(exc))
         return None
--- a/amaranthbay/state/sections.py
+++ b/amaranthbay/state/sections.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from amaranthbay.config.types import decode_configuration, encode_configuration
+from amaranthbay.config.workspaces import KeyedWorkspace, without_keys
 
 __all__ = [
     "ConfigPointer",
@@ -91,13 +92,20 @@
     Returns:
         The encoded manifest, and the bodies of the sections by object name. The
         base section is the configuration without version and workspaces; the
-        others hold the workspaces, distributed by hash.
+        others hold the workspaces, distributed by hash: names as texts, then
+        workspaces with keys as objects, with digests in place of the keys. A release
+        that doesn't know keys can't decode such a section. It keeps its earlier version
+        and refuses new work, where ignoring the keys would admit anybody.
     """
+    cfg = without_keys(cfg)
     groups = [[] for _ in range(WORKSPACE_SECTIONS)]
     for workspace in sorted(set(cfg.workspaces)):
-        number = xxhash.xxh3_64_intdigest(workspace.encode()) % WORKSPACE_SECTIONS
-        groups[number].append(workspace)
-    base = encode_configuration(replace(cfg, version=0, workspaces=()))
+        groups[_section_of(workspace)].append(workspace)
+    for workspace in sorted(cfg.keyed_workspaces or (), key=lambda each: each.name):
+        groups[_section_of(workspace.name)].append(workspace)
+    base = encode_configuration(
+        replace(cfg, version=0, workspaces=(), keyed_workspaces=None)
+    )
     sections = [
         base,
         *(msgspec.json.encode(group) if group else b"" for group in groups),
@@ -110,6 +118,10 @@
     return manifest, {object_name(digest_of(body)): body for body in sections if body}
 
 
+def _section_of(name):
+    return xxhash.xxh3_64_intdigest(name.encode()) % WORKSPACE_SECTIONS
+
+
 def decode_manifest(body):
     """Returns the `Manifest` that a body encodes.
 
@@ -131,8 +143,13 @@
     """
     base_name, *workspace_section_names = manifest.names()
     base = decode_configuration(bodies[base_name])
-    workspaces = []
+    names, keyed = [], []
     for name in workspace_section_names:
-        workspaces.extend(msgspec.json.decode(bodies[name], type=list[str]))
-    sorted_workspaces = tuple(sorted(workspaces))
-    return replace(base, version=manifest.version, workspaces=sorted_workspaces)
+        for each in msgspec.json.decode(bodies[name], type=list[str | KeyedWorkspace]):
+            (names if isinstance(each, str) else keyed).append(each)
+    return replace(
+        base,
+        version=manifest.version,
+        workspaces=tuple(sorted(names)),
+        keyed_workspaces=tuple(sorted(keyed, key=lambda each: each.name)) or None,
+    )
--- a/amaranthbay/utils/checking.py
+++ b/amaranthbay/utils/checking.py
@@ -4,8 +4,10 @@
 """
 
 import tomllib
-from dataclasses import MISSING, dataclass, fields, is_dataclass
+from dataclasses import MISSING, dataclass, fields, is_dataclass, replace
+from functools import cache
 from pathlib import Path
+from types import NoneType, UnionType
 from typing import get_args, get_origin, get_type_hints
 
 import msgspec
@@ -98,24 +100,31 @@
 def check_tree(value, cls, key=""):
     """Returns a `TreeFault` for each key that is unknown, missing or has a bad value.
 
-    A value is bad if the type hint of its field doesn't allow it.
+    A value is bad if the type hint of its field doesn't allow it. The fault of a part
+    that may hold a field with the metadata ``secret`` has no value: a misspelt key of a
+    table can hold secrets too.
 
     Args:
         value: Decoded TOML table.
         cls: Data class that the table must match.
         key: Path of the table; empty for the whole file.
     """
+    secret = _may_hold_secrets(cls)
     if not isinstance(value, dict):
-        return [TreeFault(key, value, "a table")]
+        return [TreeFault(key, None if secret else value, "a table")]
     hints = get_type_hints(cls, include_extras=True)
     faults = []
     for name in value.keys() - hints.keys():
         allowed = "one of the keys " + ", ".join(hints)
-        faults.append(TreeFault(_child_path(key, name), value[name], allowed))
+        shown = None if secret else value[name]
+        faults.append(TreeFault(_child_path(key, name), shown, allowed))
     for field in fields(cls):
         path = _child_path(key, field.name)
         if field.name in value:
-            faults.extend(_check_value(value[field.name], hints[field.name], path))
+            found = _check_value(value[field.name], hints[field.name], path)
+            if field.metadata.get("secret"):
+                found = [replace(each, value=None) for each in found]
+            faults.extend(found)
         elif field.default is MISSING and field.default_factory is MISSING:
             allowed = f"{_describe_hint(hints[field.name])}; the key is missing"
             faults.append(TreeFault(path, None, allowed))
@@ -135,12 +144,31 @@
     try:
         msgspec.convert(value, hint)
     except msgspec.ValidationError:
-        return [TreeFault(path, value, _describe_hint(hint))]
+        shown = None if _may_hold_secrets(hint) else value
+        return [TreeFault(path, shown, _describe_hint(hint))]
     return []
 
 
+@cache
+def _may_hold_secrets(hint):
+    """Returns whether a value of a type can hold a field that is marked as secret."""
+    if is_dataclass(hint):
+        hints = get_type_hints(hint)
+        return any(
+            field.metadata.get("secret") or _may_hold_secrets(hints[field.name])
+            for field in fields(hint)
+        )
+    return any(_may_hold_secrets(arg) for arg in get_args(hint))
+
+
 def _item_class(hint):
-    """Returns the class of a tuple's items if it is a data class, else None."""
+    """Returns the class of a tuple's items if it is a data class, else None.
+
+    The tuple may be optional.
+    """
+    alternatives = [each for each in get_args(hint) if each is not NoneType]
+    if isinstance(hint, UnionType) and len(alternatives) == 1:
+        return _item_class(alternatives[0])
     args = get_args(hint)
     if get_origin(hint) is tuple and args and is_dataclass(args[0]):
         return args[0]
