Admit callers of the own interface by the key of their workspace

Cause: any caller could name any workspace in X-Workspace, since only the platform's interface knew keys.

Change: with keys in the configuration, the pipeline decides by `Authorization: Bearer` through `AccessControl` of `workspaces/access.py`: 401 (`unauthenticated`, `not_run`) for a missing or unknown key, 503 (`not_ready`) for an unknown key while a newer configuration is known elsewhere. The key decides the workspace, also of idempotency records. The gateway hands on a digest only. A request is decided again when it leaves the queue, every second in it, and before each attempt; a retry after an attempt that may have run ends with the refusal of that attempt. Refusals of a known workspace are logged and counted.

--- a/amaranthbay/client/client.py
+++ b/amaranthbay/client/client.py
@@ -44,7 +44,7 @@
 class Client:
     """Sends the requests of one workspace to the daemons."""
 
-    def __init__(self, seeds, workspace, caller="", availability_zone=""):
+    def __init__(self, seeds, workspace, caller="", availability_zone="", key=""):
         """Creates a client.
 
         Args:
@@ -52,11 +52,13 @@
             workspace: Name of the workspace.
             caller: Kind of caller; empty for the service's default.
             availability_zone: Availability zone of the caller; empty if unknown.
+            key: Key of the workspace; empty if the deployment needs none.
         """
         self._seeds = tuple(seeds)
         self._workspace = workspace
         self._caller = caller
         self._availability_zone = availability_zone
+        self._key = key
         # Expiry in monotonic seconds and addresses, by service.
         self._cache = {}
         # Addresses of the last successful lookup, by service; these don't expire.
@@ -209,6 +211,8 @@
         headers = [("X-Workspace", self._workspace)]
         if self._caller:
             headers.append(("X-Caller", self._caller))
+        if self._key:
+            headers.append(("Authorization", f"Bearer {self._key}"))
         return headers
 
     def _with_failover(self, service, send):
--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -166,7 +166,12 @@
             availability_zone=settings.availability_zone,
             observer=self.loads,
         )
-        self.pipeline = Pipeline(ctx, self.admission, self._refusal_of_all)
+        self.pipeline = Pipeline(
+            ctx,
+            self.admission,
+            self._refusal_of_all,
+            lambda: self.config_store.newest_version,
+        )
         limits = settings.limits
         self._server = Server(
             settings.caller_address,
--- a/amaranthbay/dispatch/model.py
+++ b/amaranthbay/dispatch/model.py
@@ -96,7 +96,7 @@
                 or outcome.unwrap_err().reason is not Reason.SUSPECT_WAITING
             ):
                 return outcome
-            if self._ctx.clock.monotonic() >= wait_end:
+            if self._ctx.clock.monotonic() >= wait_end or self._work.refusal():
                 return outcome
             self._ctx.clock.sleep(SUSPECT_POLL_INTERVAL_S)
 
@@ -123,6 +123,10 @@
             isolated = self._claim_servers(suspect, attempt, servers, resources)
             if isolated.is_err():
                 return isolated
+            # Its key may have been removed while it waited for a slot.
+            denied = self._work.refusal()
+            if denied is not None:
+                return Err(denied)
             started = self._start(attempt, servers, suspect, resources)
             if started.is_err():
                 return started
--- a/amaranthbay/dispatch/plain.py
+++ b/amaranthbay/dispatch/plain.py
@@ -111,8 +111,12 @@
     def _send_tracked(self, work, attempt, server, fingerprint, suspect):
         """Sends the call, with an in-flight record while it runs.
 
-        After a failure, checks whether the server died.
+        After a failure, checks whether the server died. Nothing is sent if the
+        configuration no longer admits the request.
         """
+        denied = work.refusal()
+        if denied is not None:
+            return Err(denied)
         record = InFlightRecord(
             attempt.request_id, attempt.attempt_id, (server,), fingerprint, suspect
         )
--- a/amaranthbay/dispatch/tests/fakes.py
+++ b/amaranthbay/dispatch/tests/fakes.py
@@ -196,9 +196,10 @@
             AllocatorContext(lambda server: 20, self.clock)
         )
         self.budget = RetryBudget()
-        cfg = cfg or configuration()
+        # Tests may replace it as a new version that is in force at once.
+        self.cfg = cfg or configuration()
         self.ctx = DispatchContext(
-            configuration=lambda: cfg,
+            configuration=lambda: self.cfg,
             directory=self.directory,
             view=self._view,
             policy=LeastLoadedPolicy(1),
--- a/amaranthbay/gateway/callers.py
+++ b/amaranthbay/gateway/callers.py
@@ -6,6 +6,7 @@
 
 from amaranthbay.dispatch.types import PlainCall
 from amaranthbay.gateway.bodies import read_body
+from amaranthbay.gateway.credentials import read_credentials
 from amaranthbay.gateway.decoding import (
     decode_chat,
     decode_completion,
@@ -66,6 +67,7 @@
             caller=req.get_header("X-Caller", default=""),
             payload=payload,
             idempotency_key=req.get_header("Idempotency-Key"),
+            credentials=read_credentials(req),
         )
 
 
--- a/amaranthbay/gateway/replies.py
+++ b/amaranthbay/gateway/replies.py
@@ -54,6 +54,8 @@
     if refusal.retry_after is not None:
         retry_after_s = math.ceil(refusal.retry_after.total_seconds())
         resp.set_header("Retry-After", str(retry_after_s))
+    if refusal.status == 401:
+        resp.set_header("WWW-Authenticate", "Bearer")
 
 
 def write_answer(req, resp, answer):
--- a/amaranthbay/gateway/tests/serving.py
+++ b/amaranthbay/gateway/tests/serving.py
@@ -25,6 +25,7 @@
     Attributes:
         refusal: `Refusal` of all new work, or None.
         members: Daemons that each lookup returns.
+        newest_version: Highest version of the configuration known at other daemons.
     """
 
     def __init__(self, harness, limits):
@@ -33,7 +34,13 @@
         self.clock = harness.ctx.clock
         self.refusal = None
         self.admission = BoundedAdmission(100, harness.ctx.clock)
-        self.pipeline = Pipeline(harness.ctx, self.admission, lambda: self.refusal)
+        self.newest_version = 0
+        self.pipeline = Pipeline(
+            harness.ctx,
+            self.admission,
+            lambda: self.refusal,
+            lambda: self.newest_version,
+        )
         self.members = [
             SimpleNamespace(address="127.0.0.1:1", availability_zone="zone-a")
         ]
@@ -83,18 +90,19 @@
 
 
 @contextlib.contextmanager
-def gateway(engine=None, limits=None):
+def gateway(engine=None, limits=None, cfg=None):
     """Serves a gateway.
 
     Args:
         engine: `FakeEngine`; one whose calls all succeed if None.
         limits: `LimitSettings`; bodies of up to 64 KiB if None.
+        cfg: `Configuration` in force; that of `configuration` if None.
 
     Yields:
         Namespace with ``address``, ``daemon``, ``harness`` and ``server``.
     """
     limits = limits or LimitSettings(body_bytes=65536)
-    cfg = configuration()
+    cfg = cfg or configuration()
     harness = DispatchHarness(engine or FakeEngine(), cfg=cfg)
     daemon = FakeDaemon(harness, limits)
     server = Server(
--- a/amaranthbay/kernel/pipeline.py
+++ b/amaranthbay/kernel/pipeline.py
@@ -4,6 +4,7 @@
 request is settled when its answer has ended: it is counted and its resources released.
 """
 
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Err, Ok
@@ -12,6 +13,7 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.requests import Answer, Work
 from amaranthbay.observe import current_metrics, log_event
+from amaranthbay.workspaces.access import AccessControl, KeysInForce
 
 __all__ = ["Pipeline"]
 
@@ -21,7 +23,7 @@
 class Pipeline:
     """Runs requests of the gateway through all stages up to the service kind."""
 
-    def __init__(self, ctx, admission, readiness):
+    def __init__(self, ctx, admission, readiness, newest_version=lambda: 0):
         """Creates the pipeline.
 
         Args:
@@ -30,11 +32,14 @@
                 ``Result[release function, Refusal]``.
             readiness: Function that returns None if the daemon takes new work, else
                 the `Refusal` for all requests.
+            newest_version: Function that returns the highest version of the
+                configuration that is known to be in force at a daemon.
         """
         self._ctx = ctx
         self._admission = admission
         self._readiness = readiness
         self._kinds = {}
+        self._access = AccessControl(KeysInForce(ctx.configuration), newest_version)
 
     def serve(self, request):
         """Returns ``Result[Answer, Refusal]`` for a caller's request."""
@@ -57,6 +62,25 @@
         if classified.is_err():
             return classified
         work = classified.unwrap()
+        if work.workspace is None:
+            return self._admit(work)
+        name = work.workspace.name
+        metrics = current_metrics()
+        metrics.workspace_requested(name)
+        outcome = self._admit(work)
+        if outcome.is_err():
+            reason = outcome.unwrap_err().reason
+            metrics.workspace_refused(name, reason)
+            request_id = work.request.request_id
+            log_event(
+                "workspace_refused",
+                request_id=request_id,
+                workspace=name,
+                reason=reason,
+            )
+        return outcome
+
+    def _admit(self, work):
         admitted = self._admission.admit(work)
         if admitted.is_err():
             return admitted
@@ -75,6 +99,13 @@
         if service is None:
             detail = f"service {request.service!r} is not configured"
             return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
+        admitted = self._access.admit(False, request.credentials, lambda keys: False)
+        if admitted.is_err():
+            return admitted
+        access = admitted.unwrap()
+        if access.workspace is not None:
+            # Everything below, such as idempotency records, belongs to this workspace.
+            request = replace(request, workspace=access.workspace.name)
         if not cfg.admits(request.workspace):
             detail = f"workspace {request.workspace!r} is not configured"
             return Err(not_run(Reason.UNKNOWN_WORKSPACE, detail, status=403))
@@ -89,7 +120,8 @@
         now = self._ctx.clock.monotonic()
         target_s = caller.first_token_s
         deadline = None if target_s is None else now + target_s
-        return Ok(Work(request, caller.interactive, deadline, idempotent, now))
+        interactive = caller.interactive
+        return Ok(Work(request, interactive, deadline, idempotent, now, access))
 
     def _dispatch(self, work, release):
         """Dispatches admitted work.
--- a/amaranthbay/kernel/requests.py
+++ b/amaranthbay/kernel/requests.py
@@ -39,6 +39,8 @@
         payload: `ModelCall` or `PlainCall`.
         idempotency_key: Key of a non-idempotent call, if any.
         gone: Event that is set when the caller disconnects.
+        credentials: Digests of the keys that the request carries, in bytes; left out of
+            the text form.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     payload: object
     idempotency_key: str | None = None
     gone: object = field(default=None, compare=False)
+    credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
 
 @dataclass(frozen=True)
@@ -62,6 +65,8 @@
             None if the request is patient.
         idempotent: Whether the call may run more than once.
         arrived: Monotonic time of arrival in seconds.
+        access: `workspaces.access.CallerAccess` that the request was admitted with;
+            None if that wasn't checked.
     """
 
     request: CallerRequest
@@ -69,6 +74,16 @@
     deadline: float | None
     idempotent: bool
     arrived: float
+    access: object = field(default=None, repr=False, compare=False)
+
+    @property
+    def workspace(self):
+        """`workspaces.Workspace` of the request's key; None if it needs no key."""
+        return None if self.access is None else self.access.workspace
+
+    def refusal(self):
+        """Returns the `Refusal` if the configuration in force no longer admits it."""
+        return None if self.access is None else self.access.refusal()
 
 
 @dataclass(frozen=True)
--- a/amaranthbay/kernel/retries.py
+++ b/amaranthbay/kernel/retries.py
@@ -85,12 +85,19 @@
 
     Returns:
         ``Result[T, Refusal]``. A refusal has the worst verdict of all attempts: work
-        that may have run in any of them may have run.
+        that may have run in any of them may have run. A request that the configuration
+        no longer admits gets no further attempt.
     """
     budget.deposit()
     worst_verdict = Verdict.NOT_RUN
     number = 1
+    failure = None
     while True:
+        denied = work.refusal()
+        if denied is not None:
+            # The refusal of an attempt that may have run says more to the caller.
+            has_run = worst_verdict is not Verdict.NOT_RUN
+            return Err(failure if has_run else denied)
         outcome = run_attempt(new_attempt(work.request.request_id, number))
         if outcome.is_ok():
             return outcome
@@ -105,8 +112,9 @@
         )
         worst_verdict = _worse_verdict(worst_verdict, refusal.verdict)
         delay_s = backoff.delay(number)
+        failure = _final_refusal(refusal, worst_verdict)
         if not _may_retry(work, refusal, number, delay_s, budget, clock):
-            return Err(_final_refusal(refusal, worst_verdict))
+            return Err(failure)
         clock.sleep(delay_s)
         number += 1
 
--- a/amaranthbay/placement/admission.py
+++ b/amaranthbay/placement/admission.py
@@ -27,6 +27,9 @@
 SHARE_HALF_LIFE_S = 20.0
 RETRY_AFTER = timedelta(seconds=1)
 TICK_S = 0.05
+# Interval at which waiting requests are compared with the configuration in force. A
+# patient request may wait for minutes after its key was removed.
+ACCESS_CHECK_INTERVAL_S = 1.0
 # Approximate time until other daemons see a start in the server's load report.
 START_VISIBLE_S = 0.75
 # Most patient requests that all daemons together start for each prefill server in
@@ -108,6 +111,7 @@
         self._dispatcher = None
         self._credit = 1.0
         self._credit_at = clock.monotonic()
+        self._access_checked_at = clock.monotonic()
         self.token_share = TokenShare()
         self.queue = FairQueue()
         self.active = 0
@@ -122,7 +126,8 @@
 
         Returns:
             ``Result[Callable, Refusal]``. The caller calls the function when the
-            request has ended.
+            request has ended. A request is refused if the configuration in force no
+            longer admits it after the wait.
         """
         limit = self._limit if work.interactive else self._limit * PATIENT_LIMIT_SHARE
         if self.active >= limit:
@@ -131,7 +136,10 @@
         self.active += 1
         try:
             if isinstance(work.request.payload, ModelCall):
-                self._wait_to_start(work)
+                waited = self._wait_to_start(work)
+                if waited.is_err():
+                    self._release()
+                    return waited
         except BaseException:
             self._release()
             raise
@@ -141,6 +149,7 @@
         self.active -= 1
 
     def _wait_to_start(self, work):
+        """Returns ``Result[None, Refusal]`` when the request may start."""
         if self._may_start is not None and not work.interactive:
             ticket = self.queue.enqueue(work)
             self._ensure_dispatcher()
@@ -148,8 +157,12 @@
                 ticket.dequeued.wait()
             finally:
                 self.queue.remove(ticket)
+            denied = ticket.refusal or work.refusal()
+            if denied is not None:
+                return Err(denied)
         tokens = estimate_tokens(work.request.payload.prompt)
         self.token_share.add(work.interactive, tokens, self._clock.monotonic())
+        return Ok(None)
 
     def _ensure_dispatcher(self):
         if self._dispatcher is None or self._dispatcher.dead:
@@ -163,6 +176,7 @@
 
     def tick(self):
         """Starts the next patient request if it may start now."""
+        self._refuse_denied()
         ticket = self.queue.peek()
         if ticket is None:
             return
@@ -174,6 +188,17 @@
             self._credit -= self._rng.uniform(0.5, 1.5)
             self._start_next(below_share)
 
+    def _refuse_denied(self):
+        """Refuses the waiting requests that the configuration no longer admits."""
+        now = self._clock.monotonic()
+        if now - self._access_checked_at < ACCESS_CHECK_INTERVAL_S:
+            return
+        self._access_checked_at = now
+        for ticket in self.queue.tickets():
+            denied = ticket.work.refusal()
+            if denied is not None:
+                self.queue.refuse(ticket, denied)
+
     def _refill_credit(self):
         """Refills the credit for patient starts; returns whether it covers one.
 
--- a/amaranthbay/placement/fair_queue.py
+++ b/amaranthbay/placement/fair_queue.py
@@ -12,12 +12,14 @@
 
     Attributes:
         work: The queued `Work`.
-        dequeued: Event that is set when the request may start.
+        dequeued: Event that is set when the request may start, or is refused.
+        refusal: `Refusal` of the request; None if it is not refused.
     """
 
     def __init__(self, work):
         self.work = work
         self.dequeued = gevent.event.Event()
+        self.refusal = None
 
 
 class FairQueue:
@@ -54,6 +56,17 @@
         ticket.dequeued.set()
         return ticket
 
+    def tickets(self):
+        """Returns all tickets as a list."""
+        queues = self._tickets_by_workspace.values()
+        return [ticket for tickets in queues for ticket in tickets]
+
+    def refuse(self, ticket, refusal):
+        """Removes a ticket, and wakes its request to be refused."""
+        self.remove(ticket)
+        ticket.refusal = refusal
+        ticket.dequeued.set()
+
     def remove(self, ticket):
         """Removes a ticket, for example of a caller that has gone; idempotent."""
         workspace = ticket.work.request.workspace
--- a/amaranthbay/placement/tests/test_admission.py
+++ b/amaranthbay/placement/tests/test_admission.py
@@ -1,15 +1,18 @@
 """Tests of admission: order, fairness, bounds, and callers that leave."""
 
 import random
+from dataclasses import replace
 
 import gevent
 
-from amaranthbay.kernel.errors import Reason
+from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.placement.admission import TICK_S, BoundedAdmission, TokenShare
 from amaranthbay.placement.fair_queue import FairQueue
 from amaranthbay.placement.tests.samples import work
 from amaranthbay.utils.testing import ManualClock, collect, greenlet, wait_until
 
+DENIED = not_run(Reason.UNAUTHENTICATED, "the key is unknown", 401)
+
 
 def make_admission(may_start, limit=100):
     """Returns the admission of a single daemon."""
@@ -102,6 +105,45 @@
     case.assertEqual(admission.active, 0)
 
 
+class RevocableAccess:
+    """Access that ends when `removed` is set."""
+
+    def __init__(self):
+        self.workspace = None
+        self.removed = False
+
+    def refusal(self):
+        return DENIED if self.removed else None
+
+
+def test_removed_key_ends_the_wait(case):
+    """Guards against a request that waits for minutes under a removed key."""
+    access = RevocableAccess()
+    admission = make_admission(lambda request, below_share: False)
+    with (
+        greenlet(admission.admit, work("other")),
+        greenlet(admission.admit, replace(work("patient"), access=access)) as job,
+    ):
+        wait_until(lambda: len(admission.queue) == 2)
+        access.removed = True
+        wait_until(job.ready)
+        case.assertEqual(job.value.unwrap_err(), DENIED)
+        case.assertEqual((len(admission.queue), admission.active), (1, 1))
+
+
+def test_removed_key_is_noticed_at_the_start(case):
+    """Guards against a start between the removal of a key and the next check."""
+    access = RevocableAccess()
+    admission = make_admission(lambda request, below_share: access.removed)
+    with greenlet(admission.admit, replace(work("patient"), access=access)) as job:
+        wait_until(lambda: len(admission.queue))
+        access.removed = True
+        admission.queue.dequeue()
+        wait_until(job.ready)
+        case.assertEqual(job.value.unwrap_err(), DENIED)
+        case.assertEqual(admission.active, 0)
+
+
 def test_newest_patient_work_is_refused_first(case):
     """Guards against an unbounded queue, and refusing interactive work first."""
     admission = make_admission(lambda request, below_share: False, limit=10)
--- a/amaranthbay/state/config_store.py
+++ b/amaranthbay/state/config_store.py
@@ -81,6 +81,11 @@
         """Version in force; 0 if none."""
         return self._loaded.pointer.version if self._loaded else 0
 
+    @property
+    def newest_version(self):
+        """Highest version that this daemon knows to be in force anywhere."""
+        return max(self.version, self._newest_version)
+
     def unconfirmed_reason(self):
         """Returns why the configuration may be out of date, or None if it isn't.
 
--- a/amaranthbay/workspaces/access.py
+++ b/amaranthbay/workspaces/access.py
@@ -12,7 +12,13 @@
 from amaranthbay.kernel.errors import Reason, not_run
 from amaranthbay.workspaces.types import Workspace
 
-__all__ = ["NOT_READY_RETRY", "AccessControl", "CallerAccess", "identify"]
+__all__ = [
+    "NOT_READY_RETRY",
+    "AccessControl",
+    "CallerAccess",
+    "KeysInForce",
+    "identify",
+]
 
 # An instance reads a new configuration within this time.
 NOT_READY_RETRY = timedelta(seconds=0.5)
@@ -62,6 +68,24 @@
     return not_run(Reason.UNAUTHENTICATED, detail, 401)
 
 
+class KeysInForce:
+    """The keys of the configuration in force of the product's own interface."""
+
+    def __init__(self, read_configuration):
+        """Creates the view.
+
+        Args:
+            read_configuration: Function that returns the `config.Configuration` in
+                force; it is called only while there is one.
+        """
+        self._read_configuration = read_configuration
+
+    @property
+    def table(self):
+        """`config.workspaces.WorkspaceKeys` in force."""
+        return self._read_configuration().workspace_keys
+
+
 class AccessControl:
     """Admits the callers that the configuration in force allows."""
 
@@ -69,7 +93,8 @@
         """Creates the access control.
 
         Args:
-            configuration: `ConfigurationView` with the table in force.
+            configuration: `ConfigurationView` with the table in force, or
+                `KeysInForce`.
             newest_version: Function that returns the highest version of a configuration
                 that is known to be in force at an instance.
         """
