Let priorities of workspaces decide in the queue of patient requests

Cause: the queue of the own interface served workspaces round robin, whatever their priority, and a full daemon refused the newest request, however urgent.

Change: `FairQueue` serves the most urgent priority first. In a full daemon, a more urgent request displaces the newest less urgent one that waits, unless that is owed its start. With one priority nothing changes.

--- a/amaranthbay/kernel/requests.py
+++ b/amaranthbay/kernel/requests.py
@@ -81,6 +81,14 @@
         """`workspaces.Workspace` of the request's key; None if it needs no key."""
         return None if self.access is None else self.access.workspace
 
+    @property
+    def priority(self):
+        """Rank of the request by its workspace, 0 is the highest.
+
+        Without keys all requests have the same rank.
+        """
+        return 0 if self.workspace is None else self.workspace.priority
+
     def refusal(self):
         """Returns the `Refusal` if the configuration in force no longer admits it."""
         return None if self.access is None else self.access.refusal()
--- a/amaranthbay/placement/admission.py
+++ b/amaranthbay/placement/admission.py
@@ -2,7 +2,8 @@
 
 Interactive model calls start at once. Patient ones, whose callers have no target for
 the first token, wait in a fair queue until they can start without delaying interactive
-ones, and are guaranteed a share of the started prompt tokens.
+ones, and are guaranteed a share of the started prompt tokens. The priorities of
+workspaces decide which of them start first, and which make way when the daemon is full.
 """
 
 import random
@@ -113,7 +114,7 @@
         self._credit_at = clock.monotonic()
         self._access_checked_at = clock.monotonic()
         self.token_share = TokenShare()
-        self.queue = FairQueue()
+        self.queue = FairQueue(clock)
         self.active = 0
 
     def admit(self, work):
@@ -129,10 +130,11 @@
             request has ended. A request is refused if the configuration in force no
             longer admits it after the wait.
         """
+        if self._queues(work):
+            self.queue.note_arrival(work)
         limit = self._limit if work.interactive else self._limit * PATIENT_LIMIT_SHARE
-        if self.active >= limit:
-            detail = "the daemon has too many requests in progress"
-            return Err(not_run(Reason.OVERLOADED, detail, 503, RETRY_AFTER))
+        if self.active >= limit and not self._make_room(work):
+            return Err(_overloaded("the daemon has too many requests in progress"))
         self.active += 1
         try:
             if isinstance(work.request.payload, ModelCall):
@@ -148,9 +150,23 @@
     def _release(self):
         self.active -= 1
 
+    def _queues(self, work):
+        """Returns whether a request waits in the queue before it starts."""
+        is_model_call = isinstance(work.request.payload, ModelCall)
+        return self._may_start is not None and is_model_call and not work.interactive
+
+    def _make_room(self, work):
+        """Refuses a less urgent request that waits; returns whether there was one."""
+        ticket = self.queue.ticket_to_drop(work, self._queues(work))
+        if ticket is None:
+            return False
+        detail = "the daemon made room for a request of another priority"
+        self.queue.refuse(ticket, _overloaded(detail))
+        return True
+
     def _wait_to_start(self, work):
         """Returns ``Result[None, Refusal]`` when the request may start."""
-        if self._may_start is not None and not work.interactive:
+        if self._queues(work):
             ticket = self.queue.enqueue(work)
             self._ensure_dispatcher()
             try:
@@ -225,4 +241,9 @@
             (),
             "patient share is below its minimum" if below_share else "capacity is free",
             queued=len(self.queue),
+            priority=ticket.work.priority,
         )
+
+
+def _overloaded(detail):
+    return not_run(Reason.OVERLOADED, detail, 503, RETRY_AFTER)
--- a/amaranthbay/scheduling/priorities.py
+++ b/amaranthbay/scheduling/priorities.py
@@ -97,7 +97,14 @@
     don't count against the streams of the next burst.
     """
 
-    def __init__(self):
+    def __init__(self, half_life_s=SHARE_HALF_LIFE_S):
+        """Creates the credits.
+
+        Args:
+            half_life_s: Half-life of the counts by which the share of all streams is
+                measured; it should cover many starts.
+        """
+        self._half_life_s = half_life_s
         # Credit by name of the service and priority.
         self._credits = {}
         self._arrived = {}
@@ -127,7 +134,7 @@
         return int(self._credits.get((service, priority), 0.0))
 
     def _sum_of(self, sums, service):
-        return sums.setdefault(service, DecayingSum(SHARE_HALF_LIFE_S))
+        return sums.setdefault(service, DecayingSum(self._half_life_s))
 
     def _started_share(self, service, now):
         arrived = self._sum_of(self._arrived, service).value(now)
