Keep the bytes of configurations without keys

Cause: encode_configuration sorted the fields since workspaces with keys were added.

Change: the fields are written in the order of the class. A test compares with the encoding of the class without the new field.

--- a/amaranthbay/config/tests/test_workspaces.py
+++ b/amaranthbay/config/tests/test_workspaces.py
@@ -1,6 +1,6 @@
 """Tests of workspaces with keys in answers and configurations; keys stay secret."""
 
-from dataclasses import replace
+from dataclasses import fields, make_dataclass, replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -86,11 +86,23 @@
 def test_earlier_release_reads_only_configurations_without_keys(case):
     """Guards against a daemon of an earlier release that ignores the keys.
 
+    Also against other bytes for a configuration without keys, whose base section all
+    daemons would have to fetch again.
+
     It decodes sections as lists of names, and ignores unknown fields of the base one.
     """
     cfg = keyed_configuration(case).configuration
     with_names = replace(cfg, keyed_workspaces=None, workspaces=("shop", "desk"))
-    case.assertNotIn(b"keyed_workspaces", encode_configuration(with_names))
+    earlier_fields = {
+        field.name: getattr(with_names, field.name)
+        for field in fields(with_names)
+        if field.name != "keyed_workspaces"
+    }
+    earlier_class = make_dataclass("EarlierConfiguration", list(earlier_fields))
+    earlier_body = msgspec.json.encode(
+        earlier_class(**earlier_fields), order="deterministic"
+    )
+    case.assertEqual(encode_configuration(with_names), earlier_body)
 
     def decode_as_earlier_release(configuration):
         manifest, sections = encode_sections(configuration)
--- a/amaranthbay/config/types.py
+++ b/amaranthbay/config/types.py
@@ -163,7 +163,8 @@
     document = msgspec.to_builtins(cfg)
     if cfg.keyed_workspaces is None:
         del document["keyed_workspaces"]
-    return msgspec.json.encode(document, order="deterministic")
+    # Not sorted: earlier releases write the fields in the order of the class.
+    return msgspec.json.encode(document)
 
 
 def decode_configuration(body):
