Assemble large configurations in turns

Cause: the assembly of 26,000 workspaces with keys ran in one step, and all requests of the daemon waited for it.

Change: other greenlets get a turn between sections.

--- a/amaranthbay/state/sections.py
+++ b/amaranthbay/state/sections.py
@@ -11,6 +11,7 @@
 
 from amaranthbay.config.types import decode_configuration, encode_configuration
 from amaranthbay.config.workspaces import KeyedWorkspace, without_keys
+from amaranthbay.utils.reading import Turn
 
 __all__ = [
     "ConfigPointer",
@@ -134,6 +135,8 @@
 def assemble(manifest, bodies):
     """Returns the `Configuration` of a manifest.
 
+    Other greenlets run in between.
+
     Args:
         manifest: `Manifest` of the version.
         bodies: Bodies of its sections by object name.
@@ -144,7 +147,9 @@
     base_name, *workspace_section_names = manifest.names()
     base = decode_configuration(bodies[base_name])
     names, keyed = [], []
+    turn = Turn()
     for name in workspace_section_names:
+        turn.give_way()
         for each in msgspec.json.decode(bodies[name], type=list[str | KeyedWorkspace]):
             (names if isinstance(each, str) else keyed).append(each)
     return replace(
