Test that no prefill begins under a key removed meanwhile

Cause: of the checks before the first byte is sent, that of model calls had no test.

Change: a test that removes the key while the request waits for a slot.

--- a/amaranthbay/gateway/tests/test_keys.py
+++ b/amaranthbay/gateway/tests/test_keys.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from amaranthbay.config.workspaces import KeyedWorkspace
+from amaranthbay.dispatch.model import ModelService
 from amaranthbay.dispatch.plain import PlainService
 from amaranthbay.dispatch.tests.fakes import FakeEngine, model_work
 from amaranthbay.dispatch.tests.test_wire import backend, plain_work, reply
@@ -204,6 +205,26 @@
             case.assertEqual(refusal.status, 502)
 
 
+def test_prefill_does_not_begin_under_a_removed_key(case):
+    """Guards against a prefill under a key removed while the request waited."""
+    engine = FakeEngine()
+    served = case.enterContext(gateway(engine))
+    access = RemovedAccess(removed=False)
+    allocator = served.harness.allocator
+    acquire = allocator.acquire
+
+    def acquire_late(*args):
+        access.removed = True
+        return acquire(*args)
+
+    allocator.acquire = acquire_late
+    service = ModelService(served.harness.ctx)
+    work = replace(model_work(), access=access)
+    case.assertEqual(service.dispatch(work).unwrap_err(), DENIED)
+    case.assertEqual(engine.ran, set())
+    case.assertEqual(served.harness.slots_held(), 0)
+
+
 def test_plain_call_is_not_sent_under_a_removed_key(case):
     """Guards against a posting that runs under a key removed while it waited."""
     served = case.enterContext(gateway())
