Continue an answer only with a key of its workspace

A resume token consists of an attempt's id and two names, and /v1/status shows all three without a key. Any key was enough to read the answer of another workspace from its first token, or to cancel it. Ids of attempts now carry a digest of the workspace.

--- a/amaranthbay/dispatch/resume.py
+++ b/amaranthbay/dispatch/resume.py
@@ -9,6 +9,7 @@
 from amaranthbay.dispatch.guards import guards_of
 from amaranthbay.dispatch.holds import EngineHold, StartedStream
 from amaranthbay.dispatch.streams import MatchedStream, first_event
+from amaranthbay.kernel.attempt_ids import is_bound_to
 from amaranthbay.kernel.errors import Reason, may_have_run
 from amaranthbay.kernel.requests import Attempt
 
@@ -22,7 +23,7 @@
     """Where an answer can be continued; callers see it as an opaque token.
 
     Attributes:
-        attempt_id: Id of the attempt; random, so that no other caller can guess it.
+        attempt_id: Id of the attempt; bound to the workspace if callers need a key.
         server: Instance of the attempt's decode server.
         origin: Instance of the daemon that the caller received the answer from.
     """
@@ -93,7 +94,7 @@
         resume it with.
     """
     call = work.request.payload
-    point = ResumePoint.decode(call.resume_token)
+    point = _resume_point(work)
     server = ctx.directory.find(point.server) if point else None
     if server is None or server.role != "decode" or server.pool not in pools:
         detail = "the attempt to continue is not known"
@@ -129,3 +130,11 @@
     finally:
         if not handed_over:
             hold.release()
+
+
+def _resume_point(work):
+    """Returns the point to continue at; None if the caller may not continue there."""
+    point = ResumePoint.decode(work.request.payload.resume_token)
+    if point is None or work.workspace is None:
+        return point
+    return point if is_bound_to(point.attempt_id, work.workspace) else None
--- a/amaranthbay/dispatch/tests/test_resume.py
+++ b/amaranthbay/dispatch/tests/test_resume.py
@@ -1,5 +1,8 @@
 """Resumption of an attempt by another daemon."""
 
+from dataclasses import replace
+from types import SimpleNamespace
+
 from amaranthbay.dispatch.model import ModelService
 from amaranthbay.dispatch.resume import ResumePoint
 from amaranthbay.dispatch.tests.fake_peers import FakePeers
@@ -7,6 +10,7 @@
 from amaranthbay.dispatch.tests.test_attempts import assert_nothing_held, texts_of
 from amaranthbay.kernel.errors import Reason, Verdict
 from amaranthbay.utils.testing import collect, wait_until
+from amaranthbay.workspaces import Workspace
 
 
 def test_answer_continues_from_the_same_attempt(case):
@@ -61,4 +65,29 @@
             assert_nothing_held(case, harness)
 
 
+def test_answer_is_continued_with_a_key_of_its_workspace_only(case):
+    """Guards against a token made from the ids in ``/v1/status``.
+
+    With it, each workspace could read and cancel the answers of all others.
+    """
+
+    def keyed_work(name, **fields):
+        access = SimpleNamespace(workspace=Workspace(name), refusal=lambda: None)
+        return replace(model_work(**fields), access=access)
+
+    harness = DispatchHarness(FakeEngine())
+    service = ModelService(harness.ctx)
+    begun = service.dispatch(keyed_work("shop")).unwrap()
+    token = dict(begun.headers)["X-Resume-Token"]
+    (record,) = harness.ctx.inflight.records()
+    shown = f"{record.attempt_id}/decode-1/entry-1"
+    case.assertEqual(ResumePoint.decode(shown).attempt_id, record.attempt_id)
+    for forged in (token, shown):
+        refusal = service.dispatch(keyed_work("desk", resume_token=forged)).unwrap_err()
+        case.assertEqual((refusal.status, refusal.reason), (409, Reason.STREAM_BROKEN))
+    case.assertEqual(harness.engine.cancelled, [])
+    resumed = service.dispatch(keyed_work("shop", resume_token=token))
+    case.assertTrue(resumed.is_ok())
+
+
 load_tests = collect(globals())
--- a/amaranthbay/kernel/retries.py
+++ b/amaranthbay/kernel/retries.py
@@ -1,12 +1,12 @@
 """Retry budget, backoff and the retry loop of a request."""
 
 import random
-import uuid
 from dataclasses import replace
 from datetime import timedelta
 
 from result import Err
 
+from amaranthbay.kernel.attempt_ids import new_attempt_id
 from amaranthbay.kernel.errors import Verdict
 from amaranthbay.kernel.requests import Attempt
 from amaranthbay.observe import current_metrics, log_event
@@ -63,14 +63,19 @@
         return self._rng.uniform(0.0, bound)
 
 
-def new_attempt(request_id, number):
+def new_attempt(request_id, number, workspace=None):
     """Returns an attempt with a unique id.
 
     An attempt after the first is counted as a retry in the metrics.
+
+    Args:
+        request_id: Id of the request.
+        number: Number of the attempt, from 1.
+        workspace: `workspaces.Workspace` of the request's key; None if it needs none.
     """
     if number > 1:
         current_metrics().retried()
-    return Attempt(request_id, uuid.uuid4().hex, number)
+    return Attempt(request_id, new_attempt_id(workspace), number)
 
 
 def run_attempts(work, run_attempt, budget, backoff, clock):
@@ -98,7 +103,8 @@
             # The refusal of an attempt that may have run says more to the caller.
             has_run = worst_verdict is not Verdict.NOT_RUN
             return Err(failure if has_run else denied)
-        outcome = run_attempt(new_attempt(work.request.request_id, number))
+        attempt = new_attempt(work.request.request_id, number, work.workspace)
+        outcome = run_attempt(attempt)
         if outcome.is_ok():
             return outcome
         refusal = outcome.unwrap_err()
