Show no key that was listed as a digest

config check and config generate printed the items of key_digests that are no digests, which are keys if an operator has confused the two lists.

--- a/amaranthbay/config/tests/test_workspaces.py
+++ b/amaranthbay/config/tests/test_workspaces.py
@@ -124,11 +124,12 @@
 
 
 def test_faults_name_no_key(case):
-    """Guards against a check that prints a key, also under a misspelt name."""
+    """Guards against a check that prints a key, also under a wrong name."""
     wrong_key = "this key has blanks"
     faulty = {
         "keyed_workspaces[0].keys": (f'["{KEY}"]', f'["{wrong_key}"]'),
         "keyed_workspaces[0].key": ("keys = [", "key = ["),
+        "keyed_workspaces[0].key_digests": ("keys = [", "key_digests = ["),
         "keyed_workspaces[1].keys": (f'["{OTHER_KEY}"]', f'["{KEY}"]'),
         "keyed_workspaces[1].name": ('"desk"', '"shop"'),
         "keyed_workspaces[0].priority": ("priority = 2", "priority = 10"),
--- a/amaranthbay/config/workspaces.py
+++ b/amaranthbay/config/workspaces.py
@@ -65,7 +65,8 @@
     keys: tuple[Key, ...] | None = field(
         default=None, repr=False, metadata={"secret": True}
     )
-    key_digests: tuple[KeyDigest, ...] = ()
+    # A key that is listed here by mistake must not be shown by the check.
+    key_digests: tuple[KeyDigest, ...] = field(default=(), metadata={"secret": True})
     priority: Priority = DEFAULT_PRIORITY
     unit: Literal["requests", "tokens"] = "requests"
     rate_per_s: Units = 0.0
