--- a/amaranthbay/config/tests/test_workspaces.py
+++ b/amaranthbay/config/tests/test_workspaces.py
@@ -147,6 +147,13 @@
                 case.assertNotIn(secret[:8], text)
 
 
+def test_key_with_a_line_end_is_a_fault(case):
+    """Guards against a key that is accepted, but that no caller can send."""
+    text = TEMPLATE + WORKSPACES.replace(f'"{KEY}"', f'"{KEY}\\n"')
+    keys = [fault.key for fault in check_file(write(case, text)).faults]
+    case.assertEqual(keys, ["keyed_workspaces[0].keys"])
+
+
 def test_workspace_outside_the_list_of_names_is_a_fault(case):
     """Guards against a key whose requests are all refused by the list of names."""
     text = TEMPLATE.replace("workspaces = []", 'workspaces = ["shop"]') + WORKSPACES
--- a/amaranthbay/config/workspaces.py
+++ b/amaranthbay/config/workspaces.py
@@ -27,17 +27,18 @@
 DEFAULT_PRIORITY = 5
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 # Digests are readable by operators, so that a key must be too long to be guessed.
+# "$" in place of "\Z" would admit a line end, which no caller can send.
 Key = Annotated[
     str,
     msgspec.Meta(
-        pattern=r"^[A-Za-z0-9._~+/=-]{16,128}$",
+        pattern=r"^[A-Za-z0-9._~+/=-]{16,128}\Z",
         description="16 to 128 letters, digits or any of ._~+/=-",
     ),
 ]
 KeyDigest = Annotated[
     str,
     msgspec.Meta(
-        pattern=r"^[0-9a-f]{64}$", description="a digest of 64 hexadecimal digits"
+        pattern=r"^[0-9a-f]{64}\Z", description="a digest of 64 hexadecimal digits"
     ),
 ]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=9)]
