Check the key before the name of the service

A caller without a key got 404 for unknown services and 401 for others, where the requirement is 401 for each missing or unknown key. Refusals of unknown services still have no service in the metrics.

--- a/amaranthbay/gateway/tests/test_keys.py
+++ b/amaranthbay/gateway/tests/test_keys.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import replace
+from unittest import mock
 
 import msgspec
 from absl import logging as absl_logging
@@ -102,6 +103,25 @@
     case.assertEqual(engine.ran, set())
 
 
+def test_services_are_not_named_without_a_key(case):
+    """Guards against a caller without a key that finds out names of services.
+
+    Also guards against time series that are named by such callers.
+    """
+    served = case.enterContext(gateway(cfg=keyed(SHOP, DESK)))
+    pipeline = "amaranthbay.kernel.pipeline.current_metrics"
+    with mock.patch(pipeline) as metrics:
+        for service in ("m", "unconfigured"):
+            value = {"model": service, "prompt": "lot 17"}
+            call = http_call("POST", "/v1/completions", value, f"Bearer {UNKNOWN_KEY}")
+            status, _, document = status_and_document(
+                raw_exchange(served.address, call)
+            )
+            case.assertEqual((status, document["reason"]), (401, "unauthenticated"))
+    ended = metrics.return_value.request_ended.call_args_list
+    case.assertEqual([call.args[0] for call in ended], ["m", ""])
+
+
 def test_known_key_is_served(case):
     """Guards against a refusal of a valid key, also of one with other letter cases."""
     served = case.enterContext(gateway(cfg=keyed(SHOP, DESK)))
--- a/amaranthbay/kernel/pipeline.py
+++ b/amaranthbay/kernel/pipeline.py
@@ -46,14 +46,24 @@
         outcome = self._serve(request)
         if outcome.is_err():
             refusal = outcome.unwrap_err()
-            # Callers choose the names of unknown services. As metric labels, they would
-            # create any number of time series.
-            unknown = refusal.reason is Reason.UNKNOWN_SERVICE
-            service = "" if unknown else request.service
+            service = self._metric_service(request, refusal)
             metrics = current_metrics()
             metrics.request_ended(service, refusal.verdict, refusal.reason)
         return outcome
 
+    def _metric_service(self, request, refusal):
+        """Returns the service that a refusal is counted for; empty if it is unknown.
+
+        Callers choose the names of unknown services. As metric labels, they would
+        create any number of time series.
+        """
+        unknown = refusal.reason is Reason.UNKNOWN_SERVICE
+        cfg = self._ctx.configuration()
+        if cfg is not None and cfg.workspace_keys.workspaces is not None:
+            # The key is checked before the name of the service.
+            unknown = cfg.service(request.service) is None
+        return "" if unknown else request.service
+
     def _serve(self, request):
         accepted = self._accept()
         if accepted.is_err():
@@ -95,14 +105,14 @@
     def _classify(self, request):
         """Checks a request; returns ``Result[Work, Refusal]``."""
         cfg = self._ctx.configuration()
-        service = cfg.service(request.service)
-        if service is None:
-            detail = f"service {request.service!r} is not configured"
-            return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
         admitted = self._access.admit(False, request.credentials, lambda keys: False)
         if admitted.is_err():
             return admitted
         access = admitted.unwrap()
+        service = cfg.service(request.service)
+        if service is None:
+            detail = f"service {request.service!r} is not configured"
+            return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
         if access.workspace is not None:
             # Everything below, such as idempotency records, belongs to this workspace.
             request = replace(request, workspace=access.workspace.name)
