End requests whose service is removed while they wait

The dispatcher of the queue raised AttributeError for such a request and ended, at each new arrival again, so that all patient requests of the daemon waited until its caller left.

--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -241,6 +241,9 @@
 
         def may_start(work, below_share):
             request = work.request
+            if self.configuration().service(request.service) is None:
+                # The pipeline refuses it; here it would block the queue.
+                return True
             now = self.clock.monotonic()
             demand = to_demand(work, now, request.request_id, below_share)
             view = self._pool_view(request.service, request.payload)
--- a/amaranthbay/kernel/pipeline.py
+++ b/amaranthbay/kernel/pipeline.py
@@ -111,8 +111,7 @@
         access = admitted.unwrap()
         service = cfg.service(request.service)
         if service is None:
-            detail = f"service {request.service!r} is not configured"
-            return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
+            return Err(_unknown_service(request))
         if access.workspace is not None:
             # Everything below, such as idempotency records, belongs to this workspace.
             request = replace(request, workspace=access.workspace.name)
@@ -140,12 +139,15 @@
         """
         answer = None
         try:
-            kind = self._service_kind(work.request.service)
-            outcome = kind.dispatch(work)
+            service = self._ctx.configuration().service(work.request.service)
+            if service is None:
+                # It was removed while the request waited.
+                return Err(_unknown_service(work.request))
+            outcome = self._service_kind(service).dispatch(work)
             if outcome.is_err():
                 return outcome
             answer = outcome.unwrap()
-            chunks = self._wrap_chunks(work, answer.chunks, release)
+            chunks = self._wrap_chunks(work, service, answer.chunks, release)
             return Ok(
                 Answer(answer.status, answer.content_type, chunks, answer.headers)
             )
@@ -153,18 +155,17 @@
             if answer is None:
                 release()
 
-    def _service_kind(self, service_name):
+    def _service_kind(self, service):
         """Returns the `ServiceKind` of a service, created at its first use."""
-        service = self._ctx.configuration().service(service_name)
         if service.kind not in self._kinds:
             self._kinds[service.kind] = find("service_kind", service.kind)(self._ctx)
         return self._kinds[service.kind]
 
-    def _wrap_chunks(self, work, chunks, release):
+    def _wrap_chunks(self, work, service, chunks, release):
         """Returns `SettlingChunks` over the chunks of an answer."""
-        cfg = self._ctx.configuration()
-        name = work.request.caller or cfg.service(work.request.service).callers[0]
-        caller = cfg.caller(name)
+        caller = self._ctx.configuration().caller(
+            work.request.caller or service.callers[0]
+        )
         between_tokens_s = caller.between_tokens_s if caller else None
         return SettlingChunks(work, chunks, release, self._ctx.clock, between_tokens_s)
 
@@ -256,6 +257,11 @@
         return mean_s <= self._between_tokens_s
 
 
+def _unknown_service(request):
+    detail = f"service {request.service!r} is not configured"
+    return not_run(Reason.UNKNOWN_SERVICE, detail, status=404)
+
+
 def is_non_idempotent(service, payload):
     """Returns whether a call is configured as non-idempotent, to run at most once."""
     method = getattr(payload, "method", None)
