--- a/amaranthbay/daemon/process.py
+++ b/amaranthbay/daemon/process.py
@@ -166,7 +166,12 @@
             availability_zone=settings.availability_zone,
             observer=self.loads,
         )
-        self.pipeline = Pipeline(ctx, self.admission, self._refusal_of_all)
+        self.pipeline = Pipeline(
+            ctx,
+            self.admission,
+            self._refusal_of_all,
+            lambda: self.config_store.newest_version,
+        )
         limits = settings.limits
         self._server = Server(
             settings.caller_address,
@@ -236,6 +241,9 @@
 
         def may_start(work, below_share):
             request = work.request
+            if self.configuration().service(request.service) is None:
+                # The pipeline refuses it; here it would block the queue.
+                return True
             now = self.clock.monotonic()
             demand = to_demand(work, now, request.request_id, below_share)
             view = self._pool_view(request.service, request.payload)
--- a/amaranthbay/kernel/pipeline.py
+++ b/amaranthbay/kernel/pipeline.py
@@ -4,6 +4,7 @@
 request is settled when its answer has ended: it is counted and its resources released.
 """
 
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Err, Ok
@@ -12,6 +13,7 @@
 from amaranthbay.kernel.registry import find
 from amaranthbay.kernel.requests import Answer, Work
 from amaranthbay.observe import current_metrics, log_event
+from amaranthbay.workspaces.access import AccessControl, KeysInForce
 
 __all__ = ["Pipeline"]
 
@@ -21,7 +23,7 @@
 class Pipeline:
     """Runs requests of the gateway through all stages up to the service kind."""
 
-    def __init__(self, ctx, admission, readiness):
+    def __init__(self, ctx, admission, readiness, newest_version=lambda: 0):
         """Creates the pipeline.
 
         Args:
@@ -30,25 +32,38 @@
                 ``Result[release function, Refusal]``.
             readiness: Function that returns None if the daemon takes new work, else
                 the `Refusal` for all requests.
+            newest_version: Function that returns the highest version of the
+                configuration that is known to be in force at a daemon.
         """
         self._ctx = ctx
         self._admission = admission
         self._readiness = readiness
         self._kinds = {}
+        self._access = AccessControl(KeysInForce(ctx.configuration), newest_version)
 
     def serve(self, request):
         """Returns ``Result[Answer, Refusal]`` for a caller's request."""
         outcome = self._serve(request)
         if outcome.is_err():
             refusal = outcome.unwrap_err()
-            # Callers choose the names of unknown services. As metric labels, they would
-            # create any number of time series.
-            unknown = refusal.reason is Reason.UNKNOWN_SERVICE
-            service = "" if unknown else request.service
+            service = self._metric_service(request, refusal)
             metrics = current_metrics()
             metrics.request_ended(service, refusal.verdict, refusal.reason)
         return outcome
 
+    def _metric_service(self, request, refusal):
+        """Returns the service that a refusal is counted for; empty if it is unknown.
+
+        Callers choose the names of unknown services. As metric labels, they would
+        create any number of time series.
+        """
+        unknown = refusal.reason is Reason.UNKNOWN_SERVICE
+        cfg = self._ctx.configuration()
+        if cfg is not None and cfg.workspace_keys.workspaces is not None:
+            # The key is checked before the name of the service.
+            unknown = cfg.service(request.service) is None
+        return "" if unknown else request.service
+
     def _serve(self, request):
         accepted = self._accept()
         if accepted.is_err():
@@ -57,6 +72,25 @@
         if classified.is_err():
             return classified
         work = classified.unwrap()
+        if work.workspace is None:
+            return self._admit(work)
+        name = work.workspace.name
+        metrics = current_metrics()
+        metrics.workspace_requested(name)
+        outcome = self._admit(work)
+        if outcome.is_err():
+            reason = outcome.unwrap_err().reason
+            metrics.workspace_refused(name, reason)
+            request_id = work.request.request_id
+            log_event(
+                "workspace_refused",
+                request_id=request_id,
+                workspace=name,
+                reason=reason,
+            )
+        return outcome
+
+    def _admit(self, work):
         admitted = self._admission.admit(work)
         if admitted.is_err():
             return admitted
@@ -71,10 +105,16 @@
     def _classify(self, request):
         """Checks a request; returns ``Result[Work, Refusal]``."""
         cfg = self._ctx.configuration()
+        admitted = self._access.admit(False, request.credentials, lambda keys: False)
+        if admitted.is_err():
+            return admitted
+        access = admitted.unwrap()
         service = cfg.service(request.service)
         if service is None:
-            detail = f"service {request.service!r} is not configured"
-            return Err(not_run(Reason.UNKNOWN_SERVICE, detail, status=404))
+            return Err(_unknown_service(request))
+        if access.workspace is not None:
+            # Everything below, such as idempotency records, belongs to this workspace.
+            request = replace(request, workspace=access.workspace.name)
         if not cfg.admits(request.workspace):
             detail = f"workspace {request.workspace!r} is not configured"
             return Err(not_run(Reason.UNKNOWN_WORKSPACE, detail, status=403))
@@ -89,7 +129,8 @@
         now = self._ctx.clock.monotonic()
         target_s = caller.first_token_s
         deadline = None if target_s is None else now + target_s
-        return Ok(Work(request, caller.interactive, deadline, idempotent, now))
+        interactive = caller.interactive
+        return Ok(Work(request, interactive, deadline, idempotent, now, access))
 
     def _dispatch(self, work, release):
         """Dispatches admitted work.
@@ -98,12 +139,15 @@
         """
         answer = None
         try:
-            kind = self._service_kind(work.request.service)
-            outcome = kind.dispatch(work)
+            service = self._ctx.configuration().service(work.request.service)
+            if service is None:
+                # It was removed while the request waited.
+                return Err(_unknown_service(work.request))
+            outcome = self._service_kind(service).dispatch(work)
             if outcome.is_err():
                 return outcome
             answer = outcome.unwrap()
-            chunks = self._wrap_chunks(work, answer.chunks, release)
+            chunks = self._wrap_chunks(work, service, answer.chunks, release)
             return Ok(
                 Answer(answer.status, answer.content_type, chunks, answer.headers)
             )
@@ -111,18 +155,17 @@
             if answer is None:
                 release()
 
-    def _service_kind(self, service_name):
+    def _service_kind(self, service):
         """Returns the `ServiceKind` of a service, created at its first use."""
-        service = self._ctx.configuration().service(service_name)
         if service.kind not in self._kinds:
             self._kinds[service.kind] = find("service_kind", service.kind)(self._ctx)
         return self._kinds[service.kind]
 
-    def _wrap_chunks(self, work, chunks, release):
+    def _wrap_chunks(self, work, service, chunks, release):
         """Returns `SettlingChunks` over the chunks of an answer."""
-        cfg = self._ctx.configuration()
-        name = work.request.caller or cfg.service(work.request.service).callers[0]
-        caller = cfg.caller(name)
+        caller = self._ctx.configuration().caller(
+            work.request.caller or service.callers[0]
+        )
         between_tokens_s = caller.between_tokens_s if caller else None
         return SettlingChunks(work, chunks, release, self._ctx.clock, between_tokens_s)
 
@@ -214,6 +257,11 @@
         return mean_s <= self._between_tokens_s
 
 
+def _unknown_service(request):
+    detail = f"service {request.service!r} is not configured"
+    return not_run(Reason.UNKNOWN_SERVICE, detail, status=404)
+
+
 def is_non_idempotent(service, payload):
     """Returns whether a call is configured as non-idempotent, to run at most once."""
     method = getattr(payload, "method", None)
