Split the listener into modules of one job each

Change: caller_socket has the state that both directions share, and writes bytes; caller_requests reads requests within the limits; caller_responses writes responses; caller_connection is the life cycle; listener accepts connections and still exports the types that its handler gets. One test patches WRITE_TIMEOUT_S in its new module; otherwise the tests are unchanged.

--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -10,7 +10,7 @@
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.kernel.errors import CallerGone, ProcessStops
 from amaranthbay.platform.tests.fixtures import read_answer
-from amaranthbay.relay import listener as listener_module
+from amaranthbay.relay import caller_socket, listener as listener_module
 from amaranthbay.relay.listener import Listener
 from amaranthbay.routing import ClientLimits
 from amaranthbay.utils.hangup import HangupWatch
@@ -212,7 +212,7 @@
     def answer(conn, req):
         conn.answer(200, [], body)
 
-    case.enterContext(mock.patch.object(listener_module, "WRITE_TIMEOUT_S", 0.3))
+    case.enterContext(mock.patch.object(caller_socket, "WRITE_TIMEOUT_S", 0.3))
     with connection(ClientLimits, answer) as (sock, _):
         sock.sendall(REQUEST)
         size, data = 0, b"-"
