Split the entry daemon into modules of one job each

Cause: daemon/entry.py had 664 lines: it assembled the parts, followed the tables, reported to peers, learned from answers, and drained. Change: entry_parts creates the parts and connects them; planned_stop drains; polling decides how often tables are read; peer_reports collects own reports and merges others; answer_traits processes what answers say of their servers; registration creates the own row. EntryDaemon runs the parts. Three test modules import or patch constants in their new modules; otherwise the tests are unchanged.

--- a/amaranthbay/daemon/registration.py
+++ b/amaranthbay/daemon/registration.py
@@ -3,10 +3,11 @@
 import gevent.event
 import msgspec
 
+from amaranthbay.fleet import Registration
 from amaranthbay.observe import log_event
 from amaranthbay.platform.types import CommitState
 
-__all__ = ["RegistrationWriter"]
+__all__ = ["RegistrationWriter", "create_registration"]
 
 RETRY_DELAY_S = 0.5
 # Longest random delay before an instance rewrites its row after a restore of the store.
@@ -14,6 +15,19 @@
 MAX_REWRITE_DELAY_S = 2.0
 
 
+def create_registration(settings):
+    """Returns the `Registration` of an instance with the given `EntrySettings`."""
+    return Registration(
+        settings.instance,
+        settings.availability_zone,
+        settings.region,
+        settings.caller_address,
+        f"{settings.ip}:{settings.peer_port}",
+        settings.limits.cores,
+        settings.limits.link_mbps,
+    )
+
+
 class RegistrationWriter:
     """Writes an instance's row at its start and after each restore of the store."""
 
--- a/amaranthbay/platform/tests/test_entry_drain.py
+++ b/amaranthbay/platform/tests/test_entry_drain.py
@@ -8,8 +8,8 @@
 
 import gevent
 
-from amaranthbay.daemon import entry as entry_module
-from amaranthbay.daemon.entry import SERVE_FRACTION
+from amaranthbay.daemon import planned_stop
+from amaranthbay.daemon.planned_stop import SERVE_FRACTION
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.kernel.errors import ProcessStops
 from amaranthbay.platform.tests.fixtures import (
@@ -140,7 +140,7 @@
 def test_many_requests_at_the_end_of_the_drain_are_answered(case):
     """Guards against a process that ends before it has written its last answers."""
     fixture = case.enterContext(entry_fixture())
-    case.enterContext(mock.patch.object(entry_module, "STOP_FRACTION", 0.5))
+    case.enterContext(mock.patch.object(planned_stop, "STOP_FRACTION", 0.5))
     service = fixture.daemon.service
     refuse = service._refuse
 
@@ -189,7 +189,7 @@
     """Guards against a closed connection of a stream that is in its prefill, or waits
     for a server, when the process ends."""
     fixture = case.enterContext(entry_fixture())
-    case.enterContext(mock.patch.object(entry_module, "STOP_FRACTION", 0.4))
+    case.enterContext(mock.patch.object(planned_stop, "STOP_FRACTION", 0.4))
     daemon, prefill = fixture.daemon, fixture.servers["pre-1"]
     prefill.replies.append(hang)
     in_prefill = gevent.spawn(call_stream, fixture)
--- a/amaranthbay/platform/tests/test_entry_fleet.py
+++ b/amaranthbay/platform/tests/test_entry_fleet.py
@@ -10,7 +10,9 @@
 from typer.testing import CliRunner
 
 from amaranthbay.cli import app
-from amaranthbay.daemon.entry import SERVE_FRACTION, SERVERS_BATCH_DELAY_S, EntryDaemon
+from amaranthbay.daemon.entry import EntryDaemon
+from amaranthbay.daemon.planned_stop import SERVE_FRACTION
+from amaranthbay.daemon.polling import SERVERS_BATCH_DELAY_S
 from amaranthbay.fleet.reports import PeerStatus, ServerLoad
 from amaranthbay.fleet.tables import MAX_POLL_WAIT_S, MIN_BEHIND_TIMEOUT_S
 from amaranthbay.platform.adapter import PlatformAdapter
--- a/amaranthbay/platform/tests/test_entry_foreign_rows.py
+++ b/amaranthbay/platform/tests/test_entry_foreign_rows.py
@@ -10,7 +10,7 @@
 import msgspec
 from gevent import select, socket
 
-from amaranthbay.daemon import entry as daemon_entry
+from amaranthbay.daemon import polling
 from amaranthbay.fleet.peers import Registration
 from amaranthbay.fleet.reports import PeerStatus
 from amaranthbay.platform.rows import RowStore, RowTable
@@ -228,7 +228,7 @@
 
 def test_each_odd_entry_leaves_the_others_in_use(case):
     """Guards against an odd entry that gets requests, or keeps later entries out."""
-    case.enterContext(mock.patch.object(daemon_entry, "SERVERS_BATCH_DELAY_S", 0.01))
+    case.enterContext(mock.patch.object(polling, "SERVERS_BATCH_DELAY_S", 0.01))
     fixture = case.enterContext(entry_fixture(plain=("desk-1", "desk-2")))
     address = fixture.addresses["desk-2"]
     # `desk-1` is sound all the time; the entry of `desk-2` turns odd and back.
