Measure a plain server again that was slow

Cause: a plain server whose measured time was more than 15% above the fastest got no call while the others had room, so its time was never measured again. One slow period kept it idle for good, and test_limit_of_a_server_holds_for_all_instances_together failed at times.

Change: a time whose last call ended 1 to 4 s ago (ten calls) is outdated. One first attempt in ten may go to an idle server with such a time, one at a time per instance. A faster answer without queueing replaces an outdated time at once.

--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -39,6 +39,7 @@
         failure_share: Share of recent requests that failed, from 0 to 1.
         latency_s: Mean seconds to an answer; 0 if unknown.
         service_s: Seconds of one plain call that doesn't queue; 0 if unknown.
+        outdated: Whether these were measured too long ago.
         avoided: Whether it was unreachable or silent a moment ago.
         full: Whether it refused a request a moment ago, usually because its memory or
             its queue was full.
@@ -54,6 +55,7 @@
     failure_share: float = 0.0
     latency_s: float = 0.0
     service_s: float = 0.0
+    outdated: bool = False
     avoided: bool = False
     full: bool = False
     full_s: float = 0.0
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -153,6 +153,7 @@
             failure_share=self.outcomes.failure_share(server.name),
             latency_s=self.outcomes.latency_s(server.name),
             service_s=self.outcomes.service_s(server.name),
+            outdated=self.outcomes.is_outdated(server.name),
             avoided=self.outcomes.is_avoided(server.name),
             full=self.outcomes.is_full(server.name),
             full_s=self.outcomes.full_s(server.name),
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -11,6 +11,12 @@
 # placed meanwhile make an answer look slower than its server.
 SERVICE_FALL_WEIGHT = 0.2
 SERVICE_RISE_WEIGHT = 0.05
+# The time of one call is outdated after this many calls could have been made, within
+# these bounds. A slow server then runs a measuring call of an instance for at most a
+# tenth of the time, and one that has recovered is used again within seconds.
+OUTDATED_CALLS = 10
+MIN_OUTDATED_S = 1.0
+MAX_OUTDATED_S = 4.0
 # Half-life of the failure share. As the share decays, a server that gets no work after
 # failures is tried again.
 FAILURE_HALF_LIFE_S = 3.0
@@ -46,6 +52,7 @@
         latency_s: Moving average of the seconds to an answer; 0 if unknown.
         service_s: Moving average of the seconds of one plain call that doesn't queue; 0
             if unknown.
+        tried_at: Monotonic time at which a plain call last ended there.
         consecutive_unreachable: Failed connections in a row, 8 at most.
         avoid_until: Monotonic time until which an unreachable or silent server is
             avoided.
@@ -57,6 +64,7 @@
     failure_at: float = 0.0
     latency_s: float = 0.0
     service_s: float = 0.0
+    tried_at: float = 0.0
     consecutive_unreachable: int = 0
     avoid_until: float = 0.0
     full_until: float = 0.0
@@ -94,13 +102,29 @@
         record = self._record(server)
         record.consecutive_refusals = 0
         sample_s = seconds / load_factor
-        if not record.service_s:
+        # A sample without queueing that disproves an outdated time replaces it.
+        recovered = self.is_outdated(server) and load_factor == 1.0
+        self.note_tried(server)
+        if not record.service_s or (recovered and sample_s < record.service_s):
             record.service_s = sample_s
             return
         rises = sample_s > record.service_s
         weight = SERVICE_RISE_WEIGHT if rises else SERVICE_FALL_WEIGHT
         record.service_s += weight * (sample_s - record.service_s)
 
+    def note_tried(self, server):
+        """Records that a plain call has ended, with or without an answer."""
+        self._record(server).tried_at = self._clock.monotonic()
+
+    def is_outdated(self, server):
+        """Returns whether the time of one call was measured too long ago."""
+        record = self._records.get(server)
+        if record is None or not record.service_s:
+            return False
+        valid_s = max(MIN_OUTDATED_S, OUTDATED_CALLS * record.service_s)
+        age_s = self._clock.monotonic() - record.tried_at
+        return age_s > min(MAX_OUTDATED_S, valid_s)
+
     def note_failed(self, server):
         """Records a failed request."""
         record = self._record(server)
--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -315,6 +315,7 @@
         except gevent.GreenletExit:
             # Another attempt answered first, or the caller has hung up.
             self._note_if_slow(server, started_at)
+            self._ctx.outcomes.note_tried(server.name)
             raise
         except Exception:
             self._log_defect()
@@ -341,10 +342,12 @@
         if succeeded:
             outcomes.note_answered(server.name, seconds)
             outcomes.note_call(server.name, seconds, placement.load_factor)
-        elif _was_refused(outcome):
-            outcomes.note_queue_full(server.name, placement.expected_free)
         else:
-            outcomes.note_failed(server.name)
+            outcomes.note_tried(server.name)
+            if _was_refused(outcome):
+                outcomes.note_queue_full(server.name, placement.expected_free)
+            else:
+                outcomes.note_failed(server.name)
         log_event(
             "attempt_ended",
             request_id=self._call.request_id,
--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -4,6 +4,8 @@
 calls on it, and each knows the calls of the others from reports that are a little old.
 """
 
+from math import inf
+
 from amaranthbay.relay.choice import choose_cheapest, failure_factor
 
 __all__ = [
@@ -26,6 +28,9 @@
 # Servers whose cost is within this share of the lowest are chosen at random. Instances
 # with the same outdated view would otherwise all choose the same server.
 TIE_SHARE = 0.15
+# Share of the calls that may measure the outdated time of a slower server again. It
+# bounds the cost at instances with few calls.
+REMEASURED_SHARE = 0.1
 
 
 def load_factor(ahead, slots):
@@ -52,7 +57,7 @@
     return service_s * load_factor(candidate.running, candidate.server.slots)
 
 
-def choose_plain(candidates, draw):
+def choose_plain(candidates, draw, measures=False):
     """Returns the candidate with the shortest expected time, or None.
 
     Full candidates are eligible only if there are no others.
@@ -60,6 +65,7 @@
     Args:
         candidates: `Candidate` of each server that may be used.
         draw: Random number from 0 to 1 that breaks ties.
+        measures: Whether the call may go to a slower server in order to measure it.
     """
     measured = [candidate.service_s for candidate in candidates if candidate.service_s]
     assumed_s = min(measured, default=ASSUMED_SERVICE_S)
@@ -67,10 +73,21 @@
     def cost(candidate):
         return _cost_s(candidate, candidate.service_s or assumed_s)
 
+    if measures and draw < REMEASURED_SHARE:
+        outdated = [each for each in candidates if _needs_measuring(each, assumed_s)]
+        if outdated:
+            return choose_cheapest(outdated, cost, draw / REMEASURED_SHARE, inf)
     with_room = [candidate for candidate in candidates if not candidate.full_s]
     return choose_cheapest(with_room or candidates, cost, draw, TIE_SHARE)
 
 
+def _needs_measuring(candidate, fastest_s):
+    """Returns whether a server is idle since its time was slow, and is outdated."""
+    is_slower = candidate.service_s > fastest_s * (1 + TIE_SHARE)
+    idle = is_free(candidate) and not candidate.own and not candidate.avoided
+    return candidate.outdated and is_slower and idle
+
+
 def _cost_s(candidate, service_s):
     busy_s = BUSY_SHARE * service_s * candidate.running / candidate.server.slots
     cost_s = (expected_s(candidate, service_s) + busy_s) * failure_factor(candidate)
--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -226,7 +226,7 @@
             usable = _preferred(loads.values())
             # A call doesn't overtake the ones before it.
             fitting = [] if calls_before else _fitting(usable, terms.limit_s)
-            chosen = choose_plain(fitting, rng.random())
+            chosen = choose_plain(fitting, rng.random(), measures=True)
             wait_s, at_server_s = _estimate(usable, terms.limit_s, calls_before)
             if chosen is not None:
                 loads[chosen.server.name] = replace(
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -93,6 +93,8 @@
         self.events, self.order = [], itertools.count()
         self.results, self.refusals, self.waits = Counter(), 0, {}
         self.latencies, self.own_refusals = [], 0
+        # Time and name of the server of each call that a server begins.
+        self.starts = []
 
     def at(self, time_s, action, *args):
         heapq.heappush(self.events, (time_s, next(self.order), action, args))
@@ -155,6 +157,7 @@
                 failure_share=outcomes.failure_share(name),
                 latency_s=outcomes.latency_s(name),
                 service_s=outcomes.service_s(name),
+                outdated=outcomes.is_outdated(name),
                 full_s=outcomes.full_s(name),
             )
             for server in self.servers
@@ -226,6 +229,7 @@
 
     def start(self, server, call, chosen, placed_at):
         server.running += 1
+        self.starts.append((self.now(), server.entry.name))
         slow = SLOW_FACTOR if self.now() < server.slow_until else 1.0
         service_s = self.load.service_s / server.speed * slow
         args = (server, call, chosen, placed_at)
@@ -344,6 +348,25 @@
     case.assertGreaterEqual(player.share("in_time"), baseline.share("in_time") - 0.005)
 
 
+def test_server_that_was_slow_is_used_again(case):
+    """Guards against a server that gets no calls for good after a slow second."""
+    for rate, speeds in ((60, (1.0, 1.0, 1.0)), (100, (1.0, 1.0))):
+        player = Player(Load([rate] * 8, speeds), baseline=False)
+        player.servers[0].slow_until = 1.5
+        player.play()
+        names = [name for time_s, name in player.starts if time_s >= 5.0]
+        case.assertGreater(names.count("s0"), len(names) / 5)
+        case.assertEqual(player.share("refused"), 0.0)
+
+
+def test_server_that_stays_slow_gets_few_calls(case):
+    """Guards against measuring a slow server with a large share of the calls."""
+    for rate in (50, 100, 200):
+        player = Player(Load([rate] * 8, speeds=(0.3, 1.0, 1.0)), baseline=False).play()
+        names = [name for time_s, name in player.starts if time_s >= 3.0]
+        case.assertLess(names.count("s0"), len(names) / 10)
+
+
 def test_instances_that_hear_nobody_still_serve(case):
     """Guards against a deployment that stops while reports are lost."""
     player = Player(Load([250] * 4, report_s=60.0), baseline=False).play()
