Let instances with equal load serve about equally many plain calls

Cause: in overload, instances whose calls end at a server know of a free place first and take it. Others had measured their first calls after the start behind unknown calls; their times were too long, no server met the bound for them, and so nothing was measured again.

Change: the bound of an instance depends on its share of the calls at the servers, with the number of placing instances from the reports (LoadSums.placers). This replaces the fixed factor for a first call. Outdated times are measured again in overload too, and a faster sample replaces them. An answer must be expected a tenth of the target early.

--- a/amaranthbay/fleet/load_sums.py
+++ b/amaranthbay/fleet/load_sums.py
@@ -17,11 +17,17 @@
     def __init__(self):
         self._sums = {}
         self._loads = {}
+        # Number of instances with running requests, by server.
+        self._placers = {}
 
     def sums(self):
         """Returns the sums by name of the server; callers don't change them."""
         return self._sums
 
+    def placers(self):
+        """Returns the number of instances with requests by name of the server."""
+        return self._placers
+
     def names(self):
         """Returns the names of the instances whose loads are in the sums."""
         return self._loads.keys()
@@ -45,6 +51,10 @@
                 self._add(server, NO_LOAD, known)
 
     def _add(self, server, added, removed):
+        placers = self._placers.pop(server, 0) + bool(added.running)
+        placers -= bool(removed.running)
+        if placers:
+            self._placers[server] = placers
         total = self._sums.get(server, NO_LOAD)
         total = ServerLoad(
             total.running + added.running - removed.running,
--- a/amaranthbay/fleet/peers.py
+++ b/amaranthbay/fleet/peers.py
@@ -400,6 +400,10 @@
                 self._load_sums.replace(name, {})
         return self._load_sums.sums()
 
+    def placers(self):
+        """Returns the number of peers that `loads` contains, by server."""
+        return self._load_sums.placers()
+
     def switching(self):
         """Returns the target stage of each server that peers have ordered to switch.
 
--- a/amaranthbay/fleet/tests/test_load_sums.py
+++ b/amaranthbay/fleet/tests/test_load_sums.py
@@ -1,5 +1,7 @@
 """Sums of reported loads, against a sum that is computed anew."""
 
+from collections import Counter
+
 from hypothesis import given, settings, strategies as st
 
 from amaranthbay.fleet.load_sums import LoadSums
@@ -28,11 +30,18 @@
                 expected[server] = expected.get(server, ServerLoad()) + load
         expected = {k: load for k, load in expected.items() if load != ServerLoad()}
         assert sums.sums() == expected
+        placers = Counter(
+            server
+            for known in latest.values()
+            for server, load in known.items()
+            if load.running
+        )
+        assert sums.placers() == placers
 
 
 def test_sums_follow_every_report(case):
     """Guards against load that stays after its report was replaced or has expired, and
-    against load that is counted twice."""
+    against load or an instance that is counted twice."""
     check_sums()
 
 
--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -34,6 +34,7 @@
         same_zone: Whether it is in the instance's availability zone.
         running: Requests placed on it.
         own: Those of them that this instance has placed.
+        placers: Instances that have placed requests on it, this one included.
         memory_tokens: Tokens of KV cache placed on it.
         prefill_tokens: Prompt tokens placed on it that are not computed yet.
         failure_share: Share of recent requests that failed, from 0 to 1.
@@ -50,6 +51,7 @@
     same_zone: bool
     running: int = 0
     own: int = 0
+    placers: int = 1
     memory_tokens: int = 0
     prefill_tokens: int = 0
     failure_share: float = 0.0
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -83,9 +83,9 @@
             excluded: Names of servers to leave out.
             version: Software version of the servers; None for any.
         """
-        peer_loads = self.peers.loads()
+        peer_loads, placers = self.peers.loads(), self.peers.placers()
         return [
-            self._candidate(server, peer_loads)
+            self._candidate(server, peer_loads, placers)
             for server in self._usable(service, stage, excluded, version)
             if not self.pauses.left_s(server.name) and self.limits.has_room(server.name)
         ]
@@ -140,7 +140,7 @@
             usable = self.versions.registered_only(service, usable)
         return [server for server in usable if server.name not in unusable]
 
-    def _candidate(self, server, peer_loads):
+    def _candidate(self, server, peer_loads, placers):
         own_load = self.placed_load.loads().get(server.name, ServerLoad())
         load = own_load + peer_loads.get(server.name, ServerLoad())
         return Candidate(
@@ -148,6 +148,7 @@
             same_zone=server.availability_zone == self.availability_zone,
             running=load.running,
             own=own_load.running,
+            placers=1 + placers.get(server.name, 0),
             memory_tokens=load.memory_tokens,
             prefill_tokens=load.prefill_tokens,
             failure_share=self.outcomes.failure_share(server.name),
--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -102,10 +102,11 @@
         record = self._record(server)
         record.consecutive_refusals = 0
         sample_s = seconds / load_factor
-        # A sample without queueing that disproves an outdated time replaces it.
-        recovered = self.is_outdated(server) and load_factor == 1.0
+        outdated = self.is_outdated(server)
         self.note_tried(server)
-        if not record.service_s or (recovered and sample_s < record.service_s):
+        # A sample that disproves an outdated time replaces it, as the next one may come
+        # late.
+        if not record.service_s or (outdated and sample_s < record.service_s):
             record.service_s = sample_s
             return
         rises = sample_s > record.service_s
--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -82,9 +82,9 @@
 
 
 def _needs_measuring(candidate, fastest_s):
-    """Returns whether a server is idle since its time was slow, and is outdated."""
+    """Returns whether the instance left a server out since it measured it as slow."""
     is_slower = candidate.service_s > fastest_s * (1 + TIE_SHARE)
-    idle = is_free(candidate) and not candidate.own and not candidate.avoided
+    idle = not (candidate.own or candidate.avoided or candidate.full_s)
     return candidate.outdated and is_slower and idle
 
 
--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -27,6 +27,9 @@
 LESS_URGENT_QUEUE_SHARE = 0.3
 # The same for calls of callers that have come back, whose answer is late in any case.
 LATE_QUEUE_SHARE = 0.3
+# Share of the target by which an answer must be expected earlier. Estimates are too
+# short where other instances have placed calls that aren't known yet.
+MARGIN_SHARE = 0.1
 # Late calls wait for as long as their target is, or this many calls take at a server
 # that can't meet the target.
 LATE_WAIT_CALLS = 4
@@ -303,10 +306,11 @@
 
 def _refused(terms, room, calls_before, now):
     """Returns the `LineOutcome` of a call that can't be in time; None if it can."""
-    if room.is_surely_served(terms.ends_at - now, calls_before):
+    ends_at = terms.ends_at - MARGIN_SHARE * terms.waiting.target_s
+    if room.is_surely_served(ends_at - now, calls_before):
         return None
     wait_s, at_server_s = room.estimate(terms.limit_at(now), calls_before)
-    if now + wait_s + at_server_s <= terms.ends_at:
+    if now + wait_s + at_server_s <= ends_at:
         return None
     return LineOutcome(terms.waiting, None, wait_s, now - terms.waiting.arrived_at)
 
--- a/amaranthbay/scheduling/plain_room.py
+++ b/amaranthbay/scheduling/plain_room.py
@@ -16,9 +16,19 @@
 # Calls per slot that a server may hold, whatever the target. Its queue takes 4 per
 # slot, and other instances place calls before they hear of these.
 MAX_CALLS_PER_SLOT = 3
-# An instance without a call at a server may exceed the bound by this factor. The
-# instances whose calls end there know of a free place first and would take all.
-FIRST_CALL_FACTOR = 1.2
+# Bounds of the factor by which an instance's share of the calls at the servers changes
+# its bound. Instances whose calls end at a server know of a free place first and would
+# take all, so the bound is lower for those that have more calls than others.
+MIN_SHARE_FACTOR = 0.5
+MAX_SHARE_FACTOR = 1.2
+# The factor at an equal share, and its change per share more or less. With a factor of
+# 1, servers hold more calls and more answers are late.
+EQUAL_SHARE_FACTOR = 0.85
+SHARE_GAIN = 0.6
+# Share of an outdated time that is assumed to measure it again. All times of an
+# instance may be too long, since the first calls after a start queue behind unknown
+# ones.
+OUTDATED_SHARE = 0.5
 # Servers that fail more often get calls only if no other one may get them.
 MAX_FAILURE_SHARE = 0.5
 
@@ -64,15 +74,41 @@
             limit_s: Seconds that the call may spend at a server, queueing included.
             rng: `random.Random` that breaks ties.
         """
+        factor = self._share_factor()
         fitting = [
             each
             for each in self._usable
-            if is_free(each) or _has_short_queue(each, limit_s)
+            if is_free(each) or self._has_short_queue(each, limit_s * factor)
         ]
         if not fitting:
             return None
         return choose_plain(fitting, rng.random(), measures=True)
 
+    def _has_short_queue(self, candidate, limit_s):
+        slots = candidate.server.slots
+        if candidate.full_s:
+            return False
+        if not candidate.service_s:
+            return candidate.running < UNMEASURED_CALLS_PER_SLOT * slots
+        if candidate.running >= MAX_CALLS_PER_SLOT * slots:
+            return False
+        # A call measures an outdated time again, also while no slot is free.
+        remeasures = candidate.outdated and not candidate.own
+        service_s = candidate.service_s
+        if remeasures:
+            service_s = min(self.service_s, OUTDATED_SHARE * service_s)
+        return expected_s(candidate, service_s) <= limit_s
+
+    def _share_factor(self):
+        """Returns the factor of the bound for the share of the calls here."""
+        own = sum(each.own for each in self._usable)
+        running = sum(each.running for each in self._usable)
+        if not running:
+            return MAX_SHARE_FACTOR
+        share = own * max(each.placers for each in self._usable) / running
+        factor = EQUAL_SHARE_FACTOR + SHARE_GAIN * (1 - share)
+        return max(MIN_SHARE_FACTOR, min(MAX_SHARE_FACTOR, factor))
+
     def place(self, chosen):
         """Counts a call at a server that `choose` has returned."""
         placed = replace(chosen, running=chosen.running + 1, own=chosen.own + 1)
@@ -122,16 +158,3 @@
         candidate for candidate in usable if candidate.failure_share < MAX_FAILURE_SHARE
     ]
     return sound or usable or list(candidates)
-
-
-def _has_short_queue(candidate, limit_s):
-    if candidate.full_s:
-        return False
-    if not candidate.service_s:
-        calls = UNMEASURED_CALLS_PER_SLOT * candidate.server.slots
-        return candidate.running < calls
-    if candidate.running >= MAX_CALLS_PER_SLOT * candidate.server.slots:
-        return False
-    if not candidate.own:
-        limit_s *= FIRST_CALL_FACTOR
-    return expected_s(candidate, candidate.service_s) <= limit_s
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -97,6 +97,8 @@
         self.latencies, self.own_refusals = [], 0
         # Time and name of the server of each call that a server begins.
         self.starts = []
+        # Number of answered calls by number of the instance.
+        self.answered = Counter()
 
     def at(self, time_s, action, *args):
         heapq.heappush(self.events, (time_s, next(self.order), action, args))
@@ -145,10 +147,8 @@
             )
 
     def candidates(self, instance):
-        peers = sum(
-            (each.reported for each in self.instances if each is not instance),
-            Counter(),
-        )
+        others = [each for each in self.instances if each is not instance]
+        peers = sum((each.reported for each in others), Counter())
         outcomes = instance.outcomes
         return [
             Candidate(
@@ -156,6 +156,7 @@
                 True,
                 running=instance.own[name] + peers[name],
                 own=instance.own[name],
+                placers=1 + sum(each.reported[name] > 0 for each in others),
                 failure_share=outcomes.failure_share(name),
                 latency_s=outcomes.latency_s(name),
                 service_s=outcomes.service_s(name),
@@ -250,6 +251,7 @@
         in_time = self.now() - call.first_at <= self.load.target_s
         self.results["in_time" if in_time else "late", call.priority] += 1
         self.latencies.append(self.now() - call.first_at)
+        self.answered[self.instances.index(call.instance)] += 1
         self.advance(call.instance)
 
     def refuse(self, call, after_s):
@@ -316,6 +318,17 @@
         case.assertGreater(served, 1 - baseline.share("refused") - 0.05)
 
 
+def test_instances_with_equal_load_serve_about_the_same_in_overload(case):
+    """Guards against instances that get no place, since those whose calls end know of
+    free places first, or since the first calls after the start were slow."""
+    for seed, load in itertools.product(
+        (1, 2, 3), (Load([600] * 4), Load([700] * 4, priorities=(0, 0, 0, 0, 0, 2)))
+    ):
+        player = Player(load, baseline=False, seed=seed).play()
+        answered = [player.answered[n] for n in range(load.instances)]
+        case.assertGreater(min(answered), 0.55 * max(answered), (seed, answered))
+
+
 def test_urgent_calls_come_first_and_none_starve(case):
     """Guards against priorities that change nothing in overload, and against a class
     that is served less than a quarter as often as all calls."""
