Let plain calls with a longer target overtake one that can't start yet

Cause: a waiting call with a short target allows a short queue only, and blocked calls behind it whose target allows a longer one.

Change: such calls of the same priority may be placed while the answer of the waiting call is expected within 0.7 of its remaining time. Late calls don't overtake others in time.

--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -30,6 +30,9 @@
 # Share of the target by which an answer must be expected earlier. Estimates are too
 # short where other instances have placed calls that aren't known yet.
 MARGIN_SHARE = 0.1
+# Share of its remaining time within which the answer of a waiting call must be expected
+# while calls with a longer target overtake it.
+OVERTAKEN_SHARE = 0.7
 # Late calls wait for as long as their target is, or this many calls take at a server
 # that can't meet the target.
 LATE_WAIT_CALLS = 4
@@ -181,6 +184,7 @@
         self._ordered = []
         self._arrived = []
         self._ordered_at = -inf
+        self._longest_limit_s = 0.0
         # Number of the latest calls by priority.
         self._counts = Counter()
 
@@ -216,13 +220,16 @@
         room = PlainRoom(candidates)
         checked = self._order(now, room)
         outcomes, still_waiting = [], []
+        # Calls with the same limit as a waiting one, or a lower one, don't fit either.
+        blocked_s = 0.0
         for index, terms in enumerate(self._ordered):
-            if still_waiting and not checked:
+            if still_waiting and not checked and blocked_s >= self._longest_limit_s:
                 still_waiting += self._ordered[index:]
                 break
-            outcome = None
-            # A call doesn't overtake the ones before it.
-            if not still_waiting:
+            outcome, limit_s = None, terms.limit_at(now)
+            if not still_waiting or (
+                limit_s > blocked_s and _may_overtake(terms, still_waiting, room, now)
+            ):
                 outcome = _placed(terms, room, now, rng)
             if terms in checked:
                 checked.discard(terms)
@@ -230,6 +237,7 @@
                     outcome = _refused(terms, room, len(still_waiting), now)
             if outcome is None:
                 still_waiting.append(terms)
+                blocked_s = max(blocked_s, limit_s)
             else:
                 outcomes.append(outcome)
         self._ordered = still_waiting
@@ -258,11 +266,15 @@
                 ),
                 key=by_rank,
             )
+            self._longest_limit_s = max(
+                (terms.limit_s for terms in self._ordered), default=0.0
+            )
             return set(self._ordered)
         arrived, self._arrived = self._arrived, []
         arrived = [_terms(each, urgent, room.service_s, now) for each in arrived]
         for terms in arrived:
             insort(self._ordered, terms, key=by_rank)
+            self._longest_limit_s = max(self._longest_limit_s, terms.limit_s)
         return set(arrived)
 
     def _most_urgent(self):
@@ -295,6 +307,25 @@
         return min(self.limit_s, self.ends_at - now)
 
 
+def _may_overtake(terms, waiting, room, now):
+    """Returns whether a call may be placed while others before it wait.
+
+    A call with a longer target takes room that those with a shorter one can't use. It
+    must leave them enough time, so that their wait doesn't make them late.
+
+    Args:
+        terms: `_Terms` of the call.
+        waiting: `_Terms` of the calls that wait before it; not empty.
+        room: `PlainRoom`.
+        now: Monotonic time.
+    """
+    first = waiting[0]
+    if terms.rank[:2] != first.rank[:2]:
+        return False
+    expected_s = sum(room.estimate(first.limit_at(now), len(waiting)))
+    return expected_s <= OVERTAKEN_SHARE * (first.ends_at - now)
+
+
 def _placed(terms, room, now, rng):
     """Returns the `LineOutcome` of a call that is placed now; None if none is free."""
     chosen = room.choose(terms.limit_at(now), rng)
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -354,6 +354,24 @@
     case.assertEqual([each.waiting for each in placed[:3]], [urgent, returned, new])
 
 
+def test_waiting_call_does_not_block_calls_with_a_longer_target(case):
+    """Guards against servers that take no call since the first in the line has a short
+    target, and against making that call late."""
+    for running, priority, placed in ((11, 0, 1), (11, 1, 0), (16, 0, 0)):
+        line, rng = PlainLine(), random.Random(1)
+        short = WaitingCall(0.0, 0.15)
+        for waiting in (short, WaitingCall(0.0, 2.5, priority)):
+            line.add(waiting)
+        busy = [make_candidate(running=running, own=running)]
+        for now in (0.0, 0.001):
+            outcomes = line.advance(now, busy, rng)
+            case.assertEqual(len(outcomes), placed, (running, priority))
+            case.assertNotIn(short, [each.waiting for each in outcomes])
+            placed = 0
+        free = [make_candidate(running=5, own=5)]
+        case.assertIs(line.advance(0.002, free, rng)[0].waiting, short)
+
+
 def test_noise_of_even_servers_costs_nothing(case):
     """Guards against instances that flee from a server in each slow spell."""
     load = Load(
