Split the deadlines of first tries from the line of plain calls

Change: FirstDeadlines and count_recent are in scheduling/first_deadlines.py, without a change of behaviour. test_plain imports FirstDeadlines from there.

--- a/amaranthbay/relay/plain_queue.py
+++ b/amaranthbay/relay/plain_queue.py
@@ -11,9 +11,9 @@
 from amaranthbay.observe import log_decision, log_event
 from amaranthbay.relay.refusals import no_room, timed_out
 from amaranthbay.routing import BackendServer
+from amaranthbay.scheduling.first_deadlines import FirstDeadlines
 from amaranthbay.scheduling.plain import choose_plain, is_free, load_factor
 from amaranthbay.scheduling.plain_line import (
-    FirstDeadlines,
     PlainLine,
     WaitingCall,
     retry_s,
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -20,9 +20,9 @@
 from amaranthbay.relay.placed_load import MIN_PLAIN_CHANGE, PlacedLoad, PlainReporter
 from amaranthbay.routing import BackendServer
 from amaranthbay.scheduling import plain_line
+from amaranthbay.scheduling.first_deadlines import FirstDeadlines
 from amaranthbay.scheduling.plain import choose_plain, load_factor
 from amaranthbay.scheduling.plain_line import (
-    FirstDeadlines,
     PlainLine,
     WaitingCall,
     retry_s,
