--- a/amaranthbay/relay/choice.py
+++ b/amaranthbay/relay/choice.py
@@ -35,11 +35,13 @@
         same_zone: Whether it is in the instance's availability zone.
         running: Requests placed on it.
         own: Those of them that this instance has placed.
+        placers: Instances that have placed requests on it, this one included.
         memory_tokens: Tokens of KV cache placed on it.
         prefill_tokens: Prompt tokens placed on it that are not computed yet.
         failure_share: Share of recent requests that failed, from 0 to 1.
         latency_s: Mean seconds to an answer; 0 if unknown.
         service_s: Seconds of one plain call that doesn't queue; 0 if unknown.
+        outdated: Whether these were measured too long ago.
         avoided: Whether it was unreachable or silent a moment ago.
         full: Whether it refused a request a moment ago, usually because its memory or
             its queue was full.
@@ -50,11 +52,13 @@
     same_zone: bool
     running: int = 0
     own: int = 0
+    placers: int = 1
     memory_tokens: int = 0
     prefill_tokens: int = 0
     failure_share: float = 0.0
     latency_s: float = 0.0
     service_s: float = 0.0
+    outdated: bool = False
     avoided: bool = False
     full: bool = False
     full_s: float = 0.0
--- a/amaranthbay/relay/context.py
+++ b/amaranthbay/relay/context.py
@@ -83,9 +83,9 @@
             excluded: Names of servers to leave out.
             version: Software version of the servers; None for any.
         """
-        peer_loads = self.peers.loads()
+        peer_loads, placers = self.peers.loads(), self.peers.placers()
         return [
-            self._candidate(server, peer_loads)
+            self._candidate(server, peer_loads, placers)
             for server in self._usable(service, stage, excluded, version)
             if self._takes_requests(server)
         ]
@@ -100,13 +100,13 @@
             candidates: `Candidate` of each server, as `candidates` returned them.
             names: Names of the servers to which requests were placed since.
         """
-        peer_loads = self.peers.loads()
+        peer_loads, placers = self.peers.loads(), self.peers.placers()
         result = []
         for candidate in candidates:
             if candidate.server.name not in names:
                 result.append(candidate)
             elif self._takes_requests(candidate.server):
-                result.append(self._candidate(candidate.server, peer_loads))
+                result.append(self._candidate(candidate.server, peer_loads, placers))
         return result
 
     def held_back(self, service, stage=None, excluded=frozenset(), version=None):
@@ -159,7 +159,7 @@
             usable = self.versions.registered_only(service, usable)
         return [server for server in usable if server.name not in unusable]
 
-    def _candidate(self, server, peer_loads):
+    def _candidate(self, server, peer_loads, placers):
         full_s = self.outcomes.full_s(server.name)
         own_load = self.placed_load.loads().get(server.name, ServerLoad())
         load = own_load + peer_loads.get(server.name, ServerLoad())
@@ -168,11 +168,13 @@
             same_zone=server.availability_zone == self.availability_zone,
             running=load.running,
             own=own_load.running,
+            placers=1 + placers.get(server.name, 0),
             memory_tokens=load.memory_tokens,
             prefill_tokens=load.prefill_tokens,
             failure_share=self.outcomes.failure_share(server.name),
             latency_s=self.outcomes.latency_s(server.name),
             service_s=self.outcomes.service_s(server.name),
+            outdated=self.outcomes.is_outdated(server.name),
             avoided=self.outcomes.is_avoided(server.name),
             full=full_s > 0,
             full_s=full_s,
--- a/amaranthbay/scheduling/plain_line.py
+++ b/amaranthbay/scheduling/plain_line.py
@@ -3,20 +3,17 @@
 The queues at the servers stay so short that calls are answered within their target.
 """
 
+from bisect import insort
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from math import inf
+from operator import attrgetter
 
 from amaranthbay.relay.choice import Candidate
-from amaranthbay.scheduling.plain import (
-    choose_plain,
-    expected_s,
-    is_free,
-    service_s_of,
-)
+from amaranthbay.scheduling.first_deadlines import count_recent
+from amaranthbay.scheduling.plain_room import PlainRoom
 
 __all__ = [
-    "FirstDeadlines",
     "LineOutcome",
     "PlainLine",
     "WaitingCall",
@@ -30,6 +27,12 @@
 LESS_URGENT_QUEUE_SHARE = 0.3
 # The same for calls of callers that have come back, whose answer is late in any case.
 LATE_QUEUE_SHARE = 0.3
+# Share of the target by which an answer must be expected earlier. Estimates are too
+# short where other instances have placed calls that aren't known yet.
+MARGIN_SHARE = 0.1
+# Share of its remaining time within which the answer of a waiting call must be expected
+# while calls with a longer target overtake it.
+OVERTAKEN_SHARE = 0.7
 # Late calls wait for as long as their target is, or this many calls take at a server
 # that can't meet the target.
 LATE_WAIT_CALLS = 4
@@ -38,38 +41,23 @@
 # Share of a service's latest calls from which on a priority counts as its most urgent
 # one. Rare calls, such as probes, don't make all others less urgent.
 MIN_URGENT_SHARE = 0.05
-# Number of calls, or of deadlines of a route, after which older ones count half.
-MAX_COUNTED = 200
-# Calls per slot that an unmeasured server may hold.
-UNMEASURED_CALLS_PER_SLOT = 2
-# Calls per slot that a server may hold, whatever the target. Its queue takes 4 per
-# slot, and other instances place calls before they hear of these.
-MAX_CALLS_PER_SLOT = 3
+# Interval at which all waiting calls are ordered and may be refused. Passes between
+# only place calls, and look at calls that have arrived since. With 10 ms, up to 0.4 in
+# 100 more answers are late in overload.
+ORDER_INTERVAL_S = 0.002
+# Addition to the interval for each waiting call, which bounds the calls that are
+# ordered per second.
+ORDER_INTERVAL_PER_CALL_S = 0.0001
 # Calls that a call may wait for at a server, whatever the share of its target, as long
 # as it leaves time for outdated views.
 MIN_QUEUE_CALLS = 2
 MAX_QUEUE_SHARE = 0.8
-# An instance without a call at a server may exceed the bound by this factor. The
-# instances whose calls end there know of a free place first and would take all.
-FIRST_CALL_FACTOR = 1.2
-# Servers that fail more often get calls only if no other one may get them.
-MAX_FAILURE_SHARE = 0.5
 # Bounds of the retry time. Reported loads lapse within a second, so that a longer one
 # would rest on nothing.
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 2.0
 # Time over which refused callers come back, as a share of the target.
 RETURN_SPREAD = 0.5
-# A caller whose deadline is shorter than that of others by this has come back after a
-# refusal. It is less than `MIN_RETRY_S`, and more than the time of a connection.
-RETURNED_AFTER_S = 0.04
-# Deadlines of first tries differ by less. Those that this share of a route's callers
-# state are of first tries, as returned callers have spread deadlines.
-DEADLINE_STEP_S = 0.04
-MIN_FIRST_SHARE = 0.25
-# Callers whose deadline is shorter than that of others by a larger share haven't come
-# back, but have another deadline: retries wait for at most a third of the time left.
-MAX_ELAPSED_SHARE = 0.5
 
 
 @dataclass(frozen=True, eq=False)
@@ -128,74 +116,30 @@
     return earliest_s + RETURN_SPREAD * target_s * draw
 
 
-class FirstDeadlines:
-    """Estimates how long ago callers made their first try, from their deadlines.
-
-    Callers state the time that they have left. At the first try, many callers of a
-    route state the same.
-    """
-
-    def __init__(self):
-        # Number of callers by deadline in steps, by route.
-        self._counts = {}
-
-    def elapsed_s(self, route, deadline_s, now):
-        """Returns the seconds since a caller's first try; 0 if this is the first.
-
-        Args:
-            route: Name of the route.
-            deadline_s: Seconds for which the caller waits; None if not stated.
-            now: Monotonic time.
-        """
-        if deadline_s is None:
-            return 0.0
-        counts = self._counts.setdefault(route, Counter())
-        step = int(deadline_s / DEADLINE_STEP_S)
-        _count(counts, step)
-        least = MIN_FIRST_SHARE * counts.total()
-        first_tries = [
-            other * DEADLINE_STEP_S
-            for other, count in counts.items()
-            if other >= step and count >= least
-        ]
-        if not first_tries or counts[step] >= least:
-            return 0.0
-        first_s = min(first_tries)
-        elapsed_s = first_s - deadline_s
-        has_returned = RETURNED_AFTER_S <= elapsed_s <= MAX_ELAPSED_SHARE * first_s
-        return elapsed_s if has_returned else 0.0
-
-
-def _count(counts, key):
-    """Adds one to a counter, in which older entries count less and less."""
-    counts[key] += 1
-    if counts.total() > MAX_COUNTED:
-        for other in list(counts):
-            counts[other] //= 2
-            if not counts[other]:
-                del counts[other]
-
-
 class PlainLine:
     """The calls of one service that wait at this instance."""
 
     def __init__(self):
-        self._waiting = []
+        # `_Terms` of the waiting calls in their order, and calls without terms so far.
+        self._ordered = []
+        self._arrived = []
+        self._ordered_at = -inf
+        self._longest_limit_s = 0.0
         # Number of the latest calls by priority.
         self._counts = Counter()
 
     def __len__(self):
-        return len(self._waiting)
+        return len(self._ordered) + len(self._arrived)
 
     def add(self, waiting):
         """Adds a `WaitingCall`."""
-        _count(self._counts, waiting.priority)
-        self._waiting.append(waiting)
+        count_recent(self._counts, waiting.priority)
+        self._arrived.append(waiting)
 
     def discard(self, waiting):
         """Removes a `WaitingCall`, if it still waits."""
-        if waiting in self._waiting:
-            self._waiting.remove(waiting)
+        self._arrived = [each for each in self._arrived if each is not waiting]
+        self._ordered = [each for each in self._ordered if each.waiting is not waiting]
 
     def advance(self, now, candidates, rng):
         """Decides which of the waiting calls are placed or refused now.
@@ -210,37 +154,69 @@
             there is no server.
         """
         if not candidates:
-            outcomes = [LineOutcome(waiting) for waiting in self._waiting]
-            self._waiting = []
+            outcomes = [LineOutcome(waiting) for waiting in self._take_all()]
+            self._ordered = []
             return outcomes
-        urgent = self._most_urgent()
-        loads = {candidate.server.name: candidate for candidate in candidates}
-        service_s = min(map(service_s_of, candidates))
-        ordered = sorted(
-            (_terms(waiting, urgent, service_s, now) for waiting in self._waiting),
-            key=lambda terms: terms.rank,
-        )
+        room = PlainRoom(candidates)
+        checked = self._order(now, room)
         outcomes, still_waiting = [], []
-        for terms in ordered:
-            waiting, calls_before = terms.waiting, len(still_waiting)
-            usable = _preferred(loads.values())
-            # A call doesn't overtake the ones before it.
-            fitting = [] if calls_before else _fitting(usable, terms.limit_s)
-            chosen = choose_plain(fitting, rng.random())
-            wait_s, at_server_s = _estimate(usable, terms.limit_s, calls_before)
-            if chosen is not None:
-                loads[chosen.server.name] = replace(
-                    chosen, running=chosen.running + 1, own=chosen.own + 1
-                )
-                outcomes.append(LineOutcome(waiting, chosen))
-            elif now + wait_s + at_server_s > terms.ends_at:
-                waited_s = now - waiting.arrived_at
-                outcomes.append(LineOutcome(waiting, None, wait_s, waited_s))
+        # Calls with the same limit as a waiting one, or a lower one, don't fit either.
+        blocked_s = 0.0
+        for index, terms in enumerate(self._ordered):
+            if still_waiting and not checked and blocked_s >= self._longest_limit_s:
+                still_waiting += self._ordered[index:]
+                break
+            outcome, limit_s = None, terms.limit_at(now)
+            if not still_waiting or (
+                limit_s > blocked_s and _may_overtake(terms, still_waiting, room, now)
+            ):
+                outcome = _placed(terms, room, now, rng)
+            if terms in checked:
+                checked.discard(terms)
+                if outcome is None:
+                    outcome = _refused(terms, room, len(still_waiting), now)
+            if outcome is None:
+                still_waiting.append(terms)
+                blocked_s = max(blocked_s, limit_s)
             else:
-                still_waiting.append(waiting)
-        self._waiting = still_waiting
+                outcomes.append(outcome)
+        self._ordered = still_waiting
         return outcomes
 
+    def _take_all(self):
+        """Returns all waiting calls."""
+        taken = [terms.waiting for terms in self._ordered] + self._arrived
+        self._arrived = []
+        return taken
+
+    def _order(self, now, room):
+        """Orders the waiting calls, all of them or those that have arrived.
+
+        Returns:
+            Set of the `_Terms` that may be refused.
+        """
+        urgent, by_rank = self._most_urgent(), attrgetter("rank")
+        interval_s = ORDER_INTERVAL_S + ORDER_INTERVAL_PER_CALL_S * len(self)
+        if not 0 <= now - self._ordered_at < interval_s:
+            self._ordered_at = now
+            self._ordered = sorted(
+                (
+                    _terms(each, urgent, room.service_s, now)
+                    for each in self._take_all()
+                ),
+                key=by_rank,
+            )
+            self._longest_limit_s = max(
+                (terms.limit_s for terms in self._ordered), default=0.0
+            )
+            return set(self._ordered)
+        arrived, self._arrived = self._arrived, []
+        arrived = [_terms(each, urgent, room.service_s, now) for each in arrived]
+        for terms in arrived:
+            insort(self._ordered, terms, key=by_rank)
+            self._longest_limit_s = max(self._longest_limit_s, terms.limit_s)
+        return set(arrived)
+
     def _most_urgent(self):
         """Returns the most urgent priority that is not rare."""
         least = MIN_URGENT_SHARE * self._counts.total()
@@ -250,7 +226,7 @@
         )
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)
 class _Terms:
     """On which terms a call waits.
 
@@ -266,6 +242,49 @@
     limit_s: float
     ends_at: float
 
+    def limit_at(self, now):
+        """Returns the seconds that the call may spend at a server from now on."""
+        return min(self.limit_s, self.ends_at - now)
+
+
+def _may_overtake(terms, waiting, room, now):
+    """Returns whether a call may be placed while others before it wait.
+
+    A call with a longer target takes room that those with a shorter one can't use. It
+    must leave them enough time, so that their wait doesn't make them late.
+
+    Args:
+        terms: `_Terms` of the call.
+        waiting: `_Terms` of the calls that wait before it; not empty.
+        room: `PlainRoom`.
+        now: Monotonic time.
+    """
+    first = waiting[0]
+    if terms.rank[:2] != first.rank[:2]:
+        return False
+    expected_s = sum(room.estimate(first.limit_at(now), len(waiting)))
+    return expected_s <= OVERTAKEN_SHARE * (first.ends_at - now)
+
+
+def _placed(terms, room, now, rng):
+    """Returns the `LineOutcome` of a call that is placed now; None if none is free."""
+    chosen = room.choose(terms.limit_at(now), rng)
+    if chosen is None:
+        return None
+    room.place(chosen)
+    return LineOutcome(terms.waiting, chosen)
+
+
+def _refused(terms, room, calls_before, now):
+    """Returns the `LineOutcome` of a call that can't be in time; None if it can."""
+    ends_at = terms.ends_at - MARGIN_SHARE * terms.waiting.target_s
+    if room.is_surely_served(ends_at - now, calls_before):
+        return None
+    wait_s, at_server_s = room.estimate(terms.limit_at(now), calls_before)
+    if now + wait_s + at_server_s <= ends_at:
+        return None
+    return LineOutcome(terms.waiting, None, wait_s, now - terms.waiting.arrived_at)
+
 
 def _terms(waiting, urgent, service_s, now):
     """Returns the `_Terms` of a call.
@@ -292,72 +311,6 @@
     return _Terms(
         waiting,
         (priority, late, not waiting.elapsed_s, ends_at),
-        min(limit_s, ends_at - now),
+        limit_s,
         ends_at,
     )
-
-
-def _preferred(candidates):
-    """Returns the candidates that neither are avoided nor fail most calls.
-
-    If there are none, returns all of them.
-    """
-    candidates = list(candidates)
-    usable = [candidate for candidate in candidates if not candidate.avoided]
-    sound = [
-        candidate for candidate in usable if candidate.failure_share < MAX_FAILURE_SHARE
-    ]
-    return sound or usable or candidates
-
-
-def _fitting(candidates, limit_s):
-    """Returns the candidates on which a call may be placed."""
-    return [
-        candidate
-        for candidate in candidates
-        if is_free(candidate) or _has_short_queue(candidate, limit_s)
-    ]
-
-
-def _has_short_queue(candidate, limit_s):
-    if candidate.full_s:
-        return False
-    if not candidate.service_s:
-        calls = UNMEASURED_CALLS_PER_SLOT * candidate.server.slots
-        return candidate.running < calls
-    if candidate.running >= MAX_CALLS_PER_SLOT * candidate.server.slots:
-        return False
-    if not candidate.own:
-        limit_s *= FIRST_CALL_FACTOR
-    return expected_s(candidate, candidate.service_s) <= limit_s
-
-
-def _estimate(candidates, limit_s, calls_before):
-    """Returns when a call in the line can be placed, and how long it takes then.
-
-    The instance's share of the running calls is taken as its share of the capacity.
-
-    Args:
-        candidates: `Candidate` of each server that may be used.
-        limit_s: Seconds that the call may spend at a server.
-        calls_before: Calls of this instance that wait before it.
-
-    Returns:
-        Expected seconds until it is placed, and those from then on until its answer.
-    """
-    calls_per_s = sum(
-        candidate.server.slots / service_s_of(candidate) for candidate in candidates
-    )
-    own = max(1, sum(candidate.own for candidate in candidates))
-    running = max(own, sum(candidate.running for candidate in candidates))
-    room_s, at_server_s = min(
-        (_estimate_at(candidate, limit_s) for candidate in candidates), key=sum
-    )
-    return room_s + calls_before * running / own / calls_per_s, at_server_s
-
-
-def _estimate_at(candidate, limit_s):
-    """Returns the seconds until a server has room, and those of a call from then on."""
-    total_s = expected_s(candidate, service_s_of(candidate))
-    at_server_s = min(total_s, max(limit_s, service_s_of(candidate)))
-    return max(candidate.full_s, total_s - at_server_s), at_server_s
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -12,15 +12,17 @@
 from dataclasses import dataclass, replace
 from statistics import median
 from types import SimpleNamespace
+from unittest import mock
 
 from amaranthbay.fleet.reports import ServerLoad
 from amaranthbay.relay.choice import Candidate, choose_cheapest, failure_factor
 from amaranthbay.relay.outcomes import ServerOutcomes
 from amaranthbay.relay.placed_load import MIN_PLAIN_CHANGE, PlacedLoad, PlainReporter
 from amaranthbay.routing import BackendServer
+from amaranthbay.scheduling import plain_line
+from amaranthbay.scheduling.first_deadlines import FirstDeadlines
 from amaranthbay.scheduling.plain import choose_plain, load_factor
 from amaranthbay.scheduling.plain_line import (
-    FirstDeadlines,
     PlainLine,
     WaitingCall,
     retry_s,
@@ -93,6 +95,10 @@
         self.events, self.order = [], itertools.count()
         self.results, self.refusals, self.waits = Counter(), 0, {}
         self.latencies, self.own_refusals = [], 0
+        # Time and name of the server of each call that a server begins.
+        self.starts = []
+        # Number of answered calls by number of the instance.
+        self.answered = Counter()
 
     def at(self, time_s, action, *args):
         heapq.heappush(self.events, (time_s, next(self.order), action, args))
@@ -141,10 +147,8 @@
             )
 
     def candidates(self, instance):
-        peers = sum(
-            (each.reported for each in self.instances if each is not instance),
-            Counter(),
-        )
+        others = [each for each in self.instances if each is not instance]
+        peers = sum((each.reported for each in others), Counter())
         outcomes = instance.outcomes
         return [
             Candidate(
@@ -152,9 +156,11 @@
                 True,
                 running=instance.own[name] + peers[name],
                 own=instance.own[name],
+                placers=1 + sum(each.reported[name] > 0 for each in others),
                 failure_share=outcomes.failure_share(name),
                 latency_s=outcomes.latency_s(name),
                 service_s=outcomes.service_s(name),
+                outdated=outcomes.is_outdated(name),
                 full_s=outcomes.full_s(name),
             )
             for server in self.servers
@@ -226,6 +232,7 @@
 
     def start(self, server, call, chosen, placed_at):
         server.running += 1
+        self.starts.append((self.now(), server.entry.name))
         slow = SLOW_FACTOR if self.now() < server.slow_until else 1.0
         service_s = self.load.service_s / server.speed * slow
         args = (server, call, chosen, placed_at)
@@ -244,6 +251,7 @@
         in_time = self.now() - call.first_at <= self.load.target_s
         self.results["in_time" if in_time else "late", call.priority] += 1
         self.latencies.append(self.now() - call.first_at)
+        self.answered[self.instances.index(call.instance)] += 1
         self.advance(call.instance)
 
     def refuse(self, call, after_s):
@@ -310,6 +318,17 @@
         case.assertGreater(served, 1 - baseline.share("refused") - 0.05)
 
 
+def test_instances_with_equal_load_serve_about_the_same_in_overload(case):
+    """Guards against instances that get no place, since those whose calls end know of
+    free places first, or since the first calls after the start were slow."""
+    for seed, load in itertools.product(
+        (1, 2, 3), (Load([600] * 4), Load([700] * 4, priorities=(0, 0, 0, 0, 0, 2)))
+    ):
+        player = Player(load, baseline=False, seed=seed).play()
+        answered = [player.answered[n] for n in range(load.instances)]
+        case.assertGreater(min(answered), 0.55 * max(answered), (seed, answered))
+
+
 def test_urgent_calls_come_first_and_none_starve(case):
     """Guards against priorities that change nothing in overload, and against a class
     that is served less than a quarter as often as all calls."""
@@ -335,6 +354,24 @@
     case.assertEqual([each.waiting for each in placed[:3]], [urgent, returned, new])
 
 
+def test_waiting_call_does_not_block_calls_with_a_longer_target(case):
+    """Guards against servers that take no call since the first in the line has a short
+    target, and against making that call late."""
+    for running, priority, placed in ((11, 0, 1), (11, 1, 0), (16, 0, 0)):
+        line, rng = PlainLine(), random.Random(1)
+        short = WaitingCall(0.0, 0.15)
+        for waiting in (short, WaitingCall(0.0, 2.5, priority)):
+            line.add(waiting)
+        busy = [make_candidate(running=running, own=running)]
+        for now in (0.0, 0.001):
+            outcomes = line.advance(now, busy, rng)
+            case.assertEqual(len(outcomes), placed, (running, priority))
+            case.assertNotIn(short, [each.waiting for each in outcomes])
+            placed = 0
+        free = [make_candidate(running=5, own=5)]
+        case.assertIs(line.advance(0.002, free, rng)[0].waiting, short)
+
+
 def test_noise_of_even_servers_costs_nothing(case):
     """Guards against instances that flee from a server in each slow spell."""
     load = Load(
@@ -344,6 +381,46 @@
     case.assertGreaterEqual(player.share("in_time"), baseline.share("in_time") - 0.005)
 
 
+def test_server_that_was_slow_is_used_again(case):
+    """Guards against a server that gets no calls for good after a slow second."""
+    for rate, speeds in ((60, (1.0, 1.0, 1.0)), (100, (1.0, 1.0))):
+        player = Player(Load([rate] * 8, speeds), baseline=False)
+        player.servers[0].slow_until = 1.5
+        player.play()
+        names = [name for time_s, name in player.starts if time_s >= 5.0]
+        case.assertGreater(names.count("s0"), len(names) / 5)
+        case.assertEqual(player.share("refused"), 0.0)
+
+
+def test_server_that_stays_slow_gets_few_calls(case):
+    """Guards against measuring a slow server with a large share of the calls."""
+    for rate in (50, 100, 200):
+        player = Player(Load([rate] * 8, speeds=(0.3, 1.0, 1.0)), baseline=False).play()
+        names = [name for time_s, name in player.starts if time_s >= 3.0]
+        case.assertLess(names.count("s0"), len(names) / 10)
+
+
+def test_pass_looks_at_few_of_many_waiting_calls(case):
+    """Guards against passes that cost more the more calls are waiting."""
+    line, rng = PlainLine(), random.Random(1)
+    for _ in range(200):
+        line.add(WaitingCall(0.0, 5.0))
+    busy = [make_candidate(running=60, own=60)]
+    with mock.patch.object(plain_line, "_terms", wraps=plain_line._terms) as terms:
+        line.advance(0.0, busy, rng)
+        case.assertEqual(terms.call_count, 200)
+        first = WaitingCall(0.001, 4.0)
+        line.add(first)
+        for number in range(20):
+            outcomes = line.advance(0.001 * number, busy, rng)
+            case.assertEqual(outcomes, [])
+        case.assertEqual(terms.call_count, 201)
+        free = [make_candidate(running=4, own=4)]
+        placed = line.advance(0.02, free, rng)
+    case.assertIs(placed[0].waiting, first)
+    case.assertEqual(len(line) + len(placed), 201)
+
+
 def test_instances_that_hear_nobody_still_serve(case):
     """Guards against a deployment that stops while reports are lost."""
     player = Player(Load([250] * 4, report_s=60.0), baseline=False).play()
