Prefer full plain servers to unreachable ones

Cause: a plain server that has just crashed never refuses a call as full, so it was the only one with room while the others were full, and got further attempts of calls. Change: avoided servers are left out first.

--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -115,6 +115,14 @@
     case.assertEqual([entry.server.name for entry in usable], ["crashed"])
 
 
+def test_plain_call_goes_to_a_full_server_before_a_crashed_one(case):
+    """Guards against calls that are sent to a server that was unreachable a moment ago,
+    as all others are full."""
+    crashed, full = candidate("crashed", avoided=True), candidate("full", full_s=0.1)
+    case.assertIs(choose_plain([crashed, full], 0.0), full)
+    case.assertIs(choose_plain([crashed], 0.0), crashed)
+
+
 def test_prompt_stays_in_its_zone_unless_that_delays_it(case):
     """Guards against prompts and KV cache that cross availability zones to save a few
     milliseconds, and against queues in one zone while servers in others are idle."""
--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -6,7 +6,7 @@
 
 from math import inf
 
-from amaranthbay.relay.choice import choose_cheapest, failure_factor
+from amaranthbay.relay.choice import choose_cheapest, failure_factor, reachable
 
 __all__ = [
     "choose_plain",
@@ -60,7 +60,8 @@
 def choose_plain(candidates, draw, measures=False):
     """Returns the candidate with the shortest expected time, or None.
 
-    Full candidates are eligible only if there are no others.
+    Avoided candidates, and then full ones, are eligible only if there are no others. A
+    server that has just crashed is never full.
 
     Args:
         candidates: `Candidate` of each server that may be used.
@@ -77,8 +78,9 @@
         outdated = [each for each in candidates if _needs_measuring(each, assumed_s)]
         if outdated:
             return choose_cheapest(outdated, cost, draw / REMEASURED_SHARE, inf)
-    with_room = [candidate for candidate in candidates if not candidate.full_s]
-    return choose_cheapest(with_room or candidates, cost, draw, TIE_SHARE)
+    usable = reachable(candidates)
+    with_room = [candidate for candidate in usable if not candidate.full_s]
+    return choose_cheapest(with_room or usable, cost, draw, TIE_SHARE)
 
 
 def _needs_measuring(candidate, fastest_s):
