Count the places that streams leave in their own size

With the size of the first stream of a pass, a small stream waited beside free servers because a larger one before it would have taken the last place.

--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -102,6 +102,23 @@
     case.assertLessEqual(len(chosen), 2)
 
 
+def test_small_stream_starts_beside_a_large_one_that_is_held_back(case):
+    """Guards against places counted in the size of another stream, so that a small one
+    waits although it leaves the reserved places free."""
+    fixture = QueueFixture()
+    for name, used in zip(fixture.names[2:], (4000, 20_000)):
+        fixture.placed_load.add(name, ServerLoad(1, used, 0))
+    # The large one would take the only place of its size.
+    large_call = make_call(1, 100.0, 18_000, target_s=3.0)
+    large = place_soon(case, fixture, large_call)
+    fixture.clock.advance(0.8)
+    small = place_soon(case, fixture, make_call(1, 100.8, 1000, target_s=3.0))
+    fixture.queue.advance(at_once=True)
+    gevent.sleep(0)
+    case.assertFalse(large.ready())
+    case.assertTrue(small.ready() and small.value.is_ok())
+
+
 def test_standby_instances_count_by_the_streams_that_they_measure(case):
     """Guards against places that are kept for instances that place few streams."""
     fixture = QueueFixture(peers_count=3)
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -178,9 +178,10 @@
     def places(self, waiting):
         """Returns how many such streams the decode servers could take, now and empty.
 
-        The size is that of the first stream with the same servers.
+        It depends on the size: where a large stream would take the last place, there
+        may be many for small ones.
         """
-        key = waiting.servers_key
+        key = waiting.servers_key, waiting.need_tokens
         if key not in self._places:
             candidates = self.usable_by(waiting, Stage.DECODE)
             used = [candidate.memory_tokens for candidate in candidates]
