Give back no more credit than a refused start has used up

A start takes at most the credit that its class has, but taking it back added a whole one. A class whose decode servers were full was thus owed starts, and its streams went before more urgent ones, without leaving room for these. The test of credits passes on what the start has used up, and is as strict as before.

--- a/amaranthbay/relay/opening.py
+++ b/amaranthbay/relay/opening.py
@@ -140,7 +140,7 @@
             if hold_result.is_ok():
                 return Ok((placement, hold_result.unwrap()))
             if self._attempts.version is None:
-                self._queue.note_not_started(self._call)
+                self._queue.note_not_started(self._call, placement)
                 counted = True
 
     def _access_refusal(self):
--- a/amaranthbay/relay/placements.py
+++ b/amaranthbay/relay/placements.py
@@ -30,6 +30,8 @@
         end_prefill: Function that removes the prompt from the load of the server that
             computes it.
         release: Function that removes the attempt from the loads of both servers.
+        used_credit: Credit of its priority that the start has used up; see
+            `ClassCredits`.
     """
 
     prefill: object
@@ -41,6 +43,7 @@
     counted: frozenset
     end_prefill: object
     release: object
+    used_credit: float = 0.0
 
 
 class Placements:
--- a/amaranthbay/relay/placing.py
+++ b/amaranthbay/relay/placing.py
@@ -139,10 +139,16 @@
             elif waiting.ready.successful() and not waiting.taken:
                 waiting.ready.get().map(lambda placement: placement.release())
 
-    def note_not_started(self, call):
-        """Records that the server of a new stream had no room after all."""
-        now = self._ctx.clock.monotonic()
-        self._credits.note_not_started(call.service.name, call.priority, now)
+    def note_not_started(self, call, placement):
+        """Records that the server of a new stream had no room after all.
+
+        Args:
+            call: `Call` of the stream.
+            placement: `Placement` that was given up.
+        """
+        now, name = self._ctx.clock.monotonic(), call.service.name
+        used = placement.used_credit
+        self._credits.note_not_started(name, call.priority, used, now)
 
     def _longest_wait_end(self, call, continued, now):
         """Returns the monotonic time at which the wait of a stream is given up."""
@@ -494,9 +500,11 @@
             need_tokens=need_tokens,
             waiting=len(self._waiting),
         )
-        if not waiting.continued:
-            self._credits.note_started(call.service.name, call.priority, now)
-        return self._placements.add(call, prefill, decode, need_tokens)
+        placement = self._placements.add(call, prefill, decode, need_tokens)
+        if waiting.continued:
+            return placement
+        used = self._credits.note_started(call.service.name, call.priority, now)
+        return replace(placement, used_credit=used)
 
     def _prefers_decode_server(self, call, prefill, decode, pressure):
         """Returns whether the decode server should compute the prompt of a call."""
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -119,6 +119,18 @@
     case.assertTrue(small.ready() and small.value.is_ok())
 
 
+def test_placement_that_is_given_up_earns_no_credit(case):
+    """Guards against a class that is owed starts because servers have refused it."""
+    fixture = QueueFixture()
+    call, placements = make_call(2, 100.0), []
+    for _ in range(3):
+        placements.append(place_soon(case, fixture, call).value.unwrap())
+    for placement in placements:
+        placement.release()
+        fixture.queue.note_not_started(call, placement)
+    case.assertEqual(fixture.queue._credits.owed("lm", call.priority), 0)
+
+
 def test_standby_instances_count_by_the_streams_that_they_measure(case):
     """Guards against places that are kept for instances that place few streams."""
     fixture = QueueFixture(peers_count=3)
--- a/amaranthbay/scheduling/priorities.py
+++ b/amaranthbay/scheduling/priorities.py
@@ -117,16 +117,30 @@
         self._credits[service, priority] = min(MAX_CREDIT, credit)
 
     def note_started(self, service, priority, now):
-        """Records that a new stream starts; the arguments are as for `note_arrived`."""
+        """Records that a new stream starts; the arguments are as for `note_arrived`.
+
+        Returns:
+            The credit that the start has used up.
+        """
         self._sum_of(self._started, service).add(1.0, now)
         credit = self._credits.get((service, priority), 0.0)
-        self._credits[service, priority] = max(0.0, credit - 1.0)
+        used = min(1.0, credit)
+        self._credits[service, priority] = credit - used
+        return used
 
-    def note_not_started(self, service, priority, now):
-        """Records that a stream waits again, as its server had no room after all."""
+    def note_not_started(self, service, priority, used, now):
+        """Records that a stream waits again, as its server had no room after all.
+
+        Args:
+            service: Name of the service.
+            priority: Priority of the stream.
+            used: Credit that its start has used up. More than that is not given back:
+                a class whose servers are full would go before more urgent ones.
+            now: Monotonic time.
+        """
         self._sum_of(self._started, service).add(-1.0, now)
         credit = self._credits.get((service, priority), 0.0)
-        self._credits[service, priority] = min(MAX_CREDIT, credit + 1.0)
+        self._credits[service, priority] = min(MAX_CREDIT, credit + used)
 
     def owed(self, service, priority):
         """Returns the number of whole starts that a priority is owed."""
--- a/amaranthbay/scheduling/tests/test_decisions.py
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -186,15 +186,25 @@
         credits.note_arrived("lm", 2, 0.0)
     owed = credits.owed("lm", 2)
     case.assertGreaterEqual(owed, 1)
-    credits.note_started("lm", 2, 0.0)
-    credits.note_not_started("lm", 2, 0.0)
+    used = credits.note_started("lm", 2, 0.0)
+    credits.note_not_started("lm", 2, used, 0.0)
     case.assertEqual(credits.owed("lm", 2), owed)
     for _ in range(3):
-        credits.note_not_started("lm", 2, 99.0)
+        credits.note_not_started("lm", 2, 1.0, 99.0)
         credits.note_arrived("lm", 2, 99.0)
     case.assertGreaterEqual(credits.owed("lm", 2), owed)
 
 
+def test_start_that_a_server_refuses_earns_no_credit(case):
+    """Guards against less urgent streams that go before urgent ones because their
+    servers were full, although their class was owed nothing."""
+    credits = ClassCredits()
+    for _ in range(5):
+        used = credits.note_started("lm", 2, 0.0)
+        credits.note_not_started("lm", 2, used, 0.0)
+    case.assertEqual(credits.owed("lm", 2), 0)
+
+
 def test_full_queue_drops_a_less_urgent_stream(case):
     """Guards against urgent streams that are refused while others wait, and against
     dropping streams of equal priority, with events or of returned callers."""
