Forget the longest deadline of a priority after a time without streams

A maximum from minutes ago counted for another 15 s after the first new stream, so that new streams of callers who now state less counted as returned.

--- a/amaranthbay/scheduling/arrivals.py
+++ b/amaranthbay/scheduling/arrivals.py
@@ -71,8 +71,10 @@
     def add(self, value, now):
         """Adds a value at a monotonic time."""
         if now - self._began_at > DEADLINE_LIFE_S:
-            self._previous, self._current = self._current, 0.0
-            self._began_at = now
+            # After a time without values, the latest ones are too old as well.
+            is_recent = now - self._began_at <= 2 * DEADLINE_LIFE_S
+            self._previous = self._current if is_recent else 0.0
+            self._current, self._began_at = 0.0, now
         self._current = max(self._current, value)
 
     def value(self):
--- a/amaranthbay/scheduling/tests/test_decisions.py
+++ b/amaranthbay/scheduling/tests/test_decisions.py
@@ -157,6 +157,9 @@
     case.assertEqual(returned, [False, False, False, True, False, False])
     later = [has_returned(5.0, now) for now in (14.0, 16.0, 32.0)]
     case.assertEqual(later, [True, True, False])
+    # The longest deadline was stated minutes ago.
+    arrivals.note(make_call(0, deadline_s=14.0), 40.0)
+    case.assertFalse(has_returned(5.0, 600.0))
 
 
 def test_class_that_never_starts_is_owed_its_share(case):
