Ignore the own usage among what another instance passes on

Usage goes to all who asked, so that two instances whose link is cut get their own back. Each counted itself as charging and answered its own charges.

--- a/amaranthbay/fleet/recipients.py
+++ b/amaranthbay/fleet/recipients.py
@@ -127,6 +127,9 @@
         paths = self._usage_paths
         paths.note(status.instance, status.usage, self._name_of)
         for relayed in status.usage.relayed:
+            # Usage goes to all who asked, also to its own sender.
+            if relayed.instance == self.own.instance:
+                continue
             if relayed.instance not in self._registered:
                 continue
             paths.note_helper(relayed.instance, relayed, self._name_of)
--- a/amaranthbay/fleet/tests/test_peers.py
+++ b/amaranthbay/fleet/tests/test_peers.py
@@ -23,7 +23,10 @@
     MeasuredDemand,
     PartBlock,
     PeerStatus,
+    RelayedUsage,
     ServerLoad,
+    Usage,
+    WorkspaceUsage,
     encode_datagram,
     split_report,
 )
@@ -66,6 +69,18 @@
     case.assertEqual(live_names(peers), ["entry-1"])
 
 
+def test_own_usage_that_comes_back_makes_no_instance_busy(case):
+    """Guards against reports to all instances, and answers to the own charges, as one
+    that passes on usage sends it to all who have asked, its own sender included."""
+    peers, _ = make_peers()
+    peers.serving = False
+    charged = (WorkspaceUsage("north", 1, 9, 2),)
+    relayed = (RelayedUsage("entry-1", 1, 0, 2, charged),)
+    peers.receive(msgspec.structs.replace(status(1), usage=Usage(relayed=relayed)))
+    case.assertFalse(peers.is_busy())
+    case.assertFalse(peers._report_requested.is_set())
+
+
 def test_silent_instance_still_counts_for_shared_limits(case):
     """Guards against a larger share of a server's limit for an instance that hears of
     no other one, and against leaving out one that the store has not named yet."""
