Ask for standby instances only while they charge

Two instances on standby whose link was cut were asked for as long as it was cut, as what was passed on made each count as busy at the other.

--- a/amaranthbay/fleet/peer_view.py
+++ b/amaranthbay/fleet/peer_view.py
@@ -55,7 +55,7 @@
         self._clock = clock
         self._has_work = has_work
         self._choose = choose
-        self._choice_cache = None
+        self._choice_cache = self._usual_cache = None
         self._received = {}
         self._load_sums = LoadSums()
         # Names of the peers whose last report is not in the sums yet.
@@ -151,6 +151,14 @@
             self._choice_cache = (self._choose, live, (chosen, names))
         return self._choice_cache[2]
 
+    def usually_chosen_names(self):
+        """Returns whom lookups would name if all registered instances were live."""
+        registered = tuple(self._registered.values())
+        if self._usual_cache is None or self._usual_cache[0] != registered:
+            chosen = frozenset(entry.instance for entry in self._choose(registered))
+            self._usual_cache = registered, chosen
+        return self._usual_cache[1]
+
     def received(self):
         """Returns the `MergedReport` of each peer by name, whatever its age."""
         return self._received
--- a/amaranthbay/fleet/recipients.py
+++ b/amaranthbay/fleet/recipients.py
@@ -122,7 +122,8 @@
     def _note_relayed(self, status, now):
         """Notes who asks for the usage of others, and whose usage is passed on.
 
-        The latter take part in quotas, although this instance doesn't hear them.
+        The latter take part in quotas, although this instance doesn't hear them, if
+        they charge or are usually chosen.
         """
         paths = self._usage_paths
         paths.note(status.instance, status.usage, self._name_of)
@@ -133,7 +134,8 @@
             if relayed.instance not in self._registered:
                 continue
             paths.note_helper(relayed.instance, relayed, self._name_of)
-            self._charging[relayed.instance] = now
+            if relayed.charged or relayed.instance in self.usually_chosen_names():
+                self._charging[relayed.instance] = now
             if relayed.charged:
                 self._waiting |= {status.instance, relayed.instance}
                 self.report_soon(only_answers=True)
--- a/amaranthbay/workspaces/shares.py
+++ b/amaranthbay/workspaces/shares.py
@@ -121,8 +121,12 @@
             for name, merged in received.items()
             if merged.received_at > fresh_from and _is_fresh(merged, now)
         }
+        self._busy = self._still_busy(heard, received, now)
+        # Others are asked to pass on the usage of busy peers. An instance on standby
+        # that has stopped charging would otherwise be asked for as long as it is cut.
+        using = self._peers.charging_names() | self._peers.usually_chosen_names()
+        self._busy |= relayed.keys() & using
         heard = relayed | heard
-        self._busy = self._still_busy(heard, received, now) | relayed.keys()
         # A link that loses all that this process sends would hold its charges up for
         # ever. Such a peer doesn't know of them, like one that is silent.
         limit_s = self._confirm_limit_s()
@@ -168,12 +172,7 @@
         return {
             name
             for name in heard
-            if name in busy
-            or (
-                name in self._busy
-                and name in received
-                and _is_late(received[name], now)
-            )
+            if name in busy or (name in self._busy and _is_late(received[name], now))
         }
 
     def processes(self):
--- a/amaranthbay/workspaces/tests/test_cut_links.py
+++ b/amaranthbay/workspaces/tests/test_cut_links.py
@@ -224,6 +224,21 @@
     case.assertTrue(any(usage.relayed for usage in usages))
 
 
+def test_instances_on_standby_are_asked_for_while_they_charge_only(case):
+    """Guards against requests and answers that go on for as long as a link is cut after
+    both of its instances have stopped charging and are on standby again."""
+    fleet = Fleet(24, seed=3)
+    fleet.run(3)
+    idle = [node for node in fleet.nodes.values() if not node.peers.is_chosen()][:2]
+    names = [node.name for node in idle]
+    fleet.cut_links(both_ways([tuple(names)]))
+    fleet.run(6, Demand(fleet, load=0.9, names=names))
+    case.assertTrue(any(node.quotas._relays.missing() for node in idle))
+    fleet.run(15)
+    case.assertFalse(any(node.quotas._relays.missing() for node in idle))
+    case.assertFalse(any(node.peers.is_busy() for node in idle))
+
+
 @settings(derandomize=True, deadline=None, max_examples=30)
 @given(
     counts=st.lists(st.integers(0, 9), max_size=MAX_PENDING),
