Count instances without a demand beside those that have measured one

After a restart, the first measured demand hid the other instances that place streams, so that memory was reserved too rarely until all had measured one.

--- a/amaranthbay/relay/placements.py
+++ b/amaranthbay/relay/placements.py
@@ -78,13 +78,15 @@
     def _placing_others(self, service):
         """Returns the number of other instances that place streams.
 
-        Those that have not measured a demand yet, as after a restart of all instances,
-        are known by their loads.
+        Those that have not measured any demand yet, as after a restart of all
+        instances, are known by their loads.
         """
-        measured = len(self._ctx.peers.demands(service.name))
-        if measured:
-            return measured
-        return sum(bool(status.loads) for status in self._ctx.peers.fresh_statuses())
+        statuses = self._ctx.peers.fresh_statuses()
+        placing = sum(
+            service.name in status.demands or bool(status.loads and not status.demands)
+            for status in statuses
+        )
+        return placing or sum(bool(status.loads) for status in statuses)
 
     def add(self, call, prefill, decode, need_tokens):
         """Counts the load of an attempt and returns its `Placement`.
--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -200,4 +200,18 @@
     case.assertEqual(shares, [False, True])
 
 
+def test_first_measured_demand_does_not_hide_other_instances(case):
+    """Guards against overcommitted servers as the first instances after a restart have
+    measured a demand, and the others only report loads."""
+    fixture = QueueFixture(4, peers_count=11)
+    fixture.report(ServerLoad(1, 100, 0))
+    demand = MeasuredDemand(2900, 30_000, 1.8, 60)
+    load = {name: ServerLoad(1, 100, 0) for name in fixture.names}
+    fixture.peers.receive(PeerStatus("entry-1", 5, 2, True, load, {"lm": demand}))
+    for _ in range(6):
+        call = make_call(0, fixture.clock.monotonic(), 2900)
+        placement = place_soon(case, fixture, call).value.unwrap()
+    case.assertTrue(placement.may_be_full)
+
+
 load_tests = collect(globals())
