Compare the streams of others with those of this instance too

The places kept for urgent streams were counted as if the busiest of the other instances were as busy as this one. A single busy instance among others on standby kept places for the arrivals of several.

--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -143,6 +143,20 @@
     case.assertEqual(cache.placing_instances("other"), 1)
 
 
+def test_busy_instance_counts_others_by_its_own_streams(case):
+    """Guards against places that a single busy instance keeps for others, each of which
+    it would take for as busy as itself, although all are on standby."""
+    fixture = QueueFixture(peers_count=2)
+    few = {"lm": MeasuredDemand(2900, 30_000, 1.8, 3)}
+    for number in (1, 2):
+        status = PeerStatus(f"entry-{number}", 5, 1, True, {}, demands=few)
+        fixture.peers.receive(status)
+    own = {"lm": MeasuredDemand(2900, 30_000, 1.8, 60)}
+    with mock.patch.object(fixture.ctx.demand, "own_demands", lambda: own):
+        instances = CandidateCache(fixture.ctx).placing_instances("lm")
+    case.assertAlmostEqual(instances, 1 + 2 * 3 / 60)
+
+
 def test_slow_passes_are_run_less_often(case):
     """Guards against passes over a long queue that use up a small machine's core."""
     fixture = QueueFixture()
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -159,7 +159,9 @@
         """
         if service not in self._instances:
             demands = self._ctx.peers.demands(service)
-            most = max((demand.streams for demand in demands), default=0) or 1
+            own = self._ctx.demand.own_demands().get(service)
+            known = demands if own is None else [own, *demands]
+            most = max((demand.streams for demand in known), default=0) or 1
             others = sum(demand.streams for demand in demands) / most
             self._instances[service] = 1 + others
         return self._instances[service]
