--- a/amaranthbay/workspaces/quotas.py
+++ b/amaranthbay/workspaces/quotas.py
@@ -280,7 +280,11 @@
         for relayed in usage.relayed:
             if relayed.process != self._process_number:
                 self._relays.note_relayed(relayed, now)
+                known = self._heard.get(relayed.process, 0)
                 self._merge_usage(relayed.process, relayed, now)
+                if self._heard.get(relayed.process, 0) > known:
+                    # A join raises the number without a charge, and is answered too.
+                    self._heard_at[relayed.process] = now
         if usage.joins:
             # The peers to wait for include the sender from now on.
             self._heard_at[process] = now
--- a/amaranthbay/workspaces/tests/test_cut_links.py
+++ b/amaranthbay/workspaces/tests/test_cut_links.py
@@ -224,6 +224,27 @@
     case.assertTrue(any(usage.relayed for usage in usages))
 
 
+def test_join_is_answered_through_others(case):
+    """Guards against an instance on standby that serves nothing until it takes a busy
+    one for silent, as the latter hears of its join from others but doesn't answer."""
+    fleet = Fleet(24, seed=3)
+    fleet.run(6)
+    chosen = [node.name for node in fleet.nodes.values() if node.peers.is_chosen()]
+    standby = next(name for name in fleet.nodes if name not in chosen)
+    demand = Demand(fleet, load=0.5, names=chosen)
+    fleet.run(3, demand)
+    fleet.cut_links(both_ways([(standby, chosen[0])]))
+    fleet.run(8, demand)
+    served = []
+
+    def act():
+        demand()
+        served.append(fleet.charge(standby).is_ok())
+
+    fleet.run(1.0, act)
+    case.assertTrue(any(served))
+
+
 def test_instances_on_standby_are_asked_for_while_they_charge_only(case):
     """Guards against requests and answers that go on for as long as a link is cut after
     both of its instances have stopped charging and are on standby again."""
