--- a/amaranthbay/relay/tests/test_placing.py
+++ b/amaranthbay/relay/tests/test_placing.py
@@ -102,6 +102,35 @@
     case.assertLessEqual(len(chosen), 2)
 
 
+def test_small_stream_starts_beside_a_large_one_that_is_held_back(case):
+    """Guards against places counted in the size of another stream, so that a small one
+    waits although it leaves the reserved places free."""
+    fixture = QueueFixture()
+    for name, used in zip(fixture.names[2:], (4000, 20_000)):
+        fixture.placed_load.add(name, ServerLoad(1, used, 0))
+    # The large one would take the only place of its size.
+    large_call = make_call(1, 100.0, 18_000, target_s=3.0)
+    large = place_soon(case, fixture, large_call)
+    fixture.clock.advance(0.8)
+    small = place_soon(case, fixture, make_call(1, 100.8, 1000, target_s=3.0))
+    fixture.queue.advance(at_once=True)
+    gevent.sleep(0)
+    case.assertFalse(large.ready())
+    case.assertTrue(small.ready() and small.value.is_ok())
+
+
+def test_placement_that_is_given_up_earns_no_credit(case):
+    """Guards against a class that is owed starts because servers have refused it."""
+    fixture = QueueFixture()
+    call, placements = make_call(2, 100.0), []
+    for _ in range(3):
+        placements.append(place_soon(case, fixture, call).value.unwrap())
+    for placement in placements:
+        placement.release()
+        fixture.queue.note_not_started(call, placement)
+    case.assertEqual(fixture.queue._credits.owed("lm", call.priority), 0)
+
+
 def test_standby_instances_count_by_the_streams_that_they_measure(case):
     """Guards against places that are kept for instances that place few streams."""
     fixture = QueueFixture(peers_count=3)
@@ -114,6 +143,20 @@
     case.assertEqual(cache.placing_instances("other"), 1)
 
 
+def test_busy_instance_counts_others_by_its_own_streams(case):
+    """Guards against places that a single busy instance keeps for others, each of which
+    it would take for as busy as itself, although all are on standby."""
+    fixture = QueueFixture(peers_count=2)
+    few = {"lm": MeasuredDemand(2900, 30_000, 1.8, 3)}
+    for number in (1, 2):
+        status = PeerStatus(f"entry-{number}", 5, 1, True, {}, demands=few)
+        fixture.peers.receive(status)
+    own = {"lm": MeasuredDemand(2900, 30_000, 1.8, 60)}
+    with mock.patch.object(fixture.ctx.demand, "own_demands", lambda: own):
+        instances = CandidateCache(fixture.ctx).placing_instances("lm")
+    case.assertAlmostEqual(instances, 1 + 2 * 3 / 60)
+
+
 def test_slow_passes_are_run_less_often(case):
     """Guards against passes over a long queue that use up a small machine's core."""
     fixture = QueueFixture()
@@ -171,4 +214,18 @@
     case.assertEqual(shares, [False, True])
 
 
+def test_first_measured_demand_does_not_hide_other_instances(case):
+    """Guards against overcommitted servers as the first instances after a restart have
+    measured a demand, and the others only report loads."""
+    fixture = QueueFixture(4, peers_count=11)
+    fixture.report(ServerLoad(1, 100, 0))
+    demand = MeasuredDemand(2900, 30_000, 1.8, 60)
+    load = {name: ServerLoad(1, 100, 0) for name in fixture.names}
+    fixture.peers.receive(PeerStatus("entry-1", 5, 2, True, load, {"lm": demand}))
+    for _ in range(6):
+        call = make_call(0, fixture.clock.monotonic(), 2900)
+        placement = place_soon(case, fixture, call).value.unwrap()
+    case.assertTrue(placement.may_be_full)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/waiting.py
+++ b/amaranthbay/relay/waiting.py
@@ -159,7 +159,9 @@
         """
         if service not in self._instances:
             demands = self._ctx.peers.demands(service)
-            most = max((demand.streams for demand in demands), default=0) or 1
+            own = self._ctx.demand.own_demands().get(service)
+            known = demands if own is None else [own, *demands]
+            most = max((demand.streams for demand in known), default=0) or 1
             others = sum(demand.streams for demand in demands) / most
             self._instances[service] = 1 + others
         return self._instances[service]
@@ -178,9 +180,10 @@
     def places(self, waiting):
         """Returns how many such streams the decode servers could take, now and empty.
 
-        The size is that of the first stream with the same servers.
+        It depends on the size: where a large stream would take the last place, there
+        may be many for small ones.
         """
-        key = waiting.servers_key
+        key = waiting.servers_key, waiting.need_tokens
         if key not in self._places:
             candidates = self.usable_by(waiting, Stage.DECODE)
             used = [candidate.memory_tokens for candidate in candidates]
