Send no hedge of a plain call at its deadline

A route that must not repeat has no time for a hedge, so its call waits for its deadline. If the timer ended before the clock showed the deadline, the call was sent to a second server and could run twice.

--- a/amaranthbay/relay/plain.py
+++ b/amaranthbay/relay/plain.py
@@ -111,7 +111,12 @@
             try:
                 outcome = self._attempt_outcomes.get(timeout=self._wait_s(hedge_at))
             except Empty:
-                if self._ctx.clock.monotonic() >= self._call.ends_at:
+                # Without a hedge the deadline was awaited, even if a timer that ends
+                # early shows an earlier time. A hedge here could run a call twice.
+                if (
+                    hedge_at is None
+                    or self._ctx.clock.monotonic() >= self._call.ends_at
+                ):
                     refusal = timed_out(self._verdict_so_far(pending))
                     return self._server_error or Err(refusal)
                 hedge_at = None
