--- a/amaranthbay/scheduling/plain.py
+++ b/amaranthbay/scheduling/plain.py
@@ -74,20 +74,33 @@
     def cost(candidate):
         return _cost_s(candidate, candidate.service_s or assumed_s)
 
+    usable = reachable(candidates)
+    eligible = [candidate for candidate in usable if not candidate.full_s] or usable
     if measures and draw < REMEASURED_SHARE:
-        outdated = [each for each in candidates if _needs_measuring(each, assumed_s)]
+        lowest_s = min(map(cost, eligible), default=0.0)
+        outdated = [
+            each for each in candidates if _needs_measuring(each, assumed_s, lowest_s)
+        ]
         if outdated:
             return choose_cheapest(outdated, cost, draw / REMEASURED_SHARE, inf)
-    usable = reachable(candidates)
-    with_room = [candidate for candidate in usable if not candidate.full_s]
-    return choose_cheapest(with_room or usable, cost, draw, TIE_SHARE)
+    return choose_cheapest(eligible, cost, draw, TIE_SHARE)
+
 
+def _needs_measuring(candidate, fastest_s, lowest_cost_s):
+    """Returns whether the instance left a server out since it measured it as slow.
 
-def _needs_measuring(candidate, fastest_s):
-    """Returns whether the instance left a server out since it measured it as slow."""
+    Args:
+        candidate: `Candidate` of the server.
+        fastest_s: Seconds of one call at the fastest server.
+        lowest_cost_s: Lowest cost of a server.
+    """
     is_slower = candidate.service_s > fastest_s * (1 + TIE_SHARE)
     idle = not (candidate.own or candidate.avoided or candidate.full_s)
-    return candidate.outdated and is_slower and idle
+    if not (candidate.outdated and is_slower and idle):
+        return False
+    # A server in another zone stays more expensive, even if it has become the fastest.
+    zone_s = 0.0 if candidate.same_zone else ZONE_PENALTY_S
+    return fastest_s + zone_s <= lowest_cost_s * (1 + TIE_SHARE)
 
 
 def _cost_s(candidate, service_s):
--- a/amaranthbay/scheduling/tests/test_plain.py
+++ b/amaranthbay/scheduling/tests/test_plain.py
@@ -400,6 +400,19 @@
         case.assertLess(names.count("s0"), len(names) / 10)
 
 
+def test_server_of_another_zone_is_measured_only_if_it_could_be_chosen(case):
+    """Guards against calls that cross zones at low load, in order to measure a server
+    that costs more than the others at any speed."""
+    for service_s, running, measured in ((0.022, 0, False), (0.022, 6, True)):
+        near = make_candidate(service_s=service_s, running=running)
+        far = make_candidate("b", same_zone=False, service_s=0.03, outdated=True)
+        chosen = choose_plain([near, far], 0.05, measures=True)
+        case.assertIs(chosen, far if measured else near, (service_s, running))
+    near = make_candidate(service_s=0.15)
+    far = make_candidate("b", same_zone=False, service_s=0.3, outdated=True)
+    case.assertIs(choose_plain([near, far], 0.05, measures=True), far)
+
+
 def test_pass_looks_at_few_of_many_waiting_calls(case):
     """Guards against passes that cost more the more calls are waiting."""
     line, rng = PlainLine(), random.Random(1)
@@ -429,7 +442,7 @@
 
 def make_candidate(name="a", **fields):
     server = BackendServer(name, "desk", "127.0.0.1:1", "z", slots=6)
-    return Candidate(server, True, **{"service_s": 0.045} | fields)
+    return Candidate(server, **{"same_zone": True, "service_s": 0.045} | fields)
 
 
 def test_full_server_gets_no_call_while_another_has_room(case):
