--- a/amaranthbay/relay/outcomes.py
+++ b/amaranthbay/relay/outcomes.py
@@ -40,6 +40,9 @@
 # Longest time for which a plain server that refuses although it should have a free slot
 # gets no calls. The time begins at that for a full server, and doubles.
 QUEUE_FULL_MAX_S = 1.2
+# Records that are kept, far more than a deployment has servers. Servers that are
+# replaced under new names would otherwise leave records until the process ends.
+MAX_RECORDS = 1000
 
 
 @dataclass
@@ -76,10 +79,16 @@
 
     def __init__(self, clock):
         self._clock = clock
+        # In the order of the last change.
         self._records = {}
 
     def _record(self, server):
-        return self._records.setdefault(server, ServerRecord())
+        """Returns the record of a server, which is about to be changed."""
+        record = self._records.pop(server, None) or ServerRecord()
+        self._records[server] = record
+        if len(self._records) > MAX_RECORDS:
+            del self._records[next(iter(self._records))]
+        return record
 
     def note_answered(self, server, seconds):
         """Records a successful answer after some seconds."""
--- a/amaranthbay/relay/tests/test_decisions.py
+++ b/amaranthbay/relay/tests/test_decisions.py
@@ -391,6 +391,19 @@
     case.assertFalse(outcomes.is_avoided("a"))
 
 
+def test_records_of_replaced_servers_do_not_grow_without_bound(case):
+    """Guards against a record for each name that a server ever had, and against
+    dropping that of a server in use."""
+    outcomes = ServerOutcomes(ManualClock())
+    for number in range(2000):
+        outcomes.note_call("in-use", 0.045, 1.0)
+        outcomes.note_call(f"server-{number}", 0.02, 1.0)
+    case.assertEqual(outcomes.service_s("in-use"), 0.045)
+    kept = [n for n in range(2000) if outcomes.service_s(f"server-{n}")]
+    case.assertLessEqual(len(kept), 1000)
+    case.assertEqual(kept[-1], 1999)
+
+
 def test_refusing_server_is_left_out_for_longer_each_time(case):
     """Guards against a switching server that refuses a stream every few hundred
     milliseconds, and against avoiding one that runs streams again."""
