--- a/amaranthbay/relay/tests/test_plain_calls.py
+++ b/amaranthbay/relay/tests/test_plain_calls.py
@@ -1,4 +1,4 @@
-"""Plain calls at this instance: deadlines of attempts, and waiting for a server."""
+"""Attempts of plain calls and their deadlines, without a network."""
 
 from types import SimpleNamespace
 from unittest import mock
@@ -15,12 +15,16 @@
     route = SimpleNamespace(repeatable=False, max_attempts=2, target_s=0.1)
     call = SimpleNamespace(route=route, ends_at=clock.monotonic() + 0.01)
     run = _PlainRun(SimpleNamespace(clock=clock), None, call)
-    # The clock stands still, so the timer ends before the deadline. A repeat would move
-    # it there.
-    advance = mock.Mock(side_effect=lambda cause: clock.advance(1.0) or 0)
-    with mock.patch.object(run, "_repeat", advance):
+
+    def repeat(cause):
+        clock.advance(1.0)
+        return 0
+
+    # The clock stands still, so the timer ends before it shows the deadline. A repeat
+    # advances it, so that the run ends.
+    with mock.patch.object(run, "_repeat", side_effect=repeat) as repeat_mock:
         refusal = run._await_answer().unwrap_err()
-    advance.assert_not_called()
+    repeat_mock.assert_not_called()
     case.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
 
 
