--- a/amaranthbay/workspaces/relays.py
+++ b/amaranthbay/workspaces/relays.py
@@ -32,7 +32,7 @@
 # A process is asked for until this long after it was waited for or known to charge.
 WANTED_S = 10.0
 # A process that charged while nobody passed it on counts as charging for this long.
-TOLD_S = 1.5
+INDIRECT_TTL_S = 1.5
 # Silence after which charges that others have heard are no late reports.
 UNHEARD_S = 1.0
 # Most processes that are asked for; their requests fit into a datagram.
@@ -44,20 +44,20 @@
 
 
 @dataclass
-class _Told:
+class _IndirectCharges:
     """What third instances have heard of a process.
 
     Attributes:
         first_at: Monotonic time at which one named the process for the first time.
         mark: Number of its last charge that any of them has heard of.
         grown_at: Time at which this number grew for the last time.
-        tellers: Time at which each third process named it for the last time.
+        reporters: Time at which each third process named it for the last time.
     """
 
     first_at: float
     mark: int = 0
     grown_at: float = -inf
-    tellers: dict = field(default_factory=dict)
+    reporters: dict = field(default_factory=dict)
 
 
 class Relays:
@@ -72,7 +72,7 @@
         self._process_number = process_number
         # Time of the last report of each process, and its interval.
         self._direct = {}
-        self._told = {}
+        self._indirect = {}
         # Time until which each process is asked for while it is late.
         self._wanted = {}
         # Process that was asked for each one that is late, and the time.
@@ -103,10 +103,10 @@
                 that this process has heard of.
         """
         return any(
-            told.mark > heard_mark(process)
-            and now - told.grown_at <= TOLD_S
-            and told.grown_at - self._last_heard(process) > UNHEARD_S
-            for process, told in self._told.items()
+            charges.mark > heard_mark(process)
+            and now - charges.grown_at <= INDIRECT_TTL_S
+            and charges.grown_at - self._last_heard(process) > UNHEARD_S
+            for process, charges in self._indirect.items()
         )
 
     def look(self, now, confirming, resumed_at):
@@ -158,7 +158,7 @@
             Whether usage has to be passed on soon.
         """
         self._direct[status.process] = (now, status.interval_s)
-        self._note_told(status.usage.heard, status.process, now)
+        self._note_indirect(status.usage.heard, status.process, now)
         for process, helper in status.usage.missing.items():
             if helper == self._process_number:
                 self._requests.setdefault(process, {})[status.process] = now
@@ -167,7 +167,7 @@
     def note_relayed(self, relayed, now):
         """Notes a `RelayedUsage` for this process."""
         self._relayed[relayed.process] = (relayed.instance, now)
-        self._note_told(relayed.heard, relayed.process, now)
+        self._note_indirect(relayed.heard, relayed.process, now)
 
     def take_pending(self):
         """Returns the `RelayedUsage` to report now."""
@@ -190,23 +190,23 @@
         for process, (_, relayed_at) in tuple(self._relayed.items()):
             if now - relayed_at > WANTED_S:
                 del self._relayed[process]
-        for process, told in tuple(self._told.items()):
-            if now - max(told.tellers.values()) > WANTED_S:
-                del self._told[process]
+        for process, charges in tuple(self._indirect.items()):
+            if now - max(charges.reporters.values()) > WANTED_S:
+                del self._indirect[process]
         for process, askers in tuple(self._requests.items()):
             if now - max(askers.values()) > REQUEST_TTL_S:
                 del self._requests[process]
 
-    def _note_told(self, heard, teller, now):
+    def _note_indirect(self, heard, reporter, now):
         for process, mark in heard.items():
             if process == self._process_number:
                 continue
-            told = self._told.get(process)
-            if told is None:
-                told = self._told[process] = _Told(now)
-            told.tellers[teller] = now
-            if mark > told.mark:
-                told.mark, told.grown_at = mark, now
+            charges = self._indirect.get(process)
+            if charges is None:
+                charges = self._indirect[process] = _IndirectCharges(now)
+            charges.reporters[reporter] = now
+            if mark > charges.mark:
+                charges.mark, charges.grown_at = mark, now
                 self._wanted[process] = now + WANTED_S
 
     def _pass_on(self, status, now):
@@ -232,8 +232,8 @@
 
     def _last_direct(self, process):
         """Returns the time of the last report of a process, or from which to count."""
-        told = self._told.get(process)
-        default_s = told.first_at if told else -inf
+        charges = self._indirect.get(process)
+        default_s = charges.first_at if charges else -inf
         heard_at = self._direct.get(process, (default_s, USUAL_INTERVAL_S))[0]
         return max(heard_at, self._resumed_at)
 
@@ -253,10 +253,14 @@
         Those that have named it lately are asked first, one after the other.
         """
         heard = [other for other in sorted(confirming) if not self._is_late(other, now)]
-        told = self._told.get(process)
-        tellers = told.tellers if told else {}
-        telling = [other for other in heard if now - tellers.get(other, -inf) <= TOLD_S]
-        candidates = telling or heard
+        charges = self._indirect.get(process)
+        reporters = charges.reporters if charges else {}
+        recent = [
+            other
+            for other in heard
+            if now - reporters.get(other, -inf) <= INDIRECT_TTL_S
+        ]
+        candidates = recent or heard
         if not candidates:
             return None
         helper, asked_at = self._asked.get(process, (None, -inf))
