Measure what the kernel holds for untrusted clients, and who waits for them

What a machine holds for a client is more than the resident memory of the process: bytes that the process has not read and bytes that the client has not taken count as well (DEPLOY.md). The tests of untrusted clients now add the kernel's queues of the process's sockets, those of connections included that are not accepted yet or closed already. The crowd moves to a module of its own, so that two further modules can use it: one with clients for which the kernel holds much, one with clients whose legal bytes keep the process busy. All three run alone, at the end of the run.

The crowd and the bounds are fixed before the product changes.

--- a/amaranthbay/platform/tests/fixtures.py
+++ b/amaranthbay/platform/tests/fixtures.py
@@ -47,6 +47,8 @@
 MEMORY_MB = 150
 # Limit of file descriptors that the settings assume if they name none.
 MAX_FDS = 1024
+# State of a listening socket, whose queues count connections.
+TCP_LISTEN = "0A"
 
 
 BOOT_FILE = """
@@ -373,6 +375,34 @@
         """Returns the number of its open file descriptors."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
+    def queued_mb(self):
+        """Returns what the kernel holds for its sockets, in MiB.
+
+        It consists of bytes that it hasn't read, and of bytes that its peers haven't
+        taken. Connections count that it hasn't accepted, or has closed already.
+        """
+        inodes = self._socket_inodes()
+        addresses = (self.address, self.ready_address, self.lookup_address)
+        ports = {int(address.rpartition(":")[2]) for address in addresses}
+        queued_bytes = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, _, state, queues, _, _, _, _, inode, *_ = line.split()
+            is_own = inode in inodes or (
+                inode == "0" and int(local.rpartition(":")[2], 16) in ports
+            )
+            if is_own and state != TCP_LISTEN:
+                queued_bytes += sum(int(each, 16) for each in queues.split(":"))
+        return queued_bytes / 2**20
+
+    def _socket_inodes(self):
+        folder, inodes = Path(f"/proc/{self.process.pid}/fd"), set()
+        for path in folder.iterdir():
+            with contextlib.suppress(OSError):
+                name = os.readlink(path)
+                if name.startswith("socket:["):
+                    inodes.add(name[8:-1])
+        return inodes
+
     def events(self, name):
         """Returns the decoded lines of its log with an event."""
         return [line for line in self.log_lines() if line.get("event") == name]
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -33,7 +33,11 @@
 PARALLEL_MODULES = max(1, min(3, (os.cpu_count() or 1) // 2))
 # Modules that run by themselves: their many clients would slow down the tests beside
 # them, which would slow down the clients.
-ALONE = ("amaranthbay.platform.tests.test_entry_untrusted_clients",)
+ALONE = (
+    "amaranthbay.platform.tests.test_entry_untrusted_clients",
+    "amaranthbay.platform.tests.test_entry_untrusted_queues",
+    "amaranthbay.platform.tests.test_entry_untrusted_turns",
+)
 # A module that takes longer is considered hung; the slowest takes a minute on a busy
 # machine.
 MODULE_TIMEOUT_S = 400
