Play pipelining clients on more connections than there are places

A connection whose next request is always there is never idle, so that nobody takes its place, and each one uses up its turns.

--- a/amaranthbay/platform/tests/test_entry_untrusted_turns.py
+++ b/amaranthbay/platform/tests/test_entry_untrusted_turns.py
@@ -17,8 +17,12 @@
 
 CHATTY_LOOKUPS = 16
 COSTLY_LOOKUPS = 48
+# More than there are places for lookups.
+MANY_LOOKUPS = 100
 CHUNK_SENDERS = 200
 UNROUTED_CALLERS = 200
+# More than there are places for callers.
+MANY_CALLERS = 900
 # Fit into the head of a lookup.
 LOOKUP_HEADERS = 90
 FOLDED_LINES = 3500
@@ -46,6 +50,12 @@
     check_served_beside_lookups(case, CHATTY_LOOKUPS, request(LOOKUP_PATH) * 1000)
 
 
+def test_pipelined_lookups_on_more_connections_than_places(case):
+    """Guards against places for lookups that nobody loses whose next request is always
+    there."""
+    check_served_beside_lookups(case, MANY_LOOKUPS, request(LOOKUP_PATH) * 1000)
+
+
 def test_lookups_with_many_headers(case):
     """Guards against heads for lookups that take long to parse."""
     headers = [("a", "")] * LOOKUP_HEADERS
@@ -72,13 +82,22 @@
         check_everything(crowd)
 
 
-def test_pipelined_requests_without_a_route(case):
-    """Guards against requests that are refused without a wait, one after another."""
+def check_served_beside_refused(case, count):
+    """Checks a process that gets endless requests which it refuses at once."""
     with crowded_process(case) as crowd:
-        run = Crowd.exchange_endlessly
         block = request("/none/x") * 1000
-        crowd.add(UNROUTED_CALLERS, run, block, window_bytes=None)
+        crowd.add(count, Crowd.exchange_endlessly, block, window_bytes=None)
         check_everything(crowd)
 
 
+def test_pipelined_requests_without_a_route(case):
+    """Guards against requests that are refused without a wait, one after another."""
+    check_served_beside_refused(case, UNROUTED_CALLERS)
+
+
+def test_pipelined_requests_on_more_connections_than_places(case):
+    """Guards against places that nobody loses whose next request is always there."""
+    check_served_beside_refused(case, MANY_CALLERS)
+
+
 load_tests = collect(globals())
