Give others their turn between requests for lookups and readiness

Callers saw: while 16 connections sent lookups without a pause, and as many asked for readiness, no ordinary request was answered within 10 s, at any address. The same with 48 connections and heads of 90 headers.

Cause: the server of lookups reads its next request from a buffer or from a socket that always has bytes, and writes to one that has room. Neither waits, so that its greenlet never returned to the event loop.

Change: a connection gives way before a request if it has run for 5 ms. Those that do so wait in a queue, from which one goes on in each turn of the event loop; if they all went on at once, everybody else would wait for all of them at each step of a request.

--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -8,6 +8,8 @@
 
 from weakref import WeakSet
 
+from gevent.lock import Semaphore
+
 from amaranthbay.ingress.capacity import memory_for_callers, resident_bytes
 from amaranthbay.ingress.shortage import Holder, choose_for_memory
 from amaranthbay.kernel.clock import SystemClock
@@ -15,11 +17,13 @@
 
 __all__ = [
     "READ_BYTES",
+    "WAITED_S",
     "BoundedReader",
     "HeldMessage",
     "ReadLimitExceeded",
     "ReadMemory",
     "Turn",
+    "TurnQueue",
 ]
 
 READ_BYTES = 65536
@@ -256,6 +260,22 @@
         self.release()
 
 
+class TurnQueue:
+    """Lets greenlets that have used up their turn go on one after the other.
+
+    If they all went on at once, others would wait for as many turns as there are busy
+    greenlets, each time they wait for anything.
+    """
+
+    def __init__(self):
+        self._lock = Semaphore()
+
+    def wait(self, clock):
+        """Waits until those that came before have gone on, and lets others run."""
+        with self._lock:
+            clock.sleep(YIELD_S)
+
+
 class Turn:
     """Interrupts the work of one greenlet, so that others get their turn.
 
@@ -263,15 +283,27 @@
         read_at: Monotonic time at which the latest read ended.
     """
 
-    def __init__(self, clock=None):
+    def __init__(self, clock=None, queue=None):
+        """Begins a turn.
+
+        Args:
+            clock: `Clock`; the system's clock if None.
+            queue: `TurnQueue` of the greenlets among which this one waits for its next
+                turn; None if it doesn't wait for others.
+        """
         self._clock = clock or SystemClock()
+        self._queue = queue
         self._began_at = self.read_at = self._clock.monotonic()
 
     def give_way(self):
         """Lets others run if this greenlet has run for `TURN_S`."""
-        if self._clock.monotonic() - self._began_at >= TURN_S:
+        if self._clock.monotonic() - self._began_at < TURN_S:
+            return
+        if self._queue is not None:
+            self._queue.wait(self._clock)
+        else:
             self._clock.sleep(YIELD_S)
-            self._began_at = self._clock.monotonic()
+        self._began_at = self._clock.monotonic()
 
     def wait(self, read, *args):
         """Returns the result of a read, which may wait and so let others run."""
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -10,6 +10,7 @@
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
+from amaranthbay.utils.reading import Turn, TurnQueue
 from amaranthbay.utils.sockets import has_input
 
 __all__ = ["CONNECTION_KEY", "INPUT_KEY", "LINGER_KEY", "Server"]
@@ -96,6 +97,15 @@
     # `_PlacedConnection` of the connection, if their number is limited.
     place = None
 
+    def __init__(self, sock, address, server, rfile=None):
+        super().__init__(sock, address, server, rfile)
+        self._turn = Turn(queue=server.turns)
+
+    def read_requestline(self):
+        """Returns the next request line; requests that have arrived take turns."""
+        self._turn.give_way()
+        return self._turn.wait(super().read_requestline)
+
     def MessageClass(self, rfile, *args):
         """Returns the parsed headers; gevent prescribes the method's name."""
         lines = _LimitedLines(rfile, self.server.header_bytes)
@@ -208,9 +218,11 @@
         places: `PlaceAccount` of the connections; None if their number has no limit.
         drops: `DropLog` of the connections that lost their place.
         clock: `Clock` of the account.
+        turns: `TurnQueue` of connections whose next request is always there.
     """
 
     places = None
+    clock = SystemClock()
     draining = False
     reads_bodies = True
     read_timeout_s = None
@@ -219,7 +231,7 @@
 
     def limit_places(self, total):
         """Limits the number of connections; the slowest one yields to a new one."""
-        self.clock, self.drops = SystemClock(), DropLog()
+        self.drops = DropLog()
         self.places = PlaceAccount(total, self.clock)
         self.max_accept = MAX_ACCEPTS
 
@@ -295,6 +307,7 @@
             spawn=pool or "default",
         )
         self._server.responding = set()
+        self._server.turns = TurnQueue()
         self._server.reads_bodies = reads_bodies
         self._server.read_timeout_s = read_timeout_s
         if places:
--- a/amaranthbay/utils/tests/test_reading.py
+++ b/amaranthbay/utils/tests/test_reading.py
@@ -3,11 +3,13 @@
 import gevent
 from gevent import socket
 
+from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.utils.reading import (
     TURN_S,
     BoundedReader,
     ReadLimitExceeded,
     ReadMemory,
+    TurnQueue,
 )
 from amaranthbay.utils.testing import ManualClock, collect
 
@@ -118,4 +120,24 @@
     case.assertTrue(turns)
 
 
+def test_busy_greenlets_go_on_one_after_the_other(case):
+    """Guards against many busy greenlets that all run between two looks at the
+    sockets."""
+    queue, clock, looks, gone_on_at = TurnQueue(), SystemClock(), [0], []
+
+    def look():
+        while True:
+            looks[0] += 1
+            clock.sleep(1e-5)
+
+    def work():
+        queue.wait(clock)
+        gone_on_at.append(looks[0])
+
+    looker = gevent.spawn(look)
+    gevent.joinall([gevent.spawn(work) for _ in range(5)])
+    looker.kill()
+    case.assertEqual(len(set(gone_on_at)), 5)
+
+
 load_tests = collect(globals())
