Take the place of a connection that sends lookups without a pause

Callers saw: beside 100 connections that send lookups one after another, no ordinary lookup was answered, only refused with 503, for as long as they did.

Cause: a connection with an unread request is spared when a place is needed, since its caller would lose that request. One whose next request is always there has unread bytes at each choice, so that it keeps its place for ever.

Change: a connection is spared for an unread request only if it has waited for one of its last 16.

--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -10,7 +10,7 @@
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
-from amaranthbay.utils.reading import Turn, TurnQueue
+from amaranthbay.utils.reading import WAITED_S, Turn, TurnQueue
 from amaranthbay.utils.sockets import has_input
 
 __all__ = ["CONNECTION_KEY", "INPUT_KEY", "LINGER_KEY", "Server"]
@@ -28,6 +28,9 @@
 LINGER_BYTES = 2**20
 # Connections that are accepted in one turn, if the number of connections is limited.
 MAX_ACCEPTS = 16
+# Requests in succession from which a connection may lose its place although the next
+# one has arrived. Callers send one request at a time.
+MAX_SUCCESSIVE = 16
 
 
 class _HeaderTooLarge(ValueError):
@@ -67,18 +70,28 @@
         self._sock = sock
         self._server = server
         self._began_at = server.clock.monotonic()
+        # Requests that have followed each other without a wait for the next one.
+        self._successive = 0
 
     def wait_s(self, now):
         return None if self.responding else now - self._began_at
 
     def has_input(self):
-        return has_input(self._sock)
+        """Returns whether a request has arrived, unless there is always another one.
+
+        A connection with many requests in succession would never lose its place.
+        """
+        return self._successive < MAX_SUCCESSIVE and has_input(self._sock)
 
     def note_response(self, in_progress):
         """Records the beginning or the end of a response."""
         self.responding = in_progress
         self._began_at = self._server.clock.monotonic()
 
+    def note_request(self, waited_s):
+        """Records the arrival of a request, and for how long it was waited for."""
+        self._successive = 0 if waited_s > WAITED_S else self._successive + 1
+
     def drop(self):
         """Ends the connection; its greenlet reads the end of the input."""
         self._server.drops.note("places_full")
@@ -104,7 +117,12 @@
     def read_requestline(self):
         """Returns the next request line; requests that have arrived take turns."""
         self._turn.give_way()
-        return self._turn.wait(super().read_requestline)
+        clock = self.server.clock
+        started_at = clock.monotonic()
+        line = self._turn.wait(super().read_requestline)
+        if self.place is not None:
+            self.place.note_request(clock.monotonic() - started_at)
+        return line
 
     def MessageClass(self, rfile, *args):
         """Returns the parsed headers; gevent prescribes the method's name."""
--- a/amaranthbay/utils/tests/test_serving.py
+++ b/amaranthbay/utils/tests/test_serving.py
@@ -6,7 +6,8 @@
 from gevent import socket
 
 from amaranthbay.platform.tests.fixtures import read_answer
-from amaranthbay.utils.serving import Server, _PlacedConnection
+from amaranthbay.utils.reading import WAITED_S
+from amaranthbay.utils.serving import MAX_SUCCESSIVE, Server, _PlacedConnection
 from amaranthbay.utils.testing import collect
 
 
@@ -25,6 +26,22 @@
     near.close()
 
 
+def test_connection_whose_next_request_is_always_there_is_not_spared(case):
+    """Guards against places that nobody loses who sends requests without a pause, and
+    against a caller with single requests that loses its own."""
+    near, far = socket.socketpair()
+    case.addCleanup(near.close)
+    case.addCleanup(far.close)
+    place = _PlacedConnection(near, "a", mock.MagicMock())
+    far.sendall(b"G")
+    for _ in range(MAX_SUCCESSIVE):
+        case.assertTrue(place.has_input())
+        place.note_request(0.0)
+    case.assertFalse(place.has_input())
+    place.note_request(2 * WAITED_S)
+    case.assertTrue(place.has_input())
+
+
 def test_connection_without_a_place_is_told_when_to_come_back(case):
     """Guards against a connection that is closed without an answer while all others
     are being answered."""
