Let lookups whose responses nobody reads lose their place

Callers saw: while 512 clients sent lookups and read no responses, and as many asked for readiness, no ordinary lookup was answered within 10 s, and the machine held 150 MiB of 128 for them.

Causes: a connection with a response in progress kept its place, also while its peer did not read the response, for up to 15 s at a time. And the kernel took megabytes of responses, and all that the clients sent, also before the process had accepted the connection.

Change: a connection that waits for its peer to read counts as not busy, and an unread request does not spare it then; it is reset, so that the kernel drops the rest. The kernel holds 8 KiB of unread and of unsent bytes for each connection; that for unread bytes is set at the listening socket, since connections that wait to be accepted held 54 MiB in all else.

--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -11,7 +11,12 @@
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
 from amaranthbay.utils.reading import WAITED_S, Turn, TurnQueue
-from amaranthbay.utils.sockets import has_input
+from amaranthbay.utils.sockets import (
+    has_input,
+    limit_unread,
+    limit_unsent,
+    reset_on_close,
+)
 
 __all__ = ["CONNECTION_KEY", "INPUT_KEY", "LINGER_KEY", "Server"]
 
@@ -28,6 +33,9 @@
 LINGER_BYTES = 2**20
 # Connections that are accepted in one turn, if the number of connections is limited.
 MAX_ACCEPTS = 16
+# Bytes that the kernel holds for a connection that has a place. Most requests for
+# lookups and their responses are smaller.
+PLACED_UNREAD_BYTES, PLACED_UNSENT_BYTES = 8192, 8192
 # Requests in succession from which a connection may lose its place although the next
 # one has arrived. Callers send one request at a time.
 MAX_SUCCESSIVE = 16
@@ -62,11 +70,13 @@
 
     Attributes:
         responding: Whether a response is in progress.
+        reads_response: Whether the peer has to read a part of it first.
     """
 
     def __init__(self, sock, address, server):
         self.address = address
         self.responding = False
+        self.reads_response = False
         self._sock = sock
         self._server = server
         self._began_at = server.clock.monotonic()
@@ -74,13 +84,17 @@
         self._successive = 0
 
     def wait_s(self, now):
-        return None if self.responding else now - self._began_at
+        is_busy = self.responding and not self.reads_response
+        return None if is_busy else now - self._began_at
 
     def has_input(self):
         """Returns whether a request has arrived, unless there is always another one.
 
-        A connection with many requests in succession would never lose its place.
+        A connection with many requests in succession would never lose its place, nor
+        one that doesn't read the response before.
         """
+        if self.reads_response:
+            return False
         return self._successive < MAX_SUCCESSIVE and has_input(self._sock)
 
     def note_response(self, in_progress):
@@ -88,6 +102,11 @@
         self.responding = in_progress
         self._began_at = self._server.clock.monotonic()
 
+    def note_write(self, in_progress):
+        """Records the beginning or the end of a write of a part of a response."""
+        self.reads_response = in_progress
+        self._began_at = self._server.clock.monotonic()
+
     def note_request(self, waited_s):
         """Records the arrival of a request, and for how long it was waited for."""
         self._successive = 0 if waited_s > WAITED_S else self._successive + 1
@@ -95,6 +114,9 @@
     def drop(self):
         """Ends the connection; its greenlet reads the end of the input."""
         self._server.drops.note("places_full")
+        if self.reads_response:
+            # The kernel would hold the response until the peer takes it.
+            reset_on_close(self._sock)
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -152,6 +174,23 @@
             self.wsgi_input.chunked_input = False
             self._closes = environ[LINGER_KEY] = True
 
+    def _sendall(self, data):
+        """Writes a part of the response, during which the place may be lost.
+
+        Raises:
+            CallerGone: If it is lost, or the caller has closed the connection.
+        """
+        if self.place is None:
+            super()._sendall(data)
+            return
+        self.place.note_write(True)
+        try:
+            super()._sendall(data)
+        except OSError as exc:
+            raise CallerGone("the caller does not read its response") from exc
+        finally:
+            self.place.note_write(False)
+
     def start_response(self, status, headers, exc_info=None):
         if self.server.draining or self._closes:
             headers = [*headers, ("Connection", "close")]
@@ -264,6 +303,7 @@
             self.drops.note("places_full")
             refuse_connection(sock)
             return
+        limit_unsent(sock, PLACED_UNSENT_BYTES)
         try:
             handler = self.handler_class(sock, address, self)
             handler.place = place
@@ -337,6 +377,10 @@
 
     def start(self):
         """Starts listening and returns the bound ``host:port``."""
+        if self._server.places is not None:
+            self._server.init_socket()
+            # Connections inherit the limit, also those that wait to be accepted.
+            limit_unread(self._server.socket, PLACED_UNREAD_BYTES)
         self._server.start()
         return f"{self._server.server_host}:{self._server.server_port}"
 
--- a/amaranthbay/utils/sockets.py
+++ b/amaranthbay/utils/sockets.py
@@ -1,8 +1,24 @@
-"""Inspects sockets without consuming their data."""
+"""Inspects sockets without consuming their data, and bounds what the kernel holds."""
 
+import fcntl
 import socket
+import struct
+import sys
 
-__all__ = ["has_input", "peek"]
+__all__ = [
+    "has_input",
+    "limit_unread",
+    "limit_unsent",
+    "peek",
+    "reset_on_close",
+    "unsent_bytes",
+]
+
+# Request of ioctl for the bytes that the peer has not acknowledged, as in Linux.
+_UNSENT_REQUEST = 0x5411
+_COUNT = struct.Struct("i")
+# Option of TCP in Linux; older versions of Python don't name it.
+TCP_NOTSENT_LOWAT = 25
 
 
 def peek(sock):
@@ -33,3 +49,54 @@
         return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
         return False
+
+
+def limit_unsent(sock, count):
+    """Bounds the bytes that wait in the kernel until the network can take them.
+
+    Bytes that are on their way don't count, so that a far peer gets them as fast as
+    its link carries them. The kernel may hold one packet more.
+
+    Args:
+        sock: TCP socket.
+        count: Number of the bytes.
+    """
+    _set_option(sock, socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, count)
+
+
+def limit_unread(sock, count):
+    """Sets the bytes that a peer may send before they are read.
+
+    The kernel then no longer adapts this number to the link: a peer sends no more in
+    one round trip. It holds up to about twice the number.
+
+    Args:
+        sock: TCP socket.
+        count: Number of the bytes.
+    """
+    _set_option(sock, socket.SOL_SOCKET, socket.SO_RCVBUF, count)
+
+
+def reset_on_close(sock, enabled=True):
+    """Sets whether a close drops what the peer has not taken, and resets it."""
+    linger = struct.pack("ii", int(enabled), 0)
+    _set_option(sock, socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def unsent_bytes(sock):
+    """Returns the bytes that the kernel holds until a peer has acknowledged them."""
+    if sys.platform != "linux":
+        return 0
+    try:
+        return _COUNT.unpack(fcntl.ioctl(sock.fileno(), _UNSENT_REQUEST, bytes(4)))[0]
+    except OSError:
+        # The socket is closed, or the system has no such request.
+        return 0
+
+
+def _set_option(sock, level, name, value):
+    """Sets an option; a system without it, or a socket that is gone, goes without."""
+    try:
+        sock.setsockopt(level, name, value)
+    except OSError:
+        pass
--- a/amaranthbay/utils/tests/test_serving.py
+++ b/amaranthbay/utils/tests/test_serving.py
@@ -42,6 +42,24 @@
     case.assertTrue(place.has_input())
 
 
+def test_connection_that_does_not_read_its_response_is_not_spared(case):
+    """Guards against places that nobody loses whose responses can't be written, and
+    against a request that is interrupted while it is handled."""
+    near, far = socket.socketpair()
+    case.addCleanup(near.close)
+    case.addCleanup(far.close)
+    server = mock.MagicMock()
+    server.clock.monotonic.return_value = 1.0
+    place = _PlacedConnection(near, "a", server)
+    far.sendall(b"G")
+    place.note_response(True)
+    case.assertIsNone(place.wait_s(3.0))
+    place.note_write(True)
+    case.assertEqual((place.wait_s(3.0), place.has_input()), (2.0, False))
+    place.note_write(False)
+    case.assertIsNone(place.wait_s(3.0))
+
+
 def test_connection_without_a_place_is_told_when_to_come_back(case):
     """Guards against a connection that is closed without an answer while all others
     are being answered."""
