End the wait of a connection that loses its place to lookups

Cause: a connection that has lost its place is closed by its own greenlet. One that waits for its turn among busy connections does so only after all that came before, while 16 new connections are accepted in each turn of the event loop.

Change: losing the place interrupts the wait.

--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -82,6 +82,8 @@
         self._began_at = server.clock.monotonic()
         # Requests that have followed each other without a wait for the next one.
         self._successive = 0
+        # Greenlet that waits for its turn; None if it doesn't.
+        self._waiting_greenlet = None
 
     def wait_s(self, now):
         is_busy = self.responding and not self.reads_response
@@ -97,6 +99,23 @@
             return False
         return self._successive < MAX_SUCCESSIVE and has_input(self._sock)
 
+    def give_way(self, turn):
+        """Lets others run; see `Turn.give_way`.
+
+        Raises:
+            CallerGone: If the place is lost meanwhile.
+        """
+        self._waiting_greenlet = gevent.getcurrent()
+        try:
+            turn.give_way()
+        finally:
+            self._waiting_greenlet = None
+
+    def _raise_dropped(self):
+        """Interrupts the wait for a turn, which may be long; runs in the loop."""
+        if self._waiting_greenlet is not None:
+            self._waiting_greenlet.throw(CallerGone("the place is lost"))
+
     def note_response(self, in_progress):
         """Records the beginning or the end of a response."""
         self.responding = in_progress
@@ -114,6 +133,8 @@
     def drop(self):
         """Ends the connection; its greenlet reads the end of the input."""
         self._server.drops.note("places_full")
+        if self._waiting_greenlet is not None:
+            gevent.get_hub().loop.run_callback(self._raise_dropped)
         if self.reads_response:
             # The kernel would hold the response until the peer takes it.
             reset_on_close(self._sock)
@@ -138,12 +159,14 @@
 
     def read_requestline(self):
         """Returns the next request line; requests that have arrived take turns."""
-        self._turn.give_way()
+        if self.place is None:
+            self._turn.give_way()
+            return self._turn.wait(super().read_requestline)
+        self.place.give_way(self._turn)
         clock = self.server.clock
         started_at = clock.monotonic()
         line = self._turn.wait(super().read_requestline)
-        if self.place is not None:
-            self.place.note_request(clock.monotonic() - started_at)
+        self.place.note_request(clock.monotonic() - started_at)
         return line
 
     def MessageClass(self, rfile, *args):
@@ -230,7 +253,8 @@
         try:
             super().handle()
         except CallerGone:
-            # The caller disconnected after its response and before its watch stopped.
+            # The caller disconnected after its response and before its watch stopped,
+            # or lost its place.
             pass
 
     def _handle_client_error(self, ex):
