Bound and count what the kernel holds of responses that are read slowly

Callers saw nothing yet, but the machine did: 900 callers that read responses of 1 MiB slowly held 406 MiB of 128, 64 slow readers of streams 189, all kinds of clients together 257.

Cause: the kernel adapts its send buffer to the link and took up to 2.8 MB for each connection, whose caller had announced a window of some kilobytes. The account of memory did not know them, so nobody yielded. Answers of up to 64 KiB were held twice besides, joined with their head, and could not yield.

Change: TCP_NOTSENT_LOWAT bounds the bytes that wait in the kernel for the network at 16 KiB. A smaller send buffer would bound them too, but would also cut the speed of far callers, as it counts bytes on their way. When a write has to wait, what the kernel holds is asked for (TIOCOUTQ) and counts as a response that yields in a shortage. Answers over 8 KiB are neither joined nor exempt. A caller that is cut off is reset, so that the kernel drops what it holds.

The resident part grows by up to 30 MiB, since responses wait in the process in place of the kernel.

--- a/amaranthbay/relay/caller_responses.py
+++ b/amaranthbay/relay/caller_responses.py
@@ -1,23 +1,19 @@
 """Writes the responses to a caller, whole or as a stream."""
 
-import struct
 from functools import partial
 
 import gevent
 import h11
-from gevent import socket
 
-from amaranthbay.kernel.errors import CallerGone
-from amaranthbay.relay.caller_socket import (
-    MEMORY_FULL,
-    WRITE_BYTES,
-    CallerSocket,
-    Phase,
-)
-from amaranthbay.utils.sockets import peek
+from amaranthbay.relay.caller_socket import MEMORY_FULL, CallerSocket
+from amaranthbay.utils.sockets import peek, reset_on_close
 
 __all__ = ["ResponseWriter"]
 
+# Bodies up to this size are written with their head. Each connection that waits to
+# write a larger one would hold it twice.
+JOINED_BYTES = 8192
+
 
 class ResponseWriter(CallerSocket):
     """Writes responses to the socket of a caller."""
@@ -40,7 +36,7 @@
         if body and self._method != b"HEAD":
             parts += self._http.send_with_data_passthrough(h11.Data(data=body))
         parts.append(self._http.send(h11.EndOfMessage()))
-        if len(body) <= WRITE_BYTES:
+        if len(body) <= JOINED_BYTES:
             parts = [b"".join(parts)]
         elif message is not None:
             loop = gevent.get_hub().loop
@@ -65,7 +61,7 @@
         if not self._sends_chunks():
             # A close, also by the end of the process, would look like the end of the
             # stream.
-            self._reset_on_close(True)
+            reset_on_close(self.sock)
         self._write(output)
 
     def send(self, data):
@@ -76,20 +72,9 @@
         """Marks a stream as complete."""
         output = self._http.send(h11.EndOfMessage())
         self._write(output)
-        self._reset_on_close(False)
+        reset_on_close(self.sock, False)
         self.answered = True
 
-    def _raise_dropped(self, reason):
-        """Interrupts a response that the caller reads too slowly; runs in the loop."""
-        if self._phase is Phase.WRITING:
-            self._listener.drops.note(reason)
-            self._reset_on_close(True)
-            self.greenlet.throw(CallerGone("the caller reads too slowly in a shortage"))
-
-    def _reset_on_close(self, enabled):
-        linger = struct.pack("ii", int(enabled), 0)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
     def _head(self, status, headers, close):
         is_last = self._listener.draining and not self._has_more_input()
         if close or is_last or not self._has_place:
--- a/amaranthbay/relay/caller_socket.py
+++ b/amaranthbay/relay/caller_socket.py
@@ -8,7 +8,8 @@
 
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.kernel.errors import CallerGone
-from amaranthbay.utils.reading import BoundedReader
+from amaranthbay.utils.reading import BoundedReader, ReadLimitExceeded
+from amaranthbay.utils.sockets import limit_unsent, reset_on_close, unsent_bytes
 
 __all__ = ["MEMORY_FULL", "PLACES_FULL", "WRITE_BYTES", "CallerSocket", "Phase"]
 
@@ -16,6 +17,9 @@
 # and a backend server busy. One that reads slowly isn't: the time holds for each part.
 WRITE_TIMEOUT_S = 5.0
 WRITE_BYTES = 65536
+# Bytes of responses that the kernel takes before the network does. The caller of a far
+# region gets its response as fast as with more, as those on their way don't count.
+UNSENT_BYTES = 16384
 MEMORY_FULL, PLACES_FULL = "memory_full", "places_full"
 
 
@@ -69,32 +73,77 @@
         self._has_place = True
         self._phase = Phase.IDLE
         self._progress = Progress(self._reader.read_at)
+        # `HeldMessage` of what the kernel holds while a response waits to be written.
+        self._unsent = listener.memory.begin()
+        limit_unsent(sock, UNSENT_BYTES)
 
     def _write(self, output):
         """Writes bytes, of which the caller must read each part in time.
 
         Raises:
-            CallerGone: If it doesn't, or has closed the connection.
+            CallerGone: If it doesn't read, has closed the connection, or lost it in a
+                shortage.
         """
         if not output:
             return
-        parts = memoryview(output)
-        gone = CallerGone("the caller does not read its answer")
         phase, self._phase = self._phase, Phase.WRITING
-        clock = self._listener.clock
         # The rate is noted for each part, so that of a single one is never known.
-        size = len(parts) if len(parts) > WRITE_BYTES else None
+        size = len(output) if len(output) > WRITE_BYTES else None
+        clock = self._listener.clock
         self._progress.begin(clock.monotonic(), size)
+        left = memoryview(output)
         try:
-            for start in range(0, len(parts), WRITE_BYTES):
-                part = parts[start : start + WRITE_BYTES]
-                with gevent.Timeout(WRITE_TIMEOUT_S, gone):
-                    self.sock.sendall(part)
+            while left:
+                count = self._send_some(left[:WRITE_BYTES])
+                left = left[count:]
                 if size is not None:
-                    self._progress.note(clock.monotonic(), len(part))
+                    self._progress.note(clock.monotonic(), count)
         except OSError as exc:
             raise CallerGone("the caller has closed the connection") from exc
         finally:
             self._phase = phase
-            # A traceback that refers to itself would keep the response.
-            del gone
+            self._unsent.release()
+
+    def _send_some(self, part):
+        """Sends the beginning of some bytes as soon as there is room; returns its size.
+
+        Raises:
+            CallerGone: If there is none for too long, or no memory.
+            OSError: If the caller has closed the connection.
+        """
+        try:
+            return self.sock.send(part, 0, 0.0)
+        except (BlockingIOError, TimeoutError):
+            pass
+        self._hold_unsent()
+        with gevent.Timeout(WRITE_TIMEOUT_S, False):
+            return self.sock.send(part)
+        reset_on_close(self.sock)
+        raise CallerGone("the caller does not read its answer")
+
+    def _hold_unsent(self):
+        """Counts what the kernel holds for the caller.
+
+        Raises:
+            CallerGone: If there is no memory for it.
+        """
+        self._unsent.release()
+        self._unsent = self._listener.memory.begin(sys.maxsize)
+        self._unsent.yield_as_response(self._progress, self._drop_unsent)
+        try:
+            self._unsent.add(unsent_bytes(self.sock))
+        except ReadLimitExceeded as exc:
+            reset_on_close(self.sock)
+            self._listener.drops.note(MEMORY_FULL)
+            raise CallerGone("no memory for an answer that is not read") from exc
+
+    def _drop_unsent(self):
+        """Ends the response in the next turn of the event loop."""
+        gevent.get_hub().loop.run_callback(self._raise_dropped, MEMORY_FULL)
+
+    def _raise_dropped(self, reason):
+        """Interrupts a response that the caller reads too slowly; runs in the loop."""
+        if self._phase is Phase.WRITING:
+            self._listener.drops.note(reason)
+            reset_on_close(self.sock)
+            self.greenlet.throw(CallerGone("the caller reads too slowly in a shortage"))
