Serve a caller that reads its response slowly, but all the time

Callers saw: a single caller that read 10 KB/s of a response of 4 MiB got a part of it, and then a reset or the end of the connection, although nobody else was there.

Cause: each part of 64 KiB had to be taken within 5 s. The kernel reports room in its buffer only when a good part of it is free, so that a caller could read for 5 s without a part being taken.

Change: a response is cut when its caller has acknowledged nothing for the time limit. That is the time for which a connection may be idle by the operator's configuration, at least 5 s; for streams, for which a backend server waits, it stays 5 s. In a shortage, the slowest readers still lose first.

A caller that stops is still cut; a test shows it.

--- a/amaranthbay/relay/caller_responses.py
+++ b/amaranthbay/relay/caller_responses.py
@@ -44,7 +44,7 @@
             message.yield_as_response(self._progress, drop)
         # The parts of a long answer are not joined, which would copy its body.
         for part in parts:
-            self._write(part)
+            self._write(part, may_idle=True)
         self.answered = True
 
     def answer_head_request(self, status, headers):
--- a/amaranthbay/relay/caller_socket.py
+++ b/amaranthbay/relay/caller_socket.py
@@ -13,8 +13,8 @@
 
 __all__ = ["MEMORY_FULL", "PLACES_FULL", "WRITE_BYTES", "CallerSocket", "Phase"]
 
-# A caller that doesn't read its answer is cut off after this time, as it keeps memory
-# and a backend server busy. One that reads slowly isn't: the time holds for each part.
+# A caller that reads nothing of a stream is cut off after this time, as it keeps a
+# backend server busy. One that reads slowly isn't.
 WRITE_TIMEOUT_S = 5.0
 WRITE_BYTES = 65536
 # Bytes of responses that the kernel takes before the network does. The caller of a far
@@ -77,8 +77,13 @@
         self._unsent = listener.memory.begin()
         limit_unsent(sock, UNSENT_BYTES)
 
-    def _write(self, output):
-        """Writes bytes, of which the caller must read each part in time.
+    def _write(self, output, may_idle=False):
+        """Writes bytes, of which the caller must read some all the time.
+
+        Args:
+            output: Bytes to write.
+            may_idle: Whether the caller may read nothing for as long as a connection
+                may be idle, since no backend server waits for it.
 
         Raises:
             CallerGone: If it doesn't read, has closed the connection, or lost it in a
@@ -87,6 +92,9 @@
         if not output:
             return
         phase, self._phase = self._phase, Phase.WRITING
+        stall_s = WRITE_TIMEOUT_S
+        if may_idle:
+            stall_s = max(stall_s, self._listener.limits().idle_timeout_s)
         # The rate is noted for each part, so that of a single one is never known.
         size = len(output) if len(output) > WRITE_BYTES else None
         clock = self._listener.clock
@@ -94,7 +102,7 @@
         left = memoryview(output)
         try:
             while left:
-                count = self._send_some(left[:WRITE_BYTES])
+                count = self._send_some(left[:WRITE_BYTES], stall_s)
                 left = left[count:]
                 if size is not None:
                     self._progress.note(clock.monotonic(), count)
@@ -104,7 +112,7 @@
             self._phase = phase
             self._unsent.release()
 
-    def _send_some(self, part):
+    def _send_some(self, part, stall_s):
         """Sends the beginning of some bytes as soon as there is room; returns its size.
 
         Raises:
@@ -115,27 +123,33 @@
             return self.sock.send(part, 0, 0.0)
         except (BlockingIOError, TimeoutError):
             pass
-        self._hold_unsent()
-        with gevent.Timeout(WRITE_TIMEOUT_S, False):
-            return self.sock.send(part)
-        reset_on_close(self.sock)
-        raise CallerGone("the caller does not read its answer")
+        unsent = self._hold_unsent()
+        while True:
+            with gevent.Timeout(stall_s, False):
+                return self.sock.send(part)
+            # The kernel reports room only once it is large.
+            if unsent_bytes(self.sock) >= unsent:
+                reset_on_close(self.sock)
+                raise CallerGone("the caller does not read its answer")
+            unsent = self._hold_unsent()
 
     def _hold_unsent(self):
-        """Counts what the kernel holds for the caller.
+        """Counts what the kernel holds for the caller; returns the number of bytes.
 
         Raises:
             CallerGone: If there is no memory for it.
         """
+        count = unsent_bytes(self.sock)
         self._unsent.release()
         self._unsent = self._listener.memory.begin(sys.maxsize)
         self._unsent.yield_as_response(self._progress, self._drop_unsent)
         try:
-            self._unsent.add(unsent_bytes(self.sock))
+            self._unsent.add(count)
         except ReadLimitExceeded as exc:
             reset_on_close(self.sock)
             self._listener.drops.note(MEMORY_FULL)
             raise CallerGone("no memory for an answer that is not read") from exc
+        return count
 
     def _drop_unsent(self):
         """Ends the response in the next turn of the event loop."""
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -17,7 +17,9 @@
 from amaranthbay.utils.reading import ReadLimitExceeded, ReadMemory
 from amaranthbay.utils.testing import collect, free_port, wait_until
 
+READ_BYTES = 1024
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+LAST_REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
 @contextlib.contextmanager
@@ -224,6 +226,55 @@
         case.assertGreaterEqual(size, len(body))
 
 
+def read_with_pauses(sock, pause_s, pauses):
+    """Returns the number of bytes that arrive, with pauses before the first reads."""
+    size = 0
+    while data := sock.recv(READ_BYTES):
+        size += len(data)
+        if pauses > 0:
+            pauses -= 1
+            gevent.sleep(pause_s)
+    return size
+
+
+def test_stream_that_is_read_in_small_parts_is_whole(case):
+    """Guards against cutting a stream whose caller reads less than the kernel takes at
+    a time, but reads all the time."""
+    part, parts = b"x" * 100_000, 5
+
+    def answer(conn, req):
+        conn.start_stream(200, [])
+        for _ in range(parts):
+            conn.send(part)
+        conn.finish_stream()
+
+    case.enterContext(mock.patch.object(caller_socket, "WRITE_TIMEOUT_S", 0.5))
+    with connection(ClientLimits, answer) as (first_sock, _):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * READ_BYTES)
+            sock.connect(first_sock.getpeername())
+            sock.sendall(LAST_REQUEST)
+            size = read_with_pauses(sock, 0.1, 20)
+    case.assertGreater(size, parts * len(part))
+
+
+def test_caller_that_stops_reading_is_cut_off(case):
+    """Guards against responses that nobody reads and that stay for ever."""
+    body, gone = b"x" * 30_000_000, []
+
+    def answer(conn, req):
+        try:
+            conn.answer(200, [], body)
+        except CallerGone as exc:
+            gone.append(str(exc))
+            raise
+
+    case.enterContext(mock.patch.object(caller_socket, "WRITE_TIMEOUT_S", 0.1))
+    with connection(lambda: ClientLimits(idle_timeout_s=0.3), answer) as (sock, _):
+        sock.sendall(REQUEST)
+        wait_until(lambda: gone)
+
+
 def test_answer_that_begins_as_its_request_is_interrupted_is_whole(case):
     """Guards against a cut answer that began just before its handler is interrupted."""
     body = b"x" * 30_000_000
