Bound what callers send before it is read

Callers saw: beside 900 clients that send requests without reading the short responses, no ordinary request was answered within 10 s.

Cause: for each connection, the kernel holds what has not been read, from 64 KiB for a new one up to megabytes after a quick body. 512 connections may also wait to be accepted, with their first bytes. And each read of a request took up to 64 KiB, of which later requests waited in the parser without being counted.

Change: the kernel holds up to 64 KiB for a connection that sends a request and 16 KiB while its request is handled, as what arrives then belongs to later ones. A body of 64 KiB or more gets 256 KiB, counted like the body and only if there is room, so that a far caller needs few round trips: at 100 ms each, that is about 1 to 2 MB/s. A limit at the listening socket would also bind those that wait to be accepted, but it fixes the scale of the window for good, so that no body could ever get more; so 128 wait in place of 512. Requests are read in parts of 16 KiB, and no more than the rest of a body of known size.

--- a/amaranthbay/relay/caller_connection.py
+++ b/amaranthbay/relay/caller_connection.py
@@ -13,7 +13,13 @@
 from amaranthbay.observe import log_event
 from amaranthbay.relay.caller_requests import Rejected, RequestReader
 from amaranthbay.relay.caller_responses import ResponseWriter
-from amaranthbay.relay.caller_socket import MEMORY_FULL, PLACES_FULL, Phase
+from amaranthbay.relay.caller_socket import (
+    EARLY_BYTES,
+    MEMORY_FULL,
+    PLACES_FULL,
+    UNREAD_BYTES,
+    Phase,
+)
 from amaranthbay.utils.reading import ReadLimitExceeded
 from amaranthbay.utils.sockets import has_input, peek
 
@@ -119,6 +125,7 @@
         self._method = b""
         self._phase = Phase.IDLE
         self._progress.begin(self._listener.clock.monotonic())
+        self._limit_unread(UNREAD_BYTES)
         try:
             req, refuse = self._try_read_request()
             # The exception, whose traceback holds the request, is freed by now.
@@ -129,6 +136,7 @@
         if req is None:
             return False
         self._listener.busy.add(self)
+        self._limit_unread(EARLY_BYTES)
         try:
             handler(self, req)
         finally:
--- a/amaranthbay/relay/caller_requests.py
+++ b/amaranthbay/relay/caller_requests.py
@@ -9,8 +9,13 @@
 
 from amaranthbay.ingress.capacity import CONNECTION_HEADERS
 from amaranthbay.ingress.heads import MANY_LINES
-from amaranthbay.relay.caller_socket import MEMORY_FULL, CallerSocket, Phase
-from amaranthbay.utils.reading import ReadLimitExceeded
+from amaranthbay.relay.caller_socket import (
+    MEMORY_FULL,
+    UNREAD_BYTES,
+    CallerSocket,
+    Phase,
+)
+from amaranthbay.utils.reading import READ_BYTES, ReadLimitExceeded
 from amaranthbay.utils.sockets import peek
 
 __all__ = ["IncomingRequest", "Rejected", "RequestReader"]
@@ -19,6 +24,12 @@
 HEADER_OBJECT_BYTES = 400
 # Bytes of an incomplete head that don't count, as almost all heads have fewer.
 SMALL_HEAD_BYTES = 2048
+# Bytes that are read at once of a head, and of a body of unknown size. What follows it
+# waits in the process for its turn.
+HEAD_READ_BYTES = CHUNK_READ_BYTES = 16384
+# Bytes of a large body that the kernel holds until they are read, so that it needs few
+# round trips to a far caller.
+LARGE_UNREAD_BYTES = 2**18
 # End of a request head, as h11 finds it.
 HEAD_END = re.compile(rb"\n\r?\n")
 
@@ -62,6 +73,8 @@
         # bytes, which may be a part of its end.
         self._head_lines = 0
         self._head_tail = b""
+        # Bytes of the body that have not arrived; None if unknown.
+        self._body_left = None
 
     def _read_request(self):
         """Returns the `IncomingRequest`, or None if the caller has hung up."""
@@ -94,6 +107,7 @@
         """Begins to count a body, and what the head takes beyond that of most."""
         lengths = [value for name, value in head.headers if name == b"content-length"]
         left_bytes = int(lengths[0]) if lengths else None
+        self._body_left = left_bytes
         self._progress.begin(self._reader.read_at, left_bytes)
         self._reader.release()
         extra_headers = len(head.headers) - CONNECTION_HEADERS
@@ -153,16 +167,30 @@
             del event
             if len(body) > self._listener.limits().body_bytes:
                 raise Rejected(413)
-            self._progress.note(self._reader.read_at, count)
+            self._note_body(count)
             self._hold(count, body)
+            self._widen(body)
         self._reader.complete()
         return type(event) is h11.EndOfMessage
 
+    def _note_body(self, count):
+        self._progress.note(self._reader.read_at, count)
+        if self._body_left is not None:
+            self._body_left -= count
+
+    def _widen(self, body):
+        """Lets the caller send more of a large body at once, if there is memory."""
+        extra_bytes = LARGE_UNREAD_BYTES - UNREAD_BYTES
+        is_large = self._unread_bytes <= len(body) < LARGE_UNREAD_BYTES
+        if is_large and self._listener.memory.has_room(extra_bytes):
+            self._hold(extra_bytes, body)
+            self._limit_unread(LARGE_UNREAD_BYTES)
+
     def _drop_body(self):
         """Reads the rest of a body; returns whether it is complete."""
         size = 0
         while type(event := self._next_event()) is h11.Data:
-            self._progress.note(self._reader.read_at, len(event.data))
+            self._note_body(len(event.data))
             size += len(event.data)
             del event
             if size > self._listener.limits().body_bytes:
@@ -200,11 +228,11 @@
                 self.sock.settimeout(limit_s - waited_s)
                 waited_s = limit_s
                 try:
-                    return self._reader.recv()
+                    return self._reader.recv(HEAD_READ_BYTES)
                 except TimeoutError:
                     continue
             # A request may have arrived while the process was busy.
-            return self._reader.recv() if peek(self.sock) else b""
+            return self._reader.recv(HEAD_READ_BYTES) if peek(self.sock) else b""
         except OSError:
             return b""
         finally:
@@ -221,12 +249,18 @@
             if incomplete_bytes > self._listener.limits().header_bytes:
                 raise Rejected(431)
             if self._method:
-                self._http.receive_data(self._reader.recv())
+                self._http.receive_data(self._reader.recv(self._body_read_bytes()))
                 continue
             if incomplete_bytes > SMALL_HEAD_BYTES:
                 self._reader.release()
                 self._hold(incomplete_bytes, bytearray())
-            self._receive_head(self._reader.recv())
+            self._receive_head(self._reader.recv(HEAD_READ_BYTES))
+
+    def _body_read_bytes(self):
+        """Returns the bytes of a body to read at once, with little of what follows."""
+        if self._body_left is None:
+            return CHUNK_READ_BYTES
+        return max(1, min(READ_BYTES, self._body_left))
 
     def _parse_head(self):
         """Returns the next event while the head is not complete or not parsed."""
--- a/amaranthbay/relay/caller_socket.py
+++ b/amaranthbay/relay/caller_socket.py
@@ -9,7 +9,12 @@
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.reading import BoundedReader, ReadLimitExceeded
-from amaranthbay.utils.sockets import limit_unsent, reset_on_close, unsent_bytes
+from amaranthbay.utils.sockets import (
+    limit_unread,
+    limit_unsent,
+    reset_on_close,
+    unsent_bytes,
+)
 
 __all__ = ["MEMORY_FULL", "PLACES_FULL", "WRITE_BYTES", "CallerSocket", "Phase"]
 
@@ -20,6 +25,9 @@
 # Bytes of responses that the kernel takes before the network does. The caller of a far
 # region gets its response as fast as with more, as those on their way don't count.
 UNSENT_BYTES = 16384
+# Bytes that the kernel holds until they are read. While a request is handled, they
+# belong to later ones.
+UNREAD_BYTES, EARLY_BYTES = 65536, 16384
 MEMORY_FULL, PLACES_FULL = "memory_full", "places_full"
 
 
@@ -76,6 +84,13 @@
         # `HeldMessage` of what the kernel holds while a response waits to be written.
         self._unsent = listener.memory.begin()
         limit_unsent(sock, UNSENT_BYTES)
+        self._unread_bytes = 0
+
+    def _limit_unread(self, count):
+        """Bounds the bytes that the kernel holds until they are read."""
+        if count != self._unread_bytes:
+            self._unread_bytes = count
+            limit_unread(self.sock, count)
 
     def _write(self, output, may_idle=False):
         """Writes bytes, of which the caller must read some all the time.
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -22,7 +22,8 @@
 # Connections that are accepted in one turn; more than that would get a descriptor
 # before those that lose their place have given theirs back.
 MAX_ACCEPTS = 16
-BACKLOG = 512
+# Connections that wait to be accepted; the kernel holds up to 64 KiB for each.
+BACKLOG = 128
 
 
 class Listener:
--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -119,6 +119,10 @@
         """Bytes that messages and connections hold now."""
         return self._used
 
+    def has_room(self, count):
+        """Returns whether some bytes fit without any message that yields."""
+        return self._used + count <= self.total_bytes
+
     def begin(self, limit_bytes=None, on_evicted=lambda: None, progress=None):
         """Returns a new `HeldMessage` that is being read.
 
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -35,7 +35,7 @@
 MAX_ACCEPTS = 16
 # Bytes that the kernel holds for a connection that has a place. Most requests for
 # lookups and their responses are smaller.
-PLACED_UNREAD_BYTES, PLACED_UNSENT_BYTES = 8192, 8192
+PLACED_UNREAD_BYTES, PLACED_UNSENT_BYTES = 16384, 8192
 # Requests in succession from which a connection may lose its place although the next
 # one has arrived. Callers send one request at a time.
 MAX_SUCCESSIVE = 16
--- a/amaranthbay/utils/sockets.py
+++ b/amaranthbay/utils/sockets.py
@@ -65,16 +65,17 @@
 
 
 def limit_unread(sock, count):
-    """Sets the bytes that a peer may send before they are read.
+    """Bounds the bytes that the kernel holds until they are read.
 
-    The kernel then no longer adapts this number to the link: a peer sends no more in
-    one round trip. It holds up to about twice the number.
+    The kernel then no longer adapts this number to the link: a peer sends up to half
+    of it in one round trip.
 
     Args:
         sock: TCP socket.
         count: Number of the bytes.
     """
-    _set_option(sock, socket.SOL_SOCKET, socket.SO_RCVBUF, count)
+    # The kernel doubles the value.
+    _set_option(sock, socket.SOL_SOCKET, socket.SO_RCVBUF, count // 2)
 
 
 def reset_on_close(sock, enabled=True):
