Let busy connections of callers go on one after the other

Callers saw: beside 900 connections that send requests without a route, one after another, no ordinary request was answered within 10 s.

Cause: each connection gave way after 5 ms, but all went on in the same turn of the event loop, half a millisecond later. An ordinary request needs about ten turns, each of which took as long as all of them.

Change: the connections of callers wait for their next turn in a queue, as those for lookups do. Answers of servers and of the store don't wait in it.

--- a/amaranthbay/relay/caller_socket.py
+++ b/amaranthbay/relay/caller_socket.py
@@ -72,7 +72,7 @@
         self.sock = sock
         self.greenlet = gevent.getcurrent()
         self._listener = listener
-        self._reader = BoundedReader(sock, listener.memory)
+        self._reader = BoundedReader(sock, listener.memory, queue=listener.turns)
         # The limit of h11 is fixed for the life of the connection; see `RequestReader`.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self.started = False
--- a/amaranthbay/relay/listener.py
+++ b/amaranthbay/relay/listener.py
@@ -15,7 +15,7 @@
 from amaranthbay.relay.caller_requests import IncomingRequest
 from amaranthbay.relay.caller_socket import PLACES_FULL
 from amaranthbay.utils.http import split_address
-from amaranthbay.utils.reading import ReadMemory
+from amaranthbay.utils.reading import ReadMemory, TurnQueue
 
 __all__ = ["CallerConnection", "IncomingRequest", "Listener"]
 
@@ -38,6 +38,7 @@
         idle: Connections that wait for a request.
         arriving: Connections of which a part of a request has been read.
         parse_turns: `ParseTurns` of the heads.
+        turns: `TurnQueue` of the connections that keep the process busy.
         drops: `DropLog` of the callers that lost memory or their place.
         lingering: Number of connections that linger after they lost their place.
         spared: Connections that lost their place, but have a request to answer.
@@ -61,6 +62,7 @@
         self.idle = set()
         self.arriving = set()
         self.parse_turns = ParseTurns()
+        self.turns = TurnQueue()
         self.drops = DropLog()
         self.lingering = 0
         self.spared = set()
--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -328,18 +328,19 @@
         evicted: Whether the current message had to yield to others.
     """
 
-    def __init__(self, sock, memory, clock=None):
+    def __init__(self, sock, memory, clock=None, queue=None):
         """Creates the reader.
 
         Args:
             sock: Connected socket.
             memory: `ReadMemory` of the process.
             clock: `Clock`; the system's clock if None.
+            queue: As for `Turn`.
         """
         self.received_bytes = 0
         self.sock = sock
         self._memory = memory
-        self._turn = Turn(clock)
+        self._turn = Turn(clock, queue)
         self._message = None
 
     @property
