Take the place of a caller's connection that sends requests without a pause

The rule for lookups holds for callers as well: an idle connection is spared for an unread request unless it has not waited for any of its last 16. Such a connection could keep its place for ever else, one turn of the event loop after another. The count moves to ingress/places.py, from where both servers take it.

Evidence: the test of the rule on the server of lookups is unchanged but for names. No test shows the place of a caller kept this way: in test_pipelined_requests_on_more_connections_than_places the connections lose theirs while they read (120 MiB in all of 128, as before).

--- a/amaranthbay/ingress/places.py
+++ b/amaranthbay/ingress/places.py
@@ -6,7 +6,7 @@
 from amaranthbay.ingress.shortage import Holder, choose_for_place
 from amaranthbay.kernel.clock import SystemClock
 
-__all__ = ["PlaceAccount", "PlaceHolder"]
+__all__ = ["PlaceAccount", "PlaceHolder", "Succession"]
 
 # Share of the places that are freed at once, so that a flood of connections doesn't
 # cost a choice among all for each of them.
@@ -17,6 +17,27 @@
 REFUSED_S = 5.0
 # Time for which no connection is looked for again that could be dropped.
 BUSY_S = 0.02
+# A wait for a request that is longer shows that the caller pauses between requests.
+PAUSE_S = 0.001
+# Requests without a pause from which a connection may lose its place although the next
+# one has arrived. Most callers send one request at a time.
+ENDLESS_REQUESTS = 16
+
+
+class Succession:
+    """Requests of one connection that follow each other without a pause."""
+
+    def __init__(self):
+        self._count = 0
+
+    @property
+    def is_endless(self):
+        """Whether there have been so many that the next one is always there."""
+        return self._count >= ENDLESS_REQUESTS
+
+    def note(self, waited_s):
+        """Records the arrival of a request, and for how long it was waited for."""
+        self._count = 0 if waited_s > PAUSE_S else self._count + 1
 
 
 class PlaceHolder(ABC):
--- a/amaranthbay/relay/caller_connection.py
+++ b/amaranthbay/relay/caller_connection.py
@@ -52,8 +52,12 @@
         return self._progress.wait_for_place_s(now)
 
     def has_input(self):
-        """Returns whether the connection was idle and its next request has arrived."""
-        return self._phase is Phase.IDLE and has_input(self.sock)
+        """Returns whether the connection was idle and its next request has arrived.
+
+        One whose next request is always there would never lose its place.
+        """
+        is_idle = self._phase is Phase.IDLE and not self._succession.is_endless
+        return is_idle and has_input(self.sock)
 
     def has_hung_up(self):
         """Returns whether the caller has closed the connection already."""
@@ -125,7 +129,8 @@
         self._method = b""
         self._phase = Phase.IDLE
         self._progress.begin(self._listener.clock.monotonic())
-        self._limit_unread(UNREAD_BYTES)
+        if not self._succession.is_endless:
+            self._limit_unread(UNREAD_BYTES)
         try:
             req, refuse = self._try_read_request()
             # The exception, whose traceback holds the request, is freed by now.
--- a/amaranthbay/relay/caller_requests.py
+++ b/amaranthbay/relay/caller_requests.py
@@ -9,6 +9,7 @@
 
 from amaranthbay.ingress.capacity import CONNECTION_HEADERS
 from amaranthbay.ingress.heads import MANY_LINES
+from amaranthbay.ingress.places import Succession
 from amaranthbay.relay.caller_socket import (
     MEMORY_FULL,
     UNREAD_BYTES,
@@ -73,6 +74,7 @@
         # bytes, which may be a part of its end.
         self._head_lines = 0
         self._head_tail = b""
+        self._succession = Succession()
         # Bytes of the body that have not arrived; None if unknown.
         self._body_left = None
 
@@ -138,10 +140,14 @@
         pipelined = self._http.trailing_data[0]
         self._head_lines, self._head_tail = 0, b""
         self._count_head_lines(pipelined)
-        if not pipelined:
+        if pipelined:
+            self._succession.note(0.0)
+        else:
+            began_at = self._listener.clock.monotonic()
             data = self._receive_first()
             if not data:
                 return None
+            self._succession.note(self._reader.read_at - began_at)
             self._receive_head(data)
         self._listener.arriving.add(self)
         self._phase = Phase.READING
@@ -180,8 +186,8 @@
 
     def _widen(self, body):
         """Lets the caller send more of a large body at once, if there is memory."""
-        extra_bytes = LARGE_UNREAD_BYTES - UNREAD_BYTES
-        is_large = self._unread_bytes <= len(body) < LARGE_UNREAD_BYTES
+        extra_bytes = LARGE_UNREAD_BYTES - self._unread_bytes
+        is_large = UNREAD_BYTES <= len(body) and extra_bytes > 0
         if is_large and self._listener.memory.has_room(extra_bytes):
             self._hold(extra_bytes, body)
             self._limit_unread(LARGE_UNREAD_BYTES)
--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -17,7 +17,6 @@
 
 __all__ = [
     "READ_BYTES",
-    "WAITED_S",
     "BoundedReader",
     "HeldMessage",
     "ReadLimitExceeded",
--- a/amaranthbay/utils/serving.py
+++ b/amaranthbay/utils/serving.py
@@ -5,12 +5,12 @@
 from gevent import pywsgi, socket
 
 from amaranthbay.ingress.drops import DropLog
-from amaranthbay.ingress.places import PlaceAccount, PlaceHolder
+from amaranthbay.ingress.places import PlaceAccount, PlaceHolder, Succession
 from amaranthbay.ingress.refusals import refuse_connection
 from amaranthbay.kernel.clock import SystemClock
 from amaranthbay.kernel.errors import CallerGone
 from amaranthbay.utils.http import split_address
-from amaranthbay.utils.reading import WAITED_S, Turn, TurnQueue
+from amaranthbay.utils.reading import Turn, TurnQueue
 from amaranthbay.utils.sockets import (
     has_input,
     limit_unread,
@@ -36,9 +36,6 @@
 # Bytes that the kernel holds for a connection that has a place. Most requests for
 # lookups and their responses are smaller.
 PLACED_UNREAD_BYTES, PLACED_UNSENT_BYTES = 16384, 8192
-# Requests in succession from which a connection may lose its place although the next
-# one has arrived. Callers send one request at a time.
-MAX_SUCCESSIVE = 16
 
 
 class _HeaderTooLarge(ValueError):
@@ -80,8 +77,7 @@
         self._sock = sock
         self._server = server
         self._began_at = server.clock.monotonic()
-        # Requests that have followed each other without a wait for the next one.
-        self._successive = 0
+        self._succession = Succession()
         # Greenlet that waits for its turn; None if it doesn't.
         self._waiting_greenlet = None
 
@@ -97,7 +93,7 @@
         """
         if self.reads_response:
             return False
-        return self._successive < MAX_SUCCESSIVE and has_input(self._sock)
+        return not self._succession.is_endless and has_input(self._sock)
 
     def give_way(self, turn):
         """Lets others run; see `Turn.give_way`.
@@ -128,7 +124,7 @@
 
     def note_request(self, waited_s):
         """Records the arrival of a request, and for how long it was waited for."""
-        self._successive = 0 if waited_s > WAITED_S else self._successive + 1
+        self._succession.note(waited_s)
 
     def drop(self):
         """Ends the connection; its greenlet reads the end of the input."""
--- a/amaranthbay/utils/tests/test_serving.py
+++ b/amaranthbay/utils/tests/test_serving.py
@@ -5,9 +5,9 @@
 import gevent.event
 from gevent import socket
 
+from amaranthbay.ingress.places import ENDLESS_REQUESTS, PAUSE_S
 from amaranthbay.platform.tests.fixtures import read_answer
-from amaranthbay.utils.reading import WAITED_S
-from amaranthbay.utils.serving import MAX_SUCCESSIVE, Server, _PlacedConnection
+from amaranthbay.utils.serving import Server, _PlacedConnection
 from amaranthbay.utils.testing import collect
 
 
@@ -34,11 +34,11 @@
     case.addCleanup(far.close)
     place = _PlacedConnection(near, "a", mock.MagicMock())
     far.sendall(b"G")
-    for _ in range(MAX_SUCCESSIVE):
+    for _ in range(ENDLESS_REQUESTS):
         case.assertTrue(place.has_input())
         place.note_request(0.0)
     case.assertFalse(place.has_input())
-    place.note_request(2 * WAITED_S)
+    place.note_request(2 * PAUSE_S)
     case.assertTrue(place.has_input())
 
 
