Keep hashes of refused attempts, not ids of any length

A connection to a server keeps the ids of up to 100 attempts that the server has refused on it. Callers choose the ids, which may fill a head of 16 KiB: while servers are full, up to 1.6 MB for each connection, of which 32 are kept idle for each server. Nothing counted these bytes. No process was seen to end this way; the fault was found by reading.

The connection keeps a hash of each id now. Two ids with one hash only cost the reuse of a connection.

--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -20,7 +20,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_SERVER = 32
 # Largest number of refused attempts that a connection keeps; it is then closed.
-MAX_REFUSED_IDS = 100
+MAX_REFUSED = 100
 
 
 @dataclass(eq=False)
@@ -35,8 +35,9 @@
         uses: Number of requests that were sent on it.
         for_holds: Whether it carries only calls for holds. Their answers bear no
             attempt id, so that a repeat of one would pass for that to any request.
-        refused_ids: Ids of the attempts that the server has refused on it. It may send
-            such a refusal once more, so that no attempt may use the connection again.
+        refused: Hashes of the ids of the attempts that the server has refused on it. It
+            may send such a refusal once more, so that no attempt may use the connection
+            again. Callers choose the ids, which may be as long as a head.
     """
 
     server: str
@@ -45,7 +46,11 @@
     idle_since: float = 0.0
     uses: int = 0
     for_holds: bool = False
-    refused_ids: set = field(default_factory=set)
+    refused: set = field(default_factory=set)
+
+    def note_refused(self, attempt_id):
+        """Records that the server has refused an attempt."""
+        self.refused.add(hash(attempt_id))
 
     def close(self):
         """Closes the socket; never raises."""
@@ -111,7 +116,7 @@
         idle = self._idle[_pool_key(server.name, for_holds)]
         while idle:
             conn = idle.pop()
-            refused = attempt_id in conn.refused_ids
+            refused = hash(attempt_id) in conn.refused
             if not refused and self.is_usable(conn, repeatable):
                 return conn
             conn.close()
@@ -148,7 +153,7 @@
     def give_back_unused(self, conn):
         """Keeps a connection on which nothing was sent since it was taken."""
         idle = self._idle[_pool_key(conn.server, conn.for_holds)]
-        is_used_up = conn.idle_limit_s <= 0 or len(conn.refused_ids) >= MAX_REFUSED_IDS
+        is_used_up = conn.idle_limit_s <= 0 or len(conn.refused) >= MAX_REFUSED
         if is_used_up or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
             return
--- a/amaranthbay/relay/exchange.py
+++ b/amaranthbay/relay/exchange.py
@@ -306,7 +306,7 @@
             self._conn.close()
             return
         if self.head.traits.not_run:
-            self._conn.refused_ids.add(self._attempt_id)
+            self._conn.note_refused(self._attempt_id)
         self._pool.give_back(self._conn, self._keep_alive_s())
 
     def _may_reuse(self):
--- a/amaranthbay/relay/tests/test_connections.py
+++ b/amaranthbay/relay/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Reuse of idle connections to backend servers."""
 
+import sys
 from types import SimpleNamespace
 from unittest import mock
 
@@ -8,6 +9,7 @@
 from amaranthbay.relay.connections import (
     IDLE_LIMIT_NON_IDEMPOTENT_S,
     IDLE_LIMIT_S,
+    MAX_REFUSED,
     ConnectionPool,
 )
 from amaranthbay.relay.crashes import accepts_connections
@@ -65,4 +67,19 @@
     case.assertIsNot(pool.take(SERVER, False, 1.0), conn)
 
 
+def test_refused_attempts_with_long_ids_take_little_memory(case):
+    """Guards against ids as long as a head that connections to full servers collect,
+    and against an attempt that gets a connection on which it was refused."""
+    pool, _ = make_pool(case)
+    conn = pool.take(SERVER, True, 1.0)
+    ids = [f"{number}" + "x" * 16000 for number in range(MAX_REFUSED // 2)]
+    for attempt_id in ids:
+        conn.note_refused(attempt_id)
+    case.assertLess(sum(map(sys.getsizeof, conn.refused)), 64 * len(ids))
+    pool.give_back(conn, None)
+    case.assertIs(pool.take(SERVER, True, 1.0, "other"), conn)
+    pool.give_back(conn, None)
+    case.assertIsNot(pool.take(SERVER, True, 1.0, ids[0]), conn)
+
+
 load_tests = collect(globals())
