Count the requests that lie unread behind the one that is handled

With the queue of turns they were answered, but the machine still held 143 MiB: a process accepts 845 connections there, and for each the kernel holds what was sent before it was accepted.

Change: when a request has been read and bytes follow it, the account of memory counts them, and those that the kernel holds, until the caller pauses. If there is no room, the request is refused as not run (503 with Retry-After) and the connection closes. Callers that send one request at a time never meet this.

A test of the listener shows the refusal, and that bytes which have been read no longer count.

--- a/amaranthbay/platform/tests/test_entry_untrusted_turns.py
+++ b/amaranthbay/platform/tests/test_entry_untrusted_turns.py
@@ -23,6 +23,8 @@
 UNROUTED_CALLERS = 200
 # More than there are places for callers.
 MANY_CALLERS = 900
+# Descriptors of the machines of most deployments.
+MANY_FDS = 4100
 # Fit into the head of a lookup.
 LOOKUP_HEADERS = 90
 FOLDED_LINES = 3500
@@ -82,9 +84,9 @@
         check_everything(crowd)
 
 
-def check_served_beside_refused(case, count):
+def check_served_beside_refused(case, count, **options):
     """Checks a process that gets endless requests which it refuses at once."""
-    with crowded_process(case) as crowd:
+    with crowded_process(case, **options) as crowd:
         block = request("/none/x") * 1000
         crowd.add(count, Crowd.exchange_endlessly, block, window_bytes=None)
         check_everything(crowd)
@@ -100,4 +102,10 @@
     check_served_beside_refused(case, MANY_CALLERS)
 
 
+def test_pipelined_requests_on_many_descriptors(case):
+    """Guards against requests that lie unread on as many connections as a process with
+    many descriptors accepts."""
+    check_served_beside_refused(case, MANY_CALLERS, max_fds=MANY_FDS)
+
+
 load_tests = collect(globals())
--- a/amaranthbay/relay/caller_connection.py
+++ b/amaranthbay/relay/caller_connection.py
@@ -25,6 +25,8 @@
 
 __all__ = ["CallerConnection"]
 
+# Tells a caller that was refused in a shortage when to come back.
+RETRY_HEADER = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
 # Time for which input is read before a close. Unread input would turn the close into a
 # reset, which may discard the answer before the caller reads it.
 LINGER_S = 0.5
@@ -121,6 +123,7 @@
             self._phase = Phase.BUSY
             self._listener.spared.discard(self)
             self._reader.release()
+            self._release_early()
             self._close()
 
     def _serve_one(self, handler):
@@ -140,6 +143,8 @@
             self._listener.arriving.discard(self)
         if req is None:
             return False
+        if not self._count_early():
+            return self._refuse_pipelined()
         self._listener.busy.add(self)
         self._limit_unread(EARLY_BYTES)
         try:
@@ -185,6 +190,17 @@
             self._linger()
         return False
 
+    def _refuse_pipelined(self):
+        """Refuses a request, and those behind it for which there is no memory."""
+        self._note_memory_full()
+        self.answer(503, [RETRY_HEADER], b"", close=True)
+        return False
+
+    def _note_memory_full(self):
+        self._reader.release()
+        self._listener.drops.note(MEMORY_FULL)
+        log_event("request_rejected", level="warning", status=503, reason=MEMORY_FULL)
+
     def _refuse_unread(self):
         """Refuses a request whose body finds no memory, and drops the rest of it.
 
@@ -192,17 +208,14 @@
             Whether the connection may carry another request.
         """
         self._phase = Phase.BUSY
-        self._reader.release()
-        self._listener.drops.note(MEMORY_FULL)
-        log_event("request_rejected", level="warning", status=503, reason=MEMORY_FULL)
-        retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
+        self._note_memory_full()
         if self._http.our_state is h11.IDLE:
             # The end of the request is unknown, as its head is incomplete.
-            self.answer(503, [retry], b"", close=True)
+            self.answer(503, [RETRY_HEADER], b"", close=True)
             return False
         if self._http.our_state is not h11.SEND_RESPONSE:
             return False
-        self.answer(503, [retry], b"")
+        self.answer(503, [RETRY_HEADER], b"")
         if not self._has_place:
             return False
         self._phase = Phase.DISCARDING
@@ -222,9 +235,8 @@
             h11.SEND_RESPONSE,
         ):
             return
-        retry = (b"Retry-After", b"%g" % SHORTAGE_RETRY_S)
         try:
-            self.answer(503, [retry], b"", close=True)
+            self.answer(503, [RETRY_HEADER], b"", close=True)
             self._linger()
         except (OSError, CallerGone):
             pass
--- a/amaranthbay/relay/caller_requests.py
+++ b/amaranthbay/relay/caller_requests.py
@@ -17,7 +17,7 @@
     Phase,
 )
 from amaranthbay.utils.reading import READ_BYTES, ReadLimitExceeded
-from amaranthbay.utils.sockets import peek
+from amaranthbay.utils.sockets import peek, unread_bytes
 
 __all__ = ["IncomingRequest", "Rejected", "RequestReader"]
 
@@ -77,6 +77,8 @@
         self._succession = Succession()
         # Bytes of the body that have not arrived; None if unknown.
         self._body_left = None
+        # Bytes of later requests that count.
+        self._early_bytes = 0
 
     def _read_request(self):
         """Returns the `IncomingRequest`, or None if the caller has hung up."""
@@ -192,6 +194,27 @@
             self._hold(extra_bytes, body)
             self._limit_unread(LARGE_UNREAD_BYTES)
 
+    def _count_early(self):
+        """Counts what has arrived behind the request that is handled next.
+
+        Returns:
+            Whether there is memory for it.
+        """
+        self._release_early()
+        pipelined = len(self._http.trailing_data[0])
+        if not pipelined:
+            return True
+        count = pipelined + unread_bytes(self.sock)
+        if not self._listener.memory.has_room(count):
+            return False
+        self._listener.memory.add_fixed(count)
+        self._early_bytes = count
+        return True
+
+    def _release_early(self):
+        self._listener.memory.remove_fixed(self._early_bytes)
+        self._early_bytes = 0
+
     def _drop_body(self):
         """Reads the rest of a body; returns whether it is complete."""
         size = 0
@@ -225,6 +248,7 @@
         Returns:
             The bytes; empty if the caller is idle or has hung up.
         """
+        self._release_early()
         self._listener.idle.add(self)
         waited_s = 0.0
         try:
--- a/amaranthbay/relay/tests/test_listener.py
+++ b/amaranthbay/relay/tests/test_listener.py
@@ -7,6 +7,7 @@
 import gevent.event
 from gevent import socket
 
+from amaranthbay.ingress.capacity import CONNECTION_BYTES
 from amaranthbay.ingress.progress import Progress
 from amaranthbay.kernel.errors import CallerGone, ProcessStops
 from amaranthbay.platform.tests.fixtures import read_answer
@@ -351,6 +352,24 @@
         case.assertEqual(read_answer(sock).status, 200)
 
 
+def test_pipelined_requests_without_memory_are_refused(case):
+    """Guards against requests that lie unread without being counted, and against bytes
+    that still count once they have been read."""
+    memory = ReadMemory(CONNECTION_BYTES + 100, 50)
+    with connection(ClientLimits, places=1, memory=memory) as (sock, listener):
+        sock.sendall(REQUEST * 3)
+        trailing = b""
+        for _ in range(3):
+            answer = read_answer(sock, trailing)
+            trailing = answer.trailing
+            case.assertEqual(answer.status, 200)
+        wait_until(lambda: memory.used_bytes == CONNECTION_BYTES)
+        sock.sendall(REQUEST * 10)
+        answer = read_answer(sock)
+        case.assertEqual((answer.status, answer.headers["connection"]), (503, "close"))
+        case.assertIn("retry-after", answer.headers)
+
+
 def test_lines_of_a_body_are_no_lines_of_its_head(case):
     """Guards against ordinary bodies of many lines that wait for a turn to parse."""
     body = b"line\n" * 300
--- a/amaranthbay/utils/sockets.py
+++ b/amaranthbay/utils/sockets.py
@@ -11,11 +11,13 @@
     "limit_unsent",
     "peek",
     "reset_on_close",
+    "unread_bytes",
     "unsent_bytes",
 ]
 
-# Request of ioctl for the bytes that the peer has not acknowledged, as in Linux.
-_UNSENT_REQUEST = 0x5411
+# Requests of ioctl for the bytes that have not been read, and for those that the peer
+# has not acknowledged, as in Linux.
+_UNREAD_REQUEST, _UNSENT_REQUEST = 0x541B, 0x5411
 _COUNT = struct.Struct("i")
 # Option of TCP in Linux; older versions of Python don't name it.
 TCP_NOTSENT_LOWAT = 25
@@ -84,12 +86,21 @@
     _set_option(sock, socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def unread_bytes(sock):
+    """Returns the bytes that the kernel holds until they are read."""
+    return _query_bytes(sock, _UNREAD_REQUEST)
+
+
 def unsent_bytes(sock):
     """Returns the bytes that the kernel holds until a peer has acknowledged them."""
+    return _query_bytes(sock, _UNSENT_REQUEST)
+
+
+def _query_bytes(sock, req):
     if sys.platform != "linux":
         return 0
     try:
-        return _COUNT.unpack(fcntl.ioctl(sock.fileno(), _UNSENT_REQUEST, bytes(4)))[0]
+        return _COUNT.unpack(fcntl.ioctl(sock.fileno(), req, bytes(_COUNT.size)))[0]
     except OSError:
         # The socket is closed, or the system has no such request.
         return 0
