--- a/amaranthbay/relay/connections.py
+++ b/amaranthbay/relay/connections.py
@@ -20,7 +20,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_SERVER = 32
 # Largest number of refused attempts that a connection keeps; it is then closed.
-MAX_REFUSED = 100
+MAX_REFUSED_IDS = 100
 
 
 @dataclass(eq=False)
@@ -153,7 +153,7 @@
     def give_back_unused(self, conn):
         """Keeps a connection on which nothing was sent since it was taken."""
         idle = self._idle[_pool_key(conn.server, conn.for_holds)]
-        is_used_up = conn.idle_limit_s <= 0 or len(conn.refused) >= MAX_REFUSED
+        is_used_up = conn.idle_limit_s <= 0 or len(conn.refused) >= MAX_REFUSED_IDS
         if is_used_up or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
             return
--- a/amaranthbay/relay/tests/test_connections.py
+++ b/amaranthbay/relay/tests/test_connections.py
@@ -9,7 +9,7 @@
 from amaranthbay.relay.connections import (
     IDLE_LIMIT_NON_IDEMPOTENT_S,
     IDLE_LIMIT_S,
-    MAX_REFUSED,
+    MAX_REFUSED_IDS,
     ConnectionPool,
 )
 from amaranthbay.relay.crashes import accepts_connections
@@ -72,7 +72,7 @@
     and against an attempt that gets a connection on which it was refused."""
     pool, _ = make_pool(case)
     conn = pool.take(SERVER, True, 1.0)
-    ids = [f"{number}" + "x" * 16000 for number in range(MAX_REFUSED // 2)]
+    ids = [f"{number}" + "x" * 16000 for number in range(MAX_REFUSED_IDS // 2)]
     for attempt_id in ids:
         conn.note_refused(attempt_id)
     case.assertLess(sum(map(sys.getsizeof, conn.refused)), 64 * len(ids))
