Let evicted messages go before more is read

Cause: an evicted response is freed by its own greenlet, one turn of the event loop later.

Change: each reader lets the others run once when messages have been evicted since its last read.

A unit test fails if the reader does not wait.

--- a/amaranthbay/utils/reading.py
+++ b/amaranthbay/utils/reading.py
@@ -70,6 +70,7 @@
     Attributes:
         total_bytes: Bytes that all messages may hold together.
         message_bytes: Bytes that one message may hold.
+        evictions: Number of times that messages had to yield.
     """
 
     def __init__(self, total_bytes, message_bytes=None, clock=None):
@@ -84,6 +85,7 @@
         self.message_bytes = int(message_bytes or MESSAGE_SHARE * total_bytes)
         self._clock = clock or SystemClock()
         self._used = 0
+        self.evictions = 0
         # A message whose reader is dropped without a release must not stay.
         self._reading = WeakSet()
 
@@ -161,6 +163,7 @@
         holders = [each.as_holder(now) for each in self._reading if each.held_bytes]
         for holder in choose_for_memory(holders, needed_bytes, spare_bytes):
             if holder.owner is not message:
+                self.evictions += 1
                 holder.owner.evict()
             elif self._used > self.total_bytes:
                 return
@@ -302,10 +305,15 @@
         """Lets others run if this greenlet has run for `TURN_S`."""
         if self._clock.monotonic() - self._began_at < TURN_S:
             return
-        if self._queue is not None:
-            self._queue.wait(self._clock)
-        else:
-            self._clock.sleep(YIELD_S)
+        if self._queue is None:
+            self.pause()
+            return
+        self._queue.wait(self._clock)
+        self._began_at = self._clock.monotonic()
+
+    def pause(self):
+        """Lets others run at once, and begins a new turn then."""
+        self._clock.sleep(YIELD_S)
         self._began_at = self._clock.monotonic()
 
     def wait(self, read, *args):
@@ -340,6 +348,7 @@
         self.sock = sock
         self._memory = memory
         self._turn = Turn(clock, queue)
+        self._seen_evictions = memory.evictions
         self._message = None
 
     @property
@@ -362,6 +371,10 @@
             OSError: If the connection breaks or the socket's timeout passes.
             ReadLimitExceeded: If the message had to yield to others.
         """
+        if self._seen_evictions != self._memory.evictions:
+            # The bytes that were taken are free once their greenlets have run.
+            self._seen_evictions = self._memory.evictions
+            self._turn.pause()
         self._turn.give_way()
         self._check_evicted()
         data = self._turn.wait(self.sock.recv, size)
--- a/amaranthbay/utils/tests/test_reading.py
+++ b/amaranthbay/utils/tests/test_reading.py
@@ -120,6 +120,23 @@
     case.assertTrue(turns)
 
 
+def test_reader_lets_evicted_messages_go_before_it_reads_on(case):
+    """Guards against bytes that are read before those that had to yield are free."""
+    ours, theirs = socket.socketpair()
+    case.addCleanup(ours.close)
+    case.addCleanup(theirs.close)
+    memory, clock, turns = ReadMemory(TOTAL, TOTAL), ManualClock(), []
+    reader = BoundedReader(ours, memory, clock)
+    theirs.sendall(b"x" * 10)
+    largest = memory.begin(on_evicted=lambda: gevent.spawn(turns.append, 1))
+    largest.add(TOTAL)
+    reader.hold(1)
+    case.assertTrue(largest.evicted)
+    case.assertFalse(turns)
+    reader.recv(1)
+    case.assertEqual(turns, [1])
+
+
 def test_busy_greenlets_go_on_one_after_the_other(case):
     """Guards against many busy greenlets that all run between two looks at the
     sockets."""
